--- /dev/null
+++ b/bronzetiller/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line as a module."""
+
+from bronzetiller.cli.main import main
+
+main()
--- /dev/null
+++ b/bronzetiller/budgets/__init__.py
@@ -0,0 +1,1 @@
+"""Keep every workspace inside its prepaid budget."""
--- /dev/null
+++ b/bronzetiller/budgets/shards.py
@@ -0,0 +1,96 @@
+"""Follow and write the ledger streams of all shards."""
+
+import hashlib
+import json
+from collections.abc import Callable
+
+from attrs import frozen
+from result import Err, Ok
+
+from bronzetiller.budgets.ledger import Ledger, Ruling, Verdict
+from bronzetiller.budgets.records import LedgerRecord, dump_ledger_record, load_ledger_record
+from bronzetiller.logs import log_event
+from bronzetiller.metrics import RULINGS
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.platform.follower import StreamFollower
+from bronzetiller.platform.log_client import Entry, LogClient
+from bronzetiller.platform.writer import Acknowledged, StreamWriter
+
+RulingListener = Callable[[Entry, LedgerRecord, Ruling], None]
+
+
+def find_shard(workspace: str, shards: int) -> int:
+    """Return the shard of a workspace, the same on every node."""
+    digest = hashlib.sha256(workspace.encode()).digest()
+    return int.from_bytes(digest[:8], "big") % shards
+
+
+def name_stream(shard: int) -> str:
+    """Return the name of a shard's stream in the log."""
+    return f"ledger-{shard}"
+
+
+@frozen
+class Shard:
+    """Hold one shard's follower, writer and folded state."""
+
+    follower: StreamFollower
+    writer: StreamWriter
+    ledger: Ledger
+
+
+class Shards:
+    """Give each workspace the shard that keeps its budget."""
+
+    def __init__(
+        self, scheduler: Scheduler, log: LogClient, count: int, *, append_interval_seconds: float
+    ) -> None:
+        self._listeners: list[RulingListener] = []
+        self._shards = [
+            self._make_shard(scheduler, log, index, append_interval_seconds)
+            for index in range(count)
+        ]
+
+    @property
+    def all(self) -> list[Shard]:
+        """Return every shard."""
+        return self._shards
+
+    def find(self, workspace: str) -> Shard:
+        """Return the shard of a workspace."""
+        return self._shards[find_shard(workspace, len(self._shards))]
+
+    def subscribe(self, listener: RulingListener) -> None:
+        """Call the listener with each record and the ruling on it."""
+        self._listeners.append(listener)
+
+    def append(self, record: LedgerRecord, acknowledged: Acknowledged | None = None) -> None:
+        """Append a record to the shard of its workspace, repeating it until the log confirms."""
+        self.find(record.workspace).writer.append(dump_ledger_record(record), acknowledged)
+
+    def start(self) -> None:
+        """Begin to follow every shard."""
+        for shard in self._shards:
+            shard.follower.start()
+
+    def _make_shard(
+        self, scheduler: Scheduler, log: LogClient, index: int, interval_seconds: float
+    ) -> Shard:
+        stream = name_stream(index)
+        ledger = Ledger()
+        follower = StreamFollower(scheduler, log, stream)
+        follower.subscribe(lambda entry: self._apply(ledger, entry))
+        writer = StreamWriter(scheduler, log, stream, interval_seconds=interval_seconds)
+        return Shard(follower, writer, ledger)
+
+    def _apply(self, ledger: Ledger, entry: Entry) -> None:
+        match load_ledger_record(entry.record):
+            case Ok(record):
+                ruling = ledger.apply(entry.at, record)
+                RULINGS.labels(entry.record["kind"], ruling.verdict).inc()
+                for listener in self._listeners:
+                    listener(entry, record, ruling)
+            case Err(reason):
+                RULINGS.labels("unreadable", Verdict.MALFORMED).inc()
+                text = json.dumps(entry.record)[:200]
+                log_event("ledger_record_malformed", level=30, reason=reason, record=text)
--- /dev/null
+++ b/bronzetiller/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the HTTP interface of callers."""
--- /dev/null
+++ b/bronzetiller/callers/api.py
@@ -0,0 +1,128 @@
+"""Route the requests of callers and operators by path."""
+
+import json
+import time
+from collections.abc import Callable
+from typing import Any
+from uuid import uuid4
+
+from attrs import define
+from result import Err, Ok
+
+from bronzetiller.callers.authentication import authenticate
+from bronzetiller.callers.chat import JSON_HEADERS, ChatRun, ChatServices
+from bronzetiller.callers.chat_request import KEY_LENGTH_MAX, check_chat_request, read_model
+from bronzetiller.callers.problems import refuse
+from bronzetiller.configuration.fold import Configuration
+from bronzetiller.configuration.records import Route, RouteProtocol
+from bronzetiller.errors import Reason, Refusal
+from bronzetiller.metrics import render_metrics
+from bronzetiller.net.http_server import Exchange
+
+
+@define
+class ApiServices:
+    """Hold what the HTTP interface needs of the node."""
+
+    configuration: Configuration
+    chat: ChatServices
+    is_ready: Callable[[], bool]
+    is_stopping: Callable[[], bool]
+    list_entries: Callable[[], list[str]]
+    make_report: Callable[[], dict[str, Any]]
+    entry_seconds: float
+
+
+def make_application(services: ApiServices) -> Callable[[Exchange], None]:
+    """Return the application that serves every request of a node."""
+
+    def serve(exchange: Exchange) -> None:
+        handle = _HANDLERS.get((exchange.method, exchange.path))
+        if handle is not None:
+            handle(services, exchange)
+        elif any(path == exchange.path for _, path in _HANDLERS):
+            detail = f"{exchange.method} is not served here"
+            refuse(exchange, Refusal(405, Reason.METHOD_NOT_ALLOWED, detail))
+        else:
+            refuse(exchange, Refusal(404, Reason.UNKNOWN_ROUTE, "nothing is served here"))
+
+    return serve
+
+
+def _serve_entry(services: ApiServices, exchange: Exchange) -> None:
+    keep_until = time.time() + services.entry_seconds
+    value = {"addresses": services.list_entries(), "keep_until": keep_until}
+    _respond(exchange, 200, value)
+
+
+def _serve_health(services: ApiServices, exchange: Exchange) -> None:
+    _respond(exchange, 200, {"healthy": True})
+
+
+def _serve_readiness(services: ApiServices, exchange: Exchange) -> None:
+    ready = services.is_ready() and not services.is_stopping()
+    _respond(exchange, 200 if ready else 503, {"ready": ready})
+
+
+def _serve_metrics(services: ApiServices, exchange: Exchange) -> None:
+    exchange.respond(200, {"Content-Type": "text/plain; version=0.0.4"}, render_metrics())
+
+
+def _serve_report(services: ApiServices, exchange: Exchange) -> None:
+    _respond(exchange, 200, services.make_report())
+
+
+def _serve_chat(services: ApiServices, exchange: Exchange) -> None:
+    workspace = _admit(services, exchange)
+    if workspace is None:
+        return
+    match read_model(exchange.body):
+        case Err(refusal):
+            refuse(exchange, refusal)
+            return
+        case Ok((model, body)):
+            pass
+    route = services.configuration.routes().get(model)
+    if route is None or not _may_use(workspace, route) or route.protocol != RouteProtocol.CHAT:
+        refuse(exchange, Refusal(404, Reason.UNKNOWN_ROUTE, f"no route serves model {model!r}"))
+        return
+    match check_chat_request(body, exchange.body, route):
+        case Err(refusal):
+            refuse(exchange, refusal)
+        case Ok(request):
+            request_id = exchange.headers.get("idempotency-key") or uuid4().hex
+            run = ChatRun(services.chat, exchange, workspace, request_id, route, request)
+            run.start()
+
+
+def _admit(services: ApiServices, exchange: Exchange) -> str | None:
+    if not services.is_ready():
+        refusal = Refusal(503, Reason.NOT_READY, "the node is starting", retry_after_seconds=1)
+        refuse(exchange, refusal)
+        return None
+    workspace = authenticate(services.configuration, exchange.headers)
+    if workspace is None:
+        refuse(exchange, Refusal(401, Reason.BAD_CREDENTIALS, "the key is not known"))
+        return None
+    if len(exchange.headers.get("idempotency-key", "")) > KEY_LENGTH_MAX:
+        refuse(exchange, Refusal(400, Reason.BAD_REQUEST, "the idempotency key is too long"))
+        return None
+    return workspace
+
+
+def _may_use(workspace: str, route: Route) -> bool:
+    return route.workspaces is None or workspace in route.workspaces
+
+
+def _respond(exchange: Exchange, status: int, value: dict[str, Any]) -> None:
+    exchange.respond(status, JSON_HEADERS, json.dumps(value).encode())
+
+
+_HANDLERS: dict[tuple[str, str], Callable[[ApiServices, Exchange], None]] = {
+    ("GET", "/v1/entry"): _serve_entry,
+    ("GET", "/healthz"): _serve_health,
+    ("GET", "/readyz"): _serve_readiness,
+    ("GET", "/metrics"): _serve_metrics,
+    ("GET", "/v1/report"): _serve_report,
+    ("POST", "/v1/chat/completions"): _serve_chat,
+}
--- /dev/null
+++ b/bronzetiller/callers/chat_request.py
@@ -0,0 +1,78 @@
+"""Check a chat request and bound its tokens."""
+
+import hashlib
+import json
+from typing import Any
+
+from attrs import frozen
+from result import Err, Ok, Result
+
+from bronzetiller.configuration.records import Route
+from bronzetiller.errors import Reason, Refusal
+
+MESSAGE_TOKENS = 8
+KEY_LENGTH_MAX = 200
+
+
+@frozen
+class ChatRequest:
+    """Hold a checked chat request and the most tokens it can use."""
+
+    body: dict[str, Any]
+    stream: bool
+    include_usage: bool
+    prompt_tokens_max: int
+    answer_tokens_max: int
+    fingerprint: str
+
+    @property
+    def tokens_max(self) -> int:
+        """Return the most tokens that the request can use."""
+        return self.prompt_tokens_max + self.answer_tokens_max
+
+
+def read_model(body: bytes) -> Result[tuple[str, dict[str, Any]], Refusal]:
+    """Return the model that a request body names, and the body."""
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError):
+        return _refuse("the body is not JSON")
+    if not isinstance(value, dict) or not isinstance(value.get("model"), str):
+        return _refuse("the body names no model")
+    return Ok((value["model"], value))
+
+
+def check_chat_request(
+    body: dict[str, Any], raw: bytes, route: Route
+) -> Result[ChatRequest, Refusal]:
+    """Check the fields that the fleet relies on; others go to the engine as they are."""
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return _refuse("messages is not a list with an entry")
+    if not all(isinstance(message, dict) for message in messages):
+        return _refuse("a message is not an object")
+    if body.get("n", 1) != 1:
+        return _refuse("n other than 1 is not served")
+    cap = body.get("max_completion_tokens", body.get("max_tokens"))
+    if cap is None:
+        cap = route.answer_tokens_max
+    if not isinstance(cap, int) or isinstance(cap, bool) or cap < 1:
+        return _refuse("max_tokens is not a positive number")
+    options = body.get("stream_options") or {}
+    if not isinstance(options, dict) or not isinstance(body.get("stream", False), bool | None):
+        return _refuse("stream or stream_options is malformed")
+    prompt = len(raw) + route.template_tokens + MESSAGE_TOKENS * len(messages)
+    return Ok(
+        ChatRequest(
+            body=body,
+            stream=bool(body.get("stream")),
+            include_usage=bool(options.get("include_usage")),
+            prompt_tokens_max=prompt,
+            answer_tokens_max=min(cap, route.answer_tokens_max),
+            fingerprint=hashlib.sha256(raw).hexdigest()[:32],
+        )
+    )
+
+
+def _refuse(detail: str) -> Err[Refusal]:
+    return Err(Refusal(400, Reason.BAD_REQUEST, detail))
--- /dev/null
+++ b/bronzetiller/callers/problems.py
@@ -0,0 +1,60 @@
+"""Tell callers of refusals as problem+json (RFC 9457)."""
+
+import json
+
+from bronzetiller.errors import Reason, Refusal
+from bronzetiller.logs import log_event
+from bronzetiller.metrics import REFUSALS
+from bronzetiller.net.event_stream import format_event
+from bronzetiller.net.http_server import Exchange
+
+_STATUS_REASONS = {
+    408: Reason.REQUEST_TIMEOUT,
+    413: Reason.REQUEST_TOO_LARGE,
+    431: Reason.REQUEST_TOO_LARGE,
+}
+
+
+def refuse(exchange: Exchange, refusal: Refusal) -> None:
+    """Answer with a refusal; a stream that has begun gets it as its last event and is cut."""
+    _count(refusal)
+    if not exchange.started:
+        headers = _make_headers(refusal)
+        exchange.respond(refusal.status, headers, _make_body(refusal))
+        return
+    exchange.send(format_event(_make_body(refusal)))
+    exchange.finish()
+
+
+def reject_malformed(status: int, detail: str) -> tuple[dict[str, str], bytes]:
+    """Answer a request that never became one; return its headers and body."""
+    refusal = Refusal(status, _STATUS_REASONS.get(status, Reason.BAD_REQUEST), detail)
+    _count(refusal)
+    return _make_headers(refusal), _make_body(refusal)
+
+
+def _count(refusal: Refusal) -> None:
+    REFUSALS.labels(refusal.reason, refusal.ran).inc()
+    log_event("refused", reason=refusal.reason, ran=refusal.ran, detail=refusal.detail)
+
+
+def _make_headers(refusal: Refusal) -> dict[str, str]:
+    headers = {"Content-Type": "application/problem+json"}
+    if refusal.retry_after_seconds is not None:
+        headers["Retry-After"] = str(refusal.retry_after_seconds)
+    return headers
+
+
+def _make_body(refusal: Refusal) -> bytes:
+    error = {"message": refusal.detail, "type": refusal.reason.value, "code": refusal.reason.value}
+    value = {
+        "type": f"urn:bronzetiller:refusal:{refusal.reason.value}",
+        "title": refusal.reason.value.replace("_", " "),
+        "status": refusal.status,
+        "detail": refusal.detail,
+        "reason": refusal.reason.value,
+        "ran": refusal.ran.value,
+        "retry_after_seconds": refusal.retry_after_seconds,
+        "error": error,
+    }
+    return json.dumps(value).encode()
--- /dev/null
+++ b/bronzetiller/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the command line."""
--- /dev/null
+++ b/bronzetiller/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Fold operator records into the configuration in force."""
--- /dev/null
+++ b/bronzetiller/errors.py
@@ -0,0 +1,60 @@
+"""Name every refusal a caller may get."""
+
+from enum import StrEnum
+
+from attrs import frozen
+
+
+class Ran(StrEnum):
+    """Say whether a refused request was run."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class Reason(StrEnum):
+    """Name the cause of a refusal; each has a counter in the metrics."""
+
+    BAD_REQUEST = "bad_request"
+    BAD_CREDENTIALS = "bad_credentials"
+    UNKNOWN_ROUTE = "unknown_route"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    REQUEST_TOO_LARGE = "request_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    KEY_REUSED = "idempotency_key_reused"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    BUDGET_UNCONFIRMED = "budget_unconfirmed"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    NO_TARGET = "no_target"
+    TARGET_FAILED = "target_failed"
+    ANSWER_INCOMPLETE = "answer_incomplete"
+    BILL_UNCONFIRMED = "bill_unconfirmed"
+    BILL_VOID = "bill_void"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    CLAIM_HELD = "claim_held"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    QUARANTINED = "quarantined"
+    NOT_READY = "not_ready"
+    STOPPING = "stopping"
+    INTERNAL = "internal"
+
+
+@frozen
+class Refusal:
+    """Describe one refusal: HTTP status, reason, whether the request ran, when to come back."""
+
+    status: int
+    reason: Reason
+    detail: str
+    ran: Ran = Ran.NO
+    retry_after_seconds: int | None = None
+
+
+class BronzetillerError(Exception):
+    """Form the base of the exceptions raised for broken invariants."""
+
+
+class InvariantError(BronzetillerError):
+    """Report a state that the code promises never to reach."""
--- /dev/null
+++ b/bronzetiller/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Connect the nodes of a fleet."""
--- /dev/null
+++ b/bronzetiller/fleet/peers.py
@@ -0,0 +1,232 @@
+"""Exchange messages with the other nodes of the fleet."""
+
+import itertools
+from collections.abc import Callable
+from socket import socket
+from typing import Any, TypeVar
+
+from attrs import define, field, frozen
+from circuits import handler
+from circuits.net.sockets import TCPServer
+from result import Err, Ok, Result
+
+from bronzetiller.logs import log_event
+from bronzetiller.net.dialer import Address, Connection, ConnectionHandlers, Dialer
+from bronzetiller.net.loop import Loop
+from bronzetiller.net.scheduler import Scheduler, Timer
+from bronzetiller.wire.messages import Message, Packet
+from bronzetiller.wire.sessions import (
+    Session,
+    SessionHandlers,
+    open_client_session,
+    open_server_session,
+)
+
+CONNECT_SECONDS = 2.0
+REDIAL_SECONDS = 0.5
+READ_BYTES = 64 * 1024
+
+M = TypeVar("M", bound=Message)
+Reply = Callable[[Message], None]
+Answered = Callable[[Result[Message, str]], None]
+
+
+@frozen
+class PeerVm:
+    """Name a peer and its listening address."""
+
+    node_id: str
+    address: Address
+
+
+@define(eq=False)
+class _Question:
+    node_id: str
+    answered: Answered
+    timer: Timer
+
+
+@define(eq=False)
+class _Link:
+    """Hold the dialled connection to one peer, dialled again whenever it is lost."""
+
+    vm: PeerVm
+    connection: Connection | None = None
+    session: Session | None = None
+    removed: bool = False
+
+
+class _PeerListener(TCPServer):
+    """Accept the connections that peers dial."""
+
+    def __init__(self, host: str, port: int, peers: "Peers") -> None:
+        super().__init__((host, port), channel="peers", bufsize=READ_BYTES)
+        self._peers = peers
+        self._sessions: dict[socket, Session] = {}
+
+    @handler("connect")
+    def _on_connect(self, sock: socket, *peer: Any) -> None:
+        session = self._peers.accept(
+            lambda data: self.write(sock, data) if sock in self._clients else None,
+            lambda: self._close(sock),
+        )
+        self._sessions[sock] = session
+
+    @handler("read")
+    def _on_received(self, sock: socket, data: bytes) -> None:
+        session = self._sessions.get(sock)
+        if session is not None:
+            session.feed(data)
+
+    @handler("disconnect")
+    def _on_closed(self, sock: socket) -> None:
+        self._sessions.pop(sock, None)
+
+    @handler("error")
+    def _on_error(self, *args: Any) -> None:
+        """Leave socket errors to the disconnect that follows."""
+
+
+@define(eq=False)
+class Peers:
+    """Dial every peer; send, ask and answer typed messages."""
+
+    _scheduler: Scheduler
+    _dialer: Dialer
+    _node_id: str
+    _secret: bytes
+    _links: dict[str, _Link] = field(factory=dict)
+    _questions: dict[int, _Question] = field(factory=dict)
+    _handlers: dict[type, Callable[[Any, Reply], None]] = field(factory=dict)
+    _numbers: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
+
+    def listen(self, loop: Loop, host: str, port: int) -> int:
+        """Accept peers; return the port."""
+        return int(_PeerListener(host, port, self).register(loop.root).port)
+
+    def on(self, message_class: type[M], handle: Callable[[M, Reply], None]) -> None:
+        """Handle each message of a class; the reply goes back to its sender."""
+        self._handlers[message_class] = handle
+
+    def set_peers(self, vms: list[PeerVm]) -> None:
+        """Connect to exactly these peers from now on."""
+        wanted = {vm.node_id: vm for vm in vms if vm.node_id != self._node_id}
+        for node_id, link in list(self._links.items()):
+            if wanted.get(node_id) != link.vm:
+                self._remove(node_id, link)
+        for node_id, vm in wanted.items():
+            if node_id not in self._links:
+                link = self._links[node_id] = _Link(vm)
+                self._dial(link)
+
+    def connected(self) -> list[str]:
+        """Return the ids of the peers that can be sent to."""
+        return [
+            node_id
+            for node_id, link in self._links.items()
+            if link.session is not None and link.session.open
+        ]
+
+    def send(self, node_id: str, message: Message) -> bool:
+        """Send a message that needs no answer; say whether there was a connection."""
+        return self._transmit(node_id, Packet(next(self._numbers), 0, message))
+
+    def broadcast(self, message: Message) -> None:
+        """Send a message to every connected peer."""
+        for node_id in self.connected():
+            self.send(node_id, message)
+
+    def ask(self, node_id: str, message: Message, seconds: float, answered: Answered) -> None:
+        """Send a message and give its answer, or an error after the given seconds."""
+        number = next(self._numbers)
+        timer = self._scheduler.call_after(seconds, lambda: self._fail(number, "timeout"))
+        self._questions[number] = _Question(node_id, answered, timer)
+        if not self._transmit(node_id, Packet(number, 0, message)):
+            timer.cancel()
+            self._scheduler.call_after(0, lambda: self._fail(number, "not connected"))
+
+    def drop_link(self, node_id: str) -> None:
+        """Close the connection to a silent peer, to dial it again."""
+        link = self._links.get(node_id)
+        if link is not None and link.connection is not None:
+            link.connection.close()
+            self._lose(link, "silent")
+
+    def accept(self, write: Callable[[bytes], None], close: Callable[[], None]) -> Session:
+        """Open the session of an accepted connection."""
+        session: Session
+
+        def receive(packet: Packet) -> None:
+            self._receive(packet, session)
+
+        handlers = SessionHandlers(write, lambda: None, receive, close)
+        session = open_server_session(self._secret, handlers)
+        return session
+
+    def _transmit(self, node_id: str, packet: Packet) -> bool:
+        link = self._links.get(node_id)
+        if link is None or link.session is None or not link.session.open:
+            return False
+        link.session.send(packet)
+        return True
+
+    def _dial(self, link: _Link) -> None:
+        if link.removed:
+            return
+        connection: Connection
+
+        def connected() -> None:
+            handlers = SessionHandlers(
+                connection.write,
+                lambda: log_event("peer_connected", peer=link.vm.node_id),
+                lambda packet: self._receive(packet, link.session),
+                lambda: self.drop_link(link.vm.node_id),
+            )
+            address = str(link.vm.address)
+            link.session = open_client_session(self._secret, self._node_id, address, handlers)
+
+        def received(data: bytes) -> None:
+            if link.session is not None:
+                link.session.feed(data)
+
+        handlers = ConnectionHandlers(connected, received, lambda cause: self._lose(link, cause))
+        connection = self._dialer.dial(link.vm.address, CONNECT_SECONDS, handlers)
+        link.connection = connection
+
+    def _lose(self, link: _Link, cause: str) -> None:
+        if link.session is not None and link.session.open:
+            log_event("peer_lost", level=30, peer=link.vm.node_id, cause=cause)
+        link.session = None
+        link.connection = None
+        for number, question in list(self._questions.items()):
+            if question.node_id == link.vm.node_id:
+                self._fail(number, "connection lost")
+        self._scheduler.call_after(REDIAL_SECONDS, lambda: self._dial(link))
+
+    def _remove(self, node_id: str, link: _Link) -> None:
+        del self._links[node_id]
+        link.removed = True
+        if link.connection is not None:
+            link.connection.close()
+
+    def _receive(self, packet: Packet, session: Session | None) -> None:
+        if packet.reply_to:
+            question = self._questions.pop(packet.reply_to, None)
+            if question is not None:
+                question.timer.cancel()
+                question.answered(Ok(packet.message))
+            return
+        handle = self._handlers.get(type(packet.message))
+        if handle is None or session is None:
+            return
+
+        def reply(message: Message) -> None:
+            session.send(Packet(next(self._numbers), packet.number, message))
+
+        handle(packet.message, reply)
+
+    def _fail(self, number: int, cause: str) -> None:
+        question = self._questions.pop(number, None)
+        if question is not None:
+            question.timer.cancel()
+            question.answered(Err(cause))
--- /dev/null
+++ b/bronzetiller/metrics.py
@@ -0,0 +1,28 @@
+"""Count what a node does, for Prometheus."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+
+REGISTRY = CollectorRegistry()
+
+REQUESTS = Counter("bronzetiller_requests", "Requests accepted.", ["protocol"], registry=REGISTRY)
+ANSWERS = Counter(
+    "bronzetiller_answers", "Whole answers delivered.", ["protocol"], registry=REGISTRY
+)
+REFUSALS = Counter(
+    "bronzetiller_refusals",
+    "Refusals by reason and by whether the request ran.",
+    ["reason", "ran"],
+    registry=REGISTRY,
+)
+RETRIES = Counter("bronzetiller_retries", "Attempts repeated.", ["reason"], registry=REGISTRY)
+TOKENS_BILLED = Counter("bronzetiller_tokens_billed", "Tokens billed.", registry=REGISTRY)
+RULINGS = Counter(
+    "bronzetiller_rulings", "Ledger rulings.", ["record", "verdict"], registry=REGISTRY
+)
+LATE_BYTES = Counter("bronzetiller_late_bytes", "Bytes dropped after an end.", registry=REGISTRY)
+OPEN_REQUESTS = Gauge("bronzetiller_open_requests", "Requests being served.", registry=REGISTRY)
+
+
+def render_metrics() -> bytes:
+    """Return all metrics in the text format of Prometheus."""
+    return generate_latest(REGISTRY)
--- /dev/null
+++ b/bronzetiller/net/__init__.py
@@ -0,0 +1,1 @@
+"""Carry HTTP over circuits sockets."""
--- /dev/null
+++ b/bronzetiller/net/dialer.py
@@ -0,0 +1,167 @@
+"""Open outgoing connections on the loop.
+
+It takes the socket handling of circuits' TCPServer, which serves many sockets in one component:
+a circuits TCPClient per connection would rebuild the handler cache each time, and waits for its
+connection in steps of a tenth of a second.
+"""
+
+import socket as sockets
+from collections.abc import Callable
+from errno import EINPROGRESS
+from socket import socket
+from typing import Any
+
+from attrs import define, frozen
+from circuits import handler
+from circuits.net.sockets import TCPServer
+
+from bronzetiller.net.loop import Loop
+from bronzetiller.net.scheduler import Scheduler, Timer
+
+READ_BYTES = 64 * 1024
+
+
+@frozen
+class Address:
+    """Name one listening socket by IP number and port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Read an address written as ip:port; raise ValueError where it is not one."""
+    ip, separator, port = text.rpartition(":")
+    try:
+        sockets.inet_pton(sockets.AF_INET, ip)
+    except OSError as error:
+        raise ValueError(f"{text!r} is not ip:port") from error
+    if not separator or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ValueError(f"{text!r} is not ip:port")
+    return Address(ip, int(port))
+
+
+@frozen
+class ConnectionHandlers:
+    """Receive what happens to one connection; closed gives the cause and comes once, last."""
+
+    connected: Callable[[], None]
+    received: Callable[[bytes], None]
+    closed: Callable[[str], None]
+
+
+@define(eq=False)
+class Connection:
+    """Hold one outgoing connection."""
+
+    address: Address
+    _sock: socket
+    _dialer: "Dialer"
+    _handlers: ConnectionHandlers
+    open: bool = False
+    timer: Timer | None = None
+
+    def write(self, data: bytes) -> None:
+        """Send data in order."""
+        if self.open:
+            self._dialer.write(self._sock, data)
+
+    def close(self) -> None:
+        """Close at once; closed is not called."""
+        self._dialer.forget(self._sock)
+
+
+class Dialer(TCPServer):
+    """Keep the outgoing connections of a process."""
+
+    def __init__(self, loop: Loop, *, channel: str) -> None:
+        super().__init__(("127.0.0.1", 0), channel=channel, bufsize=READ_BYTES)
+        self._poller = loop.poller
+        self._scheduler: Scheduler = loop.scheduler
+        self._connections: dict[socket, Connection] = {}
+
+    def dial(self, address: Address, seconds: float, handlers: ConnectionHandlers) -> Connection:
+        """Connect within the given seconds; outcomes come through the handlers, never at once."""
+        sock = socket(self.socket_family, self.socket_type)
+        sock.setblocking(False)
+        sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+        connection = Connection(address, sock, self, handlers)
+        self._connections[sock] = connection
+        code = sock.connect_ex((address.ip, address.port))
+        if code not in (0, EINPROGRESS):
+            self._scheduler.call_after(0, lambda: self._fail(sock, f"connect: errno {code}"))
+            return connection
+        self._poller.addWriter(self, sock)
+        connection.timer = self._scheduler.call_after(
+            seconds, lambda: self._fail(sock, "connect: timeout")
+        )
+        return connection
+
+    def forget(self, sock: socket) -> None:
+        """Close a socket without telling its handlers."""
+        connection = self._connections.pop(sock, None)
+        if connection is None:
+            return
+        if connection.timer is not None:
+            connection.timer.cancel()
+        if connection.open:
+            connection.open = False
+            self._close(sock)
+        else:
+            self._poller.discard(sock)
+            sock.close()
+
+    def _create_socket(self) -> socket:
+        """Return a socket that never listens, since this component only dials."""
+        return socket(self.socket_family, self.socket_type)
+
+    @handler("registered", "started", channel="*", override=True)
+    def _on_registered_or_started(self, component: Any, manager: Any = None) -> None:
+        """Keep the loop's poller, which is there before the loop runs."""
+
+    @handler("_write", priority=2)
+    def _on_connecting(self, event: Any, sock: socket) -> None:
+        connection = self._connections.get(sock)
+        if connection is None or connection.open:
+            return
+        event.stop()
+        code = sock.getsockopt(sockets.SOL_SOCKET, sockets.SO_ERROR)
+        if code:
+            self._fail(sock, f"connect: errno {code}")
+            return
+        if connection.timer is not None:
+            connection.timer.cancel()
+        connection.open = True
+        self._poller.removeWriter(sock)
+        self._on_accept_done(sock, fire_connect_event=False)
+        connection._handlers.connected()
+
+    @handler("_disconnect", priority=2)
+    def _on_hangup(self, event: Any, sock: socket) -> None:
+        connection = self._connections.get(sock)
+        if connection is not None and not connection.open:
+            event.stop()
+            self._fail(sock, "connect: refused")
+
+    @handler("read")
+    def _on_received(self, sock: socket, data: bytes) -> None:
+        connection = self._connections.get(sock)
+        if connection is not None:
+            connection._handlers.received(data)
+
+    @handler("disconnect")
+    def _on_closed(self, sock: socket) -> None:
+        self._fail(sock, "closed by the other end")
+
+    @handler("error")
+    def _on_error(self, *args: Any) -> None:
+        """Leave socket errors to the disconnect that follows."""
+
+    def _fail(self, sock: socket, cause: str) -> None:
+        connection = self._connections.get(sock)
+        if connection is not None:
+            self.forget(sock)
+            connection._handlers.closed(cause)
--- /dev/null
+++ b/bronzetiller/net/http_client.py
@@ -0,0 +1,215 @@
+"""Call HTTP servers with h11 over the loop's sockets."""
+
+from collections.abc import Callable
+
+import h11
+from attrs import define, field, frozen
+
+from bronzetiller.net.dialer import Address, Connection, ConnectionHandlers, Dialer
+from bronzetiller.net.scheduler import Scheduler, Timer
+
+IDLE_CONNECTIONS_MAX = 32
+
+
+@frozen
+class ResponseHead:
+    """Carry the status and the lower-case headers of a response."""
+
+    status: int
+    headers: dict[str, str]
+
+
+@frozen
+class BodyPart:
+    """Carry the body bytes that one read brought."""
+
+    data: bytes
+
+
+@frozen
+class ResponseEnd:
+    """Say that the response arrived whole, by its own framing."""
+
+
+@frozen
+class CallFailed:
+    """Say why no whole response arrived, and whether the request may have been sent."""
+
+    cause: str
+    sent: bool
+
+
+CallEvent = ResponseHead | BodyPart | ResponseEnd | CallFailed
+CallListener = Callable[[CallEvent], None]
+
+
+@frozen
+class HttpCall:
+    """Describe one outgoing request; silence is the longest wait between two reads."""
+
+    address: Address
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    silence_seconds: float
+    connect_seconds: float = 2.0
+
+
+@define(eq=False)
+class OpenCall:
+    """Hold a call until its ResponseEnd or CallFailed."""
+
+    call: HttpCall
+    listener: CallListener
+    sent: bool = False
+    done: bool = False
+    _channel: "_Channel | None" = None
+
+    def cancel(self) -> None:
+        """Drop the call and its connection; no event follows."""
+        if not self.done:
+            self.done = True
+            if self._channel is not None:
+                self._channel.close()
+
+
+@define(eq=False)
+class _Channel:
+    """Carry one call after another over one connection."""
+
+    client: "HttpClient"
+    address: Address
+    open_call: OpenCall | None
+    parser: h11.Connection = field(factory=lambda: h11.Connection(h11.CLIENT))
+    connection: Connection | None = None
+    timer: Timer | None = None
+
+    def dial(self, dialer: Dialer) -> None:
+        assert self.open_call is not None
+        handlers = ConnectionHandlers(self.transmit, self.receive, self.end)
+        self.connection = dialer.dial(self.address, self.open_call.call.connect_seconds, handlers)
+
+    def transmit(self) -> None:
+        assert self.open_call is not None and self.connection is not None
+        call = self.open_call.call
+        headers = [("Host", str(call.address)), ("Content-Length", str(len(call.body)))]
+        headers += list(call.headers.items())
+        request = h11.Request(method=call.method, target=call.path, headers=headers)
+        data = self.parser.send(request) or b""
+        if call.body:
+            data += self.parser.send(h11.Data(data=call.body)) or b""
+        data += self.parser.send(h11.EndOfMessage()) or b""
+        self.open_call.sent = True
+        self.connection.write(data)
+        self.arm(call.silence_seconds)
+
+    def receive(self, data: bytes) -> None:
+        if self.open_call is None:
+            self.close()
+            return
+        self.arm(self.open_call.call.silence_seconds)
+        try:
+            self.parser.receive_data(data)
+            self.deliver(self.open_call)
+        except h11.RemoteProtocolError as error:
+            self.fail(f"protocol: {error}")
+
+    def end(self, cause: str) -> None:
+        self.connection = None
+        if self.open_call is not None and self.open_call.sent:
+            self.receive(b"")
+        self.fail(cause)
+
+    def deliver(self, open_call: OpenCall) -> None:
+        parts: list[bytes] = []
+        while not open_call.done:
+            event = self.parser.next_event()
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                continue
+            if parts:
+                open_call.listener(BodyPart(b"".join(parts)))
+                parts = []
+                if open_call.done:
+                    return
+            if isinstance(event, h11.Response):
+                headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
+                open_call.listener(ResponseHead(event.status_code, headers))
+            elif isinstance(event, h11.EndOfMessage):
+                self.release()
+                open_call.done = True
+                open_call.listener(ResponseEnd())
+            elif not isinstance(event, h11.InformationalResponse):
+                return
+
+    def release(self) -> None:
+        self.open_call = None
+        self.disarm()
+        states = {self.parser.our_state, self.parser.their_state}
+        if states != {h11.DONE} or self.parser.trailing_data[0] or self.connection is None:
+            self.close()
+            return
+        self.parser.start_next_cycle()
+        self.client.keep(self)
+
+    def fail(self, cause: str) -> None:
+        open_call = self.open_call
+        self.close()
+        if open_call is not None and not open_call.done:
+            open_call.done = True
+            open_call.listener(CallFailed(cause, open_call.sent))
+
+    def close(self) -> None:
+        self.open_call = None
+        self.disarm()
+        self.client.drop(self)
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+    def arm(self, seconds: float) -> None:
+        self.disarm()
+        self.timer = self.client.scheduler.call_after(seconds, lambda: self.fail("silence"))
+
+    def disarm(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+
+
+class HttpClient:
+    """Keep idle connections by address; a doubtful connection is never used again."""
+
+    def __init__(self, scheduler: Scheduler, dialer: Dialer) -> None:
+        self.scheduler = scheduler
+        self._dialer = dialer
+        self._idle: dict[Address, list[_Channel]] = {}
+
+    def send(self, call: HttpCall, listener: CallListener) -> OpenCall:
+        """Start a call; its events reach the listener in order."""
+        open_call = OpenCall(call, listener)
+        idle = self._idle.get(call.address)
+        if idle:
+            channel = idle.pop()
+            channel.open_call = open_call
+            open_call._channel = channel
+            channel.transmit()
+            return open_call
+        channel = _Channel(self, call.address, open_call)
+        open_call._channel = channel
+        channel.dial(self._dialer)
+        return open_call
+
+    def keep(self, channel: _Channel) -> None:
+        """Keep a connection for the next call to its address."""
+        idle = self._idle.setdefault(channel.address, [])
+        if len(idle) >= IDLE_CONNECTIONS_MAX:
+            channel.close()
+        else:
+            idle.append(channel)
+
+    def drop(self, channel: _Channel) -> None:
+        """Forget an idle connection."""
+        idle = self._idle.get(channel.address)
+        if idle is not None and channel in idle:
+            idle.remove(channel)
--- /dev/null
+++ b/bronzetiller/net/loop.py
@@ -0,0 +1,36 @@
+"""Build the single event loop of a process."""
+
+from attrs import define
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from bronzetiller.logs import log_event
+from bronzetiller.net.scheduler import Scheduler
+
+
+class Root(BaseComponent):
+    """Root of the component tree; logs exceptions that escape a handler."""
+
+    channel = "root"
+
+    @handler("exception", channel="*")
+    def _on_exception(self, error_type, value, traceback, handler=None, fevent=None) -> None:  # type: ignore[no-untyped-def]
+        trace = " | ".join(line.strip() for line in traceback)
+        log_event("handler_failed", level=40, error=repr(value), source=repr(fevent), trace=trace)
+
+
+@define
+class Loop:
+    """Hold the parts that every process registers its components with."""
+
+    root: Root
+    poller: EPoll
+    scheduler: Scheduler
+
+
+def make_loop() -> Loop:
+    """Create a loop on epoll, since select fails past descriptor 1,023."""
+    root = Root()
+    poller = EPoll().register(root)
+    scheduler = Scheduler().register(root)
+    return Loop(root, poller, scheduler)
--- /dev/null
+++ b/bronzetiller/net/scheduler.py
@@ -0,0 +1,75 @@
+"""Run actions at their deadlines on the loop's own thread."""
+
+import heapq
+import itertools
+import time
+from collections.abc import Callable
+
+from attrs import define
+from circuits import BaseComponent, handler
+
+Action = Callable[[], None]
+
+
+@define(eq=False)
+class Timer:
+    """Hold one action until its deadline (seconds, monotonic clock)."""
+
+    deadline: float
+    action: Action | None
+
+    def cancel(self) -> None:
+        """Drop the action."""
+        self.action = None
+
+
+class Scheduler(BaseComponent):
+    """Keep timers in a heap, since a circuits Timer per request would rebuild the handler cache."""
+
+    channel = "scheduler"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._order = itertools.count()
+
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+        return time.monotonic()
+
+    def call_at(self, deadline: float, action: Action) -> Timer:
+        """Run the action once the monotonic clock reaches the deadline."""
+        timer = Timer(deadline, action)
+        heapq.heappush(self._timers, (deadline, next(self._order), timer))
+        return timer
+
+    def call_after(self, seconds: float, action: Action) -> Timer:
+        """Run the action after the given seconds."""
+        return self.call_at(self.now() + seconds, action)
+
+    def call_every(self, seconds: float, action: Action) -> None:
+        """Run the action periodically for the life of the process."""
+
+        def repeat() -> None:
+            self.call_after(seconds, repeat)
+            action()
+
+        self.call_after(seconds, repeat)
+
+    @handler("generate_events", priority=0)
+    def _on_generate_events(self, event) -> None:  # type: ignore[no-untyped-def]
+        if self._run_due():
+            event.reduce_time_left(0)  # events fired here wait for the next pass of the loop
+        elif self._timers:
+            event.reduce_time_left(max(0.0, self._timers[0][0] - self.now()))
+
+    def _run_due(self) -> bool:
+        now = self.now()
+        ran = False
+        while self._timers and self._timers[0][0] <= now:
+            timer = heapq.heappop(self._timers)[2]
+            if timer.action is not None:
+                action, timer.action = timer.action, None
+                action()
+                ran = True
+        return ran
--- /dev/null
+++ b/bronzetiller/node.py
@@ -0,0 +1,177 @@
+"""Wire the parts of a node together and run it."""
+
+import time
+from typing import Any
+from uuid import uuid4
+
+from circuits import BaseComponent, handler
+
+from bronzetiller.budgets.credits import is_credit_pending, post_credits
+from bronzetiller.budgets.grants import GrantKeeper
+from bronzetiller.budgets.holdings import Holdings
+from bronzetiller.budgets.shards import Shards
+from bronzetiller.callers.api import ApiServices, make_application
+from bronzetiller.callers.chat import ChatServices
+from bronzetiller.callers.problems import reject_malformed
+from bronzetiller.configuration.fold import Configuration
+from bronzetiller.fleet.peers import Peers, PeerVm
+from bronzetiller.logs import log_event
+from bronzetiller.net.dialer import Dialer
+from bronzetiller.net.http_client import HttpClient
+from bronzetiller.net.http_server import HttpServer
+from bronzetiller.net.loop import Loop, make_loop
+from bronzetiller.platform.follower import StreamFollower
+from bronzetiller.platform.log_client import Entry, LogClient
+from bronzetiller.platform.vm_list import VmList, VmState
+from bronzetiller.requests.billing import Biller
+from bronzetiller.routing.targets import TargetChooser
+from bronzetiller.settings import Settings
+
+CONFIGURATION_STREAM = "configuration"
+CREDIT_CHECK_SECONDS = 0.5
+
+
+class _Signals(BaseComponent):
+    """Turn SIGTERM and SIGINT into a graceful stop."""
+
+    channel = "signals"
+
+    def __init__(self, node: "Node") -> None:
+        super().__init__()
+        self._node = node
+
+    @handler("signal", channel="*")
+    def _on_signal(self, number: int, stack: Any) -> None:
+        self._node.stop()
+
+
+class Node:
+    """Hold the parts of one node; every part runs on the loop's one thread."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.incarnation = f"{settings.node_id}/{uuid4().hex[:12]}"
+        self.loop: Loop = make_loop()
+        scheduler = self.loop.scheduler
+        dialer = Dialer(self.loop, channel="outgoing").register(self.loop.root)
+        self.http = HttpClient(scheduler, dialer)
+        self.log = LogClient(self.http, settings.platform.log)
+        self.vm_list = VmList(scheduler, self.http, settings.platform.vm_list)
+        self.configuration = Configuration()
+        self.configuration_follower = StreamFollower(scheduler, self.log, CONFIGURATION_STREAM)
+        self.shards = Shards(
+            scheduler,
+            self.log,
+            settings.budgets.shards,
+            append_interval_seconds=settings.budgets.append_interval_seconds,
+        )
+        self.peers = Peers(scheduler, dialer, settings.node_id, settings.fleet_secret.encode())
+        self.holdings = Holdings()
+        self.keeper = GrantKeeper(
+            scheduler,
+            self.shards,
+            self.holdings,
+            settings.budgets,
+            self.incarnation,
+            lambda workspace: is_credit_pending(self.configuration, self.shards, workspace),
+        )
+        self.biller = Biller(scheduler, self.shards, self.holdings, self.incarnation)
+        self.chooser = TargetChooser(self.vm_list, settings.region)
+        self.stopping = False
+        self.server = self._make_server()
+        _Signals(self).register(self.loop.root)
+
+    def run(self) -> None:
+        """Serve until a stop is asked for and the last request has its answer."""
+        peer_port = self.peers.listen(
+            self.loop, self.settings.listen.peers.ip, self.settings.listen.peers.port
+        )
+        self.configuration_follower.subscribe(self._on_configuration)
+        self.vm_list.subscribe(self._on_vms)
+        self.vm_list.start()
+        self.configuration_follower.start()
+        self.shards.start()
+        scheduler = self.loop.scheduler
+        scheduler.call_every(CREDIT_CHECK_SECONDS, self._post_credits)
+        callers = f"{self.settings.listen.callers.ip}:{self.server.port}"
+        peers = f"{self.settings.listen.peers.ip}:{peer_port}"
+        print(f"ready kind=node id={self.settings.node_id} callers={callers} peers={peers}")
+        log_event("started", incarnation=self.incarnation, callers=callers, peers=peers)
+        self.loop.root.run()
+
+    def stop(self) -> None:
+        """Finish what runs, then end the process."""
+        if self.stopping:
+            return
+        self.stopping = True
+        log_event("stopping", open_requests=self.server.open_exchanges)
+        self.loop.scheduler.call_every(0.05, self._stop_when_idle)
+
+    def is_ready(self) -> bool:
+        """Say whether the node has read every stream to its end."""
+        followers = [self.configuration_follower, *(s.follower for s in self.shards.all)]
+        return all(follower.caught_up for follower in followers)
+
+    def _stop_when_idle(self) -> None:
+        backlog = sum(shard.writer.backlog for shard in self.shards.all)
+        if self.server.open_exchanges == 0 and backlog == 0:
+            log_event("stopped")
+            self.loop.root.stop()
+
+    def _make_server(self) -> HttpServer:
+        services = ApiServices(
+            configuration=self.configuration,
+            chat=ChatServices(self.http, self.keeper, self.holdings, self.biller, self.chooser),
+            is_ready=self.is_ready,
+            is_stopping=lambda: self.stopping,
+            list_entries=self._list_entries,
+            make_report=self._make_report,
+            entry_seconds=self.settings.limits.entry_seconds,
+        )
+        server = HttpServer(
+            self.loop,
+            self.settings.listen.callers.ip,
+            self.settings.listen.callers.port,
+            make_application(services),
+            reject_malformed,
+            body_bytes_max=self.settings.limits.body_bytes_max,
+            channel="callers",
+        )
+        return server.register(self.loop.root)
+
+    def _list_entries(self) -> list[str]:
+        routers = self.vm_list.find_routers()
+        live = [vm for vm in routers if vm.state is VmState.LIVE]
+        return [str(vm.address) for vm in live]
+
+    def _on_configuration(self, entry: Entry) -> None:
+        decision = self.configuration.apply(entry.offset, entry.record)
+        log_event(
+            "record_decided",
+            offset=entry.offset,
+            kind=decision.kind,
+            name=decision.name,
+            accepted=decision.accepted,
+            in_force=decision.in_force,
+            reason=decision.reason,
+        )
+
+    def _post_credits(self) -> None:
+        if all(shard.follower.caught_up for shard in self.shards.all):
+            post_credits(self.configuration, self.shards)
+
+    def _on_vms(self) -> None:
+        peers = [
+            PeerVm(vm.vm_id, vm.peer_address)
+            for vm in self.vm_list.find_routers()
+            if vm.peer_address is not None
+        ]
+        self.peers.set_peers(peers)
+
+    def _make_report(self) -> dict[str, Any]:
+        return {
+            "node_id": self.settings.node_id,
+            "incarnation": self.incarnation,
+            "at": time.time(),
+            "next_offset": self.configuration_follower.next_offset,
+        }
--- /dev/null
+++ b/bronzetiller/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to the platform's log service and VM list."""
--- /dev/null
+++ b/bronzetiller/platform/follower.py
@@ -0,0 +1,103 @@
+"""Follow one stream of the log and apply its entries in order."""
+
+import random
+from collections import deque
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from bronzetiller.logs import log_event
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.platform.log_client import (
+    READ_WAIT_SECONDS,
+    Entry,
+    LogClient,
+    LogFailure,
+    Page,
+)
+
+RETRY_SECONDS_MIN = 0.1
+RETRY_SECONDS_MAX = 1.0
+RECENT_ENTRIES_MAX = 20_000
+
+Subscriber = Callable[[Entry], None]
+
+
+class StreamFollower:
+    """Apply entries once and in order, from the log or from a peer that relays it."""
+
+    def __init__(self, scheduler: Scheduler, log: LogClient, stream: str) -> None:
+        self.stream = stream
+        self.next_offset = 0
+        self.end_offset = 0
+        self.reachable = False
+        self.caught_up = False
+        self.recent: deque[Entry] = deque(maxlen=RECENT_ENTRIES_MAX)
+        self.on_expired: Callable[[int], None] | None = None
+        self._scheduler = scheduler
+        self._log = log
+        self._subscribers: list[Subscriber] = []
+        self._retry_seconds = RETRY_SECONDS_MIN
+        self._random = random.Random()
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Hand each entry to the subscriber, after those subscribed before."""
+        self._subscribers.append(subscriber)
+
+    def start(self) -> None:
+        """Begin to read the log; go on for the life of the process."""
+        self._read()
+
+    def offer(self, entries: list[Entry]) -> None:
+        """Apply the entries that come next; skip those already applied."""
+        for entry in entries:
+            if entry.offset != self.next_offset:
+                continue
+            self.next_offset += 1
+            self.recent.append(entry)
+            for subscriber in self._subscribers:
+                subscriber(entry)
+        self.end_offset = max(self.end_offset, self.next_offset)
+
+    def restart_at(self, offset: int) -> None:
+        """Go on from an offset that a snapshot covers."""
+        self.next_offset = offset
+        self.recent.clear()
+
+    def read_recent(self, from_offset: int, limit: int) -> list[Entry]:
+        """Return the entries kept in memory from the offset on."""
+        if not self.recent or from_offset < self.recent[0].offset:
+            return []
+        start = from_offset - self.recent[0].offset
+        return [self.recent[i] for i in range(start, min(start + limit, len(self.recent)))]
+
+    def _read(self) -> None:
+        wait_seconds = READ_WAIT_SECONDS if self.caught_up else 0.0
+        self._log.read(self.stream, self.next_offset, self._on_page, wait_seconds=wait_seconds)
+
+    def _on_page(self, result: Result[Page, LogFailure]) -> None:
+        match result:
+            case Ok(page):
+                self._on_success(page)
+            case Err(failure):
+                self._on_failure(failure)
+
+    def _on_success(self, page: Page) -> None:
+        if not self.reachable:
+            log_event("log_reachable", stream=self.stream, offset=page.end_offset)
+        self.reachable = True
+        self._retry_seconds = RETRY_SECONDS_MIN
+        self.end_offset = max(self.end_offset, page.end_offset)
+        self.offer(page.entries)
+        self.caught_up = self.next_offset >= page.end_offset
+        self._read()
+
+    def _on_failure(self, failure: LogFailure) -> None:
+        if failure.first_offset is not None and self.on_expired is not None:
+            self.on_expired(failure.first_offset)
+        elif self.reachable:
+            log_event("log_unreachable", level=30, stream=self.stream, cause=failure.cause)
+        self.reachable = False
+        delay = self._retry_seconds * self._random.uniform(0.5, 1.0)
+        self._retry_seconds = min(RETRY_SECONDS_MAX, self._retry_seconds * 2)
+        self._scheduler.call_after(delay, self._read)
--- /dev/null
+++ b/bronzetiller/platform/log_client.py
@@ -0,0 +1,134 @@
+"""Append to and read the streams of the platform's log service."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+from attrs import define, field, frozen
+from result import Err, Ok, Result
+
+from bronzetiller.net.dialer import Address
+from bronzetiller.net.http_client import (
+    BodyPart,
+    CallEvent,
+    CallFailed,
+    HttpCall,
+    HttpClient,
+    OpenCall,
+    ResponseEnd,
+    ResponseHead,
+)
+
+APPEND_SILENCE_SECONDS = 2.0
+READ_WAIT_SECONDS = 2.0
+READ_SILENCE_SECONDS = READ_WAIT_SECONDS + 1.5
+READ_RECORDS_MAX = 2_000
+
+Record = dict[str, Any]
+
+
+@frozen
+class Entry:
+    """Hold one record of a stream with its offset and the platform's time (seconds, Unix)."""
+
+    offset: int
+    at: float
+    record: Record
+
+
+@frozen
+class Page:
+    """Hold consecutive entries and the range of offsets the log still keeps."""
+
+    entries: list[Entry]
+    first_offset: int
+    end_offset: int
+
+
+@frozen
+class LogFailure:
+    """Say why a call to the log failed; an append that was sent may have taken effect."""
+
+    cause: str
+    sent: bool
+    first_offset: int | None = None
+
+
+@define
+class _Answer:
+    status: int = 0
+    body: list[bytes] = field(factory=list)
+
+
+class LogClient:
+    """Speak the log service's HTTP protocol."""
+
+    def __init__(self, http: HttpClient, address: Address) -> None:
+        self._http = http
+        self._address = address
+
+    def append(
+        self,
+        stream: str,
+        records: list[Record],
+        done: Callable[[Result[int, LogFailure]], None],
+    ) -> OpenCall:
+        """Append records as one call; give the offset of the first."""
+        body = json.dumps({"records": records}, separators=(",", ":")).encode()
+        path = f"/v1/streams/{quote(stream, safe='')}/records"
+        call = HttpCall(self._address, "POST", path, _JSON_HEADERS, body, APPEND_SILENCE_SECONDS)
+
+        def finish(result: Result[Any, LogFailure]) -> None:
+            done(result.map(lambda value: int(value["first_offset"])))
+
+        return self._call(call, finish)
+
+    def read(
+        self,
+        stream: str,
+        from_offset: int,
+        done: Callable[[Result[Page, LogFailure]], None],
+        *,
+        wait_seconds: float = READ_WAIT_SECONDS,
+    ) -> OpenCall:
+        """Read a page from the offset on, waiting for a first entry where there is none."""
+        query = f"from={from_offset}&limit={READ_RECORDS_MAX}&wait_ms={int(wait_seconds * 1000)}"
+        path = f"/v1/streams/{quote(stream, safe='')}/records?{query}"
+        call = HttpCall(self._address, "GET", path, {}, b"", READ_SILENCE_SECONDS)
+        return self._call(call, lambda result: done(result.map(_make_page)))
+
+    def _call(self, call: HttpCall, done: Callable[[Result[Any, LogFailure]], None]) -> OpenCall:
+        answer = _Answer()
+
+        def listen(event: CallEvent) -> None:
+            if isinstance(event, ResponseHead):
+                answer.status = event.status
+            elif isinstance(event, BodyPart):
+                answer.body.append(event.data)
+            elif isinstance(event, ResponseEnd):
+                done(_read_answer(answer))
+            elif isinstance(event, CallFailed):
+                done(Err(LogFailure(event.cause, event.sent)))
+
+        return self._http.send(call, listen)
+
+
+_JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+def _read_answer(answer: _Answer) -> Result[Any, LogFailure]:
+    try:
+        value = json.loads(b"".join(answer.body))
+    except ValueError:
+        return Err(LogFailure(f"status {answer.status} with a malformed body", True))
+    if answer.status == 410:
+        return Err(LogFailure("expired", True, int(value["first_offset"])))
+    if answer.status != 200:
+        return Err(LogFailure(f"status {answer.status}", True))
+    return Ok(value)
+
+
+def _make_page(value: Any) -> Page:
+    entries = [Entry(item["offset"], item["at"], item["record"]) for item in value["records"]]
+    return Page(entries, value["first_offset"], value["end_offset"])
--- /dev/null
+++ b/bronzetiller/platform/vm_list.py
@@ -0,0 +1,131 @@
+"""Read the platform's list of live and leaving VMs."""
+
+import json
+from collections.abc import Callable
+from enum import StrEnum
+
+from attrs import frozen
+
+from bronzetiller.logs import log_event
+from bronzetiller.net.dialer import Address, parse_address
+from bronzetiller.net.http_client import (
+    BodyPart,
+    CallEvent,
+    CallFailed,
+    HttpCall,
+    HttpClient,
+    ResponseEnd,
+    ResponseHead,
+)
+from bronzetiller.net.scheduler import Scheduler
+
+POLL_SECONDS = 1.0
+SILENCE_SECONDS = 2.0
+
+
+class VmState(StrEnum):
+    """Say what the platform believes of a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class VmRole(StrEnum):
+    """Tell routers of the fleet from targets."""
+
+    ROUTER = "router"
+    TARGET = "target"
+
+
+@frozen
+class Vm:
+    """Describe one VM; a target names its service, a router its peer address."""
+
+    vm_id: str
+    address: Address
+    region: str
+    data_centre: str
+    role: VmRole
+    state: VmState
+    service: str | None = None
+    peer_address: Address | None = None
+
+
+class VmList:
+    """Poll the list; keep the last one while the platform does not answer."""
+
+    def __init__(self, scheduler: Scheduler, http: HttpClient, address: Address) -> None:
+        self.vms: dict[str, Vm] = {}
+        self.reachable = False
+        self._scheduler = scheduler
+        self._http = http
+        self._address = address
+        self._subscribers: list[Callable[[], None]] = []
+
+    def subscribe(self, subscriber: Callable[[], None]) -> None:
+        """Call the subscriber after each change of the list."""
+        self._subscribers.append(subscriber)
+
+    def start(self) -> None:
+        """Begin to poll; go on for the life of the process."""
+        self._poll()
+
+    def find_service(self, service: str) -> list[Vm]:
+        """Return the targets of a service, leaving ones included."""
+        return [vm for vm in self.vms.values() if vm.service == service]
+
+    def find_routers(self) -> list[Vm]:
+        """Return the routers of the fleet, leaving ones included."""
+        return [vm for vm in self.vms.values() if vm.role is VmRole.ROUTER]
+
+    def _poll(self) -> None:
+        call = HttpCall(self._address, "GET", "/v1/vms", {}, b"", SILENCE_SECONDS)
+        parts: list[bytes] = []
+
+        def listen(event: CallEvent) -> None:
+            if isinstance(event, BodyPart):
+                parts.append(event.data)
+            elif isinstance(event, ResponseHead | CallFailed):
+                if isinstance(event, CallFailed):
+                    self._finish(None)
+            elif isinstance(event, ResponseEnd):
+                self._finish(b"".join(parts))
+
+        self._http.send(call, listen)
+
+    def _finish(self, body: bytes | None) -> None:
+        self._scheduler.call_after(POLL_SECONDS, self._poll)
+        vms = None if body is None else _read_vms(body)
+        if vms is None:
+            if self.reachable:
+                log_event("vm_list_unreachable", level=30)
+            self.reachable = False
+            return
+        self.reachable = True
+        if vms != self.vms:
+            self.vms = vms
+            for subscriber in self._subscribers:
+                subscriber()
+
+
+def _read_vms(body: bytes) -> dict[str, Vm] | None:
+    try:
+        vms = [_make_vm(item) for item in json.loads(body)["vms"]]
+    except (ValueError, KeyError, TypeError) as error:
+        log_event("vm_list_malformed", level=30, error=error)
+        return None
+    return {vm.vm_id: vm for vm in vms}
+
+
+def _make_vm(item: dict[str, str]) -> Vm:
+    peer = item.get("peer_address")
+    return Vm(
+        vm_id=item["vm_id"],
+        address=parse_address(item["address"]),
+        region=item["region"],
+        data_centre=item["data_centre"],
+        role=VmRole(item["role"]),
+        state=VmState(item["state"]),
+        service=item.get("service"),
+        peer_address=None if peer is None else parse_address(peer),
+    )
--- /dev/null
+++ b/bronzetiller/platform/writer.py
@@ -0,0 +1,74 @@
+"""Group the records of a process into few appends and repeat those whose answer was lost."""
+
+from collections.abc import Callable
+
+from attrs import define
+from result import Err, Ok, Result
+
+from bronzetiller.logs import log_event
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.platform.log_client import LogClient, LogFailure, Record
+
+RETRY_SECONDS = 0.25
+BATCH_RECORDS_MAX = 500
+
+Acknowledged = Callable[[int], None]
+
+
+@define
+class _Pending:
+    record: Record
+    acknowledged: Acknowledged | None
+
+
+class StreamWriter:
+    """Append to one stream, one call at a time; each record must be idempotent in its fold."""
+
+    def __init__(
+        self, scheduler: Scheduler, log: LogClient, stream: str, *, interval_seconds: float
+    ) -> None:
+        self.stream = stream
+        self.reachable = True
+        self._scheduler = scheduler
+        self._log = log
+        self._interval_seconds = interval_seconds
+        self._pending: list[_Pending] = []
+        self._busy = False
+
+    @property
+    def backlog(self) -> int:
+        """Count the records that are not acknowledged yet."""
+        return len(self._pending)
+
+    def append(self, record: Record, acknowledged: Acknowledged | None = None) -> None:
+        """Append a record, however long it takes; give its offset once the log confirms it."""
+        self._pending.append(_Pending(record, acknowledged))
+        if not self._busy:
+            self._busy = True
+            self._scheduler.call_after(self._interval_seconds, self._flush)
+
+    def _flush(self) -> None:
+        batch = self._pending[:BATCH_RECORDS_MAX]
+        if not batch:
+            self._busy = False
+            return
+
+        def finish(result: Result[int, LogFailure]) -> None:
+            self._finish(batch, result)
+
+        self._log.append(self.stream, [item.record for item in batch], finish)
+
+    def _finish(self, batch: list[_Pending], result: Result[int, LogFailure]) -> None:
+        match result:
+            case Ok(first_offset):
+                self.reachable = True
+                del self._pending[: len(batch)]
+                self._scheduler.call_after(self._interval_seconds, self._flush)
+                for index, item in enumerate(batch):
+                    if item.acknowledged is not None:
+                        item.acknowledged(first_offset + index)
+            case Err(failure):
+                if self.reachable:
+                    log_event("append_failed", level=30, stream=self.stream, cause=failure.cause)
+                self.reachable = False
+                self._scheduler.call_after(RETRY_SECONDS, self._flush)
--- /dev/null
+++ b/bronzetiller/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Decide whether and how often a request may run."""
--- /dev/null
+++ b/bronzetiller/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose the target of a request."""
--- /dev/null
+++ b/bronzetiller/routing/engine.py
@@ -0,0 +1,189 @@
+"""Run one attempt of a chat request on an engine and check that the answer is its own."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field, frozen
+
+from bronzetiller.metrics import LATE_BYTES
+from bronzetiller.net.event_stream import EVENT_BYTES_MAX, EventSplitter
+from bronzetiller.net.http_client import (
+    BodyPart,
+    CallEvent,
+    CallFailed,
+    HttpCall,
+    HttpClient,
+    OpenCall,
+    ResponseEnd,
+    ResponseHead,
+)
+from bronzetiller.platform.vm_list import Vm
+
+ATTEMPT_HEADER = "X-Request-Id"
+
+
+@frozen
+class AnswerPart:
+    """Carry one chunk of an answer, as the engine sent it."""
+
+    data: bytes
+    text: str
+
+
+@frozen
+class AnswerEnd:
+    """Say that the answer is whole; last_chunks are the chunks from the finish reason on."""
+
+    finish_reason: str
+    prompt_tokens: int
+    answer_tokens: int
+    last_chunks: list[bytes]
+
+
+@frozen
+class AttemptFailed:
+    """Say why an attempt gave no whole answer, and whether the engine may have run it."""
+
+    cause: str
+    may_have_run: bool
+    target_lost: bool
+    status: int = 0
+    detail: str = ""
+
+
+AttemptEvent = AnswerPart | AnswerEnd | AttemptFailed
+AttemptListener = Callable[[AttemptEvent], None]
+
+
+@define(eq=False)
+class EngineAttempt:
+    """Follow one attempt until its AnswerEnd or AttemptFailed."""
+
+    attempt_id: str
+    answer_tokens_max: int
+    _listener: AttemptListener
+    call: OpenCall | None = None
+    status: int = 0
+    chunks: int = 0
+    finish_reason: str | None = None
+    usage: tuple[int, int] | None = None
+    ended: bool = False
+    last_chunks: list[bytes] = field(factory=list)
+    _splitter: EventSplitter = field(factory=EventSplitter)
+    _error_body: list[bytes] = field(factory=list)
+
+    def cancel(self) -> None:
+        """Drop the attempt; no event follows."""
+        if self.call is not None:
+            self.call.cancel()
+
+    def listen(self, event: CallEvent) -> None:
+        """Take one event of the HTTP call."""
+        if isinstance(event, ResponseHead):
+            self._take_head(event)
+        elif isinstance(event, BodyPart):
+            self._take_body(event.data)
+        elif isinstance(event, ResponseEnd):
+            self._take_end()
+        elif isinstance(event, CallFailed):
+            self._listener(AttemptFailed(event.cause, event.sent, target_lost=True))
+
+    def _take_head(self, head: ResponseHead) -> None:
+        self.status = head.status
+        if head.status == 200 and head.headers.get(ATTEMPT_HEADER.lower()) != self.attempt_id:
+            self._reject("the response belongs to another attempt")
+
+    def _take_body(self, data: bytes) -> None:
+        if self.status != 200:
+            self._error_body.append(data)
+            return
+        for item in self._splitter.feed(data):
+            if self.ended:
+                LATE_BYTES.inc(len(item))
+            elif item == b"[DONE]":
+                self.ended = True
+            elif not self._take_chunk(item):
+                return
+        if self._splitter.rest_bytes > EVENT_BYTES_MAX:
+            self._reject("an event is too large")
+
+    def _take_chunk(self, item: bytes) -> bool:
+        try:
+            chunk = json.loads(item)
+            own = self.attempt_id in chunk["id"]
+            choices = chunk["choices"]
+        except (ValueError, KeyError, TypeError):
+            return self._reject("a chunk is malformed")
+        if not own:
+            return self._reject("a chunk belongs to another attempt")
+        usage = chunk.get("usage")
+        if usage is not None:
+            self.usage = (usage["prompt_tokens"], usage["completion_tokens"])
+        text = _read_text(choices)
+        if choices and choices[0].get("finish_reason") is not None:
+            self.finish_reason = choices[0]["finish_reason"]
+        if self.finish_reason is not None or usage is not None:
+            self.last_chunks.append(item)
+            return True
+        if text:
+            self.chunks += 1
+        if self.chunks > self.answer_tokens_max:
+            self._cut_off(chunk)
+            return False
+        self._listener(AnswerPart(item, text))
+        return True
+
+    def _cut_off(self, chunk: dict[str, Any]) -> None:
+        self.cancel()
+        chunk["choices"] = [{"index": 0, "delta": {}, "finish_reason": "length"}]
+        last = json.dumps(chunk).encode()
+        self._listener(AnswerEnd("length", 0, self.answer_tokens_max, [last]))
+
+    def _take_end(self) -> None:
+        if self.status != 200:
+            detail = b"".join(self._error_body)[:500].decode("utf-8", "replace")
+            ran = self.status >= 500 and self.status != 503
+            lost = self.status >= 500
+            self._listener(AttemptFailed(f"status {self.status}", ran, lost, self.status, detail))
+        elif not self.ended or self.finish_reason is None or self.usage is None:
+            self._listener(AttemptFailed("the answer is truncated", True, target_lost=False))
+        else:
+            prompt, answer = self.usage
+            self._listener(AnswerEnd(self.finish_reason, prompt, answer, self.last_chunks))
+
+    def _reject(self, cause: str) -> bool:
+        self.cancel()
+        self._listener(AttemptFailed(cause, True, target_lost=False))
+        return False
+
+
+def _read_text(choices: list[dict[str, Any]]) -> str:
+    if not choices:
+        return ""
+    return choices[0].get("delta", {}).get("content") or ""
+
+
+def start_attempt(
+    http: HttpClient,
+    vm: Vm,
+    attempt_id: str,
+    body: dict[str, Any],
+    *,
+    answer_tokens_max: int,
+    silence_seconds: float,
+    listener: AttemptListener,
+) -> EngineAttempt:
+    """Send a chat request to an engine; the engine always streams."""
+    attempt = EngineAttempt(attempt_id, answer_tokens_max, listener)
+    value = body | {
+        "stream": True,
+        "stream_options": {"include_usage": True},
+        "max_tokens": answer_tokens_max,
+    }
+    value.pop("max_completion_tokens", None)
+    headers = {"Content-Type": "application/json", ATTEMPT_HEADER: attempt_id}
+    data = json.dumps(value, ensure_ascii=False).encode()
+    call = HttpCall(vm.address, "POST", "/v1/chat/completions", headers, data, silence_seconds)
+    attempt.call = http.send(call, attempt.listen)
+    return attempt
--- /dev/null
+++ b/bronzetiller/settings.py
@@ -0,0 +1,85 @@
+"""Read and check the settings of a node."""
+
+from pathlib import Path
+from typing import Any
+
+import yaml
+from attrs import field, frozen
+from attrs.validators import ge, gt, matches_re, min_len
+from cattrs import Converter, transform_error
+from result import Err, Ok, Result
+
+from bronzetiller.net.dialer import Address, parse_address
+
+NODE_ID_PATTERN = r"[a-z0-9][a-z0-9-]{0,62}"
+
+
+@frozen
+class ListenSettings:
+    """Name the addresses a node listens on, as ip:port."""
+
+    callers: Address
+    peers: Address
+
+
+@frozen
+class PlatformSettings:
+    """Name the addresses of the platform's services, as ip:port."""
+
+    log: Address
+    vm_list: Address
+
+
+@frozen
+class BudgetSettings:
+    """Set how early and how large grants move; none of it bears on safety."""
+
+    shards: int = field(default=1, validator=ge(1))
+    grant_tokens_min: int = field(default=2_000, validator=gt(0))
+    grant_horizon_seconds: float = field(default=10.0, validator=gt(0))
+    grant_share_max: float = field(default=0.25, validator=gt(0))
+    wait_seconds: float = field(default=3.0, validator=gt(0))
+    idle_return_seconds: float = field(default=20.0, validator=gt(0))
+    append_interval_seconds: float = field(default=0.02, validator=ge(0))
+    bill_copies: int = field(default=2, validator=ge(0))
+
+
+@frozen
+class LimitSettings:
+    """Bound what one caller may ask of a node."""
+
+    body_bytes_max: int = field(default=4 * 1024 * 1024, validator=gt(0))
+    requests_waiting_max: int = field(default=512, validator=gt(0))
+    request_seconds_max: float = field(default=300.0, validator=gt(0))
+    entry_seconds: float = field(default=5.0, validator=gt(0))
+
+
+@frozen
+class Settings:
+    """Hold all settings of one node."""
+
+    node_id: str = field(validator=matches_re(NODE_ID_PATTERN))
+    region: str = field(validator=min_len(1))
+    data_centre: str = field(validator=min_len(1))
+    fleet_secret: str = field(validator=min_len(16), repr=False)
+    listen: ListenSettings
+    platform: PlatformSettings
+    budgets: BudgetSettings = field(factory=BudgetSettings)
+    limits: LimitSettings = field(factory=LimitSettings)
+    log_level: str = field(default="INFO", validator=matches_re("DEBUG|INFO|WARNING|ERROR"))
+
+
+_CONVERTER = Converter(forbid_extra_keys=True)
+_CONVERTER.register_structure_hook(Address, lambda value, _: parse_address(str(value)))
+
+
+def load_settings(path: Path) -> Result[Settings, list[str]]:
+    """Read a YAML file of settings; an error names the file and each faulty field."""
+    try:
+        value: Any = yaml.safe_load(path.read_text())
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        return Err([f"{path}: {error}"])
+    try:
+        return Ok(_CONVERTER.structure(value, Settings))
+    except Exception as error:  # cattrs raises groups of many kinds for malformed input
+        return Err([f"{path}: {line}" for line in transform_error(error, path="settings")])
--- /dev/null
+++ b/bronzetiller/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Define the protocol between nodes."""
--- /dev/null
+++ b/bronzetiller/wire/codec.py
@@ -0,0 +1,28 @@
+"""Turn packets into CBOR and back."""
+
+import cbor2
+from cattrs import Converter
+from cattrs.strategies import configure_tagged_union
+from result import Err, Ok, Result
+
+from bronzetiller.wire.messages import Message, Packet
+
+PACKET_BYTES_MAX = 4 * 1024 * 1024
+
+_CONVERTER = Converter()
+configure_tagged_union(Message, _CONVERTER, tag_name="type")
+
+
+def encode_packet(packet: Packet) -> bytes:
+    """Return the packet as CBOR."""
+    return cbor2.dumps(_CONVERTER.unstructure(packet))
+
+
+def decode_packet(data: bytes) -> Result[Packet, str]:
+    """Read a packet; malformed or unknown ones are an error to count and skip."""
+    if len(data) > PACKET_BYTES_MAX:
+        return Err("the packet is too large")
+    try:
+        return Ok(_CONVERTER.structure(cbor2.loads(data), Packet))
+    except Exception as error:  # cbor2 and cattrs raise many kinds for malformed input
+        return Err(repr(error))
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Imitate the systems around the fleet for tests and demonstrations."""
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,79 @@
+"""Start a small fleet in two regions on stand-ins and serve real requests with it."""
+
+import json
+import time
+import urllib.error
+import urllib.request
+from typing import Any
+
+from standins.fleet import Fleet, call_json
+
+KEY = "demo-key"
+NODES = [
+    ("node-1", "west", "west-1"),
+    ("node-2", "west", "west-1"),
+    ("node-3", "west", "west-2"),
+    ("node-4", "west", "west-2"),
+    ("node-5", "east", "east-1"),
+    ("node-6", "east", "east-1"),
+]
+
+
+def start_demo_fleet() -> Fleet:
+    """Start six nodes, four engines and a plain service; return when all nodes are ready."""
+    fleet = Fleet()
+    fleet.start_platform()
+    fleet.add_target("engine-1", "names", "west", "west-1")
+    fleet.add_target("engine-2", "names", "west", "west-2")
+    fleet.add_target("engine-3", "names", "east", "east-1")
+    fleet.add_target("workflow-1", "workflow", "west", "west-1", "standins.service")
+    for node_id, region, data_centre in NODES:
+        fleet.add_node(node_id, region, data_centre)
+    fleet.publish_workspace("studio", KEY, 1_000_000)
+    fleet.publish("route", "namer", {"service": "names"})
+    for node_id, _, _ in NODES:
+        await_ready(fleet, node_id)
+    return fleet
+
+
+def await_ready(fleet: Fleet, node_id: str, seconds: float = 20.0) -> None:
+    """Wait until a node serves callers."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        try:
+            call_json(fleet.caller_address(node_id), "/readyz")
+            return
+        except (OSError, urllib.error.HTTPError):
+            time.sleep(0.02)
+    raise RuntimeError(f"{node_id} is not ready after {seconds} s")
+
+
+def ask(address: str, prompt: str) -> Any:
+    """Send one chat request as any HTTP client would."""
+    body = {"model": "namer", "messages": [{"role": "user", "content": prompt}], "max_tokens": 8}
+    headers = {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
+    request = urllib.request.Request(
+        f"http://{address}/v1/chat/completions", json.dumps(body).encode(), headers
+    )
+    with urllib.request.urlopen(request, timeout=30) as response:
+        return json.loads(response.read())
+
+
+def main() -> None:
+    fleet = start_demo_fleet()
+    try:
+        addresses = call_json(fleet.caller_address("node-1"), "/v1/entry")["addresses"]
+        print(f"The fleet names {len(addresses)} entry addresses: {', '.join(addresses)}")
+        for index, address in enumerate(addresses):
+            answer = ask(address, f"a brand name, please ({index})")
+            print(f"{address} answered: {answer['choices'][0]['message']['content']}")
+        records = [entry["record"] for entry in fleet.read_stream("ledger-0")]
+        bills = [record for record in records if record["kind"] == "bill"]
+        total = sum(bill["tokens"] for bill in bills)
+        print(f"The log holds {len(bills)} bills over {total} tokens.")
+    finally:
+        fleet.close()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,194 @@
+"""Stand in for a model engine that speaks the chat completions protocol.
+
+python -m standins.engine --listen ip:port [--token-seconds S] [--slots N] [--fault NAME ...]
+
+The answer is a function of the prompt alone, so that a caller can tell its own whole answer.
+"""
+
+import argparse
+import hashlib
+import json
+import os
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+
+from bronzetiller.net.event_stream import format_event
+from bronzetiller.net.http_server import Exchange
+from bronzetiller.net.loop import Loop, make_loop
+from standins.process import respond_json, serve
+
+FAULTS = ("ignore-cap", "report-high", "truncate", "cross", "silent", "refuse", "no-usage")
+CRASH_MARK = "CRASH-THE-ENGINE"
+
+
+def make_words(prompt: str, count: int) -> list[str]:
+    """Return the words that answer a prompt."""
+    digest = hashlib.sha256(prompt.encode()).hexdigest()[:8]
+    return [f"{digest}-{index} " for index in range(count)]
+
+
+def read_prompt(body: dict[str, Any]) -> str:
+    return "\n".join(str(message.get("content", "")) for message in body["messages"])
+
+
+@define
+class Settings:
+    first_token_seconds: float
+    token_seconds: float
+    slots: int
+    answer_tokens: int
+    faults: set[str]
+
+
+@define(eq=False)
+class Stream:
+    exchange: Exchange
+    attempt_id: str
+    prompt: str
+    words: deque[str] = field(factory=deque)
+    cancelled: bool = False
+
+
+class Engine:
+    def __init__(self, loop: Loop, settings: Settings) -> None:
+        self._loop = loop
+        self._settings = settings
+        self._running = 0
+        self._waiting: deque[Callable[[], None]] = deque()
+        self._requests: list[dict[str, Any]] = []
+        self._generated = 0
+        self._draining = False
+
+    def serve(self, exchange: Exchange) -> None:
+        if exchange.path == "/v1/load":
+            load = {"running": self._running, "waiting": len(self._waiting)}
+            respond_json(exchange, 200, load | {"slots": self._settings.slots})
+        elif exchange.path == "/control/requests":
+            value = {"requests": self._requests, "generated": self._generated}
+            respond_json(exchange, 200, value)
+        elif exchange.path == "/control/settings":
+            value = json.loads(exchange.body)
+            self._settings.faults = set(value.pop("faults", self._settings.faults))
+            for name, setting in value.items():
+                setattr(self._settings, name, setting)
+            respond_json(exchange, 200, {})
+        elif exchange.path == "/v1/chat/completions" and exchange.method == "POST":
+            self._chat(exchange)
+        else:
+            respond_json(exchange, 404, {"error": "no such path"})
+
+    def _chat(self, exchange: Exchange) -> None:
+        body = json.loads(exchange.body)
+        prompt = read_prompt(body)
+        attempt_id = exchange.headers.get("x-request-id", "")
+        self._requests.append({"attempt_id": attempt_id, "prompt": prompt[:200]})
+        if CRASH_MARK in prompt:
+            os._exit(1)
+        if "refuse" in self._settings.faults:
+            respond_json(exchange, 503, {"error": "leaving"})
+            return
+        count = min(int(body.get("max_tokens", 16)), self._settings.answer_tokens)
+        if "ignore-cap" in self._settings.faults:
+            count = int(body.get("max_tokens", 16)) * 2
+        stream = Stream(exchange, attempt_id, prompt, deque(make_words(prompt, count)))
+        exchange.on_disconnect = lambda: self._cancel(stream)
+        if self._running >= self._settings.slots:
+            self._waiting.append(lambda: self._begin(stream))
+        else:
+            self._begin(stream)
+
+    def _begin(self, stream: Stream) -> None:
+        self._running += 1
+        delay = self._settings.first_token_seconds
+        self._loop.scheduler.call_after(delay, lambda: self._start(stream))
+
+    def _start(self, stream: Stream) -> None:
+        if stream.cancelled:
+            self._end()
+            return
+        headers = {"Content-Type": "text/event-stream", "X-Request-Id": stream.attempt_id}
+        if "cross" in self._settings.faults:
+            headers["X-Request-Id"] = "0" * 32
+        stream.exchange.start(200, headers)
+        self._step(stream, len(stream.words))
+
+    def _step(self, stream: Stream, total: int) -> None:
+        if stream.cancelled:
+            self._end()
+            return
+        if "silent" in self._settings.faults:
+            return
+        if "truncate" in self._settings.faults and len(stream.words) <= total // 2:
+            stream.exchange.finish()
+            self._end()
+            return
+        if stream.words:
+            self._generated += 1
+            delta = {"content": stream.words.popleft()}
+            self._send(stream, [{"index": 0, "delta": delta, "finish_reason": None}], None)
+            delay = self._settings.token_seconds
+            self._loop.scheduler.call_after(delay, lambda: self._step(stream, total))
+            return
+        self._send(stream, [{"index": 0, "delta": {}, "finish_reason": "stop"}], None)
+        if "no-usage" not in self._settings.faults:
+            self._send(stream, [], self._make_usage(stream, total))
+        stream.exchange.send(format_event(b"[DONE]"))
+        stream.exchange.finish()
+        self._end()
+
+    def _make_usage(self, stream: Stream, total: int) -> dict[str, int]:
+        prompt_tokens = len(stream.prompt) // 4 + 1
+        if "report-high" in self._settings.faults:
+            prompt_tokens *= 1000
+        return {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": total,
+            "total_tokens": prompt_tokens + total,
+        }
+
+    def _send(self, stream: Stream, choices: list[Any], usage: dict[str, int] | None) -> None:
+        chunk: dict[str, Any] = {
+            "id": f"chatcmpl-{stream.attempt_id}",
+            "object": "chat.completion.chunk",
+            "created": 0,
+            "model": "stand-in",
+            "choices": choices,
+        }
+        if usage is not None:
+            chunk["usage"] = usage
+        stream.exchange.send(format_event(json.dumps(chunk).encode()))
+
+    def _cancel(self, stream: Stream) -> None:
+        stream.cancelled = True
+
+    def _end(self) -> None:
+        self._running -= 1
+        if self._waiting:
+            self._waiting.popleft()()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--listen", default="127.0.0.1:0")
+    parser.add_argument("--first-token-seconds", type=float, default=0.02)
+    parser.add_argument("--token-seconds", type=float, default=0.005)
+    parser.add_argument("--slots", type=int, default=64)
+    parser.add_argument("--answer-tokens", type=int, default=1_000_000)
+    parser.add_argument("--fault", action="append", default=[], choices=FAULTS)
+    arguments = parser.parse_args()
+    settings = Settings(
+        first_token_seconds=arguments.first_token_seconds,
+        token_seconds=arguments.token_seconds,
+        slots=arguments.slots,
+        answer_tokens=arguments.answer_tokens,
+        faults=set(arguments.fault),
+    )
+    loop = make_loop()
+    serve(loop, "engine", arguments.listen, Engine(loop, settings).serve)
+
+
+if __name__ == "__main__":
+    main()
