Cut links between data centres with a fault-injecting proxy

Each data centre gets its own view of the list of VMs, in which the other side's addresses are those of links, so one process can cut, delay, cap or silence any pair.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,12 +1,20 @@
-"""Start a small fleet with its stand-ins as separate processes, for the demo, tests and bench."""
+"""Start a small fleet with its stand-ins as separate processes, for the demo, tests and bench.
+
+With links, everything between data centres passes a fault-injecting proxy: each data centre has
+a list of VMs of its own, in which the addresses of the other data centres are those of links. A
+link is named "source>destination": the source is a data centre, or a node on its way to the
+platform; the destination is a VM, "log" or "vms".
+"""
 
 import hashlib
 import json
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import urllib.request
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 from uuid import uuid4
@@ -70,11 +78,55 @@
     processes: dict[str, Process] = field(factory=dict)
     vms: dict[str, dict[str, Any]] = field(factory=dict)
     settings: dict[str, dict[str, Any]] = field(factory=dict)
+    links: dict[str, str] = field(factory=dict)
+    places: dict[str, str] = field(factory=dict)
+    with_links: bool = False
+    _control: Any = None
 
     def start_platform(self, *log_arguments: str) -> None:
-        """Start the log and the list of VMs."""
+        """Start the log, the list of VMs and, with links, the proxy."""
         self._start("log", ["standins.log", *log_arguments])
         self._start("vms", ["standins.vms"])
+        if self.with_links:
+            ip, _, port = self._start("proxy", ["standins.proxy"]).ready["address"].rpartition(":")
+            self._control = socket.create_connection((ip, int(port))).makefile("rwb")
+
+    def add_link(self, name: str, upstream: str) -> str:
+        """Put a link before an address; return the link's own address."""
+        if name not in self.links:
+            self.links[name] = self._command({"add": name, "upstream": upstream})["address"]
+        return self.links[name]
+
+    def set_fault(self, chosen: Callable[[str, str], bool], **fault: Any) -> None:
+        """Set a fault on each link whose source and destination are chosen; none clears it."""
+        names = [name for name in self.links if chosen(*name.split(">", 1))]
+        self._command({"links": names, "fault": fault})
+
+    def partition(self, side: set[str], **fault: Any) -> None:
+        """Cut the data centres of one side off from all others and from the platform."""
+        fault = fault or {"cut": True}
+
+        def crosses(source: str, destination: str) -> bool:
+            return self._is_inside(source, side) != self._is_inside(destination, side)
+
+        self.set_fault(crosses, **fault)
+
+    def heal(self) -> None:
+        """Clear every fault."""
+        self.set_fault(lambda source, destination: True)
+
+    def count_link_bytes(self, chosen: Callable[[str, str], bool]) -> int:
+        """Return the bytes that the chosen links have passed in both directions."""
+        names = [name for name in self.links if chosen(*name.split(">", 1))]
+        return int(self._command({"count": names})["bytes"])
+
+    def _is_inside(self, place: str, side: set[str]) -> bool:
+        return self.places.get(place, place) in side
+
+    def _command(self, command: dict[str, Any]) -> Any:
+        self._control.write(json.dumps(command).encode() + b"\n")
+        self._control.flush()
+        return json.loads(self._control.readline())
 
     @property
     def log_address(self) -> str:
@@ -85,6 +137,7 @@
     ) -> Process:
         """Start an engine, or a plain service where the arguments begin with its module."""
         module = list(arguments) if arguments[:1] == ("standins.service",) else None
+        self.places[vm_id] = data_centre
         process = self._start(vm_id, module or ["standins.engine", *arguments])
         self.vms[vm_id] = {
             "vm_id": vm_id,
@@ -107,11 +160,12 @@
             "fleet_secret": FLEET_SECRET,
             "listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"},
             "platform": {
-                "log": self.log_address,
-                "vm_list": self.processes["vms"].ready["address"],
+                "log": self._reach_platform(node_id, "log"),
+                "vm_list": self._reach_platform(node_id, self._vms_name(data_centre)),
             },
         } | settings
         self.settings[node_id] = value
+        self.places[node_id] = self.places[f"{node_id}/peer"] = data_centre
         path = self.folder / f"{node_id}.yaml"
         path.write_text(yaml.safe_dump(value))
         process = self._start(node_id, ["bronzetiller", "node", str(path)])
@@ -128,9 +182,36 @@
         return process
 
     def publish_vms(self) -> None:
-        """Set the platform's list of VMs."""
-        address = self.processes["vms"].ready["address"]
-        call_json(address, "/control/vms", {"vms": list(self.vms.values())}, "PUT")
+        """Set the platform's list of VMs, in the view of each data centre."""
+        vms = list(self.vms.values())
+        names = [name for name in self.processes if name == "vms" or name.startswith("vms-")]
+        for name in names:
+            view = [self._view(vm, name.removeprefix("vms-")) for vm in vms]
+            address = self.processes[name].ready["address"]
+            call_json(address, "/control/vms", {"vms": view}, "PUT")
+
+    def _view(self, vm: dict[str, Any], data_centre: str) -> dict[str, Any]:
+        if not self.with_links or data_centre in ("vms", vm["data_centre"]):
+            return vm
+        name = f"{data_centre}>{vm['vm_id']}"
+        view = vm | {"address": self.add_link(name, vm["address"])}
+        if "peer_address" in vm:
+            view["peer_address"] = self.add_link(f"{name}/peer", vm["peer_address"])
+        return view
+
+    def _vms_name(self, data_centre: str) -> str:
+        if not self.with_links:
+            return "vms"
+        name = f"vms-{data_centre}"
+        if name not in self.processes:
+            self._start(name, ["standins.vms"])
+        return name
+
+    def _reach_platform(self, node_id: str, name: str) -> str:
+        address = self.processes[name].ready["address"]
+        if not self.with_links:
+            return address
+        return self.add_link(f"{node_id}>{name}", address)
 
     def publish(self, kind: str, name: str, body: Any, replaces: int = -1, schema: int = 1) -> int:
         """Append an operator record; return its offset."""
--- /dev/null
+++ b/standins/proxy.py
@@ -0,0 +1,181 @@
+"""Forward TCP connections and bring faults about on them.
+
+python -m standins.proxy
+
+One process holds any number of links, each a listening port before one upstream address. Its
+control port takes one JSON object a line and answers each with one line:
+
+    {"add": NAME, "upstream": "ip:port"}    -> {"address": "ip:port"}
+    {"links": [NAME, ...], "fault": {...}}  -> {}
+    {"count": [NAME, ...]}                  -> {"bytes": N}
+"""
+
+import argparse
+import asyncio
+import json
+import time
+from typing import Any
+
+from attrs import define, field
+
+READ_BYTES = 64 * 1024
+
+
+@define
+class Fault:
+    """Describe what a link does to its traffic; the default passes it on.
+
+    cut closes connections and refuses new ones; silent keeps connections that are open but passes
+    nothing on them, while new ones work; the drops lose one direction without a sign.
+    """
+
+    cut: bool = False
+    silent: bool = False
+    drop_requests: bool = False
+    drop_answers: bool = False
+    delay_seconds: float = 0.0
+    bytes_per_second: float = 0.0
+
+
+@define(eq=False)
+class Tunnel:
+    """Hold one forwarded connection."""
+
+    link: "Link"
+    writers: list[asyncio.StreamWriter]
+    silenced: bool = False
+
+    def close(self) -> None:
+        for writer in self.writers:
+            writer.close()
+
+
+@define(eq=False)
+class Link:
+    """Hold one listening port and its upstream."""
+
+    name: str
+    ip: str
+    port: int
+    fault: Fault = field(factory=Fault)
+    tunnels: set[Tunnel] = field(factory=set)
+    bytes_passed: int = 0
+    busy_until: float = 0.0
+
+    def set_fault(self, fault: Fault) -> None:
+        self.fault = fault
+        for tunnel in list(self.tunnels):
+            if fault.cut:
+                tunnel.close()
+            if fault.silent:
+                tunnel.silenced = True
+
+    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.fault.cut:
+            writer.transport.abort()
+            return
+        try:
+            upstream_reader, upstream_writer = await asyncio.open_connection(self.ip, self.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        tunnel = Tunnel(self, [writer, upstream_writer])
+        self.tunnels.add(tunnel)
+        await asyncio.gather(
+            self._pump(tunnel, reader, upstream_writer, requests=True),
+            self._pump(tunnel, upstream_reader, writer, requests=False),
+        )
+        tunnel.close()
+        self.tunnels.discard(tunnel)
+
+    async def _pump(
+        self,
+        tunnel: Tunnel,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        requests: bool,
+    ) -> None:
+        queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue()
+        sender = asyncio.create_task(self._send(queue, writer))
+        try:
+            while data := await reader.read(READ_BYTES):
+                fault = self.fault
+                dropped = fault.drop_requests if requests else fault.drop_answers
+                if not tunnel.silenced and not dropped:
+                    self.bytes_passed += len(data)
+                    queue.put_nowait((self._due(fault, len(data)), data))
+        except OSError:
+            pass
+        queue.put_nowait((0.0, b""))
+        await sender
+
+    def _due(self, fault: Fault, size: int) -> float:
+        now = time.monotonic()
+        if not fault.bytes_per_second:
+            return now + fault.delay_seconds
+        self.busy_until = max(now, self.busy_until) + size / fault.bytes_per_second
+        return self.busy_until + fault.delay_seconds
+
+    async def _send(
+        self, queue: "asyncio.Queue[tuple[float, bytes]]", writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            due, data = await queue.get()
+            if not data:
+                break
+            delay = due - time.monotonic()
+            if delay > 0:
+                await asyncio.sleep(delay)
+            try:
+                writer.write(data)
+                await writer.drain()
+            except OSError:
+                break
+        writer.close()
+
+
+@define
+class Proxy:
+    """Hold all links."""
+
+    links: dict[str, Link] = field(factory=dict)
+
+    async def control(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := await reader.readline():
+            answer = await self._command(json.loads(line))
+            writer.write(json.dumps(answer).encode() + b"\n")
+            await writer.drain()
+        writer.close()
+
+    async def _command(self, command: dict[str, Any]) -> dict[str, Any]:
+        if "add" in command:
+            ip, _, port = command["upstream"].rpartition(":")
+            link = self.links[command["add"]] = Link(command["add"], ip, int(port))
+            server = await asyncio.start_server(link.accept, "127.0.0.1", 0)
+            return {"address": f"127.0.0.1:{server.sockets[0].getsockname()[1]}"}
+        if "count" in command:
+            return {"bytes": sum(self.links[name].bytes_passed for name in command["count"])}
+        for name in command["links"]:
+            self.links[name].set_fault(Fault(**command["fault"]))
+        return {}
+
+
+async def run(listen: str) -> None:
+    proxy = Proxy()
+    ip, _, port = listen.rpartition(":")
+    server = await asyncio.start_server(proxy.control, ip, int(port), limit=1024 * 1024)
+    bound = server.sockets[0].getsockname()
+    print(f"ready kind=proxy address={bound[0]}:{bound[1]}", flush=True)
+    async with server:
+        await server.serve_forever()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--listen", default="127.0.0.1:0")
+    asyncio.run(run(parser.parse_args().listen))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,75 @@
+"""Share fleets and small steps of tests."""
+
+import json
+import time
+import urllib.error
+import urllib.request
+
+import pytest
+
+from standins.fleet import Fleet, call_json
+
+KEY = "studio-key"
+
+
+@pytest.fixture
+def make_fleet():
+    """Make fleets that end with the test."""
+    fleets = []
+
+    def make(**options):
+        fleets.append(Fleet(**options))
+        return fleets[-1]
+
+    yield make
+    for fleet in fleets:
+        fleet.close()
+
+
+def await_true(condition, seconds=20.0, what="the condition"):
+    """Wait until the condition holds; what it last raised or returned is in the failure."""
+    deadline = time.monotonic() + seconds
+    last = None
+    while time.monotonic() < deadline:
+        try:
+            last = condition()
+            if last:
+                return last
+        except (OSError, urllib.error.HTTPError) as error:
+            last = error
+        time.sleep(0.02)
+    raise AssertionError(f"{what} did not come about in {seconds} s: {last!r}")
+
+
+def await_ready(fleet, *node_ids):
+    """Wait until the nodes serve callers."""
+    for node_id in node_ids:
+        await_true(
+            lambda node_id=node_id: call_json(fleet.caller_address(node_id), "/readyz")["ready"],
+            what=f"readiness of {node_id}",
+        )
+
+
+def send_chat(address, prompt="hello", *, key=KEY, request_id=None, **fields):
+    """Send one chat request that is not streamed; return its status and decoded body."""
+    body = {"model": "namer", "messages": [{"role": "user", "content": prompt}], "max_tokens": 8}
+    headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+    if request_id is not None:
+        headers["Idempotency-Key"] = request_id
+    return send(address, "/v1/chat/completions", body | fields, headers)
+
+
+def send(address, path, body, headers, seconds=30.0):
+    """Send one POST; return its status and decoded body."""
+    request = urllib.request.Request(f"http://{address}{path}", json.dumps(body).encode(), headers)
+    try:
+        with urllib.request.urlopen(request, timeout=seconds) as response:
+            return response.status, json.loads(response.read())
+    except urllib.error.HTTPError as error:
+        return error.code, json.loads(error.read())
+
+
+def read_records(fleet, kind, stream="ledger-0"):
+    """Return the records of one kind in a ledger stream, in the log's order."""
+    records = [entry["record"] for entry in fleet.read_stream(stream)]
+    return [record for record in records if record["kind"] == kind]
