--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -68,6 +68,7 @@
         REQUESTS.labels("chat").inc()
         OPEN_REQUESTS.inc()
         self.exchange.on_disconnect = self._on_disconnect
+        self.exchange.on_flow = self._on_flow
         tokens = self.request.tokens_max
         self.services.keeper.obtain(self.workspace, tokens, self._on_reserved)
 
@@ -189,6 +190,10 @@
         self._finish()
         refuse(self.exchange, refusal)
 
+    def _on_flow(self, flowing: bool) -> None:
+        if self.attempt is not None:
+            self.attempt.set_flow(flowing)
+
     def _on_disconnect(self) -> None:
         if not self.over:
             if self.attempt is not None:
--- a/bronzetiller/callers/problems.py
+++ b/bronzetiller/callers/problems.py
@@ -2,7 +2,7 @@
 
 import json
 
-from bronzetiller.errors import Reason, Refusal
+from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import REFUSALS
 from bronzetiller.net.event_stream import format_event
@@ -12,7 +12,10 @@
     408: Reason.REQUEST_TIMEOUT,
     413: Reason.REQUEST_TOO_LARGE,
     431: Reason.REQUEST_TOO_LARGE,
+    500: Reason.INTERNAL,
+    503: Reason.OVERLOADED,
 }
+CONNECTIONS_RETRY_SECONDS = 1
 
 
 def refuse(exchange: Exchange, refusal: Refusal) -> None:
@@ -22,13 +25,15 @@
         headers = _make_headers(refusal)
         exchange.respond(refusal.status, headers, _make_body(refusal))
         return
-    exchange.send(format_event(_make_body(refusal)))
-    exchange.finish()
+    exchange.fail(format_event(_make_body(refusal)))
 
 
 def reject_malformed(status: int, detail: str) -> tuple[dict[str, str], bytes]:
     """Answer a request that never became one; return its headers and body."""
-    refusal = Refusal(status, _STATUS_REASONS.get(status, Reason.BAD_REQUEST), detail)
+    reason = _STATUS_REASONS.get(status, Reason.BAD_REQUEST)
+    ran = Ran.UNKNOWN if reason is Reason.INTERNAL else Ran.NO
+    retry_after = CONNECTIONS_RETRY_SECONDS if reason is Reason.OVERLOADED else None
+    refusal = Refusal(status, reason, detail, ran, retry_after)
     _count(refusal)
     return _make_headers(refusal), _make_body(refusal)
 
--- a/bronzetiller/net/dialer.py
+++ b/bronzetiller/net/dialer.py
@@ -1,8 +1,7 @@
 """Open outgoing connections on the loop.
 
-It takes the socket handling of circuits' TCPServer, which serves many sockets in one component:
-a circuits TCPClient per connection would rebuild the handler cache each time, and waits for its
-connection in steps of a tenth of a second.
+One component serves every outgoing socket: a circuits TCPClient per connection would rebuild the
+handler cache each time, and waits for its connection in steps of a tenth of a second.
 """
 
 import socket as sockets
@@ -13,12 +12,10 @@
 
 from attrs import define, frozen
 from circuits import handler
-from circuits.net.sockets import TCPServer
 
 from bronzetiller.net.loop import Loop
 from bronzetiller.net.scheduler import Scheduler, Timer
-
-READ_BYTES = 64 * 1024
+from bronzetiller.net.sockets import StreamSockets
 
 
 @frozen
@@ -69,16 +66,24 @@
         if self.open:
             self._dialer.write(self._sock, data)
 
+    def pause(self) -> None:
+        """Stop reading, so that the other end has to wait."""
+        self._dialer.pause(self._sock)
+
+    def resume(self) -> None:
+        """Read again."""
+        self._dialer.resume(self._sock)
+
     def close(self) -> None:
         """Close at once; closed is not called."""
         self._dialer.forget(self._sock)
 
 
-class Dialer(TCPServer):
+class Dialer(StreamSockets):
     """Keep the outgoing connections of a process."""
 
     def __init__(self, loop: Loop, *, channel: str) -> None:
-        super().__init__(("127.0.0.1", 0), channel=channel, bufsize=READ_BYTES)
+        super().__init__(("127.0.0.1", 0), channel=channel)
         self._poller = loop.poller
         self._scheduler: Scheduler = loop.scheduler
         self._connections: dict[socket, Connection] = {}
@@ -109,25 +114,17 @@
             connection.timer.cancel()
         if connection.open:
             connection.open = False
-            self._close(sock)
+            self.drop(sock)
         else:
             self._poller.discard(sock)
             sock.close()
 
-    def _create_socket(self) -> socket:
-        """Return a socket that never listens, since this component only dials."""
-        return socket(self.socket_family, self.socket_type)
-
-    @handler("registered", "started", channel="*", override=True)
-    def _on_registered_or_started(self, component: Any, manager: Any = None) -> None:
-        """Keep the loop's poller, which is there before the loop runs."""
-
-    @handler("_write", priority=2)
-    def _on_connecting(self, event: Any, sock: socket) -> None:
+    def handle_writable(self, sock: socket) -> None:
+        """Finish connecting, or send what waits; the poller calls it."""
         connection = self._connections.get(sock)
         if connection is None or connection.open:
+            super().handle_writable(sock)
             return
-        event.stop()
         code = sock.getsockopt(sockets.SOL_SOCKET, sockets.SO_ERROR)
         if code:
             self._fail(sock, f"connect: errno {code}")
@@ -136,29 +133,38 @@
             connection.timer.cancel()
         connection.open = True
         self._poller.removeWriter(sock)
-        self._on_accept_done(sock, fire_connect_event=False)
-        connection._handlers.connected()
+        self.add(sock)
+        self._guard(sock, connection._handlers.connected)
 
-    @handler("_disconnect", priority=2)
-    def _on_hangup(self, event: Any, sock: socket) -> None:
+    def handle_hangup(self, sock: socket) -> None:
+        """Give up a connection that was refused or reset; the poller calls it."""
         connection = self._connections.get(sock)
         if connection is not None and not connection.open:
-            event.stop()
             self._fail(sock, "connect: refused")
+        else:
+            super().handle_hangup(sock)
 
-    @handler("read")
-    def _on_received(self, sock: socket, data: bytes) -> None:
+    def take_data(self, sock: socket, data: bytes) -> None:
+        """Hand received bytes to the connection's handlers."""
         connection = self._connections.get(sock)
         if connection is not None:
             connection._handlers.received(data)
 
-    @handler("disconnect")
-    def _on_closed(self, sock: socket) -> None:
+    def take_end(self, sock: socket) -> None:
+        """Take the other end's end for the end of the connection."""
+        self._fail(sock, "closed by the other end")
+
+    def take_loss(self, sock: socket) -> None:
+        """Tell the handlers of a reset connection."""
         self._fail(sock, "closed by the other end")
 
-    @handler("error")
-    def _on_error(self, *args: Any) -> None:
-        """Leave socket errors to the disconnect that follows."""
+    def _create_socket(self) -> socket:
+        """Return a socket that never listens, since this component only dials."""
+        return socket(self.socket_family, self.socket_type)
+
+    @handler("registered", "started", channel="*", override=True)
+    def _on_registered_or_started(self, component: Any, manager: Any = None) -> None:
+        """Keep the loop's poller, which is there before the loop runs."""
 
     def _fail(self, sock: socket, cause: str) -> None:
         connection = self._connections.get(sock)
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -6,7 +6,7 @@
 from attrs import define, field, frozen
 
 from bronzetiller.net.dialer import Address, Connection, ConnectionHandlers, Dialer
-from bronzetiller.net.scheduler import Scheduler, Timer
+from bronzetiller.net.scheduler import Scheduler, Watch
 
 IDLE_CONNECTIONS_MAX = 32
 
@@ -73,6 +73,16 @@
             if self._channel is not None:
                 self._channel.close()
 
+    def pause(self) -> None:
+        """Stop reading the response; its silence is not counted meanwhile."""
+        if not self.done and self._channel is not None:
+            self._channel.pause()
+
+    def resume(self) -> None:
+        """Read the response again."""
+        if not self.done and self._channel is not None:
+            self._channel.resume()
+
 
 @define(eq=False)
 class _Channel:
@@ -83,7 +93,11 @@
     open_call: OpenCall | None
     parser: h11.Connection = field(factory=lambda: h11.Connection(h11.CLIENT))
     connection: Connection | None = None
-    timer: Timer | None = None
+    silence: Watch = field(init=False)
+    paused: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self.silence = self.client.scheduler.watch(lambda: self.fail("silence"))
 
     def dial(self, dialer: Dialer) -> None:
         assert self.open_call is not None
@@ -102,13 +116,27 @@
         data += self.parser.send(h11.EndOfMessage()) or b""
         self.open_call.sent = True
         self.connection.write(data)
-        self.arm(call.silence_seconds)
+        self.silence.expire_after(call.silence_seconds)
+
+    def pause(self) -> None:
+        self.paused = True
+        self.silence.clear()
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        if not self.paused or self.open_call is None or self.connection is None:
+            return
+        self.paused = False
+        self.silence.expire_after(self.open_call.call.silence_seconds)
+        self.connection.resume()
 
     def receive(self, data: bytes) -> None:
         if self.open_call is None:
             self.close()
             return
-        self.arm(self.open_call.call.silence_seconds)
+        if not self.paused:
+            self.silence.expire_after(self.open_call.call.silence_seconds)
         try:
             self.parser.receive_data(data)
             self.deliver(self.open_call)
@@ -145,9 +173,10 @@
 
     def release(self) -> None:
         self.open_call = None
-        self.disarm()
+        self.silence.clear()
         states = {self.parser.our_state, self.parser.their_state}
-        if states != {h11.DONE} or self.parser.trailing_data[0] or self.connection is None:
+        doubtful = self.paused or self.parser.trailing_data[0]
+        if states != {h11.DONE} or doubtful or self.connection is None:
             self.close()
             return
         self.parser.start_next_cycle()
@@ -162,20 +191,12 @@
 
     def close(self) -> None:
         self.open_call = None
-        self.disarm()
+        self.silence.cancel()
         self.client.drop(self)
         if self.connection is not None:
             self.connection.close()
             self.connection = None
 
-    def arm(self, seconds: float) -> None:
-        self.disarm()
-        self.timer = self.client.scheduler.call_after(seconds, lambda: self.fail("silence"))
-
-    def disarm(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-
 
 class HttpClient:
     """Keep idle connections by address; a doubtful connection is never used again."""
--- a/bronzetiller/net/http_server.py
+++ b/bronzetiller/net/http_server.py
@@ -9,27 +9,48 @@
 from typing import Any
 
 import h11
-from attrs import define, field
+from attrs import define, field, frozen
 from circuits import BaseComponent, handler
-from circuits.net.sockets import TCPServer
-from circuits.web.events import response, stream
 from circuits.web.headers import Headers
-from circuits.web.http import HTTP
 from circuits.web.servers import BaseServer
 from circuits.web.wrappers import Request, Response
+from result import Err, Ok
 
+from bronzetiller.logs import log_event
 from bronzetiller.net.loop import Loop
-from bronzetiller.net.scheduler import Scheduler, Timer
+from bronzetiller.net.request_target import read_target
+from bronzetiller.net.scheduler import Scheduler, Watch
+from bronzetiller.net.sockets import StreamSockets
 
-HEAD_BYTES_MAX = 32 * 1024
-READ_BYTES = 64 * 1024
-REQUEST_SECONDS_MAX = 30.0
-IDLE_SECONDS_MAX = 120.0
+LINGER_SECONDS = 2.0
+PROBE_SECONDS = 1.0
+SHORTAGE_SECONDS = 0.2
+PIPELINED_BYTES_MAX = 64 * 1024
+OVERSHOOT_BYTES_MAX = 1024 * 1024
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+@frozen
+class HttpLimits:
+    """Bound what one connection may ask of the process."""
+
+    body_bytes_max: int
+    head_bytes_max: int = 32 * 1024
+    request_seconds: float = 30.0
+    idle_seconds: float = 120.0
+    stall_seconds: float = 30.0
+    unsent_bytes_max: int = 256 * 1024
+    connections_max: int = 10_000
 
 
 @define(eq=False)
 class Exchange:
-    """Pair one request with its response; the body is whole when the application sees it."""
+    """Pair one request with its response; the body is whole when the application sees it.
+
+    on_flow gets False when the caller reads more slowly than the answer comes, and True once it
+    has caught up; a streamed answer that grows on regardless is cut.
+    """
 
     method: str
     path: str
@@ -41,6 +62,7 @@
     started: bool = False
     done: bool = False
     on_disconnect: Callable[[], None] | None = None
+    on_flow: Callable[[bool], None] | None = None
 
     def respond(self, status: int, headers: dict[str, str], body: bytes) -> None:
         """Send a whole response."""
@@ -49,7 +71,8 @@
         self.started = self.done = True
         self._set_head(status, headers)
         self._response.body = body
-        self._server.fire(response(self._response))
+        head = self._make_head()
+        self._server.send_last(self._response, head if self._is_head() else head + body)
 
     def start(self, status: int, headers: dict[str, str]) -> None:
         """Send the head of a streamed response."""
@@ -59,29 +82,51 @@
         self._set_head(status, headers)
         self._response.stream = True
         self._response.body = ()  # circuits.web gives an empty list a Content-Length of 0
-        self._server.fire(response(self._response))
+        head = self._make_head()
+        if self._is_head():
+            self.done = True
+            self._server.send_last(self._response, head)
+        else:
+            self._server.send_part(self._response, head)
 
     def send(self, data: bytes) -> None:
         """Send one part of a streamed response."""
         if data and not self.done:
-            self._server.fire(stream(self._response, data))
+            if self._response.chunked:
+                data = b"%x\r\n%b\r\n" % (len(data), data)
+            self._server.send_part(self._response, data)
 
     def finish(self) -> None:
         """Send the end of a streamed response."""
         if not self.done:
             self.done = True
-            self._server.fire(stream(self._response, None))
+            self._server.send_last(self._response, LAST_CHUNK if self._response.chunked else b"")
+
+    def fail(self, data: bytes) -> None:
+        """Send a last part of a streamed response and close without its end."""
+        if not self.done:
+            self.send(data)
+            self.done = True
+            self._response.close = True
+            self._server.send_last(self._response, b"")
 
     def abort(self) -> None:
         """Cut the connection, so that the caller sees a streamed answer as incomplete."""
         self.done = True
         self._server.cut(self._response.request.sock)
 
+    def _is_head(self) -> bool:
+        return self.method == "HEAD"
+
     def _set_head(self, status: int, headers: dict[str, str]) -> None:
         self._response.status = status
         for name, value in headers.items():
             self._response.headers[name] = value
 
+    def _make_head(self) -> bytes:
+        self._response.prepare()
+        return bytes(self._response) + bytes(self._response.headers)
+
 
 Application = Callable[[Exchange], None]
 Rejecter = Callable[[int, str], tuple[dict[str, str], bytes]]
@@ -89,54 +134,55 @@
 
 @define(eq=False)
 class _Connection:
+    """Hold one caller's connection; the parser is new for each request."""
+
+    sock: socket
     parser: h11.Connection
-    pending: bytes = b""
+    watch: Watch
+    stall: Watch
     request: h11.Request | None = None
     body: list[bytes] = field(factory=list)
     body_bytes: int = 0
     exchange: Exchange | None = None
-    timer: Timer | None = None
+    pending: list[bytes] = field(factory=list)
+    pending_bytes: int = 0
     receiving: bool = False
-    rejected: bool = False
+    ended: bool = False
+    closing: bool = False
+    parsing: bool = False
+    congested: bool = False
 
 
-def _make_parser() -> h11.Connection:
-    return h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_BYTES_MAX)
+class _CallerSockets(StreamSockets):
+    """Hand what happens to callers' connections to the server."""
 
+    def __init__(self, host: str, port: int, channel: str, server: "HttpServer") -> None:
+        super().__init__((host, port), channel=channel)
+        self._server = server
 
-class _GuardedHTTP(HTTP):
-    """Replace the parser of circuits.web by h11, with limits and deadlines."""
+    def take_connection(self, sock: socket) -> None:
+        """Handle an accepted connection."""
+        self._server.take_connection(sock)
 
-    def __init__(self, server: "HttpServer", channel: str) -> None:
-        super().__init__(server, channel=channel)
-        self._guard = server
+    def take_data(self, sock: socket, data: bytes) -> None:
+        """Handle received bytes."""
+        self._server.take_data(sock, data)
 
-    @handler("read", override=True)
-    def _on_read(self, sock: socket, data: bytes) -> None:
-        self._guard.feed(sock, data)
+    def take_end(self, sock: socket) -> None:
+        """Handle a caller having finished sending."""
+        self._server.take_end(sock)
 
-    @handler("response", override=True)
-    def _on_response(self, res: Response) -> None:
-        HTTP._on_response(self, res)
-        if res.request.method == "HEAD":
-            res.done = True
-        if res.done:
-            self._guard.complete(res)
+    def take_loss(self, sock: socket) -> None:
+        """Handle a connection that has closed."""
+        self._server.take_loss(sock)
 
-    @handler("stream", override=True)
-    def _on_stream(self, res: Response, data: bytes | None) -> None:
-        HTTP._on_stream(self, res, data)
-        if data is None:
-            self._guard.complete(res)
+    def take_progress(self, sock: socket) -> None:
+        """Handle waiting bytes having been sent."""
+        self._server.take_progress(sock)
 
-
-class _CallerSockets(TCPServer):
-    """Drop writes to a connection that has closed, where TCPServer fails in the poller."""
-
-    @handler("write", override=True)
-    def write(self, sock: socket, data: bytes) -> None:
-        if sock in self._clients:
-            TCPServer.write(self, sock, data)
+    def take_shortage(self) -> None:
+        """Handle the process having no descriptor for a new connection."""
+        self._server.take_shortage()
 
 
 class HttpServer(BaseServer):
@@ -150,127 +196,231 @@
         application: Application,
         reject: Rejecter,
         *,
-        body_bytes_max: int,
+        limits: HttpLimits,
         channel: str,
     ) -> None:
         BaseComponent.__init__(self, channel=channel)
         self._display_banner = False
-        self.server = _CallerSockets((host, port), channel=channel, bufsize=READ_BYTES)
+        self.server = _CallerSockets(host, port, channel, self)
         self.server.register(self)
-        self.http = _GuardedHTTP(self, channel).register(self)
         self._scheduler: Scheduler = loop.scheduler
         self._application = application
         self._reject = reject
-        self._body_bytes_max = body_bytes_max
+        self._limits = limits
         self._connections: dict[socket, _Connection] = {}
 
     @property
     def open_exchanges(self) -> int:
-        """Count the requests that have no whole response yet."""
-        return sum(1 for item in self._connections.values() if item.exchange is not None)
+        """Count the requests whose whole response has not been handed to the system yet."""
+        return sum(1 for connection in self._connections.values() if self._is_open(connection))
+
+    @property
+    def open_connections(self) -> int:
+        """Count the connections of callers."""
+        return len(self._connections)
 
     @handler("ready", override=True)
     def _on_ready(self, server: Any, bind: Any) -> None:
         """Keep silent where circuits.web prints a banner."""
 
-    @handler("disconnect")
-    def _on_disconnect(self, sock: socket) -> None:
+    @handler("connect", override=True)
+    def _on_connect(self, *args: Any) -> None:
+        """Leave connections to take_connection."""
+
+    def take_connection(self, sock: socket) -> None:
+        """Await the first request of a connection, or refuse it where there are too many."""
+        connection = _Connection(
+            sock,
+            self._make_parser(),
+            self._scheduler.watch(lambda: self._expire(connection)),
+            self._scheduler.watch(lambda: self._cut_stalled(connection)),
+        )
+        self._connections[sock] = connection
+        connection.watch.expire_after(self._limits.idle_seconds)
+        if len(self._connections) > self._limits.connections_max:
+            self._refuse(connection, 503, "too many connections")
+
+    def take_data(self, sock: socket, data: bytes) -> None:
+        """Take what a connection received."""
+        connection = self._connections[sock]
+        connection.pending.append(data)
+        connection.pending_bytes += len(data)
+        self._advance(connection)
+        if connection.exchange is not None and connection.pending_bytes > PIPELINED_BYTES_MAX:
+            self.server.pause(sock)
+
+    def take_end(self, sock: socket) -> None:
+        """Answer a caller that has finished sending; it may still read."""
+        connection = self._connections[sock]
+        connection.ended = True
+        self.server.pause(sock)
+        if connection.exchange is not None:
+            self._probe(connection)
+        elif connection.receiving and not connection.closing:
+            self._refuse(connection, 400, "the connection ended before the request did")
+        elif not connection.closing:
+            self.cut(sock)
+
+    def take_loss(self, sock: socket) -> None:
+        """Forget a connection and tell the application of its open request."""
         connection = self._connections.pop(sock, None)
         if connection is None:
             return
-        if connection.timer is not None:
-            connection.timer.cancel()
+        connection.watch.cancel()
+        connection.stall.cancel()
         exchange = connection.exchange
-        if exchange is not None:
+        connection.exchange = None
+        if exchange is not None and not exchange.done:
             exchange.done = True
             if exchange.on_disconnect is not None:
                 exchange.on_disconnect()
 
-    @handler("error")
-    def _on_error(self, *args: Any) -> None:
-        """Leave socket errors to the disconnect that follows."""
+    def take_progress(self, sock: socket) -> None:
+        """Let a congested answer go on once its caller has read enough."""
+        connection = self._connections.get(sock)
+        if connection is None:
+            return
+        unsent = self.server.count_unsent(sock)
+        if unsent:
+            connection.stall.expire_after(self._limits.stall_seconds)
+        else:
+            connection.stall.clear()
+        if connection.congested and unsent <= self._limits.unsent_bytes_max // 4:
+            connection.congested = False
+            self._tell_flow(connection, flowing=True)
 
-    @handler("connect", override=True)
-    def _on_connect(self, sock: socket, *peer: Any) -> None:
-        connection = self._connections[sock] = _Connection(_make_parser())
-        self._set_deadline(sock, connection, IDLE_SECONDS_MAX)
+    def take_shortage(self) -> None:
+        """Stop accepting for a moment when the process has no descriptors left."""
+        self._scheduler.call_after(SHORTAGE_SECONDS, self.server.listen_again)
 
     def cut(self, sock: socket) -> None:
         """Close a connection at once, dropping what was not sent."""
-        self.server._close(sock)
+        self.server.drop(sock)
+        self.take_loss(sock)
 
-    def feed(self, sock: socket, data: bytes) -> None:
-        """Take what a connection received."""
+    def send_part(self, res: Response, data: bytes) -> None:
+        """Send a part of a response; cut a caller that lets too much of it wait."""
+        sock = res.request.sock
         connection = self._connections.get(sock)
-        if connection is None or connection.rejected:
+        if connection is None:
             return
-        if connection.exchange is not None:
-            connection.pending += data
-            if len(connection.pending) > HEAD_BYTES_MAX + self._body_bytes_max:
-                self.cut(sock)
+        self.server.write(sock, data)
+        unsent = self.server.count_unsent(sock)
+        if not unsent:
+            return
+        if connection.stall.deadline is None:
+            connection.stall.expire_after(self._limits.stall_seconds)
+        if unsent > self._limits.unsent_bytes_max + OVERSHOOT_BYTES_MAX:
+            log_event("slow_caller_cut", level=30, unsent_bytes=unsent)
+            self.cut(sock)
+        elif unsent > self._limits.unsent_bytes_max and not connection.congested:
+            connection.congested = True
+            self._tell_flow(connection, flowing=False)
+
+    def send_last(self, res: Response, data: bytes) -> None:
+        """Send the last bytes of a response and make its connection ready for the next."""
+        sock = res.request.sock
+        connection = self._connections.get(sock)
+        if connection is None:
             return
+        self.server.write(sock, data)
+        if self.server.count_unsent(sock) and connection.stall.deadline is None:
+            connection.stall.expire_after(self._limits.stall_seconds)
+        connection.exchange = None
+        connection.congested = False
+        if res.close or connection.ended:
+            self._close(connection)
+            return
+        trailing = connection.parser.trailing_data[0]
+        if trailing:
+            connection.pending.insert(0, trailing)
+        connection.parser = self._make_parser()
+        connection.request = None
+        connection.body = []
+        connection.body_bytes = 0
+        connection.receiving = False
+        connection.watch.expire_after(self._limits.idle_seconds)
+        self.server.resume(sock)
+        self._advance(connection)
+
+    def _is_open(self, connection: _Connection) -> bool:
+        return connection.exchange is not None or self.server.count_unsent(connection.sock) > 0
+
+    def _make_parser(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes_max)
+
+    def _tell_flow(self, connection: _Connection, *, flowing: bool) -> None:
+        exchange = connection.exchange
+        if exchange is not None and exchange.on_flow is not None:
+            exchange.on_flow(flowing)
+
+    def _advance(self, connection: _Connection) -> None:
+        """Parse what has arrived, one request after another; a loop, since answers may be early."""
+        if connection.parsing:
+            return
+        connection.parsing = True
+        try:
+            while connection.pending and connection.exchange is None and not connection.closing:
+                data = b"".join(connection.pending)
+                connection.pending = []
+                connection.pending_bytes = 0
+                self._parse(connection, data)
+        finally:
+            connection.parsing = False
+
+    def _parse(self, connection: _Connection, data: bytes) -> None:
         if not connection.receiving:
             connection.receiving = True
-            self._set_deadline(sock, connection, REQUEST_SECONDS_MAX)
+            connection.watch.expire_after(self._limits.request_seconds)
         try:
             connection.parser.receive_data(data)
-            self._parse(sock, connection)
+            while self._take_event(connection, connection.parser.next_event()):
+                pass
         except h11.RemoteProtocolError as error:
-            self._refuse(sock, connection, error.error_status_hint, str(error))
-
-    def complete(self, res: Response) -> None:
-        """Make a connection ready for its next request."""
-        sock = res.request.sock
-        connection = self._connections.get(sock)
-        if connection is None or connection.exchange is None or res.close:
-            if connection is not None:
-                connection.exchange = None
-            return
-        rest = connection.parser.trailing_data[0] + connection.pending
-        self._connections[sock] = fresh = _Connection(_make_parser())
-        self._set_deadline(sock, fresh, IDLE_SECONDS_MAX)
-        if rest:
-            self.feed(sock, rest)
-
-    def _parse(self, sock: socket, connection: _Connection) -> None:
-        while True:
-            event = connection.parser.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Request):
-                connection.request = event
-                if not self._accept_head(sock, connection, event):
-                    return
-            elif isinstance(event, h11.Data):
-                connection.body.append(bytes(event.data))
-                connection.body_bytes += len(event.data)
-                if connection.body_bytes > self._body_bytes_max:
-                    self._refuse(sock, connection, 413, "the body is too large")
-                    return
-            elif isinstance(event, h11.EndOfMessage):
-                self._dispatch(sock, connection)
-                return
-            else:
-                return
-
-    def _accept_head(self, sock: socket, connection: _Connection, event: h11.Request) -> bool:
+            self._refuse(connection, error.error_status_hint, str(error))
+
+    def _take_event(self, connection: _Connection, event: Any) -> bool:
+        """Take one event of the parser; say whether to ask for the next."""
+        if isinstance(event, h11.Request):
+            connection.request = event
+            return self._accept_head(connection, event)
+        if isinstance(event, h11.Data):
+            connection.body.append(bytes(event.data))
+            connection.body_bytes += len(event.data)
+            if connection.body_bytes > self._limits.body_bytes_max:
+                self._refuse(connection, 413, "the body is too large")
+                return False
+            return True
+        if isinstance(event, h11.EndOfMessage):
+            self._dispatch(connection)
+        return False
+
+    def _accept_head(self, connection: _Connection, event: h11.Request) -> bool:
+        names = [name for name, _ in event.headers]
         headers = dict(event.headers)
-        length = headers.get(b"content-length", b"0")
-        if int(length) > self._body_bytes_max:
-            self._refuse(sock, connection, 413, "the declared body is too large")
+        if event.http_version not in (b"1.0", b"1.1"):
+            self._refuse(connection, 505, "only HTTP/1.0 and HTTP/1.1 are served")
+            return False
+        for name in (b"authorization", b"idempotency-key", b"content-type"):
+            if names.count(name) > 1:
+                self._refuse(connection, 400, f"the header {name.decode()} stands twice")
+                return False
+        if b"content-length" in headers and b"transfer-encoding" in headers:
+            self._refuse(connection, 400, "the body's length is given in two ways")
+            return False
+        if int(headers.get(b"content-length", b"0")) > self._limits.body_bytes_max:
+            self._refuse(connection, 413, "the declared body is too large")
             return False
         if headers.get(b"expect", b"").lower() == b"100-continue":
-            self.server.write(sock, b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.server.write(connection.sock, CONTINUE)
         return True
 
-    def _dispatch(self, sock: socket, connection: _Connection) -> None:
-        if connection.timer is not None:
-            connection.timer.cancel()
-        request = self._make_request(sock, connection)
+    def _dispatch(self, connection: _Connection) -> None:
+        connection.watch.clear()
+        request = self._make_request(connection)
         if request is None:
             return
         res = Response(request)
-        res.protocol = "HTTP/{}.{}".format(*request.protocol)
         res.close = connection.parser.their_state is h11.MUST_CLOSE
         exchange = Exchange(
             method=request.method,
@@ -282,40 +432,75 @@
             server=self,
         )
         connection.exchange = exchange
-        self._application(exchange)
+        connection.body = []
+        try:
+            self._application(exchange)
+        except Exception as error:  # a fault in serving one request must not leave it unanswered
+            log_event("request_failed", level=40, path=exchange.path, error=repr(error))
+            self._fail(exchange)
+
+    def _fail(self, exchange: Exchange) -> None:
+        if exchange.started:
+            exchange.abort()
+            return
+        exchange.respond(500, *self._reject(500, "the node failed to serve the request"))
 
-    def _make_request(self, sock: socket, connection: _Connection) -> Request | None:
+    def _make_request(self, connection: _Connection) -> Request | None:
         event = connection.request
         assert event is not None
-        path, _, query = event.target.decode("ascii", "replace").partition("?")
-        major, minor = event.http_version.decode().split(".")
+        match read_target(event.target):
+            case Err(reason):
+                self._refuse(connection, 400, reason)
+                return None
+            case Ok(target):
+                pass
+        protocol = (1, 1) if event.http_version == b"1.1" else (1, 0)
         headers = Headers([(k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers])
         method = event.method.decode("ascii")
-        protocol = (int(major), int(minor))
+        sock = connection.sock
         try:
-            return Request(sock, method, "http", path, protocol, query, headers, self)
-        except (OSError, ValueError) as error:
-            self._refuse(sock, connection, 400, f"the head is malformed: {error}")
+            return Request(sock, method, "http", target.path, protocol, target.query, headers, self)
+        except Exception as error:  # circuits.web raises many kinds for odd hosts and cookies
+            self._refuse(connection, 400, f"the head is malformed: {error}")
             return None
 
-    def _refuse(self, sock: socket, connection: _Connection, status: int, detail: str) -> None:
-        connection.rejected = True
+    def _refuse(self, connection: _Connection, status: int, detail: str) -> None:
         headers, body = self._reject(status, detail)
         head = [f"HTTP/1.1 {status} Refused", f"Content-Length: {len(body)}", "Connection: close"]
         head += [f"{name}: {value}" for name, value in headers.items()]
-        self.server.write(sock, "\r\n".join(head).encode() + b"\r\n\r\n" + body)
-        self.server.close(sock)
+        self.server.write(connection.sock, "\r\n".join(head).encode() + b"\r\n\r\n" + body)
+        self._close(connection)
+
+    def _close(self, connection: _Connection) -> None:
+        """Close once all is sent and the caller is done, soon at the latest."""
+        connection.closing = True
+        connection.pending = []
+        unsent = self.server.count_unsent(connection.sock)
+        linger = self._limits.stall_seconds if unsent else LINGER_SECONDS
+        connection.watch.expire_after(linger)
+        if connection.ended:
+            self.server.close(connection.sock)
+            return
+        self.server.resume(connection.sock)
+        self.server.drain(connection.sock)
 
-    def _set_deadline(self, sock: socket, connection: _Connection, seconds: float) -> None:
-        if connection.timer is not None:
-            connection.timer.cancel()
-        connection.timer = self._scheduler.call_after(seconds, lambda: self._expire(sock))
+    def _expire(self, connection: _Connection) -> None:
+        if connection.exchange is not None:
+            self._probe(connection)
+        elif connection.receiving and not connection.closing:
+            self._refuse(connection, 408, "the request did not arrive in time")
+        else:
+            self.cut(connection.sock)
 
-    def _expire(self, sock: socket) -> None:
-        connection = self._connections.get(sock)
-        if connection is None or connection.exchange is not None:
+    def _probe(self, connection: _Connection) -> None:
+        """Find out whether a caller that has finished sending still reads: if not, it resets."""
+        exchange = connection.exchange
+        if exchange is None or not connection.ended:
             return
-        if connection.receiving:
-            self._refuse(sock, connection, 408, "the request did not arrive in time")
-        else:
-            self.cut(sock)
+        if not exchange.started and connection.parser.their_http_version == b"1.1":
+            self.server.write(connection.sock, CONTINUE)
+        connection.watch.expire_after(PROBE_SECONDS)
+
+    def _cut_stalled(self, connection: _Connection) -> None:
+        log_event("stalled_caller_cut", level=30)
+        self.cut(connection.sock)
--- a/bronzetiller/net/loop.py
+++ b/bronzetiller/net/loop.py
@@ -2,9 +2,9 @@
 
 from attrs import define
 from circuits import BaseComponent, handler
-from circuits.core.pollers import EPoll
 
 from bronzetiller.logs import log_event
+from bronzetiller.net.poller import Poller
 from bronzetiller.net.scheduler import Scheduler
 
 
@@ -24,13 +24,13 @@
     """Hold the parts that every process registers its components with."""
 
     root: Root
-    poller: EPoll
+    poller: Poller
     scheduler: Scheduler
 
 
 def make_loop() -> Loop:
     """Create a loop on epoll, since select fails past descriptor 1,023."""
     root = Root()
-    poller = EPoll().register(root)
+    poller = Poller().register(root)
     scheduler = Scheduler().register(root)
     return Loop(root, poller, scheduler)
--- /dev/null
+++ b/bronzetiller/net/poller.py
@@ -0,0 +1,131 @@
+"""Wait for sockets with epoll.
+
+The pollers of circuits keep descriptors in lists, so that each change costs a walk over all of
+them, and lose sight of a socket that is neither read nor written.
+"""
+
+import os
+import select
+from typing import Any, Protocol, runtime_checkable
+
+from circuits import Event
+from circuits.core.pollers import BasePoller
+
+_HANGUP = select.EPOLLHUP | select.EPOLLERR
+
+
+@runtime_checkable
+class DirectSource(Protocol):
+    """Describe a component that the poller calls in place of firing events."""
+
+    def handle_readable(self, sock: Any) -> None:
+        """Read from a socket."""
+
+    def handle_writable(self, sock: Any) -> None:
+        """Write to a socket."""
+
+    def handle_hangup(self, sock: Any) -> None:
+        """Give a socket up."""
+
+
+class Poller(BasePoller):
+    """Keep the watched sockets by number; a socket stays watched for resets until discarded."""
+
+    channel = "poller"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._epoll = select.epoll()
+        self._masks: dict[Any, int] = {}
+        self._watched: dict[int, Any] = {}
+        self._sources: dict[Any, Any] = {}
+        self._epoll.register(self._ctrl_recv, select.EPOLLIN)
+
+    def addReader(self, source: Any, fd: Any) -> None:  # noqa: N802
+        """Report when a socket can be read."""
+        self._sources[fd] = source
+        self._set_mask(fd, self._masks.get(fd, 0) | select.EPOLLIN)
+
+    def addWriter(self, source: Any, fd: Any) -> None:  # noqa: N802
+        """Report when a socket can be written."""
+        self._sources[fd] = source
+        self._set_mask(fd, self._masks.get(fd, 0) | select.EPOLLOUT)
+
+    def removeReader(self, fd: Any) -> None:  # noqa: N802
+        """Report resets of a socket and when it can be written, if that was asked for."""
+        if fd in self._masks:
+            self._set_mask(fd, self._masks[fd] & ~select.EPOLLIN)
+
+    def removeWriter(self, fd: Any) -> None:  # noqa: N802
+        """Report resets of a socket and when it can be read, if that was asked for."""
+        if fd in self._masks:
+            self._set_mask(fd, self._masks[fd] & ~select.EPOLLOUT)
+
+    def isReading(self, fd: Any) -> bool:  # noqa: N802
+        """Say whether reads are reported."""
+        return bool(self._masks.get(fd, 0) & select.EPOLLIN)
+
+    def isWriting(self, fd: Any) -> bool:  # noqa: N802
+        """Say whether writes are reported."""
+        return bool(self._masks.get(fd, 0) & select.EPOLLOUT)
+
+    def discard(self, fd: Any) -> None:
+        """Forget a socket; call it before the socket is closed."""
+        if self._masks.pop(fd, None) is None:
+            return
+        del self._sources[fd]
+        number = _find_number(fd)
+        if self._watched.pop(number, None) is not None:
+            self._epoll.unregister(number)
+
+    def getTarget(self, fd: Any) -> Any:  # noqa: N802
+        """Return the channel of a socket's component."""
+        return getattr(self._sources.get(fd), "channel", "*")
+
+    def _set_mask(self, fd: Any, mask: int) -> None:
+        number = _find_number(fd)
+        known = self._masks.get(fd)
+        if known == mask:
+            return
+        self._masks[fd] = mask
+        if known is None:
+            self._epoll.register(number, mask)
+            self._watched[number] = fd
+        else:
+            self._epoll.modify(number, mask)
+
+    def _generate_events(self, event: Any) -> None:
+        timeout = event.time_left
+        for number, happened in self._epoll.poll(timeout if timeout >= 0 else None):
+            if number == self._ctrl_recv:
+                os.read(number, 1)
+            else:
+                self._report(number, happened)
+
+    def _report(self, number: int, happened: int) -> None:
+        fd = self._watched.get(number)
+        if fd is None:
+            return
+        source = self._sources[fd]
+        direct = isinstance(source, DirectSource)
+        if happened & _HANGUP and not happened & select.EPOLLIN:
+            if direct:
+                source.handle_hangup(fd)
+            else:
+                self.discard(fd)
+                self.fire(Event.create("_disconnect", fd), source.channel)
+            return
+        if happened & select.EPOLLIN:
+            self._tell(source, fd, "_read", source.handle_readable if direct else None)
+        if happened & select.EPOLLOUT and self._watched.get(number) is fd:
+            self._tell(source, fd, "_write", source.handle_writable if direct else None)
+
+    def _tell(self, source: Any, fd: Any, name: str, call: Any) -> None:
+        if call is not None:
+            call(fd)
+        else:
+            self.fire(Event.create(name, fd), source.channel)
+
+
+def _find_number(fd: Any) -> int:
+    return fd if isinstance(fd, int) else int(fd.fileno())
--- /dev/null
+++ b/bronzetiller/net/request_target.py
@@ -0,0 +1,34 @@
+"""Read the target of a request line."""
+
+import re
+
+from attrs import frozen
+from result import Err, Ok, Result
+
+_ABSOLUTE = re.compile(r"^https?://[^/?#]+", re.IGNORECASE)
+_DOT_SEGMENT = re.compile(r"(^|/)(\.|%2e){1,2}(/|$)", re.IGNORECASE)
+_ODD_BYTES = re.compile(r"\\|#|%(?![0-9a-f]{2})|%(0|1|7f|5c|2f)", re.IGNORECASE)
+
+
+@frozen
+class Target:
+    """Hold the path and the query, both as they were sent."""
+
+    path: str
+    query: str
+
+
+def read_target(target: bytes) -> Result[Target, str]:
+    """Split a target; refuse those that one server reads otherwise than the next."""
+    try:
+        text = target.decode("ascii")
+    except UnicodeDecodeError:
+        return Err("the target is not ASCII")
+    path, _, query = _ABSOLUTE.sub("", text, count=1).partition("?")
+    if path == "" and text:
+        path = "/"
+    if path != "*" and not path.startswith("/"):
+        return Err("the target is not a path")
+    if _DOT_SEGMENT.search(path) or _ODD_BYTES.search(path) or "//" in path:
+        return Err("the target's path is not in its plain form")
+    return Ok(Target(path, query))
--- a/bronzetiller/net/scheduler.py
+++ b/bronzetiller/net/scheduler.py
@@ -23,6 +23,50 @@
         self.action = None
 
 
+@define(eq=False)
+class Watch:
+    """Run an action at a deadline (seconds, monotonic clock) that is often moved or cleared.
+
+    Moving the deadline back only stores it, so that a busy connection leaves one entry in the
+    scheduler's heap, not one for each of its reads.
+    """
+
+    _scheduler: "Scheduler"
+    _action: Action
+    deadline: float | None = None
+    _timer: Timer | None = None
+
+    def expire_after(self, seconds: float) -> None:
+        """Move the deadline to the given seconds from now."""
+        self.deadline = self._scheduler.now() + seconds
+        if self._timer is not None and self._timer.deadline > self.deadline:
+            self._timer.cancel()
+            self._timer = None
+        if self._timer is None:
+            self._timer = self._scheduler.call_at(self.deadline, self._check)
+
+    def clear(self) -> None:
+        """Drop the deadline."""
+        self.deadline = None
+
+    def cancel(self) -> None:
+        """Drop the deadline and the heap's hold on the action."""
+        self.deadline = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _check(self) -> None:
+        self._timer = None
+        if self.deadline is None:
+            return
+        if self.deadline > self._scheduler.now():
+            self._timer = self._scheduler.call_at(self.deadline, self._check)
+            return
+        self.deadline = None
+        self._action()
+
+
 class Scheduler(BaseComponent):
     """Keep timers in a heap, since a circuits Timer per request would rebuild the handler cache."""
 
@@ -47,6 +91,10 @@
         """Run the action after the given seconds."""
         return self.call_at(self.now() + seconds, action)
 
+    def watch(self, action: Action) -> Watch:
+        """Return a watch without a deadline for the action."""
+        return Watch(self, action)
+
     def call_every(self, seconds: float, action: Action) -> None:
         """Run the action periodically for the life of the process."""
 
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -18,7 +18,7 @@
 from bronzetiller.logs import log_event
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.http_client import HttpClient
-from bronzetiller.net.http_server import HttpServer
+from bronzetiller.net.http_server import HttpLimits, HttpServer
 from bronzetiller.net.loop import Loop, make_loop
 from bronzetiller.platform.follower import StreamFollower
 from bronzetiller.platform.log_client import Entry, LogClient
@@ -134,11 +134,23 @@
             self.settings.listen.callers.port,
             make_application(services),
             reject_malformed,
-            body_bytes_max=self.settings.limits.body_bytes_max,
+            limits=self._make_http_limits(),
             channel="callers",
         )
         return server.register(self.loop.root)
 
+    def _make_http_limits(self) -> HttpLimits:
+        limits = self.settings.limits
+        return HttpLimits(
+            body_bytes_max=limits.body_bytes_max,
+            head_bytes_max=limits.head_bytes_max,
+            request_seconds=limits.receive_seconds,
+            idle_seconds=limits.idle_seconds,
+            stall_seconds=limits.stall_seconds,
+            unsent_bytes_max=limits.unsent_bytes_max,
+            connections_max=limits.connections_max,
+        )
+
     def _list_entries(self) -> list[str]:
         routers = self.vm_list.find_routers()
         live = [vm for vm in routers if vm.state is VmState.LIVE]
--- a/bronzetiller/routing/engine.py
+++ b/bronzetiller/routing/engine.py
@@ -78,6 +78,15 @@
         if self.call is not None:
             self.call.cancel()
 
+    def set_flow(self, flowing: bool) -> None:
+        """Read the answer, or stop reading it while its caller lags behind."""
+        if self.call is None:
+            return
+        if flowing:
+            self.call.resume()
+        else:
+            self.call.pause()
+
     def listen(self, event: CallEvent) -> None:
         """Take one event of the HTTP call."""
         if isinstance(event, ResponseHead):
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -49,6 +49,12 @@
     """Bound what one caller may ask of a node."""
 
     body_bytes_max: int = field(default=4 * 1024 * 1024, validator=gt(0))
+    head_bytes_max: int = field(default=32 * 1024, validator=ge(1024))
+    receive_seconds: float = field(default=30.0, validator=gt(0))
+    idle_seconds: float = field(default=120.0, validator=gt(0))
+    stall_seconds: float = field(default=30.0, validator=gt(0))
+    unsent_bytes_max: int = field(default=256 * 1024, validator=ge(16 * 1024))
+    connections_max: int = field(default=10_000, validator=gt(0))
     requests_waiting_max: int = field(default=512, validator=gt(0))
     request_seconds_max: float = field(default=300.0, validator=gt(0))
     entry_seconds: float = field(default=5.0, validator=gt(0))
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -41,6 +41,7 @@
     slots: int
     answer_tokens: int
     faults: set[str]
+    pad_bytes: int = 0
 
 
 @define(eq=False)
@@ -159,6 +160,8 @@
         }
         if usage is not None:
             chunk["usage"] = usage
+        if self._settings.pad_bytes:
+            chunk["padding"] = "x" * self._settings.pad_bytes
         stream.exchange.send(format_event(json.dumps(chunk).encode()))
 
     def _cancel(self, stream: Stream) -> None:
--- a/standins/process.py
+++ b/standins/process.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from bronzetiller.net.http_server import Exchange, HttpServer
+from bronzetiller.net.http_server import Exchange, HttpLimits, HttpServer
 from bronzetiller.net.loop import Loop
 
 BODY_BYTES_MAX = 64 * 1024 * 1024
+UNSENT_BYTES_MAX = 16 * 1024 * 1024
 
 
 def respond_json(exchange: Exchange, status: int, value: Any) -> None:
@@ -28,7 +29,7 @@
         int(port),
         application,
         _reject,
-        body_bytes_max=BODY_BYTES_MAX,
+        limits=HttpLimits(BODY_BYTES_MAX, unsent_bytes_max=UNSENT_BYTES_MAX),
         channel="standin",
     ).register(loop.root)
     print(f"ready kind={kind} address={ip}:{server.port}", flush=True)
--- /dev/null
+++ b/tests/raw_http.py
@@ -0,0 +1,88 @@
+"""Speak HTTP over bare sockets, as well-behaved clients cannot."""
+
+import json
+import socket
+import time
+
+from attrs import define
+
+
+@define
+class Answer:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    rest: bytes
+
+    @property
+    def problem(self):
+        return json.loads(self.body)
+
+
+def connect(address, receive_bytes=None):
+    sock = socket.socket()
+    if receive_bytes is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    ip, _, port = address.rpartition(":")
+    sock.settimeout(20)
+    sock.connect((ip, int(port)))
+    return sock
+
+
+def make_chat(key, prompt, **fields):
+    body = {"model": "namer", "messages": [{"role": "user", "content": prompt}], "max_tokens": 8}
+    data = json.dumps(body | fields).encode()
+    head = f"POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {key}\r\n"
+    return f"{head}Content-Length: {len(data)}\r\n\r\n".encode() + data
+
+
+def read_answer(sock, rest=b""):
+    """Read one final response; rest holds bytes that came before and after it."""
+    while b"\r\n\r\n" not in rest:
+        rest += receive(sock)
+    head, _, rest = rest.partition(b"\r\n\r\n")
+    first, *lines = head.decode().split("\r\n")
+    status = int(first.split()[1])
+    if status == 100:
+        return read_answer(sock, rest)
+    headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in lines)}
+    if headers.get("transfer-encoding") == "chunked":
+        body, rest = _read_chunks(sock, rest)
+        return Answer(status, headers, body, rest)
+    size = int(headers["content-length"])
+    while len(rest) < size:
+        rest += receive(sock)
+    return Answer(status, headers, rest[:size], rest[size:])
+
+
+def _read_chunks(sock, rest):
+    body = b""
+    while True:
+        while b"\r\n" not in rest:
+            rest += receive(sock)
+        line, _, rest = rest.partition(b"\r\n")
+        size = int(line, 16)
+        while len(rest) < size + 2:
+            rest += receive(sock)
+        body, rest = body + rest[:size], rest[size + 2 :]
+        if not size:
+            return body, rest
+
+
+def receive(sock):
+    data = sock.recv(65536)
+    if not data:
+        raise ConnectionError("the connection ended")
+    return data
+
+
+def await_close(sock, seconds=10):
+    """Read until the other end closes; return the seconds that took."""
+    begun = time.monotonic()
+    sock.settimeout(seconds)
+    try:
+        while sock.recv(65536):
+            pass
+    except ConnectionResetError:
+        pass
+    return time.monotonic() - begun
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,238 @@
+"""Send callers' odd, slow and oversized requests over bare sockets."""
+
+import contextlib
+import json
+import socket
+import urllib.request
+
+import pytest
+
+from standins.engine import make_words
+from standins.fleet import Fleet, call_json
+from tests.conftest import KEY, await_ready, await_true, read_records, send_chat
+from tests.raw_http import await_close, connect, make_chat, read_answer
+
+HEALTH = b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"
+LIMITS = {
+    "body_bytes_max": 100_000,
+    "receive_seconds": 1.0,
+    "idle_seconds": 1.5,
+    "stall_seconds": 4.0,
+    "unsent_bytes_max": 16_384,
+}
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    fleet = Fleet()
+    try:
+        fleet.start_platform()
+        fleet.add_target("engine-1", "names", "west", "west-1", "--token-seconds", "0.001")
+        fleet.add_node("node-1", "west", "west-1", limits=LIMITS)
+        fleet.publish_workspace("studio", KEY, 10_000_000)
+        fleet.publish("route", "namer", {"service": "names", "answer_tokens_max": 20_000})
+        await_ready(fleet, "node-1")
+        yield fleet
+    finally:
+        fleet.close()
+
+
+@pytest.fixture
+def address(fleet):
+    """Return the node's address; afterwards the node must be alive and owe nothing."""
+    address = fleet.caller_address("node-1")
+    yield address
+    assert fleet.processes["node-1"].popen.poll() is None
+    assert call_json(address, "/healthz")["healthy"]
+
+
+def _post(*headers, body=b""):
+    lines = ["POST /v1/chat/completions HTTP/1.1", "Host: h", f"Authorization: Bearer {KEY}"]
+    return "\r\n".join([*lines, *headers, "", ""]).encode() + body
+
+
+def _get(target, *headers, version="1.1"):
+    return "\r\n".join([f"GET {target} HTTP/{version}", *headers, "", ""]).encode()
+
+
+REFUSED = {
+    "no host": (_get("/healthz"), 400),
+    "garbage": (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400),
+    "version 2.0": (_get("/healthz", "Host: h", version="2.0"), 505),
+    "odd host port": (_get("/healthz", "Host: h:port"), 400),
+    "oversized head": (_get("/healthz", "Host: h", "X-Filler: " + "x" * 2_000_000), 431),
+    "declared oversized body": (_post("Content-Length: 107374182400"), 413),
+    "oversized chunked body": (
+        _post("Transfer-Encoding: chunked", body=b"1ffff\r\n" + b"x" * 0x1FFFF + b"\r\n0\r\n\r\n"),
+        413,
+    ),
+    "malformed chunk": (_post("Transfer-Encoding: chunked", body=b"zz\r\nab\r\n"), 400),
+    "negative length": (_post("Content-Length: -1", body=b"x"), 400),
+    "word length": (_post("Content-Length: ten", body=b"x"), 400),
+    "very long length": (_post("Content-Length: " + "9" * 5000), 400),
+    "two lengths": (_post("Content-Length: 1", "Content-Length: 2", body=b"xx"), 400),
+    "length and chunks": (_post("Content-Length: 1", "Transfer-Encoding: chunked"), 400),
+    "unknown encoding": (_post("Transfer-Encoding: br"), 501),
+    "two keys": (_post("Idempotency-Key: a", "Idempotency-Key: b", "Content-Length: 0"), 400),
+    "parent path": (_get("/services/../v1/entry", "Host: h"), 400),
+    "encoded parent path": (_get("/services/%2E%2e/v1/entry", "Host: h"), 400),
+    "encoded slash": (_get("/services/a%2fb", "Host: h"), 400),
+    "encoded zero": (_get("/services/a%00", "Host: h"), 400),
+    "no path": (_get("healthz", "Host: h"), 400),
+    "unknown path": (_get("/nothing", "Host: h"), 404),
+    "asterisk": (b"OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", 404),
+    "tunnel": (b"CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+    "wrong method": (b"DELETE /v1/entry HTTP/1.1\r\nHost: h\r\n\r\n", 405),
+    "wrong key": (make_chat("wrong", "hello"), 401),
+    "body that is not JSON": (_post("Content-Length: 3", body=b"{,}"), 400),
+    "deep JSON": (_post("Content-Length: 90000", body=b"[" * 90000), 400),
+    "number as body": (_post("Content-Length: 1", body=b"7"), 400),
+    "big number": (make_chat(KEY, "x", max_tokens=-1), 400),
+}
+
+
+@pytest.mark.parametrize("name", REFUSED)
+def test_a_faulty_request_gets_a_typed_refusal_and_no_bill(fleet, address, name):
+    data, status = REFUSED[name]
+    billed = len(read_records(fleet, "bill"))
+    with connect(address) as sock:
+        with contextlib.suppress(ConnectionError):  # the refusal may come before the last byte
+            sock.sendall(data)
+        answer = read_answer(sock)
+    assert answer.status == status
+    assert answer.headers["content-type"] == "application/problem+json"
+    assert answer.problem["ran"] == "no" and answer.problem["reason"]
+    assert len(read_records(fleet, "bill")) == billed
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        _get("http://other/healthz", "Host: h"),
+        _get("/healthz?a=/../", "Host: h", "Cookie: =;;bad[cookie]; a"),
+        _get("/healthz", version="1.0"),
+    ],
+)
+def test_an_odd_but_valid_request_is_answered(address, head):
+    with connect(address) as sock:
+        sock.sendall(head)
+        assert read_answer(sock).status == 200
+
+
+def test_a_request_that_comes_byte_by_byte_is_answered(address):
+    with connect(address) as sock:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for byte in make_chat(KEY, "drop by drop"):
+            sock.sendall(bytes([byte]))
+        answer = read_answer(sock)
+    words = "".join(make_words("drop by drop", 8))
+    assert json.loads(answer.body)["choices"][0]["message"]["content"] == words
+
+
+def test_pipelined_requests_are_answered_in_order(address):
+    prompts = [f"pipelined {number}" for number in range(4)]
+    with connect(address) as sock:
+        requests = [make_chat(KEY, p, stream=i % 2 == 0) for i, p in enumerate(prompts)]
+        sock.sendall(b"".join(requests) + HEALTH * 1500)
+        rest = b""
+        for prompt in prompts:
+            answer = read_answer(sock, rest)
+            assert make_words(prompt, 8)[-1].encode() in answer.body
+            rest = answer.rest
+        for _ in range(1500):
+            answer = read_answer(sock, rest)
+            assert json.loads(answer.body) == {"healthy": True}
+            rest = answer.rest
+    assert rest == b""
+
+
+def test_a_slow_request_is_refused_and_an_idle_connection_closed(address):
+    with connect(address) as slow, connect(address) as idle:
+        slow.sendall(b"POST /v1/chat/completions HTTP/1.1\r\nHos")
+        answer = read_answer(slow)
+        assert (answer.status, answer.problem["reason"]) == (408, "request_timeout")
+        await_close(idle)
+        await_close(slow)
+
+
+def test_a_caller_that_has_finished_sending_gets_its_answer(fleet, address):
+    call_json(fleet.vms["engine-1"]["address"], "/control/settings", {"first_token_seconds": 1.5})
+    try:
+        with connect(address) as sock:
+            sock.sendall(make_chat(KEY, "half closed"))
+            sock.shutdown(socket.SHUT_WR)
+            answer = read_answer(sock)
+    finally:
+        settings = {"first_token_seconds": 0.02}
+        call_json(fleet.vms["engine-1"]["address"], "/control/settings", settings)
+    assert answer.status == 200
+    with connect(address) as sock:
+        sock.sendall(make_chat(KEY, "half sent")[:-5])
+        sock.shutdown(socket.SHUT_WR)
+        assert read_answer(sock).status == 400
+
+
+def test_a_caller_that_left_has_its_request_cancelled(fleet, address):
+    engine = fleet.vms["engine-1"]["address"]
+    call_json(engine, "/control/settings", {"first_token_seconds": 30})
+    try:
+        with connect(address) as sock:
+            sock.sendall(make_chat(KEY, "gone"))
+            await_true(lambda: call_json(engine, "/v1/load")["running"], what="the run")
+        await_true(lambda: _count_open(address) == 0, 5, "the cancel")
+    finally:
+        call_json(engine, "/control/settings", {"first_token_seconds": 0.02})
+
+
+def _count_open(address):
+    with urllib.request.urlopen(f"http://{address}/metrics") as response:
+        lines = response.read().decode().splitlines()
+    name = "bronzetiller_open_requests "
+    return next(float(line[len(name) :]) for line in lines if line.startswith(name))
+
+
+@pytest.fixture
+def wide_engine(fleet):
+    """Return the address of an engine whose chunks are large and fast."""
+    engine = fleet.vms["engine-1"]["address"]
+    call_json(engine, "/control/settings", {"pad_bytes": 16_384, "token_seconds": 0.0005})
+    yield engine
+    call_json(engine, "/control/settings", {"pad_bytes": 0, "token_seconds": 0.001})
+
+
+def _await_generated(engine, count):
+    start = call_json(engine, "/control/requests")["generated"]
+
+    def is_reached():
+        return call_json(engine, "/control/requests")["generated"] >= start + count
+
+    await_true(is_reached, what="the engine's chunks")
+
+
+def test_a_caller_that_stops_reading_is_cut_and_harms_nobody(address, wide_engine):
+    with connect(address, receive_bytes=4096) as slow:
+        slow.sendall(make_chat(KEY, "never read", max_tokens=20_000, stream=True))
+        _await_generated(wide_engine, 100)
+        assert send_chat(address)[0] == 200
+        await_true(lambda: _count_open(address) == 0, 20, "the cut")
+
+
+def test_a_caller_that_reads_late_gets_its_whole_answer(address, wide_engine):
+    with connect(address, receive_bytes=4096) as late:
+        late.sendall(make_chat(KEY, "read late", max_tokens=900, stream=True))
+        _await_generated(wide_engine, 900)
+        body = read_answer(late).body
+    text = "".join(make_words("read late", 900))
+    chunks = [json.loads(line[6:]) for line in body.split(b"\n\n") if line.startswith(b"data: {")]
+    assert "".join(c["choices"][0]["delta"].get("content", "") for c in chunks) == text
+
+
+def test_two_thousand_connections_are_served_at_once(address):
+    socks = [connect(address) for _ in range(2000)]
+    try:
+        for sock in socks:
+            sock.sendall(HEALTH)
+        assert all(read_answer(sock).status == 200 for sock in socks)
+    finally:
+        for sock in socks:
+            sock.close()
