Measure both deployments at their sizes on stand-ins

bench/fleet.py runs the load of one deployment under one fault, replays the ledger from the log and checks every answer against its prompt; the baselines (engine called directly, static split, a log round trip per request) come from the same run.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the fleet."""
--- /dev/null
+++ b/bench/deployments.py
@@ -0,0 +1,148 @@
+"""Describe the two deployments that the measurements run at, at their sizes of today."""
+
+from attrs import frozen
+
+from bench.load import Caller, Work
+from standins.fleet import Fleet
+
+REGION_DELAY_SECONDS = 0.030
+DATA_CENTRE_DELAY_SECONDS = 0.001
+REGION_BYTES_PER_SECOND = 15_000_000 / 8
+WORKSPACE_SHARES = [10.0, 3.0, 3.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0]
+TOKENS_PER_SHARE = 400_000
+
+
+@frozen
+class Deployment:
+    """Describe one deployment; the first region holds the platform."""
+
+    name: str
+    data_centres: dict[str, str]
+    nodes: list[str]
+    services: dict[str, list[str]]
+    plain_services: set[str]
+    routes: dict[str, dict[str, object]]
+    works: list[Work]
+    requests_per_second: float
+    budgets: dict[str, float | int]
+
+
+COOPERATIVE = Deployment(
+    name="cooperative",
+    data_centres={"regina-1": "regina", "regina-2": "regina", "winnipeg-1": "winnipeg"},
+    nodes=["regina-1", "regina-2", "winnipeg-1", "regina-1", "regina-2", "winnipeg-1"],
+    services={
+        "name-generation": ["regina-1", "regina-1", "regina-2", "winnipeg-1", "winnipeg-1"],
+        "studio-workflow": ["regina-1", "regina-2", "winnipeg-1"],
+    },
+    plain_services={"studio-workflow"},
+    routes={
+        "namer": {"service": "name-generation"},
+        "approvals": {
+            "service": "studio-workflow",
+            "protocol": "plain",
+            "idempotent": False,
+            "call_tokens": 5,
+        },
+    },
+    works=[
+        Work("shortlist", "/v1/chat/completions", 0.4, "namer", 2_000, 40),
+        Work("score", "/v1/chat/completions", 0.3, "namer", 600, 10),
+        Work("phonetics", "/v1/chat/completions", 0.2, "namer", 120, 4),
+        Work("approval", "/services/approvals/approve", 0.1),
+    ],
+    requests_per_second=20.0,
+    budgets={"idle_return_seconds": 20.0},
+)
+
+COUNCIL = Deployment(
+    name="council",
+    data_centres={"teifi-1": "teifi", "teifi-2": "teifi", "tywi-1": "tywi"},
+    nodes=["teifi-1", "teifi-2", "tywi-1", "teifi-1", "teifi-2", "tywi-1"],
+    services={
+        "quotes": ["teifi-1"] * 4 + ["teifi-2"] * 3 + ["tywi-1"] * 3,
+        "ordering": ["teifi-1", "teifi-2", "tywi-1"],
+    },
+    plain_services={"ordering"},
+    routes={
+        "namer": {"service": "quotes"},
+        "orders": {
+            "service": "ordering",
+            "protocol": "plain",
+            "idempotent": False,
+            "call_tokens": 5,
+        },
+        "status": {"service": "ordering", "protocol": "plain", "call_tokens": 1},
+    },
+    works=[
+        Work("quote", "/v1/chat/completions", 0.3, "namer", 800, 30),
+        Work("fitting", "/v1/chat/completions", 0.2, "namer", 300, 15),
+        Work("summary", "/v1/chat/completions", 0.1, "namer", 4_000, 60),
+        Work("order", "/services/orders/place", 0.1),
+        Work("status", "/services/status/lookup", 0.3),
+    ],
+    requests_per_second=20.0,
+    budgets={"idle_return_seconds": 40.0},
+)
+
+DEPLOYMENTS = {item.name: item for item in (COOPERATIVE, COUNCIL)}
+
+
+def make_key(workspace: str) -> str:
+    """Return the API key of a workspace."""
+    return f"key-of-{workspace}"
+
+
+def make_callers(deployment: Deployment) -> list[Caller]:
+    """Return the callers of all workspaces."""
+    names = [f"{deployment.name}-{index}" for index in range(len(WORKSPACE_SHARES))]
+    return [
+        Caller(name, make_key(name), share)
+        for name, share in zip(names, WORKSPACE_SHARES, strict=True)
+    ]
+
+
+def start_deployment(
+    deployment: Deployment, *, fill: float, settings: dict[str, dict[str, object]]
+) -> Fleet:
+    """Start a deployment on stand-ins, its budgets filled to a share of the usual tokens."""
+    fleet = Fleet(with_links=True)
+    fleet.start_platform()
+    for service, places in deployment.services.items():
+        for index, place in enumerate(places):
+            module = ["standins.service"] if service in deployment.plain_services else []
+            region = deployment.data_centres[place]
+            fleet.add_target(f"{service}-{index}", service, region, place, *module)
+    budgets = {**deployment.budgets, **settings.get("budgets", {})}
+    for index, place in enumerate(deployment.nodes):
+        region = deployment.data_centres[place]
+        options = {**settings, "budgets": budgets}
+        fleet.add_node(f"node-{index}", region, place, **options)
+    for caller in make_callers(deployment):
+        tokens = int(caller.share * TOKENS_PER_SHARE * fill)
+        fleet.publish_workspace(caller.workspace, caller.key, tokens)
+    for name, route in deployment.routes.items():
+        fleet.publish("route", name, route)
+    return fleet
+
+
+def set_distances(fleet: Fleet, deployment: Deployment) -> None:
+    """Give every link its usual delay and the regional link its bandwidth; clear all faults."""
+    fleet.heal()
+    fleet.set_fault(lambda source, destination: True, delay_seconds=DATA_CENTRE_DELAY_SECONDS)
+    fleet.set_fault(
+        lambda source, destination: is_regional(fleet, deployment, source, destination),
+        delay_seconds=REGION_DELAY_SECONDS,
+        bytes_per_second=REGION_BYTES_PER_SECOND,
+        group="region",
+    )
+
+
+def is_regional(fleet: Fleet, deployment: Deployment, source: str, destination: str) -> bool:
+    """Say whether a link joins two regions; the platform is in the first."""
+    first = next(iter(deployment.data_centres.values()))
+
+    def find_region(place: str) -> str:
+        return deployment.data_centres.get(fleet.places.get(place, place), first)
+
+    return find_region(source) != find_region(destination)
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,376 @@
+"""Measure both deployments at their sizes, without faults and under each.
+
+python -m bench.fleet [--deployment NAME ...] [--fault NAME ...] [--seconds S] [--seed N]
+
+Prints one row a run and, with --markdown PATH, writes the table to a page. In the same run it
+measures the baselines: the engines called directly, an equal static split of every budget
+(replayed over the requests of the run), and one log round trip per request.
+"""
+
+import argparse
+import json
+import subprocess
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from attrs import asdict, evolve, field, frozen
+from result import Ok
+
+from bench.deployments import (
+    DEPLOYMENTS,
+    Deployment,
+    is_regional,
+    make_callers,
+    set_distances,
+    start_deployment,
+)
+from bench.faults import FAULTS
+from bench.load import Plan
+from bronzetiller.budgets.ledger import Ledger, Verdict
+from bronzetiller.budgets.records import Bill, Close, load_ledger_record
+from standins.demo import await_ready
+from standins.fleet import Fleet, call_json
+
+DRAIN_SECONDS = 15.0
+BUDGET_REASONS = ("budget_exhausted", "budget_unconfirmed")
+ROUND_TRIP_BUDGETS = {
+    "grant_tokens_min": 1,
+    "grant_horizon_seconds": 0.001,
+    "idle_return_seconds": 0.001,
+}
+
+
+@frozen
+class Figures:
+    """Hold what one run measured; seconds are medians and 95th percentiles."""
+
+    deployment: str
+    fault: str
+    requests: int
+    answered: int
+    overspend_tokens: int
+    double_bills: int
+    unbilled_answers: int
+    crossed: int
+    lost: int
+    unknown: int
+    false_refusals_percent: float
+    split_refusals_percent: float
+    refusals: dict[str, int]
+    first_seconds: tuple[float, float]
+    gap_seconds: tuple[float, float]
+    appends_per_second: float
+    link_bytes: dict[str, int]
+    link_bytes_per_second: float
+    open_grant_tokens: int
+    close_seconds: list[float] = field(factory=list)
+
+
+def run(
+    deployment: Deployment,
+    fault: str,
+    *,
+    seconds: float,
+    seed: int,
+    fill: float = 1.0,
+    settings: dict[str, dict[str, object]] | None = None,
+) -> Figures:
+    """Run the load of one deployment under one fault."""
+    fleet = start_deployment(deployment, fill=fill, settings=settings or {})
+    try:
+        for name in fleet.settings:
+            await_ready(fleet, name)
+        set_distances(fleet, deployment)
+        return _measure(fleet, deployment, fault, seconds, seed)
+    finally:
+        fleet.close()
+
+
+def _measure(
+    fleet: Fleet, deployment: Deployment, fault: str, seconds: float, seed: int
+) -> Figures:
+    loads = _start_loads(fleet, deployment, seconds, seed)
+    appends = call_json(fleet.log_address, "/control/counts")["appends"]
+    bytes_before = _count_bytes(fleet, deployment)
+    started = time.monotonic()
+    for moment in FAULTS[fault]:
+        time.sleep(max(0.0, started + moment.share * seconds - time.monotonic()))
+        moment.step(fleet, deployment)
+    time.sleep(max(0.0, started + seconds - time.monotonic()))
+    appends = call_json(fleet.log_address, "/control/counts")["appends"] - appends
+    bytes_after = _count_bytes(fleet, deployment)
+    requests = [request for load in loads for request in _finish_load(*load)]
+    time.sleep(DRAIN_SECONDS if fault in ("kill", "freeze") else 2.0)
+    link_bytes = {name: bytes_after[name] - bytes_before[name] for name in bytes_after}
+    return _evaluate(fleet, deployment, fault, seconds, requests, appends, link_bytes)
+
+
+def _start_loads(
+    fleet: Fleet, deployment: Deployment, seconds: float, seed: int
+) -> list[tuple["subprocess.Popen[bytes]", Path]]:
+    regions = sorted(set(deployment.data_centres.values()))
+    loads = []
+    for index, region in enumerate(regions):
+        nodes = [name for name in fleet.settings if fleet.vms[name]["region"] == region]
+        plan = Plan(
+            seed=seed * 100 + index,
+            seconds=seconds,
+            requests_per_second=deployment.requests_per_second / len(regions),
+            entries=[fleet.caller_address(name) for name in nodes],
+            callers=make_callers(deployment),
+            works=deployment.works,
+        )
+        loads.append(start_load(fleet.folder, region, plan))
+    return loads
+
+
+def start_load(folder: Path, name: str, plan: Plan) -> tuple["subprocess.Popen[bytes]", Path]:
+    """Start a load process; return it and the file of its results."""
+    plan_path = folder / f"plan-{name}.json"
+    plan_path.write_text(json.dumps(asdict(plan)))
+    results = folder / f"results-{name}.jsonl"
+    command = [sys.executable, "-m", "bench.load", str(plan_path), str(results)]
+    with (folder / f"load-{name}.log").open("w") as log:
+        return subprocess.Popen(command, stderr=log), results
+
+
+def _finish_load(popen: "subprocess.Popen[bytes]", results: Path) -> list[dict[str, Any]]:
+    popen.wait(timeout=180)
+    return [json.loads(line) for line in results.read_text().splitlines()]
+
+
+def _count_bytes(fleet: Fleet, deployment: Deployment) -> dict[str, int]:
+    def count(purpose: str) -> int:
+        return fleet.count_link_bytes(
+            lambda source, destination: is_regional(fleet, deployment, source, destination)
+            and _find_purpose(fleet, destination) == purpose
+        )
+
+    return {purpose: count(purpose) for purpose in ("log", "peers", "nodes", "targets", "vms")}
+
+
+def _find_purpose(fleet: Fleet, destination: str) -> str:
+    if destination == "log":
+        return "log"
+    if destination.startswith("vms"):
+        return "vms"
+    if destination.endswith("/peer"):
+        return "peers"
+    return "nodes" if destination in fleet.settings else "targets"
+
+
+def _evaluate(
+    fleet: Fleet,
+    deployment: Deployment,
+    fault: str,
+    seconds: float,
+    requests: list[dict[str, Any]],
+    appends: int,
+    link_bytes: dict[str, int],
+) -> Figures:
+    ledger = Ledger()
+    accepted: Counter[tuple[str, str]] = Counter()
+    closed_at = []
+    for entry in fleet.read_stream("ledger-0"):
+        loaded = load_ledger_record(entry["record"])
+        if not isinstance(loaded, Ok):
+            continue
+        record = loaded.ok_value
+        ruling = ledger.apply(entry["at"], record)
+        if isinstance(record, Bill) and ruling.verdict is Verdict.ACCEPTED:
+            accepted[(record.workspace, record.request_id)] += 1
+        if isinstance(record, Close):
+            closed_at.append(entry["at"])
+    answered = [item for item in requests if item["outcome"] == "answered"]
+    budgets = ledger.budgets.values()
+    refusals = Counter(
+        attempt["reason"] for item in requests for attempt in item["attempts"] if attempt["reason"]
+    )
+    return Figures(
+        deployment=deployment.name,
+        fault=fault,
+        requests=len(requests),
+        answered=len(answered),
+        overspend_tokens=sum(max(0, item.billed - item.credited) for item in budgets),
+        double_bills=sum(count - 1 for count in accepted.values()),
+        unbilled_answers=sum(
+            (item["workspace"], item["request_id"]) not in accepted for item in answered
+        ),
+        crossed=sum(item["crossed"] for item in requests),
+        lost=sum(item["outcome"] == "lost" for item in requests),
+        unknown=sum(item["outcome"] == "unknown" for item in requests),
+        false_refusals_percent=_count_false_refusals(requests, ledger),
+        split_refusals_percent=_replay_static_split(requests, ledger, len(deployment.nodes)),
+        refusals=dict(refusals.most_common()),
+        first_seconds=_spread(
+            [item["first_seconds"] for item in answered if item["first_seconds"]]
+        ),
+        gap_seconds=_spread([gap for item in answered for gap in item["gaps_seconds"]]),
+        appends_per_second=round(appends / seconds, 1),
+        link_bytes=link_bytes,
+        link_bytes_per_second=round(sum(link_bytes.values()) / seconds),
+        open_grant_tokens=sum(item.granted - item.billed for item in budgets),
+        close_seconds=[round(at - requests[0]["started_at"], 1) for at in closed_at],
+    )
+
+
+def _count_false_refusals(requests: list[dict[str, Any]], ledger: Ledger) -> float:
+    false = 0
+    for item in requests:
+        budget = ledger.budgets[item["workspace"]]
+        left = budget.credited - budget.billed
+        refused = any(attempt["reason"] in BUDGET_REASONS for attempt in item["attempts"])
+        false += refused and left >= _bound_tokens(item)
+    return round(100.0 * false / max(1, len(requests)), 3)
+
+
+def _replay_static_split(requests: list[dict[str, Any]], ledger: Ledger, nodes: int) -> float:
+    shares: dict[tuple[str, str], int] = {}
+    spent: Counter[str] = Counter()
+    refused = 0
+    for item in sorted(requests, key=lambda item: item["started_at"]):
+        workspace = item["workspace"]
+        credited = ledger.budgets[workspace].credited
+        key = (workspace, item["attempts"][0]["address"])
+        need = _bound_tokens(item)
+        left = shares.setdefault(key, credited // nodes)
+        if left >= need:
+            shares[key] -= need // 2
+            spent[workspace] += need // 2
+        elif credited - spent[workspace] >= need:
+            refused += 1
+    return round(100.0 * refused / max(1, len(requests)), 3)
+
+
+def _bound_tokens(item: dict[str, Any]) -> int:
+    return int(item["prompt_bytes"]) + int(item["answer_tokens"]) + 300
+
+
+def _spread(values: list[float]) -> tuple[float, float]:
+    if not values:
+        return (0.0, 0.0)
+    ordered = sorted(values)
+    return (
+        round(ordered[len(ordered) // 2], 4),
+        round(ordered[min(len(ordered) - 1, int(len(ordered) * 0.95))], 4),
+    )
+
+
+def measure_direct(deployment: Deployment, *, seconds: float, seed: int) -> Figures:
+    """Send the chat requests of a deployment straight to one of its engines."""
+    fleet = Fleet()
+    try:
+        fleet.start_platform()
+        engine = fleet.add_target("engine-0", "direct", "here", "here")
+        plan = Plan(
+            seed=seed * 100,
+            seconds=seconds,
+            requests_per_second=deployment.requests_per_second / 2,
+            entries=[engine.ready["address"]],
+            callers=make_callers(deployment),
+            works=[work for work in deployment.works if work.model],
+            direct=True,
+        )
+        requests = _finish_load(*start_load(fleet.folder, "direct", plan))
+        return _make_direct_figures(deployment, requests)
+    finally:
+        fleet.close()
+
+
+def _make_direct_figures(deployment: Deployment, requests: list[dict[str, Any]]) -> Figures:
+    answered = [item for item in requests if item["outcome"] == "answered"]
+    first = [item["first_seconds"] for item in answered if item["first_seconds"]]
+    return Figures(
+        deployment=deployment.name,
+        fault="direct to the engine",
+        requests=len(requests),
+        answered=len(answered),
+        overspend_tokens=0,
+        double_bills=0,
+        unbilled_answers=0,
+        crossed=sum(item["crossed"] for item in requests),
+        lost=sum(item["outcome"] == "lost" for item in requests),
+        unknown=0,
+        false_refusals_percent=0.0,
+        split_refusals_percent=0.0,
+        refusals={},
+        first_seconds=_spread(first),
+        gap_seconds=_spread([gap for item in answered for gap in item["gaps_seconds"]]),
+        appends_per_second=0.0,
+        link_bytes={},
+        link_bytes_per_second=0.0,
+        open_grant_tokens=0,
+    )
+
+
+COLUMNS = (
+    ("deployment", "deployment"),
+    ("fault", "run"),
+    ("requests", "requests"),
+    ("answered", "answered"),
+    ("overspend_tokens", "overspend, tokens"),
+    ("double_bills", "double bills"),
+    ("unbilled_answers", "answers unbilled"),
+    ("crossed", "crossed"),
+    ("lost", "lost"),
+    ("unknown", "unknown"),
+    ("false_refusals_percent", "false refusals, %"),
+    ("split_refusals_percent", "same, static split, %"),
+    ("first_seconds", "first token p50 / p95, ms"),
+    ("gap_seconds", "between tokens p50 / p95, ms"),
+    ("appends_per_second", "appends/s"),
+    ("link_bytes_per_second", "regional link, bytes/s"),
+    ("open_grant_tokens", "tokens in open grants at the end"),
+)
+
+
+def format_table(rows: list[Figures]) -> str:
+    """Return the figures as a Markdown table."""
+    lines = [
+        "| " + " | ".join(title for _, title in COLUMNS) + " |",
+        "|" + "---|" * len(COLUMNS),
+    ]
+    for row in rows:
+        lines.append("| " + " | ".join(_format(getattr(row, name)) for name, _ in COLUMNS) + " |")
+    return "\n".join(lines)
+
+
+def _format(value: Any) -> str:
+    if isinstance(value, tuple):
+        return " / ".join(f"{1000 * item:.1f}" for item in value)
+    return str(value)
+
+
+def main() -> None:
+    """Run what the command line asks for and print the table."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--deployment", action="append", choices=list(DEPLOYMENTS))
+    parser.add_argument("--fault", action="append", choices=list(FAULTS))
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", type=Path)
+    parser.add_argument("--no-baselines", action="store_true")
+    arguments = parser.parse_args()
+    rows: list[Figures] = []
+    for name in arguments.deployment or list(DEPLOYMENTS):
+        deployment = DEPLOYMENTS[name]
+        options = {"seconds": arguments.seconds, "seed": arguments.seed}
+        if not arguments.no_baselines:
+            rows.append(measure_direct(deployment, **options))
+            round_trip = run(
+                deployment, "none", settings={"budgets": dict(ROUND_TRIP_BUDGETS)}, **options
+            )
+            rows.append(evolve(round_trip, fault="none, a log round trip per request"))
+        for fault in arguments.fault or list(FAULTS):
+            rows.append(run(deployment, fault, **options))
+            print(json.dumps(asdict(rows[-1])), flush=True)
+    print(format_table(rows))
+    if arguments.json is not None:
+        arguments.json.write_text(json.dumps([asdict(row) for row in rows], indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,350 @@
+"""Send the requests of one region's callers and write down what became of each.
+
+python -m bench.load PLAN RESULTS
+
+The plan is a JSON file with the fields of Plan; the results are one JSON object a line.
+"""
+
+import json
+import random
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from attrs import asdict, define, field, frozen
+from cattrs import structure
+
+from bronzetiller.net.dialer import Dialer, parse_address
+from bronzetiller.net.event_stream import EventSplitter
+from bronzetiller.net.http_client import (
+    BodyPart,
+    CallEvent,
+    CallFailed,
+    HttpCall,
+    HttpClient,
+    ResponseEnd,
+    ResponseHead,
+)
+from bronzetiller.net.loop import Loop, make_loop
+from standins.engine import make_words
+
+ENTRY_SILENCE_SECONDS = 2.0
+ANSWER_SILENCE_SECONDS = 25.0
+RETRY_SECONDS = 0.3
+
+
+@frozen
+class Caller:
+    """Name a workspace, its key and its share of the requests."""
+
+    workspace: str
+    key: str
+    share: float
+
+
+@frozen
+class Work:
+    """Describe one kind of request; the tokens bound what it may be billed."""
+
+    name: str
+    path: str
+    share: float
+    model: str = ""
+    prompt_bytes: int = 0
+    answer_tokens: int = 0
+    keyed: bool = True
+
+
+@frozen
+class Plan:
+    """Describe the load of one region."""
+
+    seed: int
+    seconds: float
+    requests_per_second: float
+    entries: list[str]
+    callers: list[Caller]
+    works: list[Work]
+    give_up_seconds: float = 40.0
+    direct: bool = False
+
+
+@define
+class Attempt:
+    """Write down one attempt; status 0 means that no response began."""
+
+    address: str
+    status: int = 0
+    reason: str = ""
+    ran: str = ""
+
+
+@define(eq=False)
+class Request:
+    """Follow one request over all its attempts."""
+
+    workspace: str
+    work: str
+    request_id: str
+    started_at: float
+    prompt_bytes: int
+    answer_tokens: int
+    attempts: list[Attempt] = field(factory=list)
+    outcome: str = ""
+    crossed: bool = False
+    first_seconds: float | None = None
+    gaps_seconds: list[float] = field(factory=list)
+    seconds: float = 0.0
+
+
+class Region:
+    """Send the load of a plan from one loop."""
+
+    def __init__(self, loop: Loop, plan: Plan, results: Path) -> None:
+        self._loop = loop
+        self._plan = plan
+        self._random = random.Random(plan.seed)
+        dialer = Dialer(loop, channel="load").register(loop.root)
+        self._http = HttpClient(loop.scheduler, dialer)
+        self._results = results.open("w")
+        self._addresses: list[str] = list(plan.entries)
+        self._keep_until = 0.0
+        self._open = 0
+        self._sent = 0
+        self._ends_at = time.monotonic() + plan.seconds
+
+    def start(self) -> None:
+        """Begin to send."""
+        self._refresh_entries()
+        self._send_next()
+
+    def _send_next(self) -> None:
+        now = time.monotonic()
+        if now >= self._ends_at:
+            self._stop_when_done()
+            return
+        wait = self._random.expovariate(self._plan.requests_per_second)
+        self._loop.scheduler.call_at(now + wait, self._send_next)
+        self._begin()
+
+    def _stop_when_done(self) -> None:
+        if self._open:
+            self._loop.scheduler.call_after(0.1, self._stop_when_done)
+            return
+        self._results.close()
+        self._loop.root.stop()
+
+    def _begin(self) -> None:
+        callers, works = self._plan.callers, self._plan.works
+        caller = self._random.choices(callers, [item.share for item in callers])[0]
+        work = self._random.choices(works, [item.share for item in works])[0]
+        self._sent += 1
+        self._open += 1
+        request_id = f"{self._plan.seed}-{self._sent}"
+        request = Request(
+            caller.workspace,
+            work.name,
+            request_id,
+            time.time(),
+            work.prompt_bytes,
+            work.answer_tokens,
+        )
+        _Run(self, request, caller, work).attempt()
+
+    def choose_address(self, tried: set[str]) -> str:
+        """Return the first entry address not tried yet, spread over the two best."""
+        self._refresh_entries()
+        left = [item for item in self._addresses if item not in tried] or self._addresses
+        return self._random.choice(left[:2])
+
+    def finish(self, request: Request) -> None:
+        """Write a request down."""
+        self._open -= 1
+        self._results.write(json.dumps(asdict(request)) + "\n")
+
+    def _refresh_entries(self) -> None:
+        if self._plan.direct or time.time() < self._keep_until:
+            return
+        self._keep_until = time.time() + 1.0
+        address = parse_address(self._random.choice(self._plan.entries + self._addresses))
+        call = HttpCall(address, "GET", "/v1/entry", {}, b"", ENTRY_SILENCE_SECONDS)
+        parts: list[bytes] = []
+
+        def listen(event: CallEvent) -> None:
+            if isinstance(event, BodyPart):
+                parts.append(event.data)
+            elif isinstance(event, ResponseEnd):
+                value = json.loads(b"".join(parts))
+                self._addresses = value["addresses"] or self._addresses
+                self._keep_until = value["keep_until"]
+
+        self._http.send(call, listen)
+
+    @property
+    def http(self) -> HttpClient:
+        """Return the region's HTTP client."""
+        return self._http
+
+    @property
+    def loop(self) -> Loop:
+        """Return the region's loop."""
+        return self._loop
+
+    @property
+    def plan(self) -> Plan:
+        """Return the region's plan."""
+        return self._plan
+
+
+@define(eq=False)
+class _Run:
+    region: Region
+    request: Request
+    caller: Caller
+    work: Work
+    started: float = field(factory=time.monotonic)
+    tried: set[str] = field(factory=set)
+    status: int = 0
+    body: list[bytes] = field(factory=list)
+    text: list[str] = field(factory=list)
+    done: bool = False
+    error: dict[str, Any] | None = None
+    last_at: float = 0.0
+    splitter: EventSplitter = field(factory=EventSplitter)
+
+    def attempt(self) -> None:
+        address = self.region.choose_address(self.tried)
+        self.tried.add(address)
+        self.status, self.done, self.error = 0, False, None
+        self.body, self.text, self.splitter = [], [], EventSplitter()
+        self.request.attempts.append(Attempt(address))
+        headers = {
+            "Authorization": f"Bearer {self.caller.key}",
+            "Content-Type": "application/json",
+            "X-Request-Id": self.request.request_id,
+        }
+        if self.work.keyed:
+            headers["Idempotency-Key"] = self.request.request_id
+        call = HttpCall(
+            parse_address(address),
+            "POST",
+            self.work.path,
+            headers,
+            json.dumps(self._make_body()).encode(),
+            ANSWER_SILENCE_SECONDS,
+        )
+        self.region.http.send(call, self.listen)
+
+    def _prompt(self) -> str:
+        return f"{self.request.request_id} ".ljust(self.work.prompt_bytes, "x")
+
+    def _make_body(self) -> dict[str, Any]:
+        if not self.work.model:
+            return {"request": self.request.request_id}
+        return {
+            "model": self.work.model,
+            "messages": [{"role": "user", "content": self._prompt()}],
+            "max_tokens": self.work.answer_tokens,
+            "stream": True,
+        }
+
+    def listen(self, event: CallEvent) -> None:
+        if isinstance(event, ResponseHead):
+            self.status = event.status
+        elif isinstance(event, BodyPart):
+            self._take(event.data)
+        elif isinstance(event, ResponseEnd):
+            self._end()
+        elif isinstance(event, CallFailed):
+            self.status = 0
+            self._again(event.cause)
+
+    def _take(self, data: bytes) -> None:
+        if not self.work.model or self.status != 200:
+            self.body.append(data)
+            return
+        for item in self.splitter.feed(data):
+            if item == b"[DONE]":
+                self.done = True
+                continue
+            chunk = json.loads(item)
+            if "choices" not in chunk:
+                self.error = chunk
+                continue
+            for choice in chunk["choices"]:
+                self._take_text(choice["delta"].get("content") or "")
+
+    def _take_text(self, text: str) -> None:
+        if not text:
+            return
+        now = time.monotonic()
+        if self.request.first_seconds is None:
+            self.request.first_seconds = now - self.started
+        elif self.text:
+            self.request.gaps_seconds.append(now - self.last_at)
+        self.last_at = now
+        self.text.append(text)
+
+    def _end(self) -> None:
+        if self.status == 200 and self.error is None:
+            self._check_answer()
+            return
+        problem = self.error
+        if problem is None:
+            try:
+                problem = json.loads(b"".join(self.body))
+            except ValueError:
+                problem = {}
+        attempt = self.request.attempts[-1]
+        attempt.reason = str(problem.get("reason", ""))
+        attempt.ran = str(problem.get("ran", ""))
+        if self.status in (429, 503, 502, 409) or self.error is not None:
+            self._again(attempt.reason)
+        else:
+            self._finish("refused")
+
+    def _check_answer(self) -> None:
+        self.request.attempts[-1].status = 200
+        if not self.work.model:
+            value = json.loads(b"".join(self.body))
+            self.request.crossed = self.request.request_id not in value.get("echo", "")
+            self._finish("answered")
+            return
+        expected = "".join(make_words(self._prompt(), self.work.answer_tokens))
+        text = "".join(self.text)
+        if not self.done or len(text) < len(expected):
+            self._again("incomplete")
+            return
+        self.request.crossed = text != expected
+        self._finish("answered")
+
+    def _again(self, cause: str) -> None:
+        attempt = self.request.attempts[-1]
+        attempt.status = self.status
+        attempt.reason = attempt.reason or cause
+        if time.monotonic() - self.started > self.region.plan.give_up_seconds:
+            self._finish(
+                "unknown" if attempt.ran == "unknown" else "refused" if attempt.ran else "lost"
+            )
+            return
+        self.region.loop.scheduler.call_after(RETRY_SECONDS, self.attempt)
+
+    def _finish(self, outcome: str) -> None:
+        self.request.attempts[-1].status = self.request.attempts[-1].status or self.status
+        self.request.outcome = outcome
+        self.request.seconds = time.monotonic() - self.started
+        self.region.finish(self.request)
+
+
+def main() -> None:
+    """Run the load of a plan."""
+    plan = structure(json.loads(Path(sys.argv[1]).read_text()), Plan)
+    loop = make_loop()
+    region = Region(loop, plan, Path(sys.argv[2]))
+    loop.scheduler.call_after(0.0, region.start)
+    loop.root.run()
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -26,7 +26,8 @@
     """Describe what a link does to its traffic; the default passes it on.
 
     cut closes connections and refuses new ones; silent keeps connections that are open but passes
-    nothing on them, while new ones work; the drops lose one direction without a sign.
+    nothing on them, while new ones work; the drops lose one direction without a sign. Links of
+    one group share the bytes per second of each direction.
     """
 
     cut: bool = False
@@ -35,6 +36,14 @@
     drop_answers: bool = False
     delay_seconds: float = 0.0
     bytes_per_second: float = 0.0
+    group: str = ""
+
+
+@define
+class Lane:
+    """Hold until when one direction of a link or group is busy (seconds, monotonic clock)."""
+
+    busy_until: float = 0.0
 
 
 @define(eq=False)
@@ -60,7 +69,7 @@
     fault: Fault = field(factory=Fault)
     tunnels: set[Tunnel] = field(factory=set)
     bytes_passed: int = 0
-    busy_until: float = 0.0
+    lanes: dict[tuple[str, bool], Lane] = field(factory=dict)
 
     def set_fault(self, fault: Fault) -> None:
         self.fault = fault
@@ -104,18 +113,19 @@
                 dropped = fault.drop_requests if requests else fault.drop_answers
                 if not tunnel.silenced and not dropped:
                     self.bytes_passed += len(data)
-                    queue.put_nowait((self._due(fault, len(data)), data))
+                    queue.put_nowait((self._due(fault, len(data), requests), data))
         except OSError:
             pass
         queue.put_nowait((0.0, b""))
         await sender
 
-    def _due(self, fault: Fault, size: int) -> float:
+    def _due(self, fault: Fault, size: int, requests: bool) -> float:
         now = time.monotonic()
         if not fault.bytes_per_second:
             return now + fault.delay_seconds
-        self.busy_until = max(now, self.busy_until) + size / fault.bytes_per_second
-        return self.busy_until + fault.delay_seconds
+        lane = self.lanes.setdefault((fault.group or self.name, requests), Lane())
+        lane.busy_until = max(now, lane.busy_until) + size / fault.bytes_per_second
+        return lane.busy_until + fault.delay_seconds
 
     async def _send(
         self, queue: "asyncio.Queue[tuple[float, bytes]]", writer: asyncio.StreamWriter
@@ -140,6 +150,7 @@
     """Hold all links."""
 
     links: dict[str, Link] = field(factory=dict)
+    lanes: dict[tuple[str, bool], Lane] = field(factory=dict)
 
     async def control(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while line := await reader.readline():
@@ -152,6 +163,7 @@
         if "add" in command:
             ip, _, port = command["upstream"].rpartition(":")
             link = self.links[command["add"]] = Link(command["add"], ip, int(port))
+            link.lanes = self.lanes
             server = await asyncio.start_server(link.accept, "127.0.0.1", 0)
             return {"address": f"127.0.0.1:{server.sockets[0].getsockname()[1]}"}
         if "count" in command:
