--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measure the fleet on one machine; every figure of a run comes with its baseline."""
+"""Measure the fleet."""
--- a/bench/front.py
+++ b/bench/front.py
@@ -16,7 +16,7 @@
 
 import yaml
 
-from bench.load import find_quantile, make_chat, make_get, repeat
+from bench.connections import find_quantile, make_chat, make_get, repeat
 from standins.fleet import Fleet, Process, call_json, start_process
 
 KEY = "bench-key"
