Exchange heartbeats and drop connections that went silent

Nodes knew of each other only what the list of VMs said, and a connection that went silent stayed in use for as long as TCP believed in it.

Each node now sends heartbeats to its neighbours and is answered with theirs. A link without an answer within the silence bound is dropped and dialled anew; a handshake that does not end is given up; an idle HTTP connection to an address where another went silent is closed. Incarnation names sort by the time of start, so that is_gone can tell a restart in place from a pause.

Ruled out: TCP keepalive (minutes, and answered by the kernel of a stopped process).

--- /dev/null
+++ b/bronzetiller/fleet/membership.py
@@ -0,0 +1,198 @@
+"""Know which nodes live, by heartbeats and the platform's list of VMs."""
+
+from collections.abc import Callable
+
+from attrs import define, field
+from result import Ok, Result
+
+from bronzetiller.fleet.incarnations import FleetView, is_gone
+from bronzetiller.fleet.neighbours import choose_heartbeat_seconds, choose_neighbours
+from bronzetiller.fleet.peers import Peers, PeerVm, Reply
+from bronzetiller.logs import log_event
+from bronzetiller.metrics import PEERS_HEARD, SILENT_LINKS
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.platform.vm_list import Vm, VmList, VmRole, VmState
+from bronzetiller.settings import Settings
+from bronzetiller.wire.messages import Heartbeat, Message
+
+Listener = Callable[[], None]
+
+
+@define
+class PeerState:
+    """Hold the newest heartbeat of a peer and when it arrived (seconds, monotonic)."""
+
+    heartbeat: Heartbeat
+    heard_at: float
+
+
+@define(eq=False)
+class Membership:
+    """Exchange heartbeats with the neighbours and drop the connections that went silent."""
+
+    _scheduler: Scheduler
+    _peers: Peers
+    _vm_list: VmList
+    _settings: Settings
+    _make_heartbeat: Callable[[], Heartbeat]
+    states: dict[str, PeerState] = field(factory=dict)
+    _answered_at: dict[str, float] = field(factory=dict)
+    _missing_since: dict[str, float] = field(factory=dict)
+    _first_read_at: float | None = None
+    _seen_read_at: float | None = None
+    _listed: frozenset[str] = frozenset()
+    _ticked_at: float = 0.0
+    _listeners: list[Listener] = field(factory=list)
+
+    def start(self) -> None:
+        """Begin to send heartbeats; go on for the life of the process."""
+        self._peers.on(Heartbeat, self._on_heartbeat)
+        self._vm_list.subscribe(self._on_vms)
+        self._ticked_at = self._scheduler.now()
+        self._tick()
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call the listener after each heartbeat received."""
+        self._listeners.append(listener)
+
+    def announce(self) -> None:
+        """Send a heartbeat to every connected peer at once."""
+        for node_id in self._peers.connected():
+            self._send(node_id)
+
+    def live(self) -> dict[str, Heartbeat]:
+        """Return the newest heartbeat of each peer heard from within the silence bound."""
+        return {
+            node_id: state.heartbeat
+            for node_id, state in self.states.items()
+            if self._is_heard(state)
+        }
+
+    def is_silent(self, node_id: str) -> bool:
+        """Say whether a peer that was heard from before is silent now."""
+        state = self.states.get(node_id)
+        return state is not None and not self._is_heard(state)
+
+    def is_gone(self, incarnation: str) -> bool:
+        """Say whether an incarnation will never act again, as far as this node can tell."""
+        grace_seconds = self._settings.fleet.gone_grace_seconds
+        return is_gone(incarnation, self.view(), grace_seconds=grace_seconds)
+
+    def view(self) -> FleetView:
+        """Return what this node knows of the others."""
+        own = self._make_heartbeat()
+        alive = [item.incarnation for item in self.live().values()]
+        newest = {node_id: item.heartbeat.incarnation for node_id, item in self.states.items()}
+        return FleetView(
+            listed=self._listed,
+            first_read_at=self._first_read_at,
+            read_at=self._seen_read_at,
+            missing_since=self._missing_since,
+            newest=newest | {own.node_id: own.incarnation},
+            alive=frozenset([*alive, own.incarnation]),
+        )
+
+    def _is_heard(self, state: PeerState) -> bool:
+        bound = max(self._settings.fleet.silence_seconds, 3 * self._interval_seconds())
+        return self._scheduler.now() - state.heard_at <= bound
+
+    def _interval_seconds(self) -> float:
+        fleet = self._settings.fleet
+        return choose_heartbeat_seconds(
+            len(self._answered_at),
+            seconds_min=fleet.heartbeat_seconds,
+            bytes_per_second_max=fleet.heartbeat_bytes_per_second_max,
+        )
+
+    def _tick(self) -> None:
+        self._scheduler.call_after(self._interval_seconds(), self._tick)
+        self._forgive_own_pause()
+        self._observe_vm_list()
+        self._drop_silent_links()
+        self.announce()
+        PEERS_HEARD.set(len(self.live()))
+
+    def _forgive_own_pause(self) -> None:
+        """Count no silence for the time in which this process itself did not run."""
+        now = self._scheduler.now()
+        paused_seconds = now - self._ticked_at - self._interval_seconds()
+        self._ticked_at = now
+        if paused_seconds < self._settings.fleet.silence_seconds / 2:
+            return
+        log_event("paused", level=30, seconds=round(paused_seconds, 3))
+        for state in self.states.values():
+            state.heard_at += paused_seconds
+        for node_id in self._answered_at:
+            self._answered_at[node_id] += paused_seconds
+
+    def _observe_vm_list(self) -> None:
+        read_at = self._vm_list.read_at
+        if read_at is None or read_at == self._seen_read_at:
+            return
+        if self._first_read_at is None:
+            self._first_read_at = read_at
+        listed = frozenset(vm.vm_id for vm in self._vm_list.find_routers())
+        for vm_id in self._listed - listed:
+            self._missing_since[vm_id] = read_at
+        for vm_id in listed:
+            self._missing_since.pop(vm_id, None)
+        self._listed = listed
+        self._seen_read_at = read_at
+
+    def _drop_silent_links(self) -> None:
+        now = self._scheduler.now()
+        bound = max(self._settings.fleet.silence_seconds, 3 * self._interval_seconds())
+        connected = set(self._peers.connected())
+        self._answered_at = {node_id: self._answered_at.get(node_id, now) for node_id in connected}
+        for node_id, answered_at in list(self._answered_at.items()):
+            if now - answered_at > bound:
+                del self._answered_at[node_id]
+                SILENT_LINKS.labels("peer").inc()
+                self._peers.drop_link(node_id)
+
+    def _send(self, node_id: str) -> None:
+        def answered(result: Result[Message, str]) -> None:
+            match result:
+                case Ok(Heartbeat() as heartbeat):
+                    if node_id in self._answered_at:
+                        self._answered_at[node_id] = self._scheduler.now()
+                    self._take(heartbeat)
+
+        seconds = self._settings.fleet.silence_seconds
+        self._peers.ask(node_id, self._make_heartbeat(), seconds, answered)
+
+    def _on_heartbeat(self, heartbeat: Heartbeat, reply: Reply) -> None:
+        reply(self._make_heartbeat())
+        self._take(heartbeat)
+
+    def _take(self, heartbeat: Heartbeat) -> None:
+        known = self.states.get(heartbeat.node_id)
+        if known is not None and known.heartbeat.incarnation > heartbeat.incarnation:
+            return
+        self.states[heartbeat.node_id] = PeerState(heartbeat, self._scheduler.now())
+        for listener in self._listeners:
+            listener()
+
+    def _on_vms(self) -> None:
+        self._observe_vm_list()
+        routers = self._vm_list.find_routers()
+        fleet = self._settings.fleet
+        neighbours = choose_neighbours(
+            self._own_vm(),
+            routers,
+            near_peers_max=fleet.near_peers_max,
+            far_peers_max=fleet.far_peers_max,
+        )
+        found = [PeerVm(vm.vm_id, vm.peer_address) for vm in neighbours if vm.peer_address]
+        self._peers.set_peers(found)
+
+    def _own_vm(self) -> Vm:
+        settings = self._settings
+        return Vm(
+            vm_id=settings.node_id,
+            address=settings.listen.callers,
+            region=settings.region,
+            data_centre=settings.data_centre,
+            role=VmRole.ROUTER,
+            state=VmState.LIVE,
+        )
--- /dev/null
+++ b/bronzetiller/fleet/neighbours.py
@@ -0,0 +1,53 @@
+"""Choose the peers that a node keeps connections to, and how often it sends heartbeats."""
+
+import hashlib
+from collections.abc import Iterable
+
+from bronzetiller.platform.vm_list import Vm
+
+HEARTBEAT_BYTES = 320
+MESSAGES_PER_LINK = 4
+
+
+def rank_nodes(subject: str, node_ids: Iterable[str]) -> list[str]:
+    """Order nodes for a subject by rendezvous hashing, the same on every node."""
+    return sorted(node_ids, key=lambda node_id: _score(subject, node_id), reverse=True)
+
+
+def choose_neighbours(
+    own: Vm, routers: Iterable[Vm], *, near_peers_max: int, far_peers_max: int
+) -> list[Vm]:
+    """Return the peers to connect to: some of the own data centre and some of each other one.
+
+    Within a data centre each node takes the next ones of the ring of node ids, so that the graph
+    of connections is connected; of another data centre it takes those that rank first for it.
+    """
+    groups: dict[str, list[Vm]] = {}
+    for vm in routers:
+        if vm.vm_id != own.vm_id and vm.peer_address is not None:
+            groups.setdefault(vm.data_centre, []).append(vm)
+    chosen: list[Vm] = []
+    for data_centre, vms in groups.items():
+        if data_centre == own.data_centre:
+            chosen += _choose_next(own.vm_id, vms, near_peers_max)
+            continue
+        by_id = {vm.vm_id: vm for vm in vms}
+        ranked = rank_nodes(own.vm_id, by_id)[:far_peers_max]
+        chosen += [by_id[vm_id] for vm_id in ranked]
+    return chosen
+
+
+def choose_heartbeat_seconds(
+    links: int, *, seconds_min: float, bytes_per_second_max: float
+) -> float:
+    """Return the interval that keeps the heartbeats of all links under a rate."""
+    return max(seconds_min, links * MESSAGES_PER_LINK * HEARTBEAT_BYTES / bytes_per_second_max)
+
+
+def _choose_next(own_id: str, vms: list[Vm], count: int) -> list[Vm]:
+    ordered = sorted(vms, key=lambda vm: (vm.vm_id < own_id, vm.vm_id))
+    return ordered[:count]
+
+
+def _score(subject: str, node_id: str) -> bytes:
+    return hashlib.sha256(f"{subject}\n{node_id}".encode()).digest()
--- a/bronzetiller/fleet/peers.py
+++ b/bronzetiller/fleet/peers.py
@@ -23,6 +23,8 @@
 )
 
 CONNECT_SECONDS = 2.0
+HANDSHAKE_SECONDS = 2.0
+ACCEPTED_SILENCE_SECONDS = 30.0
 REDIAL_SECONDS = 0.5
 READ_BYTES = 64 * 1024
 
@@ -63,6 +65,13 @@
         super().__init__((host, port), channel="peers", bufsize=READ_BYTES)
         self._peers = peers
         self._sessions: dict[socket, Session] = {}
+        self._heard_at: dict[socket, float] = {}
+
+    def close_silent(self, now: float) -> None:
+        """Close the connections that brought nothing for long."""
+        for sock, heard_at in list(self._heard_at.items()):
+            if now - heard_at > ACCEPTED_SILENCE_SECONDS:
+                self._close(sock)
 
     @handler("connect")
     def _on_connect(self, sock: socket, *peer: Any) -> None:
@@ -71,15 +80,18 @@
             lambda: self._close(sock),
         )
         self._sessions[sock] = session
+        self._heard_at[sock] = self._peers.now()
 
     @handler("read")
     def _on_received(self, sock: socket, data: bytes) -> None:
         session = self._sessions.get(sock)
         if session is not None:
+            self._heard_at[sock] = self._peers.now()
             session.feed(data)
 
     @handler("disconnect")
     def _on_closed(self, sock: socket) -> None:
+        self._heard_at.pop(sock, None)
         self._sessions.pop(sock, None)
 
     @handler("error")
@@ -102,7 +114,15 @@
 
     def listen(self, loop: Loop, host: str, port: int) -> int:
         """Accept peers; return the port."""
-        return int(_PeerListener(host, port, self).register(loop.root).port)
+        listener = _PeerListener(host, port, self)
+        self._scheduler.call_every(
+            ACCEPTED_SILENCE_SECONDS / 4, lambda: listener.close_silent(self.now())
+        )
+        return int(listener.register(loop.root).port)
+
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+        return self._scheduler.now()
 
     def on(self, message_class: type[M], handle: Callable[[M, Reply], None]) -> None:
         """Handle each message of a class; the reply goes back to its sender."""
@@ -148,9 +168,8 @@
     def drop_link(self, node_id: str) -> None:
         """Close the connection to a silent peer, to dial it again."""
         link = self._links.get(node_id)
-        if link is not None and link.connection is not None:
-            link.connection.close()
-            self._lose(link, "silent")
+        if link is not None:
+            self._drop(link, "silent")
 
     def accept(self, write: Callable[[bytes], None], close: Callable[[], None]) -> Session:
         """Open the session of an accepted connection."""
@@ -180,11 +199,16 @@
                 connection.write,
                 lambda: log_event("peer_connected", peer=link.vm.node_id),
                 lambda packet: self._receive(packet, link.session),
-                lambda: self.drop_link(link.vm.node_id),
+                lambda: self._drop(link, "closed by the session"),
             )
+            self._scheduler.call_after(HANDSHAKE_SECONDS, check_handshake)
             address = str(link.vm.address)
             link.session = open_client_session(self._secret, self._node_id, address, handlers)
 
+        def check_handshake() -> None:
+            if link.connection is connection and link.session and not link.session.open:
+                self._drop(link, "handshake: timeout")
+
         def received(data: bytes) -> None:
             if link.session is not None:
                 link.session.feed(data)
@@ -193,6 +217,11 @@
         connection = self._dialer.dial(link.vm.address, CONNECT_SECONDS, handlers)
         link.connection = connection
 
+    def _drop(self, link: _Link, cause: str) -> None:
+        if link.connection is not None:
+            link.connection.close()
+            self._lose(link, cause)
+
     def _lose(self, link: _Link, cause: str) -> None:
         if link.session is not None and link.session.open:
             log_event("peer_lost", level=30, peer=link.vm.node_id, cause=cause)
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -20,6 +20,10 @@
     "bronzetiller_rulings", "Ledger rulings.", ["record", "verdict"], registry=REGISTRY
 )
 LATE_BYTES = Counter("bronzetiller_late_bytes", "Bytes dropped after an end.", registry=REGISTRY)
+SILENT_LINKS = Counter(
+    "bronzetiller_silent_links", "Connections given up as silent.", ["kind"], registry=REGISTRY
+)
+PEERS_HEARD = Gauge("bronzetiller_peers_heard", "Peers heard from of late.", registry=REGISTRY)
 OPEN_REQUESTS = Gauge("bronzetiller_open_requests", "Requests being served.", registry=REGISTRY)
 
 
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -170,7 +170,11 @@
 
     def arm(self, seconds: float) -> None:
         self.disarm()
-        self.timer = self.client.scheduler.call_after(seconds, lambda: self.fail("silence"))
+        self.timer = self.client.scheduler.call_after(seconds, self.expire)
+
+    def expire(self) -> None:
+        self.fail("silence")
+        self.client.close_idle(self.address)
 
     def disarm(self) -> None:
         if self.timer is not None:
@@ -208,6 +212,11 @@
         else:
             idle.append(channel)
 
+    def close_idle(self, address: Address) -> None:
+        """Close the idle connections to an address, which may have gone silent like the last."""
+        for channel in self._idle.pop(address, []):
+            channel.close()
+
     def drop(self, channel: _Channel) -> None:
         """Forget an idle connection."""
         idle = self._idle.get(channel.address)
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -2,7 +2,6 @@
 
 import time
 from typing import Any
-from uuid import uuid4
 
 from circuits import BaseComponent, handler
 
@@ -14,7 +13,9 @@
 from bronzetiller.callers.chat import ChatServices
 from bronzetiller.callers.problems import reject_malformed
 from bronzetiller.configuration.fold import Configuration
-from bronzetiller.fleet.peers import Peers, PeerVm
+from bronzetiller.fleet.incarnations import make_incarnation
+from bronzetiller.fleet.membership import Membership
+from bronzetiller.fleet.peers import Peers
 from bronzetiller.logs import log_event
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.http_client import HttpClient
@@ -26,6 +27,7 @@
 from bronzetiller.requests.billing import Biller
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.settings import Settings
+from bronzetiller.wire.messages import Heartbeat
 
 CONFIGURATION_STREAM = "configuration"
 CREDIT_CHECK_SECONDS = 0.5
@@ -50,7 +52,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        self.incarnation = f"{settings.node_id}/{uuid4().hex[:12]}"
+        self.incarnation = make_incarnation(settings.node_id, time.time())
         self.loop: Loop = make_loop()
         scheduler = self.loop.scheduler
         dialer = Dialer(self.loop, channel="outgoing").register(self.loop.root)
@@ -66,6 +68,9 @@
             append_interval_seconds=settings.budgets.append_interval_seconds,
         )
         self.peers = Peers(scheduler, dialer, settings.node_id, settings.fleet_secret.encode())
+        self.membership = Membership(
+            scheduler, self.peers, self.vm_list, settings, self._make_heartbeat
+        )
         self.holdings = Holdings()
         self.keeper = GrantKeeper(
             scheduler,
@@ -87,7 +92,7 @@
             self.loop, self.settings.listen.peers.ip, self.settings.listen.peers.port
         )
         self.configuration_follower.subscribe(self._on_configuration)
-        self.vm_list.subscribe(self._on_vms)
+        self.membership.start()
         self.vm_list.start()
         self.configuration_follower.start()
         self.shards.start()
@@ -160,13 +165,22 @@
         if all(shard.follower.caught_up for shard in self.shards.all):
             post_credits(self.configuration, self.shards)
 
-    def _on_vms(self) -> None:
-        peers = [
-            PeerVm(vm.vm_id, vm.peer_address)
-            for vm in self.vm_list.find_routers()
-            if vm.peer_address is not None
-        ]
-        self.peers.set_peers(peers)
+    def _make_heartbeat(self) -> Heartbeat:
+        settings = self.settings
+        read_at = self.vm_list.read_at
+        followers = [self.configuration_follower, *(s.follower for s in self.shards.all)]
+        return Heartbeat(
+            node_id=settings.node_id,
+            incarnation=self.incarnation,
+            region=settings.region,
+            data_centre=settings.data_centre,
+            address=f"{settings.listen.callers.ip}:{self.server.port}",
+            stopping=self.stopping,
+            next_offsets={item.stream: item.next_offset for item in followers},
+            ready=self.is_ready(),
+            log_reachable=all(item.reachable for item in followers),
+            vm_list_age_seconds=None if read_at is None else self.peers.now() - read_at,
+        )
 
     def _make_report(self) -> dict[str, Any]:
         return {
--- a/bronzetiller/platform/vm_list.py
+++ b/bronzetiller/platform/vm_list.py
@@ -57,6 +57,7 @@
     def __init__(self, scheduler: Scheduler, http: HttpClient, address: Address) -> None:
         self.vms: dict[str, Vm] = {}
         self.reachable = False
+        self.read_at: float | None = None
         self._scheduler = scheduler
         self._http = http
         self._address = address
@@ -102,6 +103,7 @@
             self.reachable = False
             return
         self.reachable = True
+        self.read_at = self._scheduler.now()
         if vms != self.vms:
             self.vms = vms
             for subscriber in self._subscribers:
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -44,6 +44,19 @@
     bill_copies: int = field(default=2, validator=ge(0))
 
 
+@frozen
+class FleetSettings:
+    """Set how nodes watch each other; seeds are peer addresses for a start without the platform."""
+
+    heartbeat_seconds: float = field(default=0.5, validator=gt(0))
+    silence_seconds: float = field(default=2.0, validator=gt(0))
+    gone_grace_seconds: float = field(default=10.0, validator=ge(0))
+    near_peers_max: int = field(default=8, validator=ge(1))
+    far_peers_max: int = field(default=3, validator=ge(1))
+    heartbeat_bytes_per_second_max: float = field(default=2_500.0, validator=gt(0))
+    seeds: list[Address] = field(factory=list)
+
+
 @frozen
 class LimitSettings:
     """Bound what one caller may ask of a node."""
@@ -65,6 +78,7 @@
     listen: ListenSettings
     platform: PlatformSettings
     budgets: BudgetSettings = field(factory=BudgetSettings)
+    fleet: FleetSettings = field(factory=FleetSettings)
     limits: LimitSettings = field(factory=LimitSettings)
     log_level: str = field(default="INFO", validator=matches_re("DEBUG|INFO|WARNING|ERROR"))
 
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -9,7 +9,11 @@
 
 @frozen
 class Heartbeat:
-    """Tell peers who and where a node is and how far it has read each stream."""
+    """Tell a peer who and where a node is and how far it has read each stream.
+
+    It is answered with the peer's own heartbeat. vm_list_age_seconds is the age of the sender's
+    list of VMs, or nothing where it has none; log_reachable says whether it can append.
+    """
 
     node_id: str
     incarnation: str
@@ -18,6 +22,9 @@
     address: str
     stopping: bool
     next_offsets: dict[str, int] = field(factory=dict)
+    ready: bool = False
+    log_reachable: bool = False
+    vm_list_age_seconds: float | None = None
 
 
 @frozen
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,139 @@
+"""Tell live, silent and gone nodes apart."""
+
+import re
+import urllib.request
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bronzetiller.fleet.incarnations import FleetView, is_gone, make_incarnation
+from bronzetiller.fleet.neighbours import choose_heartbeat_seconds, choose_neighbours
+from bronzetiller.net.dialer import Address
+from bronzetiller.platform.vm_list import Vm, VmRole, VmState
+from tests.conftest import KEY, await_ready, await_true, send_chat
+
+REACHED_AGAIN_SECONDS = 6.0
+
+
+def read_metric(address, name):
+    """Return the sum of a metric's samples."""
+    with urllib.request.urlopen(f"http://{address}/metrics", timeout=10) as response:
+        text = response.read().decode()
+    return sum(float(v) for v in re.findall(rf"^{name}(?:{{.*}})? (\S+)$", text, re.MULTILINE))
+
+
+OLD = make_incarnation("node-1", 1_000.0)
+NEW = make_incarnation("node-1", 1_000.2)
+
+
+def test_an_incarnation_is_gone_once_a_newer_one_was_heard_of():
+    view = FleetView(
+        newest={"node-1": NEW}, listed=frozenset({"node-1"}), first_read_at=0, read_at=9
+    )
+    assert is_gone(OLD, view, grace_seconds=5.0)
+    assert not is_gone(NEW, view, grace_seconds=5.0)
+
+
+@given(missing_since=st.floats(0, 100), read_at=st.floats(0, 100), heard=st.booleans())
+@settings(derandomize=True)
+def test_an_unlisted_incarnation_is_gone_only_by_reads_a_grace_apart(missing_since, read_at, heard):
+    view = FleetView(
+        first_read_at=0.0,
+        read_at=read_at,
+        missing_since={"node-1": missing_since},
+        alive=frozenset({OLD}) if heard else frozenset(),
+    )
+    assert is_gone(OLD, view, grace_seconds=5.0) == (not heard and read_at - missing_since >= 5.0)
+
+
+def test_nothing_is_gone_for_a_node_that_never_read_the_list():
+    assert not is_gone(OLD, FleetView(), grace_seconds=0.0)
+
+
+def make_routers(count):
+    return [
+        Vm(
+            f"node-{i:03}",
+            Address("10.0.0.1", 1000 + i),
+            f"region-{i % 3}",
+            f"dc-{i % 12}",
+            VmRole.ROUTER,
+            VmState.LIVE,
+            peer_address=Address("10.0.0.1", 5000 + i),
+        )
+        for i in range(count)
+    ]
+
+
+@pytest.mark.parametrize("count", [7, 60, 330])
+def test_neighbours_are_few_and_every_node_is_reached_through_them(count):
+    routers = make_routers(count)
+    links = {
+        vm.vm_id: [
+            n.vm_id for n in choose_neighbours(vm, routers, near_peers_max=4, far_peers_max=1)
+        ]
+        for vm in routers
+    }
+    assert max(len(found) for found in links.values()) <= 4 + 11
+    reached, rest = set(), ["node-000"]
+    while rest:
+        node_id = rest.pop()
+        if node_id not in reached:
+            reached.add(node_id)
+            rest += links[node_id]
+    assert reached == set(links)
+
+
+def test_heartbeats_of_many_links_stay_under_their_rate():
+    seconds = choose_heartbeat_seconds(15, seconds_min=0.5, bytes_per_second_max=2_500.0)
+    assert 15 * 4 * 320 / seconds <= 2_500.0
+    assert choose_heartbeat_seconds(1, seconds_min=0.5, bytes_per_second_max=2_500.0) == 0.512
+
+
+@pytest.fixture
+def fleet(make_fleet):
+    fleet = make_fleet(with_links=True)
+    fleet.start_platform()
+    fleet.add_target("engine-1", "names", "west", "west-1")
+    fleet.add_node("node-1", "west", "west-1")
+    fleet.add_node("node-2", "east", "east-1")
+    fleet.publish_workspace("studio", KEY, 100_000)
+    fleet.publish("route", "namer", {"service": "names"})
+    await_ready(fleet, "node-1", "node-2")
+    return fleet
+
+
+def _peers_heard(fleet, node_id):
+    return read_metric(fleet.caller_address(node_id), "bronzetiller_peers_heard")
+
+
+def _silent_links(fleet, node_id):
+    return read_metric(fleet.caller_address(node_id), "bronzetiller_silent_links_total")
+
+
+def test_a_peer_whose_connections_went_silent_is_reached_over_new_ones(fleet):
+    for node_id in ("node-1", "node-2"):
+        await_true(lambda node_id=node_id: _peers_heard(fleet, node_id) == 1, what="a heartbeat")
+    fleet.set_fault(lambda source, destination: destination.endswith("/peer"), silent=True)
+    for node_id in ("node-1", "node-2"):
+        await_true(
+            lambda node_id=node_id: _silent_links(fleet, node_id) >= 1
+            and _peers_heard(fleet, node_id) == 1,
+            seconds=REACHED_AGAIN_SECONDS,
+            what="the peer reached again",
+        )
+
+
+def test_a_node_whose_platform_connections_went_silent_reads_over_new_ones(fleet):
+    address = fleet.caller_address("node-1")
+    assert send_chat(address)[0] == 200
+    fleet.set_fault(lambda source, destination: source == "node-1", silent=True)
+    fleet.publish("route", "scorer", {"service": "names"})
+    fleet.add_target("engine-2", "late", "west", "west-1")
+    fleet.publish("route", "late", {"service": "late"})
+    await_true(
+        lambda: send_chat(address, model="late")[0] == 200,
+        seconds=REACHED_AGAIN_SECONDS,
+        what="an answer by a route and a target that appeared since",
+    )
