Bound the ledger's memory by counts and give dump_ledger and load_ledger

Cause: the ledger kept every grant ruling, return id and credit id for good, and bills for 24 hours of the log's time (864,000 at ten requests a second). A shorter time would forget bills during an outage of the log, and a bill repeated after it would be charged twice.

Ruled out: windows of time, for that reason; forgetting credit ids, since the top-ups that they come from stay in force and would be credited again. They stay as many as the top-ups.

Change: the newest 100,000 bills and 20,000 grants of a stream are remembered. A bill or grant says how many of its kind its writer had read; where more than that is forgotten the record is void (expired), because its duplicate could not be told. Return ids live in their grant and go with it. A close names what each biller may still take, so that a resumed holder cannot use up tokens that live nodes were left; the first close of a grant counts. Charges of one bill on the same grant are added up before they are checked: each alone fitted, both together did not.

Proof: a state machine over ledger, holdings, transfers and closes with delays, repeated appends, lost, repeated and late messages, freezes and crashes. 250 examples find no overspend and no token in two places. With the reservation check off, and with the clamp of grants off, the same machine fails in its own invariant; both are tests. Without its count the repeated bill is accepted.

--- a/bronzetiller/budgets/holdings.py
+++ b/bronzetiller/budgets/holdings.py
@@ -22,35 +22,51 @@
 
 @define
 class Holdings:
-    """Hold unreserved tokens by workspace and grant; each token is in one place at a time."""
+    """Hold the tokens of a node by grant; each token is in one place at a time.
+
+    balances are unreserved tokens by workspace and grant; committed are tokens by grant that are
+    reserved, or billed without the ledger's ruling on the bill.
+    """
 
     balances: dict[str, dict[str, int]] = field(factory=dict)
+    committed: dict[str, int] = field(factory=dict)
+    void: set[str] = field(factory=set)
 
     def balance(self, workspace: str) -> int:
         """Return the unreserved tokens of a workspace."""
         return sum(self.balances.get(workspace, {}).values())
 
+    def held(self, workspace: str, grant_id: str) -> int:
+        """Return the tokens of a grant that this node may still bill."""
+        balance = self.balances.get(workspace, {}).get(grant_id, 0)
+        return balance + self.committed.get(grant_id, 0)
+
     def add(self, workspace: str, grant_id: str, tokens: int) -> None:
-        """Take in tokens of a grant."""
+        """Take in tokens of a grant; those of a void grant are dropped."""
         if tokens < 0:
             raise InvariantError("tokens added to a holding are negative")
-        if tokens:
+        if tokens and grant_id not in self.void:
             grants = self.balances.setdefault(workspace, {})
             grants[grant_id] = grants.get(grant_id, 0) + tokens
 
     def reserve(self, workspace: str, tokens: int) -> Reservation | None:
         """Set tokens aside, or nothing where the balance is too small."""
         charges = self.take(workspace, tokens)
-        return None if charges is None else Reservation(workspace, charges)
-
-    def take(self, workspace: str, tokens: int) -> list[Charge] | None:
-        """Remove exactly these tokens from the balance, or nothing."""
-        if self.balance(workspace) < tokens:
+        if charges is None:
             return None
+        for charge in charges:
+            self.committed[charge.grant_id] = self.committed.get(charge.grant_id, 0) + charge.tokens
+        return Reservation(workspace, charges)
+
+    def take(self, workspace: str, tokens: int, holder: str = "") -> list[Charge] | None:
+        """Remove exactly these tokens, only of a holder's grants if one is named, or nothing."""
         grants = self.balances.get(workspace, {})
+        usable = [grant_id for grant_id in grants if not holder or is_held_by(grant_id, holder)]
+        if sum(grants[grant_id] for grant_id in usable) < tokens:
+            return None
         charges = []
         missing = tokens
-        for grant_id in list(grants):
+        for grant_id in usable:
             if not missing:
                 break
             part = min(missing, grants[grant_id])
@@ -62,7 +78,10 @@
         return charges
 
     def settle(self, reservation: Reservation, tokens: int) -> list[Charge]:
-        """Spend part of a reservation and put the rest back; return what the bill charges."""
+        """Spend part of a reservation and put the rest back; return what the bill charges.
+
+        What the bill charges stays committed until it is confirmed or restored.
+        """
         if reservation.settled or tokens > reservation.tokens:
             raise InvariantError("a reservation is settled twice or beyond its tokens")
         reservation.settled = True
@@ -73,14 +92,47 @@
             missing -= part
             if part:
                 spent.append(Charge(charge.grant_id, part))
-            self.add(reservation.workspace, charge.grant_id, charge.tokens - part)
+            self._put_back(reservation.workspace, charge.grant_id, charge.tokens - part)
         return spent
 
     def release(self, reservation: Reservation) -> None:
         """Put a whole reservation back, for a request that was not run."""
         self.settle(reservation, 0)
 
+    def confirm(self, charges: list[Charge]) -> None:
+        """Forget charges that the ledger has ruled on, whether spent or void."""
+        for charge in charges:
+            self._uncommit(charge.grant_id, charge.tokens)
+
     def restore(self, workspace: str, charges: list[Charge]) -> None:
         """Put charges back whose bill the ledger dropped as a duplicate."""
         for charge in charges:
-            self.add(workspace, charge.grant_id, charge.tokens)
+            self._put_back(workspace, charge.grant_id, charge.tokens)
+
+    def drop(self, workspace: str, grant_id: str) -> int:
+        """Forget the unreserved tokens of a grant that is no longer this node's."""
+        self.void.add(grant_id)
+        return self.balances.get(workspace, {}).pop(grant_id, 0)
+
+    def _put_back(self, workspace: str, grant_id: str, tokens: int) -> None:
+        self._uncommit(grant_id, tokens)
+        self.add(workspace, grant_id, tokens)
+
+    def _uncommit(self, grant_id: str, tokens: int) -> None:
+        left = self.committed.get(grant_id, 0) - tokens
+        if left < 0:
+            raise InvariantError("more tokens are uncommitted than were reserved")
+        if left:
+            self.committed[grant_id] = left
+        else:
+            self.committed.pop(grant_id, None)
+
+
+def name_grant(holder: str, number: str) -> str:
+    """Return the id of a grant, which names its holder."""
+    return f"{holder}/{number}"
+
+
+def is_held_by(grant_id: str, holder: str) -> bool:
+    """Say whether a grant was given to an incarnation of a node."""
+    return grant_id.rpartition("/")[0] == holder
--- a/bronzetiller/budgets/ledger.py
+++ b/bronzetiller/budgets/ledger.py
@@ -3,17 +3,33 @@
 Every node that reads the same prefix reaches the same state and the same verdicts; nothing here
 reads a clock. A workspace's granted tokens never exceed its credited tokens, and its billed
 tokens never exceed its granted tokens.
+
+Memory is bounded by counts, so that an outage forgets nothing: the newest bills and grants are
+remembered, and a record written before the oldest remembered one is void, since the ledger could
+not tell it from a duplicate.
 """
 
-from collections import OrderedDict
 from enum import StrEnum
+from typing import Any
 
 from attrs import define, field, frozen
-
-from bronzetiller.budgets.records import Bill, Close, Credit, Grant, LedgerRecord, Return
+from cattrs.preconf.json import make_converter
+
+from bronzetiller.budgets.records import (
+    ANY_BILLER,
+    UNCOUNTED,
+    Bill,
+    Charge,
+    Close,
+    Credit,
+    Grant,
+    LedgerRecord,
+    Return,
+)
 from bronzetiller.errors import InvariantError
 
-BILL_WINDOW_SECONDS = 24 * 3600.0
+BILLS_REMEMBERED_MAX = 100_000
+GRANTS_REMEMBERED_MAX = 20_000
 
 
 class Verdict(StrEnum):
@@ -25,6 +41,7 @@
     NOTHING_FREE = "nothing_free"
     UNKNOWN_GRANT = "unknown_grant"
     GRANT_SPENT = "grant_spent"
+    EXPIRED = "expired"
     MALFORMED = "malformed"
 
 
@@ -38,19 +55,37 @@
 
 @define
 class GrantState:
-    """Hold what is left of one grant."""
+    """Hold what is left of one grant; once closed, what each biller may still take."""
 
     holder: str
     tokens: int
     spent: int = 0
     returned: int = 0
     closed: bool = False
+    retained: dict[str, int] = field(factory=dict)
+    return_ids: dict[str, int] = field(factory=dict)
 
     @property
     def left(self) -> int:
         """Return the tokens neither spent nor returned."""
         return self.tokens - self.spent - self.returned
 
+    def available(self, biller: str) -> int:
+        """Return the tokens that a biller may still take."""
+        if not self.closed:
+            return self.left
+        shared = 0 if biller == ANY_BILLER else self.retained.get(ANY_BILLER, 0)
+        return self.retained.get(biller, 0) + shared
+
+    def use_retained(self, biller: str, tokens: int) -> None:
+        """Count tokens off what a closed grant retains, the biller's own first."""
+        if not self.closed:
+            return
+        own = min(tokens, self.retained.get(biller, 0))
+        self.retained[biller] = self.retained.get(biller, 0) - own
+        if tokens > own:
+            self.retained[ANY_BILLER] -= tokens - own
+
 
 @define
 class Budget:
@@ -82,14 +117,24 @@
     """Hold the budgets of all workspaces of one stream."""
 
     budgets: dict[str, Budget] = field(factory=dict)
-    bills: OrderedDict[tuple[str, str], BillState] = field(factory=OrderedDict)
-    credit_ids: set[str] = field(factory=set)
-    return_ids: set[str] = field(factory=set)
+    bills: dict[str, BillState] = field(factory=dict)
+    bills_forgotten: int = 0
+    credit_ids: dict[str, int] = field(factory=dict)
     grant_rulings: dict[str, Ruling] = field(factory=dict)
+    grants_forgotten: int = 0
+
+    @property
+    def bill_count(self) -> int:
+        """Return the number of bills accepted so far."""
+        return self.bills_forgotten + len(self.bills)
+
+    @property
+    def grant_count(self) -> int:
+        """Return the number of grants ruled on so far."""
+        return self.grants_forgotten + len(self.grant_rulings)
 
     def apply(self, at: float, record: LedgerRecord) -> Ruling:
         """Apply one record in the order of the log; at is the log's own time (seconds)."""
-        self._forget_old_bills(at)
         match record:
             case Credit():
                 ruling = self._apply_credit(record)
@@ -107,8 +152,18 @@
         return ruling
 
     def find_bill(self, workspace: str, request_id: str) -> BillState | None:
-        """Return the bill of a request, if it was billed within the window."""
-        return self.bills.get((workspace, request_id))
+        """Return the bill of a request, if it is still remembered."""
+        return self.bills.get(_name_bill(workspace, request_id))
+
+    def find_grant(self, workspace: str, grant_id: str) -> GrantState | None:
+        """Return a grant that has tokens left."""
+        budget = self.budgets.get(workspace)
+        return None if budget is None else budget.grants.get(grant_id)
+
+    def count_free(self, workspace: str) -> int:
+        """Return the tokens of a workspace that no grant has set aside."""
+        budget = self.budgets.get(workspace)
+        return 0 if budget is None else budget.free
 
     def _budget(self, workspace: str) -> Budget:
         return self.budgets.setdefault(workspace, Budget())
@@ -118,7 +173,7 @@
             return Ruling(Verdict.DUPLICATE)
         if record.tokens <= 0:
             return Ruling(Verdict.MALFORMED)
-        self.credit_ids.add(record.credit_id)
+        self.credit_ids[record.credit_id] = record.tokens
         self._budget(record.workspace).credited += record.tokens
         return Ruling(Verdict.ACCEPTED, record.tokens)
 
@@ -127,48 +182,60 @@
         if known is not None:
             return Ruling(Verdict.DUPLICATE, known.tokens)
         budget = self._budget(record.workspace)
-        tokens = min(record.tokens, budget.free)
+        if UNCOUNTED < record.grants_before < self.grants_forgotten:
+            return Ruling(Verdict.EXPIRED)
+        if record.grant_id in budget.grants:
+            return Ruling(Verdict.DUPLICATE)
+        tokens = self._limit_grant(budget, record.tokens)
         if tokens <= 0:
             ruling = Ruling(Verdict.NOTHING_FREE)
         else:
             budget.granted += tokens
             budget.grants[record.grant_id] = GrantState(record.holder, tokens)
             ruling = Ruling(Verdict.ACCEPTED, tokens)
-        self.grant_rulings[record.grant_id] = ruling
+        self._remember_grant(record.grant_id, ruling)
         return ruling
 
+    def _limit_grant(self, budget: Budget, tokens: int) -> int:
+        return min(tokens, budget.free)
+
     def _apply_bill(self, at: float, record: Bill) -> Ruling:
-        key = (record.workspace, record.request_id)
+        key = _name_bill(record.workspace, record.request_id)
         known = self.bills.get(key)
         if known is not None:
             same = known.fingerprint == record.fingerprint
             return Ruling(Verdict.DUPLICATE if same else Verdict.KEY_REUSED)
-        if sum(charge.tokens for charge in record.charges) != record.tokens:
+        if UNCOUNTED < record.bills_before < self.bills_forgotten:
+            return Ruling(Verdict.EXPIRED)
+        charges = _merge_charges(record.charges)
+        if charges is None or sum(charges.values()) != record.tokens:
             return Ruling(Verdict.MALFORMED)
         budget = self._budget(record.workspace)
-        for charge in record.charges:
-            grant = budget.grants.get(charge.grant_id)
+        for grant_id, tokens in charges.items():
+            grant = budget.grants.get(grant_id)
             if grant is None:
                 return Ruling(Verdict.UNKNOWN_GRANT)
-            if charge.tokens < 0 or charge.tokens > grant.left:
+            if tokens > grant.available(record.biller):
                 return Ruling(Verdict.GRANT_SPENT)
-        for charge in record.charges:
-            budget.grants[charge.grant_id].spent += charge.tokens
-            self._drop_empty(budget, charge.grant_id)
+        for grant_id, tokens in charges.items():
+            budget.grants[grant_id].spent += tokens
+            budget.grants[grant_id].use_retained(record.biller, tokens)
+            self._drop_empty(budget, grant_id)
         budget.billed += record.tokens
-        self.bills[key] = BillState(at, record.fingerprint, record.biller, record.tokens)
+        self._remember_bill(key, BillState(at, record.fingerprint, record.biller, record.tokens))
         return Ruling(Verdict.ACCEPTED, record.tokens)
 
     def _apply_return(self, record: Return) -> Ruling:
-        if record.return_id in self.return_ids:
-            return Ruling(Verdict.DUPLICATE)
         budget = self._budget(record.workspace)
         grant = budget.grants.get(record.grant_id)
         if grant is None:
             return Ruling(Verdict.UNKNOWN_GRANT)
-        if not 0 < record.tokens <= grant.left:
+        if record.return_id in grant.return_ids:
+            return Ruling(Verdict.DUPLICATE)
+        if not 0 < record.tokens <= grant.available(record.holder):
             return Ruling(Verdict.GRANT_SPENT)
-        self.return_ids.add(record.return_id)
+        grant.return_ids[record.return_id] = record.tokens
+        grant.use_retained(record.holder, record.tokens)
         self._release(budget, record.grant_id, record.tokens)
         return Ruling(Verdict.ACCEPTED, record.tokens)
 
@@ -177,10 +244,16 @@
         grant = budget.grants.get(record.grant_id)
         if grant is None:
             return Ruling(Verdict.UNKNOWN_GRANT)
+        if grant.closed:
+            return Ruling(Verdict.DUPLICATE)
         grant.closed = True
-        tokens = max(0, grant.left - max(0, record.retained_tokens))
-        self._release(budget, record.grant_id, tokens)
-        return Ruling(Verdict.ACCEPTED, tokens)
+        unassigned = grant.left
+        for biller, tokens in sorted(record.retained.items()):
+            kept = max(0, min(tokens, unassigned))
+            grant.retained[biller] = kept
+            unassigned -= kept
+        self._release(budget, record.grant_id, unassigned)
+        return Ruling(Verdict.ACCEPTED, unassigned)
 
     def _release(self, budget: Budget, grant_id: str, tokens: int) -> None:
         budget.grants[grant_id].returned += tokens
@@ -191,14 +264,46 @@
         if budget.grants[grant_id].left == 0:
             del budget.grants[grant_id]
 
-    def _forget_old_bills(self, at: float) -> None:
-        while self.bills:
-            key = next(iter(self.bills))
-            if self.bills[key].at > at - BILL_WINDOW_SECONDS:
-                return
-            del self.bills[key]
+    def _remember_bill(self, key: str, state: BillState) -> None:
+        self.bills[key] = state
+        if len(self.bills) > BILLS_REMEMBERED_MAX:
+            del self.bills[next(iter(self.bills))]
+            self.bills_forgotten += 1
+
+    def _remember_grant(self, grant_id: str, ruling: Ruling) -> None:
+        self.grant_rulings[grant_id] = ruling
+        if len(self.grant_rulings) > GRANTS_REMEMBERED_MAX:
+            del self.grant_rulings[next(iter(self.grant_rulings))]
+            self.grants_forgotten += 1
 
     def _check(self, workspace: str) -> None:
         budget = self._budget(workspace)
         if not 0 <= budget.billed <= budget.granted <= budget.credited:
             raise InvariantError(f"the budget of {workspace} does not add up: {budget}")
+
+
+def _name_bill(workspace: str, request_id: str) -> str:
+    return f"{workspace}/{request_id}"
+
+
+def _merge_charges(charges: list[Charge]) -> dict[str, int] | None:
+    merged: dict[str, int] = {}
+    for charge in charges:
+        if charge.tokens < 0:
+            return None
+        merged[charge.grant_id] = merged.get(charge.grant_id, 0) + charge.tokens
+    return merged
+
+
+_CONVERTER = make_converter()
+
+
+def dump_ledger(ledger: Ledger) -> dict[str, Any]:
+    """Return the state as JSON values, equal for equal prefixes of the stream."""
+    value: dict[str, Any] = _CONVERTER.unstructure(ledger)
+    return value
+
+
+def load_ledger(value: dict[str, Any]) -> Ledger:
+    """Read a state that dump_ledger returned."""
+    return _CONVERTER.structure(value, Ledger)
--- a/bronzetiller/budgets/records.py
+++ b/bronzetiller/budgets/records.py
@@ -9,6 +9,9 @@
 
 from bronzetiller.errors import Ran
 
+UNCOUNTED = -1
+ANY_BILLER = ""
+
 
 @frozen
 class Charge:
@@ -29,17 +32,24 @@
 
 @frozen
 class Grant:
-    """Set tokens aside for one incarnation of one node; the ledger may cut it to what is free."""
+    """Set tokens aside for one incarnation of one node; the ledger may cut it to what is free.
+
+    grants_before is the ledger's count of grants when the holder wrote the record, or UNCOUNTED.
+    """
 
     grant_id: str
     workspace: str
     holder: str
     tokens: int
+    grants_before: int = UNCOUNTED
 
 
 @frozen
 class Bill:
-    """Charge one request once; the first bill for a request id counts."""
+    """Charge one request once; the first bill for a request id counts.
+
+    bills_before is the ledger's count of bills when the biller wrote the record, or UNCOUNTED.
+    """
 
     workspace: str
     request_id: str
@@ -47,25 +57,31 @@
     biller: str
     tokens: int
     charges: list[Charge]
+    bills_before: int = UNCOUNTED
 
 
 @frozen
 class Return:
-    """Give back unused tokens of a grant."""
+    """Give back unused tokens of a grant that an incarnation of a node held."""
 
     return_id: str
     workspace: str
     grant_id: str
     tokens: int
+    holder: str = ""
 
 
 @frozen
 class Close:
-    """End the grant of a dead incarnation, but for the tokens that live nodes still hold."""
+    """End the grant of a dead incarnation, but for the tokens that live nodes may still bill.
+
+    retained gives those tokens by the incarnation that may bill them; tokens under ANY_BILLER are
+    for bills that others keep for their owners.
+    """
 
     workspace: str
     grant_id: str
-    retained_tokens: int
+    retained: dict[str, int] = field(factory=dict)
 
 
 @frozen
--- a/bronzetiller/requests/billing.py
+++ b/bronzetiller/requests/billing.py
@@ -50,7 +50,13 @@
         """Charge a request; billed comes once the bill is certain to reach the ledger."""
         charges = self._holdings.settle(reservation, tokens)
         bill = Bill(
-            reservation.workspace, request_id, fingerprint, self._incarnation, tokens, charges
+            reservation.workspace,
+            request_id,
+            fingerprint,
+            self._incarnation,
+            tokens,
+            charges,
+            self._shards.find(reservation.workspace).ledger.bill_count,
         )
         item = _Open(bill, billed)
         self._open[(bill.workspace, bill.request_id)] = item
@@ -66,6 +72,7 @@
         match ruling.verdict:
             case Verdict.ACCEPTED:
                 TOKENS_BILLED.inc(record.tokens)
+                self._holdings.confirm(record.charges)
                 self._confirm(item, Ok(record.tokens))
             case Verdict.DUPLICATE:
                 self._holdings.restore(record.workspace, record.charges)
@@ -75,6 +82,7 @@
                 detail = "the idempotency key was used for another request"
                 self._confirm(item, Err(Refusal(422, Reason.KEY_REUSED, detail, Ran.YES)))
             case _:
+                self._holdings.confirm(record.charges)
                 detail = "the tokens reserved for the request are no longer this node's"
                 self._confirm(item, Err(Refusal(503, Reason.BILL_VOID, detail, Ran.YES)))
 
--- /dev/null
+++ b/tests/test_budget_machine.py
@@ -0,0 +1,384 @@
+"""Drive the pure parts of budgets through delays, duplicates, pauses, crashes and closes."""
+
+import itertools
+import json
+
+import pytest
+from attrs import define, field
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from bronzetiller.budgets.closes import follow_close
+from bronzetiller.budgets.holdings import Holdings, Reservation, name_grant
+from bronzetiller.budgets.ledger import Ledger, Verdict, dump_ledger, load_ledger
+from bronzetiller.budgets.records import Bill, Close, Credit, Grant, Return
+from bronzetiller.budgets.transfers import Transfers
+
+NODES = 3
+WORKSPACES = ("studio",)
+nodes = st.integers(0, NODES - 1)
+workspaces = st.sampled_from(WORKSPACES)
+tokens = st.integers(1, 60)
+ACCEPTABLE = (Verdict.ACCEPTED, Verdict.DUPLICATE)
+
+
+@define(eq=False)
+class Node:
+    """Hold one incarnation of one node."""
+
+    index: int
+    incarnation: str
+    holdings: Holdings = field(factory=Holdings)
+    transfers: Transfers = None
+    ledger: Ledger = field(factory=Ledger)
+    cursor: int = 0
+    read_to: int = 0
+    outbox: list = field(factory=list)
+    requested: set = field(factory=set)
+    open_bills: dict = field(factory=dict)
+    reservations: list[Reservation] = field(factory=list)
+    frozen: bool = False
+
+    def __attrs_post_init__(self):
+        self.transfers = Transfers(self.incarnation)
+
+    def may_reserve(self):
+        return not self.frozen and self.cursor >= self.read_to
+
+
+class BudgetMachine(RuleBasedStateMachine):
+    make_holdings = Holdings
+    make_ledger = Ledger
+
+    def __init__(self):
+        super().__init__()
+        self.numbers = itertools.count()
+        self.log = []
+        self.truth = self.make_ledger()
+        self.strays = []
+        self.messages = []
+        self.listed = set(range(NODES))
+        self.gone = set()
+        self.polls = {}
+        self.all_nodes = []
+        self.nodes = [self._start(index) for index in range(NODES)]
+        for workspace in WORKSPACES:
+            self.top_up(workspace, 600, False)
+
+    def _start(self, index):
+        holdings = self.make_holdings()
+        node = Node(index, f"node-{index}/{next(self.numbers)}", holdings)
+        node.ledger = self.make_ledger()
+        self.all_nodes.append(node)
+        return node
+
+    def _append(self, record):
+        ruling = self.truth.apply(float(len(self.log)), record)
+        self.log.append(record)
+        if isinstance(record, Bill) and record.biller not in self.gone:
+            assert ruling.verdict in ACCEPTABLE, f"{record} is {ruling.verdict}"
+
+    @rule(workspace=workspaces, amount=tokens, twice=st.booleans())
+    def top_up(self, workspace, amount, twice):
+        credit = Credit(f"credit-{next(self.numbers)}", workspace, amount)
+        for _ in range(1 + twice):
+            self._append(credit)
+
+    def request_grant(self, index, workspace, amount):
+        node = self.nodes[index]
+        if node.frozen:
+            return
+        grant_id = name_grant(node.incarnation, str(next(self.numbers)))
+        node.requested.add(grant_id)
+        before = node.ledger.grant_count
+        node.outbox.append(Grant(grant_id, workspace, node.incarnation, amount, before))
+
+    @rule(index=nodes, workspace=workspaces, amount=tokens, landed=st.booleans())
+    def fund(self, index, workspace, amount, landed):
+        self.request_grant(index, workspace, amount)
+        if landed:
+            self.flush_all(index)
+            self.read(index, len(self.log))
+
+    def flush_all(self, index):
+        while self.nodes[index].outbox and not self.nodes[index].frozen:
+            self.flush(index, True)
+
+    @rule(index=nodes, answered=st.booleans())
+    def flush(self, index, answered):
+        node = self.nodes[index]
+        if node.outbox and not node.frozen:
+            self._append(node.outbox[0])
+            if answered:
+                node.outbox.pop(0)
+
+    @rule(index=nodes, amount=tokens, share=st.integers(0, 4), recorded=st.booleans())
+    def serve(self, index, amount, share, recorded):
+        self.read(index, len(self.log))
+        self.reserve(index, WORKSPACES[0], amount)
+        if recorded:
+            self.settle(index, share, False)
+            self.flush_all(index)
+
+    @rule(index=nodes, crashed=st.booleans())
+    def lose_node(self, index, crashed):
+        if crashed:
+            self.crash(index)
+        self.nodes[index].frozen = True
+        if len(self.listed) > 1:
+            self.listed.discard(index)
+            self.gone.add(self.nodes[index].incarnation)
+
+    @rule(index=nodes)
+    def poll_all(self, index):
+        self.read(index, len(self.log))
+        for polled in range(NODES):
+            self.poll(index, polled)
+
+    @rule(index=nodes)
+    def close_all(self, index):
+        self.close(index)
+        self.flush_all(index)
+
+    @rule(index=nodes, count=st.integers(1, 20))
+    def read(self, index, count):
+        node = self.nodes[index]
+        if node.frozen:
+            return
+        for record in self.log[node.cursor : node.cursor + count]:
+            ruling = node.ledger.apply(float(node.cursor), record)
+            node.cursor += 1
+            self._follow(node, record, ruling)
+
+    def _follow(self, node, record, ruling):
+        if isinstance(record, Grant) and record.grant_id in node.requested:
+            node.requested.remove(record.grant_id)
+            node.holdings.add(record.workspace, record.grant_id, ruling.tokens)
+        elif isinstance(record, Bill) and node.open_bills.pop(record.request_id, None):
+            if ruling.verdict is Verdict.DUPLICATE:
+                node.holdings.restore(record.workspace, record.charges)
+            else:
+                node.holdings.confirm(record.charges)
+        elif isinstance(record, Close):
+            follow_close(node.holdings, node.incarnation, record, ruling)
+
+    def reserve(self, index, workspace, amount):
+        node = self.nodes[index]
+        if node.may_reserve():
+            reservation = node.holdings.reserve(workspace, amount)
+            if reservation is not None:
+                node.reservations.append(reservation)
+
+    @rule(index=nodes, share=st.integers(0, 4), again=st.booleans())
+    def settle(self, index, share, again):
+        node = self.nodes[index]
+        if node.frozen or not node.reservations:
+            return
+        reservation = node.reservations.pop(0)
+        spent = reservation.tokens * share // 4
+        charges = node.holdings.settle(reservation, spent)
+        request_id = f"request-{next(self.numbers)}"
+        if again and self.truth.bills:  # a caller's retry, served by another node
+            request_id = next(reversed(self.truth.bills)).partition("/")[2]
+            if request_id in node.open_bills:
+                request_id = f"request-{next(self.numbers)}"
+        count = node.ledger.bill_count
+        bill = Bill(reservation.workspace, request_id, "f", node.incarnation, spent, charges, count)
+        node.open_bills[request_id] = bill
+        node.outbox.append(bill)
+
+    @rule(index=nodes, workspace=workspaces)
+    def give_back(self, index, workspace):
+        node = self.nodes[index]
+        if not node.may_reserve():
+            return
+        balance = node.holdings.balance(workspace)
+        for charge in node.holdings.take(workspace, balance):
+            return_id = f"return-{next(self.numbers)}"
+            node.outbox.append(
+                Return(return_id, workspace, charge.grant_id, charge.tokens, node.incarnation)
+            )
+
+    @rule(asker=nodes, giver=nodes, workspace=workspaces, amount=tokens, times=st.integers(0, 3))
+    def transfer(self, asker, giver, workspace, amount, times):
+        node, peer = self.nodes[asker], self.nodes[giver]
+        if asker == giver or node.frozen or not peer.may_reserve() or giver not in self.listed:
+            return
+        transfer_id = f"{node.incarnation}/{next(self.numbers)}"
+        node.transfers.await_transfer(transfer_id)
+        for _ in range(2):  # the ask is repeated
+            charges = peer.transfers.give(peer.holdings, transfer_id, workspace, amount)
+        self.messages += [(node, transfer_id, workspace, charges)] * times
+        if times == 2:
+            self.deliver(len(self.messages) - 1)
+
+    @rule(asker=nodes, giver=nodes, amount=tokens, share=st.integers(0, 4), lost=st.booleans())
+    def spend_transfer(self, asker, giver, amount, share, lost):
+        self.fund(giver, WORKSPACES[0], 60, True)
+        self.transfer(asker, giver, WORKSPACES[0], amount, 2)
+        self.serve(asker, amount, share, False)
+        if lost:
+            self.lose_node(giver, False)
+
+    @rule(index=nodes)
+    def close_lost(self, index):
+        self.poll_all(index)
+        self.close_all(index)
+
+    @rule(choice=st.integers(0, 9))
+    def deliver(self, choice):
+        if self.messages:
+            message = self.messages.pop(choice % len(self.messages))
+            node, transfer_id, workspace, charges = message
+            if node in self.nodes and not node.frozen:
+                node.transfers.receive(node.holdings, transfer_id, workspace, charges)
+
+    @rule(index=nodes)
+    def thaw(self, index):
+        node = self.nodes[index]
+        if node.frozen:
+            node.frozen = False
+            node.read_to = len(self.log)
+
+    @rule(index=nodes)
+    def crash(self, index):
+        node = self.nodes[index]
+        self.strays += node.outbox[:1]
+        self.gone.add(node.incarnation)
+        node.outbox.clear()
+        self.nodes[index] = self._start(index)
+        self.listed.add(index)
+
+    @rule()
+    def land_stray(self):
+        if self.strays:
+            self._append(self.strays.pop(0))
+
+    @rule(index=nodes, polled=nodes)
+    def poll(self, index, polled):
+        holders = {g.holder for b in self.truth.budgets.values() for g in b.grants.values()}
+        node = self.nodes[polled]
+        if node.frozen or self.nodes[index].frozen:
+            return
+        for holder in sorted(holders & self.gone):
+            reports = self.polls.setdefault((index, holder), {})
+            if polled in self.listed:
+                reports[polled] = (node.incarnation, node.transfers.report(node.holdings, holder))
+
+    def close(self, index):
+        node = self.nodes[index]
+        for (closer, holder), reports in list(self.polls.items()):
+            if closer != index or node.frozen or not self.listed <= set(reports):
+                continue
+            del self.polls[(closer, holder)]
+            for workspace, budget in node.ledger.budgets.items():
+                for grant_id, grant in budget.grants.items():
+                    if grant.holder == holder and not grant.closed:
+                        retained = {who: held.get(grant_id, 0) for who, held in reports.values()}
+                        node.outbox.append(Close(workspace, grant_id, retained))
+
+    @invariant()
+    def budgets_add_up(self):
+        for workspace, budget in self.truth.budgets.items():
+            assert 0 <= budget.billed <= budget.granted <= budget.credited, (workspace, budget)
+
+    @invariant()
+    def no_token_is_in_two_places(self):
+        spendable = dict.fromkeys(WORKSPACES, 0)
+        for workspace, budget in self.truth.budgets.items():
+            for grant_id, grant in budget.grants.items():
+                places = self._count_places(workspace, grant_id)
+                assert grant.closed or places <= grant.left, (grant_id, places, grant)
+                spendable[workspace] += grant.left if grant.closed else places
+        for workspace, budget in self.truth.budgets.items():
+            assert budget.billed + spendable[workspace] <= budget.credited
+
+    def _count_places(self, workspace, grant_id):
+        places = 0
+        logged = {record.request_id for record in self.log if isinstance(record, Bill)}
+        returned = {record.return_id for record in self.log if isinstance(record, Return)}
+        records = list(self.strays)
+        for node in self.all_nodes:
+            if node in self.nodes:
+                places += node.holdings.balances.get(workspace, {}).get(grant_id, 0)
+                reserved = [c for r in node.reservations for c in r.charges]
+                places += sum(c.tokens for c in reserved if c.grant_id == grant_id)
+                records += node.outbox
+        for record in records:
+            if isinstance(record, Bill) and record.request_id not in logged:
+                places += sum(c.tokens for c in record.charges if c.grant_id == grant_id)
+            if isinstance(record, Return) and record.return_id not in returned:
+                places += record.tokens if record.grant_id == grant_id else 0
+        waiting = {id(m): m for m in self.messages if m[0] in self.nodes}
+        for node, transfer_id, _, charges in waiting.values():
+            if transfer_id in node.transfers.awaited:
+                places += sum(c.tokens for c in charges if c.grant_id == grant_id)
+        return places
+
+    @invariant()
+    def equal_prefixes_give_equal_states(self):
+        copy = load_ledger(json.loads(json.dumps(dump_ledger(self.truth))))
+        assert dump_ledger(copy) == dump_ledger(self.truth)
+
+    def teardown(self):
+        again = Ledger()
+        if isinstance(self.truth, Ledger) and type(self.truth) is Ledger:
+            for at, record in enumerate(self.log):
+                again.apply(float(at), record)
+            assert dump_ledger(again) == dump_ledger(self.truth)
+
+
+class UncheckedHoldings(Holdings):
+    """Reserve without looking at the balance."""
+
+    def reserve(self, workspace, tokens):
+        grants = self.balances.get(workspace, {})
+        if grants and self.balance(workspace) < tokens:
+            self.add(workspace, next(iter(grants)), tokens)
+        return super().reserve(workspace, tokens)
+
+
+class UnclampedLedger(Ledger):
+    """Grant whatever is asked for."""
+
+    def _limit_grant(self, budget, tokens):
+        return tokens
+
+    def _check(self, workspace):
+        pass
+
+
+def _run(machine, examples, steps):
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            phases=(Phase.generate,),
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def test_no_budget_is_overspent_and_no_token_is_in_two_places():
+    _run(BudgetMachine, 250, 100)
+
+
+def test_without_the_reservation_check_the_machine_finds_the_overspend():
+    class Machine(BudgetMachine):
+        make_holdings = UncheckedHoldings
+
+    with pytest.raises(AssertionError):
+        _run(Machine, 250, 100)
+
+
+def test_without_the_clamp_of_grants_the_machine_finds_the_overspend():
+    class Machine(BudgetMachine):
+        make_ledger = UnclampedLedger
+
+    with pytest.raises(AssertionError):
+        _run(Machine, 250, 100)
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,83 @@
+"""Rule on single records of a ledger stream."""
+
+import json
+
+import pytest
+
+from bronzetiller.budgets import ledger as ledgers
+from bronzetiller.budgets.ledger import Ledger, Verdict, dump_ledger, load_ledger
+from bronzetiller.budgets.records import Bill, Charge, Close, Credit, Grant, Return
+
+
+@pytest.fixture
+def ledger():
+    ledger = Ledger()
+    ledger.apply(0.0, Credit("top-up-1", "studio", 1000))
+    ledger.apply(0.0, Grant("node-1/a/1", "studio", "node-1/a", 400))
+    return ledger
+
+
+def bill(request_id, tokens, biller="node-1/a", charges=None, bills_before=-1):
+    charges = charges or [Charge("node-1/a/1", tokens)]
+    return Bill("studio", request_id, "f", biller, tokens, charges, bills_before)
+
+
+def test_two_charges_on_one_grant_cannot_together_exceed_it(ledger):
+    charges = [Charge("node-1/a/1", 300), Charge("node-1/a/1", 300)]
+    assert ledger.apply(0.0, bill("r", 600, charges=charges)).verdict is Verdict.GRANT_SPENT
+    assert ledger.budgets["studio"].billed == 0
+
+
+def test_a_bill_older_than_the_memory_of_bills_is_void(ledger, monkeypatch):
+    monkeypatch.setattr(ledgers, "BILLS_REMEMBERED_MAX", 3)
+    repeated = bill("r-0", 10, bills_before=0)
+    for index in range(4):
+        record = bill(f"r-{index}", 10, bills_before=ledger.bill_count)
+        assert ledger.apply(0.0, record).verdict is Verdict.ACCEPTED
+    assert ledger.find_bill("studio", "r-0") is None
+    assert ledger.apply(0.0, repeated).verdict is Verdict.EXPIRED
+    assert ledger.budgets["studio"].billed == 40
+    assert len(ledger.bills) == 3
+    uncounted = bill("r-0", 10)  # without its count the repeated bill would be charged again
+    assert ledger.apply(0.0, uncounted).verdict is Verdict.ACCEPTED
+
+
+def test_a_grant_older_than_the_memory_of_grants_is_void(ledger, monkeypatch):
+    monkeypatch.setattr(ledgers, "GRANTS_REMEMBERED_MAX", 2)
+    for number in range(2, 5):
+        ledger.apply(0.0, Grant(f"node-1/a/{number}", "studio", "node-1/a", 10, number - 1))
+    repeated = Grant("node-1/a/2", "studio", "node-1/a", 10, 1)
+    assert ledger.apply(0.0, repeated).verdict is Verdict.EXPIRED
+    assert ledger.budgets["studio"].granted == 430
+    assert len(ledger.grant_rulings) == 2
+
+
+def test_a_repeated_return_gives_nothing_back_again(ledger):
+    record = Return("return-1", "studio", "node-1/a/1", 100, "node-1/a")
+    assert ledger.apply(0.0, record).tokens == 100
+    assert ledger.apply(0.0, record).verdict is Verdict.DUPLICATE
+    assert ledger.count_free("studio") == 700
+
+
+def test_a_closed_grant_pays_only_the_bills_of_those_it_retains_tokens_for(ledger):
+    close = Close("studio", "node-1/a/1", {"node-2/b": 50, "": 20})
+    assert ledger.apply(0.0, close).tokens == 330
+    assert ledger.apply(0.0, close).verdict is Verdict.DUPLICATE
+    assert ledger.apply(0.0, bill("own", 30)).verdict is Verdict.GRANT_SPENT
+    assert ledger.apply(0.0, bill("kept", 15)).verdict is Verdict.ACCEPTED
+    assert ledger.apply(0.0, bill("other", 55, "node-2/b")).verdict is Verdict.ACCEPTED
+    assert ledger.apply(0.0, bill("more", 1, "node-2/b")).verdict is Verdict.UNKNOWN_GRANT
+    budget = ledger.budgets["studio"]
+    assert (budget.billed, budget.granted, budget.free) == (70, 70, 930)
+
+
+def test_a_dumped_ledger_goes_on_as_the_first_one(ledger):
+    ledger.apply(1.5, bill("r", 30))
+    ledger.apply(2.0, Return("return-1", "studio", "node-1/a/1", 100, "node-1/a"))
+    copy = load_ledger(json.loads(json.dumps(dump_ledger(ledger))))
+    for each in (ledger, copy):
+        each.apply(3.0, bill("r", 30))
+        each.apply(3.0, bill("r-2", 40))
+        each.apply(3.0, Close("studio", "node-1/a/1", {"node-2/b": 7}))
+    assert dump_ledger(copy) == dump_ledger(ledger)
+    assert copy.budgets["studio"].billed == 70
