Size grants by demand, move tokens between peers and close the grants of gone holders

Cause: a node asked for a fixed block, refused for good once the ledger had nothing free although peers held tokens, and the tokens of a dead node stayed with it.

Change: a grant follows the demand of the last horizon within a share of what is free, never less than what waits; half-way down the node asks ahead. A node that finds nothing free asks the holders that the ledger names, largest first, and any peer where the log is out of reach; a peer without tokens obtains a grant for a node that is cut off. Only when no record and no node can have enough tokens is a request refused as exhausted; else it waits and is refused as unconfirmed. After a pause of the loop nothing is reserved, given or returned until the ledger was read to an end beyond the pause. A gone holder's grants are closed once every live node has reported; a later close can only retain less, so tokens that a reporter took to its own end come free too.

--- a/bronzetiller/budgets/closes.py
+++ b/bronzetiller/budgets/closes.py
@@ -1,8 +1,11 @@
-"""Follow what the close of a grant leaves to a node."""
+"""Decide what a gone holder's grants leave to live nodes, without any input or output."""
 
-from bronzetiller.budgets.holdings import Holdings
-from bronzetiller.budgets.ledger import Ruling, Verdict
-from bronzetiller.budgets.records import Close
+import hashlib
+
+from bronzetiller.budgets.holdings import Holdings, is_held_by
+from bronzetiller.budgets.ledger import Ledger, Ruling, Verdict
+from bronzetiller.budgets.records import Bill, Close
+from bronzetiller.wire.messages import HoldingsReport
 
 
 def follow_close(holdings: Holdings, incarnation: str, record: Close, ruling: Ruling) -> int:
@@ -13,3 +16,56 @@
     if held <= record.retained.get(incarnation, 0):
         return 0
     return holdings.drop(record.workspace, record.grant_id)
+
+
+def make_closes(holder: str, reports: list[HoldingsReport], ledger: Ledger) -> list[Close]:
+    """Return the closes that a full set of reports allows.
+
+    A bill that several nodes keep counts once, and not at all where its biller has reported it
+    or the ledger has it.
+    """
+    retained: dict[str, dict[str, int]] = {}
+    for report in reports:
+        for grant_id, tokens in report.retained.items():
+            _count(retained, grant_id, report.incarnation, tokens)
+    reporters = {report.incarnation for report in reports}
+    for bill in _list_kept_bills(reports):
+        if bill.biller in reporters or ledger.find_bill(bill.workspace, bill.request_id):
+            continue
+        for charge in bill.charges:
+            _count(retained, charge.grant_id, bill.biller, charge.tokens)
+    return [
+        Close(workspace, grant_id, retained.get(grant_id, {}))
+        for workspace, budget in ledger.budgets.items()
+        for grant_id, grant in budget.grants.items()
+        if grant.holder == holder
+    ]
+
+
+def select_bills(bills: list[Bill], holder: str) -> list[Bill]:
+    """Return the bills that charge a holder's grants."""
+    return [
+        bill
+        for bill in bills
+        if any(is_held_by(charge.grant_id, holder) for charge in bill.charges)
+    ]
+
+
+def rank_closer(holder: str, node_id: str, node_ids: list[str]) -> int:
+    """Return the place of a node among those that may close a holder's grants."""
+    order = sorted(node_ids, key=lambda other: _digest(holder, other))
+    return order.index(node_id) if node_id in order else len(order)
+
+
+def _list_kept_bills(reports: list[HoldingsReport]) -> list[Bill]:
+    bills = [bill for report in reports for bill in report.kept_bills]
+    return list({(bill.workspace, bill.request_id): bill for bill in bills}.values())
+
+
+def _count(retained: dict[str, dict[str, int]], grant_id: str, biller: str, tokens: int) -> None:
+    billers = retained.setdefault(grant_id, {})
+    billers[biller] = billers.get(biller, 0) + tokens
+
+
+def _digest(holder: str, node_id: str) -> bytes:
+    return hashlib.sha256(f"{holder} {node_id}".encode()).digest()
--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -1,115 +1,372 @@
-"""Obtain grants, so that requests find tokens to reserve."""
+"""Obtain tokens from the ledger and from peers, so that requests find tokens to reserve."""
 
 from collections import deque
 from collections.abc import Callable
 from uuid import uuid4
 
-from attrs import define
+from attrs import define, field
 from result import Err, Ok, Result
 
-from bronzetiller.budgets.holdings import Holdings, Reservation
-from bronzetiller.budgets.ledger import Ruling
-from bronzetiller.budgets.records import Credit, Grant, LedgerRecord
+from bronzetiller.budgets.asks import Ask, TokenAsker
+from bronzetiller.budgets.closes import follow_close
+from bronzetiller.budgets.demand import Demand, is_low, size_grant
+from bronzetiller.budgets.holdings import Holdings, Reservation, name_grant
+from bronzetiller.budgets.ledger import Budget, Ruling
+from bronzetiller.budgets.pauses import PauseGuard
+from bronzetiller.budgets.records import Bill, Close, Credit, Grant, LedgerRecord, Return
 from bronzetiller.budgets.shards import Shards
+from bronzetiller.budgets.sources import AskOutcome, Shortage, Source, choose_source
+from bronzetiller.budgets.transfers import Transfers
 from bronzetiller.errors import Reason, Refusal
+from bronzetiller.logs import log_event
+from bronzetiller.metrics import GRANTS_ASKED, TOKENS_MOVED
 from bronzetiller.net.scheduler import Scheduler, Timer
 from bronzetiller.platform.log_client import Entry
 from bronzetiller.settings import BudgetSettings
+from bronzetiller.wire.messages import AskTokens, TransferTokens
+
+RETRY_SECONDS = 0.2
+PEER_WAIT_SECONDS = 1.2
+IDLE_CHECK_SECONDS = 1.0
 
 Obtained = Callable[[Result[Reservation, Refusal]], None]
+Answer = Callable[[TransferTokens], None]
 
 
 @define(eq=False)
 class _Waiter:
+    """Hold one request that waits for tokens, of a caller here or of a peer."""
+
     tokens: int
-    obtained: Obtained
+    try_serve: Callable[[], bool]
+    refuse: Callable[[Refusal], None]
+    local: bool
     timer: Timer | None = None
 
 
+@define(eq=False)
+class _Account:
+    """Hold what a node knows of its need for the tokens of one workspace."""
+
+    demand: Demand
+    waiters: deque[_Waiter] = field(factory=deque)
+    requested: str | None = None
+    asking: bool = False
+    asked: AskOutcome | None = None
+    retry: Timer | None = None
+    used_at: float = 0.0
+
+
+@define(eq=False)
 class GrantKeeper:
-    """Reserve tokens at once where the holdings suffice, else after a grant."""
-
-    def __init__(
-        self,
-        scheduler: Scheduler,
-        shards: Shards,
-        holdings: Holdings,
-        settings: BudgetSettings,
-        incarnation: str,
-        is_credit_pending: Callable[[str], bool],
-    ) -> None:
-        self._scheduler = scheduler
-        self._shards = shards
-        self._holdings = holdings
-        self._settings = settings
-        self._incarnation = incarnation
-        self._is_credit_pending = is_credit_pending
-        self._waiters: dict[str, deque[_Waiter]] = {}
-        self._requested: dict[str, str] = {}
-        shards.subscribe(self._on_ruling)
+    """Reserve tokens at once where the holdings suffice, else once they have come."""
+
+    _scheduler: Scheduler
+    _shards: Shards
+    _holdings: Holdings
+    _transfers: Transfers
+    _asker: TokenAsker
+    _guard: PauseGuard
+    _settings: BudgetSettings
+    _incarnation: str
+    _is_credit_pending: Callable[[str], bool]
+    _list_peers: Callable[[], list[str]]
+    _accounts: dict[str, _Account] = field(factory=dict)
+    _returns: dict[str, Return] = field(factory=dict)
+
+    def start(self) -> None:
+        """Follow the ledger and return idle tokens from now on."""
+        self._shards.subscribe(self._on_ruling)
+        self._guard.confirmed = self._advance_all
+        self._scheduler.call_every(IDLE_CHECK_SECONDS, self._return_idle)
 
     def obtain(self, workspace: str, tokens: int, obtained: Obtained) -> None:
         """Give a reservation, or a refusal once the wait is over; never both."""
-        waiters = self._waiters.setdefault(workspace, deque())
-        if not waiters:
-            reservation = self._holdings.reserve(workspace, tokens)
+        account = self._account(workspace)
+        account.demand.observe(self._scheduler.now(), tokens)
+
+        def try_serve() -> bool:
+            reservation = self._reserve(workspace, tokens)
             if reservation is not None:
                 obtained(Ok(reservation))
-                return
-        waiter = _Waiter(tokens, obtained)
-        waiter.timer = self._scheduler.call_after(
-            self._settings.wait_seconds, lambda: self._expire(workspace, waiter)
-        )
-        waiters.append(waiter)
-        self._request_grant(workspace)
+            return reservation is not None
 
-    def _request_grant(self, workspace: str) -> None:
-        if workspace in self._requested:
-            return
-        missing = sum(waiter.tokens for waiter in self._waiters[workspace])
-        missing -= self._holdings.balance(workspace)
-        grant_id = f"{self._incarnation}/{uuid4().hex[:12]}"
-        self._requested[workspace] = grant_id
-        tokens = missing + self._settings.grant_tokens_min
-        self._shards.append(Grant(grant_id, workspace, self._incarnation, tokens))
+        def refuse(refusal: Refusal) -> None:
+            account.demand.observe(self._scheduler.now(), -tokens)
+            obtained(Err(refusal))
 
-    def _on_ruling(self, entry: Entry, record: LedgerRecord, ruling: Ruling) -> None:
-        if isinstance(record, Credit) and self._waiters.get(record.workspace):
-            self._request_grant(record.workspace)
+        if not account.waiters and try_serve():
+            self._ask_ahead(workspace, account, tokens)
             return
-        if not isinstance(record, Grant) or record.holder != self._incarnation:
-            return
-        if self._requested.get(record.workspace) != record.grant_id:
+        waiter = _Waiter(tokens, try_serve, refuse, local=True)
+        self._wait(workspace, account, waiter, self._settings.wait_seconds)
+
+    def answer_ask(self, ask: AskTokens, answer: Answer) -> None:
+        """Give tokens to a peer; for one that is cut off from the log, after a grant."""
+        workspace = ask.workspace
+        account = self._account(workspace)
+
+        def give(refusal: Refusal | None = None) -> None:
+            answer(self._give(account, ask))
+
+        def try_serve() -> bool:
+            known = ask.transfer_id in self._transfers.given
+            if not known and self._count_givable(account, ask) < ask.missing_tokens:
+                return False
+            give()
+            return True
+
+        if try_serve():
             return
-        del self._requested[record.workspace]
-        self._holdings.add(record.workspace, record.grant_id, ruling.tokens)
-        self._serve(record.workspace, ruling.tokens > 0)
-
-    def _serve(self, workspace: str, granted: bool) -> None:
-        waiters = self._waiters.get(workspace, deque())
-        while waiters:
-            reservation = self._holdings.reserve(workspace, waiters[0].tokens)
-            if reservation is None:
-                break
-            self._finish(waiters.popleft(), Ok(reservation))
-        if not waiters:
+        if ask.log_reachable or not self._is_fresh(workspace):
+            give()
             return
-        if granted:
-            self._request_grant(workspace)
+        waiter = _Waiter(ask.missing_tokens, try_serve, give, local=False)
+        self._wait(workspace, account, waiter, PEER_WAIT_SECONDS)
+
+    def return_all(self) -> None:
+        """Return every unreserved token, before the node stops."""
+        for workspace in list(self._holdings.balances):
+            self._return(workspace, self._holdings.balance(workspace))
+
+    def _account(self, workspace: str) -> _Account:
+        account = self._accounts.get(workspace)
+        if account is None:
+            demand = Demand(self._settings.grant_horizon_seconds)
+            account = self._accounts[workspace] = _Account(demand)
+            account.used_at = self._scheduler.now()
+        return account
+
+    def _reserve(self, workspace: str, tokens: int) -> Reservation | None:
+        if not self._guard.may_spend(workspace):
+            return None
+        reservation = self._holdings.reserve(workspace, tokens)
+        if reservation is not None:
+            self._accounts[workspace].used_at = self._scheduler.now()
+        return reservation
+
+    def _is_fresh(self, workspace: str) -> bool:
+        shard = self._shards.find(workspace)
+        follower = shard.follower
+        return follower.reachable and follower.caught_up and shard.writer.reachable
+
+    def _wait(self, workspace: str, account: _Account, waiter: _Waiter, seconds: float) -> None:
+        def expire() -> None:
+            account.waiters.remove(waiter)
+            waiter.refuse(_refuse_unconfirmed())
+            self._advance(workspace)
+
+        waiter.timer = self._scheduler.call_after(seconds, expire)
+        account.waiters.append(waiter)
+        self._advance(workspace)
+
+    def _advance_all(self) -> None:
+        for workspace in list(self._accounts):
+            self._advance(workspace)
+
+    def _advance(self, workspace: str) -> None:
+        account = self._account(workspace)
+        while account.waiters and account.waiters[0].try_serve():
+            self._remove(account, account.waiters[0])
+        if not account.waiters:
+            account.asked = None
             return
-        if self._is_credit_pending(workspace):
+        if not self._guard.may_spend(workspace):
             return
-        refusal = Refusal(402, Reason.BUDGET_EXHAUSTED, "the budget has too few tokens left")
-        while waiters:
-            self._finish(waiters.popleft(), Err(refusal))
+        waiter = account.waiters[0]
+        match choose_source(self._describe(workspace, account, waiter)):
+            case Source.LEDGER:
+                self._request_grant(workspace, account, "waiting")
+            case Source.PEERS if any(other.local for other in account.waiters):
+                self._ask_peers(workspace, account)
+            case Source.EXHAUSTED:
+                self._remove(account, waiter)
+                waiter.refuse(_refuse_exhausted())
+                self._advance(workspace)
+            case _:
+                self._serve_others(account)
+                self._retry_later(workspace, account)
 
-    def _finish(self, waiter: _Waiter, result: Result[Reservation, Refusal]) -> None:
+    def _serve_others(self, account: _Account) -> None:
+        for waiter in list(account.waiters):
+            if waiter.try_serve():
+                self._remove(account, waiter)
+
+    def _remove(self, account: _Account, waiter: _Waiter) -> None:
+        account.waiters.remove(waiter)
         if waiter.timer is not None:
             waiter.timer.cancel()
-        waiter.obtained(result)
 
-    def _expire(self, workspace: str, waiter: _Waiter) -> None:
-        self._waiters[workspace].remove(waiter)
-        detail = "the tokens left in the budget could not be confirmed in time"
-        refusal = Refusal(503, Reason.BUDGET_UNCONFIRMED, detail, retry_after_seconds=1)
-        waiter.obtained(Err(refusal))
+    def _describe(self, workspace: str, account: _Account, waiter: _Waiter) -> Shortage:
+        budget = self._find_budget(workspace)
+        return Shortage(
+            needed=waiter.tokens,
+            held=self._holdings.count_held(workspace),
+            free=budget.free,
+            unspent=budget.credited - budget.billed,
+            fresh=self._is_fresh(workspace),
+            grant_pending=account.requested is not None,
+            credit_pending=self._is_credit_pending(workspace),
+            asking=account.asking,
+            asked=account.asked,
+        )
+
+    def _find_budget(self, workspace: str) -> Budget:
+        return self._shards.find(workspace).ledger.budgets.get(workspace) or Budget()
+
+    def _ask_ahead(self, workspace: str, account: _Account, tokens: int) -> None:
+        balance = self._holdings.balance(workspace)
+        demand = account.demand.estimate(self._scheduler.now())
+        if account.requested is not None or not is_low(balance=balance, demand=demand):
+            return
+        size = self._size_grant(workspace, account)
+        if size >= max(balance, tokens) and self._is_fresh(workspace):
+            self._request_grant(workspace, account, "ahead")
+
+    def _size_grant(self, workspace: str, account: _Account) -> int:
+        return size_grant(
+            waiting=sum(waiter.tokens for waiter in account.waiters),
+            balance=self._holdings.balance(workspace),
+            demand=account.demand.estimate(self._scheduler.now()),
+            free=self._find_budget(workspace).free,
+            tokens_min=self._settings.grant_tokens_min,
+            share_max=self._settings.grant_share_max,
+        )
+
+    def _request_grant(self, workspace: str, account: _Account, cause: str) -> None:
+        tokens = self._size_grant(workspace, account)
+        if tokens <= 0 or account.requested is not None:
+            return
+        account.requested = name_grant(self._incarnation, uuid4().hex[:12])
+        count = self._shards.find(workspace).ledger.grant_count
+        GRANTS_ASKED.labels(cause).inc()
+        self._shards.append(Grant(account.requested, workspace, self._incarnation, tokens, count))
+
+    def _ask_peers(self, workspace: str, account: _Account) -> None:
+        waiter = next(waiter for waiter in account.waiters if waiter.local)
+        grants = self._find_budget(workspace).grants.values()
+        left: dict[str, int] = {}
+        for grant in grants:
+            if grant.holder != self._incarnation:
+                node_id = grant.holder.partition("/")[0]
+                left[node_id] = left.get(node_id, 0) + grant.left
+        node_ids = sorted(left, key=lambda node_id: -left[node_id])
+        fresh = self._is_fresh(workspace)
+        if not fresh:
+            node_ids += [node_id for node_id in self._list_peers() if node_id not in left]
+        missing = waiter.tokens - self._holdings.balance(workspace)
+        demand = int(account.demand.estimate(self._scheduler.now()))
+        ask = Ask(workspace, missing, max(missing, demand), fresh, node_ids, complete=fresh)
+
+        def finish(outcome: AskOutcome) -> None:
+            account.asking = False
+            account.asked = outcome
+            self._advance(workspace)
+
+        account.asking = True
+        self._asker.ask(ask, finish)
+
+    def _retry_later(self, workspace: str, account: _Account) -> None:
+        if account.retry is not None or account.asking:
+            return
+
+        def retry() -> None:
+            account.retry = None
+            account.asked = None
+            self._advance(workspace)
+
+        account.retry = self._scheduler.call_after(RETRY_SECONDS, retry)
+
+    def _count_givable(self, account: _Account, ask: AskTokens) -> int:
+        if not self._guard.may_spend(ask.workspace):
+            return 0
+        spare = self._transfers.count_spare(self._holdings, ask.workspace)
+        # Of two nodes that both wait, one gives all to the other, else both would refuse.
+        own = any(waiter.local for waiter in account.waiters)
+        return 0 if own and ask.asker > self._incarnation.partition("/")[0] else spare
+
+    def _give(self, account: _Account, ask: AskTokens) -> TransferTokens:
+        workspace = ask.workspace
+        spare = self._count_givable(account, ask)
+        tokens = min(spare, max(ask.missing_tokens, min(ask.wanted_tokens, spare // 2)))
+        charges = self._transfers.give(self._holdings, ask.transfer_id, workspace, tokens)
+        given = sum(charge.tokens for charge in charges)
+        TOKENS_MOVED.labels("given_to_peer").inc(given)
+        returned = 0
+        if given < ask.missing_tokens and not account.waiters and self._is_fresh(workspace):
+            returned = self._holdings.balance(workspace)
+            self._return(workspace, returned)
+        kept = self._holdings.count_held(workspace)
+        return TransferTokens(ask.transfer_id, workspace, charges, kept, returned)
+
+    def _return_idle(self) -> None:
+        now = self._scheduler.now()
+        for workspace, account in self._accounts.items():
+            idle_at = account.used_at + self._settings.idle_return_seconds
+            if now >= idle_at and not account.waiters and self._is_fresh(workspace):
+                self._return(workspace, self._holdings.balance(workspace))
+        self._return_surplus()
+
+    def _return(self, workspace: str, tokens: int) -> None:
+        if not tokens or not self._guard.may_spend(workspace):
+            return
+        for charge in self._holdings.take(workspace, tokens) or []:
+            self._append_return(workspace, charge.grant_id, charge.tokens)
+
+    def _append_return(self, workspace: str, grant_id: str, tokens: int) -> None:
+        return_id = uuid4().hex
+        record = Return(return_id, workspace, grant_id, tokens, self._incarnation)
+        self._returns[return_id] = record
+        TOKENS_MOVED.labels("returned").inc(tokens)
+        log_event("tokens_returned", workspace=workspace, grant=grant_id, tokens=tokens)
+        self._shards.append(record)
+
+    def _return_surplus(self) -> None:
+        """Return what closed grants retain for this node beyond what it holds of them."""
+        for shard in self._shards.all:
+            for workspace, budget in shard.ledger.budgets.items():
+                for grant_id, grant in budget.grants.items():
+                    retained = grant.retained.get(self._incarnation, 0)
+                    if retained:
+                        self._return_beyond(workspace, grant_id, retained)
+
+    def _return_beyond(self, workspace: str, grant_id: str, retained: int) -> None:
+        open_returns = [r.tokens for r in self._returns.values() if r.grant_id == grant_id]
+        surplus = retained - sum(open_returns) - self._holdings.held(workspace, grant_id)
+        if surplus > 0 and self._is_fresh(workspace) and self._guard.may_spend(workspace):
+            self._append_return(workspace, grant_id, surplus)
+
+    def _on_ruling(self, entry: Entry, record: LedgerRecord, ruling: Ruling) -> None:
+        match record:
+            case Grant() if record.holder == self._incarnation:
+                self._take_grant(record, ruling)
+            case Return() if record.holder == self._incarnation:
+                self._returns.pop(record.return_id, None)
+            case Close():
+                dropped = follow_close(self._holdings, self._incarnation, record, ruling)
+                TOKENS_MOVED.labels("dropped").inc(dropped)
+            case Credit() | Bill():
+                pass
+            case _:
+                return
+        if record.workspace in self._accounts and ruling.tokens:
+            self._advance(record.workspace)
+
+    def _take_grant(self, record: Grant, ruling: Ruling) -> None:
+        account = self._account(record.workspace)
+        if account.requested != record.grant_id:
+            return
+        account.requested = None
+        self._holdings.add(record.workspace, record.grant_id, ruling.tokens)
+        TOKENS_MOVED.labels("granted").inc(ruling.tokens)
+        if account.waiters and not ruling.tokens:
+            self._advance(record.workspace)
+
+
+def _refuse_exhausted() -> Refusal:
+    return Refusal(402, Reason.BUDGET_EXHAUSTED, "the budget has too few tokens left")
+
+
+def _refuse_unconfirmed() -> Refusal:
+    detail = "the tokens left in the budget could not be confirmed in time"
+    return Refusal(503, Reason.BUDGET_UNCONFIRMED, detail, retry_after_seconds=1)
--- a/bronzetiller/budgets/holdings.py
+++ b/bronzetiller/budgets/holdings.py
@@ -24,12 +24,12 @@
 class Holdings:
     """Hold the tokens of a node by grant; each token is in one place at a time.
 
-    balances are unreserved tokens by workspace and grant; committed are tokens by grant that are
+    balances are the unreserved tokens by workspace and grant; committed are those that are
     reserved, or billed without the ledger's ruling on the bill.
     """
 
     balances: dict[str, dict[str, int]] = field(factory=dict)
-    committed: dict[str, int] = field(factory=dict)
+    committed: dict[str, dict[str, int]] = field(factory=dict)
     void: set[str] = field(factory=set)
 
     def balance(self, workspace: str) -> int:
@@ -39,7 +39,11 @@
     def held(self, workspace: str, grant_id: str) -> int:
         """Return the tokens of a grant that this node may still bill."""
         balance = self.balances.get(workspace, {}).get(grant_id, 0)
-        return balance + self.committed.get(grant_id, 0)
+        return balance + self.committed.get(workspace, {}).get(grant_id, 0)
+
+    def count_held(self, workspace: str) -> int:
+        """Return the tokens of a workspace that this node may still bill."""
+        return self.balance(workspace) + sum(self.committed.get(workspace, {}).values())
 
     def add(self, workspace: str, grant_id: str, tokens: int) -> None:
         """Take in tokens of a grant; those of a void grant are dropped."""
@@ -54,8 +58,9 @@
         charges = self.take(workspace, tokens)
         if charges is None:
             return None
+        committed = self.committed.setdefault(workspace, {})
         for charge in charges:
-            self.committed[charge.grant_id] = self.committed.get(charge.grant_id, 0) + charge.tokens
+            committed[charge.grant_id] = committed.get(charge.grant_id, 0) + charge.tokens
         return Reservation(workspace, charges)
 
     def take(self, workspace: str, tokens: int, holder: str = "") -> list[Charge] | None:
@@ -99,10 +104,10 @@
         """Put a whole reservation back, for a request that was not run."""
         self.settle(reservation, 0)
 
-    def confirm(self, charges: list[Charge]) -> None:
+    def confirm(self, workspace: str, charges: list[Charge]) -> None:
         """Forget charges that the ledger has ruled on, whether spent or void."""
         for charge in charges:
-            self._uncommit(charge.grant_id, charge.tokens)
+            self._uncommit(workspace, charge.grant_id, charge.tokens)
 
     def restore(self, workspace: str, charges: list[Charge]) -> None:
         """Put charges back whose bill the ledger dropped as a duplicate."""
@@ -115,17 +120,20 @@
         return self.balances.get(workspace, {}).pop(grant_id, 0)
 
     def _put_back(self, workspace: str, grant_id: str, tokens: int) -> None:
-        self._uncommit(grant_id, tokens)
+        self._uncommit(workspace, grant_id, tokens)
         self.add(workspace, grant_id, tokens)
 
-    def _uncommit(self, grant_id: str, tokens: int) -> None:
-        left = self.committed.get(grant_id, 0) - tokens
+    def _uncommit(self, workspace: str, grant_id: str, tokens: int) -> None:
+        if not tokens:
+            return
+        committed = self.committed.get(workspace, {})
+        left = committed.get(grant_id, 0) - tokens
         if left < 0:
             raise InvariantError("more tokens are uncommitted than were reserved")
         if left:
-            self.committed[grant_id] = left
+            committed[grant_id] = left
         else:
-            self.committed.pop(grant_id, None)
+            del committed[grant_id]
 
 
 def name_grant(holder: str, number: str) -> str:
@@ -133,6 +141,11 @@
     return f"{holder}/{number}"
 
 
+def find_holder(grant_id: str) -> str:
+    """Return the incarnation that a grant was given to."""
+    return grant_id.rpartition("/")[0]
+
+
 def is_held_by(grant_id: str, holder: str) -> bool:
     """Say whether a grant was given to an incarnation of a node."""
-    return grant_id.rpartition("/")[0] == holder
+    return find_holder(grant_id) == holder
--- a/bronzetiller/budgets/ledger.py
+++ b/bronzetiller/budgets/ledger.py
@@ -16,7 +16,6 @@
 from cattrs.preconf.json import make_converter
 
 from bronzetiller.budgets.records import (
-    ANY_BILLER,
     UNCOUNTED,
     Bill,
     Charge,
@@ -74,17 +73,12 @@
         """Return the tokens that a biller may still take."""
         if not self.closed:
             return self.left
-        shared = 0 if biller == ANY_BILLER else self.retained.get(ANY_BILLER, 0)
-        return self.retained.get(biller, 0) + shared
+        return self.retained.get(biller, 0)
 
     def use_retained(self, biller: str, tokens: int) -> None:
-        """Count tokens off what a closed grant retains, the biller's own first."""
-        if not self.closed:
-            return
-        own = min(tokens, self.retained.get(biller, 0))
-        self.retained[biller] = self.retained.get(biller, 0) - own
-        if tokens > own:
-            self.retained[ANY_BILLER] -= tokens - own
+        """Count tokens off what a closed grant retains for a biller."""
+        if self.closed:
+            self.retained[biller] -= tokens
 
 
 @define
@@ -244,14 +238,18 @@
         grant = budget.grants.get(record.grant_id)
         if grant is None:
             return Ruling(Verdict.UNKNOWN_GRANT)
-        if grant.closed:
-            return Ruling(Verdict.DUPLICATE)
-        grant.closed = True
+        first = not grant.closed
         unassigned = grant.left
+        retained = {}
         for biller, tokens in sorted(record.retained.items()):
-            kept = max(0, min(tokens, unassigned))
-            grant.retained[biller] = kept
+            most = unassigned if first else min(unassigned, grant.retained.get(biller, 0))
+            kept = max(0, min(tokens, most))
+            retained[biller] = kept
             unassigned -= kept
+        grant.closed = True
+        grant.retained = retained
+        if not first and not unassigned:
+            return Ruling(Verdict.DUPLICATE)
         self._release(budget, record.grant_id, unassigned)
         return Ruling(Verdict.ACCEPTED, unassigned)
 
--- a/bronzetiller/budgets/records.py
+++ b/bronzetiller/budgets/records.py
@@ -10,7 +10,6 @@
 from bronzetiller.errors import Ran
 
 UNCOUNTED = -1
-ANY_BILLER = ""
 
 
 @frozen
@@ -75,8 +74,8 @@
 class Close:
     """End the grant of a dead incarnation, but for the tokens that live nodes may still bill.
 
-    retained gives those tokens by the incarnation that may bill them; tokens under ANY_BILLER are
-    for bills that others keep for their owners.
+    retained gives those tokens by the incarnation that may bill them. A later close of the same
+    grant can only retain less.
     """
 
     workspace: str
--- a/bronzetiller/budgets/transfers.py
+++ b/bronzetiller/budgets/transfers.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from bronzetiller.budgets.holdings import Holdings, is_held_by
+from bronzetiller.budgets.holdings import Holdings, find_holder, is_held_by
 from bronzetiller.budgets.records import Charge
 
 TRANSFERS_REMEMBERED_MAX = 10_000
@@ -58,7 +58,7 @@
         self.awaited.discard(transfer_id)
         taken = 0
         for charge in charges:
-            if charge.grant_id.rpartition("/")[0] not in self.reported_holders:
+            if find_holder(charge.grant_id) not in self.reported_holders:
                 holdings.add(workspace, charge.grant_id, charge.tokens)
                 taken += charge.tokens
         return taken
@@ -67,11 +67,9 @@
         """Return the tokens held by grant of a gone holder, and take no more of them."""
         self.reported_holders.add(holder)
         held: dict[str, int] = {}
-        for grants in holdings.balances.values():
-            for grant_id, tokens in grants.items():
-                if is_held_by(grant_id, holder):
-                    held[grant_id] = held.get(grant_id, 0) + tokens
-        for grant_id, tokens in holdings.committed.items():
-            if is_held_by(grant_id, holder):
-                held[grant_id] = held.get(grant_id, 0) + tokens
+        for place in (holdings.balances, holdings.committed):
+            for grants in place.values():
+                for grant_id, tokens in grants.items():
+                    if is_held_by(grant_id, holder):
+                        held[grant_id] = held.get(grant_id, 0) + tokens
         return held
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -22,6 +22,25 @@
 LATE_BYTES = Counter("bronzetiller_late_bytes", "Bytes dropped after an end.", registry=REGISTRY)
 OPEN_REQUESTS = Gauge("bronzetiller_open_requests", "Requests being served.", registry=REGISTRY)
 
+GRANTS_ASKED = Counter(
+    "bronzetiller_grants_asked", "Grants asked of the ledger.", ["cause"], registry=REGISTRY
+)
+TOKENS_MOVED = Counter(
+    "bronzetiller_tokens_moved",
+    "Tokens granted, given to peers, taken from peers, returned or dropped.",
+    ["move"],
+    registry=REGISTRY,
+)
+PEER_ASKS = Counter(
+    "bronzetiller_peer_asks", "Asks for tokens by outcome.", ["outcome"], registry=REGISTRY
+)
+LOOP_PAUSES = Counter(
+    "bronzetiller_loop_pauses", "Pauses of the loop beyond the bound.", registry=REGISTRY
+)
+GRANTS_CLOSED = Counter(
+    "bronzetiller_grants_closed", "Closes asked for gone holders.", registry=REGISTRY
+)
+
 
 def render_metrics() -> bytes:
     """Return all metrics in the text format of Prometheus."""
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -6,10 +6,14 @@
 
 from circuits import BaseComponent, handler
 
+from bronzetiller.budgets.asks import TokenAsker
+from bronzetiller.budgets.closing import GrantCloser
 from bronzetiller.budgets.credits import is_credit_pending, post_credits
 from bronzetiller.budgets.grants import GrantKeeper
 from bronzetiller.budgets.holdings import Holdings
+from bronzetiller.budgets.pauses import PauseGuard
 from bronzetiller.budgets.shards import Shards
+from bronzetiller.budgets.transfers import Transfers
 from bronzetiller.callers.api import ApiServices, make_application
 from bronzetiller.callers.chat import ChatServices
 from bronzetiller.callers.problems import reject_malformed
@@ -26,6 +30,7 @@
 from bronzetiller.requests.billing import Biller
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.settings import Settings
+from bronzetiller.wire.messages import AskTokens
 
 CONFIGURATION_STREAM = "configuration"
 CREDIT_CHECK_SECONDS = 0.5
@@ -67,13 +72,30 @@
         )
         self.peers = Peers(scheduler, dialer, settings.node_id, settings.fleet_secret.encode())
         self.holdings = Holdings()
+        self.transfers = Transfers(self.incarnation)
+        self.guard = PauseGuard(scheduler, self.log, self.shards)
         self.keeper = GrantKeeper(
             scheduler,
             self.shards,
             self.holdings,
+            self.transfers,
+            TokenAsker(self.peers, self.holdings, self.transfers, settings.node_id),
+            self.guard,
             settings.budgets,
             self.incarnation,
             lambda workspace: is_credit_pending(self.configuration, self.shards, workspace),
+            self.peers.connected,
+        )
+        self.closer = GrantCloser(
+            scheduler,
+            self.shards,
+            self.holdings,
+            self.transfers,
+            self.peers,
+            self.vm_list,
+            self.guard,
+            self.incarnation,
+            settings.budgets.holder_gone_seconds,
         )
         self.biller = Biller(scheduler, self.shards, self.holdings, self.incarnation)
         self.chooser = TargetChooser(self.vm_list, settings.region)
@@ -88,6 +110,10 @@
         )
         self.configuration_follower.subscribe(self._on_configuration)
         self.vm_list.subscribe(self._on_vms)
+        self.peers.on(AskTokens, self.keeper.answer_ask)
+        self.keeper.start()
+        self.closer.start()
+        self.guard.start()
         self.vm_list.start()
         self.configuration_follower.start()
         self.shards.start()
@@ -113,6 +139,8 @@
         return all(follower.caught_up for follower in followers)
 
     def _stop_when_idle(self) -> None:
+        if self.server.open_exchanges == 0:
+            self.keeper.return_all()
         backlog = sum(shard.writer.backlog for shard in self.shards.all)
         if self.server.open_exchanges == 0 and backlog == 0:
             log_event("stopped")
--- a/bronzetiller/requests/billing.py
+++ b/bronzetiller/requests/billing.py
@@ -72,7 +72,7 @@
         match ruling.verdict:
             case Verdict.ACCEPTED:
                 TOKENS_BILLED.inc(record.tokens)
-                self._holdings.confirm(record.charges)
+                self._holdings.confirm(record.workspace, record.charges)
                 self._confirm(item, Ok(record.tokens))
             case Verdict.DUPLICATE:
                 self._holdings.restore(record.workspace, record.charges)
@@ -82,7 +82,7 @@
                 detail = "the idempotency key was used for another request"
                 self._confirm(item, Err(Refusal(422, Reason.KEY_REUSED, detail, Ran.YES)))
             case _:
-                self._holdings.confirm(record.charges)
+                self._holdings.confirm(record.workspace, record.charges)
                 detail = "the tokens reserved for the request are no longer this node's"
                 self._confirm(item, Err(Refusal(503, Reason.BILL_VOID, detail, Ran.YES)))
 
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -68,24 +68,65 @@
 
 @frozen
 class AskTokens:
-    """Ask a peer to transfer tokens of a workspace."""
+    """Ask a peer for tokens of a workspace: some that are missing now and more that are wanted.
+
+    asker is a node id; without the log the asker cannot obtain a grant of its own.
+    """
 
     transfer_id: str
     workspace: str
-    tokens: int
+    missing_tokens: int
+    wanted_tokens: int
+    asker: str
+    log_reachable: bool
 
 
 @frozen
 class TransferTokens:
-    """Answer AskTokens; the peer has already taken the charges off its own holdings."""
+    """Answer AskTokens; the peer has already taken the charges off its own holdings.
+
+    kept_tokens may still come free at the peer; returned_tokens went back to the ledger.
+    """
 
     transfer_id: str
     workspace: str
     charges: list[Charge]
+    kept_tokens: int = 0
+    returned_tokens: int = 0
+
+
+@frozen
+class ReportHoldings:
+    """Ask a peer what it may still bill of a gone incarnation's grants."""
+
+    holder: str
+
+
+@frozen
+class HoldingsReport:
+    """Answer ReportHoldings; the node takes no more tokens of the holder from now on.
+
+    retained gives tokens by grant for the node's own bills; kept_bills are those that it keeps
+    for others.
+    """
+
+    holder: str
+    incarnation: str
+    retained: dict[str, int] = field(factory=dict)
+    kept_bills: list[Bill] = field(factory=list)
 
 
 Message = (
-    Heartbeat | KeepBill | BillKept | DropBill | FetchEntries | Entries | AskTokens | TransferTokens
+    Heartbeat
+    | KeepBill
+    | BillKept
+    | DropBill
+    | FetchEntries
+    | Entries
+    | AskTokens
+    | TransferTokens
+    | ReportHoldings
+    | HoldingsReport
 )
 
 
