--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -102,7 +102,7 @@
     paused: bool = False
 
     def __attrs_post_init__(self) -> None:
-        self.silence = self.client.scheduler.watch(lambda: self.fail("silence"))
+        self.silence = self.client.scheduler.watch(self.expire)
 
     def dial(self, dialer: Dialer) -> None:
         assert self.open_call is not None
@@ -203,6 +203,10 @@
             self.connection.close()
             self.connection = None
 
+    def expire(self) -> None:
+        self.fail("silence")
+        self.client.close_idle(self.address)
+
 
 class HttpClient:
     """Keep idle connections by address; a doubtful connection is never used again."""
@@ -244,6 +248,11 @@
         else:
             idle.append(channel)
 
+    def close_idle(self, address: Address) -> None:
+        """Close the idle connections to an address, which may have gone silent like the last."""
+        for channel in self._idle.pop(address, []):
+            channel.close()
+
     def drop(self, channel: _Channel) -> None:
         """Forget an idle connection."""
         idle = self._idle.get(channel.address)
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -2,19 +2,24 @@
 
 import time
 from typing import Any
-from uuid import uuid4
 
 from circuits import BaseComponent, handler
 
+from bronzetiller.budgets.asks import TokenAsker
+from bronzetiller.budgets.closing import GrantCloser
 from bronzetiller.budgets.credits import is_credit_pending, post_credits
 from bronzetiller.budgets.grants import GrantKeeper
 from bronzetiller.budgets.holdings import Holdings
+from bronzetiller.budgets.pauses import PauseGuard
 from bronzetiller.budgets.shards import Shards
+from bronzetiller.budgets.transfers import Transfers
 from bronzetiller.callers.api import ApiServices, make_application
 from bronzetiller.callers.chat import ChatServices
 from bronzetiller.callers.problems import reject_malformed
 from bronzetiller.configuration.fold import Configuration
-from bronzetiller.fleet.peers import Peers, PeerVm
+from bronzetiller.fleet.incarnations import make_incarnation
+from bronzetiller.fleet.membership import Membership
+from bronzetiller.fleet.peers import Peers
 from bronzetiller.logs import log_event
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.http_client import HttpClient
@@ -26,6 +31,7 @@
 from bronzetiller.requests.billing import Biller
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.settings import Settings
+from bronzetiller.wire.messages import AskTokens, Heartbeat
 
 CONFIGURATION_STREAM = "configuration"
 CREDIT_CHECK_SECONDS = 0.5
@@ -50,7 +56,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        self.incarnation = f"{settings.node_id}/{uuid4().hex[:12]}"
+        self.incarnation = make_incarnation(settings.node_id, time.time())
         self.loop: Loop = make_loop()
         scheduler = self.loop.scheduler
         dialer = Dialer(self.loop, channel="outgoing").register(self.loop.root)
@@ -66,14 +72,34 @@
             append_interval_seconds=settings.budgets.append_interval_seconds,
         )
         self.peers = Peers(scheduler, dialer, settings.node_id, settings.fleet_secret.encode())
+        self.membership = Membership(
+            scheduler, self.peers, self.vm_list, settings, self._make_heartbeat
+        )
         self.holdings = Holdings()
+        self.transfers = Transfers(self.incarnation)
+        self.guard = PauseGuard(scheduler, self.log, self.shards)
         self.keeper = GrantKeeper(
             scheduler,
             self.shards,
             self.holdings,
+            self.transfers,
+            TokenAsker(self.peers, self.holdings, self.transfers, settings.node_id),
+            self.guard,
             settings.budgets,
             self.incarnation,
             lambda workspace: is_credit_pending(self.configuration, self.shards, workspace),
+            self.peers.connected,
+        )
+        self.closer = GrantCloser(
+            scheduler,
+            self.shards,
+            self.holdings,
+            self.transfers,
+            self.peers,
+            self.vm_list,
+            self.guard,
+            self.incarnation,
+            settings.budgets.holder_gone_seconds,
         )
         self.biller = Biller(scheduler, self.shards, self.holdings, self.incarnation)
         self.chooser = TargetChooser(self.vm_list, settings.region)
@@ -87,7 +113,11 @@
             self.loop, self.settings.listen.peers.ip, self.settings.listen.peers.port
         )
         self.configuration_follower.subscribe(self._on_configuration)
-        self.vm_list.subscribe(self._on_vms)
+        self.membership.start()
+        self.peers.on(AskTokens, self.keeper.answer_ask)
+        self.keeper.start()
+        self.closer.start()
+        self.guard.start()
         self.vm_list.start()
         self.configuration_follower.start()
         self.shards.start()
@@ -113,6 +143,8 @@
         return all(follower.caught_up for follower in followers)
 
     def _stop_when_idle(self) -> None:
+        if self.server.open_exchanges == 0:
+            self.keeper.return_all()
         backlog = sum(shard.writer.backlog for shard in self.shards.all)
         if self.server.open_exchanges == 0 and backlog == 0:
             log_event("stopped")
@@ -172,13 +204,22 @@
         if all(shard.follower.caught_up for shard in self.shards.all):
             post_credits(self.configuration, self.shards)
 
-    def _on_vms(self) -> None:
-        peers = [
-            PeerVm(vm.vm_id, vm.peer_address)
-            for vm in self.vm_list.find_routers()
-            if vm.peer_address is not None
-        ]
-        self.peers.set_peers(peers)
+    def _make_heartbeat(self) -> Heartbeat:
+        settings = self.settings
+        read_at = self.vm_list.read_at
+        followers = [self.configuration_follower, *(s.follower for s in self.shards.all)]
+        return Heartbeat(
+            node_id=settings.node_id,
+            incarnation=self.incarnation,
+            region=settings.region,
+            data_centre=settings.data_centre,
+            address=f"{settings.listen.callers.ip}:{self.server.port}",
+            stopping=self.stopping,
+            next_offsets={item.stream: item.next_offset for item in followers},
+            ready=self.is_ready(),
+            log_reachable=all(item.reachable for item in followers),
+            vm_list_age_seconds=None if read_at is None else self.peers.now() - read_at,
+        )
 
     def _make_report(self) -> dict[str, Any]:
         return {
