Choose targets by load, prefix, region and every sign that one leaves

Cause: the chooser knew the list of VMs alone, which lags; a target that refused, failed or fell silent was chosen again at once, and a silent connection to the only target of a service cost the caller its answer.

Time to first byte has a deadline of its own; after silence the same target may be tried again over a new connection.

--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -16,7 +16,7 @@
 from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.metrics import ANSWERS, OPEN_REQUESTS, REQUESTS, RETRIES
 from bronzetiller.net.event_stream import format_event
-from bronzetiller.net.http_client import HttpClient
+from bronzetiller.net.http_client import SILENCE, HttpClient
 from bronzetiller.net.http_server import Exchange
 from bronzetiller.platform.vm_list import Vm
 from bronzetiller.requests.billing import Biller
@@ -29,7 +29,7 @@
     EngineAttempt,
     start_attempt,
 )
-from bronzetiller.routing.targets import TargetChooser
+from bronzetiller.routing.targets import TargetChooser, observe_attempt
 
 ATTEMPTS_MAX = 3
 CALLERS_FAULT_STATUSES = {400, 413, 415, 422}
@@ -46,6 +46,7 @@
     holdings: Holdings
     biller: Biller
     chooser: TargetChooser
+    first_byte_seconds: float
 
 
 def make_message() -> dict[str, Any]:
@@ -70,6 +71,7 @@
     message: dict[str, Any] = field(factory=make_message)
     failure: AttemptFailed | None = None
     may_have_run: bool = False
+    attempts: int = 0
     over: bool = False
 
     def start(self) -> None:
@@ -92,12 +94,13 @@
                 self._refuse(refusal)
 
     def _dispatch(self) -> None:
-        vm = self.services.chooser.choose(self.route.service, self.tried)
+        vm = self.services.chooser.choose(self.route.service, self.tried, self.request.prefix_key)
         if vm is None:
             self._refuse_for_lack_of_targets()
             return
         self.vm = vm
         self.tried.add(vm.vm_id)
+        self.attempts += 1
         self.services.chooser.begin(vm)
         self.attempt = start_attempt(
             self.services.http,
@@ -106,13 +109,16 @@
             self.request.body,
             answer_tokens_max=self.request.answer_tokens_max,
             silence_seconds=self.route.silence_seconds,
-            listener=self._on_attempt,
+            first_byte_seconds=self.services.first_byte_seconds,
+            listener=observe_attempt(self.services.chooser, vm, self._on_attempt),
         )
 
     def _on_attempt(self, event: AttemptEvent) -> None:
         if isinstance(event, AnswerPart):
             self._forward(event)
             return
+        if isinstance(event, AttemptFailed) and event.silent and self.vm is not None:
+            self.tried.discard(self.vm.vm_id)
         self._end_attempt()
         if isinstance(event, AnswerEnd):
             self._bill(event)
@@ -186,8 +192,8 @@
             return
         self.failure = failure
         self.may_have_run = self.may_have_run or failure.may_have_run
-        if not self.exchange.started and len(self.tried) < ATTEMPTS_MAX:
-            RETRIES.labels("target_failed").inc()
+        if not self.exchange.started and self.attempts < ATTEMPTS_MAX:
+            RETRIES.labels(SILENCE if failure.silent else "target_failed").inc()
             self.message = make_message()
             self._dispatch()
             return
--- a/bronzetiller/callers/chat_request.py
+++ b/bronzetiller/callers/chat_request.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 from typing import Any
+from zlib import crc32
 
 from attrs import frozen
 from result import Err, Ok, Result
@@ -12,6 +13,8 @@
 
 MESSAGE_TOKENS = 8
 KEY_LENGTH_MAX = 200
+PREFIX_LENGTH_MAX = 256
+SYSTEM_LENGTH_MAX = 4096
 
 
 @frozen
@@ -24,6 +27,7 @@
     prompt_tokens_max: int
     answer_tokens_max: int
     fingerprint: str
+    prefix_key: str
 
     @property
     def tokens_max(self) -> int:
@@ -70,9 +74,18 @@
             prompt_tokens_max=prompt,
             answer_tokens_max=min(cap, route.answer_tokens_max),
             fingerprint=hashlib.sha256(raw).hexdigest()[:32],
+            prefix_key=_make_prefix_key(body["model"], messages),
         )
     )
 
 
+def _make_prefix_key(model: str, messages: list[dict[str, Any]]) -> str:
+    """Return what requests share whose prompts begin alike: an engine's cache serves them."""
+    first = messages[0]
+    length = SYSTEM_LENGTH_MAX if first.get("role") == "system" else PREFIX_LENGTH_MAX
+    prefix = str(first.get("content"))[:length]
+    return f"{model}/{crc32(prefix.encode('utf-8', 'replace')):08x}"
+
+
 def _refuse(detail: str) -> Err[Refusal]:
     return Err(Refusal(400, Reason.BAD_REQUEST, detail))
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -24,6 +24,12 @@
     "bronzetiller_silent_links", "Connections given up as silent.", ["kind"], registry=REGISTRY
 )
 PEERS_HEARD = Gauge("bronzetiller_peers_heard", "Peers heard from of late.", registry=REGISTRY)
+TARGET_AVOIDANCES = Counter(
+    "bronzetiller_target_avoidances",
+    "Targets avoided because they failed or refused new work.",
+    ["reason"],
+    registry=REGISTRY,
+)
 OPEN_REQUESTS = Gauge("bronzetiller_open_requests", "Requests being served.", registry=REGISTRY)
 
 GRANTS_ASKED = Counter(
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -9,6 +9,8 @@
 from bronzetiller.net.scheduler import Scheduler, Watch
 
 IDLE_CONNECTIONS_MAX = 32
+IDLE_SECONDS_MAX = 30.0
+SILENCE = "silence"
 
 
 @frozen
@@ -45,7 +47,11 @@
 
 @frozen
 class HttpCall:
-    """Describe one outgoing request; silence is the longest wait between two reads."""
+    """Describe one outgoing request.
+
+    silence_seconds is the longest wait between two reads; first_byte_seconds is the longest wait
+    for the first, the same unless it is given.
+    """
 
     address: Address
     method: str
@@ -54,6 +60,7 @@
     body: bytes
     silence_seconds: float
     connect_seconds: float = 2.0
+    first_byte_seconds: float | None = None
 
 
 @define(eq=False)
@@ -100,6 +107,7 @@
     connection: Connection | None = None
     silence: Watch = field(init=False)
     paused: bool = False
+    idle_since: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         self.silence = self.client.scheduler.watch(self.expire)
@@ -121,7 +129,7 @@
         data += self.parser.send(h11.EndOfMessage()) or b""
         self.open_call.sent = True
         self.connection.write(data)
-        self.silence.expire_after(call.silence_seconds)
+        self.silence.expire_after(call.first_byte_seconds or call.silence_seconds)
 
     def pause(self) -> None:
         self.paused = True
@@ -204,7 +212,7 @@
             self.connection = None
 
     def expire(self) -> None:
-        self.fail("silence")
+        self.fail(SILENCE)
         self.client.close_idle(self.address)
 
 
@@ -235,7 +243,8 @@
         idle = self._idle.get(address, [])
         while idle:
             channel = idle.pop()
-            if channel.connection is not None and channel.connection.is_quiet():
+            fresh = self.scheduler.now() - channel.idle_since < IDLE_SECONDS_MAX
+            if fresh and channel.connection is not None and channel.connection.is_quiet():
                 return channel
             channel.close()
         return None
@@ -246,6 +255,7 @@
         if len(idle) >= IDLE_CONNECTIONS_MAX:
             channel.close()
         else:
+            channel.idle_since = self.scheduler.now()
             idle.append(channel)
 
     def close_idle(self, address: Address) -> None:
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -29,6 +29,7 @@
 from bronzetiller.platform.log_client import Entry, LogClient
 from bronzetiller.platform.vm_list import VmList, VmState
 from bronzetiller.requests.billing import Biller
+from bronzetiller.routing.load_poller import LoadPoller
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.settings import Settings
 from bronzetiller.wire.messages import AskTokens, Heartbeat
@@ -102,7 +103,20 @@
             settings.budgets.holder_gone_seconds,
         )
         self.biller = Biller(scheduler, self.shards, self.holdings, self.incarnation)
-        self.chooser = TargetChooser(self.vm_list, settings.region)
+        self.chooser = TargetChooser(
+            self.vm_list,
+            settings.region,
+            settings.routing.link_seconds,
+            find_stops=lambda: self.configuration.planned_stops().values(),
+        )
+        self.load_poller = LoadPoller(
+            scheduler,
+            self.http,
+            self.chooser,
+            settings.routing.load_interval_seconds,
+            settings.routing.load_polls_per_second,
+        )
+        self.chooser.on_refusal = self.load_poller.ask
         self.stopping = False
         self.server = self._make_server()
         _Signals(self).register(self.loop.root)
@@ -119,6 +133,7 @@
         self.closer.start()
         self.guard.start()
         self.vm_list.start()
+        self.load_poller.start()
         self.configuration_follower.start()
         self.shards.start()
         scheduler = self.loop.scheduler
@@ -153,7 +168,14 @@
     def _make_server(self) -> HttpServer:
         services = ApiServices(
             configuration=self.configuration,
-            chat=ChatServices(self.http, self.keeper, self.holdings, self.biller, self.chooser),
+            chat=ChatServices(
+                self.http,
+                self.keeper,
+                self.holdings,
+                self.biller,
+                self.chooser,
+                self.settings.routing.first_byte_seconds,
+            ),
             is_ready=self.is_ready,
             is_stopping=lambda: self.stopping,
             list_entries=self._list_entries,
--- a/bronzetiller/routing/engine.py
+++ b/bronzetiller/routing/engine.py
@@ -10,6 +10,7 @@
 from bronzetiller.metrics import LATE_BYTES
 from bronzetiller.net.event_stream import EVENT_BYTES_MAX, EventSplitter
 from bronzetiller.net.http_client import (
+    SILENCE,
     BodyPart,
     CallEvent,
     CallFailed,
@@ -56,6 +57,11 @@
     status: int = 0
     detail: str = ""
 
+    @property
+    def silent(self) -> bool:
+        """Say whether the connection fell silent, which a new one to the same target may cure."""
+        return self.cause == SILENCE
+
 
 AttemptEvent = AnswerPart | AnswerEnd | AttemptFailed
 AttemptListener = Callable[[AttemptEvent], None]
@@ -196,6 +202,7 @@
     *,
     answer_tokens_max: int,
     silence_seconds: float,
+    first_byte_seconds: float | None = None,
     listener: AttemptListener,
 ) -> EngineAttempt:
     """Send a chat request to an engine; the engine always streams."""
@@ -208,6 +215,14 @@
     value.pop("max_completion_tokens", None)
     headers = {"Content-Type": "application/json", ATTEMPT_HEADER: attempt_id}
     data = json.dumps(value, ensure_ascii=False).encode()
-    call = HttpCall(vm.address, "POST", "/v1/chat/completions", headers, data, silence_seconds)
+    call = HttpCall(
+        vm.address,
+        "POST",
+        "/v1/chat/completions",
+        headers,
+        data,
+        silence_seconds,
+        first_byte_seconds=first_byte_seconds,
+    )
     attempt.call = http.send(call, attempt.listen)
     return attempt
--- /dev/null
+++ b/bronzetiller/routing/load_poller.py
@@ -0,0 +1,79 @@
+"""Ask the targets in use for their load, within a fixed rate."""
+
+from collections import deque
+
+from attrs import define, field
+from result import Ok
+
+from bronzetiller.net.http_client import (
+    BodyPart,
+    CallEvent,
+    CallFailed,
+    HttpCall,
+    HttpClient,
+    ResponseEnd,
+    ResponseHead,
+)
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.platform.vm_list import Vm
+from bronzetiller.routing.target_state import read_load
+from bronzetiller.routing.targets import TargetChooser
+
+SILENCE_SECONDS = 2.0
+BODY_BYTES_MAX = 16 * 1024
+LOAD_PATH = "/v1/load"
+
+
+@define(eq=False)
+class LoadPoller:
+    """Poll one target after another, each at most once per interval."""
+
+    _scheduler: Scheduler
+    _http: HttpClient
+    _chooser: TargetChooser
+    _interval_seconds: float
+    _polls_per_second: float
+    _round: deque[Vm] = field(factory=deque)
+    _asked: set[str] = field(factory=set)
+
+    def start(self) -> None:
+        """Begin to poll; go on for the life of the process."""
+        self._step()
+
+    def ask(self, vm: Vm) -> None:
+        """Ask one target now, unless it is being asked."""
+        if vm.vm_id in self._asked:
+            return
+        self._asked.add(vm.vm_id)
+        outstanding = self._chooser.get_state(vm).outstanding
+        call = HttpCall(vm.address, "GET", LOAD_PATH, {}, b"", SILENCE_SECONDS)
+        status = 0
+        body = b""
+
+        def listen(event: CallEvent) -> None:
+            nonlocal status, body
+            if isinstance(event, ResponseHead):
+                status = event.status
+            elif isinstance(event, BodyPart):
+                body = (body + event.data)[:BODY_BYTES_MAX]
+            elif isinstance(event, ResponseEnd | CallFailed):
+                self._asked.discard(vm.vm_id)
+                if isinstance(event, ResponseEnd) and status == 200:
+                    self._take(vm, body, outstanding)
+
+        self._http.send(call, listen)
+
+    def _take(self, vm: Vm, body: bytes, outstanding: int) -> None:
+        match read_load(body):
+            case Ok(report):
+                self._chooser.take_report(vm, report, outstanding)
+
+    def _step(self) -> None:
+        if not self._round:
+            self._round.extend(self._chooser.find_recent())
+            pause = self._interval_seconds
+        else:
+            pause = 1.0 / self._polls_per_second
+        self._scheduler.call_after(pause, self._step)
+        if self._round:
+            self.ask(self._round.popleft())
--- /dev/null
+++ b/bronzetiller/routing/selection.py
@@ -0,0 +1,67 @@
+"""Choose one of a service's targets; pure, with the time and the random source given."""
+
+from collections.abc import Callable
+from random import Random
+from zlib import crc32
+
+from attrs import frozen
+
+from bronzetiller.platform.vm_list import Vm
+from bronzetiller.routing.target_state import TargetState
+
+AFFINITY_SLACK = 0.25
+
+FindState = Callable[[Vm], TargetState]
+
+
+@frozen
+class SelectionRules:
+    """Hold what a node prefers; link_seconds is one way between regions."""
+
+    region: str
+    link_seconds: float
+
+
+def select_target(
+    candidates: list[Vm],
+    find_state: FindState,
+    rules: SelectionRules,
+    prefix_key: str,
+    random: Random,
+    now: float,
+) -> Vm | None:
+    """Return the target for one attempt; candidates take new work and are not excluded."""
+    willing = [vm for vm in candidates if not find_state(vm).is_refusing(now)]
+    sound = [vm for vm in willing if not find_state(vm).is_avoided(now)]
+    if not sound:
+        return _select_failing(willing, find_state)
+    near = [vm for vm in sound if vm.region == rules.region]
+    far = [vm for vm in sound if vm.region != rules.region]
+    if not near or not far:
+        return _select_in_region(near or far, find_state, prefix_key, random, now)
+    chosen = _select_in_region(near, find_state, prefix_key, random, now)
+    wait = find_state(chosen).estimate_wait(now)
+    if wait <= 2 * rules.link_seconds:
+        return chosen
+    other = _select_in_region(far, find_state, prefix_key, random, now)
+    if find_state(other).estimate_wait(now) + 2 * rules.link_seconds < wait:
+        return other
+    return chosen
+
+
+def _select_failing(willing: list[Vm], find_state: FindState) -> Vm | None:
+    """Try the target whose failure is the longest ago, rather than none."""
+    return min(willing, key=lambda vm: find_state(vm).avoided_until, default=None)
+
+
+def _select_in_region(
+    vms: list[Vm], find_state: FindState, prefix_key: str, random: Random, now: float
+) -> Vm:
+    """Take the prefix's own target unless it is busier than the better of two at random."""
+    pair = random.sample(vms, min(2, len(vms)))
+    best = min(pair, key=lambda vm: find_state(vm).estimate_fill(now))
+    if not prefix_key or len(vms) == 1:
+        return best
+    own = max(vms, key=lambda vm: crc32(f"{prefix_key}/{vm.vm_id}".encode()))
+    spare = find_state(best).estimate_fill(now) + AFFINITY_SLACK
+    return own if find_state(own).estimate_fill(now) <= spare else best
--- a/bronzetiller/routing/targets.py
+++ b/bronzetiller/routing/targets.py
@@ -1,40 +1,195 @@
-"""Choose a target for an attempt."""
+"""Keep the targets of all services and choose one for each attempt."""
 
+import time
+from collections.abc import Callable, Iterable
 from random import Random
 
 from attrs import define, field
 
+from bronzetiller.configuration.records import PlannedStop
+from bronzetiller.logs import log_event
+from bronzetiller.metrics import TARGET_AVOIDANCES
 from bronzetiller.platform.vm_list import Vm, VmList, VmState
+from bronzetiller.routing.engine import AnswerEnd, AnswerPart, AttemptEvent, AttemptListener
+from bronzetiller.routing.selection import SelectionRules, select_target
+from bronzetiller.routing.target_state import LoadReport, TargetState
+
+RECENT_SECONDS = 30.0
+STOPS_SECONDS = 0.5
+STATUS_REFUSING = 503
+STATUS_BUSY = 429
 
 
 @define
 class TargetChooser:
-    """Choose the less busy of two random targets, the own region first."""
+    """Choose targets by load, prefix and region; believe the earliest sign that one leaves.
+
+    The signs are the list of VMs, a planned stop that is due, and the target's own refusal.
+    """
 
     vm_list: VmList
     region: str
-    outstanding: dict[str, int] = field(factory=dict)
+    link_seconds: float = 0.03
     random: Random = field(factory=Random)
+    now: Callable[[], float] = time.monotonic
+    wall_clock: Callable[[], float] = time.time
+    on_room: Callable[[str], None] | None = None
+    on_refusal: Callable[[Vm], None] | None = None
+    find_stops: Callable[[], Iterable[PlannedStop]] = tuple
+    _states: dict[str, TargetState] = field(factory=dict)
+    _stops: dict[str, float] = field(factory=dict)
+    _stops_read_at: float = float("-inf")
+    _services: dict[str, list[Vm]] | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self.vm_list.subscribe(self._forget_list)
 
-    def choose(self, service: str, excluded: set[str]) -> Vm | None:
-        """Return a live target of the service, or nothing."""
-        usable = [
+    @property
+    def outstanding(self) -> dict[str, int]:
+        """Return the attempts that run, by target."""
+        states = self._states.items()
+        return {vm_id: state.outstanding for vm_id, state in states if state.outstanding}
+
+    def choose(self, service: str, excluded: set[str], prefix_key: str = "") -> Vm | None:
+        """Return a target of the service that takes new work, or nothing."""
+        candidates = [
             vm
-            for vm in self.vm_list.find_service(service)
-            if vm.state is VmState.LIVE and vm.vm_id not in excluded
+            for vm in self.find_targets(service)
+            if vm.vm_id not in excluded and self.takes_new_work(vm)
         ]
-        usable = [vm for vm in usable if vm.region == self.region] or usable
-        if not usable:
-            return None
-        pair = self.random.sample(usable, min(2, len(usable)))
-        return min(pair, key=lambda vm: self.outstanding.get(vm.vm_id, 0))
+        rules = SelectionRules(self.region, self.link_seconds)
+        return select_target(candidates, self.get_state, rules, prefix_key, self.random, self.now())
+
+    def find_targets(self, service: str) -> list[Vm]:
+        """Return the listed targets of a service, leaving ones included."""
+        if self._services is None:
+            self._services = {}
+            for vm in self.vm_list.vms.values():
+                if vm.service is not None:
+                    self._services.setdefault(vm.service, []).append(vm)
+        return self._services.get(service, [])
+
+    def takes_new_work(self, vm: Vm) -> bool:
+        """Say whether neither the list nor a planned stop says that the target leaves."""
+        if vm.state is not VmState.LIVE:
+            return False
+        stop_at = self._read_stops().get(vm.vm_id)
+        return stop_at is None or self.wall_clock() < stop_at
+
+    def count_room(self, service: str) -> float:
+        """Return how many more requests the targets of a service can begin at once."""
+        now = self.now()
+        room = 0.0
+        for vm in self.find_targets(service):
+            state = self.get_state(vm)
+            if self.takes_new_work(vm) and not state.is_refusing(now):
+                room += self._count_room_on(state, now)
+        return room
+
+    def count_slots(self, service: str) -> float:
+        """Return how many requests the targets of a service can run at once."""
+        now = self.now()
+        vms = [vm for vm in self.find_targets(service) if self.takes_new_work(vm)]
+        return sum(self.get_state(vm).count_slots(now) for vm in vms)
+
+    def get_state(self, vm: Vm) -> TargetState:
+        """Return what is known of a target."""
+        state = self._states.get(vm.vm_id)
+        if state is None:
+            state = self._states[vm.vm_id] = TargetState()
+        return state
 
     def begin(self, vm: Vm) -> None:
         """Count an attempt in."""
-        self.outstanding[vm.vm_id] = self.outstanding.get(vm.vm_id, 0) + 1
+        state = self.get_state(vm)
+        state.outstanding += 1
+        state.used_at = self.now()
 
     def end(self, vm: Vm) -> None:
         """Count an attempt out."""
-        self.outstanding[vm.vm_id] -= 1
-        if not self.outstanding[vm.vm_id]:
-            del self.outstanding[vm.vm_id]
+        state = self.get_state(vm)
+        state.outstanding -= 1
+        if self.on_room is not None and vm.service is not None:
+            self.on_room(vm.service)
+
+    def note_answer(self, vm: Vm, seconds: float) -> None:
+        """Count a whole answer and the seconds that it took."""
+        self.get_state(vm).note_answer(seconds)
+
+    def note_delay(self, vm: Vm, seconds: float) -> None:
+        """Count the seconds until the first part of an answer came."""
+        self.get_state(vm).note_delay(seconds, self.now())
+
+    def note_failure(self, vm: Vm, status: int, cause: str) -> None:
+        """Avoid a target that failed, or that said itself that it takes no new work."""
+        state = self.get_state(vm)
+        if status in (STATUS_REFUSING, STATUS_BUSY):
+            state.note_refusal(self.now())
+            TARGET_AVOIDANCES.labels("refused").inc()
+            if self.on_refusal is not None:
+                self.on_refusal(vm)
+        else:
+            state.note_failure(self.now())
+            TARGET_AVOIDANCES.labels("failed").inc()
+        log_event("target_avoided", target=vm.vm_id, status=status, cause=cause)
+
+    def take_report(self, vm: Vm, report: LoadReport, outstanding_when_asked: int) -> None:
+        """Take a load report that a target gave."""
+        self.get_state(vm).take_report(report, outstanding_when_asked, self.now())
+        if self.on_room is not None and vm.service is not None:
+            self.on_room(vm.service)
+
+    def find_recent(self) -> list[Vm]:
+        """Return the targets in use, whose load is worth asking for."""
+        now = self.now()
+        recent: list[Vm] = []
+        for vm in self.vm_list.vms.values():
+            state = self._states.get(vm.vm_id)
+            if state is None or vm.state is not VmState.LIVE:
+                continue
+            if state.outstanding or now - state.used_at < RECENT_SECONDS:
+                recent.append(vm)
+        return recent
+
+    def _read_stops(self) -> dict[str, float]:
+        now = self.now()
+        if now - self._stops_read_at >= STOPS_SECONDS:
+            self._stops_read_at = now
+            self._stops = {}
+            for stop in self.find_stops():
+                earliest = min(stop.stop_at, self._stops.get(stop.vm_id, stop.stop_at))
+                self._stops[stop.vm_id] = earliest
+        return self._stops
+
+    def _count_room_on(self, state: TargetState, now: float) -> float:
+        if now < state.avoided_until:
+            return 0.0
+        if state.failures:
+            return 1.0 - min(1, state.outstanding)
+        return max(0.0, state.count_slots(now) - state.estimate_work(now))
+
+    def _forget_list(self) -> None:
+        self._services = None
+        for vm_id in self._states.keys() - self.vm_list.vms.keys():
+            if not self._states[vm_id].outstanding:
+                del self._states[vm_id]
+
+
+def observe_attempt(chooser: TargetChooser, vm: Vm, listener: AttemptListener) -> AttemptListener:
+    """Return a listener that tells the chooser of an attempt's outcome before its own listener."""
+    begun = chooser.now()
+    answering = False
+
+    def listen(event: AttemptEvent) -> None:
+        nonlocal answering
+        if isinstance(event, AnswerPart):
+            if not answering:
+                answering = True
+                chooser.note_delay(vm, chooser.now() - begun)
+        elif isinstance(event, AnswerEnd):
+            chooser.note_answer(vm, chooser.now() - begun)
+        elif not 400 <= event.status < 500 or event.status == STATUS_BUSY:
+            chooser.note_failure(vm, event.status, event.cause)
+        listener(event)
+
+    return listen
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -74,6 +74,16 @@
     entry_seconds: float = field(default=5.0, validator=gt(0))
 
 
+@frozen
+class RoutingSettings:
+    """Set how a node spreads work over targets; link_seconds is one way between regions."""
+
+    link_seconds: float = field(default=0.03, validator=ge(0))
+    first_byte_seconds: float = field(default=10.0, validator=gt(0))
+    load_interval_seconds: float = field(default=1.0, validator=gt(0))
+    load_polls_per_second: float = field(default=10.0, validator=gt(0))
+
+
 @frozen
 class Settings:
     """Hold all settings of one node."""
@@ -87,6 +97,7 @@
     budgets: BudgetSettings = field(factory=BudgetSettings)
     fleet: FleetSettings = field(factory=FleetSettings)
     limits: LimitSettings = field(factory=LimitSettings)
+    routing: RoutingSettings = field(factory=RoutingSettings)
     log_level: str = field(default="INFO", validator=matches_re("DEBUG|INFO|WARNING|ERROR"))
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -86,7 +86,9 @@
     def serve(self, exchange: Exchange) -> None:
         if exchange.path == "/v1/load":
             load = {"running": self._running, "waiting": len(self._waiting)}
-            respond_json(exchange, 200, load | {"slots": self._settings.slots})
+            load["slots"] = self._settings.slots
+            leaving = "refuse" in self._settings.faults
+            respond_json(exchange, 200, load | {"leaving": leaving})
         elif exchange.path == "/control/requests":
             value = {"requests": self._requests, "generated": self._generated}
             respond_json(exchange, 200, value)
