Relay log entries and appends between nodes

A node that could not reach the log learned and billed nothing, even with a peer beside it that could; and each node read every record over the regional link for itself.

One node per data centre and stream, first by rendezvous rank among those that reach the log, reads it; the others wait for entries at that node. A node that lags behind any offset it has heard of fetches from the nearest peer that has more, after relay_fallback_seconds also from afar. A batch that cannot be appended goes through the nearest peer that reaches the log, which appends it at once or says no. It is not queued there: two nodes whose view of the log changes could otherwise hand the same records to each other and back.

Ruled out: relaying by heartbeat alone (half a second a hop, too slow for grants).

--- a/bronzetiller/fleet/membership.py
+++ b/bronzetiller/fleet/membership.py
@@ -183,9 +183,18 @@
             near_peers_max=fleet.near_peers_max,
             far_peers_max=fleet.far_peers_max,
         )
-        found = [PeerVm(vm.vm_id, vm.peer_address) for vm in neighbours if vm.peer_address]
+        found = [
+            PeerVm(vm.vm_id, vm.peer_address, self._measure_distance(vm))
+            for vm in neighbours
+            if vm.peer_address is not None
+        ]
         self._peers.set_peers(found)
 
+    def _measure_distance(self, vm: Vm) -> str:
+        if vm.data_centre == self._settings.data_centre:
+            return "near"
+        return "region" if vm.region == self._settings.region else "far"
+
     def _own_vm(self) -> Vm:
         settings = self._settings
         return Vm(
--- a/bronzetiller/fleet/peers.py
+++ b/bronzetiller/fleet/peers.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from bronzetiller.logs import log_event
+from bronzetiller.metrics import SENT_BYTES
 from bronzetiller.net.dialer import Address, Connection, ConnectionHandlers, Dialer
 from bronzetiller.net.loop import Loop
 from bronzetiller.net.scheduler import Scheduler, Timer
@@ -35,10 +36,11 @@
 
 @frozen
 class PeerVm:
-    """Name a peer and its listening address."""
+    """Name a peer, its listening address and how far it is: near, region or far."""
 
     node_id: str
     address: Address
+    distance: str = "unknown"
 
 
 @define(eq=False)
@@ -186,9 +188,14 @@
         link = self._links.get(node_id)
         if link is None or link.session is None or not link.session.open:
             return False
-        link.session.send(packet)
+        self._count(node_id, packet.message, link.session.send(packet))
         return True
 
+    def _count(self, node_id: str, message: Message, size: int) -> None:
+        link = self._links.get(node_id)
+        distance = "unknown" if link is None else link.vm.distance
+        SENT_BYTES.labels(type(message).__name__, distance).inc(size)
+
     def _dial(self, link: _Link) -> None:
         if link.removed:
             return
@@ -250,7 +257,8 @@
             return
 
         def reply(message: Message) -> None:
-            session.send(Packet(next(self._numbers), packet.number, message))
+            sent = session.send(Packet(next(self._numbers), packet.number, message))
+            self._count(session.peer_id, message, sent)
 
         handle(packet.message, reply)
 
--- /dev/null
+++ b/bronzetiller/fleet/relay.py
@@ -0,0 +1,268 @@
+"""Relay log entries between nodes, so that each crosses a regional link once per data centre.
+
+In each data centre one node per stream reads the log and the others read from it. A node that
+lags behind what it has heard of, for whatever reason, fetches the missing entries from any peer
+that has them.
+"""
+
+import json
+from collections.abc import Callable
+
+from attrs import define, field
+from result import Err, Ok, Result
+
+from bronzetiller.fleet.membership import Membership
+from bronzetiller.fleet.neighbours import rank_nodes
+from bronzetiller.fleet.peers import Peers, Reply
+from bronzetiller.metrics import RELAYED_ENTRIES
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.platform.follower import PageReceived, Reader, StreamFollower
+from bronzetiller.platform.log_client import Entry, LogFailure, Page
+from bronzetiller.settings import Settings
+from bronzetiller.wire.messages import Entries, FetchEntries, Heartbeat, Message, RelayedEntry
+
+WAIT_SECONDS = 2.0
+ANSWER_SECONDS = 1.0
+CHECK_SECONDS = 0.5
+PROBE_SECONDS = 2.0
+AVOID_SECONDS = 5.0
+ENTRIES_MAX = 1_000
+ENTRIES_BYTES_MAX = 512 * 1024
+
+
+@define(eq=False)
+class _Waiting:
+    """Hold a peer's question for entries that are not there yet."""
+
+    request: FetchEntries
+    reply: Reply
+    deadline: float
+
+
+@define(eq=False)
+class _Stream:
+    follower: StreamFollower
+    waiting: list[_Waiting] = field(factory=list)
+    flushing: bool = False
+    fetching: bool = False
+    behind_since: float | None = None
+    probed_at: float = 0.0
+
+
+def choose_reader(stream: str, data_centre: str, candidates: list[str]) -> str | None:
+    """Return the node that reads a stream from the log for a data centre."""
+    ranked = rank_nodes(f"{data_centre}/{stream}", candidates)
+    return ranked[0] if ranked else None
+
+
+def measure_distance(own: Heartbeat, peer: Heartbeat) -> int:
+    """Return 0 for a peer of the own data centre, 1 for one of the region, 2 for others."""
+    if peer.data_centre == own.data_centre:
+        return 0
+    return 1 if peer.region == own.region else 2
+
+
+def choose_source(
+    own: Heartbeat, live: dict[str, Heartbeat], stream: str, offset: int, *, far: bool
+) -> str | None:
+    """Return the nearest peer that has read beyond an offset, other data centres where far."""
+    found = [
+        (measure_distance(own, peer), -peer.next_offsets.get(stream, 0), node_id)
+        for node_id, peer in live.items()
+        if peer.next_offsets.get(stream, 0) > offset
+    ]
+    found = [item for item in found if far or item[0] == 0]
+    return min(found)[2] if found else None
+
+
+def choose_log_peer(own: Heartbeat, live: dict[str, Heartbeat], subject: str) -> str | None:
+    """Return the nearest peer that reaches the log; the subject spreads nodes over equals."""
+    usable = [k for k, peer in live.items() if peer.log_reachable and not peer.stopping]
+    ranked = rank_nodes(f"{own.node_id}/{subject}", usable)
+    ranked.sort(key=lambda node_id: measure_distance(own, live[node_id]))
+    return ranked[0] if ranked else None
+
+
+@define(eq=False)
+class Relay:
+    """Serve entries to peers and read from them."""
+
+    _scheduler: Scheduler
+    _peers: Peers
+    _membership: Membership
+    _settings: Settings
+    _make_heartbeat: Callable[[], Heartbeat]
+    _streams: dict[str, _Stream] = field(factory=dict)
+    _avoided_until: dict[str, float] = field(factory=dict)
+
+    def add(self, follower: StreamFollower) -> None:
+        """Relay the stream of a follower."""
+        stream = self._streams[follower.stream] = _Stream(follower)
+        follower.subscribe(lambda entry: self._schedule_flush(stream))
+        follower.choose_relay = lambda: self._choose_relay(stream)
+
+    def start(self) -> None:
+        """Begin to serve and to watch for entries that are missing here."""
+        self._peers.on(FetchEntries, self._on_fetch)
+        self._membership.subscribe(self._check)
+        self._scheduler.call_every(CHECK_SECONDS, self._check)
+
+    def _choose_relay(self, stream: _Stream) -> Reader | None:
+        if not self._settings.fleet.relay:
+            return None
+        reader = self._find_reader(stream)
+        if reader is None or reader == self._settings.node_id:
+            return None
+        return lambda offset, received: self._fetch(
+            reader, stream, FetchEntries(stream.follower.stream, offset, WAIT_SECONDS), received
+        )
+
+    def _find_reader(self, stream: _Stream) -> str | None:
+        """Return the node to read from: the own id for the log itself."""
+        own = self._make_heartbeat()
+        usable = self._find_usable()
+        near = {k: peer for k, peer in usable.items() if peer.data_centre == own.data_centre}
+        readers = [k for k, peer in near.items() if peer.log_reachable and not peer.stopping]
+        if stream.follower.reachable and not own.stopping:
+            readers.append(own.node_id)
+        if readers:
+            return choose_reader(stream.follower.stream, own.data_centre, readers)
+        far = choose_log_peer(own, usable, stream.follower.stream)
+        if far is None:
+            return None
+        first = choose_reader(stream.follower.stream, own.data_centre, [*near, own.node_id])
+        return far if first == own.node_id else first
+
+    def _find_usable(self) -> dict[str, Heartbeat]:
+        now = self._scheduler.now()
+        connected = set(self._peers.connected())
+        return {
+            node_id: peer
+            for node_id, peer in self._membership.live().items()
+            if node_id in connected and self._avoided_until.get(node_id, 0.0) <= now
+        }
+
+    def _fetch(
+        self, node_id: str, stream: _Stream, request: FetchEntries, received: PageReceived
+    ) -> None:
+        def answered(result: Result[Message, str]) -> None:
+            match result:
+                case Ok(Entries() as answer) if answer.first_offset <= request.from_offset:
+                    entries = [
+                        Entry(item.offset, item.at, json.loads(item.record))
+                        for item in answer.entries
+                    ]
+                    RELAYED_ENTRIES.inc(len(entries))
+                    page = Page(
+                        entries, answer.first_offset, answer.end_offset, answer.log_reachable
+                    )
+                    received(Ok(page))
+                case _:
+                    self._avoid(node_id)
+                    received(Err(LogFailure("the peer did not relay", sent=True)))
+
+        self._peers.ask(node_id, request, request.wait_seconds + ANSWER_SECONDS, answered)
+
+    def _avoid(self, node_id: str) -> None:
+        self._avoided_until[node_id] = self._scheduler.now() + AVOID_SECONDS
+
+    def _check(self) -> None:
+        for stream in self._streams.values():
+            self._check_stream(stream)
+
+    def _check_stream(self, stream: _Stream) -> None:
+        now = self._scheduler.now()
+        follower = stream.follower
+        live = self._membership.live()
+        for peer in live.values():
+            follower.note_end(peer.next_offsets.get(follower.stream, 0))
+        if not follower.reachable and now - stream.probed_at >= PROBE_SECONDS:
+            stream.probed_at = now
+            follower.probe()
+        if follower.next_offset >= follower.end_offset:
+            stream.behind_since = None
+            return
+        if stream.behind_since is None:
+            stream.behind_since = now
+        late = now - stream.behind_since >= self._settings.fleet.relay_fallback_seconds
+        if late:
+            self._avoid_reader(stream)
+        self._catch_up(stream, far=late or self._is_first(stream, live))
+
+    def _avoid_reader(self, stream: _Stream) -> None:
+        reader = self._find_reader(stream)
+        if reader is not None and reader != self._settings.node_id:
+            self._avoid(reader)
+
+    def _is_first(self, stream: _Stream, live: dict[str, Heartbeat]) -> bool:
+        own = self._settings
+        near = [node_id for node_id, peer in live.items() if peer.data_centre == own.data_centre]
+        reader = choose_reader(stream.follower.stream, own.data_centre, [*near, own.node_id])
+        return reader == own.node_id
+
+    def _catch_up(self, stream: _Stream, *, far: bool) -> None:
+        if stream.fetching or (stream.follower.reachable and not far):
+            return
+        follower = stream.follower
+        own = self._make_heartbeat()
+        usable = self._find_usable()
+        node_id = choose_source(own, usable, follower.stream, follower.next_offset, far=far)
+        if node_id is None:
+            return
+        stream.fetching = True
+
+        def received(result: Result[Page, LogFailure]) -> None:
+            stream.fetching = False
+            match result:
+                case Ok(page) if page.entries:
+                    follower.offer(page.entries)
+                    self._check_stream(stream)
+
+        self._fetch(node_id, stream, FetchEntries(follower.stream, follower.next_offset), received)
+
+    def _on_fetch(self, request: FetchEntries, reply: Reply) -> None:
+        stream = self._streams.get(request.stream)
+        if stream is None:
+            return
+        if request.from_offset >= stream.follower.next_offset and request.wait_seconds:
+            deadline = self._scheduler.now() + request.wait_seconds
+            item = _Waiting(request, reply, deadline)
+            stream.waiting.append(item)
+            self._scheduler.call_at(deadline, lambda: self._expire(stream, item))
+            return
+        reply(self._answer(stream, request))
+
+    def _expire(self, stream: _Stream, item: _Waiting) -> None:
+        if item in stream.waiting:
+            stream.waiting.remove(item)
+            item.reply(self._answer(stream, item.request))
+
+    def _schedule_flush(self, stream: _Stream) -> None:
+        if stream.waiting and not stream.flushing:
+            stream.flushing = True
+            self._scheduler.call_after(0, lambda: self._flush(stream))
+
+    def _flush(self, stream: _Stream) -> None:
+        stream.flushing = False
+        waiting, stream.waiting = stream.waiting, []
+        for item in waiting:
+            item.reply(self._answer(stream, item.request))
+
+    def _answer(self, stream: _Stream, request: FetchEntries) -> Entries:
+        follower = stream.follower
+        entries: list[RelayedEntry] = []
+        size = 0
+        for entry in follower.read_recent(request.from_offset, ENTRIES_MAX):
+            record = json.dumps(entry.record, separators=(",", ":"))
+            size += len(record)
+            if entries and size > ENTRIES_BYTES_MAX:
+                break
+            entries.append(RelayedEntry(entry.offset, entry.at, record))
+        first_offset = follower.recent[0].offset if follower.recent else follower.next_offset
+        return Entries(
+            stream=follower.stream,
+            entries=entries,
+            first_offset=first_offset,
+            end_offset=follower.end_offset,
+            log_reachable=follower.reachable,
+        )
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -24,6 +24,24 @@
     "bronzetiller_silent_links", "Connections given up as silent.", ["kind"], registry=REGISTRY
 )
 PEERS_HEARD = Gauge("bronzetiller_peers_heard", "Peers heard from of late.", registry=REGISTRY)
+RELAYED_ENTRIES = Counter(
+    "bronzetiller_relayed_entries", "Log entries received from peers.", registry=REGISTRY
+)
+DELEGATED_APPENDS = Counter(
+    "bronzetiller_delegated_appends",
+    "Batches given to a peer to append, by outcome.",
+    ["outcome"],
+    registry=REGISTRY,
+)
+SENT_BYTES = Counter(
+    "bronzetiller_sent_bytes",
+    "Bytes sent to peers, by message and by how far the peer is.",
+    ["purpose", "distance"],
+    registry=REGISTRY,
+)
+LOG_BYTES = Counter(
+    "bronzetiller_log_bytes", "Bytes of log bodies, by direction.", ["purpose"], registry=REGISTRY
+)
 OPEN_REQUESTS = Gauge("bronzetiller_open_requests", "Requests being served.", registry=REGISTRY)
 
 
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -13,9 +13,11 @@
 from bronzetiller.callers.chat import ChatServices
 from bronzetiller.callers.problems import reject_malformed
 from bronzetiller.configuration.fold import Configuration
+from bronzetiller.fleet.delegation import Delegation
 from bronzetiller.fleet.incarnations import make_incarnation
 from bronzetiller.fleet.membership import Membership
 from bronzetiller.fleet.peers import Peers
+from bronzetiller.fleet.relay import Relay
 from bronzetiller.logs import log_event
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.http_client import HttpClient
@@ -71,6 +73,8 @@
         self.membership = Membership(
             scheduler, self.peers, self.vm_list, settings, self._make_heartbeat
         )
+        self.relay = Relay(scheduler, self.peers, self.membership, settings, self._make_heartbeat)
+        self.delegation = Delegation(self.peers, self.membership, self.log, self._make_heartbeat)
         self.holdings = Holdings()
         self.keeper = GrantKeeper(
             scheduler,
@@ -83,6 +87,7 @@
         self.biller = Biller(scheduler, self.shards, self.holdings, self.incarnation)
         self.chooser = TargetChooser(self.vm_list, settings.region)
         self.stopping = False
+        self._was_ready = False
         self.server = self._make_server()
         _Signals(self).register(self.loop.root)
 
@@ -92,7 +97,14 @@
             self.loop, self.settings.listen.peers.ip, self.settings.listen.peers.port
         )
         self.configuration_follower.subscribe(self._on_configuration)
+        for follower in self._followers():
+            self.relay.add(follower)
+        for shard in self.shards.all:
+            shard.writer.on_acknowledged = shard.follower.note_end
+            shard.writer.delegate = self.delegation.append
+        self.delegation.start()
         self.membership.start()
+        self.relay.start()
         self.vm_list.start()
         self.configuration_follower.start()
         self.shards.start()
@@ -113,9 +125,13 @@
         self.loop.scheduler.call_every(0.05, self._stop_when_idle)
 
     def is_ready(self) -> bool:
-        """Say whether the node has read every stream to its end."""
-        followers = [self.configuration_follower, *(s.follower for s in self.shards.all)]
-        return all(follower.caught_up for follower in followers)
+        """Say whether the node has read every stream to its end since it started."""
+        if not self._was_ready:
+            self._was_ready = all(follower.caught_up for follower in self._followers())
+        return self._was_ready
+
+    def _followers(self) -> list[StreamFollower]:
+        return [self.configuration_follower, *(shard.follower for shard in self.shards.all)]
 
     def _stop_when_idle(self) -> None:
         backlog = sum(shard.writer.backlog for shard in self.shards.all)
@@ -168,7 +184,7 @@
     def _make_heartbeat(self) -> Heartbeat:
         settings = self.settings
         read_at = self.vm_list.read_at
-        followers = [self.configuration_follower, *(s.follower for s in self.shards.all)]
+        followers = self._followers()
         return Heartbeat(
             node_id=settings.node_id,
             incarnation=self.incarnation,
--- a/bronzetiller/platform/follower.py
+++ b/bronzetiller/platform/follower.py
@@ -18,22 +18,29 @@
 
 RETRY_SECONDS_MIN = 0.1
 RETRY_SECONDS_MAX = 1.0
-RECENT_ENTRIES_MAX = 20_000
+RECENT_ENTRIES_MAX = 4_000
 
 Subscriber = Callable[[Entry], None]
+PageReceived = Callable[[Result[Page, LogFailure]], None]
+Reader = Callable[[int, PageReceived], None]
 
 
 class StreamFollower:
-    """Apply entries once and in order, from the log or from a peer that relays it."""
+    """Apply entries once and in order, from the log or from a peer that relays it.
+
+    reachable says whether the last read of the log itself succeeded; end_offset is the highest
+    offset that the log or a peer has named, and counts once a source is known to be current.
+    """
 
     def __init__(self, scheduler: Scheduler, log: LogClient, stream: str) -> None:
         self.stream = stream
         self.next_offset = 0
         self.end_offset = 0
         self.reachable = False
-        self.caught_up = False
+        self.current = False
         self.recent: deque[Entry] = deque(maxlen=RECENT_ENTRIES_MAX)
         self.on_expired: Callable[[int], None] | None = None
+        self.choose_relay: Callable[[], Reader | None] = lambda: None
         self._scheduler = scheduler
         self._log = log
         self._subscribers: list[Subscriber] = []
@@ -44,10 +51,19 @@
         """Hand each entry to the subscriber, after those subscribed before."""
         self._subscribers.append(subscriber)
 
+    @property
+    def caught_up(self) -> bool:
+        """Say whether everything that a current source has named is applied."""
+        return self.current and self.next_offset >= self.end_offset
+
     def start(self) -> None:
         """Begin to read the log; go on for the life of the process."""
         self._read()
 
+    def note_end(self, offset: int) -> None:
+        """Take note of an offset that a peer has reached."""
+        self.end_offset = max(self.end_offset, offset)
+
     def offer(self, entries: list[Entry]) -> None:
         """Apply the entries that come next; skip those already applied."""
         for entry in entries:
@@ -62,6 +78,7 @@
     def restart_at(self, offset: int) -> None:
         """Go on from an offset that a snapshot covers."""
         self.next_offset = offset
+        self.end_offset = max(self.end_offset, offset)
         self.recent.clear()
 
     def read_recent(self, from_offset: int, limit: int) -> list[Entry]:
@@ -71,33 +88,60 @@
         start = from_offset - self.recent[0].offset
         return [self.recent[i] for i in range(start, min(start + limit, len(self.recent)))]
 
+    def probe(self) -> None:
+        """Read the log once, to learn whether it can be reached again."""
+
+        def take(result: Result[Page, LogFailure]) -> None:
+            match result:
+                case Ok(page):
+                    self._take_page(page)
+                case Err(_):
+                    pass
+
+        self._log.read(self.stream, self.next_offset, take, wait_seconds=0.0)
+
     def _read(self) -> None:
+        relay = self.choose_relay()
+        if relay is not None:
+            relay(self.next_offset, self._on_relayed)
+            return
         wait_seconds = READ_WAIT_SECONDS if self.caught_up else 0.0
         self._log.read(self.stream, self.next_offset, self._on_page, wait_seconds=wait_seconds)
 
+    def _on_relayed(self, result: Result[Page, LogFailure]) -> None:
+        match result:
+            case Ok(page):
+                self.note_end(page.end_offset)
+                self.current = self.current or page.current
+                self.offer(page.entries)
+                self._read()
+            case Err(_):
+                self._scheduler.call_after(0, self._read)
+
     def _on_page(self, result: Result[Page, LogFailure]) -> None:
         match result:
             case Ok(page):
-                self._on_success(page)
+                self._take_page(page)
+                self._read()
             case Err(failure):
                 self._on_failure(failure)
 
-    def _on_success(self, page: Page) -> None:
+    def _take_page(self, page: Page) -> None:
         if not self.reachable:
             log_event("log_reachable", stream=self.stream, offset=page.end_offset)
         self.reachable = True
         self._retry_seconds = RETRY_SECONDS_MIN
-        self.end_offset = max(self.end_offset, page.end_offset)
+        self.note_end(page.end_offset)
+        self.current = True
         self.offer(page.entries)
-        self.caught_up = self.next_offset >= page.end_offset
-        self._read()
 
     def _on_failure(self, failure: LogFailure) -> None:
         if failure.first_offset is not None and self.on_expired is not None:
             self.on_expired(failure.first_offset)
-        elif self.reachable:
-            log_event("log_unreachable", level=30, stream=self.stream, cause=failure.cause)
-        self.reachable = False
+        else:
+            if self.reachable:
+                log_event("log_unreachable", level=30, stream=self.stream, cause=failure.cause)
+            self.reachable = False
         delay = self._retry_seconds * self._random.uniform(0.5, 1.0)
         self._retry_seconds = min(RETRY_SECONDS_MAX, self._retry_seconds * 2)
         self._scheduler.call_after(delay, self._read)
--- a/bronzetiller/platform/log_client.py
+++ b/bronzetiller/platform/log_client.py
@@ -8,6 +8,7 @@
 from attrs import define, field, frozen
 from result import Err, Ok, Result
 
+from bronzetiller.metrics import LOG_BYTES
 from bronzetiller.net.dialer import Address
 from bronzetiller.net.http_client import (
     BodyPart,
@@ -39,11 +40,15 @@
 
 @frozen
 class Page:
-    """Hold consecutive entries and the range of offsets the log still keeps."""
+    """Hold consecutive entries and the range of offsets that their source keeps.
+
+    current says whether end_offset comes from the log itself, by way of a peer or not.
+    """
 
     entries: list[Entry]
     first_offset: int
     end_offset: int
+    current: bool = True
 
 
 @frozen
@@ -76,6 +81,7 @@
     ) -> OpenCall:
         """Append records as one call; give the offset of the first."""
         body = json.dumps({"records": records}, separators=(",", ":")).encode()
+        LOG_BYTES.labels("append").inc(len(body))
         path = f"/v1/streams/{quote(stream, safe='')}/records"
         call = HttpCall(self._address, "POST", path, _JSON_HEADERS, body, APPEND_SILENCE_SECONDS)
 
@@ -106,6 +112,7 @@
                 answer.status = event.status
             elif isinstance(event, BodyPart):
                 answer.body.append(event.data)
+                LOG_BYTES.labels("read").inc(len(event.data))
             elif isinstance(event, ResponseEnd):
                 done(_read_answer(answer))
             elif isinstance(event, CallFailed):
--- a/bronzetiller/platform/writer.py
+++ b/bronzetiller/platform/writer.py
@@ -10,9 +10,12 @@
 from bronzetiller.platform.log_client import LogClient, LogFailure, Record
 
 RETRY_SECONDS = 0.25
+DIRECT_RETRY_SECONDS = 5.0
 BATCH_RECORDS_MAX = 500
 
 Acknowledged = Callable[[int], None]
+AppendDone = Callable[[Result[int, LogFailure]], None]
+Delegate = Callable[[str, list[Record], AppendDone], bool]
 
 
 @define
@@ -29,11 +32,14 @@
     ) -> None:
         self.stream = stream
         self.reachable = True
+        self.on_acknowledged: Acknowledged | None = None
+        self.delegate: Delegate | None = None
         self._scheduler = scheduler
         self._log = log
         self._interval_seconds = interval_seconds
         self._pending: list[_Pending] = []
         self._busy = False
+        self._direct_at = 0.0
 
     @property
     def backlog(self) -> int:
@@ -53,16 +59,26 @@
             self._busy = False
             return
 
+        records = [item.record for item in batch]
+        if self._scheduler.now() < self._direct_at and self.delegate is not None:
+            if self.delegate(self.stream, records, lambda result: self._finish(batch, result)):
+                return
+            self._direct_at = 0.0
+
         def finish(result: Result[int, LogFailure]) -> None:
+            failed = isinstance(result, Err)
+            self._direct_at = self._scheduler.now() + DIRECT_RETRY_SECONDS if failed else 0.0
             self._finish(batch, result)
 
-        self._log.append(self.stream, [item.record for item in batch], finish)
+        self._log.append(self.stream, records, finish)
 
     def _finish(self, batch: list[_Pending], result: Result[int, LogFailure]) -> None:
         match result:
             case Ok(first_offset):
                 self.reachable = True
                 del self._pending[: len(batch)]
+                if self.on_acknowledged is not None:
+                    self.on_acknowledged(first_offset + len(batch))
                 self._scheduler.call_after(self._interval_seconds, self._flush)
                 for index, item in enumerate(batch):
                     if item.acknowledged is not None:
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -54,6 +54,8 @@
     near_peers_max: int = field(default=8, validator=ge(1))
     far_peers_max: int = field(default=3, validator=ge(1))
     heartbeat_bytes_per_second_max: float = field(default=2_500.0, validator=gt(0))
+    relay: bool = True
+    relay_fallback_seconds: float = field(default=1.0, validator=gt(0))
     seeds: list[Address] = field(factory=list)
 
 
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -50,10 +50,11 @@
 
 @frozen
 class FetchEntries:
-    """Ask a peer for the entries of a stream from an offset on."""
+    """Ask a peer for the entries of a stream from an offset on, waiting for a first one."""
 
     stream: str
     from_offset: int
+    wait_seconds: float = 0.0
 
 
 @frozen
@@ -67,10 +68,46 @@
 
 @frozen
 class Entries:
-    """Answer FetchEntries with what the peer keeps in memory."""
+    """Answer FetchEntries with what the peer keeps in memory, from first_offset on.
+
+    end_offset is the highest offset the peer has heard of; log_reachable says whether it reads
+    the log itself.
+    """
 
     stream: str
     entries: list[RelayedEntry]
+    first_offset: int = 0
+    end_offset: int = 0
+    log_reachable: bool = False
+
+
+@frozen
+class AppendRecords:
+    """Ask a peer to append records, as JSON texts, to a stream at once."""
+
+    stream: str
+    records: list[str]
+
+
+@frozen
+class RecordsAppended:
+    """Answer AppendRecords with the offset of the first record, or the cause of a failure."""
+
+    first_offset: int | None
+    cause: str = ""
+
+
+@frozen
+class FetchVms:
+    """Ask a peer for its list of VMs."""
+
+
+@frozen
+class Vms:
+    """Answer FetchVms with the platform's JSON text and its age; empty where there is none."""
+
+    text: str
+    age_seconds: float
 
 
 @frozen
@@ -92,7 +129,18 @@
 
 
 Message = (
-    Heartbeat | KeepBill | BillKept | DropBill | FetchEntries | Entries | AskTokens | TransferTokens
+    Heartbeat
+    | KeepBill
+    | BillKept
+    | DropBill
+    | FetchEntries
+    | Entries
+    | AppendRecords
+    | RecordsAppended
+    | FetchVms
+    | Vms
+    | AskTokens
+    | TransferTokens
 )
 
 
--- a/bronzetiller/wire/sessions.py
+++ b/bronzetiller/wire/sessions.py
@@ -37,12 +37,16 @@
     _handlers: SessionHandlers
     _secret: bytes
     open: bool = False
-
-    def send(self, packet: Packet) -> None:
-        """Send a packet over an open session."""
-        if self.open:
-            self._protocol.send_binary(encode_packet(packet))
-            self._flush()
+    peer_id: str = ""
+
+    def send(self, packet: Packet) -> int:
+        """Send a packet over an open session; return its bytes."""
+        if not self.open:
+            return 0
+        data = encode_packet(packet)
+        self._protocol.send_binary(data)
+        self._flush()
+        return len(data)
 
     def feed(self, data: bytes) -> None:
         """Take what the connection received."""
@@ -71,10 +75,12 @@
         if request.headers.get(VERSION_HEADER) != str(PROTOCOL_VERSION):
             protocol.send_response(protocol.reject(426, "protocol version not spoken here\n"))
             return
-        if check_credentials(self._secret, request.headers.get("Authorization", "")) is None:
+        peer_id = check_credentials(self._secret, request.headers.get("Authorization", ""))
+        if peer_id is None:
             log_event("peer_refused", level=30)
             protocol.send_response(protocol.reject(401, "wrong credentials\n"))
             return
+        self.peer_id = peer_id
         protocol.send_response(protocol.accept(request))
         if protocol.state is State.OPEN:
             self._open()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Share fleets and small steps of tests."""
 
 import json
+import re
 import time
 import urllib.error
 import urllib.request
@@ -73,3 +74,10 @@
     """Return the records of one kind in a ledger stream, in the log's order."""
     records = [entry["record"] for entry in fleet.read_stream(stream)]
     return [record for record in records if record["kind"] == kind]
+
+
+def read_metric(address, name):
+    """Return the sum of a metric's samples."""
+    with urllib.request.urlopen(f"http://{address}/metrics", timeout=10) as response:
+        text = response.read().decode()
+    return sum(float(v) for v in re.findall(rf"^{name}(?:{{.*}})? (\S+)$", text, re.MULTILINE))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,8 +1,5 @@
 """Tell live, silent and gone nodes apart."""
 
-import re
-import urllib.request
-
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -11,18 +8,11 @@
 from bronzetiller.fleet.neighbours import choose_heartbeat_seconds, choose_neighbours
 from bronzetiller.net.dialer import Address
 from bronzetiller.platform.vm_list import Vm, VmRole, VmState
-from tests.conftest import KEY, await_ready, await_true, send_chat
+from tests.conftest import KEY, await_ready, await_true, read_metric, send_chat
 
 REACHED_AGAIN_SECONDS = 6.0
 
 
-def read_metric(address, name):
-    """Return the sum of a metric's samples."""
-    with urllib.request.urlopen(f"http://{address}/metrics", timeout=10) as response:
-        text = response.read().decode()
-    return sum(float(v) for v in re.findall(rf"^{name}(?:{{.*}})? (\S+)$", text, re.MULTILINE))
-
-
 OLD = make_incarnation("node-1", 1_000.0)
 NEW = make_incarnation("node-1", 1_000.2)
 
