--- a/bronzetiller/budgets/shards.py
+++ b/bronzetiller/budgets/shards.py
@@ -7,13 +7,14 @@
 from attrs import frozen
 from result import Err, Ok
 
-from bronzetiller.budgets.ledger import Ledger, Ruling, Verdict
+from bronzetiller.budgets.ledger import Ledger, Ruling, Verdict, dump_ledger, load_ledger
 from bronzetiller.budgets.records import LedgerRecord, dump_ledger_record, load_ledger_record
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import RULINGS
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.follower import StreamFollower
 from bronzetiller.platform.log_client import Entry, LogClient
+from bronzetiller.platform.snapshots import Fold, replace_state
 from bronzetiller.platform.writer import Acknowledged, StreamWriter
 
 RulingListener = Callable[[Entry, LedgerRecord, Ruling], None]
@@ -38,6 +39,16 @@
     writer: StreamWriter
     ledger: Ledger
 
+    def make_folds(self) -> list[Fold]:
+        """Return the states folded from the stream, for its snapshots."""
+        return [
+            Fold(
+                "ledger",
+                lambda: dump_ledger(self.ledger),
+                lambda value: replace_state(self.ledger, load_ledger(value)),
+            )
+        ]
+
 
 class Shards:
     """Give each workspace the shard that keeps its budget."""
@@ -68,11 +79,6 @@
         """Append a record to the shard of its workspace, repeating it until the log confirms."""
         self.find(record.workspace).writer.append(dump_ledger_record(record), acknowledged)
 
-    def start(self) -> None:
-        """Begin to follow every shard."""
-        for shard in self._shards:
-            shard.follower.start()
-
     def _make_shard(
         self, scheduler: Scheduler, log: LogClient, index: int, interval_seconds: float
     ) -> Shard:
--- /dev/null
+++ b/bronzetiller/configuration/archive.py
@@ -0,0 +1,70 @@
+"""Dump the configuration in force as the records it stems from, and load it again.
+
+The records themselves are kept, not what this version reads of them: a node of a newer version
+that starts from the snapshot of an older one finds everything that was published.
+"""
+
+from typing import Any
+
+from attrs import define, field, frozen
+from cattrs.preconf.json import make_converter
+
+from bronzetiller.configuration.fold import Configuration, Decision
+
+RECORDS_PER_ITEM_MAX = 4
+
+
+@frozen
+class KeptRecord:
+    """Hold one accepted record as it was published."""
+
+    offset: int
+    record: dict[str, Any]
+
+
+@define
+class Archive:
+    """Keep, by kind and name, the newest record in force here and those accepted since."""
+
+    records: dict[tuple[str, str], list[KeptRecord]] = field(factory=dict)
+
+    def note(self, decision: Decision, record: dict[str, Any]) -> None:
+        """Take note of a record and the decision on it."""
+        if not decision.accepted:
+            return
+        kept = self.records.setdefault((decision.kind, decision.name), [])
+        if decision.in_force:
+            kept.clear()
+        kept.append(KeptRecord(decision.offset, record))
+        del kept[1 : len(kept) - RECORDS_PER_ITEM_MAX + 1]
+
+
+@define
+class _Dump:
+    records: list[KeptRecord]
+    decisions: list[Decision]
+
+
+_CONVERTER = make_converter()
+
+
+def dump_configuration(configuration: Configuration, archive: Archive) -> dict[str, Any]:
+    """Return the state as JSON values, equal for equal prefixes of the stream."""
+    kept = [item for items in archive.records.values() for item in items]
+    kept.sort(key=lambda item: item.offset)
+    value: dict[str, Any] = _CONVERTER.unstructure(_Dump(kept, list(configuration.decisions)))
+    return value
+
+
+def load_configuration(
+    value: dict[str, Any], configuration: Configuration, archive: Archive
+) -> None:
+    """Replace the state by one that dump_configuration returned."""
+    dump = _CONVERTER.structure(value, _Dump)
+    configuration.clear()
+    archive.records.clear()
+    for item in dump.records:
+        decision = configuration.restore(item.offset, item.record)
+        if decision is not None:
+            archive.note(decision, item.record)
+    configuration.restore_decisions(dump.decisions)
--- a/bronzetiller/configuration/fold.py
+++ b/bronzetiller/configuration/fold.py
@@ -68,6 +68,26 @@
         self.decisions.append(decision)
         return decision
 
+    def clear(self) -> None:
+        """Forget everything, before a snapshot is loaded."""
+        self.items.clear()
+        self.decisions.clear()
+        self._by_record_id.clear()
+
+    def restore(self, offset: int, value: dict[str, Any]) -> Decision | None:
+        """Put a record back that was accepted before, out of a snapshot."""
+        match load_envelope(value):
+            case Ok(envelope):
+                return self._accept(offset, envelope)
+            case Err(_):
+                return None
+
+    def restore_decisions(self, decisions: list[Decision]) -> None:
+        """Take over the decisions of a snapshot."""
+        self.decisions.extend(decisions)
+        for decision in decisions:
+            self._by_record_id.setdefault(decision.record_id, decision)
+
     def workspaces(self) -> dict[str, Workspace]:
         """Return the workspaces in force by name."""
         return self._in_force(Kind.WORKSPACE)
@@ -100,18 +120,13 @@
             if item_kind == kind.value and item.body is not None
         }
 
+    def _accept(self, offset: int, envelope: Envelope) -> Decision:
+        note = self._put(offset, envelope)
+        return _make_decision(offset, envelope, True, not note, note or "accepted")
+
     def _decide(self, offset: int, envelope: Envelope) -> Decision:
         def decide(accepted: bool, in_force: bool, reason: str) -> Decision:
-            return Decision(
-                offset,
-                envelope.record_id,
-                envelope.kind,
-                envelope.name,
-                accepted,
-                in_force,
-                reason,
-                envelope.author,
-            )
+            return _make_decision(offset, envelope, accepted, in_force, reason)
 
         first = self._by_record_id.get(envelope.record_id)
         if first is not None:
@@ -122,8 +137,7 @@
         elif envelope.kind == Kind.TOP_UP and revision != NO_RECORD:
             decision = decide(False, False, "a top-up cannot be changed or deleted")
         else:
-            note = self._put(offset, envelope)
-            decision = decide(True, not note, note or "accepted")
+            decision = self._accept(offset, envelope)
         self._by_record_id[envelope.record_id] = decision
         return decision
 
@@ -142,3 +156,18 @@
                 kept_revision = NO_RECORD if old is None else old.in_force_revision
                 self.items[key] = Item(offset, envelope.schema, kept, kept_revision, reason)
                 return f"not in force: {reason}"
+
+
+def _make_decision(
+    offset: int, envelope: Envelope, accepted: bool, in_force: bool, reason: str
+) -> Decision:
+    return Decision(
+        offset,
+        envelope.record_id,
+        envelope.kind,
+        envelope.name,
+        accepted,
+        in_force,
+        reason,
+        envelope.author,
+    )
--- a/bronzetiller/fleet/relay.py
+++ b/bronzetiller/fleet/relay.py
@@ -14,6 +14,7 @@
 from bronzetiller.fleet.membership import Membership
 from bronzetiller.fleet.neighbours import rank_nodes
 from bronzetiller.fleet.peers import Peers, Reply
+from bronzetiller.logs import log_event
 from bronzetiller.metrics import RELAYED_ENTRIES
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.follower import PageReceived, Reader, StreamFollower
@@ -94,6 +95,7 @@
     _make_heartbeat: Callable[[], Heartbeat]
     _streams: dict[str, _Stream] = field(factory=dict)
     _avoided_until: dict[str, float] = field(factory=dict)
+    _peers_since: float | None = None
 
     def add(self, follower: StreamFollower) -> None:
         """Relay the stream of a follower."""
@@ -123,7 +125,7 @@
         usable = self._find_usable()
         near = {k: peer for k, peer in usable.items() if peer.data_centre == own.data_centre}
         readers = [k for k, peer in near.items() if peer.log_reachable and not peer.stopping]
-        if stream.follower.reachable and not own.stopping:
+        if stream.follower.direct and not own.stopping:
             readers.append(own.node_id)
         if readers:
             return choose_reader(stream.follower.stream, own.data_centre, readers)
@@ -153,9 +155,7 @@
                         for item in answer.entries
                     ]
                     RELAYED_ENTRIES.inc(len(entries))
-                    page = Page(
-                        entries, answer.first_offset, answer.end_offset, answer.log_reachable
-                    )
+                    page = Page(entries, answer.first_offset, answer.end_offset, answer.current)
                     received(Ok(page))
                 case _:
                     self._avoid(node_id)
@@ -176,7 +176,8 @@
         live = self._membership.live()
         for peer in live.values():
             follower.note_end(peer.next_offsets.get(follower.stream, 0))
-        if not follower.reachable and now - stream.probed_at >= PROBE_SECONDS:
+        self._settle(follower, live, now)
+        if not follower.direct and now - stream.probed_at >= PROBE_SECONDS:
             stream.probed_at = now
             follower.probe()
         if follower.next_offset >= follower.end_offset:
@@ -189,6 +190,20 @@
             self._avoid_reader(stream)
         self._catch_up(stream, far=late or self._is_first(stream, live))
 
+    def _settle(self, follower: StreamFollower, live: dict[str, Heartbeat], now: float) -> None:
+        """Complete a stream from peers alone, once all had time to name their offsets."""
+        if follower.complete or follower.reachable:
+            return
+        if not any(peer.ready for peer in live.values()):
+            self._peers_since = None
+            return
+        if self._peers_since is None:
+            self._peers_since = now
+        settled = now - self._peers_since >= self._settings.fleet.silence_seconds
+        if settled and follower.next_offset >= follower.end_offset:
+            log_event("complete_from_peers", stream=follower.stream, offset=follower.next_offset)
+            follower.complete = True
+
     def _avoid_reader(self, stream: _Stream) -> None:
         reader = self._find_reader(stream)
         if reader is not None and reader != self._settings.node_id:
@@ -201,7 +216,7 @@
         return reader == own.node_id
 
     def _catch_up(self, stream: _Stream, *, far: bool) -> None:
-        if stream.fetching or (stream.follower.reachable and not far):
+        if stream.fetching or (stream.follower.direct and not far):
             return
         follower = stream.follower
         own = self._make_heartbeat()
@@ -264,5 +279,5 @@
             entries=entries,
             first_offset=first_offset,
             end_offset=follower.end_offset,
-            log_reachable=follower.reachable,
+            current=follower.reachable,
         )
--- /dev/null
+++ b/bronzetiller/fleet/snapshot_keeper.py
@@ -0,0 +1,249 @@
+"""Start each stream from a snapshot and write new ones before the log drops their records.
+
+Any node may write a snapshot. The first by rank writes when one is due; the next ones wait a
+little longer each, so that one writes for all and a missing node holds nothing up.
+"""
+
+import time
+from collections.abc import Callable
+
+from attrs import define, field
+from result import Err, Ok, Result
+
+from bronzetiller.fleet.membership import Membership
+from bronzetiller.fleet.neighbours import rank_nodes
+from bronzetiller.fleet.peers import Peers, Reply
+from bronzetiller.fleet.snapshot_reader import Found, LogSearch, PeerTransfer
+from bronzetiller.logs import log_event
+from bronzetiller.metrics import SNAPSHOTS
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.platform.follower import StreamFollower
+from bronzetiller.platform.log_client import LogClient, LogFailure
+from bronzetiller.platform.snapshots import (
+    Fold,
+    Snapshot,
+    dump_piece,
+    name_snapshot_stream,
+    split_snapshot,
+)
+from bronzetiller.settings import Settings
+from bronzetiller.wire.messages import FetchSnapshot, NoSnapshot, SnapshotMark, SnapshotPiece
+
+CHECK_SECONDS = 0.5
+RETRY_SECONDS = 0.5
+CACHE_SECONDS = 30.0
+UNKNOWN = SnapshotMark(0, 0.0)
+
+
+@define(eq=False)
+class _Stream:
+    follower: StreamFollower
+    folds: list[Fold]
+    newest: SnapshotMark
+    due_since: float | None = None
+    started: bool = False
+    loading: bool = False
+    writing: bool = False
+    cached: list[SnapshotPiece] = field(factory=list)
+
+
+def is_due(
+    mark: SnapshotMark, next_offset: int, now: float, *, records_max: int, age_seconds_max: float
+) -> bool:
+    """Say whether the newest snapshot of a stream lies too far back, by records or by age."""
+    if next_offset == 0:
+        return False
+    return next_offset - mark.offset >= records_max or now - mark.at >= age_seconds_max
+
+
+@define(eq=False)
+class SnapshotKeeper:
+    """Load, write and serve the snapshots of all streams that the node follows."""
+
+    _scheduler: Scheduler
+    _log: LogClient
+    _peers: Peers
+    _membership: Membership
+    _settings: Settings
+    _streams: dict[str, _Stream] = field(factory=dict)
+    _loaded: list[Callable[[str], None]] = field(factory=list)
+
+    def add(self, follower: StreamFollower, folds: list[Fold]) -> None:
+        """Keep snapshots of the folds of a stream; load them in the given order."""
+        none_yet = SnapshotMark(0, time.time())
+        stream = self._streams[follower.stream] = _Stream(follower, folds, none_yet)
+        follower.on_expired = lambda first_offset: self._on_expired(stream, first_offset)
+
+    def subscribe(self, listener: Callable[[str], None]) -> None:
+        """Call the listener with the stream after a snapshot replaced entries not seen."""
+        self._loaded.append(listener)
+
+    def start(self) -> None:
+        """Load each stream's newest snapshot, then follow it."""
+        self._peers.on(FetchSnapshot, self._on_fetch)
+        for stream in self._streams.values():
+            self._load(stream)
+        self._scheduler.call_every(CHECK_SECONDS, self._check)
+
+    def marks(self) -> dict[str, SnapshotMark]:
+        """Return the newest snapshot known of each stream."""
+        return {name: item.newest for name, item in self._streams.items() if item.newest.offset}
+
+    def _on_expired(self, stream: _Stream, first_offset: int) -> None:
+        log_event("records_expired", level=30, stream=stream.follower.stream, first=first_offset)
+        self._load(stream)
+
+    def _load(self, stream: _Stream) -> None:
+        if stream.loading:
+            return
+        stream.loading = True
+
+        def finish(result: Result[Found, LogFailure]) -> None:
+            match result:
+                case Ok(found) if self._take_found(stream, found) or not stream.started:
+                    self._finish_loading(stream)
+                case _:
+                    self._load_from_peer(stream)
+
+        LogSearch(self._log, stream.follower.stream, finish).start()
+
+    def _take_found(self, stream: _Stream, found: Found) -> bool:
+        if found.snapshot is None:
+            return False
+        self._note(stream, SnapshotMark(found.snapshot.offset, found.at))
+        return self._apply(stream, found.snapshot)
+
+    def _load_from_peer(self, stream: _Stream) -> None:
+        node_id = self._choose_peer(stream.follower)
+        if node_id is None:
+            self._retry(stream)
+            return
+
+        def finish(snapshot: Snapshot | None) -> None:
+            if snapshot is None:
+                self._retry(stream)
+                return
+            self._apply(stream, snapshot)
+            self._finish_loading(stream)
+
+        PeerTransfer(self._peers, node_id, stream.follower.stream, finish).start()
+
+    def _choose_peer(self, follower: StreamFollower) -> str | None:
+        connected = set(self._peers.connected())
+        offsets = [
+            (peer.next_offsets.get(follower.stream, 0), node_id)
+            for node_id, peer in self._membership.live().items()
+            if node_id in connected and peer.ready
+        ]
+        return max(offsets)[1] if offsets else None
+
+    def _retry(self, stream: _Stream) -> None:
+        stream.loading = False
+        if stream.started:
+            return
+        self._scheduler.call_after(RETRY_SECONDS, lambda: self._load(stream))
+
+    def _finish_loading(self, stream: _Stream) -> None:
+        stream.loading = False
+        if not stream.started:
+            stream.started = True
+            stream.follower.start()
+
+    def _apply(self, stream: _Stream, snapshot: Snapshot) -> bool:
+        """Take over a snapshot, unless the state is already newer; return whether it was taken."""
+        follower = stream.follower
+        missing = [fold.name for fold in stream.folds if fold.name not in snapshot.states]
+        if missing or snapshot.offset <= follower.next_offset:
+            SNAPSHOTS.labels("skipped").inc()
+            return False
+        for fold in stream.folds:
+            fold.load(snapshot.states[fold.name])
+        follower.restart_at(snapshot.offset)
+        SNAPSHOTS.labels("loaded").inc()
+        log_event("snapshot_loaded", stream=follower.stream, offset=snapshot.offset)
+        for listener in self._loaded:
+            listener(follower.stream)
+        return True
+
+    def _note(self, stream: _Stream, mark: SnapshotMark) -> None:
+        if (mark.offset, mark.at) > (stream.newest.offset, stream.newest.at):
+            stream.newest = mark
+
+    def _check(self) -> None:
+        peers = self._membership.live().values()
+        for name, stream in self._streams.items():
+            for peer in peers:
+                self._note(stream, peer.snapshots.get(name, UNKNOWN))
+            self._check_stream(stream)
+
+    def _check_stream(self, stream: _Stream) -> None:
+        settings = self._settings.snapshots
+        follower = stream.follower
+        due = is_due(
+            stream.newest,
+            follower.next_offset,
+            time.time(),
+            records_max=settings.records_max,
+            age_seconds_max=settings.age_seconds_max,
+        )
+        if not due or not follower.caught_up or stream.writing:
+            stream.due_since = None
+            return
+        now = self._scheduler.now()
+        if stream.due_since is None:
+            stream.due_since = now
+        delay = self._rank(follower.stream) * settings.rank_delay_seconds
+        if now - stream.due_since >= delay:
+            self._write(stream)
+
+    def _rank(self, stream: str) -> int:
+        peers = self._membership.live().items()
+        able = [k for k, peer in peers if peer.ready and peer.log_reachable and not peer.stopping]
+        own = self._settings.node_id
+        return rank_nodes(f"snapshot/{stream}", [*able, own]).index(own)
+
+    def _write(self, stream: _Stream) -> None:
+        follower = stream.follower
+        pieces = split_snapshot(follower.stream, follower.next_offset, stream.folds)
+        stream.writing = True
+        self._append(stream, pieces, 0)
+
+    def _append(self, stream: _Stream, pieces: list[SnapshotPiece], index: int) -> None:
+        def finish(result: Result[int, LogFailure]) -> None:
+            match result:
+                case Ok(_) if index + 1 < len(pieces):
+                    self._append(stream, pieces, index + 1)
+                case Ok(_):
+                    self._finish_writing(stream, pieces)
+                case Err(failure):
+                    stream.writing = False
+                    SNAPSHOTS.labels("write_failed").inc()
+                    log_event("snapshot_not_written", level=30, cause=failure.cause)
+
+        name = name_snapshot_stream(stream.follower.stream)
+        self._log.append(name, [dump_piece(pieces[index])], finish)
+
+    def _finish_writing(self, stream: _Stream, pieces: list[SnapshotPiece]) -> None:
+        stream.writing = False
+        self._note(stream, SnapshotMark(pieces[0].offset, time.time()))
+        SNAPSHOTS.labels("written").inc()
+        log_event(
+            "snapshot_written",
+            stream=stream.follower.stream,
+            offset=pieces[0].offset,
+            pieces=len(pieces),
+            characters=sum(len(piece.data) for piece in pieces),
+        )
+
+    def _on_fetch(self, request: FetchSnapshot, reply: Reply) -> None:
+        stream = self._streams.get(request.stream)
+        if stream is None or not stream.follower.next_offset:
+            reply(NoSnapshot())
+            return
+        if request.offset is None:
+            follower = stream.follower
+            stream.cached = split_snapshot(follower.stream, follower.next_offset, stream.folds)
+            self._scheduler.call_after(CACHE_SECONDS, lambda: stream.cached.clear())
+        pieces = stream.cached
+        wanted = request.piece < len(pieces) and request.offset in (None, pieces[0].offset)
+        reply(pieces[request.piece] if wanted else NoSnapshot())
--- /dev/null
+++ b/bronzetiller/fleet/vm_relay.py
@@ -0,0 +1,76 @@
+"""Take the list of VMs from a peer while the platform does not give it."""
+
+from attrs import define
+from result import Ok, Result
+
+from bronzetiller.fleet.membership import Membership
+from bronzetiller.fleet.peers import Peers, PeerVm, Reply
+from bronzetiller.logs import log_event
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.platform.vm_list import VmList
+from bronzetiller.settings import Settings
+from bronzetiller.wire.messages import FetchVms, Message, Vms
+
+CHECK_SECONDS = 1.0
+ANSWER_SECONDS = 2.0
+STALE_SECONDS = 5.0
+FRESHER_SECONDS = 2.0
+SEED_PREFIX = "seed-"
+
+
+@define(eq=False)
+class VmRelay:
+    """Serve the list to peers and adopt a fresher one of theirs."""
+
+    _scheduler: Scheduler
+    _peers: Peers
+    _membership: Membership
+    _vm_list: VmList
+    _settings: Settings
+    _asking: bool = False
+
+    def start(self) -> None:
+        """Begin to serve and to watch the age of the own list."""
+        self._peers.on(FetchVms, self._on_fetch)
+        self._scheduler.call_every(CHECK_SECONDS, self._check)
+
+    def _age_seconds(self) -> float | None:
+        read_at = self._vm_list.read_at
+        return None if read_at is None else self._scheduler.now() - read_at
+
+    def _check(self) -> None:
+        age = self._age_seconds()
+        if self._asking or (age is not None and age < STALE_SECONDS):
+            return
+        if age is None and not self._peers.connected():
+            seeds = self._settings.fleet.seeds
+            self._peers.set_peers([PeerVm(f"{SEED_PREFIX}{seed}", seed) for seed in seeds])
+            return
+        node_id = self._choose_peer(age)
+        if node_id is not None:
+            self._asking = True
+            self._peers.ask(node_id, FetchVms(), ANSWER_SECONDS, self._take)
+
+    def _choose_peer(self, age: float | None) -> str | None:
+        connected = self._peers.connected()
+        if age is None:
+            return connected[0] if connected else None
+        own = self._settings.data_centre
+        ages = [
+            (peer.data_centre != own, peer.vm_list_age_seconds, node_id)
+            for node_id, peer in self._membership.live().items()
+            if node_id in connected
+            and peer.vm_list_age_seconds is not None
+            and peer.vm_list_age_seconds < age - FRESHER_SECONDS
+        ]
+        return min(ages)[2] if ages else None
+
+    def _take(self, result: Result[Message, str]) -> None:
+        self._asking = False
+        match result:
+            case Ok(Vms(text, age_seconds)) if text:
+                log_event("vm_list_from_peer", age_seconds=round(age_seconds, 1))
+                self._vm_list.adopt(text, age_seconds)
+
+    def _on_fetch(self, request: FetchVms, reply: Reply) -> None:
+        reply(Vms(self._vm_list.text, self._age_seconds() or 0.0))
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -33,6 +33,9 @@
     ["outcome"],
     registry=REGISTRY,
 )
+SNAPSHOTS = Counter(
+    "bronzetiller_snapshots", "Snapshots by what became of them.", ["outcome"], registry=REGISTRY
+)
 SENT_BYTES = Counter(
     "bronzetiller_sent_bytes",
     "Bytes sent to peers, by message and by how far the peer is.",
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -12,12 +12,15 @@
 from bronzetiller.callers.api import ApiServices, make_application
 from bronzetiller.callers.chat import ChatServices
 from bronzetiller.callers.problems import reject_malformed
+from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.fleet.delegation import Delegation
 from bronzetiller.fleet.incarnations import make_incarnation
 from bronzetiller.fleet.membership import Membership
 from bronzetiller.fleet.peers import Peers
 from bronzetiller.fleet.relay import Relay
+from bronzetiller.fleet.snapshot_keeper import SnapshotKeeper
+from bronzetiller.fleet.vm_relay import VmRelay
 from bronzetiller.logs import log_event
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.http_client import HttpClient
@@ -25,6 +28,7 @@
 from bronzetiller.net.loop import Loop, make_loop
 from bronzetiller.platform.follower import StreamFollower
 from bronzetiller.platform.log_client import Entry, LogClient
+from bronzetiller.platform.snapshots import Fold
 from bronzetiller.platform.vm_list import VmList, VmState
 from bronzetiller.requests.billing import Biller
 from bronzetiller.routing.targets import TargetChooser
@@ -74,6 +78,9 @@
             scheduler, self.peers, self.vm_list, settings, self._make_heartbeat
         )
         self.relay = Relay(scheduler, self.peers, self.membership, settings, self._make_heartbeat)
+        self.archive = Archive()
+        self.snapshots = SnapshotKeeper(scheduler, self.log, self.peers, self.membership, settings)
+        self.vm_relay = VmRelay(scheduler, self.peers, self.membership, self.vm_list, settings)
         self.delegation = Delegation(self.peers, self.membership, self.log, self._make_heartbeat)
         self.holdings = Holdings()
         self.keeper = GrantKeeper(
@@ -99,15 +106,17 @@
         self.configuration_follower.subscribe(self._on_configuration)
         for follower in self._followers():
             self.relay.add(follower)
+        self.snapshots.add(self.configuration_follower, [self._make_configuration_fold()])
         for shard in self.shards.all:
+            self.snapshots.add(shard.follower, shard.make_folds())
             shard.writer.on_acknowledged = shard.follower.note_end
             shard.writer.delegate = self.delegation.append
         self.delegation.start()
         self.membership.start()
         self.relay.start()
         self.vm_list.start()
-        self.configuration_follower.start()
-        self.shards.start()
+        self.vm_relay.start()
+        self.snapshots.start()
         scheduler = self.loop.scheduler
         scheduler.call_every(CREDIT_CHECK_SECONDS, self._post_credits)
         callers = f"{self.settings.listen.callers.ip}:{self.server.port}"
@@ -127,7 +136,7 @@
     def is_ready(self) -> bool:
         """Say whether the node has read every stream to its end since it started."""
         if not self._was_ready:
-            self._was_ready = all(follower.caught_up for follower in self._followers())
+            self._was_ready = all(follower.complete for follower in self._followers())
         return self._was_ready
 
     def _followers(self) -> list[StreamFollower]:
@@ -165,8 +174,16 @@
         live = [vm for vm in routers if vm.state is VmState.LIVE]
         return [str(vm.address) for vm in live]
 
+    def _make_configuration_fold(self) -> Fold:
+        return Fold(
+            "configuration",
+            lambda: dump_configuration(self.configuration, self.archive),
+            lambda value: load_configuration(value, self.configuration, self.archive),
+        )
+
     def _on_configuration(self, entry: Entry) -> None:
         decision = self.configuration.apply(entry.offset, entry.record)
+        self.archive.note(decision, entry.record)
         log_event(
             "record_decided",
             offset=entry.offset,
@@ -194,8 +211,9 @@
             stopping=self.stopping,
             next_offsets={item.stream: item.next_offset for item in followers},
             ready=self.is_ready(),
-            log_reachable=all(item.reachable for item in followers),
+            log_reachable=all(item.direct for item in followers),
             vm_list_age_seconds=None if read_at is None else self.peers.now() - read_at,
+            snapshots=self.snapshots.marks(),
         )
 
     def _make_report(self) -> dict[str, Any]:
--- a/bronzetiller/platform/follower.py
+++ b/bronzetiller/platform/follower.py
@@ -28,16 +28,18 @@
 class StreamFollower:
     """Apply entries once and in order, from the log or from a peer that relays it.
 
-    reachable says whether the last read of the log itself succeeded; end_offset is the highest
-    offset that the log or a peer has named, and counts once a source is known to be current.
+    direct says whether the last read of the log itself succeeded; reachable whether the source
+    in use, the log or a peer, is current; end_offset is the highest offset that the log or a peer
+    has named. complete says that the stream was once read to its end since the start.
     """
 
     def __init__(self, scheduler: Scheduler, log: LogClient, stream: str) -> None:
         self.stream = stream
         self.next_offset = 0
         self.end_offset = 0
+        self.direct = False
         self.reachable = False
-        self.current = False
+        self.complete = False
         self.recent: deque[Entry] = deque(maxlen=RECENT_ENTRIES_MAX)
         self.on_expired: Callable[[int], None] | None = None
         self.choose_relay: Callable[[], Reader | None] = lambda: None
@@ -53,8 +55,8 @@
 
     @property
     def caught_up(self) -> bool:
-        """Say whether everything that a current source has named is applied."""
-        return self.current and self.next_offset >= self.end_offset
+        """Say whether the source is current and everything that was named is applied."""
+        return self.reachable and self.next_offset >= self.end_offset
 
     def start(self) -> None:
         """Begin to read the log; go on for the life of the process."""
@@ -94,9 +96,8 @@
         def take(result: Result[Page, LogFailure]) -> None:
             match result:
                 case Ok(page):
+                    self.direct = True
                     self._take_page(page)
-                case Err(_):
-                    pass
 
         self._log.read(self.stream, self.next_offset, take, wait_seconds=0.0)
 
@@ -111,9 +112,7 @@
     def _on_relayed(self, result: Result[Page, LogFailure]) -> None:
         match result:
             case Ok(page):
-                self.note_end(page.end_offset)
-                self.current = self.current or page.current
-                self.offer(page.entries)
+                self._take_page(page)
                 self._read()
             case Err(_):
                 self._scheduler.call_after(0, self._read)
@@ -121,27 +120,30 @@
     def _on_page(self, result: Result[Page, LogFailure]) -> None:
         match result:
             case Ok(page):
+                self.direct = True
                 self._take_page(page)
                 self._read()
             case Err(failure):
                 self._on_failure(failure)
 
     def _take_page(self, page: Page) -> None:
-        if not self.reachable:
+        if page.current and not self.reachable:
             log_event("log_reachable", stream=self.stream, offset=page.end_offset)
-        self.reachable = True
+        self.reachable = page.current
         self._retry_seconds = RETRY_SECONDS_MIN
         self.note_end(page.end_offset)
-        self.current = True
         self.offer(page.entries)
+        self.complete = self.complete or self.caught_up
 
     def _on_failure(self, failure: LogFailure) -> None:
-        if failure.first_offset is not None and self.on_expired is not None:
-            self.on_expired(failure.first_offset)
+        if failure.first_offset is not None:
+            self.direct = True
+            if self.on_expired is not None:
+                self.on_expired(failure.first_offset)
         else:
             if self.reachable:
                 log_event("log_unreachable", level=30, stream=self.stream, cause=failure.cause)
-            self.reachable = False
+            self.direct = self.reachable = False
         delay = self._retry_seconds * self._random.uniform(0.5, 1.0)
         self._retry_seconds = min(RETRY_SECONDS_MAX, self._retry_seconds * 2)
         self._scheduler.call_after(delay, self._read)
--- a/bronzetiller/platform/log_client.py
+++ b/bronzetiller/platform/log_client.py
@@ -97,9 +97,10 @@
         done: Callable[[Result[Page, LogFailure]], None],
         *,
         wait_seconds: float = READ_WAIT_SECONDS,
+        records_max: int = READ_RECORDS_MAX,
     ) -> OpenCall:
         """Read a page from the offset on, waiting for a first entry where there is none."""
-        query = f"from={from_offset}&limit={READ_RECORDS_MAX}&wait_ms={int(wait_seconds * 1000)}"
+        query = f"from={from_offset}&limit={records_max}&wait_ms={int(wait_seconds * 1000)}"
         path = f"/v1/streams/{quote(stream, safe='')}/records?{query}"
         call = HttpCall(self._address, "GET", path, {}, b"", READ_SILENCE_SECONDS)
         return self._call(call, lambda result: done(result.map(_make_page)))
--- /dev/null
+++ b/bronzetiller/platform/snapshots.py
@@ -0,0 +1,119 @@
+"""Cut the state of a fold into records below the log's size limit, and put it together again.
+
+Equal states give equal snapshots, so that pieces written by different nodes for one offset can be
+mixed; the digest tells whether a set of pieces is whole.
+"""
+
+import base64
+import hashlib
+import json
+import zlib
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from attrs import define, field, fields, frozen
+from cattrs import Converter
+
+from bronzetiller.platform.log_client import Record
+from bronzetiller.wire.messages import SnapshotPiece
+
+PIECE_CHARACTERS = 128 * 1024
+SCHEMA_VERSION = 1
+
+
+@frozen
+class Fold:
+    """Name a state that is folded from a stream; dump gives JSON values, load takes them."""
+
+    name: str
+    dump: Callable[[], Any]
+    load: Callable[[Any], None]
+
+
+@frozen
+class Snapshot:
+    """Hold the states of a stream's folds by name; offset is the next entry to apply."""
+
+    stream: str
+    offset: int
+    digest: str
+    states: dict[str, Any]
+
+
+def replace_state(target: Any, source: Any) -> None:
+    """Give an attrs object the state of another, for those who hold the object."""
+    for attribute in fields(type(target)):
+        setattr(target, attribute.name, getattr(source, attribute.name))
+
+
+def name_snapshot_stream(stream: str) -> str:
+    """Return the stream that keeps the snapshots of a stream."""
+    return f"{stream}-snapshots"
+
+
+def split_snapshot(stream: str, offset: int, folds: Iterable[Fold]) -> list[SnapshotPiece]:
+    """Dump the folds of a stream in pieces; the order of keys has no part in it."""
+    states = {fold.name: fold.dump() for fold in folds}
+    value = {"schema": SCHEMA_VERSION, "states": states}
+    data = zlib.compress(json.dumps(value, separators=(",", ":")).encode(), 6)
+    digest = hashlib.sha256(data).hexdigest()
+    text = base64.b85encode(data).decode()
+    parts = [text[i : i + PIECE_CHARACTERS] for i in range(0, len(text), PIECE_CHARACTERS)]
+    return [
+        SnapshotPiece(stream, offset, index, len(parts), digest, part)
+        for index, part in enumerate(parts)
+    ]
+
+
+def join_snapshot(pieces: list[SnapshotPiece]) -> Snapshot | None:
+    """Return the snapshot of a whole set of pieces, or nothing where it is not whole or valid."""
+    first = pieces[0]
+    text = "".join(piece.data for piece in sorted(pieces, key=lambda piece: piece.piece))
+    try:
+        data = base64.b85decode(text)
+        if hashlib.sha256(data).hexdigest() != first.digest:
+            return None
+        value = json.loads(zlib.decompress(data))
+    except (ValueError, zlib.error):
+        return None
+    if value["schema"] != SCHEMA_VERSION:
+        return None
+    return Snapshot(first.stream, first.offset, first.digest, value["states"])
+
+
+@define
+class PieceCollector:
+    """Collect pieces in any order until snapshots are whole."""
+
+    snapshots: list[Snapshot] = field(factory=list)
+    _sets: dict[tuple[int, str], dict[int, SnapshotPiece]] = field(factory=dict)
+
+    def add(self, piece: SnapshotPiece) -> None:
+        """Take one piece; a set that is complete becomes a snapshot, if its digest holds."""
+        pieces = self._sets.setdefault((piece.offset, piece.digest), {})
+        pieces[piece.piece] = piece
+        if len(pieces) == piece.pieces:
+            snapshot = join_snapshot(list(pieces.values()))
+            if snapshot is not None:
+                self.snapshots.append(snapshot)
+
+    def find_newest(self) -> Snapshot | None:
+        """Return the whole snapshot with the highest offset."""
+        return max(self.snapshots, key=lambda snapshot: snapshot.offset, default=None)
+
+
+_CONVERTER = Converter()
+
+
+def dump_piece(piece: SnapshotPiece) -> Record:
+    """Return a piece as it is written to the log."""
+    record: Record = _CONVERTER.unstructure(piece)
+    return record
+
+
+def load_piece(record: Record) -> SnapshotPiece | None:
+    """Read a piece from the log, or nothing where it is malformed."""
+    try:
+        return _CONVERTER.structure(record, SnapshotPiece)
+    except Exception:  # cattrs raises groups of many kinds for malformed input
+        return None
--- a/bronzetiller/platform/vm_list.py
+++ b/bronzetiller/platform/vm_list.py
@@ -58,6 +58,7 @@
         self.vms: dict[str, Vm] = {}
         self.reachable = False
         self.read_at: float | None = None
+        self.text = ""
         self._scheduler = scheduler
         self._http = http
         self._address = address
@@ -102,8 +103,20 @@
                 log_event("vm_list_unreachable", level=30)
             self.reachable = False
             return
+        assert body is not None
         self.reachable = True
-        self.read_at = self._scheduler.now()
+        self._set(vms, body.decode(), self._scheduler.now())
+
+    def adopt(self, text: str, age_seconds: float) -> None:
+        """Take the list, as JSON text, that a peer has read."""
+        vms = _read_vms(text.encode())
+        read_at = self._scheduler.now() - age_seconds
+        if vms is not None and (self.read_at is None or read_at > self.read_at):
+            self._set(vms, text, read_at)
+
+    def _set(self, vms: dict[str, Vm], text: str, read_at: float) -> None:
+        self.text = text
+        self.read_at = read_at
         if vms != self.vms:
             self.vms = vms
             for subscriber in self._subscribers:
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -59,6 +59,15 @@
     seeds: list[Address] = field(factory=list)
 
 
+@frozen
+class SnapshotSettings:
+    """Set when states are written to the log, well before it drops their records."""
+
+    records_max: int = field(default=5_000, validator=gt(0))
+    age_seconds_max: float = field(default=3_600.0, validator=gt(0))
+    rank_delay_seconds: float = field(default=3.0, validator=gt(0))
+
+
 @frozen
 class LimitSettings:
     """Bound what one caller may ask of a node."""
@@ -81,6 +90,7 @@
     platform: PlatformSettings
     budgets: BudgetSettings = field(factory=BudgetSettings)
     fleet: FleetSettings = field(factory=FleetSettings)
+    snapshots: SnapshotSettings = field(factory=SnapshotSettings)
     limits: LimitSettings = field(factory=LimitSettings)
     log_level: str = field(default="INFO", validator=matches_re("DEBUG|INFO|WARNING|ERROR"))
 
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -7,6 +7,14 @@
 PROTOCOL_VERSION = 1
 
 
+@frozen
+class SnapshotMark:
+    """Name the newest snapshot of a stream: the next offset and its time (seconds, Unix)."""
+
+    offset: int
+    at: float
+
+
 @frozen
 class Heartbeat:
     """Tell a peer who and where a node is and how far it has read each stream.
@@ -25,6 +33,7 @@
     ready: bool = False
     log_reachable: bool = False
     vm_list_age_seconds: float | None = None
+    snapshots: dict[str, SnapshotMark] = field(factory=dict)
 
 
 @frozen
@@ -70,15 +79,41 @@
 class Entries:
     """Answer FetchEntries with what the peer keeps in memory, from first_offset on.
 
-    end_offset is the highest offset the peer has heard of; log_reachable says whether it reads
-    the log itself.
+    end_offset is the highest offset the peer has heard of; current says whether what it reads
+    comes from the log, by way of others or not.
     """
 
     stream: str
     entries: list[RelayedEntry]
     first_offset: int = 0
     end_offset: int = 0
-    log_reachable: bool = False
+    current: bool = False
+
+
+@frozen
+class FetchSnapshot:
+    """Ask a peer for one piece of the state of a stream, of a given offset or of any."""
+
+    stream: str
+    piece: int
+    offset: int | None = None
+
+
+@frozen
+class SnapshotPiece:
+    """Carry one piece of a snapshot; offset is the next one to apply, digest that of the whole."""
+
+    stream: str
+    offset: int
+    piece: int
+    pieces: int
+    digest: str
+    data: str
+
+
+@frozen
+class NoSnapshot:
+    """Answer FetchSnapshot where there is nothing to give."""
 
 
 @frozen
@@ -135,6 +170,9 @@
     | DropBill
     | FetchEntries
     | Entries
+    | FetchSnapshot
+    | SnapshotPiece
+    | NoSnapshot
     | AppendRecords
     | RecordsAppended
     | FetchVms
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -23,6 +23,7 @@
 from attrs import define, field
 
 FLEET_SECRET = "a-secret-for-stand-ins-only"
+END_OFFSET = 10**12
 READY_PREFIX = "ready "
 
 
@@ -237,12 +238,13 @@
     def read_stream(self, stream: str) -> list[dict[str, Any]]:
         """Return the entries that the log keeps of a stream."""
         path = f"/v1/streams/{stream}/records"
-        entries: list[dict[str, Any]] = []
-        while True:
-            page = call_json(self.log_address, f"{path}?from={len(entries)}&limit=5000")
+        page = call_json(self.log_address, f"{path}?from={END_OFFSET}")
+        offset, entries = page["first_offset"], []
+        while offset < page["end_offset"]:
+            page = call_json(self.log_address, f"{path}?from={offset}&limit=5000")
             entries += page["records"]
-            if len(entries) >= page["end_offset"]:
-                return entries
+            offset += len(page["records"])
+        return entries
 
     def caller_address(self, node_id: str) -> str:
         return self.processes[node_id].ready["callers"]
--- /dev/null
+++ b/tests/test_snapshots.py
@@ -0,0 +1,209 @@
+"""Write states to the log, start from them and never fall back behind them."""
+
+import json
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bronzetiller.budgets.ledger import Ledger, dump_ledger, load_ledger
+from bronzetiller.budgets.records import Bill, Charge, Credit, Grant, Return
+from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
+from bronzetiller.configuration.fold import Configuration
+from bronzetiller.platform.snapshots import (
+    PIECE_CHARACTERS,
+    Fold,
+    PieceCollector,
+    dump_piece,
+    join_snapshot,
+    load_piece,
+    split_snapshot,
+)
+from tests.conftest import KEY, await_ready, await_true, read_metric, send_chat
+
+IDS = st.sampled_from(["a", "b", "c"])
+TOKENS = st.integers(1, 50)
+LEDGER_RECORDS = st.lists(
+    st.one_of(
+        st.builds(Credit, credit_id=IDS, workspace=IDS, tokens=TOKENS),
+        st.builds(Grant, grant_id=IDS, workspace=IDS, holder=IDS, tokens=TOKENS),
+        st.builds(
+            lambda workspace, request, grant, tokens: Bill(
+                workspace, request, "print", "node", tokens, [Charge(grant, tokens)]
+            ),
+            IDS,
+            IDS,
+            IDS,
+            TOKENS,
+        ),
+        st.builds(Return, return_id=IDS, workspace=IDS, holder=IDS, grant_id=IDS, tokens=TOKENS),
+    ),
+    max_size=40,
+)
+
+
+def make_operator_record(record_id, name, replaces, schema, weight):
+    return {
+        "record_id": str(record_id),
+        "schema": schema,
+        "kind": "workspace",
+        "name": name,
+        "replaces": replaces,
+        "author": "operator",
+        "body": {"weight": weight} if weight else None,
+    }
+
+
+OPERATOR_RECORDS = st.lists(
+    st.builds(
+        make_operator_record,
+        st.integers(0, 60),
+        IDS,
+        st.integers(-1, 12),
+        st.sampled_from([1, 2, 99]),
+        st.integers(0, 3),
+    ),
+    max_size=30,
+)
+
+
+def fold_ledger(records, ledger, start=0):
+    return [ledger.apply(float(start + i), record) for i, record in enumerate(records)]
+
+
+def fold_configuration(records, configuration, archive, start=0):
+    for offset, record in enumerate(records, start):
+        archive.note(configuration.apply(offset, record), record)
+
+
+def pack(fold_name, value):
+    """Take a state through pieces, as the log would keep it."""
+    pieces = split_snapshot("stream", 7, [Fold(fold_name, lambda: value, lambda state: None)])
+    collector = PieceCollector()
+    for piece in reversed(pieces):
+        record = json.loads(json.dumps(dump_piece(piece)))
+        collector.add(load_piece(record))
+    return collector.find_newest().states[fold_name], pieces
+
+
+@given(LEDGER_RECORDS, st.integers(0, 40))
+@settings(derandomize=True, deadline=None)
+def test_a_ledger_loaded_at_any_offset_goes_on_like_one_that_read_it_all(records, cut):
+    whole, first = Ledger(), Ledger()
+    rulings = fold_ledger(records, whole)
+    fold_ledger(records[:cut], first)
+    value, pieces = pack("ledger", dump_ledger(first))
+    loaded = load_ledger(value)
+    assert pack("ledger", dump_ledger(loaded))[1] == pieces
+    assert fold_ledger(records[cut:], loaded, cut) == rulings[cut:]
+    assert dump_ledger(loaded) == dump_ledger(whole)
+
+
+@given(OPERATOR_RECORDS, st.integers(0, 30))
+@settings(derandomize=True, deadline=None)
+def test_a_configuration_loaded_at_any_offset_goes_on_like_one_that_read_it_all(records, cut):
+    whole, whole_archive = Configuration(), Archive()
+    fold_configuration(records, whole, whole_archive)
+    first, first_archive = Configuration(), Archive()
+    fold_configuration(records[:cut], first, first_archive)
+    value, _ = pack("configuration", dump_configuration(first, first_archive))
+    loaded, archive = Configuration(), Archive()
+    load_configuration(value, loaded, archive)
+    fold_configuration(records[cut:], loaded, archive, min(cut, len(records)))
+    assert loaded.workspaces() == whole.workspaces()
+    assert dump_configuration(loaded, archive) == dump_configuration(whole, whole_archive)
+
+
+def test_a_snapshot_keeps_records_that_its_writer_cannot_read():
+    configuration, archive = Configuration(), Archive()
+    records = [
+        make_operator_record(1, "a", -1, 1, 2),
+        make_operator_record(2, "a", 0, 99, 3),
+    ]
+    fold_configuration(records, configuration, archive)
+    assert configuration.workspaces()["a"].weight == 2
+    kept = dump_configuration(configuration, archive)["records"]
+    assert [item["record"] for item in kept] == records
+
+
+def test_pieces_stay_below_the_record_limit_and_a_damaged_set_is_no_snapshot():
+    state = [str(i * 7919) for i in range(200_000)]
+    value, pieces = pack("big", state)
+    assert value == state
+    assert len(pieces) > 1
+    assert all(len(piece.data) <= PIECE_CHARACTERS for piece in pieces)
+    assert join_snapshot(pieces[1:]) is None
+
+
+KEEP_RECORDS = 60
+POOR_TOKENS = 300
+SNAPSHOTS_EARLY = {"records_max": 15, "rank_delay_seconds": 0.5}
+SNAPSHOTS_NEVER = {"records_max": 1_000_000}
+
+
+def _start(make_fleet, snapshots):
+    fleet = make_fleet()
+    fleet.start_platform("--keep-records", str(KEEP_RECORDS))
+    fleet.add_target("engine-1", "names", "west", "west-1")
+    for node_id in ("node-1", "node-2"):
+        fleet.add_node(node_id, "west", "west-1", snapshots=snapshots)
+    fleet.publish("route", "namer", {"service": "names"})
+    fleet.publish_workspace("studio", KEY, 30_000)
+    await_ready(fleet, "node-1", "node-2")
+    await_true(lambda: _ask(fleet, "first")[0] == 200, what="a first answer")
+    return fleet
+
+
+def _ask(fleet, request_id, node_id="node-1"):
+    return send_chat(fleet.caller_address(node_id), request_id=request_id)
+
+
+def _expire_all(fleet):
+    """Push the first records of every stream out of the log."""
+    for index in range(KEEP_RECORDS + 5):
+        fleet.publish("route", f"filler-{index}", {"service": "names"})
+        assert _ask(fleet, f"filler-{index}", f"node-{1 + index % 2}")[0] == 200
+
+
+def _first_offset(fleet, stream):
+    return fleet.read_stream(stream)[0]["offset"]
+
+
+def _replace(fleet, node_id):
+    """Stop a node and start one of the same name elsewhere."""
+    process = fleet.processes[node_id]
+    process.stop()
+    process.popen.wait(20)
+    return fleet.add_node(node_id, "west", "west-1", snapshots=SNAPSHOTS_EARLY)
+
+
+def _count_rulings(fleet, node_id, verdict):
+    name = rf'bronzetiller_rulings_total{{record="bill",verdict="{verdict}"}}'
+    return read_metric(fleet.caller_address(node_id), name)
+
+
+def test_state_outlives_its_records_and_the_replacement_of_every_node(make_fleet):
+    fleet = _start(make_fleet, SNAPSHOTS_EARLY)
+    fleet.publish_workspace("poor", "poor-key", POOR_TOKENS)
+    poor = fleet.caller_address("node-1")
+    await_true(lambda: send_chat(poor, key="poor-key")[0] == 402, what="an exhausted budget")
+    _expire_all(fleet)
+    assert _first_offset(fleet, "configuration") > 5
+    assert _first_offset(fleet, "ledger-0") > 20
+    for node_id in ("node-1", "node-2"):
+        _replace(fleet, node_id)
+        await_ready(fleet, node_id)
+        assert _ask(fleet, f"after-{node_id}", node_id)[0] == 200
+    assert _ask(fleet, "first")[0] == 200
+    assert _count_rulings(fleet, "node-1", "duplicate") == 1
+    assert _count_rulings(fleet, "node-1", "accepted") >= 1
+    assert send_chat(fleet.caller_address("node-1"), key="poor-key")[0] == 402
+
+
+def test_without_snapshots_no_new_node_serves(make_fleet):
+    fleet = _start(make_fleet, SNAPSHOTS_NEVER)
+    _expire_all(fleet)
+    for node_id in ("node-1", "node-2"):
+        fleet.processes[node_id].kill()
+    fleet.add_node("node-1", "west", "west-1", snapshots=SNAPSHOTS_NEVER)
+    await_true(lambda: "records_expired" in (fleet.folder / "node-1.log").read_text(), what="it")
+    assert _ask(fleet, "after")[0] == 503
