Let the ledger's order decide who gets the last tokens of a budget

Cause: with eight callers on four nodes draining 12,000 tokens, each waiting node kept the little it had and all waited for one another. The sum of the peers' answers missed tokens that were between two nodes.

Ruled out: refusing by the sum of one round of answers (not sound, see above); giving by node order alone (received tokens can't be passed on, so some stay apart).

Change: tokens that suffice for nothing on a node go back to the ledger, a grant for a waiting request names the least it can use, and the first such grant in the log's order gets all. A refusal as exhausted needs two short rounds in turn, or less unspent in the ledger than needed.

--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -15,7 +15,7 @@
 from bronzetiller.budgets.pauses import PauseGuard
 from bronzetiller.budgets.records import Bill, Close, Credit, Grant, LedgerRecord, Return
 from bronzetiller.budgets.shards import Shards
-from bronzetiller.budgets.sources import AskOutcome, Shortage, Source, choose_source
+from bronzetiller.budgets.sources import AskOutcome, Shortage, Source, choose_source, is_short
 from bronzetiller.budgets.transfers import Transfers
 from bronzetiller.errors import Reason, Refusal
 from bronzetiller.logs import log_event
@@ -53,6 +53,7 @@
     requested: str | None = None
     asking: bool = False
     asked: AskOutcome | None = None
+    short_rounds: int = 0
     retry: Timer | None = None
     used_at: float = 0.0
 
@@ -170,6 +171,7 @@
             self._remove(account, account.waiters[0])
         if not account.waiters:
             account.asked = None
+            account.short_rounds = 0
             return
         if not self._guard.may_spend(workspace):
             return
@@ -179,7 +181,12 @@
                 self._request_grant(workspace, account, "waiting")
             case Source.PEERS if any(other.local for other in account.waiters):
                 self._ask_peers(workspace, account)
+            case Source.RETURN:
+                self._serve_others(account)
+                self._return(workspace, self._holdings.balance(workspace))
+                self._retry_later(workspace, account)
             case Source.EXHAUSTED:
+                account.short_rounds = 0
                 self._remove(account, waiter)
                 waiter.refuse(_refuse_exhausted())
                 self._advance(workspace)
@@ -201,16 +208,21 @@
         budget = self._find_budget(workspace)
         return Shortage(
             needed=waiter.tokens,
+            balance=self._holdings.balance(workspace),
             held=self._holdings.count_held(workspace),
             free=budget.free,
             unspent=budget.credited - budget.billed,
             fresh=self._is_fresh(workspace),
-            grant_pending=account.requested is not None,
+            record_pending=account.requested is not None or self._is_returning(workspace),
             credit_pending=self._is_credit_pending(workspace),
             asking=account.asking,
             asked=account.asked,
+            short_rounds=account.short_rounds,
         )
 
+    def _is_returning(self, workspace: str) -> bool:
+        return any(record.workspace == workspace for record in self._returns.values())
+
     def _find_budget(self, workspace: str) -> Budget:
         return self._shards.find(workspace).ledger.budgets.get(workspace) or Budget()
 
@@ -240,7 +252,12 @@
         account.requested = name_grant(self._incarnation, uuid4().hex[:12])
         count = self._shards.find(workspace).ledger.grant_count
         GRANTS_ASKED.labels(cause).inc()
-        self._shards.append(Grant(account.requested, workspace, self._incarnation, tokens, count))
+        least = 1
+        if account.waiters:
+            least = account.waiters[0].tokens - self._holdings.balance(workspace)
+        self._shards.append(
+            Grant(account.requested, workspace, self._incarnation, tokens, count, max(1, least))
+        )
 
     def _ask_peers(self, workspace: str, account: _Account) -> None:
         waiter = next(waiter for waiter in account.waiters if waiter.local)
@@ -261,6 +278,9 @@
         def finish(outcome: AskOutcome) -> None:
             account.asking = False
             account.asked = outcome
+            if account.waiters:
+                short = is_short(self._describe(workspace, account, account.waiters[0]))
+                account.short_rounds = account.short_rounds + 1 if short else 0
             self._advance(workspace)
 
         account.asking = True
--- a/bronzetiller/budgets/ledger.py
+++ b/bronzetiller/budgets/ledger.py
@@ -181,7 +181,7 @@
         if record.grant_id in budget.grants:
             return Ruling(Verdict.DUPLICATE)
         tokens = self._limit_grant(budget, record.tokens)
-        if tokens <= 0:
+        if tokens < max(1, record.tokens_least):
             ruling = Ruling(Verdict.NOTHING_FREE)
         else:
             budget.granted += tokens
--- a/bronzetiller/budgets/records.py
+++ b/bronzetiller/budgets/records.py
@@ -33,6 +33,7 @@
 class Grant:
     """Set tokens aside for one incarnation of one node; the ledger may cut it to what is free.
 
+    Fewer than tokens_least are not granted, so that the last tokens go to one request.
     grants_before is the ledger's count of grants when the holder wrote the record, or UNCOUNTED.
     """
 
@@ -41,6 +42,7 @@
     holder: str
     tokens: int
     grants_before: int = UNCOUNTED
+    tokens_least: int = 1
 
 
 @frozen
--- a/bronzetiller/budgets/sources.py
+++ b/bronzetiller/budgets/sources.py
@@ -4,12 +4,16 @@
 
 from attrs import frozen
 
+# Tokens between two nodes are in nobody's answer; they arrive within the time of a round.
+SHORT_ROUNDS_MIN = 2
+
 
 class Source(StrEnum):
     """Say what to do for a workspace whose requests wait for tokens."""
 
     LEDGER = "ledger"
     PEERS = "peers"
+    RETURN = "return"
     WAIT = "wait"
     EXHAUSTED = "exhausted"
 
@@ -30,35 +34,54 @@
 class Shortage:
     """Describe a workspace whose first waiting request lacks tokens.
 
-    needed are the request's tokens, held those of this node that are reserved or not, free and
-    unspent those of the ledger as read; fresh says that the ledger was read to the log's end.
+    needed are the request's tokens; balance and held those of this node, without and with the
+    reserved ones; free and unspent those of the ledger as read. fresh says that the ledger was
+    read to the log's end, record_pending that a grant or return of this node has no ruling yet,
+    short_rounds how often in turn all peers together had too few.
     """
 
     needed: int
+    balance: int
     held: int
     free: int
     unspent: int
     fresh: bool
-    grant_pending: bool
+    record_pending: bool
     credit_pending: bool
     asking: bool
     asked: AskOutcome | None
+    short_rounds: int
 
 
 def choose_source(shortage: Shortage) -> Source:
-    """Return the next step; exhausted only where no node and no record can have enough tokens."""
+    """Return the next step; exhausted only where no node and no record can have enough tokens.
+
+    Tokens that suffice for nothing here go back to the ledger, whose order then decides which
+    node's request gets them.
+    """
     if shortage.asking:
         return Source.WAIT
     if shortage.fresh:
-        if shortage.grant_pending:
+        if shortage.record_pending:
             return Source.WAIT
-        if shortage.free > 0:
+        if shortage.free >= shortage.needed - shortage.balance:
             return Source.LEDGER
         if shortage.unspent < shortage.needed and not shortage.credit_pending:
             return Source.EXHAUSTED
     if shortage.asked is None:
         return Source.PEERS
-    if shortage.fresh and not shortage.credit_pending and shortage.asked.complete:
-        reachable = shortage.held + shortage.asked.kept_tokens
-        return Source.EXHAUSTED if reachable < shortage.needed else Source.WAIT
+    if not shortage.fresh or shortage.credit_pending:
+        return Source.WAIT
+    if shortage.balance:
+        return Source.RETURN
+    if shortage.short_rounds >= SHORT_ROUNDS_MIN:
+        return Source.EXHAUSTED
     return Source.WAIT
+
+
+def is_short(shortage: Shortage) -> bool:
+    """Say whether this node, the ledger and all peers together have too few tokens."""
+    asked = shortage.asked
+    if asked is None or not asked.complete or not shortage.fresh or shortage.record_pending:
+        return False
+    return shortage.free + shortage.held + asked.kept_tokens < shortage.needed
