Prove that a frozen or killed holder's grant serves others and is spent once

Cause: closing had its own notion of which node is gone, beside the fleet's.

Change: the closer takes it from the membership (list of VMs, newer incarnations, heartbeats) and waits for a report of every listed node and of those that are missing for less than the grace.

Tests with processes: a holder of a whole budget frozen with an open stream, unlisted, its grant closed and the budget spent by another node, then resumed: its stream ends with bill_void and no end mark, its next request is refused as exhausted, the fold of the log has billed no more than was paid. A killed holder's tokens are spent by the other node.

--- a/bronzetiller/budgets/closes.py
+++ b/bronzetiller/budgets/closes.py
@@ -1,7 +1,5 @@
 """Decide what a gone holder's grants leave to live nodes, without any input or output."""
 
-import hashlib
-
 from bronzetiller.budgets.holdings import Holdings, is_held_by
 from bronzetiller.budgets.ledger import Ledger, Ruling, Verdict
 from bronzetiller.budgets.records import Bill, Close
@@ -51,12 +49,6 @@
     ]
 
 
-def rank_closer(holder: str, node_id: str, node_ids: list[str]) -> int:
-    """Return the place of a node among those that may close a holder's grants."""
-    order = sorted(node_ids, key=lambda other: _digest(holder, other))
-    return order.index(node_id) if node_id in order else len(order)
-
-
 def _list_kept_bills(reports: list[HoldingsReport]) -> list[Bill]:
     bills = [bill for report in reports for bill in report.kept_bills]
     return list({(bill.workspace, bill.request_id): bill for bill in bills}.values())
@@ -65,7 +57,3 @@
 def _count(retained: dict[str, dict[str, int]], grant_id: str, biller: str, tokens: int) -> None:
     billers = retained.setdefault(grant_id, {})
     billers[biller] = billers.get(biller, 0) + tokens
-
-
-def _digest(holder: str, node_id: str) -> bytes:
-    return hashlib.sha256(f"{holder} {node_id}".encode()).digest()
--- a/bronzetiller/budgets/closing.py
+++ b/bronzetiller/budgets/closing.py
@@ -5,12 +5,15 @@
 from attrs import define, field
 from result import Ok, Result
 
-from bronzetiller.budgets.closes import make_closes, rank_closer, select_bills
+from bronzetiller.budgets.closes import make_closes, select_bills
 from bronzetiller.budgets.holdings import Holdings
 from bronzetiller.budgets.pauses import PauseGuard
 from bronzetiller.budgets.records import Bill
 from bronzetiller.budgets.shards import Shards
 from bronzetiller.budgets.transfers import Transfers
+from bronzetiller.fleet.incarnations import read_node_id
+from bronzetiller.fleet.membership import Membership
+from bronzetiller.fleet.neighbours import rank_nodes
 from bronzetiller.fleet.peers import Peers
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import GRANTS_CLOSED
@@ -19,11 +22,9 @@
 from bronzetiller.wire.messages import HoldingsReport, Message, ReportHoldings
 
 CHECK_SECONDS = 0.5
-PROBE_SECONDS = 5.0
 REPORT_SECONDS = 2.0
 RANK_SECONDS = 5.0
 REPEAT_SECONDS = 30.0
-UNSEEN_FACTOR = 6
 
 KeptBills = Callable[[], list[Bill]]
 
@@ -32,13 +33,14 @@
 class _Poll:
     """Hold the reports on one gone holder by node."""
 
+    start_at: float
     reports: dict[str, HoldingsReport] = field(factory=dict)
     asked: set[str] = field(factory=set)
 
 
 @define(eq=False)
 class GrantCloser:
-    """Watch the holders of open grants; poll and close for those that are gone."""
+    """Watch the holders of grants; poll every live node and close for those that are gone."""
 
     _scheduler: Scheduler
     _shards: Shards
@@ -46,14 +48,10 @@
     _transfers: Transfers
     _peers: Peers
     _vm_list: VmList
+    _membership: Membership
     _guard: PauseGuard
     _incarnation: str
-    _gone_seconds: float
     kept_bills: list[KeptBills] = field(factory=list)
-    _seen_at: dict[str, float] = field(factory=dict)
-    _gone_since: dict[str, float] = field(factory=dict)
-    _incarnations: dict[str, str] = field(factory=dict)
-    _probed_at: dict[str, float] = field(factory=dict)
     _polls: dict[str, _Poll] = field(factory=dict)
     _closed_at: dict[str, float] = field(factory=dict)
 
@@ -62,10 +60,6 @@
         self._peers.on(ReportHoldings, self._answer)
         self._scheduler.call_every(CHECK_SECONDS, self._check)
 
-    @property
-    def _node_id(self) -> str:
-        return self._incarnation.partition("/")[0]
-
     def _answer(self, ask: ReportHoldings, reply: Callable[[Message], None]) -> None:
         reply(self._report(ask.holder))
 
@@ -79,21 +73,19 @@
     def _check(self) -> None:
         now = self._scheduler.now()
         if not self._vm_list.reachable or not self._is_fresh():
-            self._gone_since.clear()
+            self._polls.clear()
             return
-        routers = {vm.vm_id for vm in self._vm_list.find_routers()}
-        self._seen_at.update(dict.fromkeys(routers, now))
-        holders = self._list_holders(now)
-        for holder in set(self._gone_since) - holders:
-            self._forget(holder)
+        holders = {holder for holder in self._list_holders(now) if self._membership.is_gone(holder)}
+        self._polls = {holder: poll for holder, poll in self._polls.items() if holder in holders}
         for holder in sorted(holders):
-            self._check_holder(now, holder, routers)
+            self._check_gone(now, holder)
 
     def _is_fresh(self) -> bool:
         followers = [shard.follower for shard in self._shards.all]
         return all(follower.reachable and follower.caught_up for follower in followers)
 
     def _list_holders(self, now: float) -> set[str]:
+        """Return the holders of open grants, and now and then those of closed ones."""
         holders = set()
         for shard in self._shards.all:
             for budget in shard.ledger.budgets.values():
@@ -103,50 +95,30 @@
                         holders.add(grant.holder)
         return holders - {self._incarnation}
 
-    def _check_holder(self, now: float, holder: str, routers: set[str]) -> None:
-        node_id = holder.partition("/")[0]
-        if not self._is_gone(now, holder, node_id, routers):
-            self._forget(holder)
+    def _check_gone(self, now: float, holder: str) -> None:
+        wanted = self._list_wanted(holder)
+        node_id = read_node_id(self._incarnation)
+        poll = self._polls.get(holder)
+        if poll is None:
+            rank = rank_nodes(holder, wanted | {node_id}).index(node_id)
+            poll = self._polls[holder] = _Poll(now + rank * RANK_SECONDS)
+        if now < poll.start_at:
             return
-        since = self._gone_since.setdefault(holder, now)
-        rank = rank_closer(holder, self._node_id, sorted(routers | {self._node_id}))
-        seen = node_id in self._seen_at
-        grace = self._gone_seconds * (1 if seen else UNSEEN_FACTOR) + rank * RANK_SECONDS
-        if now >= since + grace:
-            self._poll(now, holder, routers)
-
-    def _is_gone(self, now: float, holder: str, node_id: str, routers: set[str]) -> bool:
-        if node_id == self._node_id:
-            return True
-        if node_id not in routers:
-            return True
-        known = self._incarnations.get(node_id)
-        if known is None or now >= self._probed_at.get(node_id, 0.0) + PROBE_SECONDS:
-            self._probe(now, holder, node_id)
-        return known is not None and known != holder
-
-    def _probe(self, now: float, holder: str, node_id: str) -> None:
-        self._probed_at[node_id] = now
-
-        def answered(result: Result[Message, str]) -> None:
-            match result:
-                case Ok(HoldingsReport() as report):
-                    self._incarnations[node_id] = report.incarnation
-
-        self._peers.ask(node_id, ReportHoldings(""), REPORT_SECONDS, answered)
+        for other in wanted - set(poll.reports) - poll.asked:
+            self._ask(holder, poll, other)
+        if wanted <= set(poll.reports) and self._guard.may_spend_all():
+            self._close(now, holder, [poll.reports[other] for other in sorted(wanted)])
 
-    def _poll(self, now: float, holder: str, routers: set[str]) -> None:
-        poll = self._polls.setdefault(holder, _Poll())
-        recent = {
+    def _list_wanted(self, holder: str) -> set[str]:
+        """Return the nodes that have to report: all but those that are surely gone."""
+        view = self._membership.view()
+        missing = {node_id for node_id in view.missing_since if node_id not in view.listed}
+        unsure = {
             node_id
-            for node_id, at in self._seen_at.items()
-            if now < at + self._gone_seconds and node_id != holder.partition("/")[0]
+            for node_id in missing - {read_node_id(holder)}
+            if not self._membership.is_gone(view.newest.get(node_id, f"{node_id}/"))
         }
-        wanted = (routers | recent) - {self._node_id}
-        for node_id in wanted - set(poll.reports) - poll.asked:
-            self._ask(holder, poll, node_id)
-        if wanted <= set(poll.reports) and self._guard.may_spend_all():
-            self._close(now, holder, [poll.reports[node_id] for node_id in sorted(wanted)])
+        return (set(view.listed) | unsure) - {read_node_id(self._incarnation)}
 
     def _ask(self, holder: str, poll: _Poll, node_id: str) -> None:
         poll.asked.add(node_id)
@@ -156,13 +128,11 @@
             match result:
                 case Ok(HoldingsReport() as report) if report.incarnation != holder:
                     poll.reports[node_id] = report
-                case Ok(HoldingsReport()):
-                    self._incarnations[node_id] = holder
 
         self._peers.ask(node_id, ReportHoldings(holder), REPORT_SECONDS, answered)
 
     def _close(self, now: float, holder: str, reports: list[HoldingsReport]) -> None:
-        self._forget(holder)
+        del self._polls[holder]
         self._closed_at[holder] = now
         reports = [*reports, self._report(holder)]
         for shard in self._shards.all:
@@ -171,7 +141,3 @@
                 retained = sum(close.retained.values())
                 log_event("grant_closing", grant=close.grant_id, retained=retained)
                 self._shards.append(close)
-
-    def _forget(self, holder: str) -> None:
-        self._gone_since.pop(holder, None)
-        self._polls.pop(holder, None)
--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -18,6 +18,7 @@
 from bronzetiller.budgets.sources import AskOutcome, Shortage, Source, choose_source, is_short
 from bronzetiller.budgets.transfers import Transfers
 from bronzetiller.errors import Reason, Refusal
+from bronzetiller.fleet.incarnations import read_node_id
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import GRANTS_ASKED, TOKENS_MOVED
 from bronzetiller.net.scheduler import Scheduler, Timer
@@ -265,7 +266,7 @@
         left: dict[str, int] = {}
         for grant in grants:
             if grant.holder != self._incarnation:
-                node_id = grant.holder.partition("/")[0]
+                node_id = read_node_id(grant.holder)
                 left[node_id] = left.get(node_id, 0) + grant.left
         node_ids = sorted(left, key=lambda node_id: -left[node_id])
         fresh = self._is_fresh(workspace)
@@ -303,7 +304,7 @@
         spare = self._transfers.count_spare(self._holdings, ask.workspace)
         # Of two nodes that both wait, one gives all to the other, else both would refuse.
         own = any(waiter.local for waiter in account.waiters)
-        return 0 if own and ask.asker > self._incarnation.partition("/")[0] else spare
+        return 0 if own and ask.asker > read_node_id(self._incarnation) else spare
 
     def _give(self, account: _Account, ask: AskTokens) -> TransferTokens:
         workspace = ask.workspace
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -97,9 +97,9 @@
             self.transfers,
             self.peers,
             self.vm_list,
+            self.membership,
             self.guard,
             self.incarnation,
-            settings.budgets.holder_gone_seconds,
         )
         self.biller = Biller(scheduler, self.shards, self.holdings, self.incarnation)
         self.chooser = TargetChooser(self.vm_list, settings.region)
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -40,7 +40,6 @@
     grant_share_max: float = field(default=0.25, validator=gt(0))
     wait_seconds: float = field(default=3.0, validator=gt(0))
     idle_return_seconds: float = field(default=20.0, validator=gt(0))
-    holder_gone_seconds: float = field(default=10.0, validator=ge(4))
     append_interval_seconds: float = field(default=0.02, validator=ge(0))
     bill_copies: int = field(default=2, validator=ge(0))
 
--- a/tests/test_budget_fleet.py
+++ b/tests/test_budget_fleet.py
@@ -1,18 +1,23 @@
 """Keep budgets with real processes that drain, freeze, die and misreport."""
 
+import json
 import threading
+import urllib.request
 
-from tests.conftest import KEY, await_ready, read_records, send_chat
+from bronzetiller.budgets.ledger import Ledger
+from bronzetiller.budgets.records import load_ledger_record
+from standins.fleet import call_json
+from tests.conftest import KEY, await_ready, await_true, read_records, send_chat
 
 PROMPT = "a"
 
 
-def start_fleet(make_fleet, node_ids, tokens, engine=(), budgets=None, **options):
-    fleet = make_fleet(**options)
+def start_fleet(make_fleet, node_ids, tokens, engine=(), **settings):
+    fleet = make_fleet()
     fleet.start_platform()
     fleet.add_target("engine-1", "names", "west", "west-1", "--token-seconds", "0.0005", *engine)
     for node_id in node_ids:
-        fleet.add_node(node_id, "west", "west-1", budgets=budgets or {})
+        fleet.add_node(node_id, "west", "west-1", **settings)
     fleet.publish_workspace("studio", KEY, tokens)
     fleet.publish("route", "namer", {"service": "names", "template_tokens": 0})
     await_ready(fleet, *node_ids)
@@ -58,3 +63,93 @@
 def read_worst_case():
     body = b'{"model": "namer", "messages": [{"role": "user", "content": "a"}], "max_tokens": 100}'
     return len(body) + 8 + 100
+
+
+def open_stream(address, tokens):
+    """Send a streamed request in a thread; return the thread and the list its body goes to."""
+    bodies = []
+    body = {"model": "namer", "messages": [{"role": "user", "content": PROMPT}], "stream": True}
+    request = urllib.request.Request(
+        f"http://{address}/v1/chat/completions",
+        json.dumps(body | {"max_tokens": tokens}).encode(),
+        {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json"},
+    )
+
+    def read():
+        try:
+            with urllib.request.urlopen(request, timeout=60) as response:
+                bodies.append(response.read().decode())
+        except OSError as error:
+            bodies.append(repr(error))
+
+    thread = threading.Thread(target=read)
+    thread.start()
+    return thread, bodies
+
+
+def spend_all(fleet, node_id, tokens_least):
+    """Send requests through a node until the bills reach a sum."""
+    address = fleet.caller_address(node_id)
+
+    def spend():
+        status, body = send_chat(address, PROMPT, max_tokens=100)
+        assert status == 200 or body["reason"] == "budget_unconfirmed", body
+        return count_billed(fleet) >= tokens_least
+
+    await_true(spend, seconds=40, what=f"{tokens_least} billed tokens")
+
+
+ALL_TO_ONE = {"grant_tokens_min": 3_000, "grant_share_max": 1.0, "idle_return_seconds": 600.0}
+SHORT_GRACE = {"gone_grace_seconds": 3.5}
+
+
+def test_a_frozen_holder_cannot_spend_what_was_closed_meanwhile(make_fleet):
+    engine = ("--first-token-seconds", "2.0")
+    node_ids = ("node-1", "node-2", "node-3")
+    fleet = start_fleet(make_fleet, node_ids, 3_000, engine, budgets=ALL_TO_ONE, fleet=SHORT_GRACE)
+    holder = fleet.caller_address("node-3")
+    assert send_chat(holder, PROMPT, max_tokens=100)[0] == 200
+    assert [grant["tokens"] for grant in read_records(fleet, "grant")] == [3_000]
+    thread, bodies = open_stream(holder, 100)
+    await_true(lambda: count_open(holder) == 1, what="an open request")
+    fleet.processes["node-3"].freeze()
+    listed = fleet.vms.pop("node-3")
+    fleet.publish_vms()
+    await_true(lambda: read_records(fleet, "close"), what="the close of the grant")
+    call_json(fleet.vms["engine-1"]["address"], "/control/settings", {"first_token_seconds": 0.0})
+    spend_all(fleet, "node-1", 3_000 - read_worst_case())
+
+    fleet.processes["node-3"].thaw()
+    thread.join()
+    assert "bill_void" in bodies[0] and "[DONE]" not in bodies[0], bodies
+    fleet.vms["node-3"] = listed
+    fleet.publish_vms()
+    assert send_chat(holder, PROMPT, max_tokens=100)[1]["reason"] == "budget_exhausted"
+    assert count_accepted(fleet) <= 3_000
+
+
+def test_the_grant_of_a_killed_node_serves_others(make_fleet):
+    fleet = start_fleet(
+        make_fleet, ("node-1", "node-2"), 3_000, budgets=ALL_TO_ONE, fleet=SHORT_GRACE
+    )
+    assert send_chat(fleet.caller_address("node-2"), PROMPT, max_tokens=100)[0] == 200
+    fleet.processes["node-2"].kill()
+    fleet.vms.pop("node-2")
+    fleet.publish_vms()
+    spend_all(fleet, "node-1", 3_000 - read_worst_case())
+    assert count_accepted(fleet) <= 3_000
+
+
+def count_open(address):
+    with urllib.request.urlopen(f"http://{address}/metrics", timeout=10) as response:
+        text = response.read().decode()
+    return float(text.partition("\nbronzetiller_open_requests ")[2].split()[0])
+
+
+def count_accepted(fleet):
+    """Fold the ledger stream afresh; return the billed tokens of the workspace."""
+    ledger = Ledger()
+    for entry in fleet.read_stream("ledger-0"):
+        record = load_ledger_record(entry["record"])
+        ledger.apply(entry["at"], record.ok_value)
+    return ledger.budgets["studio"].billed
