--- a/bronzetiller/budgets/ledger.py
+++ b/bronzetiller/budgets/ledger.py
@@ -14,6 +14,7 @@
 from bronzetiller.errors import InvariantError
 
 BILL_WINDOW_SECONDS = 24 * 3600.0
+RERUNS_MAX = 3
 
 
 class Verdict(StrEnum):
@@ -75,6 +76,18 @@
     fingerprint: str
     biller: str
     tokens: int
+    bill_id: str = ""
+    rerun_ids: list[str] = field(factory=list)
+
+    @property
+    def reruns(self) -> int:
+        """Return how often the request was run again, up to one more than is allowed."""
+        return len(self.rerun_ids)
+
+    def note_rerun(self, bill_id: str) -> None:
+        """Count a further run of the request by the id of its bill."""
+        if bill_id not in self.rerun_ids and self.reruns <= RERUNS_MAX:
+            self.rerun_ids.append(bill_id)
 
 
 @define
@@ -141,8 +154,11 @@
         key = (record.workspace, record.request_id)
         known = self.bills.get(key)
         if known is not None:
-            same = known.fingerprint == record.fingerprint
-            return Ruling(Verdict.DUPLICATE if same else Verdict.KEY_REUSED)
+            if known.fingerprint != record.fingerprint:
+                return Ruling(Verdict.KEY_REUSED)
+            if known.bill_id != record.bill_id:
+                known.note_rerun(record.bill_id)
+            return Ruling(Verdict.DUPLICATE)
         if sum(charge.tokens for charge in record.charges) != record.tokens:
             return Ruling(Verdict.MALFORMED)
         budget = self._budget(record.workspace)
@@ -156,7 +172,9 @@
             budget.grants[charge.grant_id].spent += charge.tokens
             self._drop_empty(budget, charge.grant_id)
         budget.billed += record.tokens
-        self.bills[key] = BillState(at, record.fingerprint, record.biller, record.tokens)
+        self.bills[key] = BillState(
+            at, record.fingerprint, record.biller, record.tokens, record.bill_id
+        )
         return Ruling(Verdict.ACCEPTED, record.tokens)
 
     def _apply_return(self, record: Return) -> Ruling:
--- a/bronzetiller/budgets/records.py
+++ b/bronzetiller/budgets/records.py
@@ -39,7 +39,10 @@
 
 @frozen
 class Bill:
-    """Charge one request once; the first bill for a request id counts."""
+    """Charge one request once; the first bill for a request id counts.
+
+    Copies of one bill, appended by its biller and its couriers, share their bill id.
+    """
 
     workspace: str
     request_id: str
@@ -47,6 +50,7 @@
     biller: str
     tokens: int
     charges: list[Charge]
+    bill_id: str = ""
 
 
 @frozen
@@ -81,7 +85,7 @@
 
 @frozen
 class Outcome:
-    """Settle a claim; a small response is kept for the caller's retries."""
+    """Settle a claim; a small response (body in base64) is kept for the caller's retries."""
 
     workspace: str
     request_id: str
@@ -91,6 +95,7 @@
     content_type: str = ""
     body: str = ""
     headers: dict[str, str] = field(factory=dict)
+    body_kept: bool = True
 
 
 LedgerRecord = Credit | Grant | Bill | Return | Close | Claim | Outcome
--- a/bronzetiller/budgets/shards.py
+++ b/bronzetiller/budgets/shards.py
@@ -8,14 +8,22 @@
 from result import Err, Ok
 
 from bronzetiller.budgets.ledger import Ledger, Ruling, Verdict
-from bronzetiller.budgets.records import LedgerRecord, dump_ledger_record, load_ledger_record
+from bronzetiller.budgets.records import (
+    Claim,
+    LedgerRecord,
+    Outcome,
+    dump_ledger_record,
+    load_ledger_record,
+)
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import RULINGS
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.follower import StreamFollower
 from bronzetiller.platform.log_client import Entry, LogClient
 from bronzetiller.platform.writer import Acknowledged, StreamWriter
+from bronzetiller.requests.claims import ClaimRecord, Claims, ClaimVerdict
 
+ClaimListener = Callable[[Entry, ClaimRecord, ClaimVerdict], None]
 RulingListener = Callable[[Entry, LedgerRecord, Ruling], None]
 
 
@@ -37,6 +45,12 @@
     follower: StreamFollower
     writer: StreamWriter
     ledger: Ledger
+    claims: Claims
+
+    @property
+    def is_log_reachable(self) -> bool:
+        """Say whether the last read and the last append of the stream succeeded."""
+        return self.follower.reachable and self.writer.reachable
 
 
 class Shards:
@@ -46,6 +60,7 @@
         self, scheduler: Scheduler, log: LogClient, count: int, *, append_interval_seconds: float
     ) -> None:
         self._listeners: list[RulingListener] = []
+        self._claim_listeners: list[ClaimListener] = []
         self._shards = [
             self._make_shard(scheduler, log, index, append_interval_seconds)
             for index in range(count)
@@ -64,6 +79,10 @@
         """Call the listener with each record and the ruling on it."""
         self._listeners.append(listener)
 
+    def subscribe_claims(self, listener: ClaimListener) -> None:
+        """Call the listener with each claim and outcome and the verdict on it."""
+        self._claim_listeners.append(listener)
+
     def append(self, record: LedgerRecord, acknowledged: Acknowledged | None = None) -> None:
         """Append a record to the shard of its workspace, repeating it until the log confirms."""
         self.find(record.workspace).writer.append(dump_ledger_record(record), acknowledged)
@@ -78,13 +97,19 @@
     ) -> Shard:
         stream = name_stream(index)
         ledger = Ledger()
+        claims = Claims()
         follower = StreamFollower(scheduler, log, stream)
-        follower.subscribe(lambda entry: self._apply(ledger, entry))
+        follower.subscribe(lambda entry: self._apply(ledger, claims, entry))
         writer = StreamWriter(scheduler, log, stream, interval_seconds=interval_seconds)
-        return Shard(follower, writer, ledger)
+        return Shard(follower, writer, ledger, claims)
 
-    def _apply(self, ledger: Ledger, entry: Entry) -> None:
+    def _apply(self, ledger: Ledger, claims: Claims, entry: Entry) -> None:
         match load_ledger_record(entry.record):
+            case Ok(Claim() | Outcome() as record):
+                verdict = claims.apply(entry.at, record)
+                RULINGS.labels(entry.record["kind"], verdict).inc()
+                for claim_listener in self._claim_listeners:
+                    claim_listener(entry, record, verdict)
             case Ok(record):
                 ruling = ledger.apply(entry.at, record)
                 RULINGS.labels(entry.record["kind"], ruling.verdict).inc()
--- a/bronzetiller/callers/api.py
+++ b/bronzetiller/callers/api.py
@@ -13,11 +13,18 @@
 from bronzetiller.callers.chat import JSON_HEADERS, ChatRun, ChatServices
 from bronzetiller.callers.chat_request import KEY_LENGTH_MAX, check_chat_request, read_model
 from bronzetiller.callers.problems import refuse
+from bronzetiller.callers.services import (
+    SERVICES_PREFIX,
+    CallServices,
+    make_service_run,
+    read_route_name,
+)
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.configuration.records import Route, RouteProtocol
-from bronzetiller.errors import Reason, Refusal
+from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.metrics import render_metrics
 from bronzetiller.net.http_server import Exchange
+from bronzetiller.requests.admission import RequestKey
 
 
 @define
@@ -26,6 +33,7 @@
 
     configuration: Configuration
     chat: ChatServices
+    calls: CallServices
     is_ready: Callable[[], bool]
     is_stopping: Callable[[], bool]
     list_entries: Callable[[], list[str]]
@@ -40,6 +48,8 @@
         handle = _HANDLERS.get((exchange.method, exchange.path))
         if handle is not None:
             handle(services, exchange)
+        elif exchange.path.startswith(SERVICES_PREFIX):
+            _serve_service(services, exchange)
         elif any(path == exchange.path for _, path in _HANDLERS):
             detail = f"{exchange.method} is not served here"
             refuse(exchange, Refusal(405, Reason.METHOD_NOT_ALLOWED, detail))
@@ -90,14 +100,29 @@
         case Err(refusal):
             refuse(exchange, refusal)
         case Ok(request):
-            request_id = exchange.headers.get("idempotency-key") or uuid4().hex
-            run = ChatRun(services.chat, exchange, workspace, request_id, route, request)
-            run.start()
+            caller_key = exchange.headers.get("idempotency-key")
+            request_id = caller_key or uuid4().hex
+            key = RequestKey(workspace, request_id, request.fingerprint, caller_key is None)
+            ChatRun(services.chat, exchange, key, route, request).start()
 
 
-def _admit(services: ApiServices, exchange: Exchange) -> str | None:
+def _serve_service(services: ApiServices, exchange: Exchange) -> None:
+    has_key = "idempotency-key" in exchange.headers
+    workspace = _admit(services, exchange, Ran.UNKNOWN if has_key else Ran.NO)
+    if workspace is None:
+        return
+    name, rest = read_route_name(exchange.path)
+    route = services.configuration.routes().get(name)
+    if route is None or not _may_use(workspace, route) or route.protocol != RouteProtocol.PLAIN:
+        refuse(exchange, Refusal(404, Reason.UNKNOWN_ROUTE, f"no service route {name!r}"))
+        return
+    make_service_run(services.calls, exchange, workspace, route, rest).start()
+
+
+def _admit(services: ApiServices, exchange: Exchange, ran: Ran = Ran.NO) -> str | None:
     if not services.is_ready():
-        refusal = Refusal(503, Reason.NOT_READY, "the node is starting", retry_after_seconds=1)
+        detail = "the node is starting"
+        refusal = Refusal(503, Reason.NOT_READY, detail, ran, retry_after_seconds=1)
         refuse(exchange, refusal)
         return None
     workspace = authenticate(services.configuration, exchange.headers)
--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -5,7 +5,7 @@
 from typing import Any
 from uuid import uuid4
 
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Err, Ok, Result
 
 from bronzetiller.budgets.grants import GrantKeeper
@@ -19,7 +19,11 @@
 from bronzetiller.net.http_client import HttpClient
 from bronzetiller.net.http_server import Exchange
 from bronzetiller.platform.vm_list import Vm
+from bronzetiller.requests.admission import Admission, RequestKey, refuse_quarantined
 from bronzetiller.requests.billing import Biller
+from bronzetiller.requests.deaths import DeathWatch
+from bronzetiller.requests.quarantine import Passage
+from bronzetiller.requests.retries import RetryBudget
 from bronzetiller.routing.engine import (
     AnswerEnd,
     AnswerPart,
@@ -44,6 +48,10 @@
     holdings: Holdings
     biller: Biller
     chooser: TargetChooser
+    admission: Admission
+    deaths: DeathWatch
+    retries: RetryBudget
+    open_runs: int = 0
 
 
 @define(eq=False)
@@ -52,13 +60,15 @@
 
     services: ChatServices
     exchange: Exchange
-    workspace: str
-    request_id: str
+    key: RequestKey
     route: Route
     request: ChatRequest
     reservation: Reservation | None = None
     attempt: EngineAttempt | None = None
     vm: Vm | None = None
+    passage: Passage | None = None
+    isolating: bool = False
+    may_have_run: bool = False
     tried: set[str] = field(factory=set)
     text: list[str] = field(factory=list)
     over: bool = False
@@ -67,9 +77,15 @@
         """Reserve the tokens of the worst case, then dispatch."""
         REQUESTS.labels("chat").inc()
         OPEN_REQUESTS.inc()
+        self.services.open_runs += 1
+        self.services.retries.note_request()
         self.exchange.on_disconnect = self._on_disconnect
+        refusal = self.services.admission.check(self.key)
+        if refusal is not None:
+            self._refuse(refusal)
+            return
         tokens = self.request.tokens_max
-        self.services.keeper.obtain(self.workspace, tokens, self._on_reserved)
+        self.services.keeper.obtain(self.key.workspace, tokens, self._on_reserved)
 
     def _on_reserved(self, result: Result[Reservation, Refusal]) -> None:
         match result:
@@ -77,18 +93,44 @@
                 self.services.holdings.release(reservation)
             case Ok(reservation):
                 self.reservation = reservation
-                self._dispatch()
+                self._enter()
             case Err(refusal):
                 self._refuse(refusal)
 
+    def _enter(self) -> None:
+        deaths = self.services.deaths
+        self.passage = deaths.enter(self.key.mark, self._dispatch, self._expire_passage)
+        deaths.admit()
+
+    def _leave(self) -> None:
+        if self.passage is not None:
+            passage, self.passage = self.passage, None
+            self.services.deaths.leave(passage)
+
+    def _expire_passage(self) -> None:
+        detail = "the request waited too long for a run apart from others"
+        self._refuse(Refusal(503, Reason.DEADLINE, detail, retry_after_seconds=1))
+
+    def _choose(self, avoided: set[str]) -> Vm | None:
+        return self.services.chooser.choose(self.route.service, self.tried | avoided)
+
     def _dispatch(self) -> None:
-        vm = self.services.chooser.choose(self.route.service, self.tried)
+        if self.over:
+            return
+        deaths = self.services.deaths
+        if deaths.is_quarantined(self.key.mark):
+            self._refuse(refuse_quarantined(self.key.ran_before))
+            return
+        vm = deaths.choose(self.key.mark, self._choose, set(self.services.chooser.outstanding))
         if vm is None:
             refusal = Refusal(
                 503, Reason.NO_TARGET, "no target of the service is live", retry_after_seconds=1
             )
             self._refuse(refusal)
             return
+        self.isolating = deaths.is_suspect(self.key.mark)
+        if self.isolating:
+            deaths.isolate(vm)
         self.vm = vm
         self.tried.add(vm.vm_id)
         self.services.chooser.begin(vm)
@@ -104,13 +146,19 @@
 
     def _on_attempt(self, event: AttemptEvent) -> None:
         if isinstance(event, AnswerPart):
+            if self.passage is not None:
+                passage, self.passage = self.passage, None
+                self.services.deaths.prove(passage)
             self._forward(event)
             return
+        vm = self.vm
+        assert vm is not None
         self._end_attempt()
         if isinstance(event, AnswerEnd):
+            self.services.deaths.clear(self.key.mark)
             self._bill(event)
         else:
-            self._recover(event)
+            self._recover(event, vm)
 
     def _forward(self, part: AnswerPart) -> None:
         if not self.request.stream:
@@ -126,8 +174,8 @@
         tokens = min(reported, self.reservation.tokens)
         reservation, self.reservation = self.reservation, None
         self.services.biller.bill(
-            self.request_id,
-            self.request.fingerprint,
+            self.key.request_id,
+            self.key.fingerprint,
             reservation,
             tokens,
             lambda result: self._on_billed(end, result),
@@ -164,7 +212,7 @@
             "total_tokens": end.prompt_tokens + end.answer_tokens,
         }
         return {
-            "id": f"chatcmpl-{self.request_id}",
+            "id": f"chatcmpl-{self.key.request_id}",
             "object": "chat.completion",
             "created": int(time.time()),
             "model": self.request.body["model"],
@@ -172,31 +220,54 @@
             "usage": usage,
         }
 
-    def _recover(self, failure: AttemptFailed) -> None:
+    def _recover(self, failure: AttemptFailed, vm: Vm) -> None:
+        self.may_have_run |= failure.may_have_run
         if 400 <= failure.status < 500:
             self._refuse(Refusal(failure.status, Reason.BAD_REQUEST, failure.detail))
+        elif failure.target_lost and failure.may_have_run:
+            self.services.deaths.report_loss(self.key.mark, vm, lambda: self._repeat(failure))
+        else:
+            self._repeat(failure)
+
+    def _repeat(self, failure: AttemptFailed) -> None:
+        if self.over:
             return
-        if not self.exchange.started and len(self.tried) < ATTEMPTS_MAX:
+        self._leave()
+        if self.services.deaths.is_quarantined(self.key.mark):
+            self._refuse(refuse_quarantined(Ran.UNKNOWN))
+            return
+        if self._take_retry():
             RETRIES.labels("target_failed").inc()
             self.text.clear()
-            self._dispatch()
+            self._enter()
             return
-        ran = Ran.UNKNOWN if failure.may_have_run else Ran.NO
         reason = Reason.ANSWER_INCOMPLETE if self.exchange.started else Reason.TARGET_FAILED
-        self._refuse(Refusal(502, reason, failure.cause, ran, retry_after_seconds=1))
+        self._refuse(Refusal(502, reason, failure.cause, retry_after_seconds=1))
+
+    def _take_retry(self) -> bool:
+        if self.exchange.started or len(self.tried) >= ATTEMPTS_MAX:
+            return False
+        return self.services.retries.take()
 
     def _refuse(self, refusal: Refusal) -> None:
         self._finish()
+        if refusal.ran is Ran.NO and self.may_have_run:
+            refusal = evolve(refusal, ran=Ran.UNKNOWN)
         refuse(self.exchange, refusal)
 
     def _on_disconnect(self) -> None:
-        if not self.over:
-            if self.attempt is not None:
-                self.attempt.cancel()
+        """Run an answer to its end and bill it once its caller has got a part of it."""
+        if self.over or self.exchange.started:
+            return
+        if self.attempt is not None:
+            self.attempt.cancel()
+        if self.reservation is not None or self.attempt is None:
             self._finish()
 
     def _end_attempt(self) -> None:
         if self.vm is not None:
+            if self.isolating:
+                self.services.deaths.rejoin(self.vm)
             self.services.chooser.end(self.vm)
             self.vm = None
 
@@ -205,7 +276,9 @@
             return
         self.over = True
         OPEN_REQUESTS.dec()
+        self.services.open_runs -= 1
         self._end_attempt()
+        self._leave()
         if self.reservation is not None:
             self.services.holdings.release(self.reservation)
             self.reservation = None
--- /dev/null
+++ b/bronzetiller/callers/services.py
@@ -0,0 +1,383 @@
+"""Serve one call of a plain service from its claim to the end of its answer."""
+
+import base64
+import hashlib
+from uuid import uuid4
+
+from attrs import define, evolve, field
+from result import Err, Ok, Result
+
+from bronzetiller.budgets.grants import GrantKeeper
+from bronzetiller.budgets.holdings import Holdings, Reservation
+from bronzetiller.budgets.records import Outcome
+from bronzetiller.budgets.shards import Shards
+from bronzetiller.callers.problems import refuse
+from bronzetiller.configuration.records import Route
+from bronzetiller.errors import Ran, Reason, Refusal
+from bronzetiller.metrics import ANSWERS, OPEN_REQUESTS, REPLAYS, REQUESTS, RETRIES
+from bronzetiller.net.http_client import HttpClient
+from bronzetiller.net.http_server import Exchange
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.platform.vm_list import Vm
+from bronzetiller.requests.admission import Admission, RequestKey, refuse_quarantined
+from bronzetiller.requests.billing import Biller
+from bronzetiller.requests.claimants import (
+    Asker,
+    ClaimAnswer,
+    Claimants,
+    ClaimRequest,
+    Settled,
+    Won,
+)
+from bronzetiller.requests.deaths import DeathWatch
+from bronzetiller.requests.quarantine import Passage
+from bronzetiller.requests.retries import RetryBudget
+from bronzetiller.routing.service import (
+    CallOutcome,
+    ServiceAnswer,
+    ServiceAttempt,
+    ServiceFailed,
+    ServiceRequest,
+    start_service_attempt,
+)
+from bronzetiller.routing.targets import TargetChooser
+
+SERVICES_PREFIX = "/services/"
+ATTEMPTS_MAX = 3
+BODY_KEPT_BYTES_MAX = 32 * 1024
+PASSED_HEADERS = ("accept", "accept-language", "content-type")
+RETRIED_STATUSES = (502, 503, 504)
+
+
+@define
+class CallServices:
+    """Hold what calls of plain services need of the node."""
+
+    scheduler: Scheduler
+    http: HttpClient
+    shards: Shards
+    keeper: GrantKeeper
+    holdings: Holdings
+    biller: Biller
+    chooser: TargetChooser
+    claimants: Claimants
+    admission: Admission
+    deaths: DeathWatch
+    retries: RetryBudget
+    open_runs: int = 0
+
+
+def read_route_name(path: str) -> tuple[str, str]:
+    """Return the route's name and the rest of a path below SERVICES_PREFIX."""
+    name, _, rest = path.removeprefix(SERVICES_PREFIX).partition("/")
+    return name, "/" + rest
+
+
+def digest_call(exchange: Exchange, path: str) -> str:
+    """Return what tells a call from another one under the same key."""
+    digest = hashlib.sha256()
+    for part in (exchange.method, path, exchange.query):
+        digest.update(part.encode() + b"\0")
+    digest.update(exchange.body)
+    return digest.hexdigest()[:32]
+
+
+@define(eq=False)
+class ServiceRun:
+    """Hold the state of one call."""
+
+    services: CallServices
+    exchange: Exchange
+    key: RequestKey
+    route: Route
+    request: ServiceRequest
+    asker: Asker | None = None
+    won: Won | None = None
+    settled: Outcome | None = None
+    reservation: Reservation | None = None
+    attempt: ServiceAttempt | None = None
+    passage: Passage | None = None
+    vm: Vm | None = None
+    isolating: bool = False
+    may_have_run: bool = False
+    tried: set[str] = field(factory=set)
+    caller_gone: bool = False
+    over: bool = False
+
+    def start(self) -> None:
+        """Claim the call where it may run only once, reserve its tokens, then dispatch."""
+        REQUESTS.labels("plain").inc()
+        OPEN_REQUESTS.inc()
+        self.services.open_runs += 1
+        self.services.retries.note_request()
+        self.exchange.on_disconnect = self._on_disconnect
+        if self._needs_claim:
+            request = ClaimRequest(self.key.workspace, self.key.request_id, self.key.fingerprint)
+            asker = self.services.claimants.ask(request, self._on_claim)
+            self.asker = None if self.over else asker
+            return
+        self._begin()
+
+    @property
+    def _needs_claim(self) -> bool:
+        """Say whether another send of the request may run; nobody can repeat a minted id."""
+        return not self.route.idempotent and not self.key.is_first
+
+    def _on_claim(self, answer: ClaimAnswer) -> None:
+        self.asker = None
+        if isinstance(answer, Refusal):
+            self._refuse(answer)
+        elif isinstance(answer, Settled):
+            self.settled = answer.outcome
+            self._replay(answer.outcome)
+        else:
+            self.won = answer
+            self.key = evolve(self.key, is_first=True)
+            self._begin()
+
+    def _begin(self) -> None:
+        refusal = self.services.admission.check(self.key)
+        if refusal is not None:
+            self._refuse(refusal)
+            return
+        tokens = self.route.call_tokens
+        self.services.keeper.obtain(self.key.workspace, tokens, self._on_reserved)
+
+    def _on_reserved(self, result: Result[Reservation, Refusal]) -> None:
+        match result:
+            case Ok(reservation) if self.over:
+                self.services.holdings.release(reservation)
+            case Ok(reservation):
+                self.reservation = reservation
+                if self.settled is None:
+                    self._enter()
+                else:
+                    self._bill(None)
+            case Err(refusal):
+                self._refuse(refusal)
+
+    def _enter(self) -> None:
+        deaths = self.services.deaths
+        self.passage = deaths.enter(self.key.mark, self._dispatch, self._expire_passage)
+        deaths.admit()
+
+    def _expire_passage(self) -> None:
+        detail = "the request waited too long for a run apart from others"
+        self._refuse(Refusal(503, Reason.DEADLINE, detail, retry_after_seconds=1))
+
+    def _dispatch(self) -> None:
+        if self.over:
+            return
+        deaths = self.services.deaths
+        if deaths.is_quarantined(self.key.mark):
+            self._refuse(refuse_quarantined(self.key.ran_before))
+            return
+        vm = deaths.choose(self.key.mark, self._choose, set(self.services.chooser.outstanding))
+        if vm is None:
+            detail = "no target of the service is live"
+            self._refuse(Refusal(503, Reason.NO_TARGET, detail, retry_after_seconds=1))
+            return
+        self._start_attempt(vm)
+
+    def _choose(self, avoided: set[str]) -> Vm | None:
+        return self.services.chooser.choose(self.route.service, self.tried | avoided)
+
+    def _start_attempt(self, vm: Vm) -> None:
+        self.isolating = self.services.deaths.is_suspect(self.key.mark)
+        if self.isolating:
+            self.services.deaths.isolate(vm)
+        self.vm = vm
+        self.tried.add(vm.vm_id)
+        self.services.chooser.begin(vm)
+        self.attempt = start_service_attempt(
+            self.services.http,
+            vm,
+            uuid4().hex if self.won is None else self.won.attempt_id,
+            self.request,
+            silence_seconds=self.route.silence_seconds,
+            may_send=None if self.route.idempotent else self._may_send,
+            listener=self._on_outcome,
+        )
+
+    def _may_send(self) -> bool:
+        return self.won is None or self.services.scheduler.now() <= self.won.dispatch_by
+
+    def _on_outcome(self, outcome: CallOutcome) -> None:
+        vm = self.vm
+        assert vm is not None
+        self._end_attempt()
+        if isinstance(outcome, ServiceAnswer) or outcome.sent:
+            self.may_have_run = True
+        if isinstance(outcome, ServiceFailed):
+            self._recover(outcome, vm)
+        elif self.route.idempotent and outcome.status in RETRIED_STATUSES and self._take_retry():
+            RETRIES.labels("target_refused").inc()
+            self._dispatch()
+        else:
+            self.services.deaths.clear(self.key.mark)
+            self._bill(outcome)
+
+    def _take_retry(self) -> bool:
+        return len(self.tried) < ATTEMPTS_MAX and self.services.retries.take()
+
+    def _recover(self, failure: ServiceFailed, vm: Vm) -> None:
+        if failure.sent:
+            self.services.deaths.report_loss(
+                self.key.mark, vm, lambda: self._recover_after_loss(failure)
+            )
+        elif self._may_send() and self._take_retry():
+            RETRIES.labels("not_sent").inc()
+            self._dispatch()
+        else:
+            self._refuse_failed(failure, Ran.NO)
+
+    def _recover_after_loss(self, failure: ServiceFailed) -> None:
+        if self.over:
+            return
+        self._leave()
+        if not self.route.idempotent:
+            self._refuse_unknown(failure)
+        elif self.services.deaths.is_quarantined(self.key.mark):
+            self._refuse(refuse_quarantined(Ran.UNKNOWN))
+        elif self._take_retry():
+            RETRIES.labels("target_failed").inc()
+            self._enter()
+        else:
+            self._refuse_failed(failure, Ran.UNKNOWN)
+
+    def _refuse_failed(self, failure: ServiceFailed, ran: Ran) -> None:
+        self._refuse(Refusal(502, Reason.TARGET_FAILED, failure.cause, ran, retry_after_seconds=1))
+
+    def _refuse_unknown(self, failure: ServiceFailed) -> None:
+        if self.won is not None:
+            won, self.won = self.won, None
+            self.services.claimants.give_up(won)
+        detail = f"the request was sent and its outcome is not known: {failure.cause}"
+        self._refuse(Refusal(502, Reason.OUTCOME_UNKNOWN, detail, Ran.UNKNOWN))
+
+    def _bill(self, answer: ServiceAnswer | None) -> None:
+        assert self.reservation is not None
+        reservation, self.reservation = self.reservation, None
+        outcome = None
+        if answer is not None and self.won is not None:
+            outcome = _make_outcome(self.won, answer)
+            self.won = None
+        self.services.biller.bill(
+            self.key.request_id,
+            self.key.fingerprint,
+            reservation,
+            self.route.call_tokens,
+            lambda result: self._on_billed(answer, result),
+            outcome,
+        )
+
+    def _on_billed(self, answer: ServiceAnswer | None, result: Result[int, Refusal]) -> None:
+        if isinstance(result, Err):
+            self._refuse(result.err_value)
+        elif answer is not None:
+            self._respond(answer)
+        elif self.settled is not None:
+            self._give(self.settled)
+
+    def _replay(self, outcome: Outcome) -> None:
+        """Give the kept answer; it is billed now where its first bill did not count."""
+        ledger = self.services.shards.find(self.key.workspace).ledger
+        if ledger.find_bill(self.key.workspace, self.key.request_id) is None:
+            self._begin()
+        else:
+            self._give(outcome)
+
+    def _give(self, outcome: Outcome) -> None:
+        if not outcome.body_kept:
+            detail = "the request was run; its answer was too large to be kept"
+            self._refuse(Refusal(409, Reason.ANSWER_NOT_KEPT, detail, Ran.YES))
+            return
+        REPLAYS.inc()
+        body = base64.b64decode(outcome.body)
+        self._respond(ServiceAnswer(outcome.status, outcome.content_type, body))
+
+    def _respond(self, answer: ServiceAnswer) -> None:
+        self._finish()
+        ANSWERS.labels("plain").inc()
+        self.exchange.respond(answer.status, {"Content-Type": answer.content_type}, answer.body)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        honest = self._make_honest(refusal)
+        self._finish()
+        if not self.caller_gone:
+            refuse(self.exchange, honest)
+
+    def _make_honest(self, refusal: Refusal) -> Refusal:
+        """Never say that a request was not run which was, or may have been."""
+        if refusal.ran is not Ran.NO:
+            return refusal
+        if self.settled is not None:
+            return evolve(refusal, ran=self.settled.ran)
+        return evolve(refusal, ran=Ran.UNKNOWN) if self.may_have_run else refusal
+
+    def _on_disconnect(self) -> None:
+        """Go on without the caller where the service may have begun what runs only once."""
+        self.caller_gone = True
+        if self.over or (self.attempt is not None and not self.route.idempotent):
+            return
+        if self.asker is not None:
+            self.asker.cancel()
+        if self.attempt is not None:
+            self.attempt.cancel()
+        if self.reservation is not None or self.attempt is None:
+            self._finish()
+
+    def _end_attempt(self) -> None:
+        if self.vm is not None:
+            if self.isolating:
+                self.services.deaths.rejoin(self.vm)
+            self.services.chooser.end(self.vm)
+            self.vm = None
+
+    def _leave(self) -> None:
+        if self.passage is not None:
+            passage, self.passage = self.passage, None
+            self.services.deaths.leave(passage)
+
+    def _finish(self) -> None:
+        if self.over:
+            return
+        self.over = True
+        OPEN_REQUESTS.dec()
+        self.services.open_runs -= 1
+        self._end_attempt()
+        self._leave()
+        if self.reservation is not None:
+            self.services.holdings.release(self.reservation)
+            self.reservation = None
+        if self.won is not None:
+            self.services.claimants.free(self.won)
+            self.won = None
+
+
+def _make_outcome(won: Won, answer: ServiceAnswer) -> Outcome:
+    kept = len(answer.body) <= BODY_KEPT_BYTES_MAX
+    return Outcome(
+        won.request.workspace,
+        won.request.request_id,
+        won.attempt_id,
+        Ran.YES,
+        status=answer.status,
+        content_type=answer.content_type,
+        body=base64.b64encode(answer.body).decode() if kept else "",
+        body_kept=kept,
+    )
+
+
+def make_service_run(
+    services: CallServices, exchange: Exchange, workspace: str, route: Route, rest: str
+) -> ServiceRun:
+    """Return the run of one call; rest is the path that the service sees."""
+    headers = {k: v for k, v in exchange.headers.items() if k in PASSED_HEADERS}
+    caller_key = exchange.headers.get("idempotency-key")
+    request_id = caller_key or uuid4().hex
+    headers["Idempotency-Key"] = request_id
+    target = f"{rest}?{exchange.query}" if exchange.query else rest
+    request = ServiceRequest(exchange.method, target, headers, exchange.body)
+    key = RequestKey(workspace, request_id, digest_call(exchange, rest), caller_key is None)
+    return ServiceRun(services, exchange, key, route, request)
--- a/bronzetiller/errors.py
+++ b/bronzetiller/errors.py
@@ -35,6 +35,8 @@
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIM_HELD = "claim_held"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    RERUNS_SPENT = "reruns_spent"
     QUARANTINED = "quarantined"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -20,6 +20,19 @@
     "bronzetiller_rulings", "Ledger rulings.", ["record", "verdict"], registry=REGISTRY
 )
 LATE_BYTES = Counter("bronzetiller_late_bytes", "Bytes dropped after an end.", registry=REGISTRY)
+TARGET_DEATHS = Counter(
+    "bronzetiller_target_deaths", "Targets seen to die with requests on them.", registry=REGISTRY
+)
+REPLAYS = Counter(
+    "bronzetiller_replays", "Kept answers given to a caller's retry.", registry=REGISTRY
+)
+COURIER_BILLS = Counter(
+    "bronzetiller_courier_bills",
+    "Bills kept for peers, by what became of them.",
+    ["end"],
+    registry=REGISTRY,
+)
+KEPT_BILLS = Gauge("bronzetiller_kept_bills", "Bills kept for peers.", registry=REGISTRY)
 OPEN_REQUESTS = Gauge("bronzetiller_open_requests", "Requests being served.", registry=REGISTRY)
 
 
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -45,7 +45,10 @@
 
 @frozen
 class HttpCall:
-    """Describe one outgoing request; silence is the longest wait between two reads."""
+    """Describe one outgoing request; silence is the longest wait between two reads.
+
+    A call with may_send goes over a connection of its own and asks right before its first byte.
+    """
 
     address: Address
     method: str
@@ -54,6 +57,7 @@
     body: bytes
     silence_seconds: float
     connect_seconds: float = 2.0
+    may_send: Callable[[], bool] | None = None
 
 
 @define(eq=False)
@@ -93,6 +97,9 @@
     def transmit(self) -> None:
         assert self.open_call is not None and self.connection is not None
         call = self.open_call.call
+        if call.may_send is not None and not call.may_send():
+            self.fail("too late to send")
+            return
         headers = [("Host", str(call.address)), ("Content-Length", str(len(call.body)))]
         headers += list(call.headers.items())
         request = h11.Request(method=call.method, target=call.path, headers=headers)
@@ -189,7 +196,7 @@
         """Start a call; its events reach the listener in order."""
         open_call = OpenCall(call, listener)
         idle = self._idle.get(call.address)
-        if idle:
+        if idle and call.may_send is None:
             channel = idle.pop()
             channel.open_call = open_call
             open_call._channel = channel
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -13,7 +13,9 @@
 from bronzetiller.callers.api import ApiServices, make_application
 from bronzetiller.callers.chat import ChatServices
 from bronzetiller.callers.problems import reject_malformed
+from bronzetiller.callers.services import CallServices
 from bronzetiller.configuration.fold import Configuration
+from bronzetiller.fleet.incarnations import read_node_id
 from bronzetiller.fleet.peers import Peers, PeerVm
 from bronzetiller.logs import log_event
 from bronzetiller.net.dialer import Dialer
@@ -23,7 +25,13 @@
 from bronzetiller.platform.follower import StreamFollower
 from bronzetiller.platform.log_client import Entry, LogClient
 from bronzetiller.platform.vm_list import VmList, VmState
+from bronzetiller.requests.admission import Admission
 from bronzetiller.requests.billing import Biller
+from bronzetiller.requests.claimants import Claimants
+from bronzetiller.requests.couriers import Couriers
+from bronzetiller.requests.deaths import DeathWatch
+from bronzetiller.requests.quarantine import Quarantine
+from bronzetiller.requests.retries import RetryBudget
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.settings import Settings
 
@@ -75,7 +83,30 @@
             self.incarnation,
             lambda workspace: is_credit_pending(self.configuration, self.shards, workspace),
         )
-        self.biller = Biller(scheduler, self.shards, self.holdings, self.incarnation)
+        self.couriers = Couriers(
+            scheduler,
+            self.shards,
+            self.peers,
+            self.vm_list,
+            node_id=settings.node_id,
+            data_centre=settings.data_centre,
+            copies=settings.budgets.bill_copies,
+            is_gone=self._is_gone,
+        )
+        self.biller = Biller(
+            scheduler,
+            self.shards,
+            self.holdings,
+            self.couriers,
+            settings.requests,
+            self.incarnation,
+        )
+        self.claimants = Claimants(
+            scheduler, self.shards, settings.requests, self.incarnation, self._is_gone
+        )
+        quarantine = Quarantine(settings.requests.quarantine_seconds)
+        self.deaths = DeathWatch(scheduler, dialer, self.peers, quarantine)
+        self.retries = RetryBudget(settings.requests.retry_share_max)
         self.chooser = TargetChooser(self.vm_list, settings.region)
         self.stopping = False
         self.server = self._make_server()
@@ -104,6 +135,7 @@
         if self.stopping:
             return
         self.stopping = True
+        self.couriers.stop()
         log_event("stopping", open_requests=self.server.open_exchanges)
         self.loop.scheduler.call_every(0.05, self._stop_when_idle)
 
@@ -114,14 +146,52 @@
 
     def _stop_when_idle(self) -> None:
         backlog = sum(shard.writer.backlog for shard in self.shards.all)
-        if self.server.open_exchanges == 0 and backlog == 0:
+        if self.open_runs or self.server.open_exchanges or not self.couriers.is_idle:
+            return
+        if backlog == 0 or (self.biller.is_secured and not self.claimants.open_claims):
             log_event("stopped")
             self.loop.root.stop()
 
+    @property
+    def open_runs(self) -> int:
+        """Count the requests that are not over, whether or not their callers are still there."""
+        return self.chat.open_runs + self.calls.open_runs
+
+    def _is_gone(self, incarnation: str) -> bool:
+        if not self.vm_list.reachable:
+            return False
+        node_id = read_node_id(incarnation)
+        return all(vm.vm_id != node_id for vm in self.vm_list.find_routers())
+
     def _make_server(self) -> HttpServer:
+        admission = Admission(self.shards, self.biller, self.deaths)
+        self.chat = ChatServices(
+            http=self.http,
+            keeper=self.keeper,
+            holdings=self.holdings,
+            biller=self.biller,
+            chooser=self.chooser,
+            admission=admission,
+            deaths=self.deaths,
+            retries=self.retries,
+        )
+        self.calls = CallServices(
+            scheduler=self.loop.scheduler,
+            http=self.http,
+            shards=self.shards,
+            keeper=self.keeper,
+            holdings=self.holdings,
+            biller=self.biller,
+            chooser=self.chooser,
+            claimants=self.claimants,
+            admission=admission,
+            deaths=self.deaths,
+            retries=self.retries,
+        )
         services = ApiServices(
             configuration=self.configuration,
-            chat=ChatServices(self.http, self.keeper, self.holdings, self.biller, self.chooser),
+            chat=self.chat,
+            calls=self.calls,
             is_ready=self.is_ready,
             is_stopping=lambda: self.stopping,
             list_entries=self._list_entries,
--- a/bronzetiller/requests/billing.py
+++ b/bronzetiller/requests/billing.py
@@ -1,20 +1,22 @@
 """Bill a request once and confirm the bill before its answer ends."""
 
 from collections.abc import Callable
+from uuid import uuid4
 
 from attrs import define
 from result import Err, Ok, Result
 
 from bronzetiller.budgets.holdings import Holdings, Reservation
-from bronzetiller.budgets.ledger import Ruling, Verdict
-from bronzetiller.budgets.records import Bill, LedgerRecord
+from bronzetiller.budgets.ledger import RERUNS_MAX, Ruling, Verdict
+from bronzetiller.budgets.records import Bill, LedgerRecord, Outcome
 from bronzetiller.budgets.shards import Shards
 from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.metrics import TOKENS_BILLED
 from bronzetiller.net.scheduler import Scheduler, Timer
 from bronzetiller.platform.log_client import Entry
-
-CONFIRM_SECONDS = 20.0
+from bronzetiller.requests.couriers import Couriers, Handover
+from bronzetiller.requests.kept_bills import separate
+from bronzetiller.settings import RequestSettings
 
 Billed = Callable[[Result[int, Refusal]], None]
 
@@ -22,23 +24,52 @@
 @define(eq=False)
 class _Open:
     bill: Bill
+    outcome: Outcome | None
     billed: Billed | None
-    timer: Timer | None = None
+    expiry: Timer | None = None
+    copying: Timer | None = None
+    handover: Handover | None = None
 
 
 class Biller:
-    """Append bills and wait for the ledger's ruling."""
+    """Append bills; an answer ends once the ledger has ruled or enough peers keep the bill."""
 
     def __init__(
-        self, scheduler: Scheduler, shards: Shards, holdings: Holdings, incarnation: str
+        self,
+        scheduler: Scheduler,
+        shards: Shards,
+        holdings: Holdings,
+        couriers: Couriers,
+        settings: RequestSettings,
+        incarnation: str,
     ) -> None:
         self._scheduler = scheduler
         self._shards = shards
         self._holdings = holdings
+        self._couriers = couriers
+        self._settings = settings
         self._incarnation = incarnation
-        self._open: dict[tuple[str, str], _Open] = {}
+        self._open: dict[str, _Open] = {}
         shards.subscribe(self._on_ruling)
 
+    @property
+    def is_secured(self) -> bool:
+        """Say whether there are bills without a ruling and enough peers keep each of them."""
+        return bool(self._open) and all(
+            item.handover is not None and item.handover.is_secured for item in self._open.values()
+        )
+
+    def can_confirm(self, workspace: str) -> bool:
+        """Say whether a bill of the workspace could be confirmed now."""
+        return self._shards.find(workspace).is_log_reachable or self._couriers.can_secure
+
+    def count_open(self, workspace: str, request_id: str) -> int:
+        """Count the bills for a request id that the ledger has not ruled on."""
+        bills = [item.bill for item in self._open.values()]
+        return sum(
+            1 for bill in bills if (bill.workspace, bill.request_id) == (workspace, request_id)
+        )
+
     def bill(
         self,
         request_id: str,
@@ -46,45 +77,94 @@
         reservation: Reservation,
         tokens: int,
         billed: Billed,
+        outcome: Outcome | None = None,
     ) -> None:
-        """Charge a request; billed comes once the bill is certain to reach the ledger."""
+        """Charge a request; billed comes once the bill is certain to reach the ledger.
+
+        The outcome of a claim goes into the log right behind the bill.
+        """
         charges = self._holdings.settle(reservation, tokens)
         bill = Bill(
-            reservation.workspace, request_id, fingerprint, self._incarnation, tokens, charges
+            reservation.workspace,
+            request_id,
+            fingerprint,
+            self._incarnation,
+            tokens,
+            charges,
+            uuid4().hex,
         )
-        item = _Open(bill, billed)
-        self._open[(bill.workspace, bill.request_id)] = item
-        item.timer = self._scheduler.call_after(CONFIRM_SECONDS, lambda: self._expire(item))
+        item = _Open(bill, outcome, billed)
+        self._open[bill.bill_id] = item
+        call_after = self._scheduler.call_after
+        item.expiry = call_after(self._settings.confirm_seconds, lambda: self._expire(item))
+        reachable = self._shards.find(bill.workspace).is_log_reachable
+        copy_seconds = self._settings.copy_after_seconds if reachable else 0.0
+        item.copying = call_after(copy_seconds, lambda: self._copy(item))
         self._shards.append(bill)
+        if outcome is not None:
+            self._shards.append(outcome)
+
+    def _copy(self, item: _Open) -> None:
+        item.handover = self._couriers.secure(
+            item.bill, item.outcome, lambda: self._confirm(item, Ok(item.bill.tokens))
+        )
 
     def _on_ruling(self, entry: Entry, record: LedgerRecord, ruling: Ruling) -> None:
         if not isinstance(record, Bill) or record.biller != self._incarnation:
             return
-        item = self._open.pop((record.workspace, record.request_id), None)
+        item = self._open.pop(record.bill_id, None)
         if item is None:
             return
-        match ruling.verdict:
+        if item.copying is not None:
+            item.copying.cancel()
+        if item.handover is not None:
+            self._couriers.end(item.handover)
+        self._take_verdict(item, record, ruling.verdict)
+
+    def _take_verdict(self, item: _Open, bill: Bill, verdict: Verdict) -> None:
+        match verdict:
             case Verdict.ACCEPTED:
-                TOKENS_BILLED.inc(record.tokens)
-                self._confirm(item, Ok(record.tokens))
+                TOKENS_BILLED.inc(bill.tokens)
+                self._confirm(item, Ok(bill.tokens))
             case Verdict.DUPLICATE:
-                self._holdings.restore(record.workspace, record.charges)
-                self._confirm(item, Ok(0))
+                self._take_duplicate(item, bill)
+            case Verdict.KEY_REUSED if item.handover is not None:
+                self._shards.append(separate(bill))
+                self._confirm(item, Ok(bill.tokens))
             case Verdict.KEY_REUSED:
-                self._holdings.restore(record.workspace, record.charges)
+                self._holdings.restore(bill.workspace, bill.charges)
                 detail = "the idempotency key was used for another request"
                 self._confirm(item, Err(Refusal(422, Reason.KEY_REUSED, detail, Ran.YES)))
             case _:
                 detail = "the tokens reserved for the request are no longer this node's"
                 self._confirm(item, Err(Refusal(503, Reason.BILL_VOID, detail, Ran.YES)))
 
+    def _take_duplicate(self, item: _Open, bill: Bill) -> None:
+        """Put charges back, but for a bill that is its own duplicate: those are spent."""
+        known = self._shards.find(bill.workspace).ledger.find_bill(bill.workspace, bill.request_id)
+        if known is not None and known.bill_id == bill.bill_id:
+            self._confirm(item, Ok(bill.tokens))
+            return
+        self._holdings.restore(bill.workspace, bill.charges)
+        if known is not None and known.reruns > RERUNS_MAX:
+            self._confirm(item, Err(refuse_rerun()))
+            return
+        self._confirm(item, Ok(0))
+
     def _confirm(self, item: _Open, result: Result[int, Refusal]) -> None:
-        if item.timer is not None:
-            item.timer.cancel()
+        if item.expiry is not None:
+            item.expiry.cancel()
         if item.billed is not None:
             billed, item.billed = item.billed, None
             billed(result)
 
     def _expire(self, item: _Open) -> None:
         detail = "the answer is complete but its bill could not be recorded"
-        self._confirm(item, Err(Refusal(503, Reason.BILL_UNCONFIRMED, detail, Ran.YES)))
+        refusal = Refusal(503, Reason.BILL_UNCONFIRMED, detail, Ran.YES, retry_after_seconds=1)
+        self._confirm(item, Err(refusal))
+
+
+def refuse_rerun() -> Refusal:
+    """Return the refusal of one repeat too many under a billed key."""
+    detail = "the request was billed and has been run again as often as one bill allows"
+    return Refusal(409, Reason.RERUNS_SPENT, detail, Ran.YES)
--- /dev/null
+++ b/bronzetiller/requests/couriers.py
@@ -0,0 +1,222 @@
+"""Have peers keep copies of bills that the log is slow to confirm, and keep copies for peers."""
+
+from collections.abc import Callable
+
+from attrs import define, field
+from result import Ok, Result
+
+from bronzetiller.budgets.ledger import Ruling
+from bronzetiller.budgets.records import Bill, LedgerRecord, Outcome
+from bronzetiller.budgets.shards import Shards
+from bronzetiller.fleet.incarnations import read_node_id
+from bronzetiller.fleet.peers import Peers, Reply
+from bronzetiller.logs import log_event
+from bronzetiller.metrics import COURIER_BILLS, KEPT_BILLS
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.platform.log_client import Entry
+from bronzetiller.platform.vm_list import VmList
+from bronzetiller.requests.kept_bills import KeptBill, KeptBills
+from bronzetiller.wire.messages import BillKept, DropBill, KeepBill, Message
+
+ANSWER_SECONDS = 1.0
+CHECK_SECONDS = 0.5
+OWNER_SILENCE_SECONDS = 3.0
+HANDOVERS_MAX = 64
+
+
+@define(eq=False)
+class Handover:
+    """Follow the copies of one bill until enough peers keep one."""
+
+    item: KeptBill
+    secured: Callable[[], None]
+    asked: set[str] = field(factory=set)
+    holders: set[str] = field(factory=set)
+    asking: int = 0
+    over: bool = False
+    is_secured: bool = False
+
+
+class Couriers:
+    """Exchange copies of bills with peers, those of other data centres first."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        shards: Shards,
+        peers: Peers,
+        vm_list: VmList,
+        *,
+        node_id: str,
+        data_centre: str,
+        copies: int,
+        is_gone: Callable[[str], bool],
+    ) -> None:
+        self.kept = KeptBills()
+        self._scheduler = scheduler
+        self._shards = shards
+        self._peers = peers
+        self._vm_list = vm_list
+        self._node_id = node_id
+        self._data_centre = data_centre
+        self._copies = copies
+        self._is_gone = is_gone
+        self._silent_since: dict[str, float] = {}
+        self._handovers: dict[str, Handover] = {}
+        self._stopping = False
+        peers.on(KeepBill, self._on_keep_bill)
+        peers.on(DropBill, self._on_drop_bill)
+        shards.subscribe(self._on_ruling)
+        scheduler.call_every(CHECK_SECONDS, self._check)
+
+    def committed(self, grant_id: str) -> int:
+        """Return the tokens of a grant that bills kept here for others will charge."""
+        return self.kept.count_tokens(grant_id)
+
+    @property
+    def copies_needed(self) -> int:
+        """Return how many peers must keep a bill; fewer where the fleet has fewer nodes."""
+        others = sum(1 for vm in self._vm_list.find_routers() if vm.vm_id != self._node_id)
+        return min(self._copies, others)
+
+    @property
+    def can_secure(self) -> bool:
+        """Say whether enough peers are connected to keep a bill."""
+        return 0 < self.copies_needed <= len(self._peers.connected())
+
+    def secure(self, bill: Bill, outcome: Outcome | None, secured: Callable[[], None]) -> Handover:
+        """Ask peers to keep a bill; secured comes once enough of them confirm."""
+        handover = Handover(KeptBill(bill, bill.biller, outcome), secured)
+        self._handovers[bill.bill_id] = handover
+        self._ask_more(handover)
+        return handover
+
+    def end(self, handover: Handover) -> None:
+        """Tell the peers that the ledger has ruled on the bill."""
+        handover.over = True
+        bill_id = handover.item.bill.bill_id
+        self._handovers.pop(bill_id, None)
+        for node_id in handover.asked:
+            self._peers.send(node_id, DropBill(bill_id))
+
+    def stop(self) -> None:
+        """Append every kept bill now, and hand over those that the log does not take."""
+        self._stopping = True
+        self._append_orphans()
+
+    @property
+    def is_idle(self) -> bool:
+        """Say whether every kept bill is in the log or with another peer."""
+        return not self.kept.bills
+
+    def _ask_more(self, handover: Handover) -> None:
+        if handover.over:
+            return
+        missing = self.copies_needed - len(handover.holders) - handover.asking
+        for node_id in self._choose_peers(handover)[: max(0, missing)]:
+            self._ask(handover, node_id)
+
+    def _choose_peers(self, handover: Handover) -> list[str]:
+        centres = {vm.vm_id: vm.data_centre for vm in self._vm_list.find_routers()}
+        owner = read_node_id(handover.item.owner)
+        found = [
+            node_id
+            for node_id in self._peers.connected()
+            if node_id not in handover.asked and node_id != owner
+        ]
+        return sorted(found, key=lambda node_id: centres.get(node_id) == self._data_centre)
+
+    def _ask(self, handover: Handover, node_id: str) -> None:
+        handover.asked.add(node_id)
+        handover.asking += 1
+
+        def answered(result: Result[Message, str]) -> None:
+            handover.asking -= 1
+            match result:
+                case Ok(BillKept()):
+                    self._confirm(handover, node_id)
+            self._ask_more(handover)
+
+        item = handover.item
+        message = KeepBill(item.bill, item.owner, item.outcome)
+        self._peers.ask(node_id, message, ANSWER_SECONDS, answered)
+
+    def _confirm(self, handover: Handover, node_id: str) -> None:
+        handover.holders.add(node_id)
+        enough = len(handover.holders) >= self.copies_needed
+        if enough and not handover.over and not handover.is_secured:
+            handover.is_secured = True
+            handover.secured()
+
+    def _on_keep_bill(self, message: KeepBill, reply: Reply) -> None:
+        if self._stopping:
+            return
+        ledger = self._shards.find(message.bill.workspace).ledger
+        known = ledger.find_bill(message.bill.workspace, message.bill.request_id)
+        if known is None or known.bill_id != message.bill.bill_id:
+            self.kept.keep(KeptBill(message.bill, message.owner, message.outcome))
+            KEPT_BILLS.set(len(self.kept.bills))
+        reply(BillKept())
+
+    def _on_drop_bill(self, message: DropBill, reply: Reply) -> None:
+        self._drop(message.bill_id, "dropped")
+
+    def _drop(self, bill_id: str, end: str) -> None:
+        if self.kept.drop(bill_id):
+            COURIER_BILLS.labels(end).inc()
+            KEPT_BILLS.set(len(self.kept.bills))
+
+    def _on_ruling(self, entry: Entry, record: LedgerRecord, ruling: Ruling) -> None:
+        if not isinstance(record, Bill) or record.bill_id not in self.kept.bills:
+            return
+        instead = self.kept.take_ruling(record, ruling.verdict)
+        COURIER_BILLS.labels("ruled").inc()
+        KEPT_BILLS.set(len(self.kept.bills))
+        if instead is not None:
+            self._shards.append(instead)
+
+    def _check(self) -> None:
+        for handover in list(self._handovers.values()):
+            if not handover.asking:
+                handover.holders &= set(self._peers.connected())
+                handover.asked &= handover.holders
+                self._ask_more(handover)
+        self._note_silence()
+        self._append_orphans()
+        if self._stopping:
+            self._hand_over()
+
+    def _note_silence(self) -> None:
+        now = self._scheduler.now()
+        connected = set(self._peers.connected())
+        owners = {read_node_id(item.owner) for item in self.kept.bills.values()}
+        self._silent_since = {
+            node_id: self._silent_since.get(node_id, now) for node_id in owners - connected
+        }
+
+    def _append_orphans(self) -> None:
+        for item in self.kept.select_orphans(self._is_silent):
+            log_event("bill_appended_for_peer", owner=item.owner, request_id=item.bill.request_id)
+            COURIER_BILLS.labels("appended").inc()
+            self._shards.append(item.bill)
+            if item.outcome is not None:
+                self._shards.append(item.outcome)
+
+    def _is_silent(self, owner: str) -> bool:
+        if self._stopping or self._is_gone(owner):
+            return True
+        since = self._silent_since.get(read_node_id(owner))
+        return since is not None and self._scheduler.now() - since >= OWNER_SILENCE_SECONDS
+
+    def _hand_over(self) -> None:
+        """Pass kept bills on to other peers while the log does not take them."""
+        for bill_id, item in list(self.kept.bills.items())[:HANDOVERS_MAX]:
+            reachable = self._shards.find(item.bill.workspace).is_log_reachable
+            if bill_id not in self._handovers and not reachable:
+                handover = Handover(item, lambda bill_id=bill_id: self._leave(bill_id))  # type: ignore[misc]
+                self._handovers[bill_id] = handover
+                self._ask_more(handover)
+
+    def _leave(self, bill_id: str) -> None:
+        self._handovers.pop(bill_id, None)
+        self._drop(bill_id, "handed_over")
--- /dev/null
+++ b/bronzetiller/requests/kept_bills.py
@@ -0,0 +1,68 @@
+"""Keep the bills of other nodes until the log has them.
+
+Nothing here reads a clock or sends anything, and appending a bill twice does no harm: the fold
+takes one bill of a request and drops the rest.
+"""
+
+from collections.abc import Callable
+
+from attrs import define, evolve, field
+
+from bronzetiller.budgets.ledger import Verdict
+from bronzetiller.budgets.records import Bill, Outcome
+
+
+@define
+class KeptBill:
+    """Hold a bill for its owner, with the outcome of a claim that goes with it."""
+
+    bill: Bill
+    owner: str
+    outcome: Outcome | None = None
+    appended: bool = False
+
+
+@define
+class KeptBills:
+    """Hold the bills kept for others by bill id."""
+
+    bills: dict[str, KeptBill] = field(factory=dict)
+
+    def keep(self, item: KeptBill) -> None:
+        """Take a bill in; a second copy changes nothing."""
+        self.bills.setdefault(item.bill.bill_id, item)
+
+    def drop(self, bill_id: str) -> bool:
+        """Forget a bill that the ledger has ruled on; say whether it was kept."""
+        return self.bills.pop(bill_id, None) is not None
+
+    def select_orphans(self, is_silent: Callable[[str], bool]) -> list[KeptBill]:
+        """Return the bills to append now, each once, because their owners are silent."""
+        orphans = [
+            item for item in self.bills.values() if not item.appended and is_silent(item.owner)
+        ]
+        for item in orphans:
+            item.appended = True
+        return orphans
+
+    def take_ruling(self, bill: Bill, verdict: Verdict) -> Bill | None:
+        """Forget a bill that was ruled on; return the bill to append in its place, if any."""
+        item = self.bills.pop(bill.bill_id, None)
+        if item is None or verdict is not Verdict.KEY_REUSED:
+            return None
+        return separate(bill)
+
+    def count_tokens(self, grant_id: str) -> int:
+        """Return the tokens of one grant that kept bills charge."""
+        charges = [charge for item in self.bills.values() for charge in item.bill.charges]
+        return sum(charge.tokens for charge in charges if charge.grant_id == grant_id)
+
+
+def separate(bill: Bill) -> Bill:
+    """Return the bill of an answer that was given under a key that another request holds.
+
+    Everyone who makes it makes the same one, so that it counts once.
+    """
+    if bill.bill_id in bill.request_id:
+        return bill
+    return evolve(bill, request_id=f"{bill.request_id}#{bill.bill_id}", bill_id=f"{bill.bill_id}#")
--- /dev/null
+++ b/bronzetiller/routing/service.py
@@ -0,0 +1,130 @@
+"""Run one call of a plain service and check that the answer is its own and whole."""
+
+from collections.abc import Callable
+
+from attrs import define, field, frozen
+
+from bronzetiller.net.http_client import (
+    BodyPart,
+    CallEvent,
+    CallFailed,
+    HttpCall,
+    HttpClient,
+    OpenCall,
+    ResponseEnd,
+    ResponseHead,
+)
+from bronzetiller.platform.vm_list import Vm
+from bronzetiller.routing.engine import ATTEMPT_HEADER
+
+ANSWER_BYTES_MAX = 16 * 1024 * 1024
+BODILESS_STATUSES = (204, 304)
+
+
+@frozen
+class ServiceRequest:
+    """Hold what of a caller's request goes to the service."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@frozen
+class ServiceAnswer:
+    """Hold the whole answer of a service."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@frozen
+class ServiceFailed:
+    """Say why no whole answer came, and whether a byte of the request may have been sent."""
+
+    cause: str
+    sent: bool
+
+
+CallOutcome = ServiceAnswer | ServiceFailed
+OutcomeListener = Callable[[CallOutcome], None]
+
+
+@define(eq=False)
+class ServiceAttempt:
+    """Follow one call until its one outcome."""
+
+    attempt_id: str
+    _method: str
+    _listener: OutcomeListener
+    call: OpenCall | None = None
+    status: int = 0
+    content_type: str = ""
+    body_bytes: int = 0
+    _body: list[bytes] = field(factory=list)
+
+    def cancel(self) -> None:
+        """Drop the call; no outcome follows."""
+        if self.call is not None:
+            self.call.cancel()
+
+    def listen(self, event: CallEvent) -> None:
+        """Take one event of the HTTP call."""
+        if isinstance(event, ResponseHead):
+            self._take_head(event)
+        elif isinstance(event, BodyPart):
+            self._take_body(event.data)
+        elif isinstance(event, ResponseEnd):
+            self._listener(ServiceAnswer(self.status, self.content_type, b"".join(self._body)))
+        elif isinstance(event, CallFailed):
+            self._listener(ServiceFailed(event.cause, event.sent))
+
+    def _take_head(self, head: ResponseHead) -> None:
+        self.status = head.status
+        self.content_type = head.headers.get("content-type", "application/octet-stream")
+        if head.headers.get(ATTEMPT_HEADER.lower()) != self.attempt_id:
+            self._reject("the response belongs to another attempt")
+        elif not self._is_framed(head):
+            self._reject("the length of the response is not told")
+
+    def _is_framed(self, head: ResponseHead) -> bool:
+        if self._method == "HEAD" or head.status in BODILESS_STATUSES:
+            return True
+        return "content-length" in head.headers or "transfer-encoding" in head.headers
+
+    def _take_body(self, data: bytes) -> None:
+        self._body.append(data)
+        self.body_bytes += len(data)
+        if self.body_bytes > ANSWER_BYTES_MAX:
+            self._reject("the answer is too large")
+
+    def _reject(self, cause: str) -> None:
+        self.cancel()
+        self._listener(ServiceFailed(cause, sent=True))
+
+
+def start_service_attempt(
+    http: HttpClient,
+    vm: Vm,
+    attempt_id: str,
+    request: ServiceRequest,
+    *,
+    silence_seconds: float,
+    may_send: Callable[[], bool] | None,
+    listener: OutcomeListener,
+) -> ServiceAttempt:
+    """Send a request to a service; may_send is asked right before the first byte leaves."""
+    attempt = ServiceAttempt(attempt_id, request.method, listener)
+    call = HttpCall(
+        vm.address,
+        request.method,
+        request.target,
+        request.headers | {ATTEMPT_HEADER: attempt_id},
+        request.body,
+        silence_seconds,
+        may_send=may_send,
+    )
+    attempt.call = http.send(call, attempt.listen)
+    return attempt
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -54,6 +54,23 @@
     entry_seconds: float = field(default=5.0, validator=gt(0))
 
 
+@frozen
+class RequestSettings:
+    """Bound how long a request waits for its claim and its bill, and how often it is repeated.
+
+    A claim is read back within claim_seconds and dispatched within dispatch_seconds, or not at
+    all; a caller waits claim_wait_seconds for the outcome of another send of its request.
+    """
+
+    claim_seconds: float = field(default=3.0, validator=gt(0))
+    dispatch_seconds: float = field(default=8.0, validator=gt(0))
+    claim_wait_seconds: float = field(default=20.0, validator=gt(0))
+    copy_after_seconds: float = field(default=0.3, validator=ge(0))
+    confirm_seconds: float = field(default=20.0, validator=gt(0))
+    retry_share_max: float = field(default=0.1, validator=ge(0))
+    quarantine_seconds: float = field(default=600.0, validator=gt(0))
+
+
 @frozen
 class Settings:
     """Hold all settings of one node."""
@@ -66,6 +83,7 @@
     platform: PlatformSettings
     budgets: BudgetSettings = field(factory=BudgetSettings)
     limits: LimitSettings = field(factory=LimitSettings)
+    requests: RequestSettings = field(factory=RequestSettings)
     log_level: str = field(default="INFO", validator=matches_re("DEBUG|INFO|WARNING|ERROR"))
 
 
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -2,7 +2,7 @@
 
 from attrs import field, frozen
 
-from bronzetiller.budgets.records import Bill, Charge
+from bronzetiller.budgets.records import Bill, Charge, Outcome
 
 PROTOCOL_VERSION = 1
 
@@ -22,10 +22,14 @@
 
 @frozen
 class KeepBill:
-    """Ask a peer to keep a bill and to append it if its owner falls silent."""
+    """Ask a peer to keep a bill, and a claim's outcome, and to append it if its owner falls silent.
+
+    owner is the incarnation that appends the bill itself.
+    """
 
     bill: Bill
-    stream: str
+    owner: str
+    outcome: Outcome | None = None
 
 
 @frozen
@@ -35,10 +39,25 @@
 
 @frozen
 class DropBill:
-    """Tell a peer that the bill of a request is in the log."""
+    """Tell a peer that a bill is in the log."""
+
+    bill_id: str
+
+
+@frozen
+class MarkedRequest:
+    """Identify a request by its workspace and the digest of what it asks."""
 
     workspace: str
-    request_id: str
+    fingerprint: str
+
+
+@frozen
+class TargetDied:
+    """Tell peers which requests were on a target when it died; each tells its own peers once."""
+
+    target_id: str
+    requests: list[MarkedRequest]
 
 
 @frozen
@@ -85,7 +104,15 @@
 
 
 Message = (
-    Heartbeat | KeepBill | BillKept | DropBill | FetchEntries | Entries | AskTokens | TransferTokens
+    Heartbeat
+    | KeepBill
+    | BillKept
+    | DropBill
+    | TargetDied
+    | FetchEntries
+    | Entries
+    | AskTokens
+    | TransferTokens
 )
 
 
--- a/standins/log.py
+++ b/standins/log.py
@@ -47,6 +47,7 @@
         self._streams: dict[str, Stream] = {}
         self._faults = Faults()
         self._appends = 0
+        self._delayed_appends = 0
 
     def serve(self, exchange: Exchange) -> None:
         if exchange.path == "/control/faults":
@@ -54,7 +55,8 @@
             respond_json(exchange, 200, {})
             return
         if exchange.path == "/control/counts":
-            respond_json(exchange, 200, {"appends": self._appends})
+            value = {"appends": self._appends, "delayed_appends": self._delayed_appends}
+            respond_json(exchange, 200, value)
             return
         if self._faults.down:
             exchange.abort()
@@ -66,6 +68,8 @@
         stream = self._streams.setdefault(unquote(parts[3]), Stream())
         handle = self._append if exchange.method == "POST" else self._read
         delay = self._faults.delay_seconds
+        if delay and exchange.method == "POST":
+            self._delayed_appends += 1
         self._loop.scheduler.call_after(delay, lambda: handle(exchange, stream))
 
     def _append(self, exchange: Exchange, stream: Stream) -> None:
