--- a/bronzetiller/requests/billing.py
+++ b/bronzetiller/requests/billing.py
@@ -91,6 +91,7 @@
             self._incarnation,
             tokens,
             charges,
+            self._shards.find(reservation.workspace).ledger.bill_count,
             uuid4().hex,
         )
         item = _Open(bill, outcome, billed)
@@ -125,24 +126,32 @@
         match verdict:
             case Verdict.ACCEPTED:
                 TOKENS_BILLED.inc(bill.tokens)
+                self._holdings.confirm(bill.workspace, bill.charges)
                 self._confirm(item, Ok(bill.tokens))
             case Verdict.DUPLICATE:
                 self._take_duplicate(item, bill)
             case Verdict.KEY_REUSED if item.handover is not None:
-                self._shards.append(separate(bill))
+                self._bill_apart(bill)
                 self._confirm(item, Ok(bill.tokens))
             case Verdict.KEY_REUSED:
                 self._holdings.restore(bill.workspace, bill.charges)
                 detail = "the idempotency key was used for another request"
                 self._confirm(item, Err(Refusal(422, Reason.KEY_REUSED, detail, Ran.YES)))
             case _:
+                self._holdings.confirm(bill.workspace, bill.charges)
                 detail = "the tokens reserved for the request are no longer this node's"
                 self._confirm(item, Err(Refusal(503, Reason.BILL_VOID, detail, Ran.YES)))
 
+    def _bill_apart(self, bill: Bill) -> None:
+        apart = separate(bill)
+        self._open[apart.bill_id] = _Open(apart, None, None)
+        self._shards.append(apart)
+
     def _take_duplicate(self, item: _Open, bill: Bill) -> None:
         """Put charges back, but for a bill that is its own duplicate: those are spent."""
         known = self._shards.find(bill.workspace).ledger.find_bill(bill.workspace, bill.request_id)
         if known is not None and known.bill_id == bill.bill_id:
+            self._holdings.confirm(bill.workspace, bill.charges)
             self._confirm(item, Ok(bill.tokens))
             return
         self._holdings.restore(bill.workspace, bill.charges)
--- a/bronzetiller/requests/couriers.py
+++ b/bronzetiller/requests/couriers.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 from result import Ok, Result
 
+from bronzetiller.budgets.holdings import find_holder
 from bronzetiller.budgets.ledger import Ruling
 from bronzetiller.budgets.records import Bill, LedgerRecord, Outcome
 from bronzetiller.budgets.shards import Shards
@@ -51,6 +52,7 @@
         data_centre: str,
         copies: int,
         is_gone: Callable[[str], bool],
+        is_reported: Callable[[str], bool],
     ) -> None:
         self.kept = KeptBills()
         self._scheduler = scheduler
@@ -61,6 +63,7 @@
         self._data_centre = data_centre
         self._copies = copies
         self._is_gone = is_gone
+        self._is_reported = is_reported
         self._silent_since: dict[str, float] = {}
         self._handovers: dict[str, Handover] = {}
         self._stopping = False
@@ -73,6 +76,10 @@
         """Return the tokens of a grant that bills kept here for others will charge."""
         return self.kept.count_tokens(grant_id)
 
+    def list_bills(self) -> list[Bill]:
+        """Return the bills kept here for others."""
+        return [item.bill for item in self.kept.bills.values()]
+
     @property
     def copies_needed(self) -> int:
         """Return how many peers must keep a bill; fewer where the fleet has fewer nodes."""
@@ -149,7 +156,7 @@
             handover.secured()
 
     def _on_keep_bill(self, message: KeepBill, reply: Reply) -> None:
-        if self._stopping:
+        if self._stopping or self._is_too_late(message.bill):
             return
         ledger = self._shards.find(message.bill.workspace).ledger
         known = ledger.find_bill(message.bill.workspace, message.bill.request_id)
@@ -158,6 +165,11 @@
             KEPT_BILLS.set(len(self.kept.bills))
         reply(BillKept())
 
+    def _is_too_late(self, bill: Bill) -> bool:
+        """Say whether this node has told what it keeps of a grant that is about to be closed."""
+        holders = {find_holder(charge.grant_id) for charge in bill.charges}
+        return bill.bill_id not in self.kept.bills and any(map(self._is_reported, holders))
+
     def _on_drop_bill(self, message: DropBill, reply: Reply) -> None:
         self._drop(message.bill_id, "dropped")
 
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -40,10 +40,24 @@
     grant_share_max: float = field(default=0.25, validator=gt(0))
     wait_seconds: float = field(default=3.0, validator=gt(0))
     idle_return_seconds: float = field(default=20.0, validator=gt(0))
+    holder_gone_seconds: float = field(default=10.0, validator=ge(4))
     append_interval_seconds: float = field(default=0.02, validator=ge(0))
     bill_copies: int = field(default=2, validator=ge(0))
 
 
+@frozen
+class FleetSettings:
+    """Set how nodes watch each other; seeds are peer addresses for a start without the platform."""
+
+    heartbeat_seconds: float = field(default=0.5, validator=gt(0))
+    silence_seconds: float = field(default=2.0, validator=gt(0))
+    gone_grace_seconds: float = field(default=10.0, validator=ge(0))
+    near_peers_max: int = field(default=8, validator=ge(1))
+    far_peers_max: int = field(default=3, validator=ge(1))
+    heartbeat_bytes_per_second_max: float = field(default=2_500.0, validator=gt(0))
+    seeds: list[Address] = field(factory=list)
+
+
 @frozen
 class LimitSettings:
     """Bound what one caller may ask of a node."""
@@ -82,6 +96,7 @@
     listen: ListenSettings
     platform: PlatformSettings
     budgets: BudgetSettings = field(factory=BudgetSettings)
+    fleet: FleetSettings = field(factory=FleetSettings)
     limits: LimitSettings = field(factory=LimitSettings)
     requests: RequestSettings = field(factory=RequestSettings)
     log_level: str = field(default="INFO", validator=matches_re("DEBUG|INFO|WARNING|ERROR"))
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -5,10 +5,11 @@
 
 import pytest
 
-from standins.fleet import call_json
+from standins.fleet import Fleet, call_json
 from tests.conftest import KEY, await_ready, await_true, read_records, send
 
 QUICK = {"claim_seconds": 1.0, "dispatch_seconds": 1.5, "claim_wait_seconds": 4.0}
+FLEET = {"gone_grace_seconds": 1.0}
 
 
 def _start(make_fleet, nodes=2, services=1, **settings):
@@ -17,7 +18,7 @@
     for index in range(services):
         fleet.add_target(f"orders-{index}", "orders", "west", "west-1", "standins.service")
     for index in range(1, nodes + 1):
-        fleet.add_node(f"node-{index}", "west", "west-1", requests=QUICK | settings)
+        fleet.add_node(f"node-{index}", "west", "west-1", requests=QUICK | settings, fleet=FLEET)
     fleet.publish_workspace("studio", KEY, 100_000)
     fleet.publish("route", "place", {"service": "orders", "protocol": "plain", "idempotent": False})
     fleet.publish("route", "status", {"service": "orders", "protocol": "plain"})
@@ -56,9 +57,19 @@
             call_json(process.ready["address"], "/control/settings", {"seconds": seconds})
 
 
+@pytest.fixture(scope="module")
+def shared_fleet():
+    fleet = Fleet()
+    try:
+        yield _start(lambda: fleet)
+    finally:
+        fleet.close()
+
+
 @pytest.fixture
-def fleet(make_fleet):
-    return _start(make_fleet)
+def fleet(shared_fleet):
+    yield shared_fleet
+    call_json(shared_fleet.log_address, "/control/faults", {})
 
 
 def test_a_call_is_run_and_billed_once_and_its_answer_replayed_at_any_node(fleet):
@@ -121,7 +132,8 @@
     assert _count_runs(fleet, "order-3") == 1
 
 
-def test_an_order_in_flight_at_a_killed_node_is_unknown_and_never_run_again(fleet):
+def test_an_order_in_flight_at_a_killed_node_is_unknown_and_never_run_again(make_fleet):
+    fleet = _start(make_fleet)
     _set_service_seconds(fleet, 30.0)
     killed = fleet.caller_address("node-1")
 
