--- a/bronzetiller/budgets/ledger.py
+++ b/bronzetiller/budgets/ledger.py
@@ -29,6 +29,7 @@
 
 BILLS_REMEMBERED_MAX = 100_000
 GRANTS_REMEMBERED_MAX = 20_000
+RERUNS_MAX = 3
 
 
 class Verdict(StrEnum):
@@ -104,6 +105,18 @@
     fingerprint: str
     biller: str
     tokens: int
+    bill_id: str = ""
+    rerun_ids: list[str] = field(factory=list)
+
+    @property
+    def reruns(self) -> int:
+        """Return how often the request was run again, up to one more than is allowed."""
+        return len(self.rerun_ids)
+
+    def note_rerun(self, bill_id: str) -> None:
+        """Count a further run of the request by the id of its bill."""
+        if bill_id not in self.rerun_ids and self.reruns <= RERUNS_MAX:
+            self.rerun_ids.append(bill_id)
 
 
 @define
@@ -181,7 +194,7 @@
         if record.grant_id in budget.grants:
             return Ruling(Verdict.DUPLICATE)
         tokens = self._limit_grant(budget, record.tokens)
-        if tokens <= 0:
+        if tokens < max(1, record.tokens_least):
             ruling = Ruling(Verdict.NOTHING_FREE)
         else:
             budget.granted += tokens
@@ -197,8 +210,11 @@
         key = _name_bill(record.workspace, record.request_id)
         known = self.bills.get(key)
         if known is not None:
-            same = known.fingerprint == record.fingerprint
-            return Ruling(Verdict.DUPLICATE if same else Verdict.KEY_REUSED)
+            if known.fingerprint != record.fingerprint:
+                return Ruling(Verdict.KEY_REUSED)
+            if known.bill_id != record.bill_id:
+                known.note_rerun(record.bill_id)
+            return Ruling(Verdict.DUPLICATE)
         if UNCOUNTED < record.bills_before < self.bills_forgotten:
             return Ruling(Verdict.EXPIRED)
         charges = _merge_charges(record.charges)
@@ -216,7 +232,8 @@
             budget.grants[grant_id].use_retained(record.biller, tokens)
             self._drop_empty(budget, grant_id)
         budget.billed += record.tokens
-        self._remember_bill(key, BillState(at, record.fingerprint, record.biller, record.tokens))
+        state = BillState(at, record.fingerprint, record.biller, record.tokens, record.bill_id)
+        self._remember_bill(key, state)
         return Ruling(Verdict.ACCEPTED, record.tokens)
 
     def _apply_return(self, record: Return) -> Ruling:
--- a/bronzetiller/budgets/records.py
+++ b/bronzetiller/budgets/records.py
@@ -33,6 +33,7 @@
 class Grant:
     """Set tokens aside for one incarnation of one node; the ledger may cut it to what is free.
 
+    Fewer than tokens_least are not granted, so that the last tokens go to one request.
     grants_before is the ledger's count of grants when the holder wrote the record, or UNCOUNTED.
     """
 
@@ -41,12 +42,14 @@
     holder: str
     tokens: int
     grants_before: int = UNCOUNTED
+    tokens_least: int = 1
 
 
 @frozen
 class Bill:
     """Charge one request once; the first bill for a request id counts.
 
+    Copies of one bill, appended by its biller and its couriers, share their bill id.
     bills_before is the ledger's count of bills when the biller wrote the record, or UNCOUNTED.
     """
 
@@ -57,6 +60,7 @@
     tokens: int
     charges: list[Charge]
     bills_before: int = UNCOUNTED
+    bill_id: str = ""
 
 
 @frozen
@@ -96,7 +100,7 @@
 
 @frozen
 class Outcome:
-    """Settle a claim; a small response is kept for the caller's retries."""
+    """Settle a claim; a small response (body in base64) is kept for the caller's retries."""
 
     workspace: str
     request_id: str
@@ -106,6 +110,7 @@
     content_type: str = ""
     body: str = ""
     headers: dict[str, str] = field(factory=dict)
+    body_kept: bool = True
 
 
 LedgerRecord = Credit | Grant | Bill | Return | Close | Claim | Outcome
--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -5,7 +5,7 @@
 from typing import Any
 from uuid import uuid4
 
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Err, Ok, Result
 
 from bronzetiller.budgets.grants import GrantKeeper
@@ -19,7 +19,11 @@
 from bronzetiller.net.http_client import SILENCE, HttpClient
 from bronzetiller.net.http_server import Exchange
 from bronzetiller.platform.vm_list import Vm
+from bronzetiller.requests.admission import Admission, RequestKey, refuse_quarantined
 from bronzetiller.requests.billing import Biller
+from bronzetiller.requests.deaths import DeathWatch
+from bronzetiller.requests.quarantine import Passage
+from bronzetiller.requests.retries import RetryBudget
 from bronzetiller.routing.chunks import merge_delta
 from bronzetiller.routing.engine import (
     AnswerEnd,
@@ -47,6 +51,10 @@
     biller: Biller
     chooser: TargetChooser
     first_byte_seconds: float
+    admission: Admission
+    deaths: DeathWatch
+    retries: RetryBudget
+    open_runs: int = 0
 
 
 def make_message() -> dict[str, Any]:
@@ -60,17 +68,18 @@
 
     services: ChatServices
     exchange: Exchange
-    workspace: str
-    request_id: str
+    key: RequestKey
     route: Route
     request: ChatRequest
     reservation: Reservation | None = None
     attempt: EngineAttempt | None = None
     vm: Vm | None = None
+    passage: Passage | None = None
+    isolating: bool = False
+    may_have_run: bool = False
     tried: set[str] = field(factory=set)
     message: dict[str, Any] = field(factory=make_message)
     failure: AttemptFailed | None = None
-    may_have_run: bool = False
     attempts: int = 0
     over: bool = False
 
@@ -78,10 +87,16 @@
         """Reserve the tokens of the worst case, then dispatch."""
         REQUESTS.labels("chat").inc()
         OPEN_REQUESTS.inc()
+        self.services.open_runs += 1
+        self.services.retries.note_request()
         self.exchange.on_disconnect = self._on_disconnect
         self.exchange.on_flow = self._on_flow
+        refusal = self.services.admission.check(self.key)
+        if refusal is not None:
+            self._refuse(refusal)
+            return
         tokens = self.request.tokens_max
-        self.services.keeper.obtain(self.workspace, tokens, self._on_reserved)
+        self.services.keeper.obtain(self.key.workspace, tokens, self._on_reserved)
 
     def _on_reserved(self, result: Result[Reservation, Refusal]) -> None:
         match result:
@@ -89,15 +104,42 @@
                 self.services.holdings.release(reservation)
             case Ok(reservation):
                 self.reservation = reservation
-                self._dispatch()
+                self._enter()
             case Err(refusal):
                 self._refuse(refusal)
 
+    def _enter(self) -> None:
+        deaths = self.services.deaths
+        self.passage = deaths.enter(self.key.mark, self._dispatch, self._expire_passage)
+        deaths.admit()
+
+    def _leave(self) -> None:
+        if self.passage is not None:
+            passage, self.passage = self.passage, None
+            self.services.deaths.leave(passage)
+
+    def _expire_passage(self) -> None:
+        detail = "the request waited too long for a run apart from others"
+        self._refuse(Refusal(503, Reason.DEADLINE, detail, retry_after_seconds=1))
+
+    def _choose(self, avoided: set[str]) -> Vm | None:
+        excluded = self.tried | avoided
+        return self.services.chooser.choose(self.route.service, excluded, self.request.prefix_key)
+
     def _dispatch(self) -> None:
-        vm = self.services.chooser.choose(self.route.service, self.tried, self.request.prefix_key)
+        if self.over:
+            return
+        deaths = self.services.deaths
+        if deaths.is_quarantined(self.key.mark):
+            self._refuse(refuse_quarantined(self.key.ran_before))
+            return
+        vm = deaths.choose(self.key.mark, self._choose, set(self.services.chooser.outstanding))
         if vm is None:
             self._refuse_for_lack_of_targets()
             return
+        self.isolating = deaths.is_suspect(self.key.mark)
+        if self.isolating:
+            deaths.isolate(vm)
         self.vm = vm
         self.tried.add(vm.vm_id)
         self.attempts += 1
@@ -115,15 +157,21 @@
 
     def _on_attempt(self, event: AttemptEvent) -> None:
         if isinstance(event, AnswerPart):
+            if self.passage is not None:
+                passage, self.passage = self.passage, None
+                self.services.deaths.prove(passage)
             self._forward(event)
             return
-        if isinstance(event, AttemptFailed) and event.silent and self.vm is not None:
-            self.tried.discard(self.vm.vm_id)
+        vm = self.vm
+        assert vm is not None
+        if isinstance(event, AttemptFailed) and event.silent:
+            self.tried.discard(vm.vm_id)
         self._end_attempt()
         if isinstance(event, AnswerEnd):
+            self.services.deaths.clear(self.key.mark)
             self._bill(event)
         else:
-            self._recover(event)
+            self._recover(event, vm)
 
     def _forward(self, part: AnswerPart) -> None:
         if not self.request.stream:
@@ -141,8 +189,8 @@
         tokens = min(reported, self.reservation.tokens)
         reservation, self.reservation = self.reservation, None
         self.services.biller.bill(
-            self.request_id,
-            self.request.fingerprint,
+            self.key.request_id,
+            self.key.fingerprint,
             reservation,
             tokens,
             lambda result: self._on_billed(end, result),
@@ -178,7 +226,7 @@
             "total_tokens": end.prompt_tokens + end.answer_tokens,
         }
         return {
-            "id": f"chatcmpl-{self.request_id}",
+            "id": f"chatcmpl-{self.key.request_id}",
             "object": "chat.completion",
             "created": int(time.time()),
             "model": self.request.body["model"],
@@ -186,23 +234,38 @@
             "usage": usage,
         }
 
-    def _recover(self, failure: AttemptFailed) -> None:
+    def _recover(self, failure: AttemptFailed, vm: Vm) -> None:
+        self.failure = failure
+        self.may_have_run |= failure.may_have_run
         if failure.status in CALLERS_FAULT_STATUSES:
             self._refuse(Refusal(failure.status, Reason.BAD_REQUEST, failure.detail))
+        elif failure.target_lost and failure.may_have_run:
+            self.services.deaths.report_loss(self.key.mark, vm, lambda: self._repeat(failure))
+        else:
+            self._repeat(failure)
+
+    def _repeat(self, failure: AttemptFailed) -> None:
+        if self.over:
             return
-        self.failure = failure
-        self.may_have_run = self.may_have_run or failure.may_have_run
-        if not self.exchange.started and self.attempts < ATTEMPTS_MAX:
+        self._leave()
+        if self.services.deaths.is_quarantined(self.key.mark):
+            self._refuse(refuse_quarantined(Ran.UNKNOWN))
+            return
+        if self._take_retry():
             RETRIES.labels(SILENCE if failure.silent else "target_failed").inc()
             self.message = make_message()
-            self._dispatch()
+            self._enter()
             return
         self._refuse_for_failure(failure)
 
     def _refuse_for_failure(self, failure: AttemptFailed) -> None:
-        ran = Ran.UNKNOWN if self.may_have_run else Ran.NO
         reason = Reason.ANSWER_INCOMPLETE if self.exchange.started else Reason.TARGET_FAILED
-        self._refuse(Refusal(502, reason, failure.cause, ran, retry_after_seconds=1))
+        self._refuse(Refusal(502, reason, failure.cause, retry_after_seconds=1))
+
+    def _take_retry(self) -> bool:
+        if self.exchange.started or self.attempts >= ATTEMPTS_MAX:
+            return False
+        return self.services.retries.take()
 
     def _refuse_for_lack_of_targets(self) -> None:
         if self.failure is not None:
@@ -213,6 +276,8 @@
 
     def _refuse(self, refusal: Refusal) -> None:
         self._finish()
+        if refusal.ran is Ran.NO and self.may_have_run:
+            refusal = evolve(refusal, ran=Ran.UNKNOWN)
         refuse(self.exchange, refusal)
 
     def _on_flow(self, flowing: bool) -> None:
@@ -220,13 +285,21 @@
             self.attempt.set_flow(flowing)
 
     def _on_disconnect(self) -> None:
-        if not self.over:
-            if self.attempt is not None:
-                self.attempt.cancel()
+        """Run an answer to its end and bill it once its caller has got a part of it."""
+        if self.over:
+            return
+        if self.exchange.started:
+            self._on_flow(True)
+            return
+        if self.attempt is not None:
+            self.attempt.cancel()
+        if self.reservation is not None or self.attempt is None:
             self._finish()
 
     def _end_attempt(self) -> None:
         if self.vm is not None:
+            if self.isolating:
+                self.services.deaths.rejoin(self.vm)
             self.services.chooser.end(self.vm)
             self.vm = None
 
@@ -235,7 +308,9 @@
             return
         self.over = True
         OPEN_REQUESTS.dec()
+        self.services.open_runs -= 1
         self._end_attempt()
+        self._leave()
         if self.reservation is not None:
             self.services.holdings.release(self.reservation)
             self.reservation = None
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -20,6 +20,19 @@
     "bronzetiller_rulings", "Ledger rulings.", ["record", "verdict"], registry=REGISTRY
 )
 LATE_BYTES = Counter("bronzetiller_late_bytes", "Bytes dropped after an end.", registry=REGISTRY)
+TARGET_DEATHS = Counter(
+    "bronzetiller_target_deaths", "Targets seen to die with requests on them.", registry=REGISTRY
+)
+REPLAYS = Counter(
+    "bronzetiller_replays", "Kept answers given to a caller's retry.", registry=REGISTRY
+)
+COURIER_BILLS = Counter(
+    "bronzetiller_courier_bills",
+    "Bills kept for peers, by what became of them.",
+    ["end"],
+    registry=REGISTRY,
+)
+KEPT_BILLS = Gauge("bronzetiller_kept_bills", "Bills kept for peers.", registry=REGISTRY)
 SILENT_LINKS = Counter(
     "bronzetiller_silent_links", "Connections given up as silent.", ["kind"], registry=REGISTRY
 )
@@ -30,6 +43,27 @@
     ["reason"],
     registry=REGISTRY,
 )
+RELAYED_ENTRIES = Counter(
+    "bronzetiller_relayed_entries", "Log entries received from peers.", registry=REGISTRY
+)
+DELEGATED_APPENDS = Counter(
+    "bronzetiller_delegated_appends",
+    "Batches given to a peer to append, by outcome.",
+    ["outcome"],
+    registry=REGISTRY,
+)
+SNAPSHOTS = Counter(
+    "bronzetiller_snapshots", "Snapshots by what became of them.", ["outcome"], registry=REGISTRY
+)
+SENT_BYTES = Counter(
+    "bronzetiller_sent_bytes",
+    "Bytes sent to peers, by message and by how far the peer is.",
+    ["purpose", "distance"],
+    registry=REGISTRY,
+)
+LOG_BYTES = Counter(
+    "bronzetiller_log_bytes", "Bytes of log bodies, by direction.", ["purpose"], registry=REGISTRY
+)
 OPEN_REQUESTS = Gauge("bronzetiller_open_requests", "Requests being served.", registry=REGISTRY)
 
 GRANTS_ASKED = Counter(
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -11,6 +11,7 @@
 IDLE_CONNECTIONS_MAX = 32
 IDLE_SECONDS_MAX = 30.0
 SILENCE = "silence"
+TOO_LATE = "too late to send"
 
 
 @frozen
@@ -50,7 +51,8 @@
     """Describe one outgoing request.
 
     silence_seconds is the longest wait between two reads; first_byte_seconds is the longest wait
-    for the first, the same unless it is given.
+    for the first, the same unless it is given. A call with may_send goes over a connection of its
+    own and asks right before its first byte.
     """
 
     address: Address
@@ -61,6 +63,7 @@
     silence_seconds: float
     connect_seconds: float = 2.0
     first_byte_seconds: float | None = None
+    may_send: Callable[[], bool] | None = None
 
 
 @define(eq=False)
@@ -120,6 +123,9 @@
     def transmit(self) -> None:
         assert self.open_call is not None and self.connection is not None
         call = self.open_call.call
+        if call.may_send is not None and not call.may_send():
+            self.fail(TOO_LATE)
+            return
         headers = [("Host", str(call.address)), ("Content-Length", str(len(call.body)))]
         headers += list(call.headers.items())
         request = h11.Request(method=call.method, target=call.path, headers=headers)
@@ -227,7 +233,7 @@
     def send(self, call: HttpCall, listener: CallListener) -> OpenCall:
         """Start a call; its events reach the listener in order."""
         open_call = OpenCall(call, listener)
-        channel = self._take_idle(call.address)
+        channel = None if call.may_send is not None else self._take_idle(call.address)
         if channel is not None:
             channel.open_call = open_call
             open_call._channel = channel
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -16,10 +16,16 @@
 from bronzetiller.callers.api import ApiServices, make_application
 from bronzetiller.callers.chat import ChatServices
 from bronzetiller.callers.problems import reject_malformed
+from bronzetiller.callers.services import CallServices
+from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
 from bronzetiller.configuration.fold import Configuration
+from bronzetiller.fleet.delegation import Delegation
 from bronzetiller.fleet.incarnations import make_incarnation
 from bronzetiller.fleet.membership import Membership
 from bronzetiller.fleet.peers import Peers
+from bronzetiller.fleet.relay import Relay
+from bronzetiller.fleet.snapshot_keeper import SnapshotKeeper
+from bronzetiller.fleet.vm_relay import VmRelay
 from bronzetiller.logs import log_event
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.http_client import HttpClient
@@ -27,8 +33,15 @@
 from bronzetiller.net.loop import Loop, make_loop
 from bronzetiller.platform.follower import StreamFollower
 from bronzetiller.platform.log_client import Entry, LogClient
+from bronzetiller.platform.snapshots import Fold
 from bronzetiller.platform.vm_list import VmList, VmState
+from bronzetiller.requests.admission import Admission
 from bronzetiller.requests.billing import Biller
+from bronzetiller.requests.claimants import Claimants
+from bronzetiller.requests.couriers import Couriers
+from bronzetiller.requests.deaths import DeathWatch
+from bronzetiller.requests.quarantine import Quarantine
+from bronzetiller.requests.retries import RetryBudget
 from bronzetiller.routing.load_poller import LoadPoller
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.settings import Settings
@@ -76,6 +89,11 @@
         self.membership = Membership(
             scheduler, self.peers, self.vm_list, settings, self._make_heartbeat
         )
+        self.relay = Relay(scheduler, self.peers, self.membership, settings, self._make_heartbeat)
+        self.archive = Archive()
+        self.snapshots = SnapshotKeeper(scheduler, self.log, self.peers, self.membership, settings)
+        self.vm_relay = VmRelay(scheduler, self.peers, self.membership, self.vm_list, settings)
+        self.delegation = Delegation(self.peers, self.membership, self.log, self._make_heartbeat)
         self.holdings = Holdings()
         self.transfers = Transfers(self.incarnation)
         self.guard = PauseGuard(scheduler, self.log, self.shards)
@@ -98,11 +116,36 @@
             self.transfers,
             self.peers,
             self.vm_list,
+            self.membership,
             self.guard,
             self.incarnation,
-            settings.budgets.holder_gone_seconds,
         )
-        self.biller = Biller(scheduler, self.shards, self.holdings, self.incarnation)
+        self.couriers = Couriers(
+            scheduler,
+            self.shards,
+            self.peers,
+            self.vm_list,
+            node_id=settings.node_id,
+            data_centre=settings.data_centre,
+            copies=settings.budgets.bill_copies,
+            is_gone=self.membership.is_gone,
+            is_reported=self.transfers.reported_holders.__contains__,
+        )
+        self.closer.kept_bills.append(self.couriers.list_bills)
+        self.biller = Biller(
+            scheduler,
+            self.shards,
+            self.holdings,
+            self.couriers,
+            settings.requests,
+            self.incarnation,
+        )
+        self.claimants = Claimants(
+            scheduler, self.shards, settings.requests, self.incarnation, self.membership.is_gone
+        )
+        quarantine = Quarantine(settings.requests.quarantine_seconds)
+        self.deaths = DeathWatch(scheduler, dialer, self.peers, quarantine)
+        self.retries = RetryBudget(settings.requests.retry_share_max)
         self.chooser = TargetChooser(
             self.vm_list,
             settings.region,
@@ -118,6 +161,7 @@
         )
         self.chooser.on_refusal = self.load_poller.ask
         self.stopping = False
+        self._was_ready = False
         self.server = self._make_server()
         _Signals(self).register(self.loop.root)
 
@@ -127,15 +171,24 @@
             self.loop, self.settings.listen.peers.ip, self.settings.listen.peers.port
         )
         self.configuration_follower.subscribe(self._on_configuration)
+        for follower in self._followers():
+            self.relay.add(follower)
+        self.snapshots.add(self.configuration_follower, [self._make_configuration_fold()])
+        for shard in self.shards.all:
+            self.snapshots.add(shard.follower, shard.make_folds())
+            shard.writer.on_acknowledged = shard.follower.note_end
+            shard.writer.delegate = self.delegation.append
+        self.delegation.start()
         self.membership.start()
         self.peers.on(AskTokens, self.keeper.answer_ask)
         self.keeper.start()
         self.closer.start()
         self.guard.start()
+        self.relay.start()
         self.vm_list.start()
         self.load_poller.start()
-        self.configuration_follower.start()
-        self.shards.start()
+        self.vm_relay.start()
+        self.snapshots.start()
         scheduler = self.loop.scheduler
         scheduler.call_every(CREDIT_CHECK_SECONDS, self._post_credits)
         callers = f"{self.settings.listen.callers.ip}:{self.server.port}"
@@ -149,33 +202,64 @@
         if self.stopping:
             return
         self.stopping = True
+        self.couriers.stop()
         log_event("stopping", open_requests=self.server.open_exchanges)
         self.loop.scheduler.call_every(0.05, self._stop_when_idle)
 
     def is_ready(self) -> bool:
-        """Say whether the node has read every stream to its end."""
-        followers = [self.configuration_follower, *(s.follower for s in self.shards.all)]
-        return all(follower.caught_up for follower in followers)
+        """Say whether the node has read every stream to its end since it started."""
+        if not self._was_ready:
+            self._was_ready = all(follower.complete for follower in self._followers())
+        return self._was_ready
+
+    def _followers(self) -> list[StreamFollower]:
+        return [self.configuration_follower, *(shard.follower for shard in self.shards.all)]
 
     def _stop_when_idle(self) -> None:
-        if self.server.open_exchanges == 0:
+        if self.open_runs == 0 and self.server.open_exchanges == 0:
             self.keeper.return_all()
         backlog = sum(shard.writer.backlog for shard in self.shards.all)
-        if self.server.open_exchanges == 0 and backlog == 0:
+        if self.open_runs or self.server.open_exchanges or not self.couriers.is_idle:
+            return
+        if backlog == 0 or (self.biller.is_secured and not self.claimants.open_claims):
             log_event("stopped")
             self.loop.root.stop()
 
+    @property
+    def open_runs(self) -> int:
+        """Count the requests that are not over, whether or not their callers are still there."""
+        return self.chat.open_runs + self.calls.open_runs
+
     def _make_server(self) -> HttpServer:
+        admission = Admission(self.shards, self.biller, self.deaths)
+        self.chat = ChatServices(
+            http=self.http,
+            keeper=self.keeper,
+            holdings=self.holdings,
+            biller=self.biller,
+            chooser=self.chooser,
+            first_byte_seconds=self.settings.routing.first_byte_seconds,
+            admission=admission,
+            deaths=self.deaths,
+            retries=self.retries,
+        )
+        self.calls = CallServices(
+            scheduler=self.loop.scheduler,
+            http=self.http,
+            shards=self.shards,
+            keeper=self.keeper,
+            holdings=self.holdings,
+            biller=self.biller,
+            chooser=self.chooser,
+            claimants=self.claimants,
+            admission=admission,
+            deaths=self.deaths,
+            retries=self.retries,
+        )
         services = ApiServices(
             configuration=self.configuration,
-            chat=ChatServices(
-                self.http,
-                self.keeper,
-                self.holdings,
-                self.biller,
-                self.chooser,
-                self.settings.routing.first_byte_seconds,
-            ),
+            chat=self.chat,
+            calls=self.calls,
             is_ready=self.is_ready,
             is_stopping=lambda: self.stopping,
             list_entries=self._list_entries,
@@ -210,8 +294,16 @@
         live = [vm for vm in routers if vm.state is VmState.LIVE]
         return [str(vm.address) for vm in live]
 
+    def _make_configuration_fold(self) -> Fold:
+        return Fold(
+            "configuration",
+            lambda: dump_configuration(self.configuration, self.archive),
+            lambda value: load_configuration(value, self.configuration, self.archive),
+        )
+
     def _on_configuration(self, entry: Entry) -> None:
         decision = self.configuration.apply(entry.offset, entry.record)
+        self.archive.note(decision, entry.record)
         log_event(
             "record_decided",
             offset=entry.offset,
@@ -229,7 +321,7 @@
     def _make_heartbeat(self) -> Heartbeat:
         settings = self.settings
         read_at = self.vm_list.read_at
-        followers = [self.configuration_follower, *(s.follower for s in self.shards.all)]
+        followers = self._followers()
         return Heartbeat(
             node_id=settings.node_id,
             incarnation=self.incarnation,
@@ -239,8 +331,9 @@
             stopping=self.stopping,
             next_offsets={item.stream: item.next_offset for item in followers},
             ready=self.is_ready(),
-            log_reachable=all(item.reachable for item in followers),
+            log_reachable=all(item.direct for item in followers),
             vm_list_age_seconds=None if read_at is None else self.peers.now() - read_at,
+            snapshots=self.snapshots.marks(),
         )
 
     def _make_report(self) -> dict[str, Any]:
--- a/bronzetiller/routing/targets.py
+++ b/bronzetiller/routing/targets.py
@@ -9,9 +9,11 @@
 from bronzetiller.configuration.records import PlannedStop
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import TARGET_AVOIDANCES
+from bronzetiller.net.http_client import TOO_LATE
 from bronzetiller.platform.vm_list import Vm, VmList, VmState
 from bronzetiller.routing.engine import AnswerEnd, AnswerPart, AttemptEvent, AttemptListener
 from bronzetiller.routing.selection import SelectionRules, select_target
+from bronzetiller.routing.service import CallOutcome, OutcomeListener, ServiceFailed
 from bronzetiller.routing.target_state import LoadReport, TargetState
 
 RECENT_SECONDS = 30.0
@@ -193,3 +195,20 @@
         listener(event)
 
     return listen
+
+
+def observe_call(chooser: TargetChooser, vm: Vm, listener: OutcomeListener) -> OutcomeListener:
+    """Return a listener that tells the chooser of a service call's outcome before its own."""
+    begun = chooser.now()
+
+    def listen(outcome: CallOutcome) -> None:
+        if isinstance(outcome, ServiceFailed):
+            if outcome.cause != TOO_LATE:
+                chooser.note_failure(vm, 0, outcome.cause)
+        elif outcome.status in (STATUS_REFUSING, STATUS_BUSY):
+            chooser.note_failure(vm, outcome.status, f"status {outcome.status}")
+        else:
+            chooser.note_answer(vm, chooser.now() - begun)
+        listener(outcome)
+
+    return listen
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -40,7 +40,6 @@
     grant_share_max: float = field(default=0.25, validator=gt(0))
     wait_seconds: float = field(default=3.0, validator=gt(0))
     idle_return_seconds: float = field(default=20.0, validator=gt(0))
-    holder_gone_seconds: float = field(default=10.0, validator=ge(4))
     append_interval_seconds: float = field(default=0.02, validator=ge(0))
     bill_copies: int = field(default=2, validator=ge(0))
 
@@ -55,9 +54,20 @@
     near_peers_max: int = field(default=8, validator=ge(1))
     far_peers_max: int = field(default=3, validator=ge(1))
     heartbeat_bytes_per_second_max: float = field(default=2_500.0, validator=gt(0))
+    relay: bool = True
+    relay_fallback_seconds: float = field(default=1.0, validator=gt(0))
     seeds: list[Address] = field(factory=list)
 
 
+@frozen
+class SnapshotSettings:
+    """Set when states are written to the log, well before it drops their records."""
+
+    records_max: int = field(default=5_000, validator=gt(0))
+    age_seconds_max: float = field(default=3_600.0, validator=gt(0))
+    rank_delay_seconds: float = field(default=3.0, validator=gt(0))
+
+
 @frozen
 class LimitSettings:
     """Bound what one caller may ask of a node."""
@@ -84,6 +94,23 @@
     load_polls_per_second: float = field(default=10.0, validator=gt(0))
 
 
+@frozen
+class RequestSettings:
+    """Bound how long a request waits for its claim and its bill, and how often it is repeated.
+
+    A claim is read back within claim_seconds and dispatched within dispatch_seconds, or not at
+    all; a caller waits claim_wait_seconds for the outcome of another send of its request.
+    """
+
+    claim_seconds: float = field(default=3.0, validator=gt(0))
+    dispatch_seconds: float = field(default=8.0, validator=gt(0))
+    claim_wait_seconds: float = field(default=20.0, validator=gt(0))
+    copy_after_seconds: float = field(default=0.3, validator=ge(0))
+    confirm_seconds: float = field(default=20.0, validator=gt(0))
+    retry_share_max: float = field(default=0.1, validator=ge(0))
+    quarantine_seconds: float = field(default=600.0, validator=gt(0))
+
+
 @frozen
 class Settings:
     """Hold all settings of one node."""
@@ -96,8 +123,10 @@
     platform: PlatformSettings
     budgets: BudgetSettings = field(factory=BudgetSettings)
     fleet: FleetSettings = field(factory=FleetSettings)
+    snapshots: SnapshotSettings = field(factory=SnapshotSettings)
     limits: LimitSettings = field(factory=LimitSettings)
     routing: RoutingSettings = field(factory=RoutingSettings)
+    requests: RequestSettings = field(factory=RequestSettings)
     log_level: str = field(default="INFO", validator=matches_re("DEBUG|INFO|WARNING|ERROR"))
 
 
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -2,11 +2,19 @@
 
 from attrs import field, frozen
 
-from bronzetiller.budgets.records import Bill, Charge
+from bronzetiller.budgets.records import Bill, Charge, Outcome
 
 PROTOCOL_VERSION = 1
 
 
+@frozen
+class SnapshotMark:
+    """Name the newest snapshot of a stream: the next offset and its time (seconds, Unix)."""
+
+    offset: int
+    at: float
+
+
 @frozen
 class Heartbeat:
     """Tell a peer who and where a node is and how far it has read each stream.
@@ -25,14 +33,19 @@
     ready: bool = False
     log_reachable: bool = False
     vm_list_age_seconds: float | None = None
+    snapshots: dict[str, SnapshotMark] = field(factory=dict)
 
 
 @frozen
 class KeepBill:
-    """Ask a peer to keep a bill and to append it if its owner falls silent."""
+    """Ask a peer to keep a bill, and a claim's outcome, and to append it if its owner falls silent.
+
+    owner is the incarnation that appends the bill itself.
+    """
 
     bill: Bill
-    stream: str
+    owner: str
+    outcome: Outcome | None = None
 
 
 @frozen
@@ -42,18 +55,34 @@
 
 @frozen
 class DropBill:
-    """Tell a peer that the bill of a request is in the log."""
+    """Tell a peer that a bill is in the log."""
+
+    bill_id: str
+
+
+@frozen
+class MarkedRequest:
+    """Identify a request by its workspace and the digest of what it asks."""
 
     workspace: str
-    request_id: str
+    fingerprint: str
+
+
+@frozen
+class TargetDied:
+    """Tell peers which requests were on a target when it died; each tells its own peers once."""
+
+    target_id: str
+    requests: list[MarkedRequest]
 
 
 @frozen
 class FetchEntries:
-    """Ask a peer for the entries of a stream from an offset on."""
+    """Ask a peer for the entries of a stream from an offset on, waiting for a first one."""
 
     stream: str
     from_offset: int
+    wait_seconds: float = 0.0
 
 
 @frozen
@@ -67,10 +96,72 @@
 
 @frozen
 class Entries:
-    """Answer FetchEntries with what the peer keeps in memory."""
+    """Answer FetchEntries with what the peer keeps in memory, from first_offset on.
+
+    end_offset is the highest offset the peer has heard of; current says whether what it reads
+    comes from the log, by way of others or not.
+    """
 
     stream: str
     entries: list[RelayedEntry]
+    first_offset: int = 0
+    end_offset: int = 0
+    current: bool = False
+
+
+@frozen
+class FetchSnapshot:
+    """Ask a peer for one piece of the state of a stream, of a given offset or of any."""
+
+    stream: str
+    piece: int
+    offset: int | None = None
+
+
+@frozen
+class SnapshotPiece:
+    """Carry one piece of a snapshot; offset is the next one to apply, digest that of the whole."""
+
+    stream: str
+    offset: int
+    piece: int
+    pieces: int
+    digest: str
+    data: str
+
+
+@frozen
+class NoSnapshot:
+    """Answer FetchSnapshot where there is nothing to give."""
+
+
+@frozen
+class AppendRecords:
+    """Ask a peer to append records, as JSON texts, to a stream at once."""
+
+    stream: str
+    records: list[str]
+
+
+@frozen
+class RecordsAppended:
+    """Answer AppendRecords with the offset of the first record, or the cause of a failure."""
+
+    first_offset: int | None
+    cause: str = ""
+
+
+@frozen
+class FetchVms:
+    """Ask a peer for its list of VMs."""
+
+
+@frozen
+class Vms:
+    """Answer FetchVms with the platform's JSON text and its age; empty where there is none."""
+
+    text: str
+    age_seconds: float
 
 
 @frozen
@@ -128,12 +219,20 @@
     | KeepBill
     | BillKept
     | DropBill
+    | TargetDied
     | FetchEntries
     | Entries
     | AskTokens
     | TransferTokens
     | ReportHoldings
     | HoldingsReport
+    | FetchSnapshot
+    | SnapshotPiece
+    | NoSnapshot
+    | AppendRecords
+    | RecordsAppended
+    | FetchVms
+    | Vms
 )
 
 
