Bound what a bill takes from a reservation from below as well

Cause: an engine that reports a negative count of tokens made the bill negative; settling it put more tokens back than were reserved.

Change: a settlement of less than nothing is a broken invariant, and the chat run bills nothing in that case. Engines that report high, report negative or ignore the cap are tests with processes; each leaves the billed tokens within the paid ones and answers within the cap. The decisions on sources, sizes and pauses get tests of their own. The fleet of these tests gets its route before its nodes: a node was ready before it had read one.

--- a/bronzetiller/budgets/holdings.py
+++ b/bronzetiller/budgets/holdings.py
@@ -87,7 +87,7 @@
 
         What the bill charges stays committed until it is confirmed or restored.
         """
-        if reservation.settled or tokens > reservation.tokens:
+        if reservation.settled or not 0 <= tokens <= reservation.tokens:
             raise InvariantError("a reservation is settled twice or beyond its tokens")
         reservation.settled = True
         spent = []
--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -123,7 +123,7 @@
     def _bill(self, end: AnswerEnd) -> None:
         assert self.reservation is not None
         reported = end.prompt_tokens + end.answer_tokens
-        tokens = min(reported, self.reservation.tokens)
+        tokens = max(0, min(reported, self.reservation.tokens))
         reservation, self.reservation = self.reservation, None
         self.services.biller.bill(
             self.request_id,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -20,7 +20,16 @@
 from bronzetiller.net.loop import Loop, make_loop
 from standins.process import respond_json, serve
 
-FAULTS = ("ignore-cap", "report-high", "truncate", "cross", "silent", "refuse", "no-usage")
+FAULTS = (
+    "ignore-cap",
+    "report-high",
+    "report-negative",
+    "truncate",
+    "cross",
+    "silent",
+    "refuse",
+    "no-usage",
+)
 CRASH_MARK = "CRASH-THE-ENGINE"
 
 
@@ -143,6 +152,8 @@
         prompt_tokens = len(stream.prompt) // 4 + 1
         if "report-high" in self._settings.faults:
             prompt_tokens *= 1000
+        if "report-negative" in self._settings.faults:
+            prompt_tokens = -1000
         return {
             "prompt_tokens": prompt_tokens,
             "completion_tokens": total,
--- a/tests/test_budget_fleet.py
+++ b/tests/test_budget_fleet.py
@@ -4,6 +4,8 @@
 import threading
 import urllib.request
 
+import pytest
+
 from bronzetiller.budgets.ledger import Ledger
 from bronzetiller.budgets.records import load_ledger_record
 from standins.fleet import call_json
@@ -16,10 +18,10 @@
     fleet = make_fleet()
     fleet.start_platform()
     fleet.add_target("engine-1", "names", "west", "west-1", "--token-seconds", "0.0005", *engine)
-    for node_id in node_ids:
-        fleet.add_node(node_id, "west", "west-1", **settings)
     fleet.publish_workspace("studio", KEY, tokens)
     fleet.publish("route", "namer", {"service": "names", "template_tokens": 0})
+    for node_id in node_ids:
+        fleet.add_node(node_id, "west", "west-1", **settings)
     await_ready(fleet, *node_ids)
     return fleet
 
@@ -153,3 +155,25 @@
         record = load_ledger_record(entry["record"])
         ledger.apply(entry["at"], record.ok_value)
     return ledger.budgets["studio"].billed
+
+
+@pytest.mark.parametrize("fault", ["report-high", "report-negative", "ignore-cap"])
+def test_an_engine_that_misreports_or_ignores_the_cap_cannot_overspend(make_fleet, fault):
+    fleet = start_fleet(make_fleet, ["node-1"], 1_000, ("--fault", fault))
+    results = []
+    for _ in range(30):
+        status, body = send_chat(fleet.caller_address("node-1"), PROMPT, max_tokens=100)
+        results.append((status, body.get("reason")))
+        if status == 200:
+            assert len(body["choices"][0]["message"]["content"].split()) <= 100
+    assert count_accepted(fleet) <= 1_000
+    assert set(results) <= {(200, None), (402, "budget_exhausted")}, results
+    assert (fault == "report-negative") == ((402, "budget_exhausted") not in results)
+    assert_places_add_up(fleet)
+
+
+def assert_places_add_up(fleet):
+    """Check that what the ledger still leaves to grants is not negative anywhere."""
+    for record in read_records(fleet, "bill"):
+        assert record["tokens"] >= 0, record
+        assert all(charge["tokens"] > 0 for charge in record["charges"]), record
--- /dev/null
+++ b/tests/test_token_sources.py
@@ -0,0 +1,135 @@
+"""Decide where tokens come from, and notice pauses."""
+
+from attrs import evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from bronzetiller.budgets.demand import Demand, size_grant
+from bronzetiller.budgets.pauses import PAUSE_SECONDS_MAX, PauseDetector, PauseGuard
+from bronzetiller.budgets.shards import Shards
+from bronzetiller.budgets.sources import AskOutcome, Shortage, Source, choose_source, is_short
+from bronzetiller.platform.log_client import LogFailure, Page
+
+SHORTAGE = Shortage(
+    needed=100,
+    balance=10,
+    held=10,
+    free=0,
+    unspent=500,
+    fresh=True,
+    record_pending=False,
+    credit_pending=False,
+    asking=False,
+    asked=None,
+    short_rounds=0,
+)
+EMPTY_ROUND = AskOutcome(received_tokens=0, kept_tokens=0, complete=True)
+
+
+def test_the_ledger_comes_before_peers_and_both_before_a_refusal():
+    assert choose_source(evolve(SHORTAGE, free=90)) is Source.LEDGER
+    assert choose_source(evolve(SHORTAGE, free=89)) is Source.PEERS
+    asked = evolve(SHORTAGE, asked=EMPTY_ROUND, short_rounds=2)
+    assert choose_source(asked) is Source.RETURN
+    assert choose_source(evolve(asked, balance=0)) is Source.EXHAUSTED
+
+
+@given(
+    shortage=st.builds(
+        Shortage,
+        needed=st.integers(1, 100),
+        balance=st.integers(0, 20),
+        held=st.integers(0, 50),
+        free=st.integers(0, 50),
+        unspent=st.integers(0, 200),
+        fresh=st.booleans(),
+        record_pending=st.booleans(),
+        credit_pending=st.booleans(),
+        asking=st.booleans(),
+        asked=st.none() | st.builds(AskOutcome, st.just(0), st.integers(0, 50), st.booleans()),
+        short_rounds=st.integers(0, 3),
+    )
+)
+@settings(derandomize=True, database=None, max_examples=500)
+def test_a_budget_is_exhausted_only_with_the_log_read_to_its_end_and_no_credit_due(shortage):
+    if choose_source(shortage) is Source.EXHAUSTED:
+        assert shortage.fresh
+        assert not shortage.credit_pending
+        assert not shortage.record_pending
+        assert shortage.unspent < shortage.needed or shortage.short_rounds >= 2
+    if is_short(shortage):
+        assert shortage.asked.complete
+        assert shortage.free + shortage.held + shortage.asked.kept_tokens < shortage.needed
+
+
+def test_a_grant_follows_demand_shrinks_with_the_budget_and_covers_what_waits():
+    def size(**changes):
+        values = {"waiting": 0, "balance": 0, "demand": 0.0, "free": 10_000} | changes
+        return size_grant(tokens_min=100, share_max=0.25, **values)
+
+    assert size() == 100
+    assert size(demand=900.0) == 900
+    assert size(demand=900.0, balance=400) == 500
+    assert size(demand=900.0, free=400) == 100
+    assert size(waiting=300, free=400) == 300
+    assert size(demand=900.0, balance=2_000) <= 0
+
+
+def test_demand_fades_within_a_few_horizons():
+    demand = Demand(10.0)
+    demand.observe(0.0, 1_000)
+    assert demand.estimate(0.0) == 1_000
+    assert 350 < demand.estimate(10.0) < 380
+    demand.observe(0.0, -1_000)
+    assert demand.estimate(0.0) == 0
+
+
+def test_a_pause_shows_on_either_clock():
+    detector = PauseDetector(0.0, 1000.0)
+    assert detector.observe(0.1, 1000.1) < PAUSE_SECONDS_MAX
+    assert detector.observe(60.0, 1000.2) > PAUSE_SECONDS_MAX
+    assert detector.observe(60.1, 1060.2) > PAUSE_SECONDS_MAX
+
+
+class FakeScheduler:
+    def __init__(self):
+        self.time = 0.0
+        self.actions = []
+
+    def now(self):
+        return self.time
+
+    def call_after(self, seconds, action):
+        self.actions.append(action)
+
+    call_every = call_after
+
+
+class FakeLog:
+    def __init__(self):
+        self.reads = []
+
+    def read(self, stream, from_offset, done, *, wait_seconds):
+        self.reads.append((stream, done))
+
+
+def test_nothing_is_spent_after_a_pause_until_the_ledger_was_read_to_its_end():
+    scheduler, log = FakeScheduler(), FakeLog()
+    shards = Shards(scheduler, log, 1, append_interval_seconds=0.0)
+    guard = PauseGuard(scheduler, log, shards)
+    guard.start()
+    assert guard.may_spend("studio")
+    scheduler.time += PAUSE_SECONDS_MAX + 1
+    assert not guard.may_spend("studio")
+    _, done = log.reads.pop()
+    done(Err(LogFailure("connection lost", True)))
+    assert not guard.may_spend("studio")
+    scheduler.actions.pop()()
+    scheduler.time += PAUSE_SECONDS_MAX + 1
+    assert not guard.may_spend("studio")
+    (_, stale), (_, fresh) = log.reads
+    stale(Ok(Page([], 0, 0)))  # it was asked for before the second pause
+    assert not guard.may_spend("studio")
+    fresh(Ok(Page([], 0, 0)))
+    assert guard.may_spend("studio")
