--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -16,10 +16,15 @@
 from bronzetiller.callers.api import ApiServices, make_application
 from bronzetiller.callers.chat import ChatServices
 from bronzetiller.callers.problems import reject_malformed
+from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
 from bronzetiller.configuration.fold import Configuration
+from bronzetiller.fleet.delegation import Delegation
 from bronzetiller.fleet.incarnations import make_incarnation
 from bronzetiller.fleet.membership import Membership
 from bronzetiller.fleet.peers import Peers
+from bronzetiller.fleet.relay import Relay
+from bronzetiller.fleet.snapshot_keeper import SnapshotKeeper
+from bronzetiller.fleet.vm_relay import VmRelay
 from bronzetiller.logs import log_event
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.http_client import HttpClient
@@ -27,6 +32,7 @@
 from bronzetiller.net.loop import Loop, make_loop
 from bronzetiller.platform.follower import StreamFollower
 from bronzetiller.platform.log_client import Entry, LogClient
+from bronzetiller.platform.snapshots import Fold
 from bronzetiller.platform.vm_list import VmList, VmState
 from bronzetiller.requests.billing import Biller
 from bronzetiller.routing.targets import TargetChooser
@@ -75,6 +81,11 @@
         self.membership = Membership(
             scheduler, self.peers, self.vm_list, settings, self._make_heartbeat
         )
+        self.relay = Relay(scheduler, self.peers, self.membership, settings, self._make_heartbeat)
+        self.archive = Archive()
+        self.snapshots = SnapshotKeeper(scheduler, self.log, self.peers, self.membership, settings)
+        self.vm_relay = VmRelay(scheduler, self.peers, self.membership, self.vm_list, settings)
+        self.delegation = Delegation(self.peers, self.membership, self.log, self._make_heartbeat)
         self.holdings = Holdings()
         self.transfers = Transfers(self.incarnation)
         self.guard = PauseGuard(scheduler, self.log, self.shards)
@@ -104,6 +115,7 @@
         self.biller = Biller(scheduler, self.shards, self.holdings, self.incarnation)
         self.chooser = TargetChooser(self.vm_list, settings.region)
         self.stopping = False
+        self._was_ready = False
         self.server = self._make_server()
         _Signals(self).register(self.loop.root)
 
@@ -113,14 +125,23 @@
             self.loop, self.settings.listen.peers.ip, self.settings.listen.peers.port
         )
         self.configuration_follower.subscribe(self._on_configuration)
+        for follower in self._followers():
+            self.relay.add(follower)
+        self.snapshots.add(self.configuration_follower, [self._make_configuration_fold()])
+        for shard in self.shards.all:
+            self.snapshots.add(shard.follower, shard.make_folds())
+            shard.writer.on_acknowledged = shard.follower.note_end
+            shard.writer.delegate = self.delegation.append
+        self.delegation.start()
         self.membership.start()
         self.peers.on(AskTokens, self.keeper.answer_ask)
         self.keeper.start()
         self.closer.start()
         self.guard.start()
+        self.relay.start()
         self.vm_list.start()
-        self.configuration_follower.start()
-        self.shards.start()
+        self.vm_relay.start()
+        self.snapshots.start()
         scheduler = self.loop.scheduler
         scheduler.call_every(CREDIT_CHECK_SECONDS, self._post_credits)
         callers = f"{self.settings.listen.callers.ip}:{self.server.port}"
@@ -138,9 +159,13 @@
         self.loop.scheduler.call_every(0.05, self._stop_when_idle)
 
     def is_ready(self) -> bool:
-        """Say whether the node has read every stream to its end."""
-        followers = [self.configuration_follower, *(s.follower for s in self.shards.all)]
-        return all(follower.caught_up for follower in followers)
+        """Say whether the node has read every stream to its end since it started."""
+        if not self._was_ready:
+            self._was_ready = all(follower.complete for follower in self._followers())
+        return self._was_ready
+
+    def _followers(self) -> list[StreamFollower]:
+        return [self.configuration_follower, *(shard.follower for shard in self.shards.all)]
 
     def _stop_when_idle(self) -> None:
         if self.server.open_exchanges == 0:
@@ -176,8 +201,16 @@
         live = [vm for vm in routers if vm.state is VmState.LIVE]
         return [str(vm.address) for vm in live]
 
+    def _make_configuration_fold(self) -> Fold:
+        return Fold(
+            "configuration",
+            lambda: dump_configuration(self.configuration, self.archive),
+            lambda value: load_configuration(value, self.configuration, self.archive),
+        )
+
     def _on_configuration(self, entry: Entry) -> None:
         decision = self.configuration.apply(entry.offset, entry.record)
+        self.archive.note(decision, entry.record)
         log_event(
             "record_decided",
             offset=entry.offset,
@@ -195,7 +228,7 @@
     def _make_heartbeat(self) -> Heartbeat:
         settings = self.settings
         read_at = self.vm_list.read_at
-        followers = [self.configuration_follower, *(s.follower for s in self.shards.all)]
+        followers = self._followers()
         return Heartbeat(
             node_id=settings.node_id,
             incarnation=self.incarnation,
@@ -205,8 +238,9 @@
             stopping=self.stopping,
             next_offsets={item.stream: item.next_offset for item in followers},
             ready=self.is_ready(),
-            log_reachable=all(item.reachable for item in followers),
+            log_reachable=all(item.direct for item in followers),
             vm_list_age_seconds=None if read_at is None else self.peers.now() - read_at,
+            snapshots=self.snapshots.marks(),
         )
 
     def _make_report(self) -> dict[str, Any]:
--- a/bronzetiller/platform/log_client.py
+++ b/bronzetiller/platform/log_client.py
@@ -8,6 +8,7 @@
 from attrs import define, field, frozen
 from result import Err, Ok, Result
 
+from bronzetiller.metrics import LOG_BYTES
 from bronzetiller.net.dialer import Address
 from bronzetiller.net.http_client import (
     BodyPart,
@@ -39,11 +40,15 @@
 
 @frozen
 class Page:
-    """Hold consecutive entries and the range of offsets the log still keeps."""
+    """Hold consecutive entries and the range of offsets that their source keeps.
+
+    current says whether end_offset comes from the log itself, by way of a peer or not.
+    """
 
     entries: list[Entry]
     first_offset: int
     end_offset: int
+    current: bool = True
 
 
 @frozen
@@ -76,6 +81,7 @@
     ) -> OpenCall:
         """Append records as one call; give the offset of the first."""
         body = json.dumps({"records": records}, separators=(",", ":")).encode()
+        LOG_BYTES.labels("append").inc(len(body))
         path = f"/v1/streams/{quote(stream, safe='')}/records"
         call = HttpCall(self._address, "POST", path, _JSON_HEADERS, body, APPEND_SILENCE_SECONDS)
 
@@ -91,9 +97,10 @@
         done: Callable[[Result[Page, LogFailure]], None],
         *,
         wait_seconds: float = READ_WAIT_SECONDS,
+        records_max: int = READ_RECORDS_MAX,
     ) -> OpenCall:
         """Read a page from the offset on, waiting for a first entry where there is none."""
-        query = f"from={from_offset}&limit={READ_RECORDS_MAX}&wait_ms={int(wait_seconds * 1000)}"
+        query = f"from={from_offset}&limit={records_max}&wait_ms={int(wait_seconds * 1000)}"
         path = f"/v1/streams/{quote(stream, safe='')}/records?{query}"
         call = HttpCall(self._address, "GET", path, {}, b"", READ_SILENCE_SECONDS)
         return self._call(call, lambda result: done(result.map(_make_page)))
@@ -106,6 +113,7 @@
                 answer.status = event.status
             elif isinstance(event, BodyPart):
                 answer.body.append(event.data)
+                LOG_BYTES.labels("read").inc(len(event.data))
             elif isinstance(event, ResponseEnd):
                 done(_read_answer(answer))
             elif isinstance(event, CallFailed):
