--- a/bronzetiller/budgets/closes.py
+++ b/bronzetiller/budgets/closes.py
@@ -16,6 +16,14 @@
     return holdings.drop(record.workspace, record.grant_id)
 
 
+def follow_state(holdings: Holdings, incarnation: str, workspace: str, ledger: Ledger) -> None:
+    """Drop the tokens of grants that were closed or used up in records that were not read."""
+    for grant_id in list(holdings.balances.get(workspace, {})):
+        grant = ledger.find_grant(workspace, grant_id)
+        if grant is None or holdings.held(workspace, grant_id) > grant.available(incarnation):
+            holdings.drop(workspace, grant_id)
+
+
 def make_closes(holder: str, reports: list[HoldingsReport], ledger: Ledger) -> list[Close]:
     """Return the closes that a full set of reports allows.
 
--- a/bronzetiller/budgets/closing.py
+++ b/bronzetiller/budgets/closing.py
@@ -72,7 +72,8 @@
 
     def _check(self) -> None:
         now = self._scheduler.now()
-        if not self._vm_list.reachable or not self._is_fresh():
+        current = all(shard.is_current for shard in self._shards.all)
+        if not current or not self._vm_list.reachable:
             self._polls.clear()
             return
         holders = {holder for holder in self._list_holders(now) if self._membership.is_gone(holder)}
@@ -80,10 +81,6 @@
         for holder in sorted(holders):
             self._check_gone(now, holder)
 
-    def _is_fresh(self) -> bool:
-        followers = [shard.follower for shard in self._shards.all]
-        return all(follower.reachable and follower.caught_up for follower in followers)
-
     def _list_holders(self, now: float) -> set[str]:
         """Return the holders of open grants, and now and then those of closed ones."""
         holders = set()
--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -8,13 +8,14 @@
 from result import Err, Ok, Result
 
 from bronzetiller.budgets.asks import Ask, TokenAsker
-from bronzetiller.budgets.closes import follow_close
+from bronzetiller.budgets.closes import follow_close, follow_state
 from bronzetiller.budgets.demand import Demand, is_low, size_grant
 from bronzetiller.budgets.holdings import Holdings, Reservation, name_grant
-from bronzetiller.budgets.ledger import Budget, Ruling
+from bronzetiller.budgets.ledger import Budget, Ledger, Ruling
 from bronzetiller.budgets.pauses import PauseGuard
 from bronzetiller.budgets.records import Bill, Close, Credit, Grant, LedgerRecord, Return
-from bronzetiller.budgets.shards import Shards
+from bronzetiller.budgets.returns import Returns
+from bronzetiller.budgets.shards import Shard, Shards
 from bronzetiller.budgets.sources import AskOutcome, Shortage, Source, choose_source, is_short
 from bronzetiller.budgets.transfers import Transfers
 from bronzetiller.errors import Reason, Refusal
@@ -68,19 +69,23 @@
     _holdings: Holdings
     _transfers: Transfers
     _asker: TokenAsker
+    _returns: Returns
     _guard: PauseGuard
     _settings: BudgetSettings
     _incarnation: str
     _is_credit_pending: Callable[[str], bool]
     _list_peers: Callable[[], list[str]]
     _accounts: dict[str, _Account] = field(factory=dict)
-    _returns: dict[str, Return] = field(factory=dict)
+    _positions: dict[str, int] = field(factory=dict)
+    _gaps: set[str] = field(factory=set)
 
     def start(self) -> None:
         """Follow the ledger and return idle tokens from now on."""
         self._shards.subscribe(self._on_ruling)
         self._guard.confirmed = self._advance_all
-        self._scheduler.call_every(IDLE_CHECK_SECONDS, self._return_idle)
+        for shard in self._shards.all:
+            self._follow_positions(shard)
+        self._scheduler.call_every(IDLE_CHECK_SECONDS, self._check)
 
     def obtain(self, workspace: str, tokens: int, obtained: Obtained) -> None:
         """Give a reservation, or a refusal once the wait is over; never both."""
@@ -129,7 +134,7 @@
     def return_all(self) -> None:
         """Return every unreserved token, before the node stops."""
         for workspace in list(self._holdings.balances):
-            self._return(workspace, self._holdings.balance(workspace))
+            self._returns.return_balance(workspace)
 
     def _account(self, workspace: str) -> _Account:
         account = self._accounts.get(workspace)
@@ -144,13 +149,11 @@
             return None
         reservation = self._holdings.reserve(workspace, tokens)
         if reservation is not None:
-            self._accounts[workspace].used_at = self._scheduler.now()
+            self._account(workspace).used_at = self._scheduler.now()
         return reservation
 
     def _is_fresh(self, workspace: str) -> bool:
-        shard = self._shards.find(workspace)
-        follower = shard.follower
-        return follower.reachable and follower.caught_up and shard.writer.reachable
+        return self._shards.find(workspace).is_current
 
     def _wait(self, workspace: str, account: _Account, waiter: _Waiter, seconds: float) -> None:
         def expire() -> None:
@@ -184,7 +187,7 @@
                 self._ask_peers(workspace, account)
             case Source.RETURN:
                 self._serve_others(account)
-                self._return(workspace, self._holdings.balance(workspace))
+                self._returns.return_balance(workspace)
                 self._retry_later(workspace, account)
             case Source.EXHAUSTED:
                 account.short_rounds = 0
@@ -214,16 +217,13 @@
             free=budget.free,
             unspent=budget.credited - budget.billed,
             fresh=self._is_fresh(workspace),
-            record_pending=account.requested is not None or self._is_returning(workspace),
+            record_pending=account.requested is not None or self._returns.is_pending(workspace),
             credit_pending=self._is_credit_pending(workspace),
             asking=account.asking,
             asked=account.asked,
             short_rounds=account.short_rounds,
         )
 
-    def _is_returning(self, workspace: str) -> bool:
-        return any(record.workspace == workspace for record in self._returns.values())
-
     def _find_budget(self, workspace: str) -> Budget:
         return self._shards.find(workspace).ledger.budgets.get(workspace) or Budget()
 
@@ -315,54 +315,71 @@
         TOKENS_MOVED.labels("given_to_peer").inc(given)
         returned = 0
         if given < ask.missing_tokens and not account.waiters and self._is_fresh(workspace):
-            returned = self._holdings.balance(workspace)
-            self._return(workspace, returned)
+            returned = self._returns.return_balance(workspace)
         kept = self._holdings.count_held(workspace)
         return TransferTokens(ask.transfer_id, workspace, charges, kept, returned)
 
+    def _follow_positions(self, shard: Shard) -> None:
+        """Notice when the stream goes on behind a gap that a snapshot covers."""
+        stream = shard.follower.stream
+        self._positions[stream] = shard.follower.next_offset
+
+        def follow(entry: Entry) -> None:
+            if entry.offset != self._positions[stream]:
+                self._gaps.add(stream)
+            self._positions[stream] = entry.offset + 1
+
+        shard.follower.subscribe(follow)
+
+    def _check(self) -> None:
+        for shard in self._shards.all:
+            stream = shard.follower.stream
+            if stream in self._gaps or self._positions[stream] != shard.follower.next_offset:
+                self._gaps.discard(stream)
+                self._positions[stream] = shard.follower.next_offset
+                self._reconcile(shard)
+        self._return_idle()
+        self._returns.return_surplus()
+        self._forget_idle()
+
+    def _reconcile(self, shard: Shard) -> None:
+        """Learn from the state of the ledger what became of records whose rulings were missed."""
+        log_event("holdings_reconciled", stream=shard.follower.stream)
+        for workspace, account in list(self._accounts.items()):
+            if self._shards.find(workspace) is shard:
+                self._reconcile_grant(shard.ledger, workspace, account)
+                follow_state(self._holdings, self._incarnation, workspace, shard.ledger)
+        self._returns.reconcile(shard)
+        self._advance_all()
+
+    def _reconcile_grant(self, ledger: Ledger, workspace: str, account: _Account) -> None:
+        if account.requested is None or account.requested not in ledger.grant_rulings:
+            return
+        grant = ledger.find_grant(workspace, account.requested)
+        if grant is not None and not grant.closed:
+            self._holdings.add(workspace, account.requested, grant.left)
+        account.requested = None
+
+    def _forget_idle(self) -> None:
+        for workspace, account in list(self._accounts.items()):
+            busy = account.waiters or account.requested is not None or account.asking
+            demand = account.demand.estimate(self._scheduler.now())
+            if not busy and demand < 1 and not self._holdings.count_held(workspace):
+                del self._accounts[workspace]
+
     def _return_idle(self) -> None:
         now = self._scheduler.now()
-        for workspace, account in self._accounts.items():
+        for workspace, account in list(self._accounts.items()):
             idle_at = account.used_at + self._settings.idle_return_seconds
             if now >= idle_at and not account.waiters and self._is_fresh(workspace):
-                self._return(workspace, self._holdings.balance(workspace))
-        self._return_surplus()
-
-    def _return(self, workspace: str, tokens: int) -> None:
-        if not tokens or not self._guard.may_spend(workspace):
-            return
-        for charge in self._holdings.take(workspace, tokens) or []:
-            self._append_return(workspace, charge.grant_id, charge.tokens)
-
-    def _append_return(self, workspace: str, grant_id: str, tokens: int) -> None:
-        return_id = uuid4().hex
-        record = Return(return_id, workspace, grant_id, tokens, self._incarnation)
-        self._returns[return_id] = record
-        TOKENS_MOVED.labels("returned").inc(tokens)
-        log_event("tokens_returned", workspace=workspace, grant=grant_id, tokens=tokens)
-        self._shards.append(record)
-
-    def _return_surplus(self) -> None:
-        """Return what closed grants retain for this node beyond what it holds of them."""
-        for shard in self._shards.all:
-            for workspace, budget in shard.ledger.budgets.items():
-                for grant_id, grant in budget.grants.items():
-                    retained = grant.retained.get(self._incarnation, 0)
-                    if retained:
-                        self._return_beyond(workspace, grant_id, retained)
-
-    def _return_beyond(self, workspace: str, grant_id: str, retained: int) -> None:
-        open_returns = [r.tokens for r in self._returns.values() if r.grant_id == grant_id]
-        surplus = retained - sum(open_returns) - self._holdings.held(workspace, grant_id)
-        if surplus > 0 and self._is_fresh(workspace) and self._guard.may_spend(workspace):
-            self._append_return(workspace, grant_id, surplus)
+                self._returns.return_balance(workspace)
 
     def _on_ruling(self, entry: Entry, record: LedgerRecord, ruling: Ruling) -> None:
         match record:
             case Grant() if record.holder == self._incarnation:
                 self._take_grant(record, ruling)
             case Return() if record.holder == self._incarnation:
-                self._returns.pop(record.return_id, None)
+                self._returns.take_ruling(record)
             case Close():
                 dropped = follow_close(self._holdings, self._incarnation, record, ruling)
                 TOKENS_MOVED.labels("dropped").inc(dropped)
--- a/bronzetiller/budgets/pauses.py
+++ b/bronzetiller/budgets/pauses.py
@@ -80,19 +80,33 @@
         if self._unconfirmed.get(follower.stream) != pause:
             return
 
-        def finish(result: Result[Page, LogFailure]) -> None:
-            match result:
-                case Ok(page):
-                    follower.offer(page.entries)
-                    if follower.next_offset >= page.end_offset:
-                        self._finish(follower.stream, pause)
-                        return
-                    if page.entries:
-                        self._confirm(shard, pause)
-                        return
+        def retry() -> None:
             self._scheduler.call_after(RETRY_SECONDS, lambda: self._confirm(shard, pause))
 
-        self._log.read(follower.stream, follower.next_offset, finish, wait_seconds=0.0)
+        def take_relayed(result: Result[Page, LogFailure]) -> None:
+            match result:
+                case Ok(page) if page.current:
+                    self._take_page(shard, pause, page)
+            retry()
+
+        def take_read(result: Result[Page, LogFailure]) -> None:
+            match result:
+                case Ok(page):
+                    self._take_page(shard, pause, page)
+                    retry()
+                    return
+            relay = follower.choose_relay()
+            if relay is None:
+                retry()
+            else:
+                relay(follower.next_offset, take_relayed)
+
+        self._log.read(follower.stream, follower.next_offset, take_read, wait_seconds=0.0)
+
+    def _take_page(self, shard: Shard, pause: int, page: Page) -> None:
+        shard.follower.offer(page.entries)
+        if shard.follower.next_offset >= page.end_offset:
+            self._finish(shard.follower.stream, pause)
 
     def _finish(self, stream: str, pause: int) -> None:
         if self._unconfirmed.get(stream) == pause:
--- /dev/null
+++ b/bronzetiller/budgets/returns.py
@@ -0,0 +1,72 @@
+"""Give unused tokens back to the ledger."""
+
+from uuid import uuid4
+
+from attrs import define, field
+
+from bronzetiller.budgets.holdings import Holdings
+from bronzetiller.budgets.pauses import PauseGuard
+from bronzetiller.budgets.records import Return
+from bronzetiller.budgets.shards import Shard, Shards
+from bronzetiller.logs import log_event
+from bronzetiller.metrics import TOKENS_MOVED
+
+
+@define(eq=False)
+class Returns:
+    """Take tokens off the holdings, then append their return; remember those without a ruling."""
+
+    _shards: Shards
+    _holdings: Holdings
+    _guard: PauseGuard
+    _incarnation: str
+    _open: dict[str, Return] = field(factory=dict)
+
+    def is_pending(self, workspace: str) -> bool:
+        """Say whether a return of the workspace has no ruling yet."""
+        return any(record.workspace == workspace for record in self._open.values())
+
+    def return_balance(self, workspace: str) -> int:
+        """Return every unreserved token of a workspace; give how many."""
+        if not self._guard.may_spend(workspace):
+            return 0
+        tokens = self._holdings.balance(workspace)
+        for charge in self._holdings.take(workspace, tokens) or []:
+            self._append(workspace, charge.grant_id, charge.tokens)
+        return tokens
+
+    def return_surplus(self) -> None:
+        """Return what closed grants retain for this node beyond what it holds of them."""
+        for shard in self._shards.all:
+            if not shard.is_current:
+                continue
+            for workspace, budget in shard.ledger.budgets.items():
+                for grant_id, grant in budget.grants.items():
+                    retained = grant.retained.get(self._incarnation, 0)
+                    if retained:
+                        self._return_beyond(workspace, grant_id, retained)
+
+    def take_ruling(self, record: Return) -> None:
+        """Forget a return that the ledger has ruled on."""
+        self._open.pop(record.return_id, None)
+
+    def reconcile(self, shard: Shard) -> None:
+        """Forget the returns that the state of the ledger shows as ruled on."""
+        for record in list(self._open.values()):
+            if self._shards.find(record.workspace) is shard:
+                grant = shard.ledger.find_grant(record.workspace, record.grant_id)
+                if grant is None or record.return_id in grant.return_ids:
+                    del self._open[record.return_id]
+
+    def _return_beyond(self, workspace: str, grant_id: str, retained: int) -> None:
+        pending = [record.tokens for record in self._open.values() if record.grant_id == grant_id]
+        surplus = retained - sum(pending) - self._holdings.held(workspace, grant_id)
+        if surplus > 0 and self._guard.may_spend(workspace):
+            self._append(workspace, grant_id, surplus)
+
+    def _append(self, workspace: str, grant_id: str, tokens: int) -> None:
+        record = Return(uuid4().hex, workspace, grant_id, tokens, self._incarnation)
+        self._open[record.return_id] = record
+        TOKENS_MOVED.labels("returned").inc(tokens)
+        log_event("tokens_returned", workspace=workspace, grant=grant_id, tokens=tokens)
+        self._shards.append(record)
--- a/bronzetiller/budgets/shards.py
+++ b/bronzetiller/budgets/shards.py
@@ -17,6 +17,8 @@
 from bronzetiller.platform.snapshots import Fold, replace_state
 from bronzetiller.platform.writer import Acknowledged, StreamWriter
 
+LAG_RECORDS_MAX = 500
+
 RulingListener = Callable[[Entry, LedgerRecord, Ruling], None]
 
 
@@ -39,6 +41,13 @@
     writer: StreamWriter
     ledger: Ledger
 
+    @property
+    def is_current(self) -> bool:
+        """Say whether the ledger is as the log has it, but for what is being read just now."""
+        lag = self.follower.end_offset - self.follower.next_offset
+        reachable = self.follower.reachable and self.writer.reachable
+        return reachable and self.follower.complete and lag <= LAG_RECORDS_MAX
+
     def make_folds(self) -> list[Fold]:
         """Return the states folded from the stream, for its snapshots."""
         return [
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -11,6 +11,7 @@
 from bronzetiller.budgets.grants import GrantKeeper
 from bronzetiller.budgets.holdings import Holdings
 from bronzetiller.budgets.pauses import PauseGuard
+from bronzetiller.budgets.returns import Returns
 from bronzetiller.budgets.shards import Shards
 from bronzetiller.budgets.transfers import Transfers
 from bronzetiller.callers.api import ApiServices, make_application
@@ -95,6 +96,7 @@
             self.holdings,
             self.transfers,
             TokenAsker(self.peers, self.holdings, self.transfers, settings.node_id),
+            Returns(self.shards, self.holdings, self.guard, self.incarnation),
             self.guard,
             settings.budgets,
             self.incarnation,
--- /dev/null
+++ b/tests/test_grant_keeper.py
@@ -0,0 +1,244 @@
+"""Drive the keeper of grants on a fake clock and a fake log."""
+
+import heapq
+import itertools
+
+import pytest
+from attrs import define, field
+from result import Ok
+
+from bronzetiller.budgets.asks import TokenAsker
+from bronzetiller.budgets.grants import GrantKeeper
+from bronzetiller.budgets.holdings import Holdings
+from bronzetiller.budgets.ledger import Ledger, dump_ledger
+from bronzetiller.budgets.pauses import PauseGuard
+from bronzetiller.budgets.records import Credit, Return, dump_ledger_record, load_ledger_record
+from bronzetiller.budgets.returns import Returns
+from bronzetiller.budgets.shards import Shards
+from bronzetiller.budgets.transfers import Transfers
+from bronzetiller.net.scheduler import Timer
+from bronzetiller.platform.log_client import Entry
+from bronzetiller.settings import BudgetSettings
+from bronzetiller.wire.messages import AskTokens
+
+OWN = "node-1/a"
+
+
+class FakeScheduler:
+    def __init__(self):
+        self.time = 0.0
+        self._timers = []
+        self._order = itertools.count()
+
+    def now(self):
+        return self.time
+
+    def call_after(self, seconds, action):
+        timer = Timer(self.time + seconds, action)
+        heapq.heappush(self._timers, (timer.deadline, next(self._order), timer))
+        return timer
+
+    def call_every(self, seconds, action):
+        def repeat():
+            self.call_after(seconds, repeat)
+            action()
+
+        self.call_after(seconds, repeat)
+
+    def run(self, seconds):
+        end = self.time + seconds
+        while self._timers and self._timers[0][0] <= end:
+            self.time, _, timer = heapq.heappop(self._timers)
+            if timer.action is not None:
+                timer.action()
+        self.time = end
+
+
+class FakeLog:
+    def __init__(self):
+        self.records = []
+
+    def append(self, stream, records, done):
+        self.records += records
+        done(Ok(len(self.records) - len(records)))
+
+    def read(self, stream, from_offset, done, *, wait_seconds):
+        pass
+
+
+class FakePeers:
+    def connected(self):
+        return []
+
+
+@define(eq=False, slots=False)
+class Bench:
+    scheduler: FakeScheduler = field(factory=FakeScheduler)
+    log: FakeLog = field(factory=FakeLog)
+    holdings: Holdings = field(factory=Holdings)
+    results: list = field(factory=list)
+    read_to: int = 0
+
+    def start(self, **settings):
+        self.shards = Shards(self.scheduler, self.log, 1, append_interval_seconds=0.0)
+        self.shard = self.shards.all[0]
+        self.shard.follower.reachable = self.shard.follower.complete = True
+        transfers = Transfers(OWN)
+        guard = PauseGuard(self.scheduler, self.log, self.shards)
+        self.keeper = GrantKeeper(
+            self.scheduler,
+            self.shards,
+            self.holdings,
+            transfers,
+            TokenAsker(FakePeers(), self.holdings, transfers, "node-1"),
+            Returns(self.shards, self.holdings, guard, OWN),
+            guard,
+            BudgetSettings(**settings),
+            OWN,
+            lambda workspace: False,
+            list,
+        )
+        guard.start()
+        self.keeper.start()
+        self.log.records.append(dump_ledger_record(Credit("top-up-1", "studio", 10_000)))
+        self.read()
+
+    def read(self):
+        while self.read_to < len(self.log.records):
+            entry = Entry(self.read_to, 0.0, self.log.records[self.read_to])
+            self.read_to += 1
+            self.shard.follower.offer([entry])
+
+    def obtain(self, tokens):
+        self.keeper.obtain("studio", tokens, self.results.append)
+
+    def kinds(self):
+        return [record["kind"] for record in self.log.records]
+
+
+@pytest.fixture
+def bench():
+    bench = Bench()
+    bench.start()
+    return bench
+
+
+def test_a_request_waits_for_one_grant_and_later_ones_do_not_wait(bench):
+    bench.obtain(100)
+    bench.obtain(100)
+    bench.scheduler.run(0.01)
+    assert bench.results == []
+    assert bench.kinds() == ["credit", "grant"]
+    bench.read()
+    assert [result.ok_value.tokens for result in bench.results] == [100, 100]
+    bench.obtain(100)
+    assert len(bench.results) == 3
+    bench.scheduler.run(0.01)
+    assert bench.kinds().count("grant") == 1
+
+
+def test_a_node_asks_ahead_before_its_tokens_run_out(bench):
+    for _ in range(16):
+        bench.obtain(100)
+        bench.scheduler.run(0.01)
+        bench.read()
+    assert bench.kinds().count("grant") == 2
+    assert all(result.is_ok() for result in bench.results)
+    assert bench.holdings.balance("studio") > 100
+
+
+def test_idle_tokens_go_back_to_the_ledger(bench):
+    bench.obtain(100)
+    bench.scheduler.run(0.01)
+    bench.read()
+    bench.holdings.release(bench.results[0].ok_value)
+    bench.scheduler.run(25.0)
+    bench.read()
+    assert bench.shard.ledger.count_free("studio") == 10_000
+    assert bench.holdings.count_held("studio") == 0
+
+
+def test_rulings_that_a_snapshot_covers_are_read_from_its_state(bench):
+    bench.obtain(100)
+    bench.scheduler.run(0.01)
+    skip_to_snapshot(bench)
+    assert bench.results == []
+    bench.scheduler.run(1.0)
+    assert [result.is_ok() for result in bench.results] == [True]
+    bench.holdings.release(bench.results[0].ok_value)
+    bench.keeper.return_all()
+    bench.scheduler.run(0.01)
+    skip_to_snapshot(bench)
+    bench.scheduler.run(1.0)
+    assert bench.shard.ledger.count_free("studio") == 10_000
+    bench.obtain(200)
+    bench.scheduler.run(0.01)
+    bench.read()
+    assert bench.results[1].is_ok()
+
+
+def skip_to_snapshot(bench):
+    """Load a state that covers all records, without their rulings."""
+    state = Ledger()
+    for record in bench.log.records:
+        state.apply(0.0, load_ledger_record(record).ok_value)
+    bench.shard.make_folds()[0].load(dump_ledger(state))
+    bench.read_to = len(bench.log.records)
+    bench.shard.follower.restart_at(bench.read_to)
+
+
+def test_without_the_state_a_skipped_ruling_leaves_the_request_waiting(bench, monkeypatch):
+    monkeypatch.setattr(GrantKeeper, "_reconcile", lambda keeper, shard: None)
+    bench.obtain(100)
+    bench.scheduler.run(0.01)
+    skip_to_snapshot(bench)
+    bench.scheduler.run(2.0)
+    assert bench.results == []
+
+
+def test_a_peer_gets_tokens_once_however_often_it_asks(bench):
+    bench.obtain(100)
+    bench.scheduler.run(0.01)
+    bench.read()
+    before = bench.holdings.balance("studio")
+    answers = []
+    ask = AskTokens("transfer-1", "studio", 50, 50, "node-2", True)
+    bench.keeper.answer_ask(ask, answers.append)
+    bench.keeper.answer_ask(ask, answers.append)
+    assert answers[0].charges == answers[1].charges
+    assert bench.holdings.balance("studio") == before - 50
+
+
+def test_a_peer_without_the_log_gets_a_grant_through_this_node(bench):
+    answers = []
+    ask = AskTokens("transfer-1", "studio", 500, 500, "node-2", False)
+    bench.keeper.answer_ask(ask, answers.append)
+    assert answers == []
+    bench.scheduler.run(0.01)
+    bench.read()
+    assert sum(charge.tokens for charge in answers[0].charges) == 500
+
+
+def test_received_tokens_are_not_passed_on_but_returned(bench):
+    bench.log.records += [
+        {
+            "kind": "grant",
+            "grant_id": "node-2/b/1",
+            "workspace": "studio",
+            "holder": "node-2/b",
+            "tokens": 10_000,
+        }
+    ]
+    bench.read()
+    bench.holdings.add("studio", "node-2/b/1", 400)
+    answers = []
+    bench.keeper.answer_ask(
+        AskTokens("transfer-1", "studio", 50, 50, "node-3", True), answers.append
+    )
+    assert answers[0].charges == []
+    assert answers[0].returned_tokens == 400
+    bench.scheduler.run(0.01)
+    returns = [load_ledger_record(record).ok_value for record in bench.log.records[-1:]]
+    assert [(type(item), item.grant_id, item.tokens) for item in returns] == [
+        (Return, "node-2/b/1", 400)
+    ]
