--- a/bronzetiller/budgets/shards.py
+++ b/bronzetiller/budgets/shards.py
@@ -31,6 +31,8 @@
 )
 
 ClaimListener = Callable[[Entry, ClaimRecord, ClaimVerdict], None]
+LAG_RECORDS_MAX = 500
+
 RulingListener = Callable[[Entry, LedgerRecord, Ruling], None]
 
 
@@ -59,6 +61,13 @@
         """Say whether the last read and the last append of the stream succeeded."""
         return self.follower.reachable and self.writer.reachable
 
+    @property
+    def is_current(self) -> bool:
+        """Say whether the ledger is as the log has it, but for what is being read just now."""
+        lag = self.follower.end_offset - self.follower.next_offset
+        reachable = self.follower.reachable and self.writer.reachable
+        return reachable and self.follower.complete and lag <= LAG_RECORDS_MAX
+
     def make_folds(self) -> list[Fold]:
         """Return the states folded from the stream, for its snapshots."""
         return [
