--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -12,8 +12,7 @@
 FLEET = {"gone_grace_seconds": 1.0}
 
 
-def _start(make_fleet, nodes=2, services=1, **settings):
-    fleet = make_fleet()
+def _start(fleet, nodes=2, services=1, **settings):
     fleet.start_platform()
     for index in range(services):
         fleet.add_target(f"orders-{index}", "orders", "west", "west-1", "standins.service")
@@ -61,7 +60,7 @@
 def shared_fleet():
     fleet = Fleet()
     try:
-        yield _start(lambda: fleet)
+        yield _start(fleet)
     finally:
         fleet.close()
 
@@ -133,7 +132,7 @@
 
 
 def test_an_order_in_flight_at_a_killed_node_is_unknown_and_never_run_again(make_fleet):
-    fleet = _start(make_fleet)
+    fleet = _start(make_fleet())
     _set_service_seconds(fleet, 30.0)
     killed = fleet.caller_address("node-1")
 
@@ -159,7 +158,7 @@
 
 def test_a_node_frozen_until_its_claim_was_given_up_does_not_dispatch(make_fleet):
     """Freeze the node between its claim and the first byte to the service."""
-    fleet = _start(make_fleet, claim_seconds=60.0)
+    fleet = _start(make_fleet(), claim_seconds=60.0)
     call_json(fleet.log_address, "/control/faults", {"delay_seconds": 0.7})
     frozen, address = fleet.caller_address("node-1"), fleet.caller_address("node-2")
     told = {}
@@ -186,7 +185,7 @@
 
 
 def test_a_status_lookup_is_repeated_on_another_target(make_fleet):
-    fleet = _start(make_fleet, nodes=1, services=2)
+    fleet = _start(make_fleet(), nodes=1, services=2)
     fleet.processes["orders-0"].kill()
     address = fleet.caller_address("node-1")
     for index in range(6):
