--- a/standins/engine.py
+++ b/standins/engine.py
@@ -23,6 +23,7 @@
 FAULTS = (
     "ignore-cap",
     "report-high",
+    "report-negative",
     "truncate",
     "cross",
     "silent",
@@ -205,6 +206,8 @@
             prompt_tokens *= 1000
         if "odd-usage" in self._settings.faults:
             return {"prompt_tokens": -1, "completion_tokens": 10**30}
+        if "report-negative" in self._settings.faults:
+            prompt_tokens = -1000
         return {
             "prompt_tokens": prompt_tokens,
             "completion_tokens": total,
