--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -108,9 +108,9 @@
             self.transfers,
             self.peers,
             self.vm_list,
+            self.membership,
             self.guard,
             self.incarnation,
-            settings.budgets.holder_gone_seconds,
         )
         self.biller = Biller(scheduler, self.shards, self.holdings, self.incarnation)
         self.chooser = TargetChooser(self.vm_list, settings.region)
@@ -134,11 +134,11 @@
             shard.writer.delegate = self.delegation.append
         self.delegation.start()
         self.membership.start()
-        self.relay.start()
         self.peers.on(AskTokens, self.keeper.answer_ask)
         self.keeper.start()
         self.closer.start()
         self.guard.start()
+        self.relay.start()
         self.vm_list.start()
         self.vm_relay.start()
         self.snapshots.start()
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -202,6 +202,10 @@
     | DropBill
     | FetchEntries
     | Entries
+    | AskTokens
+    | TransferTokens
+    | ReportHoldings
+    | HoldingsReport
     | FetchSnapshot
     | SnapshotPiece
     | NoSnapshot
@@ -209,10 +213,6 @@
     | RecordsAppended
     | FetchVms
     | Vms
-    | AskTokens
-    | TransferTokens
-    | ReportHoldings
-    | HoldingsReport
 )
 
 
