Drain a node by phases and name only serving nodes to callers

A stopping node ended as soon as nothing was open at that instant, while other nodes still named it and callers still kept its address.

A stop begins by SIGTERM, by a planned stop that names the VM or by its state leaving in the list of VMs. Heartbeats tell the peers at once; requests are served until the last deadline that a lookup gave out is over, then refused as stopping (ran: no, connection closed); unreserved tokens return; the process ends once nothing is open, at the latest after request_seconds_max. The lookup lists the own data centre first, then the region, then others, and names no node that is known to stop, to be silent or not to be ready.

--- a/bronzetiller/callers/api.py
+++ b/bronzetiller/callers/api.py
@@ -19,6 +19,8 @@
 from bronzetiller.metrics import render_metrics
 from bronzetiller.net.http_server import Exchange
 
+REQUEST_PATHS = ("/v1/chat/", "/services/")
+
 
 @define
 class ApiServices:
@@ -28,6 +30,7 @@
     chat: ChatServices
     is_ready: Callable[[], bool]
     is_stopping: Callable[[], bool]
+    is_refusing: Callable[[], bool]
     list_entries: Callable[[], list[str]]
     make_report: Callable[[], dict[str, Any]]
     entry_seconds: float
@@ -37,6 +40,9 @@
     """Return the application that serves every request of a node."""
 
     def serve(exchange: Exchange) -> None:
+        if services.is_refusing() and exchange.path.startswith(REQUEST_PATHS):
+            _refuse_stopping(exchange)
+            return
         handle = _HANDLERS.get((exchange.method, exchange.path))
         if handle is not None:
             handle(services, exchange)
@@ -49,6 +55,12 @@
     return serve
 
 
+def _refuse_stopping(exchange: Exchange) -> None:
+    exchange.close_after()
+    detail = "the node is stopping; ask /v1/entry for another"
+    refuse(exchange, Refusal(503, Reason.STOPPING, detail, retry_after_seconds=1))
+
+
 def _serve_entry(services: ApiServices, exchange: Exchange) -> None:
     keep_until = time.time() + services.entry_seconds
     value = {"addresses": services.list_entries(), "keep_until": keep_until}
--- a/bronzetiller/fleet/membership.py
+++ b/bronzetiller/fleet/membership.py
@@ -41,6 +41,7 @@
     _first_read_at: float | None = None
     _seen_read_at: float | None = None
     _listed: frozenset[str] = frozenset()
+    _neighbours: set[str] = field(factory=set)
     _ticked_at: float = 0.0
     _listeners: list[Listener] = field(factory=list)
 
@@ -68,10 +69,9 @@
             if self._is_heard(state)
         }
 
-    def is_silent(self, node_id: str) -> bool:
-        """Say whether a peer that was heard from before is silent now."""
-        state = self.states.get(node_id)
-        return state is not None and not self._is_heard(state)
+    def silent(self) -> set[str]:
+        """Return the ids of the neighbours that are not heard from."""
+        return (set(self.states) | self._neighbours) - set(self.live())
 
     def is_gone(self, incarnation: str) -> bool:
         """Say whether an incarnation will never act again, as far as this node can tell."""
@@ -188,6 +188,7 @@
             for vm in neighbours
             if vm.peer_address is not None
         ]
+        self._neighbours = {peer.node_id for peer in found}
         self._peers.set_peers(found)
 
     def _measure_distance(self, vm: Vm) -> str:
--- a/bronzetiller/net/http_server.py
+++ b/bronzetiller/net/http_server.py
@@ -72,6 +72,10 @@
             self.done = True
             self._server.fire(stream(self._response, None))
 
+    def close_after(self) -> None:
+        """Close the connection once the response is sent."""
+        self._response.close = True
+
     def abort(self) -> None:
         """Cut the connection, so that the caller sees a streamed answer as incomplete."""
         self.done = True
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -1,6 +1,7 @@
 """Wire the parts of a node together and run it."""
 
 import time
+from random import Random
 from typing import Any
 
 from circuits import BaseComponent, handler
@@ -19,6 +20,8 @@
 from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.fleet.delegation import Delegation
+from bronzetiller.fleet.drain import Drain
+from bronzetiller.fleet.entries import EntryView, list_entries
 from bronzetiller.fleet.incarnations import make_incarnation
 from bronzetiller.fleet.membership import Membership
 from bronzetiller.fleet.peers import Peers
@@ -41,6 +44,7 @@
 
 CONFIGURATION_STREAM = "configuration"
 CREDIT_CHECK_SECONDS = 0.5
+STOP_CHECK_SECONDS = 0.5
 
 
 class _Signals(BaseComponent):
@@ -114,7 +118,14 @@
         )
         self.biller = Biller(scheduler, self.shards, self.holdings, self.incarnation)
         self.chooser = TargetChooser(self.vm_list, settings.region)
-        self.stopping = False
+        self.drain = Drain(
+            scheduler,
+            announce=self.membership.announce,
+            release=self.keeper.return_all,
+            is_idle=self._is_idle,
+            end=self.loop.root.stop,
+        )
+        self._random = Random()
         self._was_ready = False
         self.server = self._make_server()
         _Signals(self).register(self.loop.root)
@@ -144,19 +155,26 @@
         self.snapshots.start()
         scheduler = self.loop.scheduler
         scheduler.call_every(CREDIT_CHECK_SECONDS, self._post_credits)
+        scheduler.call_every(STOP_CHECK_SECONDS, self._check_own_stop)
         callers = f"{self.settings.listen.callers.ip}:{self.server.port}"
         peers = f"{self.settings.listen.peers.ip}:{peer_port}"
         print(f"ready kind=node id={self.settings.node_id} callers={callers} peers={peers}")
         log_event("started", incarnation=self.incarnation, callers=callers, peers=peers)
         self.loop.root.run()
 
-    def stop(self) -> None:
+    @property
+    def stopping(self) -> bool:
+        """Say whether the node has begun to stop."""
+        return self.drain.stopping
+
+    def stop(self, cause: str = "signal") -> None:
         """Finish what runs, then end the process."""
-        if self.stopping:
-            return
-        self.stopping = True
-        log_event("stopping", open_requests=self.server.open_exchanges)
-        self.loop.scheduler.call_every(0.05, self._stop_when_idle)
+        leave_seconds = self.settings.limits.entry_seconds + self.settings.fleet.silence_seconds
+        self.drain.begin(
+            cause,
+            leave_seconds=leave_seconds,
+            stop_seconds_max=self.settings.limits.request_seconds_max,
+        )
 
     def is_ready(self) -> bool:
         """Say whether the node has read every stream to its end since it started."""
@@ -167,13 +185,21 @@
     def _followers(self) -> list[StreamFollower]:
         return [self.configuration_follower, *(shard.follower for shard in self.shards.all)]
 
-    def _stop_when_idle(self) -> None:
-        if self.server.open_exchanges == 0:
-            self.keeper.return_all()
+    def _is_idle(self) -> bool:
         backlog = sum(shard.writer.backlog for shard in self.shards.all)
-        if self.server.open_exchanges == 0 and backlog == 0:
-            log_event("stopped")
-            self.loop.root.stop()
+        return self.server.open_exchanges == 0 and backlog == 0
+
+    def _check_own_stop(self) -> None:
+        own = self.vm_list.vms.get(self.settings.node_id)
+        if own is not None and own.state is VmState.LEAVING:
+            self.stop("vm_list")
+        elif self.settings.node_id in self._list_stops():
+            self.stop("planned_stop")
+
+    def _list_stops(self) -> set[str]:
+        """Return the ids of the VMs whose planned stop has come."""
+        stops = self.configuration.planned_stops().values()
+        return {stop.vm_id for stop in stops if stop.stop_at <= time.time()}
 
     def _make_server(self) -> HttpServer:
         services = ApiServices(
@@ -181,6 +207,7 @@
             chat=ChatServices(self.http, self.keeper, self.holdings, self.biller, self.chooser),
             is_ready=self.is_ready,
             is_stopping=lambda: self.stopping,
+            is_refusing=lambda: self.drain.refusing,
             list_entries=self._list_entries,
             make_report=self._make_report,
             entry_seconds=self.settings.limits.entry_seconds,
@@ -197,9 +224,14 @@
         return server.register(self.loop.root)
 
     def _list_entries(self) -> list[str]:
-        routers = self.vm_list.find_routers()
-        live = [vm for vm in routers if vm.state is VmState.LIVE]
-        return [str(vm.address) for vm in live]
+        view = EntryView(
+            own=self._make_heartbeat(),
+            routers=self.vm_list.find_routers(),
+            live=self.membership.live(),
+            silent=self.membership.silent(),
+            stops=self._list_stops(),
+        )
+        return list_entries(view, self._random)
 
     def _make_configuration_fold(self) -> Fold:
         return Fold(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -246,6 +246,10 @@
             offset += len(page["records"])
         return entries
 
+    def nodes(self) -> list[dict[str, Any]]:
+        """Return the listed nodes."""
+        return [vm for vm in list(self.vms.values()) if vm["role"] == "router"]
+
     def caller_address(self, node_id: str) -> str:
         return self.processes[node_id].ready["callers"]
 
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,233 @@
+"""Stop nodes without cutting a request."""
+
+import http.client
+import json
+import threading
+import time
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bronzetiller.fleet.drain import Phase, find_phase
+from bronzetiller.fleet.entries import EntryView, list_entries
+from bronzetiller.net.dialer import Address
+from bronzetiller.platform.vm_list import Vm, VmRole, VmState
+from bronzetiller.wire.messages import Heartbeat
+from standins.engine import make_words
+from standins.fleet import call_json
+from tests.conftest import KEY, await_ready, await_true, read_records
+
+ENTRY_SECONDS = 1.0
+SILENCE_SECONDS = 1.0
+SETTINGS = {
+    "limits": {"entry_seconds": ENTRY_SECONDS},
+    "fleet": {"silence_seconds": SILENCE_SECONDS, "heartbeat_seconds": 0.2},
+}
+
+TIMES = st.floats(0, 100)
+
+
+@given(TIMES, TIMES, TIMES, st.booleans())
+@settings(derandomize=True)
+def test_nothing_is_refused_or_ended_before_the_callers_deadlines(now, refuse_at, extra, idle):
+    end_at = refuse_at + extra
+    phase = find_phase(now, refuse_at, end_at, idle=idle)
+    assert (phase is Phase.LEAVING) == (now < refuse_at)
+    assert (phase is Phase.OVER) == (now >= end_at or (now >= refuse_at and idle))
+
+
+PLACES = [("west", "west-1"), ("west", "west-2"), ("east", "east-1")]
+
+
+def make_node(node_id, place, *, ready=True, stopping=False):
+    return Heartbeat(node_id, f"{node_id}/1", *place, f"ip-{node_id}", stopping, ready=ready)
+
+
+def make_vm(node_id, place, state=VmState.LIVE):
+    return Vm(node_id, Address(node_id, 1), *place, VmRole.ROUTER, state)
+
+
+STATES = st.sampled_from(["serving", "starting", "stopping", "silent", "leaving", "planned", "new"])
+
+
+@given(st.lists(st.tuples(st.sampled_from(PLACES), STATES), max_size=6), st.integers(0, 9))
+@settings(derandomize=True)
+def test_lookup_names_only_serving_nodes_the_nearest_first(others, seed):
+    own = make_node("own", PLACES[0])
+    routers, live, silent, stops = [make_vm("own", PLACES[0])], {}, set(), set()
+    for index, (place, state) in enumerate(others):
+        node_id = f"node-{index}"
+        leaving = VmState.LEAVING if state == "leaving" else VmState.LIVE
+        if state != "new":
+            routers.append(make_vm(node_id, place, leaving))
+        if state == "silent":
+            silent.add(node_id)
+            continue
+        if state == "planned":
+            stops.add(node_id)
+        live[node_id] = make_node(
+            node_id, place, ready=state != "starting", stopping=state == "stopping"
+        )
+    found = list_entries(EntryView(own, routers, live, silent, stops), Random(seed))
+    ranks = []
+    for address in found:
+        node_id = address.removeprefix("ip-").removesuffix(":1")
+        place, state = (PLACES[0], "serving")
+        if node_id != "own":
+            place, state = others[int(node_id.removeprefix("node-"))]
+        assert state in ("serving", "new")
+        ranks.append(PLACES.index(place))
+    assert ranks == sorted(ranks)
+    assert len(found) == 1 + sum(state in ("serving", "new") for _, state in others)
+
+
+@pytest.fixture
+def fleet(make_fleet):
+    fleet = make_fleet()
+    fleet.start_platform()
+    for index in (1, 2):
+        fleet.add_target(f"engine-{index}", "names", "west", "west-1", "--token-seconds", "0.02")
+    for node_id in ("node-1", "node-2", "node-3"):
+        fleet.add_node(node_id, "west", "west-1", **SETTINGS)
+    fleet.publish("route", "namer", {"service": "names"})
+    fleet.publish_workspace("studio", KEY, 1_000_000)
+    await_ready(fleet, "node-1", "node-2", "node-3")
+    return fleet
+
+
+def _list_entries(fleet, node_id):
+    return call_json(fleet.caller_address(node_id), "/v1/entry")["addresses"]
+
+
+def _post(connection, prompt, **fields):
+    message = {"role": "user", "content": prompt}
+    body = {"model": "namer", "messages": [message], "max_tokens": 8} | fields
+    headers = {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
+    connection.request("POST", "/v1/chat/completions", json.dumps(body), headers)
+    return connection.getresponse()
+
+
+def test_a_stopping_node_serves_kept_connections_then_refuses_and_ends(fleet):
+    address = fleet.caller_address("node-2")
+    await_true(lambda: address in _list_entries(fleet, "node-1"), what="the address in the lookup")
+    kept = http.client.HTTPConnection(address, timeout=20)
+    assert _post(kept, "warm").read()
+    long = http.client.HTTPConnection(address, timeout=30)
+    stream = _post(long, "long", stream=True, max_tokens=250)
+    assert stream.status == 200
+
+    fleet.processes["node-2"].stop()
+    stopped_at = time.monotonic()
+    for node_id in ("node-1", "node-2", "node-3"):
+        await_true(
+            lambda node_id=node_id: address not in _list_entries(fleet, node_id),
+            seconds=3.0,
+            what=f"the lookup of {node_id} without the stopping node",
+        )
+    answer = _post(kept, "within the deadline")
+    assert answer.status == 200 and answer.read()
+    refused = []
+
+    def await_refusal():
+        answer = _post(kept, "after the deadline")
+        body = json.loads(answer.read())
+        if answer.status == 200:
+            return False
+        refused.append((answer.status, body["reason"], body["ran"], answer.headers["Connection"]))
+        return True
+
+    await_true(await_refusal, what="a refusal")
+    assert time.monotonic() - stopped_at >= ENTRY_SECONDS
+    assert refused == [(503, "stopping", "no", "close")]
+    text = stream.read().decode()
+    assert make_words("long", 250)[-1] in text and "[DONE]" in text
+    assert fleet.processes["node-2"].popen.wait(20) == 0
+    returned = {record["holder"].split("/")[0] for record in read_records(fleet, "return")}
+    assert "node-2" in returned
+
+
+class Caller(threading.Thread):
+    """Send requests one after another, as the entry contract asks of a caller."""
+
+    def __init__(self, fleet, name):
+        super().__init__(name=name)
+        self.fleet = fleet
+        self.over = threading.Event()
+        self.addresses, self.keep_until = [], 0.0
+        self.answers, self.faults = 0, []
+
+    def run(self):
+        while not self.over.is_set():
+            try:
+                self._ask(f"{self.name} {self.answers}")
+            except Exception as error:
+                self.faults.append(repr(error))
+
+    def _look_up(self):
+        known = self.addresses or [vm["address"] for vm in self.fleet.nodes()]
+        for address in [*known, *(vm["address"] for vm in self.fleet.nodes())]:
+            try:
+                value = call_json(address, "/v1/entry")
+            except OSError:
+                continue
+            if value["addresses"]:
+                self.addresses, self.keep_until = value["addresses"], value["keep_until"]
+                return
+        self.faults.append("no lookup answered")
+
+    def _ask(self, prompt):
+        if time.time() >= self.keep_until:
+            self._look_up()
+        for address in list(self.addresses):
+            try:
+                connection = http.client.HTTPConnection(address, timeout=30)
+                connection.connect()
+            except ConnectionRefusedError:
+                continue
+            answer = _post(connection, prompt)
+            body = json.loads(answer.read())
+            connection.close()
+            if answer.status == 503 and body["reason"] == "stopping":
+                self.keep_until = 0.0
+                return
+            text = "".join(make_words(prompt, 8))
+            if answer.status != 200 or body["choices"][0]["message"]["content"] != text:
+                self.faults.append(body)
+            self.answers += 1
+            return
+        self.keep_until = 0.0
+
+
+def _stop(fleet, node_id, how):
+    if how == "signal":
+        fleet.processes[node_id].stop()
+    elif how == "planned stop":
+        fleet.publish("planned-stop", node_id, {"vm_id": node_id})
+    else:
+        fleet.vms[node_id]["state"] = "leaving"
+        fleet.publish_vms()
+
+
+def test_replacing_every_node_under_load_cuts_no_request(fleet):
+    callers = [Caller(fleet, f"caller-{index}") for index in range(6)]
+    for caller in callers:
+        caller.start()
+    hows = {"node-1": "signal", "node-2": "planned stop", "node-3": "vm list"}
+    for node_id, how in hows.items():
+        fleet.add_node(f"{node_id}-new", "west", "west-1", **SETTINGS)
+        await_ready(fleet, f"{node_id}-new")
+        _stop(fleet, node_id, how)
+        assert fleet.processes[node_id].popen.wait(30) == 0
+        del fleet.vms[node_id]
+        fleet.publish_vms()
+    before = sum(caller.answers for caller in callers)
+    await_true(lambda: sum(c.answers for c in callers) > before + 10, what="answers by new nodes")
+    for caller in callers:
+        caller.over.set()
+    for caller in callers:
+        caller.join(40)
+    assert [fault for caller in callers for fault in caller.faults] == []
+    billed = {record["request_id"] for record in read_records(fleet, "bill")}
+    assert len(billed) == sum(caller.answers for caller in callers)
