--- a/bronzetiller/fleet/drain.py
+++ b/bronzetiller/fleet/drain.py
@@ -70,8 +70,11 @@
         self._check()
 
     def _check(self) -> None:
+        now = self._scheduler.now()
+        if now >= self._refuse_at:
+            self._release()
         idle = self._is_idle()
-        phase = find_phase(self._scheduler.now(), self._refuse_at, self._end_at, idle=idle)
+        phase = find_phase(now, self._refuse_at, self._end_at, idle=idle)
         if phase is not self.phase:
             log_event("stop_phase", phase=phase.value)
         self.phase = phase
@@ -79,6 +82,4 @@
             log_event("stopped", idle=idle, level=20 if idle else 30)
             self._end()
             return
-        if phase is Phase.REFUSING:
-            self._release()
         self._scheduler.call_after(CHECK_SECONDS, self._check)
