Pace appends by the size of the fleet and merge those of a data centre

Every node appended at a fixed interval, so the appends a second grew with the number of nodes: 330 nodes at 0.02 s would make up to 16,500 a second.

choose_pace keeps nodes x streams / interval under appends_per_second_max. Where that interval would pass direct_append_seconds_max, nodes hand their batches to one node of their data centre, which merges what arrives within its interval into one append, tried once. Ruled out: only growing the interval, since at 330 nodes each bill would wait 1.1 s at 300 appends a second.

--- a/bronzetiller/fleet/delegation.py
+++ b/bronzetiller/fleet/delegation.py
@@ -1,20 +1,22 @@
 """Append to the log through a peer that reaches it, and for a peer that does not.
 
 Every record is idempotent in its fold, so that a delegated batch whose answer was lost may be
-appended again by anyone. A peer appends a batch at once or says no; it never queues it, so that
-two nodes can't hand the same records to each other and back.
+appended again by anyone. A peer tries a batch once, merged with those that arrive within the same
+short interval, or says no; it never hands it on, so that two nodes can't pass the same records to
+each other and back.
 """
 
 import json
 from collections.abc import Callable
 
-from attrs import define
+from attrs import define, field
 from result import Err, Ok, Result
 
 from bronzetiller.fleet.membership import Membership
 from bronzetiller.fleet.peers import Peers, Reply
-from bronzetiller.fleet.relay import choose_log_peer
+from bronzetiller.fleet.relay import choose_log_peer, choose_reader
 from bronzetiller.metrics import DELEGATED_APPENDS
+from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.log_client import APPEND_SILENCE_SECONDS, LogClient, LogFailure, Record
 from bronzetiller.wire.messages import AppendRecords, Heartbeat, Message, RecordsAppended
 
@@ -23,14 +25,25 @@
 AppendDone = Callable[[Result[int, LogFailure]], None]
 
 
+@define(eq=False)
+class _Merge:
+    """Hold the batches of peers that go into one append."""
+
+    records: list[Record] = field(factory=list)
+    replies: list[tuple[int, Reply]] = field(factory=list)
+
+
 @define(eq=False)
 class Delegation:
-    """Hand batches to the nearest peer that reaches the log."""
+    """Hand batches to the nearest peer that reaches the log; merge those of peers."""
 
     _peers: Peers
     _membership: Membership
     _log: LogClient
     _make_heartbeat: Callable[[], Heartbeat]
+    _scheduler: Scheduler
+    merge_seconds: float = 0.0
+    _merges: dict[str, _Merge] = field(factory=dict)
 
     def start(self) -> None:
         """Begin to append for peers."""
@@ -38,9 +51,7 @@
 
     def append(self, stream: str, records: list[Record], done: AppendDone) -> bool:
         """Append through a peer; return whether there is one."""
-        connected = set(self._peers.connected())
-        live = {k: v for k, v in self._membership.live().items() if k in connected}
-        node_id = choose_log_peer(self._make_heartbeat(), live, stream)
+        node_id = self._choose_peer(stream)
         if node_id is None:
             return False
 
@@ -60,13 +71,47 @@
         self._peers.ask(node_id, AppendRecords(stream, texts), ANSWER_SECONDS, answered)
         return True
 
+    def choose_appender(self, stream: str) -> str | None:
+        """Return the node of the own data centre that appends for it; it may be this one."""
+        own = self._make_heartbeat()
+        near = [
+            node_id
+            for node_id, peer in self._find_usable().items()
+            if peer.data_centre == own.data_centre and peer.log_reachable and not peer.stopping
+        ]
+        if own.log_reachable and not own.stopping:
+            near.append(own.node_id)
+        return choose_reader(f"append/{stream}", own.data_centre, near)
+
+    def _choose_peer(self, stream: str) -> str | None:
+        appender = self.choose_appender(stream)
+        own = self._make_heartbeat()
+        if appender not in (None, own.node_id):
+            return appender
+        return choose_log_peer(own, self._find_usable(), stream)
+
+    def _find_usable(self) -> dict[str, Heartbeat]:
+        connected = set(self._peers.connected())
+        live = self._membership.live()
+        return {node_id: peer for node_id, peer in live.items() if node_id in connected}
+
     def _on_append(self, request: AppendRecords, reply: Reply) -> None:
+        merge = self._merges.get(request.stream)
+        if merge is None:
+            merge = self._merges[request.stream] = _Merge()
+            self._scheduler.call_after(self.merge_seconds, lambda: self._flush(request.stream))
+        merge.replies.append((len(merge.records), reply))
+        merge.records += [json.loads(text) for text in request.records]
+
+    def _flush(self, stream: str) -> None:
+        merge = self._merges.pop(stream)
+
         def finish(result: Result[int, LogFailure]) -> None:
-            match result:
-                case Ok(first_offset):
-                    reply(RecordsAppended(first_offset))
-                case Err(failure):
-                    reply(RecordsAppended(None, failure.cause))
+            for index, reply in merge.replies:
+                match result:
+                    case Ok(first_offset):
+                        reply(RecordsAppended(first_offset + index))
+                    case Err(failure):
+                        reply(RecordsAppended(None, failure.cause))
 
-        records = [json.loads(text) for text in request.records]
-        self._log.append(request.stream, records, finish)
+        self._log.append(stream, merge.records, finish)
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -26,6 +26,7 @@
 from bronzetiller.fleet.entries import EntryView, list_entries
 from bronzetiller.fleet.incarnations import make_incarnation
 from bronzetiller.fleet.membership import Membership
+from bronzetiller.fleet.pacing import Pacer
 from bronzetiller.fleet.peers import Peers
 from bronzetiller.fleet.relay import Relay
 from bronzetiller.fleet.snapshot_keeper import SnapshotKeeper
@@ -97,7 +98,12 @@
         self.archive = Archive()
         self.snapshots = SnapshotKeeper(scheduler, self.log, self.peers, self.membership, settings)
         self.vm_relay = VmRelay(scheduler, self.peers, self.membership, self.vm_list, settings)
-        self.delegation = Delegation(self.peers, self.membership, self.log, self._make_heartbeat)
+        self.delegation = Delegation(
+            self.peers, self.membership, self.log, self._make_heartbeat, scheduler
+        )
+        self.pacer = Pacer(
+            scheduler, self.vm_list, self.delegation, settings, self.delegation.choose_appender
+        )
         self.holdings = Holdings()
         self.transfers = Transfers(self.incarnation)
         self.guard = PauseGuard(scheduler, self.log, self.shards)
@@ -178,6 +184,7 @@
             shard.writer.on_acknowledged = shard.follower.note_end
             shard.writer.delegate = self.delegation.append
         self.delegation.start()
+        self.pacer.start([shard.writer for shard in self.shards.all])
         self.membership.start()
         self.peers.on(AskTokens, self.keeper.answer_ask)
         self.keeper.start()
--- a/bronzetiller/platform/writer.py
+++ b/bronzetiller/platform/writer.py
@@ -32,14 +32,16 @@
         self, scheduler: Scheduler, log: LogClient, stream: str, *, interval_seconds: float
     ) -> None:
         self.stream = stream
+        self.interval_seconds = interval_seconds
+        self.delegate_first = False
         self.on_acknowledged: Acknowledged | None = None
         self.delegate: Delegate | None = None
         self._scheduler = scheduler
         self._log = log
-        self._interval_seconds = interval_seconds
         self._pending: list[_Pending] = []
         self._busy = False
         self._direct_at = 0.0
+        self._delegate_at = 0.0
         self._failing_since: float | None = None
 
     @property
@@ -58,7 +60,7 @@
         self._pending.append(_Pending(record, acknowledged))
         if not self._busy:
             self._busy = True
-            self._scheduler.call_after(self._interval_seconds, self._flush)
+            self._scheduler.call_after(self.interval_seconds, self._flush)
 
     def _flush(self) -> None:
         batch = self._pending[:BATCH_RECORDS_MAX]
@@ -67,10 +69,8 @@
             return
 
         records = [item.record for item in batch]
-        if self._scheduler.now() < self._direct_at and self.delegate is not None:
-            if self.delegate(self.stream, records, lambda result: self._finish(batch, result)):
-                return
-            self._direct_at = 0.0
+        if self._prefers_delegate() and self._delegate_batch(batch, records):
+            return
 
         def finish(result: Result[int, LogFailure]) -> None:
             failed = isinstance(result, Err)
@@ -79,6 +79,22 @@
 
         self._log.append(self.stream, records, finish)
 
+    def _prefers_delegate(self) -> bool:
+        now = self._scheduler.now()
+        return now < self._direct_at or (self.delegate_first and now >= self._delegate_at)
+
+    def _delegate_batch(self, batch: list[_Pending], records: list[Record]) -> bool:
+        def finish(result: Result[int, LogFailure]) -> None:
+            if isinstance(result, Err):
+                self._delegate_at = self._scheduler.now() + DIRECT_RETRY_SECONDS
+                self._direct_at = 0.0
+            self._finish(batch, result)
+
+        if self.delegate is None or not self.delegate(self.stream, records, finish):
+            self._direct_at = 0.0
+            return False
+        return True
+
     def _finish(self, batch: list[_Pending], result: Result[int, LogFailure]) -> None:
         match result:
             case Ok(first_offset):
@@ -86,7 +102,7 @@
                 del self._pending[: len(batch)]
                 if self.on_acknowledged is not None:
                     self.on_acknowledged(first_offset + len(batch))
-                self._scheduler.call_after(self._interval_seconds, self._flush)
+                self._scheduler.call_after(self.interval_seconds, self._flush)
                 for index, item in enumerate(batch):
                     if item.acknowledged is not None:
                         item.acknowledged(first_offset + index)
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -18,7 +18,7 @@
     load_piece,
     split_snapshot,
 )
-from tests.conftest import KEY, await_ready, await_true, read_metric, send_chat
+from tests.conftest import KEY, await_ready, await_true, read_metric, read_records, send_chat
 
 IDS = st.sampled_from(["a", "b", "c"])
 TOKENS = st.integers(1, 50)
@@ -134,9 +134,10 @@
     assert join_snapshot(pieces[1:]) is None
 
 
-KEEP_RECORDS = 60
+KEEP_RECORDS = 30
 POOR_TOKENS = 300
-SNAPSHOTS_EARLY = {"records_max": 15, "rank_delay_seconds": 0.5}
+SNAPSHOTS_EARLY = {"records_max": 8, "rank_delay_seconds": 0.5}
+QUICK_STOP = {"limits": {"entry_seconds": 0.2}, "fleet": {"silence_seconds": 1.0}}
 SNAPSHOTS_NEVER = {"records_max": 1_000_000}
 
 
@@ -145,7 +146,7 @@
     fleet.start_platform("--keep-records", str(KEEP_RECORDS))
     fleet.add_target("engine-1", "names", "west", "west-1")
     for node_id in ("node-1", "node-2"):
-        fleet.add_node(node_id, "west", "west-1", snapshots=snapshots)
+        fleet.add_node(node_id, "west", "west-1", snapshots=snapshots, **QUICK_STOP)
     fleet.publish("route", "namer", {"service": "names"})
     fleet.publish_workspace("studio", KEY, 30_000)
     await_ready(fleet, "node-1", "node-2")
@@ -159,13 +160,13 @@
 
 def _expire_all(fleet):
     """Push the first records of every stream out of the log."""
-    for index in range(KEEP_RECORDS + 5):
+    for index in range(KEEP_RECORDS + 15):
         fleet.publish("route", f"filler-{index}", {"service": "names"})
         assert _ask(fleet, f"filler-{index}", f"node-{1 + index % 2}")[0] == 200
 
 
-def _first_offset(fleet, stream):
-    return fleet.read_stream(stream)[0]["offset"]
+def _has_expired(fleet, stream, kind):
+    return kind not in {entry["record"]["kind"] for entry in fleet.read_stream(stream)}
 
 
 def _replace(fleet, node_id):
@@ -173,7 +174,7 @@
     process = fleet.processes[node_id]
     process.stop()
     process.popen.wait(20)
-    return fleet.add_node(node_id, "west", "west-1", snapshots=SNAPSHOTS_EARLY)
+    return fleet.add_node(node_id, "west", "west-1", snapshots=SNAPSHOTS_EARLY, **QUICK_STOP)
 
 
 def _count_rulings(fleet, node_id, verdict):
@@ -187,8 +188,9 @@
     poor = fleet.caller_address("node-1")
     await_true(lambda: send_chat(poor, key="poor-key")[0] == 402, what="an exhausted budget")
     _expire_all(fleet)
-    assert _first_offset(fleet, "configuration") > 5
-    assert _first_offset(fleet, "ledger-0") > 20
+    assert _has_expired(fleet, "configuration", "workspace")
+    assert _has_expired(fleet, "ledger-0", "credit")
+    assert "first" not in {record["request_id"] for record in read_records(fleet, "bill")}
     for node_id in ("node-1", "node-2"):
         _replace(fleet, node_id)
         await_ready(fleet, node_id)
