--- a/bronzetiller/callers/services.py
+++ b/bronzetiller/callers/services.py
@@ -40,7 +40,7 @@
     ServiceRequest,
     start_service_attempt,
 )
-from bronzetiller.routing.targets import TargetChooser
+from bronzetiller.routing.targets import TargetChooser, observe_call
 
 SERVICES_PREFIX = "/services/"
 ATTEMPTS_MAX = 3
@@ -196,7 +196,7 @@
             self.request,
             silence_seconds=self.route.silence_seconds,
             may_send=None if self.route.idempotent else self._may_send,
-            listener=self._on_outcome,
+            listener=observe_call(self.services.chooser, vm, self._on_outcome),
         )
 
     def _may_send(self) -> bool:
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -37,6 +37,12 @@
     "bronzetiller_silent_links", "Connections given up as silent.", ["kind"], registry=REGISTRY
 )
 PEERS_HEARD = Gauge("bronzetiller_peers_heard", "Peers heard from of late.", registry=REGISTRY)
+TARGET_AVOIDANCES = Counter(
+    "bronzetiller_target_avoidances",
+    "Targets avoided because they failed or refused new work.",
+    ["reason"],
+    registry=REGISTRY,
+)
 RELAYED_ENTRIES = Counter(
     "bronzetiller_relayed_entries", "Log entries received from peers.", registry=REGISTRY
 )
