--- a/bronzetiller/net/http_server.py
+++ b/bronzetiller/net/http_server.py
@@ -110,6 +110,10 @@
             self._response.close = True
             self._server.send_last(self._response, b"")
 
+    def close_after(self) -> None:
+        """Close the connection once the response is sent."""
+        self._response.close = True
+
     def abort(self) -> None:
         """Cut the connection, so that the caller sees a streamed answer as incomplete."""
         self.done = True
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -1,6 +1,7 @@
 """Wire the parts of a node together and run it."""
 
 import time
+from random import Random
 from typing import Any
 
 from circuits import BaseComponent, handler
@@ -21,8 +22,11 @@
 from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.fleet.delegation import Delegation
+from bronzetiller.fleet.drain import Drain
+from bronzetiller.fleet.entries import EntryView, list_entries
 from bronzetiller.fleet.incarnations import make_incarnation
 from bronzetiller.fleet.membership import Membership
+from bronzetiller.fleet.pacing import Pacer
 from bronzetiller.fleet.peers import Peers
 from bronzetiller.fleet.relay import Relay
 from bronzetiller.fleet.snapshot_keeper import SnapshotKeeper
@@ -51,6 +55,7 @@
 
 CONFIGURATION_STREAM = "configuration"
 CREDIT_CHECK_SECONDS = 0.5
+STOP_CHECK_SECONDS = 0.5
 
 
 class _Signals(BaseComponent):
@@ -95,7 +100,12 @@
         self.archive = Archive()
         self.snapshots = SnapshotKeeper(scheduler, self.log, self.peers, self.membership, settings)
         self.vm_relay = VmRelay(scheduler, self.peers, self.membership, self.vm_list, settings)
-        self.delegation = Delegation(self.peers, self.membership, self.log, self._make_heartbeat)
+        self.delegation = Delegation(
+            self.peers, self.membership, self.log, self._make_heartbeat, scheduler
+        )
+        self.pacer = Pacer(
+            scheduler, self.vm_list, self.delegation, settings, self.delegation.choose_appender
+        )
         self.holdings = Holdings()
         self.transfers = Transfers(self.incarnation)
         self.guard = PauseGuard(scheduler, self.log, self.shards)
@@ -149,6 +159,14 @@
         quarantine = Quarantine(settings.requests.quarantine_seconds)
         self.deaths = DeathWatch(scheduler, dialer, self.peers, quarantine)
         self.retries = RetryBudget(settings.requests.retry_share_max)
+        self.drain = Drain(
+            scheduler,
+            announce=self.membership.announce,
+            release=self.keeper.return_all,
+            is_idle=self._is_idle,
+            end=self.loop.root.stop,
+        )
+        self._random = Random()
         self.chooser = TargetChooser(
             self.vm_list,
             settings.region,
@@ -169,7 +187,6 @@
             settings.limits.requests_waiting_max,
             settings.limits.queue_seconds,
         )
-        self.stopping = False
         self._was_ready = False
         self.server = self._make_server()
         _Signals(self).register(self.loop.root)
@@ -188,6 +205,7 @@
             shard.writer.on_acknowledged = shard.follower.note_end
             shard.writer.delegate = self.delegation.append
         self.delegation.start()
+        self.pacer.start([shard.writer for shard in self.shards.all])
         self.membership.start()
         self.peers.on(AskTokens, self.keeper.answer_ask)
         self.keeper.start()
@@ -200,20 +218,28 @@
         self.snapshots.start()
         scheduler = self.loop.scheduler
         scheduler.call_every(CREDIT_CHECK_SECONDS, self._post_credits)
+        scheduler.call_every(STOP_CHECK_SECONDS, self._check_own_stop)
         callers = f"{self.settings.listen.callers.ip}:{self.server.port}"
         peers = f"{self.settings.listen.peers.ip}:{peer_port}"
         print(f"ready kind=node id={self.settings.node_id} callers={callers} peers={peers}")
         log_event("started", incarnation=self.incarnation, callers=callers, peers=peers)
         self.loop.root.run()
 
-    def stop(self) -> None:
+    @property
+    def stopping(self) -> bool:
+        """Say whether the node has begun to stop."""
+        return self.drain.stopping
+
+    def stop(self, cause: str = "signal") -> None:
         """Finish what runs, then end the process."""
-        if self.stopping:
-            return
-        self.stopping = True
-        self.couriers.stop()
-        log_event("stopping", open_requests=self.server.open_exchanges)
-        self.loop.scheduler.call_every(0.05, self._stop_when_idle)
+        if not self.stopping:
+            self.couriers.stop()
+        leave_seconds = self.settings.limits.entry_seconds + self.settings.fleet.silence_seconds
+        self.drain.begin(
+            cause,
+            leave_seconds=leave_seconds,
+            stop_seconds_max=self.settings.limits.request_seconds_max,
+        )
 
     def is_ready(self) -> bool:
         """Say whether the node has read every stream to its end since it started."""
@@ -224,15 +250,23 @@
     def _followers(self) -> list[StreamFollower]:
         return [self.configuration_follower, *(shard.follower for shard in self.shards.all)]
 
-    def _stop_when_idle(self) -> None:
-        if self.open_runs == 0 and self.server.open_exchanges == 0:
-            self.keeper.return_all()
-        backlog = sum(shard.writer.backlog for shard in self.shards.all)
+    def _is_idle(self) -> bool:
         if self.open_runs or self.server.open_exchanges or not self.couriers.is_idle:
-            return
-        if backlog == 0 or (self.biller.is_secured and not self.claimants.open_claims):
-            log_event("stopped")
-            self.loop.root.stop()
+            return False
+        backlog = sum(shard.writer.backlog for shard in self.shards.all)
+        return backlog == 0 or (self.biller.is_secured and not self.claimants.open_claims)
+
+    def _check_own_stop(self) -> None:
+        own = self.vm_list.vms.get(self.settings.node_id)
+        if own is not None and own.state is VmState.LEAVING:
+            self.stop("vm_list")
+        elif self.settings.node_id in self._list_stops():
+            self.stop("planned_stop")
+
+    def _list_stops(self) -> set[str]:
+        """Return the ids of the VMs whose planned stop has come."""
+        stops = self.configuration.planned_stops().values()
+        return {stop.vm_id for stop in stops if stop.stop_at <= time.time()}
 
     @property
     def open_runs(self) -> int:
@@ -272,6 +306,7 @@
             calls=self.calls,
             is_ready=self.is_ready,
             is_stopping=lambda: self.stopping,
+            is_refusing=lambda: self.drain.refusing,
             list_entries=self._list_entries,
             make_report=self._make_report,
             entry_seconds=self.settings.limits.entry_seconds,
@@ -300,9 +335,14 @@
         )
 
     def _list_entries(self) -> list[str]:
-        routers = self.vm_list.find_routers()
-        live = [vm for vm in routers if vm.state is VmState.LIVE]
-        return [str(vm.address) for vm in live]
+        view = EntryView(
+            own=self._make_heartbeat(),
+            routers=self.vm_list.find_routers(),
+            live=self.membership.live(),
+            silent=self.membership.silent(),
+            stops=self._list_stops(),
+        )
+        return list_entries(view, self._random)
 
     def _make_configuration_fold(self) -> Fold:
         return Fold(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -204,10 +204,10 @@
         prompt_tokens = len(stream.prompt) // 4 + 1
         if "report-high" in self._settings.faults:
             prompt_tokens *= 1000
-        if "odd-usage" in self._settings.faults:
-            return {"prompt_tokens": -1, "completion_tokens": 10**30}
         if "report-negative" in self._settings.faults:
             prompt_tokens = -1000
+        if "odd-usage" in self._settings.faults:
+            return {"prompt_tokens": -1, "completion_tokens": 10**30}
         return {
             "prompt_tokens": prompt_tokens,
             "completion_tokens": total,
