Read chunks with fewer allocations

Cause: a frozen class for each chunk, isinstance against unions, detection of the JSON's encoding and a split of every event into lines.

--- a/bronzetiller/net/event_stream.py
+++ b/bronzetiller/net/event_stream.py
@@ -18,11 +18,16 @@
 
     def feed(self, data: bytes) -> list[bytes]:
         """Take received bytes; return the data of each event that is now whole."""
-        *events, self._rest = (self._rest + data).replace(b"\r\n", b"\n").split(b"\n\n")
+        data = self._rest + data if self._rest else data
+        if b"\r" in data:
+            data = data.replace(b"\r\n", b"\n")
+        *events, self._rest = data.split(b"\n\n")
         return [found for event in events if (found := _read_data(event)) is not None]
 
 
 def _read_data(event: bytes) -> bytes | None:
+    if event.startswith(b"data: ") and b"\n" not in event:
+        return event[6:].lstrip(b" ")
     lines = [line[5:].lstrip(b" ") for line in event.split(b"\n") if line.startswith(b"data:")]
     return b"\n".join(lines) if lines else None
 
--- a/bronzetiller/routing/chunks.py
+++ b/bronzetiller/routing/chunks.py
@@ -3,10 +3,12 @@
 import json
 from typing import Any, TypeGuard
 
-from attrs import frozen
+from attrs import define, frozen
 from result import Err, Ok, Result
 
 TOKENS_MAX = 10**9
+_NO_DELTA: dict[str, Any] = {}
+_decode = json.JSONDecoder().decode
 
 
 @frozen
@@ -17,58 +19,65 @@
     answer_tokens: int
 
 
-@frozen
+@define
 class Chunk:
-    """Hold what one chunk says; delta is empty where it has no choice."""
+    """Hold what one chunk says; delta is empty where it has no choice.
+
+    has_content says whether it carries a part of the answer, of whatever kind. The class is not
+    frozen, since freezing doubles the cost of making one.
+    """
 
     id: str
     value: dict[str, Any]
     delta: dict[str, Any]
     has_choice: bool
+    has_content: bool
     finish_reason: str | None
     usage: Usage | None
 
-    @property
-    def has_content(self) -> bool:
-        """Say whether the chunk carries a part of the answer, of whatever kind."""
-        return any(value for name, value in self.delta.items() if name != "role")
-
 
 def read_chunk(data: bytes) -> Result[Chunk, str]:
     """Read one chunk, checking the types of all that the router relies on."""
     try:
-        value = json.loads(data)
+        value = _decode(data.decode())
     except (ValueError, RecursionError):
         return Err("a chunk is not JSON")
-    if not isinstance(value, dict) or not isinstance(value.get("id"), str):
+    if type(value) is not dict or type(value.get("id")) is not str:
         return Err("a chunk has no id")
     choices = value.get("choices")
-    if not isinstance(choices, list) or len(choices) > 1:
+    if type(choices) is not list or len(choices) > 1:
         return Err("a chunk's choices are malformed")
-    delta: Any = {}
+    delta: Any = _NO_DELTA
     finish_reason = None
     if choices:
         choice = choices[0]
-        if not isinstance(choice, dict) or choice.get("index", 0) != 0:
+        if type(choice) is not dict or choice.get("index", 0) != 0:
             return Err("a chunk's choice is malformed")
         delta = choice.get("delta")
-        delta = {} if delta is None else delta
+        delta = _NO_DELTA if delta is None else delta
         finish_reason = choice.get("finish_reason")
-    if not isinstance(delta, dict) or not isinstance(finish_reason, str | None):
+    if type(delta) is not dict or not _is_text(finish_reason):
         return Err("a chunk's choice is malformed")
-    if not isinstance(delta.get("content"), str | None):
+    content = delta.get("content")
+    if not _is_text(content):
         return Err("a chunk's content is malformed")
-    match _read_usage(value.get("usage")):
-        case Err(reason):
-            return Err(reason)
-        case Ok(usage):
-            pass
-    return Ok(Chunk(value["id"], value, delta, bool(choices), finish_reason, usage))
+    usage = value.get("usage")
+    if usage is not None:
+        match _read_usage(usage):
+            case Err(reason):
+                return Err(reason)
+            case Ok(usage):
+                pass
+    has_content = bool(content) or any(part for name, part in delta.items() if name != "role")
+    chunk = Chunk(value["id"], value, delta, bool(choices), has_content, finish_reason, usage)
+    return Ok(chunk)
+
+
+def _is_text(value: Any) -> bool:
+    return value is None or type(value) is str
 
 
-def _read_usage(value: Any) -> Result[Usage | None, str]:
-    if value is None:
-        return Ok(None)
+def _read_usage(value: Any) -> Result[Usage, str]:
     if not isinstance(value, dict):
         return Err("the usage is malformed")
     prompt, answer = value.get("prompt_tokens"), value.get("completion_tokens")
--- a/bronzetiller/routing/engine.py
+++ b/bronzetiller/routing/engine.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from attrs import define, field, frozen
-from result import Err, Ok
+from result import Err
 
 from bronzetiller.metrics import LATE_BYTES
 from bronzetiller.net.event_stream import EVENT_BYTES_MAX, EventSplitter
@@ -137,11 +137,10 @@
             self.call.distrust()
 
     def _take_chunk(self, item: bytes) -> bool:
-        match read_chunk(item):
-            case Err(reason):
-                return self._reject(reason)
-            case Ok(chunk):
-                pass
+        result = read_chunk(item)
+        if isinstance(result, Err):
+            return self._reject(result.err_value)
+        chunk = result.ok_value
         if self._id is None and self.attempt_id in chunk.id:
             self._id = chunk.id
         if chunk.id != self._id:
--- a/tests/test_own_answers.py
+++ b/tests/test_own_answers.py
@@ -7,6 +7,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from attrs import evolve
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from openai import APIError, OpenAI
@@ -14,7 +15,7 @@
 from bronzetiller.net.event_stream import format_event
 from bronzetiller.net.http_client import BodyPart, ResponseEnd, ResponseHead
 from bronzetiller.routing import engine as engines
-from bronzetiller.routing.chunks import Chunk, merge_delta, read_chunk
+from bronzetiller.routing.chunks import merge_delta, read_chunk
 from bronzetiller.routing.engine import AnswerEnd, AnswerPart, EngineAttempt
 from standins.engine import make_words
 from standins.fleet import Fleet, call_json
@@ -222,13 +223,7 @@
 
 def test_without_the_own_answer_check_a_foreign_word_gets_through(monkeypatch):
     def read_unchecked(data):
-        return read_chunk(data).map(
-            lambda chunk: (
-                Chunk("own", chunk.value, chunk.delta, True, chunk.finish_reason, None)
-                if chunk.usage is None
-                else Chunk("own", chunk.value, {}, False, None, chunk.usage)
-            )
-        )
+        return read_chunk(data).map(lambda chunk: evolve(chunk, id="chatcmpl-own"))
 
     mixed = b"".join(map(format_event, [OWN[0], FOREIGN[0], *OWN[1:]]))
     assert _run_attempt(mixed, []) is None
