Fold operator records by their envelope alone and read declarations

Cause: a record of a kind or with an envelope field that a version did not know was rejected by it and accepted by newer ones, so that later records of the same item could be rejected there for good; and the fold kept every decision and record id without bound. cattrs turned "no" into true and a text into a list of letters, in records and settings alike.

Ruled out: rejecting what a version cannot read (the folds disagree from then on), and bounding by time (a fold reads no clock).

Change: acceptance reads the envelope's frozen fields only; unknown kinds and schemas are accepted and keep the last readable form in force; schema 2 adds a route's workspaces; decisions and record ids are bounded by count; a strict converter names each faulty field. Declarations are YAML documents checked offline, with file, line and field for each fault; a key in a file is refused.

Seen: tests/test_configuration_fold.py passes 150 runs of 40 steps, and fails for each of three broken folds (no comparison of revisions, later schemas rejected, earlier form forgotten).

--- a/bronzetiller/cli/main.py
+++ b/bronzetiller/cli/main.py
@@ -28,7 +28,7 @@
                 sys.stdout.reconfigure(line_buffering=True)  # type: ignore[union-attr]
                 Node(settings).run()
             case Err(errors):
-                raise cappa.Exit("\n".join(errors), code=2)
+                raise cappa.Exit("\n".join(map(str, errors)), code=2)
 
 
 @cappa.command(name="bronzetiller", help="Run and operate a router fleet for prepaid budgets.")
--- /dev/null
+++ b/bronzetiller/configuration/declarations.py
@@ -0,0 +1,155 @@
+"""Read a tree of declarations, as operators keep it in version control.
+
+A declaration is a YAML document with schema, kind, name and spec. Everything is checked without
+any connection; no file may hold a key of a caller, only its digest.
+"""
+
+import re
+from pathlib import Path
+from typing import Any
+
+from attrs import field, frozen
+from attrs.validators import in_, matches_re
+from result import Err, Ok, Result
+
+from bronzetiller.configuration.records import (
+    NAME_PATTERN,
+    SCHEMA_VERSIONS,
+    Body,
+    Kind,
+    Route,
+    TopUp,
+    check_body,
+)
+from bronzetiller.documents import Document, Problem, read_documents
+from bronzetiller.structure import FieldError, FieldPath, describe_errors, make_converter
+
+FILE_SUFFIXES = (".yaml", ".yml")
+KEY_PREFIX = "bt-"
+_KEY_PATTERN = re.compile(rf"\b{KEY_PREFIX}[A-Za-z0-9_-]{{20,}}")
+
+
+@frozen
+class Declaration:
+    """Declare the wanted state of one item."""
+
+    kind: Kind
+    name: str
+    schema: int
+    body: Body
+    document: Document
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Return the kind and name, which are unique in a tree."""
+        return self.kind.value, self.name
+
+
+@frozen
+class _Head:
+    schema: int = field(validator=in_(SCHEMA_VERSIONS))
+    kind: Kind
+    name: str = field(validator=matches_re(NAME_PATTERN))
+    spec: dict[str, Any]
+
+
+_CONVERTER = make_converter()
+
+
+def load_declarations(paths: list[Path]) -> Result[list[Declaration], list[Problem]]:
+    """Read all declarations under files or folders; every fault is found in one run."""
+    declarations: list[Declaration] = []
+    problems: list[Problem] = []
+    for file in _find_files(paths):
+        match read_documents(file):
+            case Ok(documents):
+                results = [_check_document(document) for document in documents]
+            case Err(found):
+                problems += found
+                continue
+        for result in results:
+            if isinstance(result, Err):
+                problems += result.err_value
+            else:
+                declarations.append(result.ok_value)
+    problems += _find_doubles(declarations)
+    if not problems:
+        problems += _find_unknown_workspaces(declarations)
+    return Err(problems) if problems else Ok(declarations)
+
+
+def is_declaration(document: Document) -> bool:
+    """Say whether a document looks like a declaration rather than settings."""
+    return isinstance(document.value, dict) and "kind" in document.value
+
+
+def _find_files(paths: list[Path]) -> list[Path]:
+    files: list[Path] = []
+    for path in paths:
+        if path.is_dir():
+            files += sorted(item for item in path.rglob("*") if item.suffix in FILE_SUFFIXES)
+        else:
+            files.append(path)
+    return files
+
+
+def _check_document(document: Document) -> Result[Declaration, list[Problem]]:
+    errors = _find_keys(document.value, ())
+    try:
+        head = _CONVERTER.structure(document.value, _Head)
+    except Exception as error:  # cattrs raises groups of many kinds for malformed input
+        errors += describe_errors(error)
+        return Err([document.locate(item) for item in errors])
+    match check_body(head.kind, head.schema, head.spec):
+        case Ok(body) if not errors:
+            return Ok(Declaration(head.kind, head.name, head.schema, body, document))
+        case Ok(_):
+            pass
+        case Err(found):
+            errors += [FieldError(("spec", *item.path), item.message) for item in found]
+    return Err([document.locate(item) for item in errors])
+
+
+def _find_keys(value: Any, path: FieldPath) -> list[FieldError]:
+    if isinstance(value, str):
+        found = _KEY_PATTERN.search(value) is not None
+        return [FieldError(path, "holds a key; declare its digest instead")] if found else []
+    if isinstance(value, list):
+        inner = [_find_keys(item, (*path, index)) for index, item in enumerate(value)]
+    elif isinstance(value, dict):
+        inner = [_find_keys(item, (*path, str(name))) for name, item in value.items()]
+    else:
+        return []
+    return [error for errors in inner for error in errors]
+
+
+def _find_doubles(declarations: list[Declaration]) -> list[Problem]:
+    first: dict[tuple[str, str], Declaration] = {}
+    problems = []
+    for declaration in declarations:
+        other = first.setdefault(declaration.key, declaration)
+        if other is not declaration:
+            message = f"is declared in {other.document.file} already"
+            error = FieldError(("name",), message)
+            problems.append(declaration.document.locate(error))
+    return problems
+
+
+def _find_unknown_workspaces(declarations: list[Declaration]) -> list[Problem]:
+    known = {item.name for item in declarations if item.kind is Kind.WORKSPACE}
+    problems = []
+    for declaration in declarations:
+        for path, name in _list_workspaces(declaration.body):
+            if name not in known:
+                error = FieldError(("spec", *path), f"no workspace {name} is declared")
+                problems.append(declaration.document.locate(error))
+    return problems
+
+
+def _list_workspaces(body: Body) -> list[tuple[FieldPath, str]]:
+    if isinstance(body, TopUp):
+        return [(("workspace",), body.workspace)]
+    if isinstance(body, Route):
+        names = enumerate(body.workspaces or [])
+        return [(("workspaces", index), name) for index, name in names]
+    return []
--- a/bronzetiller/configuration/fold.py
+++ b/bronzetiller/configuration/fold.py
@@ -5,12 +5,14 @@
 the last readable one in force and is reported.
 """
 
+from collections import OrderedDict, deque
 from typing import Any
 
 from attrs import define, field, frozen
 from result import Err, Ok
 
 from bronzetiller.configuration.records import (
+    SCHEMA_VERSIONS,
     Body,
     Envelope,
     Kind,
@@ -23,6 +25,8 @@
 )
 
 NO_RECORD = -1
+DECISIONS_MAX = 1_000
+RECORD_IDS_MAX = 20_000
 
 
 @frozen
@@ -33,6 +37,7 @@
     record_id: str
     kind: str
     name: str
+    schema: int
     accepted: bool
     in_force: bool
     reason: str
@@ -41,22 +46,33 @@
 
 @define
 class Item:
-    """Hold the newest accepted record of one kind and name."""
+    """Hold the newest accepted record of one kind and name, and the body in force.
+
+    The newest record's own body is kept beside it where this version cannot read it.
+    """
 
     revision: int
     schema: int
+    author: str
     body: Body | None
     in_force_revision: int
     note: str = ""
+    unread: dict[str, Any] | None = None
+
+    @property
+    def deleted(self) -> bool:
+        """Say whether the newest record deletes the item."""
+        return self.body is None and not self.note
 
 
 @define
 class Configuration:
-    """Hold the configuration in force and the decision on every record."""
+    """Hold the configuration in force and the decisions on the newest records."""
 
+    schemas: tuple[int, ...] = SCHEMA_VERSIONS
     items: dict[tuple[str, str], Item] = field(factory=dict)
-    decisions: list[Decision] = field(factory=list)
-    _by_record_id: dict[str, Decision] = field(factory=dict)
+    decisions: deque[Decision] = field(factory=lambda: deque(maxlen=DECISIONS_MAX))
+    _by_record_id: OrderedDict[str, Decision] = field(factory=OrderedDict)
 
     def apply(self, offset: int, value: dict[str, Any]) -> Decision:
         """Apply one record in the order of the log."""
@@ -64,7 +80,7 @@
             case Ok(envelope):
                 decision = self._decide(offset, envelope)
             case Err(reason):
-                decision = Decision(offset, "", "", "", False, False, reason, "")
+                decision = Decision(offset, "", "", "", 0, False, False, reason, "")
         self.decisions.append(decision)
         return decision
 
@@ -90,9 +106,13 @@
         return NO_RECORD if item is None else item.revision
 
     def find_decision(self, record_id: str) -> Decision | None:
-        """Return the first decision on a record id."""
+        """Return the first decision on a record id, of the last RECORD_IDS_MAX."""
         return self._by_record_id.get(record_id)
 
+    def unread_items(self) -> dict[tuple[str, str], Item]:
+        """Return the items whose newest record this version cannot read."""
+        return {key: item for key, item in self.items.items() if item.note}
+
     def _in_force(self, kind: Kind) -> dict[str, Any]:
         return {
             name: item.body
@@ -107,6 +127,7 @@
                 envelope.record_id,
                 envelope.kind,
                 envelope.name,
+                envelope.schema,
                 accepted,
                 in_force,
                 reason,
@@ -118,27 +139,46 @@
             return decide(False, False, f"repeats the record at offset {first.offset}")
         revision = self.revision(envelope.kind, envelope.name)
         if envelope.replaces != revision:
-            decision = decide(False, False, f"replaces {envelope.replaces}, newest is {revision}")
+            decision = decide(False, False, self._explain_conflict(envelope, revision))
         elif envelope.kind == Kind.TOP_UP and revision != NO_RECORD:
             decision = decide(False, False, "a top-up cannot be changed or deleted")
         else:
             note = self._put(offset, envelope)
             decision = decide(True, not note, note or "accepted")
         self._by_record_id[envelope.record_id] = decision
+        if len(self._by_record_id) > RECORD_IDS_MAX:
+            self._by_record_id.popitem(last=False)
         return decision
 
+    def _explain_conflict(self, envelope: Envelope, revision: int) -> str:
+        if revision == NO_RECORD:
+            return f"replaces offset {envelope.replaces}, but there is no record yet"
+        author = self.items[(envelope.kind, envelope.name)].author
+        replaced = (
+            "replaces nothing"
+            if envelope.replaces == NO_RECORD
+            else f"replaces offset {envelope.replaces}"
+        )
+        return f"{replaced}, but the newest record is at offset {revision} by {author}"
+
     def _put(self, offset: int, envelope: Envelope) -> str:
         key = (envelope.kind, envelope.name)
         old = self.items.get(key)
         if envelope.body is None:
-            self.items[key] = Item(offset, envelope.schema, None, offset)
+            self.items[key] = Item(offset, envelope.schema, envelope.author, None, offset)
             return ""
-        match load_body(envelope):
+        match load_body(envelope, self.schemas):
             case Ok(body):
-                self.items[key] = Item(offset, envelope.schema, body, offset)
+                self.items[key] = Item(offset, envelope.schema, envelope.author, body, offset)
                 return ""
             case Err(reason):
-                kept = None if old is None else old.body
-                kept_revision = NO_RECORD if old is None else old.in_force_revision
-                self.items[key] = Item(offset, envelope.schema, kept, kept_revision, reason)
+                self.items[key] = Item(
+                    offset,
+                    envelope.schema,
+                    envelope.author,
+                    body=None if old is None else old.body,
+                    in_force_revision=NO_RECORD if old is None else old.in_force_revision,
+                    note=reason,
+                    unread=envelope.body,
+                )
                 return f"not in force: {reason}"
--- a/bronzetiller/configuration/records.py
+++ b/bronzetiller/configuration/records.py
@@ -4,12 +4,14 @@
 from typing import Any
 
 from attrs import field, frozen
-from attrs.validators import ge, gt, in_, matches_re
-from cattrs import Converter, transform_error
+from attrs.validators import deep_iterable, ge, gt, matches_re
 from result import Err, Ok, Result
 
+from bronzetiller.structure import FieldError, describe_errors, make_converter
+
 SCHEMA_VERSIONS = (1, 2)
 NAME_PATTERN = r"[a-z0-9][a-z0-9._-]{0,62}"
+DIGEST_PATTERN = r"[0-9a-f]{64}"
 
 
 class Kind(StrEnum):
@@ -32,7 +34,9 @@
 class Workspace:
     """Let a customer in: the SHA-256 digests (hex) of its API keys, its share under load."""
 
-    key_digests: list[str] = field(factory=list)
+    key_digests: list[str] = field(
+        factory=list, validator=deep_iterable(matches_re(DIGEST_PATTERN))
+    )
     weight: int = field(default=1, validator=ge(1))
     enabled: bool = True
 
@@ -76,42 +80,83 @@
 }
 
 
+FIELDS_SINCE_SCHEMA: dict[tuple[Kind, str], int] = {(Kind.ROUTE, "workspaces"): 2}
+
+
 @frozen
 class Envelope:
-    """Carry one operator record; replaces is the offset of the record it follows, or -1."""
+    """Carry one operator record; replaces is the offset of the record it follows, or -1.
+
+    Acceptance depends on these fields alone, in every version: a later version may add kinds,
+    schemas and fields, but may not change what these mean.
+    """
 
     record_id: str
-    schema: int
-    kind: str = field(validator=in_([kind.value for kind in Kind]))
+    schema: int = field(validator=ge(1))
+    kind: str = field(validator=matches_re(NAME_PATTERN))
     name: str = field(validator=matches_re(NAME_PATTERN))
     replaces: int
     author: str
     body: dict[str, Any] | None
 
 
-_CONVERTER = Converter(forbid_extra_keys=True)
+_ENVELOPE_CONVERTER = make_converter(forbid_extra_keys=False)
+_BODY_CONVERTER = make_converter()
 
 
 def dump_envelope(envelope: Envelope) -> dict[str, Any]:
     """Return the envelope as it is written to the log."""
-    value: dict[str, Any] = _CONVERTER.unstructure(envelope)
+    value: dict[str, Any] = _ENVELOPE_CONVERTER.unstructure(envelope)
     return value
 
 
 def load_envelope(value: Any) -> Result[Envelope, str]:
     """Read an envelope from the log."""
     try:
-        return Ok(_CONVERTER.structure(value, Envelope))
+        return Ok(_ENVELOPE_CONVERTER.structure(value, Envelope))
     except Exception as error:  # cattrs raises groups of many kinds for malformed input
-        return Err("; ".join(transform_error(error)))
+        return Err(_join(describe_errors(error)))
 
 
-def load_body(envelope: Envelope) -> Result[Body, str]:
+def load_body(envelope: Envelope, schemas: tuple[int, ...] = SCHEMA_VERSIONS) -> Result[Body, str]:
     """Read the body of an envelope by its kind and schema version."""
-    if envelope.schema not in SCHEMA_VERSIONS:
+    if envelope.kind not in [kind.value for kind in Kind]:
+        return Err(f"kind {envelope.kind} is not understood")
+    if envelope.schema not in schemas:
         return Err(f"schema {envelope.schema} is not understood")
+    return check_body(Kind(envelope.kind), envelope.schema, envelope.body).map_err(_join)
+
+
+def check_body(kind: Kind, schema: int, value: Any) -> Result[Body, list[FieldError]]:
+    """Read a body of a known kind and schema; there is one error for each faulty field."""
+    errors = _find_later_fields(kind, schema, value)
+    if errors:
+        return Err(errors)
     try:
-        body: Body = _CONVERTER.structure(envelope.body, BODY_CLASSES[Kind(envelope.kind)])
+        body: Body = _BODY_CONVERTER.structure(value, BODY_CLASSES[kind])
     except Exception as error:  # cattrs raises groups of many kinds for malformed input
-        return Err("; ".join(transform_error(error)))
+        return Err(describe_errors(error))
     return Ok(body)
+
+
+def dump_body(kind: Kind, schema: int, body: Body) -> dict[str, Any]:
+    """Return a body with all fields of its schema."""
+    value: dict[str, Any] = _BODY_CONVERTER.unstructure(body)
+    return {
+        name: item
+        for name, item in value.items()
+        if FIELDS_SINCE_SCHEMA.get((kind, name), 1) <= schema
+    }
+
+
+def _find_later_fields(kind: Kind, schema: int, value: Any) -> list[FieldError]:
+    names = value if isinstance(value, dict) else {}
+    return [
+        FieldError((name,), f"needs schema {FIELDS_SINCE_SCHEMA[kind, name]}")
+        for name in names
+        if FIELDS_SINCE_SCHEMA.get((kind, name), 1) > schema
+    ]
+
+
+def _join(errors: list[FieldError]) -> str:
+    return "; ".join(map(str, errors))
--- /dev/null
+++ b/bronzetiller/configuration/streams.py
@@ -0,0 +1,3 @@
+"""Name the stream of the log that carries operator records."""
+
+CONFIGURATION_STREAM = "configuration"
--- /dev/null
+++ b/bronzetiller/net/address.py
@@ -0,0 +1,28 @@
+"""Name sockets by IP number and port."""
+
+import socket as sockets
+
+from attrs import frozen
+
+
+@frozen
+class Address:
+    """Name one listening socket by IP number and port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Read an address written as ip:port; raise ValueError where it is not one."""
+    ip, separator, port = text.rpartition(":")
+    try:
+        sockets.inet_pton(sockets.AF_INET, ip)
+    except OSError as error:
+        raise ValueError(f"{text!r} is not ip:port") from error
+    if not separator or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ValueError(f"{text!r} is not ip:port")
+    return Address(ip, int(port))
--- a/bronzetiller/net/dialer.py
+++ b/bronzetiller/net/dialer.py
@@ -15,33 +15,13 @@
 from circuits import handler
 from circuits.net.sockets import TCPServer
 
+from bronzetiller.net.address import Address, parse_address
 from bronzetiller.net.loop import Loop
 from bronzetiller.net.scheduler import Scheduler, Timer
 
 READ_BYTES = 64 * 1024
 
-
-@frozen
-class Address:
-    """Name one listening socket by IP number and port."""
-
-    ip: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.ip}:{self.port}"
-
-
-def parse_address(text: str) -> Address:
-    """Read an address written as ip:port; raise ValueError where it is not one."""
-    ip, separator, port = text.rpartition(":")
-    try:
-        sockets.inet_pton(sockets.AF_INET, ip)
-    except OSError as error:
-        raise ValueError(f"{text!r} is not ip:port") from error
-    if not separator or not port.isdigit() or not 0 <= int(port) <= 65535:
-        raise ValueError(f"{text!r} is not ip:port")
-    return Address(ip, int(port))
+__all__ = ["Address", "Connection", "ConnectionHandlers", "Dialer", "parse_address"]
 
 
 @frozen
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -1,15 +1,15 @@
 """Read and check the settings of a node."""
 
 from pathlib import Path
-from typing import Any
 
-import yaml
 from attrs import field, frozen
-from attrs.validators import ge, gt, matches_re, min_len
-from cattrs import Converter, transform_error
+from attrs.validators import deep_iterable, ge, gt, in_, matches_re, min_len
 from result import Err, Ok, Result
 
-from bronzetiller.net.dialer import Address, parse_address
+from bronzetiller.configuration.records import DIGEST_PATTERN, SCHEMA_VERSIONS
+from bronzetiller.documents import Problem, read_document
+from bronzetiller.net.address import Address, parse_address
+from bronzetiller.structure import describe_errors, make_converter
 
 NODE_ID_PATTERN = r"[a-z0-9][a-z0-9-]{0,62}"
 
@@ -54,6 +54,24 @@
     entry_seconds: float = field(default=5.0, validator=gt(0))
 
 
+@frozen
+class OperatorSettings:
+    """Say who may read reports: the SHA-256 digests (hex) of the operators' tokens."""
+
+    token_digests: list[str] = field(
+        factory=list, validator=deep_iterable(matches_re(DIGEST_PATTERN))
+    )
+
+
+@frozen
+class ConfigurationSettings:
+    """Say which schema versions of operator records this node may put in force."""
+
+    schemas_understood: list[int] = field(
+        factory=lambda: list(SCHEMA_VERSIONS), validator=deep_iterable(in_(SCHEMA_VERSIONS))
+    )
+
+
 @frozen
 class Settings:
     """Hold all settings of one node."""
@@ -66,20 +84,22 @@
     platform: PlatformSettings
     budgets: BudgetSettings = field(factory=BudgetSettings)
     limits: LimitSettings = field(factory=LimitSettings)
+    operators: OperatorSettings = field(factory=OperatorSettings)
+    configuration: ConfigurationSettings = field(factory=ConfigurationSettings)
     log_level: str = field(default="INFO", validator=matches_re("DEBUG|INFO|WARNING|ERROR"))
 
 
-_CONVERTER = Converter(forbid_extra_keys=True)
+_CONVERTER = make_converter()
 _CONVERTER.register_structure_hook(Address, lambda value, _: parse_address(str(value)))
 
 
-def load_settings(path: Path) -> Result[Settings, list[str]]:
-    """Read a YAML file of settings; an error names the file and each faulty field."""
-    try:
-        value: Any = yaml.safe_load(path.read_text())
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
-        return Err([f"{path}: {error}"])
+def load_settings(path: Path) -> Result[Settings, list[Problem]]:
+    """Read a YAML file of settings; an error names the file, line and field."""
+    read = read_document(path)
+    if isinstance(read, Err):
+        return read
+    document = read.ok_value
     try:
-        return Ok(_CONVERTER.structure(value, Settings))
+        return Ok(_CONVERTER.structure(document.value, Settings))
     except Exception as error:  # cattrs raises groups of many kinds for malformed input
-        return Err([f"{path}: {line}" for line in transform_error(error, path="settings")])
+        return Err([document.locate(item) for item in describe_errors(error)])
--- /dev/null
+++ b/bronzetiller/structure.py
@@ -0,0 +1,138 @@
+"""Read plain values into attrs classes strictly and say which field is at fault."""
+
+import math
+import re
+from collections.abc import Callable
+from enum import Enum
+from typing import Any, get_origin
+
+from attrs import frozen, has
+from cattrs import ClassValidationError, Converter, ForbiddenExtraKeysError
+from cattrs.cols import list_structure_factory
+from cattrs.errors import IterableValidationError, IterableValidationNote
+from cattrs.gen import make_dict_structure_fn
+
+FieldPath = tuple[str | int, ...]
+
+_VALIDATOR_MESSAGE = re.compile(r"'(?P<field>\w+)' (?P<rest>must .*)", re.DOTALL)
+
+
+@frozen
+class FieldError:
+    """Say what is wrong with the field at a path, such as ("spec", "key_digests", 0)."""
+
+    path: FieldPath
+    message: str
+
+    def __str__(self) -> str:
+        return f"{format_path(self.path)}: {self.message}" if self.path else self.message
+
+
+def format_path(path: FieldPath) -> str:
+    """Write a path as dotted names with indices in brackets."""
+    parts = [f"[{part}]" if isinstance(part, int) else f".{part}" for part in path]
+    return "".join(parts).removeprefix(".")
+
+
+def make_converter(*, forbid_extra_keys: bool = True) -> Converter:
+    """Return a converter that never turns one type into another, such as "no" into true."""
+    converter = Converter(forbid_extra_keys=forbid_extra_keys)
+    for kind in (bool, int, str):
+        converter.register_structure_hook(kind, _make_check(kind))
+    converter.register_structure_hook(float, _check_float)
+    converter.register_structure_hook_factory(
+        lambda kind: get_origin(kind) is list, lambda kind: _make_list_hook(converter, kind)
+    )
+    converter.register_structure_hook_factory(
+        lambda kind: get_origin(kind) is dict, lambda kind: _make_dict_hook(converter, kind)
+    )
+    converter.register_structure_hook_factory(
+        has, lambda kind: _make_class_hook(converter, kind, forbid_extra_keys)
+    )
+    return converter
+
+
+def describe_errors(error: BaseException, path: FieldPath = ()) -> list[FieldError]:
+    """Return one error for each faulty field of a failed conversion."""
+    if isinstance(error, ClassValidationError | IterableValidationError):
+        noted, others = error.group_exceptions()
+        found = [describe_errors(cause, (*path, _read_note(note))) for cause, note in noted]
+        found += [describe_errors(cause, path) for cause in others]
+        return [item for items in found for item in items]
+    if isinstance(error, ForbiddenExtraKeysError):
+        names = sorted(map(str, error.extra_fields))
+        return [FieldError((*path, name), "is not a known field") for name in names]
+    if isinstance(error, KeyError):
+        return [FieldError(path, "is missing")]
+    message = str(error.args[0]) if error.args else repr(error)
+    match = _VALIDATOR_MESSAGE.match(message)
+    if match:
+        return [FieldError((*path, match["field"]), match["rest"])]
+    return [FieldError(path, message)]
+
+
+def _read_note(note: Any) -> str | int:
+    return note.index if isinstance(note, IterableValidationNote) else note.name
+
+
+_TYPE_NAMES = {bool: "true or false", int: "a whole number", str: "a text"}
+
+
+def _make_check(kind: type) -> Callable[[Any, Any], Any]:
+    def check(value: Any, target: Any) -> Any:
+        if issubclass(target, Enum):  # cattrs takes the hook for str for its enums too
+            return _check_enum(value, target)
+        if type(value) is not kind:
+            raise TypeError(f"must be {_TYPE_NAMES[kind]}, not {value!r}")
+        return value
+
+    return check
+
+
+def _check_float(value: Any, _: Any) -> float:
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise TypeError(f"must be a number, not {value!r}")
+    return float(value)
+
+
+def _check_enum(value: Any, kind: type[Enum]) -> Enum:
+    for member in kind:
+        if member.value == value:
+            return member
+    names = ", ".join(str(member.value) for member in kind)
+    raise ValueError(f"must be one of {names}, not {value!r}")
+
+
+def _make_list_hook(converter: Converter, kind: Any) -> Callable[[Any, Any], Any]:
+    structure = list_structure_factory(kind, converter)
+
+    def check(value: Any, target: Any) -> Any:
+        if not isinstance(value, list):
+            raise TypeError(f"must be a list, not {value!r}")
+        return structure(value, target)
+
+    return check
+
+
+def _make_dict_hook(converter: Converter, kind: Any) -> Callable[[Any, Any], Any]:
+    structure = converter.gen_structure_mapping(kind)
+
+    def check(value: Any, target: Any) -> Any:
+        if not isinstance(value, dict):
+            raise TypeError(f"must be a mapping, not {value!r}")
+        return structure(value, target)
+
+    return check
+
+
+def _make_class_hook(
+    converter: Converter, kind: Any, forbid_extra_keys: bool
+) -> Callable[[Any, Any], Any]:
+    structure = make_dict_structure_fn(kind, converter, _cattrs_forbid_extra_keys=forbid_extra_keys)
+
+    def check(value: Any, target: Any) -> Any:
+        if not isinstance(value, dict):
+            raise TypeError(f"must be a mapping, not {value!r}")
+        return structure(value, target)
+
+    return check
--- /dev/null
+++ b/tests/test_configuration_fold.py
@@ -0,0 +1,208 @@
+"""Fold operator records under every interleaving of publishers, and show what each rule is for."""
+
+import pytest
+from attrs import evolve
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from bronzetiller.configuration.fold import NO_RECORD, RECORD_IDS_MAX, Configuration
+from bronzetiller.configuration.records import Envelope, Kind, dump_envelope, load_body
+
+PUBLISHERS = ("anna", "bert", "carys")
+KEYS = ((Kind.ROUTE.value, "namer"), (Kind.TOP_UP.value, "studio-1"), ("adapter", "later-kind"))
+BODIES = {
+    Kind.ROUTE.value: [{"service": "names"}, {"service": "names", "answer_tokens_max": 5}, {}],
+    Kind.TOP_UP.value: [{"workspace": "studio", "tokens": 5}, {"workspace": "studio"}],
+    "adapter": [{"of_a_later": "version"}],
+}
+SCHEMAS_OF_NODES = ((1, 2), (1,), (1, 2, 3))
+
+
+class FoldMachine(RuleBasedStateMachine):
+    """Let publishers append from what they last read, and nodes read at their own pace."""
+
+    fold = Configuration
+
+    @initialize()
+    def begin(self):
+        self.log = []
+        self.nodes = [self.fold(schemas) for schemas in SCHEMAS_OF_NODES]
+        self.read = [0 for _ in self.nodes]
+        self.known = {publisher: {} for publisher in PUBLISHERS}
+        self.in_force = [{} for _ in self.nodes]
+
+    @rule(
+        publisher=st.sampled_from(PUBLISHERS),
+        key=st.sampled_from(KEYS),
+        schema=st.integers(1, 3),
+        choice=st.integers(0, 3),
+        informed=st.booleans(),
+    )
+    def publish(self, publisher, key, schema, choice, informed):
+        if informed:
+            self.follow(0, len(self.log))
+            self.look(publisher, 0)
+        bodies = [*BODIES[key[0]], None]
+        record = Envelope(
+            record_id=f"record-{len(self.log)}",
+            schema=schema,
+            kind=key[0],
+            name=key[1],
+            replaces=self.known[publisher].get(key, NO_RECORD),
+            author=publisher,
+            body=bodies[choice % len(bodies)],
+        )
+        self.log.append(dump_envelope(record))
+
+    @rule(data=st.data())
+    def repeat_after_a_lost_answer(self, data):
+        if self.log:
+            self.log.append(data.draw(st.sampled_from(self.log)))
+
+    @rule(publisher=st.sampled_from(PUBLISHERS), node=st.integers(0, len(SCHEMAS_OF_NODES) - 1))
+    def look(self, publisher, node):
+        self.known[publisher] = {key: item.revision for key, item in self.nodes[node].items.items()}
+
+    @rule(node=st.integers(0, len(SCHEMAS_OF_NODES) - 1), count=st.integers(1, 8))
+    def follow(self, node, count):
+        for offset in range(self.read[node], min(self.read[node] + count, len(self.log))):
+            self.nodes[node].apply(offset, self.log[offset])
+            self.read[node] = offset + 1
+            self.check_step(node, offset)
+
+    @rule(node=st.integers(0, len(SCHEMAS_OF_NODES) - 1))
+    def restart(self, node):
+        fresh = self.fold(SCHEMAS_OF_NODES[node])
+        for offset in range(self.read[node]):
+            fresh.apply(offset, self.log[offset])
+        assert fresh == self.nodes[node]
+        self.nodes[node] = fresh
+
+    def check_step(self, node, offset):
+        """Check that the item of a record has not gone back to an earlier form."""
+        record = self.log[offset]
+        key = (record["kind"], record["name"])
+        item = self.nodes[node].items.get(key)
+        if item is not None:
+            assert item.in_force_revision >= self.in_force[node].get(key, NO_RECORD), "reverted"
+            self.in_force[node][key] = item.in_force_revision
+
+    @invariant()
+    def nodes_agree_on_every_record(self):
+        verdicts = [
+            [(d.offset, d.accepted) for d in node.decisions if d.offset < min(self.read)]
+            for node in self.nodes
+        ]
+        assert all(item == verdicts[0] for item in verdicts)
+
+    @invariant()
+    def no_accepted_record_is_overwritten_unseen(self):
+        for node in self.nodes:
+            newest = {}
+            for decision in node.decisions:
+                if decision.accepted:
+                    key = (decision.kind, decision.name)
+                    replaced = self.log[decision.offset]["replaces"]
+                    assert replaced == newest.get(key, NO_RECORD), "a lost update"
+                    newest[key] = decision.offset
+
+    @invariant()
+    def a_record_is_accepted_once(self):
+        for node in self.nodes:
+            accepted = [d.record_id for d in node.decisions if d.accepted]
+            assert len(accepted) == len(set(accepted))
+
+    @invariant()
+    def the_newest_readable_form_is_in_force(self):
+        for node in self.nodes:
+            for key, item in node.items.items():
+                assert item.body == self.find_form(node, key), "not the newest readable form"
+
+    def find_form(self, node, key):
+        accepted = [d.offset for d in node.decisions if d.accepted and (d.kind, d.name) == key]
+        for offset in reversed(accepted):
+            record = self.log[offset]
+            if record["body"] is None:
+                return None
+            body = load_body(Envelope(**record), node.schemas)
+            if body.is_ok():
+                return body.unwrap()
+        return None
+
+
+SETTINGS = settings(max_examples=150, stateful_step_count=40, derandomize=True, deadline=None)
+
+
+def test_all_folds_agree_and_never_revert():
+    run_state_machine_as_test(FoldMachine, settings=SETTINGS)
+
+
+class LastWriteWins(Configuration):
+    """Drop the comparison with the newest revision."""
+
+    def apply(self, offset, value):
+        revision = self.revision(value["kind"], value["name"])
+        return super().apply(offset, value | {"replaces": revision})
+
+
+class RefusesLaterSchemas(Configuration):
+    """Accept only the records that this version can read."""
+
+    def apply(self, offset, value):
+        if value["schema"] not in self.schemas:
+            value = value | {"kind": "Not A Kind"}
+        return super().apply(offset, value)
+
+
+class ForgetsEarlierForm(Configuration):
+    """Keep nothing in force where the newest record cannot be read."""
+
+    def apply(self, offset, value):
+        decision = super().apply(offset, value)
+        item = self.items.get((value["kind"], value["name"]))
+        if item is not None and item.note:
+            item.body = None
+            item.in_force_revision = NO_RECORD
+        return decision
+
+
+@pytest.mark.parametrize("fold", [LastWriteWins, RefusesLaterSchemas, ForgetsEarlierForm])
+def test_each_rule_of_the_fold_is_needed(fold):
+    machine = type("Broken", (FoldMachine,), {"fold": fold})
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(machine, settings=settings(SETTINGS, phases=[Phase.generate]))
+
+
+def test_a_later_version_may_add_kinds_and_fields_of_the_envelope():
+    record = Envelope("r-1", 9, "adapter", "later-kind", NO_RECORD, "anna", {"any": "thing"})
+    configuration = Configuration()
+    assert configuration.apply(0, dump_envelope(record) | {"later": True}).accepted
+    second = evolve(record, record_id="r-2", replaces=0)
+    assert configuration.apply(1, dump_envelope(second)).accepted
+
+
+def test_a_top_up_is_never_changed_or_deleted():
+    record = Envelope("r-1", 1, "top-up", "t", NO_RECORD, "anna", {"workspace": "s", "tokens": 5})
+    configuration = Configuration()
+    configuration.apply(0, dump_envelope(record))
+    for body in (None, {"workspace": "s", "tokens": 9}):
+        later = evolve(record, record_id=f"r-{body}", replaces=0, body=body)
+        assert not configuration.apply(1, dump_envelope(later)).accepted
+    assert configuration.top_ups()["t"].tokens == 5
+
+
+def test_what_a_fold_remembers_is_bounded():
+    configuration = Configuration()
+    for offset in range(RECORD_IDS_MAX + 10):
+        record = Envelope(f"r-{offset}", 1, "workspace", "s", offset - 1, "anna", {})
+        assert configuration.apply(offset, dump_envelope(record)).accepted
+    assert configuration.find_decision("r-0") is None
+    assert configuration.find_decision(f"r-{RECORD_IDS_MAX}") is not None
+    assert not configuration.apply(RECORD_IDS_MAX + 10, dump_envelope(record)).accepted
