Plan, publish and report from the command line

Cause: operators had no way to publish but to write to the log, and none to learn which record won and where it is in force.

Ways weighed: folding the stream in the command (fails once early records have expired from the log), so it asks nodes; the standard library's blocking HTTP client, since a command makes a few calls and ends, and the loop of the nodes costs start time and memory. Operators prove themselves by a token whose digest is in the nodes' settings; a workspace's key reads its own budget and bills only.

Change: check, plan, publish, report, budget, bills, key and version; exit codes 0 to 3.

--- a/bronzetiller/callers/api.py
+++ b/bronzetiller/callers/api.py
@@ -29,7 +29,7 @@
     is_ready: Callable[[], bool]
     is_stopping: Callable[[], bool]
     list_entries: Callable[[], list[str]]
-    make_report: Callable[[], dict[str, Any]]
+    operator_handlers: dict[tuple[str, str], Callable[[Exchange], None]]
     entry_seconds: float
 
 
@@ -37,10 +37,14 @@
     """Return the application that serves every request of a node."""
 
     def serve(exchange: Exchange) -> None:
-        handle = _HANDLERS.get((exchange.method, exchange.path))
+        key = exchange.method, exchange.path
+        handle = _HANDLERS.get(key)
+        operator_handle = services.operator_handlers.get(key)
         if handle is not None:
             handle(services, exchange)
-        elif any(path == exchange.path for _, path in _HANDLERS):
+        elif operator_handle is not None:
+            operator_handle(exchange)
+        elif any(path == exchange.path for _, path in [*_HANDLERS, *services.operator_handlers]):
             detail = f"{exchange.method} is not served here"
             refuse(exchange, Refusal(405, Reason.METHOD_NOT_ALLOWED, detail))
         else:
@@ -68,10 +72,6 @@
     exchange.respond(200, {"Content-Type": "text/plain; version=0.0.4"}, render_metrics())
 
 
-def _serve_report(services: ApiServices, exchange: Exchange) -> None:
-    _respond(exchange, 200, services.make_report())
-
-
 def _serve_chat(services: ApiServices, exchange: Exchange) -> None:
     workspace = _admit(services, exchange)
     if workspace is None:
@@ -123,6 +123,5 @@
     ("GET", "/healthz"): _serve_health,
     ("GET", "/readyz"): _serve_readiness,
     ("GET", "/metrics"): _serve_metrics,
-    ("GET", "/v1/report"): _serve_report,
     ("POST", "/v1/chat/completions"): _serve_chat,
 }
--- a/bronzetiller/callers/authentication.py
+++ b/bronzetiller/callers/authentication.py
@@ -1,21 +1,23 @@
 """Find the workspace that a caller's key belongs to."""
 
-import hashlib
-
 from bronzetiller.configuration.fold import Configuration
+from bronzetiller.digests import digest_key
 
 
-def digest_key(key: str) -> str:
-    """Return the SHA-256 digest (hex) that records hold in place of a key."""
-    return hashlib.sha256(key.encode()).hexdigest()
+def read_key(headers: dict[str, str]) -> str | None:
+    """Return the bearer key of a request, or nothing."""
+    scheme, _, key = headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        return None
+    return key.strip()
 
 
 def authenticate(configuration: Configuration, headers: dict[str, str]) -> str | None:
     """Return the name of the caller's workspace, or nothing."""
-    scheme, _, key = headers.get("authorization", "").partition(" ")
-    if scheme.lower() != "bearer" or not key.strip():
+    key = read_key(headers)
+    if key is None:
         return None
-    digest = digest_key(key.strip())
+    digest = digest_key(key)
     for name, workspace in configuration.workspaces().items():
         if workspace.enabled and digest in workspace.key_digests:
             return name
--- /dev/null
+++ b/bronzetiller/cli/connection.py
@@ -0,0 +1,118 @@
+"""Say where the fleet is and who asks, from options or a small file."""
+
+import getpass
+import os
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+from attrs import field, frozen
+from result import Err
+
+from bronzetiller.cli.exits import ExitCode, fail
+from bronzetiller.documents import read_document
+from bronzetiller.net.address import Address, parse_address
+from bronzetiller.structure import describe_errors, make_converter
+
+SETTINGS_VARIABLE = "BRONZETILLER_OPERATOR"
+TOKEN_VARIABLE = "BRONZETILLER_TOKEN"
+
+
+@frozen
+class OperatorSettings:
+    """Hold what an operator's commands need; the token itself stands in a file of its own."""
+
+    nodes: list[Address] = field(factory=list)
+    log: Address | None = None
+    token_file: str | None = None
+    author: str | None = None
+
+
+@frozen
+class Access:
+    """Hold the checked way to the fleet."""
+
+    nodes: list[Address]
+    log: Address | None
+    token: str
+    author: str
+
+
+@frozen
+class ConnectionOptions:
+    """Give the fleet's addresses as options; they go before the operator's file."""
+
+    operator: Annotated[
+        Path | None,
+        cappa.Arg(
+            long="--operator",
+            default=cappa.Env(SETTINGS_VARIABLE),
+            help="operator's file (YAML): nodes, log, token_file, author",
+        ),
+    ] = None
+    node: Annotated[
+        list[str] | None,
+        cappa.Arg(long="--node", help="a node's ip:port for callers; may be given several times"),
+    ] = None
+    log: Annotated[
+        str | None, cappa.Arg(long="--log", help="the platform's log service, ip:port")
+    ] = None
+    token_file: Annotated[
+        Path | None,
+        cappa.Arg(long="--token-file", help=f"file with the token (else {TOKEN_VARIABLE})"),
+    ] = None
+    author: Annotated[
+        str | None, cappa.Arg(long="--author", help="name that records carry (else the login)")
+    ] = None
+
+
+def open_access(options: ConnectionOptions, *, needs_log: bool = False) -> Access:
+    """Return the way to the fleet; exit with BAD_INPUT where something is missing."""
+    settings = _load(options.operator)
+    nodes = _parse(options.node or []) or settings.nodes
+    log = _parse([options.log])[0] if options.log else settings.log
+    if not nodes:
+        fail("no node is named; use --node or an operator's file", ExitCode.BAD_INPUT)
+    if needs_log and log is None:
+        fail("the log is not named; use --log or an operator's file", ExitCode.BAD_INPUT)
+    token_file = options.token_file or _expand(options.operator, settings.token_file)
+    author = options.author or settings.author or getpass.getuser()
+    return Access(nodes, log, _read_token(token_file), author)
+
+
+def _load(path: Path | None) -> OperatorSettings:
+    if path is None:
+        return OperatorSettings()
+    read = read_document(path)
+    if isinstance(read, Err):
+        fail("\n".join(map(str, read.err_value)), ExitCode.BAD_INPUT)
+    document = read.ok_value
+    converter = make_converter()
+    converter.register_structure_hook(Address, lambda value, _: parse_address(str(value)))
+    try:
+        return converter.structure(document.value, OperatorSettings)
+    except Exception as error:  # cattrs raises groups of many kinds for malformed input
+        problems = [document.locate(item) for item in describe_errors(error)]
+        fail("\n".join(map(str, problems)), ExitCode.BAD_INPUT)
+
+
+def _parse(texts: list[str]) -> list[Address]:
+    try:
+        return [parse_address(text) for text in texts]
+    except ValueError as error:
+        fail(str(error), ExitCode.BAD_INPUT)
+
+
+def _expand(settings: Path | None, name: str | None) -> Path | None:
+    if settings is None or name is None:
+        return None
+    return settings.parent / Path(name).expanduser()
+
+
+def _read_token(path: Path | None) -> str:
+    if path is None:
+        return os.environ.get(TOKEN_VARIABLE, "").strip()
+    try:
+        return path.read_text().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        fail(f"{path}: {error}", ExitCode.BAD_INPUT)
--- a/bronzetiller/cli/main.py
+++ b/bronzetiller/cli/main.py
@@ -1,4 +1,4 @@
-"""Define the bronzetiller command."""
+"""Define the bronzetiller command; each subcommand imports only what it needs."""
 
 import sys
 from pathlib import Path
@@ -6,13 +6,23 @@
 
 import cappa
 from attrs import frozen
-from result import Err, Ok
+
+from bronzetiller.cli.connection import ConnectionOptions
+from bronzetiller.cli.exits import ExitCode, fail
+
+HELP = "Run and operate a router fleet for prepaid token budgets."
+EXIT_CODES = "Exit codes: 0 fine; 1 refused or done in part; 2 wrong usage or input; 3 no answer."
+
+Connection = cappa.Destructured[ConnectionOptions]
+Json = Annotated[bool, cappa.Arg(long="--json", help="print JSON")]
+Tree = Annotated[Path, cappa.Arg(help="file or folder of declarations (YAML)")]
+Prune = Annotated[bool, cappa.Arg(long="--prune", help="delete what the tree does not declare")]
 
 
 @cappa.command(name="node")
 @frozen
 class NodeCommand:
-    """Run one node of the fleet."""
+    """Run one node of the fleet until SIGTERM."""
 
     settings: Annotated[Path, cappa.Arg(help="settings file (YAML)")]
 
@@ -22,21 +32,184 @@
         from bronzetiller.node import Node
         from bronzetiller.settings import load_settings
 
-        match load_settings(self.settings):
-            case Ok(settings):
-                configure_logging(settings.node_id, settings.log_level)
-                sys.stdout.reconfigure(line_buffering=True)  # type: ignore[union-attr]
-                Node(settings).run()
-            case Err(errors):
-                raise cappa.Exit("\n".join(map(str, errors)), code=2)
+        result = load_settings(self.settings)
+        if result.is_err():
+            fail("\n".join(map(str, result.unwrap_err())), ExitCode.BAD_INPUT)
+        settings = result.unwrap()
+        configure_logging(settings.node_id, settings.log_level)
+        sys.stdout.reconfigure(line_buffering=True)  # type: ignore[union-attr]
+        Node(settings).run()
+
+
+@cappa.command(name="check")
+@frozen
+class CheckCommand:
+    """Check settings files and trees of declarations without any connection."""
+
+    paths: Annotated[list[Path], cappa.Arg(num_args=-1, required=True, help="files or folders")]
+
+    def __call__(self) -> None:
+        """Print each fault with its file, line and field."""
+        from bronzetiller.cli.checking import check_paths
+
+        check_paths(self.paths)
+
+
+@cappa.command(name="plan")
+@frozen
+class PlanCommand:
+    """Show what publishing a tree of declarations would change."""
+
+    tree: Tree
+    connection: Connection
+    prune: Prune = False
+    json: Json = False
+
+    def __call__(self) -> None:
+        """Compare the tree with what a node has accepted."""
+        from bronzetiller.cli.declaring import show_plan
+
+        show_plan(self.connection, self.tree, prune=self.prune, as_json=self.json)
+
+
+@cappa.command(name="publish")
+@frozen
+class PublishCommand:
+    """Publish a tree of declarations and wait until it is in force on every node."""
+
+    tree: Tree
+    connection: Connection
+    prune: Prune = False
+    json: Json = False
+    wait_seconds: Annotated[
+        float, cappa.Arg(long="--wait-seconds", help="longest wait for the whole command")
+    ] = 15.0
+
+    def __call__(self) -> None:
+        """Plan, append the records and say what became of each."""
+        from bronzetiller.cli.declaring import publish_tree
+
+        publish_tree(
+            self.connection,
+            self.tree,
+            prune=self.prune,
+            as_json=self.json,
+            wait_seconds=self.wait_seconds,
+        )
+
+
+@cappa.command(name="report")
+@frozen
+class ReportCommand:
+    """Show the nodes, and each record accepted or rejected, why, and where it is in force."""
+
+    connection: Connection
+    from_offset: Annotated[
+        int, cappa.Arg(long="--from", default=0, help="first offset of the records to show")
+    ] = 0
+    json: Json = False
+
+    def __call__(self) -> None:
+        """Ask the fleet and print its report."""
+        from bronzetiller.cli.reporting import show_report
+
+        show_report(self.connection, self.from_offset, as_json=self.json)
+
+
+@cappa.command(name="budget")
+@frozen
+class BudgetCommand:
+    """Show the tokens of a workspace: credited, free, held by each node, billed."""
+
+    workspace: str
+    connection: Connection
+    json: Json = False
+
+    def __call__(self) -> None:
+        """Ask the fleet and print the budget."""
+        from bronzetiller.cli.reporting import show_budget
+
+        show_budget(self.connection, self.workspace, as_json=self.json)
+
+
+@cappa.command(name="bills")
+@frozen
+class BillsCommand:
+    """Show the newest bills of a workspace."""
+
+    workspace: str
+    connection: Connection
+    limit: Annotated[int, cappa.Arg(long="--limit", help="most bills to show")] = 100
+    json: Json = False
+
+    def __call__(self) -> None:
+        """Ask the fleet and print the bills."""
+        from bronzetiller.cli.reporting import show_bills
+
+        show_bills(self.connection, self.workspace, self.limit, as_json=self.json)
+
+
+@cappa.command(name="new")
+@frozen
+class NewKeyCommand:
+    """Print a new key, or token of an operator, and the digest to declare."""
+
+    def __call__(self) -> None:
+        """Make a key from the system's random source."""
+        from bronzetiller.cli.keys import show_new_key
+
+        show_new_key()
+
+
+@cappa.command(name="digest")
+@frozen
+class DigestKeyCommand:
+    """Print the digest of a key read from standard input."""
+
+    def __call__(self) -> None:
+        """Read one line, so that the key is in no argument list."""
+        from bronzetiller.cli.keys import show_digest
+
+        show_digest()
+
+
+@cappa.command(name="key")
+@frozen
+class KeyCommand:
+    """Make keys and their digests; no record or file of declarations holds a key."""
+
+    command: cappa.Subcommands[NewKeyCommand | DigestKeyCommand]
+
+
+@cappa.command(name="version")
+@frozen
+class VersionCommand:
+    """Print the version and the schemas of records that it understands."""
+
+    def __call__(self) -> None:
+        """Print one line."""
+        from bronzetiller import __version__
+        from bronzetiller.configuration.records import SCHEMA_VERSIONS
+
+        print(f"bronzetiller {__version__} schemas {','.join(map(str, SCHEMA_VERSIONS))}")
 
 
-@cappa.command(name="bronzetiller", help="Run and operate a router fleet for prepaid budgets.")
+@cappa.command(name="bronzetiller", help=HELP, description=EXIT_CODES)
 @frozen
 class Bronzetiller:
     """Hold the chosen subcommand."""
 
-    command: cappa.Subcommands[NodeCommand]
+    command: cappa.Subcommands[
+        NodeCommand
+        | CheckCommand
+        | PlanCommand
+        | PublishCommand
+        | ReportCommand
+        | BudgetCommand
+        | BillsCommand
+        | KeyCommand
+        | VersionCommand
+    ]
 
 
 def main() -> None:
--- /dev/null
+++ b/bronzetiller/cli/output.py
@@ -0,0 +1,26 @@
+"""Print tables and JSON."""
+
+import json
+import time
+from typing import Any
+
+import cattrs
+
+
+def print_json(value: Any) -> None:
+    """Print a value as indented JSON."""
+    print(json.dumps(cattrs.unstructure(value), indent=2))
+
+
+def print_table(heads: list[str], rows: list[list[Any]]) -> None:
+    """Print rows under their heads in aligned columns."""
+    texts = [heads, *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(row[index]) for row in texts) for index in range(len(heads))]
+    for row in texts:
+        cells = [cell.ljust(width) for cell, width in zip(row, widths, strict=True)]
+        print("  ".join(cells).rstrip())
+
+
+def format_time(at: float) -> str:
+    """Write a time (seconds, Unix) in UTC."""
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(at))
--- /dev/null
+++ b/bronzetiller/cli/reporting.py
@@ -0,0 +1,91 @@
+"""Print what the fleet reports."""
+
+from typing import TypeVar
+
+from result import Err, Result
+
+from bronzetiller.cli.client import CallError, FleetView, read_bills, read_budget, view_fleet
+from bronzetiller.cli.connection import ConnectionOptions, open_access
+from bronzetiller.cli.declaring import raise_call_error
+from bronzetiller.cli.output import format_time, print_json, print_table
+from bronzetiller.configuration.fold import Decision
+from bronzetiller.reports.nodes import find_behind, find_unable
+
+T = TypeVar("T")
+
+
+def show_report(options: ConnectionOptions, from_offset: int, *, as_json: bool) -> None:
+    """Print the nodes, the decisions and the items that a node keeps in an older form."""
+    view = _unwrap(view_fleet(open_access(options), from_offset))
+    if as_json:
+        print_json(view)
+        return
+    _print_nodes(view)
+    print()
+    heads = ["offset", "kind", "name", "schema", "author", "verdict", "in force", "reason"]
+    print_table(heads, [_make_row(item, view) for item in view.report.decisions])
+    for item in view.report.unread:
+        print(
+            f"{item.kind} {item.name}: offset {item.in_force_revision} stays in force on"
+            f" {view.report.node_id}, since {item.note} (offset {item.revision})"
+        )
+
+
+def show_budget(options: ConnectionOptions, workspace: str, *, as_json: bool) -> None:
+    """Print one budget in tokens."""
+    budget = _unwrap(read_budget(open_access(options), workspace))
+    if as_json:
+        print_json(budget)
+        return
+    rows = [["credited", budget.credited], ["free", budget.free], ["held", budget.held]]
+    rows += [[f"  by {node_id}", tokens] for node_id, tokens in budget.held_by_node.items()]
+    print_table([workspace, "tokens"], [*rows, ["billed", budget.billed]])
+
+
+def show_bills(options: ConnectionOptions, workspace: str, limit: int, *, as_json: bool) -> None:
+    """Print the newest bills of a workspace."""
+    bills = _unwrap(read_bills(open_access(options), workspace, limit))
+    if as_json:
+        print_json(bills)
+        return
+    rows = [[format_time(bill.at), bill.request_id, bill.tokens, bill.node_id] for bill in bills]
+    print_table(["time", "request", "tokens", "billed by"], rows)
+
+
+def _print_nodes(view: FleetView) -> None:
+    rows = []
+    for node in view.nodes:
+        offset = "not heard" if node.next_offset is None else node.next_offset
+        state = "stopping" if node.stopping else node.state
+        schemas = ",".join(map(str, node.schemas_understood))
+        ready = "yes" if node.ready else "no"
+        rows.append([node.node_id, node.data_centre, state, ready, offset, schemas])
+    print_table(["node", "data centre", "state", "ready", "next offset", "schemas"], rows)
+
+
+def _make_row(decision: Decision, view: FleetView) -> list[object]:
+    verdict = "accepted" if decision.accepted else "rejected"
+    return [
+        decision.offset,
+        decision.kind,
+        decision.name,
+        decision.schema,
+        decision.author,
+        verdict,
+        _say_where(decision, view) if decision.accepted else "-",
+        decision.reason,
+    ]
+
+
+def _say_where(decision: Decision, view: FleetView) -> str:
+    missing = find_behind(view.nodes, decision.offset)
+    missing += find_unable(view.nodes, decision.schema)
+    if not missing:
+        return "everywhere"
+    return "not on " + ",".join(sorted({node.node_id for node in missing}))
+
+
+def _unwrap(result: Result[T, CallError]) -> T:
+    if isinstance(result, Err):
+        raise_call_error(result.err_value)
+    return result.ok_value
--- a/bronzetiller/errors.py
+++ b/bronzetiller/errors.py
@@ -18,6 +18,8 @@
 
     BAD_REQUEST = "bad_request"
     BAD_CREDENTIALS = "bad_credentials"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
     UNKNOWN_ROUTE = "unknown_route"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     REQUEST_TOO_LARGE = "request_too_large"
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -6,6 +6,7 @@
 
 from circuits import BaseComponent, handler
 
+from bronzetiller import __version__
 from bronzetiller.budgets.credits import is_credit_pending, post_credits
 from bronzetiller.budgets.grants import GrantKeeper
 from bronzetiller.budgets.holdings import Holdings
@@ -14,6 +15,7 @@
 from bronzetiller.callers.chat import ChatServices
 from bronzetiller.callers.problems import reject_malformed
 from bronzetiller.configuration.fold import Configuration
+from bronzetiller.configuration.streams import CONFIGURATION_STREAM
 from bronzetiller.fleet.peers import Peers, PeerVm
 from bronzetiller.logs import log_event
 from bronzetiller.net.dialer import Dialer
@@ -23,11 +25,14 @@
 from bronzetiller.platform.follower import StreamFollower
 from bronzetiller.platform.log_client import Entry, LogClient
 from bronzetiller.platform.vm_list import VmList, VmState
+from bronzetiller.reports.api import ReportServices, make_operator_handlers
+from bronzetiller.reports.nodes import list_nodes
+from bronzetiller.reports.report import Report, list_decisions, list_unread_items
 from bronzetiller.requests.billing import Biller
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.settings import Settings
+from bronzetiller.wire.messages import Heartbeat
 
-CONFIGURATION_STREAM = "configuration"
 CREDIT_CHECK_SECONDS = 0.5
 
 
@@ -57,7 +62,7 @@
         self.http = HttpClient(scheduler, dialer)
         self.log = LogClient(self.http, settings.platform.log)
         self.vm_list = VmList(scheduler, self.http, settings.platform.vm_list)
-        self.configuration = Configuration()
+        self.configuration = Configuration(tuple(settings.configuration.schemas_understood))
         self.configuration_follower = StreamFollower(scheduler, self.log, CONFIGURATION_STREAM)
         self.shards = Shards(
             scheduler,
@@ -125,7 +130,7 @@
             is_ready=self.is_ready,
             is_stopping=lambda: self.stopping,
             list_entries=self._list_entries,
-            make_report=self._make_report,
+            operator_handlers=make_operator_handlers(self._make_report_services()),
             entry_seconds=self.settings.limits.entry_seconds,
         )
         server = HttpServer(
@@ -151,6 +156,8 @@
             offset=entry.offset,
             kind=decision.kind,
             name=decision.name,
+            schema=decision.schema,
+            author=decision.author,
             accepted=decision.accepted,
             in_force=decision.in_force,
             reason=decision.reason,
@@ -168,10 +175,38 @@
         ]
         self.peers.set_peers(peers)
 
-    def _make_report(self) -> dict[str, Any]:
-        return {
-            "node_id": self.settings.node_id,
-            "incarnation": self.incarnation,
-            "at": time.time(),
-            "next_offset": self.configuration_follower.next_offset,
-        }
+    def _make_heartbeat(self) -> Heartbeat:
+        settings = self.settings
+        followers = [self.configuration_follower, *(s.follower for s in self.shards.all)]
+        return Heartbeat(
+            node_id=settings.node_id,
+            incarnation=self.incarnation,
+            region=settings.region,
+            data_centre=settings.data_centre,
+            address=f"{settings.listen.callers.ip}:{self.server.port}",
+            stopping=self.stopping,
+            next_offsets={item.stream: item.next_offset for item in followers},
+            ready=self.is_ready(),
+            schemas_understood=settings.configuration.schemas_understood,
+        )
+
+    def _make_report_services(self) -> ReportServices:
+        return ReportServices(
+            configuration=self.configuration,
+            shards=self.shards,
+            token_digests=self.settings.operators.token_digests,
+            make_report=self._make_report,
+        )
+
+    def _make_report(self, from_offset: int) -> Report:
+        return Report(
+            node_id=self.settings.node_id,
+            version=__version__,
+            at=time.time(),
+            next_offset=self.configuration_follower.next_offset,
+            log_reachable=self.configuration_follower.reachable,
+            vm_list_reachable=self.vm_list.reachable,
+            nodes=list_nodes(self._make_heartbeat(), [], self.vm_list.find_routers()),
+            decisions=list_decisions(self.configuration, from_offset),
+            unread=list_unread_items(self.configuration),
+        )
--- /dev/null
+++ b/bronzetiller/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Tell operators what the fleet has accepted, where it is in force and what budgets hold."""
--- /dev/null
+++ b/bronzetiller/reports/api.py
@@ -0,0 +1,130 @@
+"""Serve reports, budgets and bills to operators, and to each workspace its own."""
+
+import hmac
+import json
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+import cattrs
+from attrs import define
+
+from bronzetiller.budgets.shards import Shards
+from bronzetiller.callers.authentication import authenticate, read_key
+from bronzetiller.callers.problems import refuse
+from bronzetiller.configuration.fold import Configuration
+from bronzetiller.digests import digest_key
+from bronzetiller.errors import Reason, Refusal
+from bronzetiller.net.http_server import Exchange
+from bronzetiller.reports.budgets import report_bills, report_budget
+from bronzetiller.reports.report import Report, list_items
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+BILLS_MAX = 1_000
+
+Handler = Callable[[Exchange], None]
+
+
+@define
+class ReportServices:
+    """Hold what the operators' interface needs of the node."""
+
+    configuration: Configuration
+    shards: Shards
+    token_digests: list[str]
+    make_report: Callable[[int], Report]
+
+
+def make_operator_handlers(services: ReportServices) -> dict[tuple[str, str], Handler]:
+    """Return the handlers of the operators' paths by method and path."""
+
+    def guard(handle: Callable[[ReportServices, Exchange], None]) -> Handler:
+        def serve(exchange: Exchange) -> None:
+            if not is_operator(services.token_digests, exchange.headers):
+                refuse(exchange, Refusal(401, Reason.BAD_CREDENTIALS, "not an operator's token"))
+                return
+            handle(services, exchange)
+
+        return serve
+
+    return {
+        ("GET", "/v1/report"): guard(_serve_report),
+        ("GET", "/v1/configuration"): guard(_serve_configuration),
+        ("GET", "/v1/decision"): guard(_serve_decision),
+        ("GET", "/v1/budget"): lambda exchange: _serve_budget(services, exchange),
+        ("GET", "/v1/bills"): lambda exchange: _serve_bills(services, exchange),
+    }
+
+
+def is_operator(token_digests: list[str], headers: dict[str, str]) -> bool:
+    """Say whether a request carries an operator's token."""
+    token = read_key(headers)
+    if token is None:
+        return False
+    digest = digest_key(token)
+    return any(hmac.compare_digest(digest, known) for known in token_digests)
+
+
+def _serve_report(services: ReportServices, exchange: Exchange) -> None:
+    _respond(exchange, services.make_report(_read_number(exchange, "from", 0)))
+
+
+def _serve_configuration(services: ReportServices, exchange: Exchange) -> None:
+    _respond(exchange, list_items(services.configuration))
+
+
+def _serve_decision(services: ReportServices, exchange: Exchange) -> None:
+    decision = services.configuration.find_decision(_read_text(exchange, "record_id"))
+    if decision is None:
+        refuse(exchange, Refusal(404, Reason.NOT_FOUND, "no decision on this record is known"))
+        return
+    _respond(exchange, decision)
+
+
+def _serve_budget(services: ReportServices, exchange: Exchange) -> None:
+    workspace = _find_workspace(services, exchange)
+    if workspace is None:
+        return
+    report = report_budget(services.shards.find(workspace).ledger, workspace)
+    if report is None:
+        refuse(exchange, Refusal(404, Reason.NOT_FOUND, "the workspace has no budget"))
+        return
+    _respond(exchange, report)
+
+
+def _serve_bills(services: ReportServices, exchange: Exchange) -> None:
+    workspace = _find_workspace(services, exchange)
+    if workspace is None:
+        return
+    limit = min(BILLS_MAX, _read_number(exchange, "limit", BILLS_MAX))
+    _respond(exchange, report_bills(services.shards.find(workspace).ledger, workspace, limit))
+
+
+def _find_workspace(services: ReportServices, exchange: Exchange) -> str | None:
+    """Return the workspace whose data may be read; refuse where there is none."""
+    asked = _read_text(exchange, "workspace")
+    if is_operator(services.token_digests, exchange.headers):
+        if not asked:
+            refuse(exchange, Refusal(400, Reason.BAD_REQUEST, "the query names no workspace"))
+        return asked or None
+    own = authenticate(services.configuration, exchange.headers)
+    if own is None:
+        refuse(exchange, Refusal(401, Reason.BAD_CREDENTIALS, "the key is not known"))
+        return None
+    if asked not in ("", own):
+        refuse(exchange, Refusal(403, Reason.FORBIDDEN, "the key is not of this workspace"))
+        return None
+    return own
+
+
+def _read_text(exchange: Exchange, name: str) -> str:
+    return parse_qs(exchange.query).get(name, [""])[0]
+
+
+def _read_number(exchange: Exchange, name: str, default: int) -> int:
+    text = _read_text(exchange, name)
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 16 else default
+
+
+def _respond(exchange: Exchange, value: Any) -> None:
+    exchange.respond(200, JSON_HEADERS, json.dumps(cattrs.unstructure(value)).encode())
--- /dev/null
+++ b/bronzetiller/reports/nodes.py
@@ -0,0 +1,86 @@
+"""Describe the nodes of the fleet and where a record is in force."""
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from attrs import field, frozen
+
+from bronzetiller.configuration.streams import CONFIGURATION_STREAM
+
+if TYPE_CHECKING:
+    from bronzetiller.platform.vm_list import Vm
+    from bronzetiller.wire.messages import Heartbeat
+
+
+@frozen
+class NodeStatus:
+    """Describe one node, as far as the reporting node has heard of it.
+
+    state is "live" or "leaving" from the list of VMs, or "unlisted"; next_offset is the offset of
+    the next configuration record that the node will apply, or nothing where it was not heard.
+    """
+
+    node_id: str
+    region: str
+    data_centre: str
+    address: str
+    state: str
+    heard: bool
+    incarnation: str = ""
+    ready: bool = False
+    stopping: bool = False
+    next_offset: int | None = None
+    schemas_understood: list[int] = field(factory=list)
+
+
+def list_nodes(
+    own: "Heartbeat", heard: "Iterable[Heartbeat]", listed: "list[Vm]"
+) -> list[NodeStatus]:
+    """Return every node that is listed or heard of, by node id."""
+    heartbeats = {item.node_id: item for item in [*heard, own]}
+    vms = {vm.vm_id: vm for vm in listed}
+    return [
+        _describe(heartbeats.get(node_id), vms.get(node_id))
+        for node_id in sorted(heartbeats.keys() | vms.keys())
+    ]
+
+
+def find_behind(nodes: list[NodeStatus], offset: int) -> list[NodeStatus]:
+    """Return the nodes not known to have applied the record at an offset; leaving ones count not.
+
+    A node that the list of VMs does not name serves no caller, so it is not waited for.
+    """
+    return [
+        node
+        for node in nodes
+        if node.state == "live" and (node.next_offset is None or node.next_offset <= offset)
+    ]
+
+
+def find_unable(nodes: list[NodeStatus], schema: int) -> list[NodeStatus]:
+    """Return the live nodes that keep an older form, since they do not understand a schema."""
+    return [
+        node
+        for node in nodes
+        if node.state == "live" and node.heard and schema not in node.schemas_understood
+    ]
+
+
+def _describe(heartbeat: "Heartbeat | None", vm: "Vm | None") -> NodeStatus:
+    state = "unlisted" if vm is None else vm.state.value
+    if heartbeat is None:
+        assert vm is not None
+        return NodeStatus(vm.vm_id, vm.region, vm.data_centre, str(vm.address), state, False)
+    return NodeStatus(
+        node_id=heartbeat.node_id,
+        region=heartbeat.region,
+        data_centre=heartbeat.data_centre,
+        address=heartbeat.address if vm is None else str(vm.address),
+        state=state,
+        heard=True,
+        incarnation=heartbeat.incarnation,
+        ready=heartbeat.ready,
+        stopping=heartbeat.stopping,
+        next_offset=heartbeat.next_offsets.get(CONFIGURATION_STREAM),
+        schemas_understood=list(heartbeat.schemas_understood),
+    )
--- /dev/null
+++ b/bronzetiller/reports/report.py
@@ -0,0 +1,65 @@
+"""Gather a node's report on the fleet and its configuration."""
+
+from attrs import frozen
+
+from bronzetiller.configuration.fold import Configuration, Decision, Item
+from bronzetiller.configuration.plan import PublishedItem
+from bronzetiller.configuration.records import Kind, dump_body
+from bronzetiller.reports.nodes import NodeStatus
+
+
+@frozen
+class Report:
+    """Describe the fleet as one node sees it; at is its wall clock (seconds, Unix).
+
+    decisions are those from the asked offset on; unread are the items of which the node keeps an
+    older form in force.
+    """
+
+    node_id: str
+    version: str
+    at: float
+    next_offset: int
+    log_reachable: bool
+    vm_list_reachable: bool
+    nodes: list[NodeStatus]
+    decisions: list[Decision]
+    unread: list[PublishedItem]
+
+
+def list_items(configuration: Configuration) -> list[PublishedItem]:
+    """Return the newest accepted record of every kind and name."""
+    return [
+        _describe(kind, name, item) for (kind, name), item in sorted(configuration.items.items())
+    ]
+
+
+def list_unread_items(configuration: Configuration) -> list[PublishedItem]:
+    """Return the items whose newest record this node cannot read."""
+    return [
+        _describe(kind, name, item)
+        for (kind, name), item in sorted(configuration.unread_items().items())
+    ]
+
+
+def list_decisions(configuration: Configuration, from_offset: int) -> list[Decision]:
+    """Return the remembered decisions from an offset on."""
+    return [item for item in configuration.decisions if item.offset >= from_offset]
+
+
+def _describe(kind: str, name: str, item: Item) -> PublishedItem:
+    body = item.unread
+    if item.body is not None and not item.note:
+        body = dump_body(Kind(kind), item.schema, item.body)
+    return PublishedItem(
+        kind=kind,
+        name=name,
+        revision=item.revision,
+        schema=item.schema,
+        author=item.author,
+        deleted=item.deleted,
+        in_force=not item.note,
+        in_force_revision=item.in_force_revision,
+        note=item.note,
+        body=body,
+    )
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -18,6 +18,8 @@
     address: str
     stopping: bool
     next_offsets: dict[str, int] = field(factory=dict)
+    ready: bool = False
+    schemas_understood: list[int] = field(factory=list)
 
 
 @frozen
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,7 +6,6 @@
 platform; the destination is a VM, "log" or "vms".
 """
 
-import hashlib
 import json
 import signal
 import socket
@@ -22,7 +21,10 @@
 import yaml
 from attrs import define, field
 
+from bronzetiller.digests import digest_key
+
 FLEET_SECRET = "a-secret-for-stand-ins-only"
+OPERATOR_TOKEN = "a-token-for-stand-ins-only"
 READY_PREFIX = "ready "
 
 
@@ -62,10 +64,13 @@
     raise RuntimeError(f"{name} ended before it was ready: {log_path.read_text()[-2000:]}")
 
 
-def call_json(address: str, path: str, value: Any = None, method: str | None = None) -> Any:
+def call_json(
+    address: str, path: str, value: Any = None, method: str | None = None, token: str = ""
+) -> Any:
     """Call a stand-in's or a node's HTTP interface."""
     data = None if value is None else json.dumps(value).encode()
-    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method)
+    headers = {"Authorization": f"Bearer {token}"} if token else {}
+    request = urllib.request.Request(f"http://{address}{path}", data, headers, method=method)
     with urllib.request.urlopen(request, timeout=10) as response:
         return json.loads(response.read())
 
@@ -158,6 +163,7 @@
             "region": region,
             "data_centre": data_centre,
             "fleet_secret": FLEET_SECRET,
+            "operators": {"token_digests": [digest_key(OPERATOR_TOKEN)]},
             "listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"},
             "platform": {
                 "log": self._reach_platform(node_id, "log"),
@@ -229,8 +235,7 @@
 
     def publish_workspace(self, name: str, key: str, tokens: int) -> None:
         """Create a workspace with one key and a first top-up."""
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        self.publish("workspace", name, {"key_digests": [digest]})
+        self.publish("workspace", name, {"key_digests": [digest_key(key)]})
         if tokens:
             self.publish("top-up", f"{name}-1", {"workspace": name, "tokens": tokens})
 
