--- a/bronzetiller/reports/budgets.py
+++ b/bronzetiller/reports/budgets.py
@@ -12,7 +12,7 @@
     """Describe the budget of one workspace, in tokens.
 
     credited is the sum of free, held and billed; held_by_node splits what grants have set aside
-    and nobody has spent yet.
+    and nobody has spent yet by the node that was granted it, wherever it was transferred since.
     """
 
     workspace: str
@@ -54,9 +54,10 @@
 def report_bills(ledger: Ledger, workspace: str, limit: int) -> list[BillReport]:
     """Return the newest bills of a workspace that the ledger still remembers, oldest first."""
     bills: list[BillReport] = []
-    for (owner, request_id), bill in reversed(ledger.bills.items()):
+    for name, bill in reversed(ledger.bills.items()):
         if len(bills) == limit:
             break
+        owner, _, request_id = name.partition("/")  # no workspace has a slash in its name
         if owner == workspace:
             bills.append(BillReport(request_id, bill.at, bill.tokens, _name_node(bill.biller)))
     return bills[::-1]
