Check examples of settings and declarations for both customers

Cause: nothing showed an operator what a settings file or a tree of declarations looks like, and nothing kept such pages true.

A test compares the example's fields with those of Settings, so a new setting without its line in the example fails.

--- a/bronzetiller/cli/checking.py
+++ b/bronzetiller/cli/checking.py
@@ -6,26 +6,24 @@
 
 from bronzetiller.cli.exits import ExitCode, fail
 from bronzetiller.configuration.declarations import is_declaration, load_declarations
-from bronzetiller.documents import read_documents
+from bronzetiller.documents import Problem, read_documents
 
 
 def check_paths(paths: list[Path]) -> None:
-    """Print what was checked, or every fault found; settings and declarations may be mixed."""
-    settings = [path for path in paths if _is_settings(path)]
-    trees = [path for path in paths if path not in settings]
-    problems: list[str] = []
-    for path in settings:
-        problems += _check_settings(path)
+    """Print what was checked, or every fault found; files of all kinds may be mixed."""
+    files = [path for path in paths if _is_settings(path)]
+    trees = [path for path in paths if path not in files]
+    problems = [problem for path in files for problem in _check_settings(path)]
     count = 0
     if trees:
         match load_declarations(trees):
             case Ok(declarations):
                 count = len(declarations)
             case Err(found):
-                problems += map(str, found)
+                problems += found
     if problems:
-        fail("\n".join(problems), ExitCode.BAD_INPUT)
-    print(f"fine: {len(settings)} settings files, {count} declarations")
+        fail("\n".join(map(str, problems)), ExitCode.BAD_INPUT)
+    print(f"fine: {len(files)} settings files, {count} declarations")
 
 
 def _is_settings(path: Path) -> bool:
@@ -35,8 +33,11 @@
     return len(documents) == 1 and not is_declaration(documents[0])
 
 
-def _check_settings(path: Path) -> list[str]:
+def _check_settings(path: Path) -> list[Problem]:
+    from bronzetiller.cli.operator_file import load_operator_file
     from bronzetiller.settings import load_settings
 
-    result = load_settings(path)
-    return [str(problem) for problem in result.err_value] if isinstance(result, Err) else []
+    document = read_documents(path).unwrap_or([])[0]
+    is_of_operator = isinstance(document.value, dict) and "nodes" in document.value
+    result = load_operator_file(path) if is_of_operator else load_settings(path)
+    return result.err_value if isinstance(result, Err) else []
--- a/bronzetiller/cli/connection.py
+++ b/bronzetiller/cli/connection.py
@@ -6,28 +6,17 @@
 from typing import Annotated
 
 import cappa
-from attrs import field, frozen
+from attrs import frozen
 from result import Err
 
 from bronzetiller.cli.exits import ExitCode, fail
-from bronzetiller.documents import read_document
+from bronzetiller.cli.operator_file import OperatorFile, load_operator_file
 from bronzetiller.net.address import Address, parse_address
-from bronzetiller.structure import describe_errors, make_converter
 
 SETTINGS_VARIABLE = "BRONZETILLER_OPERATOR"
 TOKEN_VARIABLE = "BRONZETILLER_TOKEN"
 
 
-@frozen
-class OperatorSettings:
-    """Hold what an operator's commands need; the token itself stands in a file of its own."""
-
-    nodes: list[Address] = field(factory=list)
-    log: Address | None = None
-    token_file: str | None = None
-    author: str | None = None
-
-
 @frozen
 class Access:
     """Hold the checked way to the fleet."""
@@ -80,20 +69,13 @@
     return Access(nodes, log, _read_token(token_file), author)
 
 
-def _load(path: Path | None) -> OperatorSettings:
+def _load(path: Path | None) -> OperatorFile:
     if path is None:
-        return OperatorSettings()
-    read = read_document(path)
-    if isinstance(read, Err):
-        fail("\n".join(map(str, read.err_value)), ExitCode.BAD_INPUT)
-    document = read.ok_value
-    converter = make_converter()
-    converter.register_structure_hook(Address, lambda value, _: parse_address(str(value)))
-    try:
-        return converter.structure(document.value, OperatorSettings)
-    except Exception as error:  # cattrs raises groups of many kinds for malformed input
-        problems = [document.locate(item) for item in describe_errors(error)]
-        fail("\n".join(map(str, problems)), ExitCode.BAD_INPUT)
+        return OperatorFile()
+    loaded = load_operator_file(path)
+    if isinstance(loaded, Err):
+        fail("\n".join(map(str, loaded.err_value)), ExitCode.BAD_INPUT)
+    return loaded.ok_value
 
 
 def _parse(texts: list[str]) -> list[Address]:
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,36 @@
+"""Check that the examples are what the commands accept."""
+
+from pathlib import Path
+
+from attrs import asdict
+
+from bronzetiller.documents import read_document
+from bronzetiller.settings import load_settings
+from tests.operators import run_command
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+def test_the_examples_are_fine():
+    code, output = run_command("check", EXAMPLES / "settings.yaml", EXAMPLES / "operator.yaml")
+    assert code == 0, output
+    for customer in ("namehouse", "teifi"):
+        code, output = run_command("check", EXAMPLES / "declarations" / customer)
+        assert code == 0, output
+
+
+def test_the_example_settings_name_every_field():
+    path = EXAMPLES / "settings.yaml"
+
+    def name_fields(value, path=()):
+        if not isinstance(value, dict):
+            return {path}
+        return {item for name in value for item in name_fields(value[name], (*path, name))}
+
+    settings = load_settings(path).unwrap()
+    known = asdict(settings, filter=lambda _, value: True)
+    for part in ("callers", "peers"):
+        known["listen"][part] = None
+    for part in ("log", "vm_list"):
+        known["platform"][part] = None
+    assert name_fields(read_document(path).unwrap().value) == name_fields(known)
