--- a/bronzetiller/configuration/fold.py
+++ b/bronzetiller/configuration/fold.py
@@ -5,7 +5,7 @@
 the last readable one in force and is reported.
 """
 
-from collections import OrderedDict, deque
+from collections import deque
 from typing import Any
 
 from attrs import define, field, frozen
@@ -26,12 +26,11 @@
 
 NO_RECORD = -1
 DECISIONS_MAX = 1_000
-RECORD_IDS_MAX = 20_000
 
 
 @frozen
 class Decision:
-    """Report what became of one operator record."""
+    """Report what became of one operator record; one that repeats another names its offset."""
 
     offset: int
     record_id: str
@@ -42,6 +41,7 @@
     in_force: bool
     reason: str
     author: str
+    repeats: int = NO_RECORD
 
 
 @define
@@ -71,8 +71,8 @@
 
     schemas: tuple[int, ...] = SCHEMA_VERSIONS
     items: dict[tuple[str, str], Item] = field(factory=dict)
-    decisions: deque[Decision] = field(factory=lambda: deque(maxlen=DECISIONS_MAX))
-    _by_record_id: OrderedDict[str, Decision] = field(factory=OrderedDict)
+    decisions: deque[Decision] = field(factory=deque)
+    _by_record_id: dict[str, Decision] = field(factory=dict)
 
     def apply(self, offset: int, value: dict[str, Any]) -> Decision:
         """Apply one record in the order of the log."""
@@ -81,9 +81,28 @@
                 decision = self._decide(offset, envelope)
             case Err(reason):
                 decision = Decision(offset, "", "", "", 0, False, False, reason, "")
-        self.decisions.append(decision)
+        self._remember(decision)
         return decision
 
+    def clear(self) -> None:
+        """Forget everything, before a snapshot is loaded."""
+        self.items.clear()
+        self.decisions.clear()
+        self._by_record_id.clear()
+
+    def restore(self, offset: int, value: dict[str, Any]) -> Decision | None:
+        """Put a record back that was accepted before, out of a snapshot."""
+        match load_envelope(value):
+            case Ok(envelope):
+                return self._accept(offset, envelope)
+            case Err(_):
+                return None
+
+    def restore_decisions(self, decisions: list[Decision]) -> None:
+        """Take over the decisions of a snapshot."""
+        for decision in decisions:
+            self._remember(decision)
+
     def workspaces(self) -> dict[str, Workspace]:
         """Return the workspaces in force by name."""
         return self._in_force(Kind.WORKSPACE)
@@ -106,7 +125,7 @@
         return NO_RECORD if item is None else item.revision
 
     def find_decision(self, record_id: str) -> Decision | None:
-        """Return the first decision on a record id, of the last RECORD_IDS_MAX."""
+        """Return the first decision on a record id, of the last DECISIONS_MAX decisions."""
         return self._by_record_id.get(record_id)
 
     def unread_items(self) -> dict[tuple[str, str], Item]:
@@ -120,35 +139,32 @@
             if item_kind == kind.value and item.body is not None
         }
 
+    def _remember(self, decision: Decision) -> None:
+        self.decisions.append(decision)
+        if decision.record_id and decision.repeats == NO_RECORD:
+            self._by_record_id[decision.record_id] = decision
+        if len(self.decisions) > DECISIONS_MAX:
+            oldest = self.decisions.popleft()
+            if self._by_record_id.get(oldest.record_id) is oldest:
+                del self._by_record_id[oldest.record_id]
+
+    def _accept(self, offset: int, envelope: Envelope) -> Decision:
+        note = self._put(offset, envelope)
+        return _make_decision(offset, envelope, True, not note, note or "accepted")
+
     def _decide(self, offset: int, envelope: Envelope) -> Decision:
-        def decide(accepted: bool, in_force: bool, reason: str) -> Decision:
-            return Decision(
-                offset,
-                envelope.record_id,
-                envelope.kind,
-                envelope.name,
-                envelope.schema,
-                accepted,
-                in_force,
-                reason,
-                envelope.author,
-            )
+        def reject(reason: str, repeats: int = NO_RECORD) -> Decision:
+            return _make_decision(offset, envelope, False, False, reason, repeats)
 
         first = self._by_record_id.get(envelope.record_id)
         if first is not None:
-            return decide(False, False, f"repeats the record at offset {first.offset}")
+            return reject(f"repeats the record at offset {first.offset}", first.offset)
         revision = self.revision(envelope.kind, envelope.name)
         if envelope.replaces != revision:
-            decision = decide(False, False, self._explain_conflict(envelope, revision))
-        elif envelope.kind == Kind.TOP_UP and revision != NO_RECORD:
-            decision = decide(False, False, "a top-up cannot be changed or deleted")
-        else:
-            note = self._put(offset, envelope)
-            decision = decide(True, not note, note or "accepted")
-        self._by_record_id[envelope.record_id] = decision
-        if len(self._by_record_id) > RECORD_IDS_MAX:
-            self._by_record_id.popitem(last=False)
-        return decision
+            return reject(self._explain_conflict(envelope, revision))
+        if envelope.kind == Kind.TOP_UP and revision != NO_RECORD:
+            return reject("a top-up cannot be changed or deleted")
+        return self._accept(offset, envelope)
 
     def _explain_conflict(self, envelope: Envelope, revision: int) -> str:
         if revision == NO_RECORD:
@@ -182,3 +198,25 @@
                     unread=envelope.body,
                 )
                 return f"not in force: {reason}"
+
+
+def _make_decision(
+    offset: int,
+    envelope: Envelope,
+    accepted: bool,
+    in_force: bool,
+    reason: str,
+    repeats: int = NO_RECORD,
+) -> Decision:
+    return Decision(
+        offset=offset,
+        record_id=envelope.record_id,
+        kind=envelope.kind,
+        name=envelope.name,
+        schema=envelope.schema,
+        accepted=accepted,
+        in_force=in_force,
+        reason=reason,
+        author=envelope.author,
+        repeats=repeats,
+    )
--- a/bronzetiller/configuration/records.py
+++ b/bronzetiller/configuration/records.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from attrs import field, frozen
-from attrs.validators import deep_iterable, ge, gt, matches_re
+from attrs.validators import deep_iterable, ge, gt, matches_re, min_len
 from result import Err, Ok, Result
 
 from bronzetiller.structure import FieldError, describe_errors, make_converter
@@ -91,7 +91,7 @@
     schemas and fields, but may not change what these mean.
     """
 
-    record_id: str
+    record_id: str = field(validator=min_len(1))
     schema: int = field(validator=ge(1))
     kind: str = field(validator=matches_re(NAME_PATTERN))
     name: str = field(validator=matches_re(NAME_PATTERN))
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -7,6 +7,14 @@
 PROTOCOL_VERSION = 1
 
 
+@frozen
+class SnapshotMark:
+    """Name the newest snapshot of a stream: the next offset and its time (seconds, Unix)."""
+
+    offset: int
+    at: float
+
+
 @frozen
 class Heartbeat:
     """Tell a peer who and where a node is and how far it has read each stream.
@@ -26,6 +34,7 @@
     log_reachable: bool = False
     vm_list_age_seconds: float | None = None
     schemas_understood: list[int] = field(factory=list)
+    snapshots: dict[str, SnapshotMark] = field(factory=dict)
 
 
 @frozen
@@ -51,10 +60,11 @@
 
 @frozen
 class FetchEntries:
-    """Ask a peer for the entries of a stream from an offset on."""
+    """Ask a peer for the entries of a stream from an offset on, waiting for a first one."""
 
     stream: str
     from_offset: int
+    wait_seconds: float = 0.0
 
 
 @frozen
@@ -68,10 +78,72 @@
 
 @frozen
 class Entries:
-    """Answer FetchEntries with what the peer keeps in memory."""
+    """Answer FetchEntries with what the peer keeps in memory, from first_offset on.
+
+    end_offset is the highest offset the peer has heard of; current says whether what it reads
+    comes from the log, by way of others or not.
+    """
 
     stream: str
     entries: list[RelayedEntry]
+    first_offset: int = 0
+    end_offset: int = 0
+    current: bool = False
+
+
+@frozen
+class FetchSnapshot:
+    """Ask a peer for one piece of the state of a stream, of a given offset or of any."""
+
+    stream: str
+    piece: int
+    offset: int | None = None
+
+
+@frozen
+class SnapshotPiece:
+    """Carry one piece of a snapshot; offset is the next one to apply, digest that of the whole."""
+
+    stream: str
+    offset: int
+    piece: int
+    pieces: int
+    digest: str
+    data: str
+
+
+@frozen
+class NoSnapshot:
+    """Answer FetchSnapshot where there is nothing to give."""
+
+
+@frozen
+class AppendRecords:
+    """Ask a peer to append records, as JSON texts, to a stream at once."""
+
+    stream: str
+    records: list[str]
+
+
+@frozen
+class RecordsAppended:
+    """Answer AppendRecords with the offset of the first record, or the cause of a failure."""
+
+    first_offset: int | None
+    cause: str = ""
+
+
+@frozen
+class FetchVms:
+    """Ask a peer for its list of VMs."""
+
+
+@frozen
+class Vms:
+    """Answer FetchVms with the platform's JSON text and its age; empty where there is none."""
+
+    text: str
+    age_seconds: float
 
 
 @frozen
@@ -135,6 +207,13 @@
     | TransferTokens
     | ReportHoldings
     | HoldingsReport
+    | FetchSnapshot
+    | SnapshotPiece
+    | NoSnapshot
+    | AppendRecords
+    | RecordsAppended
+    | FetchVms
+    | Vms
 )
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -25,6 +25,7 @@
 
 FLEET_SECRET = "a-secret-for-stand-ins-only"
 OPERATOR_TOKEN = "a-token-for-stand-ins-only"
+END_OFFSET = 10**12
 READY_PREFIX = "ready "
 
 
@@ -242,12 +243,13 @@
     def read_stream(self, stream: str) -> list[dict[str, Any]]:
         """Return the entries that the log keeps of a stream."""
         path = f"/v1/streams/{stream}/records"
-        entries: list[dict[str, Any]] = []
-        while True:
-            page = call_json(self.log_address, f"{path}?from={len(entries)}&limit=5000")
+        page = call_json(self.log_address, f"{path}?from={END_OFFSET}")
+        offset, entries = page["first_offset"], []
+        while offset < page["end_offset"]:
+            page = call_json(self.log_address, f"{path}?from={offset}&limit=5000")
             entries += page["records"]
-            if len(entries) >= page["end_offset"]:
-                return entries
+            offset += len(page["records"])
+        return entries
 
     def caller_address(self, node_id: str) -> str:
         return self.processes[node_id].ready["callers"]
--- a/tests/test_configuration_fold.py
+++ b/tests/test_configuration_fold.py
@@ -1,5 +1,7 @@
 """Fold operator records under every interleaving of publishers, and show what each rule is for."""
 
+import json
+
 import pytest
 from attrs import evolve
 from hypothesis import Phase, settings
@@ -12,7 +14,8 @@
     run_state_machine_as_test,
 )
 
-from bronzetiller.configuration.fold import NO_RECORD, RECORD_IDS_MAX, Configuration
+from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
+from bronzetiller.configuration.fold import DECISIONS_MAX, NO_RECORD, Configuration
 from bronzetiller.configuration.records import Envelope, Kind, dump_envelope, load_body
 
 PUBLISHERS = ("anna", "bert", "carys")
@@ -29,6 +32,7 @@
     """Let publishers append from what they last read, and nodes read at their own pace."""
 
     fold = Configuration
+    archive = Archive
 
     @initialize()
     def begin(self):
@@ -37,6 +41,7 @@
         self.read = [0 for _ in self.nodes]
         self.known = {publisher: {} for publisher in PUBLISHERS}
         self.in_force = [{} for _ in self.nodes]
+        self.archives = [self.archive() for _ in self.nodes]
 
     @rule(
         publisher=st.sampled_from(PUBLISHERS),
@@ -73,7 +78,8 @@
     @rule(node=st.integers(0, len(SCHEMAS_OF_NODES) - 1), count=st.integers(1, 8))
     def follow(self, node, count):
         for offset in range(self.read[node], min(self.read[node] + count, len(self.log))):
-            self.nodes[node].apply(offset, self.log[offset])
+            decision = self.nodes[node].apply(offset, self.log[offset])
+            self.archives[node].note(decision, self.log[offset])
             self.read[node] = offset + 1
             self.check_step(node, offset)
 
@@ -85,6 +91,20 @@
         assert fresh == self.nodes[node]
         self.nodes[node] = fresh
 
+    @rule(node=st.integers(0, len(SCHEMAS_OF_NODES) - 1), writer=st.integers(0, 2))
+    def restart_from_a_snapshot(self, node, writer):
+        """Replace a node by one that loads what another node, perhaps of another version, wrote."""
+        dump = json.dumps(dump_configuration(self.nodes[writer], self.archives[writer]))
+        fresh, archive = self.fold(SCHEMAS_OF_NODES[node]), self.archive()
+        load_configuration(json.loads(dump), fresh, archive)
+        whole = self.fold(SCHEMAS_OF_NODES[node])
+        for offset in range(self.read[writer]):
+            whole.apply(offset, self.log[offset])
+        assert fresh.items == whole.items, "a snapshot lost a form"
+        if self.read[writer] >= self.read[node]:
+            self.nodes[node], self.archives[node] = whole, archive
+            self.read[node] = self.read[writer]
+
     def check_step(self, node, offset):
         """Check that the item of a record has not gone back to an earlier form."""
         record = self.log[offset]
@@ -161,6 +181,15 @@
         return super().apply(offset, value)
 
 
+class KeepsItsOwnForm(Archive):
+    """Keep the newest record in force here alone."""
+
+    def note(self, decision, record):
+        if decision.accepted and decision.in_force:
+            self.records.pop((decision.kind, decision.name), None)
+        super().note(decision, record)
+
+
 class ForgetsEarlierForm(Configuration):
     """Keep nothing in force where the newest record cannot be read."""
 
@@ -173,9 +202,17 @@
         return decision
 
 
-@pytest.mark.parametrize("fold", [LastWriteWins, RefusesLaterSchemas, ForgetsEarlierForm])
-def test_each_rule_of_the_fold_is_needed(fold):
-    machine = type("Broken", (FoldMachine,), {"fold": fold})
+@pytest.mark.parametrize(
+    "broken",
+    [
+        {"fold": LastWriteWins},
+        {"fold": RefusesLaterSchemas},
+        {"fold": ForgetsEarlierForm},
+        {"archive": KeepsItsOwnForm},
+    ],
+)
+def test_each_rule_of_the_fold_is_needed(broken):
+    machine = type("Broken", (FoldMachine,), broken)
     with pytest.raises(AssertionError):
         run_state_machine_as_test(machine, settings=settings(SETTINGS, phases=[Phase.generate]))
 
@@ -200,9 +237,12 @@
 
 def test_what_a_fold_remembers_is_bounded():
     configuration = Configuration()
-    for offset in range(RECORD_IDS_MAX + 10):
+    for offset in range(2 * DECISIONS_MAX):
         record = Envelope(f"r-{offset}", 1, "workspace", "s", offset - 1, "anna", {})
         assert configuration.apply(offset, dump_envelope(record)).accepted
+    assert len(configuration.decisions) == DECISIONS_MAX
     assert configuration.find_decision("r-0") is None
-    assert configuration.find_decision(f"r-{RECORD_IDS_MAX}") is not None
-    assert not configuration.apply(RECORD_IDS_MAX + 10, dump_envelope(record)).accepted
+    assert configuration.find_decision(record.record_id) is not None
+    forgotten = Envelope("r-0", 1, "workspace", "s", NO_RECORD, "anna", {})
+    for repeated in (record, forgotten):
+        assert not configuration.apply(2 * DECISIONS_MAX, dump_envelope(repeated)).accepted
