--- /dev/null
+++ b/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Build the one file that the product ships as."""
