--- a/bronzetiller/budgets/records.py
+++ b/bronzetiller/budgets/records.py
@@ -49,6 +49,7 @@
 class Bill:
     """Charge one request once; the first bill for a request id counts.
 
+    Copies of one bill, appended by its biller and its couriers, share their bill id.
     bills_before is the ledger's count of bills when the biller wrote the record, or UNCOUNTED.
     """
 
@@ -59,6 +60,7 @@
     tokens: int
     charges: list[Charge]
     bills_before: int = UNCOUNTED
+    bill_id: str = ""
 
 
 @frozen
@@ -98,7 +100,7 @@
 
 @frozen
 class Outcome:
-    """Settle a claim; a small response is kept for the caller's retries."""
+    """Settle a claim; a small response (body in base64) is kept for the caller's retries."""
 
     workspace: str
     request_id: str
@@ -108,6 +110,7 @@
     content_type: str = ""
     body: str = ""
     headers: dict[str, str] = field(factory=dict)
+    body_kept: bool = True
 
 
 LedgerRecord = Credit | Grant | Bill | Return | Close | Claim | Outcome
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -12,11 +12,13 @@
 from bronzetiller.budgets.grants import GrantKeeper
 from bronzetiller.budgets.holdings import Holdings
 from bronzetiller.budgets.pauses import PauseGuard
+from bronzetiller.budgets.returns import Returns
 from bronzetiller.budgets.shards import Shards
 from bronzetiller.budgets.transfers import Transfers
 from bronzetiller.callers.api import ApiServices, make_application
 from bronzetiller.callers.chat import ChatServices
 from bronzetiller.callers.problems import reject_malformed
+from bronzetiller.callers.services import CallServices
 from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.configuration.streams import CONFIGURATION_STREAM
@@ -39,7 +41,13 @@
 from bronzetiller.reports.api import ReportServices, make_operator_handlers
 from bronzetiller.reports.nodes import list_nodes
 from bronzetiller.reports.report import Report, list_decisions, list_unread_items
+from bronzetiller.requests.admission import Admission
 from bronzetiller.requests.billing import Biller
+from bronzetiller.requests.claimants import Claimants
+from bronzetiller.requests.couriers import Couriers
+from bronzetiller.requests.deaths import DeathWatch
+from bronzetiller.requests.quarantine import Quarantine
+from bronzetiller.requests.retries import RetryBudget
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.settings import Settings
 from bronzetiller.wire.messages import AskTokens, Heartbeat
@@ -99,6 +107,7 @@
             self.holdings,
             self.transfers,
             TokenAsker(self.peers, self.holdings, self.transfers, settings.node_id),
+            Returns(self.shards, self.holdings, self.guard, self.incarnation),
             self.guard,
             settings.budgets,
             self.incarnation,
@@ -116,7 +125,32 @@
             self.guard,
             self.incarnation,
         )
-        self.biller = Biller(scheduler, self.shards, self.holdings, self.incarnation)
+        self.couriers = Couriers(
+            scheduler,
+            self.shards,
+            self.peers,
+            self.vm_list,
+            node_id=settings.node_id,
+            data_centre=settings.data_centre,
+            copies=settings.budgets.bill_copies,
+            is_gone=self.membership.is_gone,
+            is_reported=self.transfers.reported_holders.__contains__,
+        )
+        self.closer.kept_bills.append(self.couriers.list_bills)
+        self.biller = Biller(
+            scheduler,
+            self.shards,
+            self.holdings,
+            self.couriers,
+            settings.requests,
+            self.incarnation,
+        )
+        self.claimants = Claimants(
+            scheduler, self.shards, settings.requests, self.incarnation, self.membership.is_gone
+        )
+        quarantine = Quarantine(settings.requests.quarantine_seconds)
+        self.deaths = DeathWatch(scheduler, dialer, self.peers, quarantine)
+        self.retries = RetryBudget(settings.requests.retry_share_max)
         self.chooser = TargetChooser(self.vm_list, settings.region)
         self.stopping = False
         self._was_ready = False
@@ -159,6 +193,7 @@
         if self.stopping:
             return
         self.stopping = True
+        self.couriers.stop()
         log_event("stopping", open_requests=self.server.open_exchanges)
         self.loop.scheduler.call_every(0.05, self._stop_when_idle)
 
@@ -172,17 +207,49 @@
         return [self.configuration_follower, *(shard.follower for shard in self.shards.all)]
 
     def _stop_when_idle(self) -> None:
-        if self.server.open_exchanges == 0:
+        if self.open_runs == 0 and self.server.open_exchanges == 0:
             self.keeper.return_all()
         backlog = sum(shard.writer.backlog for shard in self.shards.all)
-        if self.server.open_exchanges == 0 and backlog == 0:
+        if self.open_runs or self.server.open_exchanges or not self.couriers.is_idle:
+            return
+        if backlog == 0 or (self.biller.is_secured and not self.claimants.open_claims):
             log_event("stopped")
             self.loop.root.stop()
 
+    @property
+    def open_runs(self) -> int:
+        """Count the requests that are not over, whether or not their callers are still there."""
+        return self.chat.open_runs + self.calls.open_runs
+
     def _make_server(self) -> HttpServer:
+        admission = Admission(self.shards, self.biller, self.deaths)
+        self.chat = ChatServices(
+            http=self.http,
+            keeper=self.keeper,
+            holdings=self.holdings,
+            biller=self.biller,
+            chooser=self.chooser,
+            admission=admission,
+            deaths=self.deaths,
+            retries=self.retries,
+        )
+        self.calls = CallServices(
+            scheduler=self.loop.scheduler,
+            http=self.http,
+            shards=self.shards,
+            keeper=self.keeper,
+            holdings=self.holdings,
+            biller=self.biller,
+            chooser=self.chooser,
+            claimants=self.claimants,
+            admission=admission,
+            deaths=self.deaths,
+            retries=self.retries,
+        )
         services = ApiServices(
             configuration=self.configuration,
-            chat=ChatServices(self.http, self.keeper, self.holdings, self.biller, self.chooser),
+            chat=self.chat,
+            calls=self.calls,
             is_ready=self.is_ready,
             is_stopping=lambda: self.stopping,
             list_entries=self._list_entries,
--- a/bronzetiller/platform/writer.py
+++ b/bronzetiller/platform/writer.py
@@ -10,6 +10,7 @@
 from bronzetiller.platform.log_client import LogClient, LogFailure, Record
 
 RETRY_SECONDS = 0.25
+UNREACHABLE_SECONDS = 1.0
 DIRECT_RETRY_SECONDS = 5.0
 BATCH_RECORDS_MAX = 500
 
@@ -31,7 +32,6 @@
         self, scheduler: Scheduler, log: LogClient, stream: str, *, interval_seconds: float
     ) -> None:
         self.stream = stream
-        self.reachable = True
         self.on_acknowledged: Acknowledged | None = None
         self.delegate: Delegate | None = None
         self._scheduler = scheduler
@@ -40,6 +40,13 @@
         self._pending: list[_Pending] = []
         self._busy = False
         self._direct_at = 0.0
+        self._failing_since: float | None = None
+
+    @property
+    def reachable(self) -> bool:
+        """Say whether appends succeed; one lost answer alone does not make the log unreachable."""
+        since = self._failing_since
+        return since is None or self._scheduler.now() < since + UNREACHABLE_SECONDS
 
     @property
     def backlog(self) -> int:
@@ -75,7 +82,7 @@
     def _finish(self, batch: list[_Pending], result: Result[int, LogFailure]) -> None:
         match result:
             case Ok(first_offset):
-                self.reachable = True
+                self._failing_since = None
                 del self._pending[: len(batch)]
                 if self.on_acknowledged is not None:
                     self.on_acknowledged(first_offset + len(batch))
@@ -84,7 +91,7 @@
                     if item.acknowledged is not None:
                         item.acknowledged(first_offset + index)
             case Err(failure):
-                if self.reachable:
+                if self._failing_since is None:
                     log_event("append_failed", level=30, stream=self.stream, cause=failure.cause)
-                self.reachable = False
+                    self._failing_since = self._scheduler.now()
                 self._scheduler.call_after(RETRY_SECONDS, self._flush)
