--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,11 +7,17 @@
 import urllib.request
 
 import pytest
+from hypothesis import settings
 
 from standins.fleet import Fleet, call_json
 
+pytest_plugins = ["tests.known_red"]
+
 KEY = "studio-key"
 
+settings.register_profile("same-every-time", derandomize=True, deadline=None, database=None)
+settings.load_profile("same-every-time")
+
 
 @pytest.fixture
 def make_fleet():
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,44 @@
+"""Check that a run passes over just the tests that are listed as known to fail."""
+
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+TESTS = "def test_red():\n    assert False\n\n\ndef test_green():\n    pass\n"
+ENTRY = "test_some.py::test_red | pytest test_some.py | always false | issue 7\n"
+
+
+@pytest.fixture
+def run(tmp_path):
+    shutil.copy(Path(__file__).parent / "known_red.py", tmp_path / "conftest.py")
+    (tmp_path / "pytest.ini").write_text("[pytest]\n")
+    (tmp_path / "test_some.py").write_text(TESTS)
+
+    def run_tests(listed, *options):
+        (tmp_path / "KNOWN-RED.txt").write_text(listed)
+        command = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", *options]
+        done = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True)
+        return done.returncode, done.stdout + done.stderr
+
+    return run_tests
+
+
+def test_a_listed_test_is_passed_over_and_printed(run):
+    code, output = run(ENTRY)
+    assert code == 0 and "1 passed, 1 skipped" in output, output
+    assert "KNOWN RED, not run: test_some.py::test_red" in output and "issue 7" in output
+
+
+def test_other_failures_still_fail(run):
+    assert run("# nothing is listed\n")[0] == 1
+    code, output = run(ENTRY.replace("test_red", "test_green"))
+    assert code == 1 and "1 failed, 1 skipped" in output, output
+    assert run(ENTRY, "--known-red")[0] == 1
+
+
+def test_a_wrong_entry_stops_the_run(run):
+    assert "names no test" in run(ENTRY.replace("test_red", "test_gone"))[1]
+    assert "wants test |" in run("test_some.py::test_red | no more\n")[1]
