--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -2,13 +2,16 @@
 
 from pathlib import Path
 
-from attrs import asdict
+from attrs import asdict, fields
 
+from bronzetiller.configuration.records import BODY_CLASSES
 from bronzetiller.documents import read_document
+from bronzetiller.errors import Reason
 from bronzetiller.settings import load_settings
 from tests.operators import run_command
 
-EXAMPLES = Path(__file__).parent.parent / "examples"
+ROOT = Path(__file__).parent.parent
+EXAMPLES = ROOT / "examples"
 
 
 def test_the_examples_are_fine():
@@ -34,3 +37,10 @@
     for part in ("log", "vm_list"):
         known["platform"][part] = None
     assert name_fields(read_document(path).unwrap().value) == name_fields(known)
+
+
+def test_the_interfaces_page_names_every_refusal_and_every_field_of_a_record():
+    page = (ROOT / "docs" / "INTERFACES.md").read_text()
+    names = [reason.value for reason in Reason]
+    names += [item.name for body in BODY_CLASSES.values() for item in fields(body)]
+    assert [name for name in names if f"`{name}`" not in page] == []
