--- a/bronzetiller/configuration/archive.py
+++ b/bronzetiller/configuration/archive.py
@@ -11,7 +11,7 @@
 
 from bronzetiller.configuration.fold import Configuration, Decision
 
-RECORDS_PER_ITEM_MAX = 4
+RECORDS_PER_SCHEMA_MAX = 16
 
 
 @frozen
@@ -24,19 +24,25 @@
 
 @define
 class Archive:
-    """Keep, by kind and name, the newest record in force here and those accepted since."""
+    """Keep, by kind and name and schema, the newest record in force here and those since.
 
-    records: dict[tuple[str, str], list[KeptRecord]] = field(factory=dict)
+    A node that reads fewer schemas finds the form in a snapshot that it had in force before.
+    """
+
+    records: dict[tuple[str, str], dict[int, list[KeptRecord]]] = field(factory=dict)
 
     def note(self, decision: Decision, record: dict[str, Any]) -> None:
         """Take note of a record and the decision on it."""
         if not decision.accepted:
             return
-        kept = self.records.setdefault((decision.kind, decision.name), [])
+        schemas = self.records.setdefault((decision.kind, decision.name), {})
+        if record["body"] is None:
+            schemas.clear()  # a deletion holds for readers of every schema
+        kept = schemas.setdefault(decision.schema, [])
         if decision.in_force:
             kept.clear()
         kept.append(KeptRecord(decision.offset, record))
-        del kept[1 : len(kept) - RECORDS_PER_ITEM_MAX + 1]
+        del kept[:-RECORDS_PER_SCHEMA_MAX]
 
 
 @define
@@ -50,7 +56,9 @@
 
 def dump_configuration(configuration: Configuration, archive: Archive) -> dict[str, Any]:
     """Return the state as JSON values, equal for equal prefixes of the stream."""
-    kept = [item for items in archive.records.values() for item in items]
+    kept = [
+        item for schemas in archive.records.values() for items in schemas.values() for item in items
+    ]
     kept.sort(key=lambda item: item.offset)
     value: dict[str, Any] = _CONVERTER.unstructure(_Dump(kept, list(configuration.decisions)))
     return value
--- a/bronzetiller/configuration/fold.py
+++ b/bronzetiller/configuration/fold.py
@@ -5,12 +5,14 @@
 the last readable one in force and is reported.
 """
 
+from collections import deque
 from typing import Any
 
 from attrs import define, field, frozen
 from result import Err, Ok
 
 from bronzetiller.configuration.records import (
+    SCHEMA_VERSIONS,
     Body,
     Envelope,
     Kind,
@@ -23,39 +25,53 @@
 )
 
 NO_RECORD = -1
+DECISIONS_MAX = 1_000
 
 
 @frozen
 class Decision:
-    """Report what became of one operator record."""
+    """Report what became of one operator record; one that repeats another names its offset."""
 
     offset: int
     record_id: str
     kind: str
     name: str
+    schema: int
     accepted: bool
     in_force: bool
     reason: str
     author: str
+    repeats: int = NO_RECORD
 
 
 @define
 class Item:
-    """Hold the newest accepted record of one kind and name."""
+    """Hold the newest accepted record of one kind and name, and the body in force.
+
+    The newest record's own body is kept beside it where this version cannot read it.
+    """
 
     revision: int
     schema: int
+    author: str
     body: Body | None
     in_force_revision: int
     note: str = ""
+    unread: dict[str, Any] | None = None
+
+    @property
+    def deleted(self) -> bool:
+        """Say whether the newest record deletes the item."""
+        return self.body is None and not self.note
 
 
 @define
 class Configuration:
-    """Hold the configuration in force and the decision on every record."""
+    """Hold the configuration in force and the decisions on the newest records."""
 
+    schemas: tuple[int, ...] = SCHEMA_VERSIONS
     items: dict[tuple[str, str], Item] = field(factory=dict)
-    decisions: list[Decision] = field(factory=list)
+    decisions: deque[Decision] = field(factory=deque)
     _by_record_id: dict[str, Decision] = field(factory=dict)
 
     def apply(self, offset: int, value: dict[str, Any]) -> Decision:
@@ -64,8 +80,8 @@
             case Ok(envelope):
                 decision = self._decide(offset, envelope)
             case Err(reason):
-                decision = Decision(offset, "", "", "", False, False, reason, "")
-        self.decisions.append(decision)
+                decision = Decision(offset, "", "", "", 0, False, False, reason, "")
+        self._remember(decision)
         return decision
 
     def clear(self) -> None:
@@ -84,9 +100,8 @@
 
     def restore_decisions(self, decisions: list[Decision]) -> None:
         """Take over the decisions of a snapshot."""
-        self.decisions.extend(decisions)
         for decision in decisions:
-            self._by_record_id.setdefault(decision.record_id, decision)
+            self._remember(decision)
 
     def workspaces(self) -> dict[str, Workspace]:
         """Return the workspaces in force by name."""
@@ -110,9 +125,13 @@
         return NO_RECORD if item is None else item.revision
 
     def find_decision(self, record_id: str) -> Decision | None:
-        """Return the first decision on a record id."""
+        """Return the first decision on a record id, of the last DECISIONS_MAX decisions."""
         return self._by_record_id.get(record_id)
 
+    def unread_items(self) -> dict[tuple[str, str], Item]:
+        """Return the items whose newest record this version cannot read."""
+        return {key: item for key, item in self.items.items() if item.note}
+
     def _in_force(self, kind: Kind) -> dict[str, Any]:
         return {
             name: item.body
@@ -120,54 +139,84 @@
             if item_kind == kind.value and item.body is not None
         }
 
+    def _remember(self, decision: Decision) -> None:
+        self.decisions.append(decision)
+        if decision.record_id and decision.repeats == NO_RECORD:
+            self._by_record_id[decision.record_id] = decision
+        if len(self.decisions) > DECISIONS_MAX:
+            oldest = self.decisions.popleft()
+            if self._by_record_id.get(oldest.record_id) is oldest:
+                del self._by_record_id[oldest.record_id]
+
     def _accept(self, offset: int, envelope: Envelope) -> Decision:
         note = self._put(offset, envelope)
         return _make_decision(offset, envelope, True, not note, note or "accepted")
 
     def _decide(self, offset: int, envelope: Envelope) -> Decision:
-        def decide(accepted: bool, in_force: bool, reason: str) -> Decision:
-            return _make_decision(offset, envelope, accepted, in_force, reason)
+        def reject(reason: str, repeats: int = NO_RECORD) -> Decision:
+            return _make_decision(offset, envelope, False, False, reason, repeats)
 
         first = self._by_record_id.get(envelope.record_id)
         if first is not None:
-            return decide(False, False, f"repeats the record at offset {first.offset}")
+            return reject(f"repeats the record at offset {first.offset}", first.offset)
         revision = self.revision(envelope.kind, envelope.name)
         if envelope.replaces != revision:
-            decision = decide(False, False, f"replaces {envelope.replaces}, newest is {revision}")
-        elif envelope.kind == Kind.TOP_UP and revision != NO_RECORD:
-            decision = decide(False, False, "a top-up cannot be changed or deleted")
-        else:
-            decision = self._accept(offset, envelope)
-        self._by_record_id[envelope.record_id] = decision
-        return decision
+            return reject(self._explain_conflict(envelope, revision))
+        if envelope.kind == Kind.TOP_UP and revision != NO_RECORD:
+            return reject("a top-up cannot be changed or deleted")
+        return self._accept(offset, envelope)
+
+    def _explain_conflict(self, envelope: Envelope, revision: int) -> str:
+        if revision == NO_RECORD:
+            return f"replaces offset {envelope.replaces}, but there is no record yet"
+        author = self.items[(envelope.kind, envelope.name)].author
+        replaced = (
+            "replaces nothing"
+            if envelope.replaces == NO_RECORD
+            else f"replaces offset {envelope.replaces}"
+        )
+        return f"{replaced}, but the newest record is at offset {revision} by {author}"
 
     def _put(self, offset: int, envelope: Envelope) -> str:
         key = (envelope.kind, envelope.name)
         old = self.items.get(key)
         if envelope.body is None:
-            self.items[key] = Item(offset, envelope.schema, None, offset)
+            self.items[key] = Item(offset, envelope.schema, envelope.author, None, offset)
             return ""
-        match load_body(envelope):
+        match load_body(envelope, self.schemas):
             case Ok(body):
-                self.items[key] = Item(offset, envelope.schema, body, offset)
+                self.items[key] = Item(offset, envelope.schema, envelope.author, body, offset)
                 return ""
             case Err(reason):
-                kept = None if old is None else old.body
-                kept_revision = NO_RECORD if old is None else old.in_force_revision
-                self.items[key] = Item(offset, envelope.schema, kept, kept_revision, reason)
+                self.items[key] = Item(
+                    offset,
+                    envelope.schema,
+                    envelope.author,
+                    body=None if old is None else old.body,
+                    in_force_revision=NO_RECORD if old is None else old.in_force_revision,
+                    note=reason,
+                    unread=envelope.body,
+                )
                 return f"not in force: {reason}"
 
 
 def _make_decision(
-    offset: int, envelope: Envelope, accepted: bool, in_force: bool, reason: str
+    offset: int,
+    envelope: Envelope,
+    accepted: bool,
+    in_force: bool,
+    reason: str,
+    repeats: int = NO_RECORD,
 ) -> Decision:
     return Decision(
-        offset,
-        envelope.record_id,
-        envelope.kind,
-        envelope.name,
-        accepted,
-        in_force,
-        reason,
-        envelope.author,
+        offset=offset,
+        record_id=envelope.record_id,
+        kind=envelope.kind,
+        name=envelope.name,
+        schema=envelope.schema,
+        accepted=accepted,
+        in_force=in_force,
+        reason=reason,
+        author=envelope.author,
+        repeats=repeats,
     )
