Read and append to a log that answers late; prove starts in an outage

A log that answers every call after 4 s was never read: each read was given up as silent after 3.5 s and sent again, and appends were repeated for as long as it lasted.

The log client now allows more silence after each call without an answer, up to 8 s more, and less again as answers come faster. Ruled out: one long silence bound, since a connection that went silent would then be noticed late in good times too.

With the platform down nodes serve from holdings and peers, and a node starts from the seeds in its settings with a peer's state; the bills reach the log afterwards.

--- a/bronzetiller/fleet/relay.py
+++ b/bronzetiller/fleet/relay.py
@@ -101,6 +101,7 @@
         """Relay the stream of a follower."""
         stream = self._streams[follower.stream] = _Stream(follower)
         follower.subscribe(lambda entry: self._schedule_flush(stream))
+        follower.keep_recent(self._settings.fleet.relay_entries_max)
         follower.choose_relay = lambda: self._choose_relay(stream)
 
     def start(self) -> None:
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -9,6 +9,7 @@
 from bronzetiller.net.scheduler import Scheduler, Timer
 
 IDLE_CONNECTIONS_MAX = 32
+SILENCE = "silence"
 
 
 @frozen
@@ -180,7 +181,7 @@
         self.timer = self.client.scheduler.call_after(seconds, self.expire)
 
     def expire(self) -> None:
-        self.fail("silence")
+        self.fail(SILENCE)
         self.client.close_idle(self.address)
 
     def disarm(self) -> None:
--- a/bronzetiller/platform/follower.py
+++ b/bronzetiller/platform/follower.py
@@ -62,6 +62,10 @@
         """Begin to read the log; go on for the life of the process."""
         self._read()
 
+    def keep_recent(self, entries_max: int) -> None:
+        """Keep so many entries in memory for peers."""
+        self.recent = deque(self.recent, maxlen=entries_max)
+
     def note_end(self, offset: int) -> None:
         """Take note of an offset that a peer has reached."""
         self.end_offset = max(self.end_offset, offset)
--- a/bronzetiller/platform/log_client.py
+++ b/bronzetiller/platform/log_client.py
@@ -11,6 +11,7 @@
 from bronzetiller.metrics import LOG_BYTES
 from bronzetiller.net.dialer import Address
 from bronzetiller.net.http_client import (
+    SILENCE,
     BodyPart,
     CallEvent,
     CallFailed,
@@ -20,6 +21,7 @@
     ResponseEnd,
     ResponseHead,
 )
+from bronzetiller.platform.patience import Patience
 
 APPEND_SILENCE_SECONDS = 2.0
 READ_WAIT_SECONDS = 2.0
@@ -72,6 +74,7 @@
     def __init__(self, http: HttpClient, address: Address) -> None:
         self._http = http
         self._address = address
+        self._patience = Patience()
 
     def append(
         self,
@@ -83,7 +86,8 @@
         body = json.dumps({"records": records}, separators=(",", ":")).encode()
         LOG_BYTES.labels("append").inc(len(body))
         path = f"/v1/streams/{quote(stream, safe='')}/records"
-        call = HttpCall(self._address, "POST", path, _JSON_HEADERS, body, APPEND_SILENCE_SECONDS)
+        silence_seconds = self._patience.extend(APPEND_SILENCE_SECONDS)
+        call = HttpCall(self._address, "POST", path, _JSON_HEADERS, body, silence_seconds)
 
         def finish(result: Result[Any, LogFailure]) -> None:
             done(result.map(lambda value: int(value["first_offset"])))
@@ -102,11 +106,19 @@
         """Read a page from the offset on, waiting for a first entry where there is none."""
         query = f"from={from_offset}&limit={records_max}&wait_ms={int(wait_seconds * 1000)}"
         path = f"/v1/streams/{quote(stream, safe='')}/records?{query}"
-        call = HttpCall(self._address, "GET", path, {}, b"", READ_SILENCE_SECONDS)
-        return self._call(call, lambda result: done(result.map(_make_page)))
+        silence_seconds = self._patience.extend(READ_SILENCE_SECONDS)
+        call = HttpCall(self._address, "GET", path, {}, b"", silence_seconds)
+        return self._call(call, lambda result: done(result.map(_make_page)), wait_seconds)
 
-    def _call(self, call: HttpCall, done: Callable[[Result[Any, LogFailure]], None]) -> OpenCall:
+    def _call(
+        self,
+        call: HttpCall,
+        done: Callable[[Result[Any, LogFailure]], None],
+        wait_seconds: float = 0.0,
+    ) -> OpenCall:
         answer = _Answer()
+        scheduler = self._http.scheduler
+        started_at = scheduler.now()
 
         def listen(event: CallEvent) -> None:
             if isinstance(event, ResponseHead):
@@ -115,8 +127,11 @@
                 answer.body.append(event.data)
                 LOG_BYTES.labels("read").inc(len(event.data))
             elif isinstance(event, ResponseEnd):
+                self._patience.note_answer(scheduler.now() - started_at - wait_seconds)
                 done(_read_answer(answer))
             elif isinstance(event, CallFailed):
+                if event.cause == SILENCE:
+                    self._patience.note_silence()
                 done(Err(LogFailure(event.cause, event.sent)))
 
         return self._http.send(call, listen)
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -55,6 +55,7 @@
     far_peers_max: int = field(default=3, validator=ge(1))
     heartbeat_bytes_per_second_max: float = field(default=2_500.0, validator=gt(0))
     relay: bool = True
+    relay_entries_max: int = field(default=4_000, validator=gt(0))
     relay_fallback_seconds: float = field(default=1.0, validator=gt(0))
     appends_per_second_max: float = field(default=300.0, validator=gt(0))
     direct_append_seconds_max: float = field(default=0.1, validator=gt(0))
--- /dev/null
+++ b/tests/test_outage.py
@@ -0,0 +1,89 @@
+"""Serve on while the platform is down or slow, and bring everything to it afterwards."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bronzetiller.platform.patience import Patience
+from standins.fleet import call_json
+from tests.conftest import KEY, await_ready, await_true, read_records, send_chat
+
+SLOW_SECONDS = 4.0
+REQUESTS = 12
+
+
+@pytest.fixture
+def fleet(make_fleet):
+    fleet = make_fleet()
+    fleet.start_platform()
+    fleet.add_target("engine-1", "names", "west", "west-1")
+    for node_id in ("node-1", "node-2", "node-3"):
+        fleet.add_node(node_id, "west", "west-1", fleet={"relay_entries_max": 2})
+    fleet.publish("route", "namer", {"service": "names"})
+    fleet.publish_workspace("studio", KEY, 1_000_000)
+    await_ready(fleet, "node-1", "node-2", "node-3")
+    for node_id in ("node-1", "node-2", "node-3"):
+        await_true(lambda node_id=node_id: _ask(fleet, node_id, "warm") == 200, what="a grant")
+    return fleet
+
+
+def _ask(fleet, node_id, request_id):
+    return send_chat(fleet.caller_address(node_id), request_id=f"{node_id}-{request_id}")[0]
+
+
+def _set_platform(fleet, *, down):
+    for name in ("log", "vms"):
+        call_json(fleet.processes[name].ready["address"], "/control/faults", {"down": down})
+
+
+def _count_bills(fleet, node_id, request_id):
+    bills = [record["request_id"] for record in read_records(fleet, "bill")]
+    return bills.count(f"{node_id}-{request_id}")
+
+
+def test_nodes_serve_and_start_through_an_outage_and_bills_reach_the_log_after_it(fleet):
+    seeds = [fleet.vms[node_id]["peer_address"] for node_id in ("node-1", "node-2")]
+    _set_platform(fleet, down=True)
+    for index in range(REQUESTS):
+        assert _ask(fleet, f"node-{1 + index % 3}", f"down-{index}") == 200
+    fleet.add_node("node-4", "west", "west-1", fleet={"seeds": seeds})
+    await_ready(fleet, "node-4")
+    await_true(lambda: _ask(fleet, "node-4", "down") == 200, what="an answer by the new node")
+    _set_platform(fleet, down=False)
+    await_true(
+        lambda: all(
+            _count_bills(fleet, f"node-{1 + index % 3}", f"down-{index}")
+            for index in range(REQUESTS)
+        )
+        and _count_bills(fleet, "node-4", "down"),
+        what="the bills of the outage in the log",
+    )
+
+
+def test_a_log_that_answers_late_is_read_nonetheless(fleet):
+    call_json(fleet.log_address, "/control/faults", {"delay_seconds": SLOW_SECONDS})
+    fleet.publish("route", "late", {"service": "names"})
+    for node_id in ("node-1", "node-2", "node-3"):
+        address = fleet.caller_address(node_id)
+        await_true(
+            lambda address=address: send_chat(address, model="late")[0] == 200,
+            seconds=25,
+            what="the route in force",
+        )
+
+
+@given(st.floats(2.0, 8.0))
+@settings(derandomize=True)
+def test_patience_finds_the_delay_of_a_slow_log_and_forgets_it(delay_seconds):
+    patience = Patience()
+    silences = 0
+    while patience.extend(2.0) < delay_seconds:
+        patience.note_silence()
+        silences += 1
+    assert silences <= 4
+    for _ in range(50):
+        patience.note_answer(delay_seconds)
+        assert patience.extend(2.0) >= delay_seconds
+    for _ in range(60):
+        patience.note_answer(0.001)
+    assert patience.extend(2.0) < 2.1
