Close grants by limits on all that a node ever uses of them

Cause: the state machine found a live node's bill refused on a closed grant. What the node had reported as held left out a return that it had appended but not read back; the return landed after the close and came off what the close left to the node's bills. The mirror image was there too: a bill that was reported and landed before the close was counted twice, and could have taken the share of another node.

Ruled out: cutting the shares to what is left, which only moves the loss to another node; reporting after a wait, which no wait makes safe.

Change: the ledger counts what each node has used of a grant. A report gives the most that the node may ever use: what it has read of that, what it holds and what it has on the way. On which side of the close a record lands makes no difference. An ask whose answer was lost is repeated by its id until the peer answers, so that the tokens it may have given arrive after all.

--- a/bronzetiller/budgets/asks.py
+++ b/bronzetiller/budgets/asks.py
@@ -50,6 +50,7 @@
     _transfers: Transfers
     _node_id: str
     _unanswered: dict[tuple[str, str], str] = field(factory=dict)
+    _asking: set[str] = field(factory=set)
 
     def ask(self, ask: Ask, asked: Asked) -> None:
         """Ask the peers; asked is called once, maybe before this returns."""
@@ -59,6 +60,35 @@
         complete = ask.complete and len(waiting) == len(ask.node_ids)
         self._next(_Round(ask, asked, waiting, AskOutcome(0, 0, complete)))
 
+    def repeat_unanswered(self) -> None:
+        """Ask again, for nothing more, where a peer may have given without an answer."""
+        connected = set(self._peers.connected())
+        for (node_id, workspace), transfer_id in list(self._unanswered.items()):
+            if node_id in connected and transfer_id not in self._asking:
+                self._repeat(node_id, workspace, transfer_id)
+
+    def _repeat(self, node_id: str, workspace: str, transfer_id: str) -> None:
+        self._asking.add(transfer_id)
+        message = AskTokens(transfer_id, workspace, 0, 0, self._node_id, log_reachable=True)
+
+        def answered(result: Result[Message, str]) -> None:
+            self._asking.discard(transfer_id)
+            match result:
+                case Ok(TransferTokens() as answer):
+                    self._receive(node_id, answer)
+
+        self._peers.ask(node_id, message, ASK_SECONDS, answered)
+
+    def _receive(self, node_id: str, answer: TransferTokens) -> int:
+        self._unanswered.pop((node_id, answer.workspace), None)
+        taken = self._transfers.receive(
+            self._holdings, answer.transfer_id, answer.workspace, answer.charges
+        )
+        TOKENS_MOVED.labels("taken_from_peer").inc(taken)
+        if taken:
+            log_event("tokens_taken", workspace=answer.workspace, peer=node_id, tokens=taken)
+        return taken
+
     def _next(self, state: _Round) -> None:
         ask = state.ask
         missing = ask.missing_tokens - state.outcome.received_tokens
@@ -70,6 +100,7 @@
         key = (node_id, ask.workspace)
         transfer_id = self._unanswered.setdefault(key, f"{self._node_id}/{uuid4().hex}")
         self._transfers.await_transfer(transfer_id)
+        self._asking.add(transfer_id)
         message = AskTokens(
             transfer_id,
             ask.workspace,
@@ -81,24 +112,18 @@
         seconds = ASK_SECONDS if ask.log_reachable else ASK_CUT_OFF_SECONDS
 
         def answered(result: Result[Message, str]) -> None:
+            self._asking.discard(transfer_id)
             self._take_answer(state, node_id, result)
 
         self._peers.ask(node_id, message, seconds, answered)
 
     def _take_answer(self, state: _Round, node_id: str, result: Result[Message, str]) -> None:
-        workspace = state.ask.workspace
         outcome = state.outcome
         match result:
             case Ok(TransferTokens() as answer):
-                self._unanswered.pop((node_id, workspace), None)
-                taken = self._transfers.receive(
-                    self._holdings, answer.transfer_id, workspace, answer.charges
-                )
+                taken = self._receive(node_id, answer)
                 kept = answer.kept_tokens + answer.returned_tokens
                 PEER_ASKS.labels("given" if taken else "nothing").inc()
-                TOKENS_MOVED.labels("taken_from_peer").inc(taken)
-                if taken:
-                    log_event("tokens_taken", workspace=workspace, peer=node_id, tokens=taken)
                 state.outcome = evolve(
                     outcome,
                     received_tokens=outcome.received_tokens + taken,
--- a/bronzetiller/budgets/closes.py
+++ b/bronzetiller/budgets/closes.py
@@ -1,17 +1,18 @@
 """Decide what a gone holder's grants leave to live nodes, without any input or output."""
 
+from collections.abc import Callable
+
 from bronzetiller.budgets.holdings import Holdings, is_held_by
-from bronzetiller.budgets.ledger import Ledger, Ruling, Verdict
+from bronzetiller.budgets.ledger import GrantState, Ledger
 from bronzetiller.budgets.records import Bill, Close
 from bronzetiller.wire.messages import HoldingsReport
 
 
-def follow_close(holdings: Holdings, incarnation: str, record: Close, ruling: Ruling) -> int:
-    """Drop the tokens of a closed grant unless the close retains them; return the dropped."""
-    if ruling.verdict is not Verdict.ACCEPTED:
-        return 0
-    held = holdings.held(record.workspace, record.grant_id)
-    if held <= record.retained.get(incarnation, 0):
+def follow_close(holdings: Holdings, incarnation: str, record: Close, ledger: Ledger) -> int:
+    """Drop the tokens of a closed grant that the ledger no longer leaves; return the dropped."""
+    grant = ledger.find_grant(record.workspace, record.grant_id)
+    available = 0 if grant is None else grant.available(incarnation)
+    if holdings.held(record.workspace, record.grant_id) <= available:
         return 0
     return holdings.drop(record.workspace, record.grant_id)
 
@@ -24,28 +25,49 @@
             holdings.drop(workspace, grant_id)
 
 
+def forget_void(holdings: Holdings, find_ledger: Callable[[str], Ledger]) -> None:
+    """Forget the void grants that neither the ledger nor a reservation knows any more."""
+    for grant_id, workspace in list(holdings.void.items()):
+        committed = holdings.committed.get(workspace, {})
+        if (
+            grant_id not in committed
+            and find_ledger(workspace).find_grant(workspace, grant_id) is None
+        ):
+            del holdings.void[grant_id]
+
+
+def make_limits(held: dict[str, int], ledger: Ledger, incarnation: str) -> dict[str, int]:
+    """Return by grant what an incarnation has used, as it has read, and may still use."""
+    limits = {}
+    for budget in ledger.budgets.values():
+        for grant_id in held.keys() & budget.grants.keys():
+            used = budget.grants[grant_id].used.get(incarnation, 0)
+            limits[grant_id] = used + held[grant_id]
+    return held | limits
+
+
 def make_closes(holder: str, reports: list[HoldingsReport], ledger: Ledger) -> list[Close]:
     """Return the closes that a full set of reports allows.
 
     A bill that several nodes keep counts once, and not at all where its biller has reported it
     or the ledger has it.
     """
-    retained: dict[str, dict[str, int]] = {}
-    for report in reports:
-        for grant_id, tokens in report.retained.items():
-            _count(retained, grant_id, report.incarnation, tokens)
     reporters = {report.incarnation for report in reports}
-    for bill in _list_kept_bills(reports):
-        if bill.biller in reporters or ledger.find_bill(bill.workspace, bill.request_id):
-            continue
-        for charge in bill.charges:
-            _count(retained, charge.grant_id, bill.biller, charge.tokens)
-    return [
-        Close(workspace, grant_id, retained.get(grant_id, {}))
-        for workspace, budget in ledger.budgets.items()
-        for grant_id, grant in budget.grants.items()
-        if grant.holder == holder
+    bills = [
+        bill
+        for bill in _list_kept_bills(reports)
+        if bill.biller not in reporters
+        and ledger.find_bill(bill.workspace, bill.request_id) is None
     ]
+    closes = []
+    for workspace, budget in ledger.budgets.items():
+        for grant_id, grant in budget.grants.items():
+            if grant.holder == holder:
+                limits = {item.incarnation: item.limits.get(grant_id, 0) for item in reports}
+                limits = {name: most for name, most in limits.items() if most}
+                _add_kept_bills(limits, bills, grant_id, grant)
+                closes.append(Close(workspace, grant_id, limits))
+    return closes
 
 
 def select_bills(bills: list[Bill], holder: str) -> list[Bill]:
@@ -62,6 +84,11 @@
     return list({(bill.workspace, bill.request_id): bill for bill in bills}.values())
 
 
-def _count(retained: dict[str, dict[str, int]], grant_id: str, biller: str, tokens: int) -> None:
-    billers = retained.setdefault(grant_id, {})
-    billers[biller] = billers.get(biller, 0) + tokens
+def _add_kept_bills(
+    limits: dict[str, int], bills: list[Bill], grant_id: str, grant: GrantState
+) -> None:
+    for bill in bills:
+        for charge in bill.charges:
+            if charge.grant_id == grant_id:
+                used = grant.used.get(bill.biller, 0)
+                limits[bill.biller] = limits.get(bill.biller, used) + charge.tokens
--- a/bronzetiller/budgets/closing.py
+++ b/bronzetiller/budgets/closing.py
@@ -5,10 +5,11 @@
 from attrs import define, field
 from result import Ok, Result
 
-from bronzetiller.budgets.closes import make_closes, select_bills
+from bronzetiller.budgets.closes import make_closes, make_limits, select_bills
 from bronzetiller.budgets.holdings import Holdings
 from bronzetiller.budgets.pauses import PauseGuard
 from bronzetiller.budgets.records import Bill
+from bronzetiller.budgets.returns import Returns
 from bronzetiller.budgets.shards import Shards
 from bronzetiller.budgets.transfers import Transfers
 from bronzetiller.fleet.incarnations import read_node_id
@@ -46,6 +47,7 @@
     _shards: Shards
     _holdings: Holdings
     _transfers: Transfers
+    _returns: Returns
     _peers: Peers
     _vm_list: VmList
     _membership: Membership
@@ -66,9 +68,14 @@
     def _report(self, holder: str) -> HoldingsReport:
         if holder == self._incarnation:
             return HoldingsReport(holder, self._incarnation)
-        retained = self._transfers.report(self._holdings, holder)
+        held = self._transfers.report(self._holdings, holder)
+        for grant_id, tokens in self._returns.list_pending(holder).items():
+            held[grant_id] = held.get(grant_id, 0) + tokens
+        limits: dict[str, int] = {}
+        for shard in self._shards.all:
+            limits |= make_limits(held, shard.ledger, self._incarnation)
         bills = [bill for list_bills in self.kept_bills for bill in list_bills()]
-        return HoldingsReport(holder, self._incarnation, retained, select_bills(bills, holder))
+        return HoldingsReport(holder, self._incarnation, limits, select_bills(bills, holder))
 
     def _check(self) -> None:
         now = self._scheduler.now()
@@ -76,7 +83,7 @@
         if not current or not self._vm_list.reachable:
             self._polls.clear()
             return
-        holders = {holder for holder in self._list_holders(now) if self._membership.is_gone(holder)}
+        holders = self._membership.find_gone(self._list_holders(now))
         self._polls = {holder: poll for holder, poll in self._polls.items() if holder in holders}
         for holder in sorted(holders):
             self._check_gone(now, holder)
@@ -109,12 +116,12 @@
     def _list_wanted(self, holder: str) -> set[str]:
         """Return the nodes that have to report: all but those that are surely gone."""
         view = self._membership.view()
-        missing = {node_id for node_id in view.missing_since if node_id not in view.listed}
-        unsure = {
-            node_id
-            for node_id in missing - {read_node_id(holder)}
-            if not self._membership.is_gone(view.newest.get(node_id, f"{node_id}/"))
+        missing = {
+            view.newest.get(node_id, f"{node_id}/")
+            for node_id in view.missing_since
+            if node_id not in view.listed and node_id != read_node_id(holder)
         }
+        unsure = {read_node_id(item) for item in missing - self._membership.find_gone(missing)}
         return (set(view.listed) | unsure) - {read_node_id(self._incarnation)}
 
     def _ask(self, holder: str, poll: _Poll, node_id: str) -> None:
@@ -135,6 +142,5 @@
         for shard in self._shards.all:
             for close in make_closes(holder, reports, shard.ledger):
                 GRANTS_CLOSED.inc()
-                retained = sum(close.retained.values())
-                log_event("grant_closing", grant=close.grant_id, retained=retained)
+                log_event("grant_closing", grant=close.grant_id, limits=close.limits)
                 self._shards.append(close)
--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from bronzetiller.budgets.asks import Ask, TokenAsker
-from bronzetiller.budgets.closes import follow_close, follow_state
+from bronzetiller.budgets.closes import follow_close, follow_state, forget_void
 from bronzetiller.budgets.demand import Demand, is_low, size_grant
 from bronzetiller.budgets.holdings import Holdings, Reservation, name_grant
 from bronzetiller.budgets.ledger import Budget, Ledger, Ruling
@@ -340,6 +340,8 @@
                 self._reconcile(shard)
         self._return_idle()
         self._returns.return_surplus()
+        self._asker.repeat_unanswered()
+        forget_void(self._holdings, lambda workspace: self._shards.find(workspace).ledger)
         self._forget_idle()
 
     def _reconcile(self, shard: Shard) -> None:
@@ -381,7 +383,8 @@
             case Return() if record.holder == self._incarnation:
                 self._returns.take_ruling(record)
             case Close():
-                dropped = follow_close(self._holdings, self._incarnation, record, ruling)
+                ledger = self._shards.find(record.workspace).ledger
+                dropped = follow_close(self._holdings, self._incarnation, record, ledger)
                 TOKENS_MOVED.labels("dropped").inc(dropped)
             case Credit() | Bill():
                 pass
--- a/bronzetiller/budgets/holdings.py
+++ b/bronzetiller/budgets/holdings.py
@@ -25,12 +25,13 @@
     """Hold the tokens of a node by grant; each token is in one place at a time.
 
     balances are the unreserved tokens by workspace and grant; committed are those that are
-    reserved, or billed without the ledger's ruling on the bill.
+    reserved, or billed without the ledger's ruling on the bill. void names the workspaces of
+    grants whose tokens are no longer this node's.
     """
 
     balances: dict[str, dict[str, int]] = field(factory=dict)
     committed: dict[str, dict[str, int]] = field(factory=dict)
-    void: set[str] = field(factory=set)
+    void: dict[str, str] = field(factory=dict)
 
     def balance(self, workspace: str) -> int:
         """Return the unreserved tokens of a workspace."""
@@ -116,7 +117,7 @@
 
     def drop(self, workspace: str, grant_id: str) -> int:
         """Forget the unreserved tokens of a grant that is no longer this node's."""
-        self.void.add(grant_id)
+        self.void[grant_id] = workspace
         return self.balances.get(workspace, {}).pop(grant_id, 0)
 
     def _put_back(self, workspace: str, grant_id: str, tokens: int) -> None:
--- a/bronzetiller/budgets/ledger.py
+++ b/bronzetiller/budgets/ledger.py
@@ -55,14 +55,18 @@
 
 @define
 class GrantState:
-    """Hold what is left of one grant; once closed, what each biller may still take."""
+    """Hold what is left of one grant, and what each biller has billed or returned of it.
+
+    Once it is closed, limits are the most that each biller may ever use of it.
+    """
 
     holder: str
     tokens: int
     spent: int = 0
     returned: int = 0
     closed: bool = False
-    retained: dict[str, int] = field(factory=dict)
+    used: dict[str, int] = field(factory=dict)
+    limits: dict[str, int] = field(factory=dict)
     return_ids: dict[str, int] = field(factory=dict)
 
     @property
@@ -71,15 +75,15 @@
         return self.tokens - self.spent - self.returned
 
     def available(self, biller: str) -> int:
-        """Return the tokens that a biller may still take."""
+        """Return the tokens that a biller may still bill or return."""
         if not self.closed:
             return self.left
-        return self.retained.get(biller, 0)
+        rest = self.limits.get(biller, 0) - self.used.get(biller, 0)
+        return max(0, min(self.left, rest))
 
-    def use_retained(self, biller: str, tokens: int) -> None:
-        """Count tokens off what a closed grant retains for a biller."""
-        if self.closed:
-            self.retained[biller] -= tokens
+    def use(self, biller: str, tokens: int) -> None:
+        """Count tokens that a biller has billed or returned."""
+        self.used[biller] = self.used.get(biller, 0) + tokens
 
 
 @define
@@ -229,7 +233,7 @@
                 return Ruling(Verdict.GRANT_SPENT)
         for grant_id, tokens in charges.items():
             budget.grants[grant_id].spent += tokens
-            budget.grants[grant_id].use_retained(record.biller, tokens)
+            budget.grants[grant_id].use(record.biller, tokens)
             self._drop_empty(budget, grant_id)
         budget.billed += record.tokens
         state = BillState(at, record.fingerprint, record.biller, record.tokens, record.bill_id)
@@ -246,7 +250,7 @@
         if not 0 < record.tokens <= grant.available(record.holder):
             return Ruling(Verdict.GRANT_SPENT)
         grant.return_ids[record.return_id] = record.tokens
-        grant.use_retained(record.holder, record.tokens)
+        grant.use(record.holder, record.tokens)
         self._release(budget, record.grant_id, record.tokens)
         return Ruling(Verdict.ACCEPTED, record.tokens)
 
@@ -255,20 +259,16 @@
         grant = budget.grants.get(record.grant_id)
         if grant is None:
             return Ruling(Verdict.UNKNOWN_GRANT)
-        first = not grant.closed
-        unassigned = grant.left
-        retained = {}
-        for biller, tokens in sorted(record.retained.items()):
-            most = unassigned if first else min(unassigned, grant.retained.get(biller, 0))
-            kept = max(0, min(tokens, most))
-            retained[biller] = kept
-            unassigned -= kept
+        limits = record.limits
+        if grant.closed:
+            limits = {name: min(most, limits.get(name, 0)) for name, most in grant.limits.items()}
+            if limits == grant.limits:
+                return Ruling(Verdict.DUPLICATE)
         grant.closed = True
-        grant.retained = retained
-        if not first and not unassigned:
-            return Ruling(Verdict.DUPLICATE)
-        self._release(budget, record.grant_id, unassigned)
-        return Ruling(Verdict.ACCEPTED, unassigned)
+        grant.limits = dict(sorted(limits.items()))
+        tokens = max(0, grant.left - sum(grant.available(name) for name in limits))
+        self._release(budget, record.grant_id, tokens)
+        return Ruling(Verdict.ACCEPTED, tokens)
 
     def _release(self, budget: Budget, grant_id: str, tokens: int) -> None:
         budget.grants[grant_id].returned += tokens
--- a/bronzetiller/budgets/records.py
+++ b/bronzetiller/budgets/records.py
@@ -76,15 +76,16 @@
 
 @frozen
 class Close:
-    """End the grant of a dead incarnation, but for the tokens that live nodes may still bill.
+    """End the grant of a gone incarnation, but for the tokens that live nodes may still bill.
 
-    retained gives those tokens by the incarnation that may bill them. A later close of the same
-    grant can only retain less.
+    limits are the most that each incarnation may bill and return of the grant, from the first to
+    the last; counted so, a record that lands before or after the close makes no difference. A
+    later close of the same grant can only lower them.
     """
 
     workspace: str
     grant_id: str
-    retained: dict[str, int] = field(factory=dict)
+    limits: dict[str, int] = field(factory=dict)
 
 
 @frozen
--- a/bronzetiller/budgets/returns.py
+++ b/bronzetiller/budgets/returns.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from bronzetiller.budgets.holdings import Holdings
+from bronzetiller.budgets.holdings import Holdings, is_held_by
 from bronzetiller.budgets.pauses import PauseGuard
 from bronzetiller.budgets.records import Return
 from bronzetiller.budgets.shards import Shard, Shards
@@ -26,6 +26,19 @@
         """Say whether a return of the workspace has no ruling yet."""
         return any(record.workspace == workspace for record in self._open.values())
 
+    def count_pending(self, grant_id: str) -> int:
+        """Return the tokens of a grant whose return has no ruling yet."""
+        return sum(item.tokens for item in self._open.values() if item.grant_id == grant_id)
+
+    def list_pending(self, holder: str) -> dict[str, int]:
+        """Return by grant of a holder the tokens whose return has no ruling yet."""
+        grant_ids = {item.grant_id for item in self._open.values()}
+        return {
+            grant_id: self.count_pending(grant_id)
+            for grant_id in grant_ids
+            if is_held_by(grant_id, holder)
+        }
+
     def return_balance(self, workspace: str) -> int:
         """Return every unreserved token of a workspace; give how many."""
         if not self._guard.may_spend(workspace):
@@ -36,15 +49,15 @@
         return tokens
 
     def return_surplus(self) -> None:
-        """Return what closed grants retain for this node beyond what it holds of them."""
+        """Return what closed grants leave to this node beyond what it holds of them."""
         for shard in self._shards.all:
             if not shard.is_current:
                 continue
             for workspace, budget in shard.ledger.budgets.items():
                 for grant_id, grant in budget.grants.items():
-                    retained = grant.retained.get(self._incarnation, 0)
-                    if retained:
-                        self._return_beyond(workspace, grant_id, retained)
+                    if grant.closed and grant.available(self._incarnation):
+                        available = grant.available(self._incarnation)
+                        self._return_beyond(workspace, grant_id, available)
 
     def take_ruling(self, record: Return) -> None:
         """Forget a return that the ledger has ruled on."""
@@ -58,9 +71,10 @@
                 if grant is None or record.return_id in grant.return_ids:
                     del self._open[record.return_id]
 
-    def _return_beyond(self, workspace: str, grant_id: str, retained: int) -> None:
-        pending = [record.tokens for record in self._open.values() if record.grant_id == grant_id]
-        surplus = retained - sum(pending) - self._holdings.held(workspace, grant_id)
+    def _return_beyond(self, workspace: str, grant_id: str, available: int) -> None:
+        surplus = (
+            available - self.count_pending(grant_id) - self._holdings.held(workspace, grant_id)
+        )
         if surplus > 0 and self._guard.may_spend(workspace):
             self._append(workspace, grant_id, surplus)
 
--- a/bronzetiller/fleet/membership.py
+++ b/bronzetiller/fleet/membership.py
@@ -78,6 +78,12 @@
         grace_seconds = self._settings.fleet.gone_grace_seconds
         return is_gone(incarnation, self.view(), grace_seconds=grace_seconds)
 
+    def find_gone(self, incarnations: set[str]) -> set[str]:
+        """Return those of the incarnations that are gone."""
+        view = self.view()
+        grace_seconds = self._settings.fleet.gone_grace_seconds
+        return {item for item in incarnations if is_gone(item, view, grace_seconds=grace_seconds)}
+
     def view(self) -> FleetView:
         """Return what this node knows of the others."""
         own = self._make_heartbeat()
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -97,13 +97,14 @@
         self.holdings = Holdings()
         self.transfers = Transfers(self.incarnation)
         self.guard = PauseGuard(scheduler, self.log, self.shards)
+        self.returns = Returns(self.shards, self.holdings, self.guard, self.incarnation)
         self.keeper = GrantKeeper(
             scheduler,
             self.shards,
             self.holdings,
             self.transfers,
             TokenAsker(self.peers, self.holdings, self.transfers, settings.node_id),
-            Returns(self.shards, self.holdings, self.guard, self.incarnation),
+            self.returns,
             self.guard,
             settings.budgets,
             self.incarnation,
@@ -115,6 +116,7 @@
             self.shards,
             self.holdings,
             self.transfers,
+            self.returns,
             self.peers,
             self.vm_list,
             self.membership,
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -204,13 +204,13 @@
 class HoldingsReport:
     """Answer ReportHoldings; the node takes no more tokens of the holder from now on.
 
-    retained gives tokens by grant for the node's own bills; kept_bills are those that it keeps
-    for others.
+    limits gives by grant the most that the node may use of it, from the first bill to the last;
+    kept_bills are those that it keeps for others.
     """
 
     holder: str
     incarnation: str
-    retained: dict[str, int] = field(factory=dict)
+    limits: dict[str, int] = field(factory=dict)
     kept_bills: list[Bill] = field(factory=list)
 
 
--- a/tests/test_grant_keeper.py
+++ b/tests/test_grant_keeper.py
@@ -5,9 +5,9 @@
 
 import pytest
 from attrs import define, field
-from result import Ok
+from result import Err, Ok
 
-from bronzetiller.budgets.asks import TokenAsker
+from bronzetiller.budgets.asks import Ask, TokenAsker
 from bronzetiller.budgets.grants import GrantKeeper
 from bronzetiller.budgets.holdings import Holdings
 from bronzetiller.budgets.ledger import Ledger, dump_ledger
@@ -242,3 +242,41 @@
     assert [(type(item), item.grant_id, item.tokens) for item in returns] == [
         (Return, "node-2/b/1", 400)
     ]
+
+
+class LossyPeers(FakePeers):
+    """Carry asks to a giver; the first answers are lost."""
+
+    def __init__(self, giver, losses):
+        self.giver = giver
+        self.losses = losses
+
+    def connected(self):
+        return ["node-2"]
+
+    def ask(self, node_id, message, seconds, answered):
+        answers = []
+        self.giver(message, answers.append)
+        if self.losses:
+            self.losses -= 1
+            answered(Err("timeout"))
+        else:
+            answered(Ok(answers[0]))
+
+
+def test_a_transfer_whose_answer_was_lost_arrives_later_and_once(bench):
+    bench.obtain(100)
+    bench.scheduler.run(0.01)
+    bench.read()
+    given = bench.holdings.balance("studio")
+    holdings = Holdings()
+    peers = LossyPeers(bench.keeper.answer_ask, losses=1)
+    asker = TokenAsker(peers, holdings, Transfers("node-3/c"), "node-3")
+    outcomes = []
+    asker.ask(Ask("studio", 50, 50, True, ["node-2"], complete=True), outcomes.append)
+    assert [(item.received_tokens, item.complete) for item in outcomes] == [(0, False)]
+    assert holdings.balance("studio") == 0
+    for _ in range(3):
+        asker.repeat_unanswered()
+    assert holdings.balance("studio") == 50
+    assert bench.holdings.balance("studio") == given - 50
