--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -6,9 +6,12 @@
 from attrs import define, field, frozen
 
 from bronzetiller.net.dialer import Address, Connection, ConnectionHandlers, Dialer
-from bronzetiller.net.scheduler import Scheduler, Timer
+from bronzetiller.net.scheduler import Scheduler, Watch
 
 IDLE_CONNECTIONS_MAX = 32
+IDLE_SECONDS_MAX = 30.0
+SILENCE = "silence"
+TOO_LATE = "too late to send"
 
 
 @frozen
@@ -45,9 +48,11 @@
 
 @frozen
 class HttpCall:
-    """Describe one outgoing request; silence is the longest wait between two reads.
+    """Describe one outgoing request.
 
-    A call with may_send goes over a connection of its own and asks right before its first byte.
+    silence_seconds is the longest wait between two reads; first_byte_seconds is the longest wait
+    for the first, the same unless it is given. A call with may_send goes over a connection of its
+    own and asks right before its first byte.
     """
 
     address: Address
@@ -57,6 +62,7 @@
     body: bytes
     silence_seconds: float
     connect_seconds: float = 2.0
+    first_byte_seconds: float | None = None
     may_send: Callable[[], bool] | None = None
 
 
@@ -68,6 +74,7 @@
     listener: CallListener
     sent: bool = False
     done: bool = False
+    doubtful: bool = False
     _channel: "_Channel | None" = None
 
     def cancel(self) -> None:
@@ -77,6 +84,20 @@
             if self._channel is not None:
                 self._channel.close()
 
+    def distrust(self) -> None:
+        """Use the call's connection for no other call."""
+        self.doubtful = True
+
+    def pause(self) -> None:
+        """Stop reading the response; its silence is not counted meanwhile."""
+        if not self.done and self._channel is not None:
+            self._channel.pause()
+
+    def resume(self) -> None:
+        """Read the response again."""
+        if not self.done and self._channel is not None:
+            self._channel.resume()
+
 
 @define(eq=False)
 class _Channel:
@@ -87,7 +108,12 @@
     open_call: OpenCall | None
     parser: h11.Connection = field(factory=lambda: h11.Connection(h11.CLIENT))
     connection: Connection | None = None
-    timer: Timer | None = None
+    silence: Watch = field(init=False)
+    paused: bool = False
+    idle_since: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        self.silence = self.client.scheduler.watch(self.expire)
 
     def dial(self, dialer: Dialer) -> None:
         assert self.open_call is not None
@@ -98,7 +124,7 @@
         assert self.open_call is not None and self.connection is not None
         call = self.open_call.call
         if call.may_send is not None and not call.may_send():
-            self.fail("too late to send")
+            self.fail(TOO_LATE)
             return
         headers = [("Host", str(call.address)), ("Content-Length", str(len(call.body)))]
         headers += list(call.headers.items())
@@ -109,13 +135,27 @@
         data += self.parser.send(h11.EndOfMessage()) or b""
         self.open_call.sent = True
         self.connection.write(data)
-        self.arm(call.silence_seconds)
+        self.silence.expire_after(call.first_byte_seconds or call.silence_seconds)
+
+    def pause(self) -> None:
+        self.paused = True
+        self.silence.clear()
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        if not self.paused or self.open_call is None or self.connection is None:
+            return
+        self.paused = False
+        self.silence.expire_after(self.open_call.call.silence_seconds)
+        self.connection.resume()
 
     def receive(self, data: bytes) -> None:
         if self.open_call is None:
             self.close()
             return
-        self.arm(self.open_call.call.silence_seconds)
+        if not self.paused:
+            self.silence.expire_after(self.open_call.call.silence_seconds)
         try:
             self.parser.receive_data(data)
             self.deliver(self.open_call)
@@ -151,10 +191,12 @@
                 return
 
     def release(self) -> None:
+        doubtful = self.open_call is None or self.open_call.doubtful or self.paused
         self.open_call = None
-        self.disarm()
+        self.silence.clear()
         states = {self.parser.our_state, self.parser.their_state}
-        if states != {h11.DONE} or self.parser.trailing_data[0] or self.connection is None:
+        doubtful = doubtful or states != {h11.DONE} or bool(self.parser.trailing_data[0])
+        if doubtful or self.connection is None:
             self.close()
             return
         self.parser.start_next_cycle()
@@ -169,24 +211,16 @@
 
     def close(self) -> None:
         self.open_call = None
-        self.disarm()
+        self.silence.cancel()
         self.client.drop(self)
         if self.connection is not None:
             self.connection.close()
             self.connection = None
 
-    def arm(self, seconds: float) -> None:
-        self.disarm()
-        self.timer = self.client.scheduler.call_after(seconds, self.expire)
-
     def expire(self) -> None:
-        self.fail("silence")
+        self.fail(SILENCE)
         self.client.close_idle(self.address)
 
-    def disarm(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-
 
 class HttpClient:
     """Keep idle connections by address; a doubtful connection is never used again."""
@@ -199,9 +233,8 @@
     def send(self, call: HttpCall, listener: CallListener) -> OpenCall:
         """Start a call; its events reach the listener in order."""
         open_call = OpenCall(call, listener)
-        idle = self._idle.get(call.address)
-        if idle and call.may_send is None:
-            channel = idle.pop()
+        channel = None if call.may_send is not None else self._take_idle(call.address)
+        if channel is not None:
             channel.open_call = open_call
             open_call._channel = channel
             channel.transmit()
@@ -211,12 +244,24 @@
         channel.dial(self._dialer)
         return open_call
 
+    def _take_idle(self, address: Address) -> _Channel | None:
+        """Take a kept connection on which nothing has arrived since its last response."""
+        idle = self._idle.get(address, [])
+        while idle:
+            channel = idle.pop()
+            fresh = self.scheduler.now() - channel.idle_since < IDLE_SECONDS_MAX
+            if fresh and channel.connection is not None and channel.connection.is_quiet():
+                return channel
+            channel.close()
+        return None
+
     def keep(self, channel: _Channel) -> None:
         """Keep a connection for the next call to its address."""
         idle = self._idle.setdefault(channel.address, [])
         if len(idle) >= IDLE_CONNECTIONS_MAX:
             channel.close()
         else:
+            channel.idle_since = self.scheduler.now()
             idle.append(channel)
 
     def close_idle(self, address: Address) -> None:
