Look again for tokens while a grant's record cannot reach the log

Cause: a node that chose the ledger just as it was cut off waited for a ruling that could not come, and never turned to its peers: in the partition test node-4 was refused after 2 s although node-3 beside it held 1,491 tokens.

Change: a waiting request looks again every 0.2 s in that case too.

Tests with processes: a partition with a top-up on one side (the cut-off side spends what one of its nodes holds through another one, the other side spends part of the top-up, after healing all five nodes drain 9,000 tokens to less than one request), and an outage of the log (two nodes spend what one holds; after it every answer is billed once and the budget drains to its end). Without the change the first fails with no answer at node-4.

--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -183,6 +183,7 @@
         match choose_source(self._describe(workspace, account, waiter)):
             case Source.LEDGER:
                 self._request_grant(workspace, account, "waiting")
+                self._retry_later(workspace, account)  # the log may fall out of reach meanwhile
             case Source.PEERS if any(other.local for other in account.waiters):
                 self._ask_peers(workspace, account)
             case Source.RETURN:
