Prove that a restarted or stopping node leaves its tokens usable

A restarted node id closes the grant of its last incarnation without any change of the list of VMs; a stopping node returns its tokens before it ends, so that no close is needed.

--- a/tests/test_budget_fleet.py
+++ b/tests/test_budget_fleet.py
@@ -181,3 +181,24 @@
     for record in read_records(fleet, "bill"):
         assert record["tokens"] >= 0, record
         assert all(charge["tokens"] > 0 for charge in record["charges"]), record
+
+
+def test_a_restarted_node_gets_back_what_its_last_incarnation_held(make_fleet):
+    fleet = start_fleet(make_fleet, ("node-1", "node-2"), 3_000, budgets=ALL_TO_ONE)
+    assert send_chat(fleet.caller_address("node-2"), PROMPT, max_tokens=100)[0] == 200
+    fleet.processes["node-2"].kill()
+    fleet.add_node("node-2", "west", "west-1", budgets=ALL_TO_ONE)
+    await_ready(fleet, "node-2")
+    spend_all(fleet, "node-2", 1_000)
+    assert count_accepted(fleet) <= 3_000
+
+
+def test_a_stopping_node_leaves_its_tokens_to_others(make_fleet):
+    limits = {"entry_seconds": 0.5}
+    fleet = start_fleet(make_fleet, ("node-1", "node-2"), 3_000, budgets=ALL_TO_ONE, limits=limits)
+    assert send_chat(fleet.caller_address("node-2"), PROMPT, max_tokens=100)[0] == 200
+    fleet.processes["node-2"].stop()
+    await_true(lambda: fleet.processes["node-2"].popen.poll() is not None, what="the end")
+    assert [record["tokens"] for record in read_records(fleet, "return")] == [2_899]
+    assert send_chat(fleet.caller_address("node-1"), PROMPT, max_tokens=100)[0] == 200
+    assert read_records(fleet, "close") == []
