Ask peers that have tokens before those that would first have to obtain a grant

Cause: through an outage of the log a node asked its peers one after the other, and each one without tokens first waited 1.2 s for a grant that could not come; two of those used up the request's wait while a third peer held tokens.

Change: the first round asks for what peers hold; only later rounds let them obtain a grant. Tokens go back to the ledger for a peer only where that peer reads the log. Closers follow each other in steps of a second.

With the change off the new unit test fails (no answer in 0.5 s).

--- a/bronzetiller/budgets/asks.py
+++ b/bronzetiller/budgets/asks.py
@@ -15,7 +15,7 @@
 from bronzetiller.wire.messages import AskTokens, Message, TransferTokens
 
 ASK_SECONDS = 0.5
-ASK_CUT_OFF_SECONDS = 1.5
+ASK_WAIT_SECONDS = 1.5
 ASKED_PEERS_MAX = 12
 
 Asked = Callable[[AskOutcome], None]
@@ -29,6 +29,7 @@
     missing_tokens: int
     wanted_tokens: int
     log_reachable: bool
+    may_wait: bool
     node_ids: list[str]
     complete: bool
 
@@ -69,7 +70,7 @@
 
     def _repeat(self, node_id: str, workspace: str, transfer_id: str) -> None:
         self._asking.add(transfer_id)
-        message = AskTokens(transfer_id, workspace, 0, 0, self._node_id, log_reachable=True)
+        message = AskTokens(transfer_id, workspace, 0, 0, self._node_id, log_reachable=False)
 
         def answered(result: Result[Message, str]) -> None:
             self._asking.discard(transfer_id)
@@ -108,8 +109,9 @@
             ask.wanted_tokens,
             self._node_id,
             ask.log_reachable,
+            ask.may_wait,
         )
-        seconds = ASK_SECONDS if ask.log_reachable else ASK_CUT_OFF_SECONDS
+        seconds = ASK_WAIT_SECONDS if ask.may_wait else ASK_SECONDS
 
         def answered(result: Result[Message, str]) -> None:
             self._asking.discard(transfer_id)
--- a/bronzetiller/budgets/closing.py
+++ b/bronzetiller/budgets/closing.py
@@ -24,7 +24,7 @@
 
 CHECK_SECONDS = 0.5
 REPORT_SECONDS = 2.0
-RANK_SECONDS = 5.0
+RANK_SECONDS = 1.0
 REPEAT_SECONDS = 30.0
 
 KeptBills = Callable[[], list[Bill]]
--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -56,6 +56,7 @@
     asking: bool = False
     asked: AskOutcome | None = None
     short_rounds: int = 0
+    rounds: int = 0
     retry: Timer | None = None
     used_at: float = 0.0
 
@@ -125,7 +126,7 @@
 
         if try_serve():
             return
-        if ask.log_reachable or not self._is_fresh(workspace):
+        if not ask.may_wait or not self._is_fresh(workspace):
             give()
             return
         waiter = _Waiter(ask.missing_tokens, try_serve, give, local=False)
@@ -175,7 +176,7 @@
             self._remove(account, account.waiters[0])
         if not account.waiters:
             account.asked = None
-            account.short_rounds = 0
+            account.short_rounds = account.rounds = 0
             return
         if not self._guard.may_spend(workspace):
             return
@@ -275,7 +276,11 @@
             node_ids += [node_id for node_id in self._list_peers() if node_id not in left]
         missing = waiter.tokens - self._holdings.balance(workspace)
         demand = int(account.demand.estimate(self._scheduler.now()))
-        ask = Ask(workspace, missing, max(missing, demand), fresh, node_ids, complete=fresh)
+        # Peers that have tokens come before those that would first have to obtain a grant.
+        may_wait = not fresh and account.rounds > 0
+        account.rounds += 1
+        wanted = max(missing, demand)
+        ask = Ask(workspace, missing, wanted, fresh, may_wait, node_ids, complete=fresh)
 
         def finish(outcome: AskOutcome) -> None:
             account.asking = False
@@ -315,7 +320,8 @@
         given = sum(charge.tokens for charge in charges)
         TOKENS_MOVED.labels("given_to_peer").inc(given)
         returned = 0
-        if given < ask.missing_tokens and not account.waiters and self._is_fresh(workspace):
+        both_reachable = ask.log_reachable and self._is_fresh(workspace)
+        if given < ask.missing_tokens and not account.waiters and both_reachable:
             returned = self._returns.return_balance(workspace)
         kept = self._holdings.count_held(workspace)
         return TransferTokens(ask.transfer_id, workspace, charges, kept, returned)
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -168,7 +168,8 @@
 class AskTokens:
     """Ask a peer for tokens of a workspace: some that are missing now and more that are wanted.
 
-    asker is a node id; without the log the asker cannot obtain a grant of its own.
+    asker is a node id; without the log it cannot obtain a grant of its own. may_wait says that
+    the peer may obtain one before it answers.
     """
 
     transfer_id: str
@@ -177,6 +178,7 @@
     wanted_tokens: int
     asker: str
     log_reachable: bool
+    may_wait: bool = False
 
 
 @frozen
--- a/tests/test_grant_keeper.py
+++ b/tests/test_grant_keeper.py
@@ -12,14 +12,20 @@
 from bronzetiller.budgets.holdings import Holdings
 from bronzetiller.budgets.ledger import Ledger, dump_ledger
 from bronzetiller.budgets.pauses import PauseGuard
-from bronzetiller.budgets.records import Credit, Return, dump_ledger_record, load_ledger_record
+from bronzetiller.budgets.records import (
+    Charge,
+    Credit,
+    Return,
+    dump_ledger_record,
+    load_ledger_record,
+)
 from bronzetiller.budgets.returns import Returns
 from bronzetiller.budgets.shards import Shards
 from bronzetiller.budgets.transfers import Transfers
 from bronzetiller.net.scheduler import Timer
 from bronzetiller.platform.log_client import Entry
 from bronzetiller.settings import BudgetSettings
-from bronzetiller.wire.messages import AskTokens
+from bronzetiller.wire.messages import AskTokens, TransferTokens
 
 OWN = "node-1/a"
 
@@ -79,7 +85,9 @@
     results: list = field(factory=list)
     read_to: int = 0
 
-    def start(self, **settings):
+    def start(self, peers=None, **settings):
+        self.read_to = 0
+        self.log.records.clear()
         self.shards = Shards(self.scheduler, self.log, 1, append_interval_seconds=0.0)
         self.shard = self.shards.all[0]
         self.shard.follower.reachable = self.shard.follower.complete = True
@@ -90,13 +98,13 @@
             self.shards,
             self.holdings,
             transfers,
-            TokenAsker(FakePeers(), self.holdings, transfers, "node-1"),
+            TokenAsker(peers or FakePeers(), self.holdings, transfers, "node-1"),
             Returns(self.shards, self.holdings, guard, OWN),
             guard,
             BudgetSettings(**settings),
             OWN,
             lambda workspace: False,
-            list,
+            (peers or FakePeers()).connected,
         )
         guard.start()
         self.keeper.start()
@@ -211,7 +219,7 @@
 
 def test_a_peer_without_the_log_gets_a_grant_through_this_node(bench):
     answers = []
-    ask = AskTokens("transfer-1", "studio", 500, 500, "node-2", False)
+    ask = AskTokens("transfer-1", "studio", 500, 500, "node-2", False, may_wait=True)
     bench.keeper.answer_ask(ask, answers.append)
     assert answers == []
     bench.scheduler.run(0.01)
@@ -273,10 +281,46 @@
     peers = LossyPeers(bench.keeper.answer_ask, losses=1)
     asker = TokenAsker(peers, holdings, Transfers("node-3/c"), "node-3")
     outcomes = []
-    asker.ask(Ask("studio", 50, 50, True, ["node-2"], complete=True), outcomes.append)
+    asker.ask(Ask("studio", 50, 50, True, False, ["node-2"], complete=True), outcomes.append)
     assert [(item.received_tokens, item.complete) for item in outcomes] == [(0, False)]
     assert holdings.balance("studio") == 0
     for _ in range(3):
         asker.repeat_unanswered()
     assert holdings.balance("studio") == 50
     assert bench.holdings.balance("studio") == given - 50
+
+
+class SlowPeers:
+    """Answer asks that may wait only after the wait is over; one node has tokens."""
+
+    def __init__(self, scheduler):
+        self.scheduler = scheduler
+
+    def connected(self):
+        return ["node-2", "node-3", "node-4"]
+
+    def ask(self, node_id, message, seconds, answered):
+        charges = [Charge("node-4/d/1", message.missing_tokens)] if node_id == "node-4" else []
+        answer = TransferTokens(message.transfer_id, message.workspace, charges)
+        delay = 1.2 if message.may_wait and not charges else 0.01
+        self.scheduler.call_after(delay, lambda: answered(Ok(answer)))
+
+
+def test_without_the_log_peers_that_have_tokens_come_before_those_that_need_a_grant(bench):
+    bench.start(SlowPeers(bench.scheduler))
+    bench.shard.follower.reachable = False
+    bench.obtain(100)
+    bench.scheduler.run(0.5)
+    assert [result.is_ok() for result in bench.results] == [True]
+
+
+def test_without_the_log_nobody_returns_tokens_for_a_peer(bench):
+    bench.obtain(100)
+    bench.scheduler.run(0.01)
+    bench.read()
+    bench.holdings.add("studio", "node-2/b/1", 400)
+    answers = []
+    ask = AskTokens("transfer-1", "studio", 50_000, 50_000, "node-3", False)
+    bench.keeper.answer_ask(ask, answers.append)
+    assert answers[0].returned_tokens == 0
+    assert bench.holdings.balance("studio") == 400
