--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -6,6 +6,7 @@
 
 from circuits import BaseComponent, handler
 
+from bronzetiller import __version__
 from bronzetiller.budgets.asks import TokenAsker
 from bronzetiller.budgets.closing import GrantCloser
 from bronzetiller.budgets.credits import is_credit_pending, post_credits
@@ -21,6 +22,7 @@
 from bronzetiller.callers.services import CallServices
 from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
 from bronzetiller.configuration.fold import Configuration
+from bronzetiller.configuration.streams import CONFIGURATION_STREAM
 from bronzetiller.fleet.delegation import Delegation
 from bronzetiller.fleet.drain import Drain
 from bronzetiller.fleet.entries import EntryView, list_entries
@@ -40,6 +42,9 @@
 from bronzetiller.platform.log_client import Entry, LogClient
 from bronzetiller.platform.snapshots import Fold
 from bronzetiller.platform.vm_list import VmList, VmState
+from bronzetiller.reports.api import ReportServices, make_operator_handlers
+from bronzetiller.reports.nodes import list_nodes
+from bronzetiller.reports.report import Report, list_decisions, list_unread_items
 from bronzetiller.requests.admission import Admission
 from bronzetiller.requests.billing import Biller
 from bronzetiller.requests.claimants import Claimants
@@ -52,7 +57,6 @@
 from bronzetiller.settings import Settings
 from bronzetiller.wire.messages import AskTokens, Heartbeat
 
-CONFIGURATION_STREAM = "configuration"
 CREDIT_CHECK_SECONDS = 0.5
 STOP_CHECK_SECONDS = 0.5
 
@@ -83,7 +87,7 @@
         self.http = HttpClient(scheduler, dialer)
         self.log = LogClient(self.http, settings.platform.log)
         self.vm_list = VmList(scheduler, self.http, settings.platform.vm_list)
-        self.configuration = Configuration()
+        self.configuration = Configuration(tuple(settings.configuration.schemas_understood))
         self.configuration_follower = StreamFollower(scheduler, self.log, CONFIGURATION_STREAM)
         self.shards = Shards(
             scheduler,
@@ -302,7 +306,7 @@
             is_stopping=lambda: self.stopping,
             is_refusing=lambda: self.drain.refusing,
             list_entries=self._list_entries,
-            make_report=self._make_report,
+            operator_handlers=make_operator_handlers(self._make_report_services()),
             entry_seconds=self.settings.limits.entry_seconds,
         )
         server = HttpServer(
@@ -353,6 +357,8 @@
             offset=entry.offset,
             kind=decision.kind,
             name=decision.name,
+            schema=decision.schema,
+            author=decision.author,
             accepted=decision.accepted,
             in_force=decision.in_force,
             reason=decision.reason,
@@ -377,13 +383,31 @@
             ready=self.is_ready(),
             log_reachable=all(item.direct for item in followers),
             vm_list_age_seconds=None if read_at is None else self.peers.now() - read_at,
+            schemas_understood=settings.configuration.schemas_understood,
             snapshots=self.snapshots.marks(),
         )
 
-    def _make_report(self) -> dict[str, Any]:
-        return {
-            "node_id": self.settings.node_id,
-            "incarnation": self.incarnation,
-            "at": time.time(),
-            "next_offset": self.configuration_follower.next_offset,
-        }
+    def _make_report_services(self) -> ReportServices:
+        return ReportServices(
+            configuration=self.configuration,
+            shards=self.shards,
+            token_digests=self.settings.operators.token_digests,
+            make_report=self._make_report,
+        )
+
+    def _make_report(self, from_offset: int) -> Report:
+        return Report(
+            node_id=self.settings.node_id,
+            version=__version__,
+            at=time.time(),
+            next_offset=self.configuration_follower.next_offset,
+            log_reachable=self.configuration_follower.reachable,
+            vm_list_reachable=self.vm_list.reachable,
+            nodes=list_nodes(
+                self._make_heartbeat(),
+                self.membership.live().values(),
+                self.vm_list.find_routers(),
+            ),
+            decisions=list_decisions(self.configuration, from_offset),
+            unread=list_unread_items(self.configuration),
+        )
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -33,6 +33,7 @@
     ready: bool = False
     log_reachable: bool = False
     vm_list_age_seconds: float | None = None
+    schemas_understood: list[int] = field(factory=list)
     snapshots: dict[str, SnapshotMark] = field(factory=dict)
 
 
