--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -169,7 +169,8 @@
 class AskTokens:
     """Ask a peer for tokens of a workspace: some that are missing now and more that are wanted.
 
-    asker is a node id; without the log the asker cannot obtain a grant of its own.
+    asker is a node id; without the log it cannot obtain a grant of its own. may_wait says that
+    the peer may obtain one before it answers.
     """
 
     transfer_id: str
@@ -178,6 +179,7 @@
     wanted_tokens: int
     asker: str
     log_reachable: bool
+    may_wait: bool = False
 
 
 @frozen
@@ -205,13 +207,13 @@
 class HoldingsReport:
     """Answer ReportHoldings; the node takes no more tokens of the holder from now on.
 
-    retained gives tokens by grant for the node's own bills; kept_bills are those that it keeps
-    for others.
+    limits gives by grant the most that the node may use of it, from the first bill to the last;
+    kept_bills are those that it keeps for others.
     """
 
     holder: str
     incarnation: str
-    retained: dict[str, int] = field(factory=dict)
+    limits: dict[str, int] = field(factory=dict)
     kept_bills: list[Bill] = field(factory=list)
 
 
