Contain requests that end their targets, and let routers stop without the log

Cause: a request whose target died was sent to the next target, and its caller's retry to further ones. A router that stopped while the log was down waited for it for ever.

Change: a target counts as dead when a connection with a request on it is lost and a new one is refused. The death is told to the peers, and the caller is answered once they know. The second death quarantines the request if it alone had been on both; where several had been, each gets one more run, so no request ends more than three. Suspects run one at a time in a node and on targets that other nodes leave to it. A stopping router hands the bills it keeps to another peer and ends without the log once every bill is with peers.

--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -69,6 +69,7 @@
     passage: Passage | None = None
     isolating: bool = False
     may_have_run: bool = False
+    attempts: int = 0
     tried: set[str] = field(factory=set)
     text: list[str] = field(factory=list)
     over: bool = False
@@ -121,7 +122,9 @@
         if deaths.is_quarantined(self.key.mark):
             self._refuse(refuse_quarantined(self.key.ran_before))
             return
-        vm = deaths.choose(self.key.mark, self._choose, set(self.services.chooser.outstanding))
+        chooser = self.services.chooser
+        targets = [vm.vm_id for vm in chooser.vm_list.find_service(self.route.service)]
+        vm = deaths.choose(self.key.mark, self._choose, set(chooser.outstanding), targets)
         if vm is None:
             refusal = Refusal(
                 503, Reason.NO_TARGET, "no target of the service is live", retry_after_seconds=1
@@ -222,6 +225,7 @@
 
     def _recover(self, failure: AttemptFailed, vm: Vm) -> None:
         self.may_have_run |= failure.may_have_run
+        self.attempts += failure.may_have_run
         if 400 <= failure.status < 500:
             self._refuse(Refusal(failure.status, Reason.BAD_REQUEST, failure.detail))
         elif failure.target_lost and failure.may_have_run:
@@ -245,7 +249,7 @@
         self._refuse(Refusal(502, reason, failure.cause, retry_after_seconds=1))
 
     def _take_retry(self) -> bool:
-        if self.exchange.started or len(self.tried) >= ATTEMPTS_MAX:
+        if self.exchange.started or self.attempts >= ATTEMPTS_MAX:
             return False
         return self.services.retries.take()
 
--- a/bronzetiller/callers/services.py
+++ b/bronzetiller/callers/services.py
@@ -100,6 +100,7 @@
     vm: Vm | None = None
     isolating: bool = False
     may_have_run: bool = False
+    attempts: int = 0
     tried: set[str] = field(factory=set)
     caller_gone: bool = False
     over: bool = False
@@ -172,7 +173,9 @@
         if deaths.is_quarantined(self.key.mark):
             self._refuse(refuse_quarantined(self.key.ran_before))
             return
-        vm = deaths.choose(self.key.mark, self._choose, set(self.services.chooser.outstanding))
+        chooser = self.services.chooser
+        targets = [vm.vm_id for vm in chooser.vm_list.find_service(self.route.service)]
+        vm = deaths.choose(self.key.mark, self._choose, set(chooser.outstanding), targets)
         if vm is None:
             detail = "no target of the service is live"
             self._refuse(Refusal(503, Reason.NO_TARGET, detail, retry_after_seconds=1))
@@ -208,6 +211,7 @@
         self._end_attempt()
         if isinstance(outcome, ServiceAnswer) or outcome.sent:
             self.may_have_run = True
+            self.attempts += 1
         if isinstance(outcome, ServiceFailed):
             self._recover(outcome, vm)
         elif self.route.idempotent and outcome.status in RETRIED_STATUSES and self._take_retry():
@@ -218,7 +222,7 @@
             self._bill(outcome)
 
     def _take_retry(self) -> bool:
-        return len(self.tried) < ATTEMPTS_MAX and self.services.retries.take()
+        return self.attempts < ATTEMPTS_MAX and self.services.retries.take()
 
     def _recover(self, failure: ServiceFailed, vm: Vm) -> None:
         if failure.sent:
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -49,6 +49,7 @@
 
 CONFIGURATION_STREAM = "configuration"
 CREDIT_CHECK_SECONDS = 0.5
+STOP_WITHOUT_LOG_SECONDS = 3.0
 
 
 class _Signals(BaseComponent):
@@ -145,11 +146,12 @@
             scheduler, self.shards, settings.requests, self.incarnation, self.membership.is_gone
         )
         quarantine = Quarantine(settings.requests.quarantine_seconds)
-        self.deaths = DeathWatch(scheduler, dialer, self.peers, quarantine)
+        self.deaths = DeathWatch(scheduler, dialer, self.peers, quarantine, settings.node_id)
         self.retries = RetryBudget(settings.requests.retry_share_max)
         self.chooser = TargetChooser(self.vm_list, settings.region)
         self.stopping = False
         self._was_ready = False
+        self._log_lost_at: float | None = None
         self.server = self._make_server()
         _Signals(self).register(self.loop.root)
 
@@ -206,12 +208,23 @@
         if self.open_runs == 0 and self.server.open_exchanges == 0:
             self.keeper.return_all()
         backlog = sum(shard.writer.backlog for shard in self.shards.all)
-        if self.open_runs or self.server.open_exchanges or not self.couriers.is_idle:
+        if self.open_runs or self.server.open_exchanges:
             return
-        if backlog == 0 or (self.biller.is_secured and not self.claimants.open_claims):
-            log_event("stopped")
+        if not self.couriers.is_idle or not self.biller.is_secured:
+            return
+        if backlog == 0 or self._has_lost_log():
+            log_event("stopped", backlog=backlog)
             self.loop.root.stop()
 
+    def _has_lost_log(self) -> bool:
+        """Say whether the log has taken nothing for long, so that waiting for it is in vain."""
+        now = self.loop.scheduler.now()
+        if all(shard.writer.reachable for shard in self.shards.all):
+            self._log_lost_at = None
+        elif self._log_lost_at is None:
+            self._log_lost_at = now
+        return self._log_lost_at is not None and now >= self._log_lost_at + STOP_WITHOUT_LOG_SECONDS
+
     @property
     def open_runs(self) -> int:
         """Count the requests that are not over, whether or not their callers are still there."""
--- a/bronzetiller/requests/billing.py
+++ b/bronzetiller/requests/billing.py
@@ -18,6 +18,8 @@
 from bronzetiller.requests.kept_bills import separate
 from bronzetiller.settings import RequestSettings
 
+MISSED_CHECK_SECONDS = 1.0
+
 Billed = Callable[[Result[int, Refusal]], None]
 
 
@@ -29,6 +31,7 @@
     expiry: Timer | None = None
     copying: Timer | None = None
     handover: Handover | None = None
+    offset: int | None = None
 
 
 class Biller:
@@ -51,11 +54,12 @@
         self._incarnation = incarnation
         self._open: dict[str, _Open] = {}
         shards.subscribe(self._on_ruling)
+        scheduler.call_every(MISSED_CHECK_SECONDS, self._append_missed)
 
     @property
     def is_secured(self) -> bool:
-        """Say whether there are bills without a ruling and enough peers keep each of them."""
-        return bool(self._open) and all(
+        """Say whether every bill has its ruling or enough peers that keep it."""
+        return all(
             item.handover is not None and item.handover.is_secured for item in self._open.values()
         )
 
@@ -101,10 +105,24 @@
         reachable = self._shards.find(bill.workspace).is_log_reachable
         copy_seconds = self._settings.copy_after_seconds if reachable else 0.0
         item.copying = call_after(copy_seconds, lambda: self._copy(item))
-        self._shards.append(bill)
+        self._append(item)
         if outcome is not None:
             self._shards.append(outcome)
 
+    def _append(self, item: _Open) -> None:
+        def acknowledge(offset: int) -> None:
+            item.offset = offset
+
+        item.offset = None
+        self._shards.append(item.bill, acknowledge)
+
+    def _append_missed(self) -> None:
+        """Append bills again whose rulings were passed over, as when a snapshot was loaded."""
+        for item in list(self._open.values()):
+            next_offset = self._shards.find(item.bill.workspace).follower.next_offset
+            if item.offset is not None and item.offset < next_offset:
+                self._append(item)
+
     def _copy(self, item: _Open) -> None:
         item.handover = self._couriers.secure(
             item.bill, item.outcome, lambda: self._confirm(item, Ok(item.bill.tokens))
@@ -144,8 +162,8 @@
 
     def _bill_apart(self, bill: Bill) -> None:
         apart = separate(bill)
-        self._open[apart.bill_id] = _Open(apart, None, None)
-        self._shards.append(apart)
+        item = self._open[apart.bill_id] = _Open(apart, None, None)
+        self._append(item)
 
     def _take_duplicate(self, item: _Open, bill: Bill) -> None:
         """Put charges back, but for a bill that is its own duplicate: those are spent."""
--- a/bronzetiller/requests/couriers.py
+++ b/bronzetiller/requests/couriers.py
@@ -31,6 +31,7 @@
 
     item: KeptBill
     secured: Callable[[], None]
+    copies_max: int
     asked: set[str] = field(factory=set)
     holders: set[str] = field(factory=set)
     asking: int = 0
@@ -93,7 +94,7 @@
 
     def secure(self, bill: Bill, outcome: Outcome | None, secured: Callable[[], None]) -> Handover:
         """Ask peers to keep a bill; secured comes once enough of them confirm."""
-        handover = Handover(KeptBill(bill, bill.biller, outcome), secured)
+        handover = Handover(KeptBill(bill, bill.biller, outcome), secured, self._copies)
         self._handovers[bill.bill_id] = handover
         self._ask_more(handover)
         return handover
@@ -119,10 +120,13 @@
     def _ask_more(self, handover: Handover) -> None:
         if handover.over:
             return
-        missing = self.copies_needed - len(handover.holders) - handover.asking
+        missing = self._count_needed(handover) - len(handover.holders) - handover.asking
         for node_id in self._choose_peers(handover)[: max(0, missing)]:
             self._ask(handover, node_id)
 
+    def _count_needed(self, handover: Handover) -> int:
+        return min(handover.copies_max, self.copies_needed)
+
     def _choose_peers(self, handover: Handover) -> list[str]:
         centres = {vm.vm_id: vm.data_centre for vm in self._vm_list.find_routers()}
         owner = read_node_id(handover.item.owner)
@@ -150,7 +154,7 @@
 
     def _confirm(self, handover: Handover, node_id: str) -> None:
         handover.holders.add(node_id)
-        enough = len(handover.holders) >= self.copies_needed
+        enough = len(handover.holders) >= self._count_needed(handover)
         if enough and not handover.over and not handover.is_secured:
             handover.is_secured = True
             handover.secured()
@@ -221,11 +225,11 @@
         return since is not None and self._scheduler.now() - since >= OWNER_SILENCE_SECONDS
 
     def _hand_over(self) -> None:
-        """Pass kept bills on to other peers while the log does not take them."""
+        """Pass kept bills on to one other peer each while the log does not take them."""
         for bill_id, item in list(self.kept.bills.items())[:HANDOVERS_MAX]:
             reachable = self._shards.find(item.bill.workspace).is_log_reachable
             if bill_id not in self._handovers and not reachable:
-                handover = Handover(item, lambda bill_id=bill_id: self._leave(bill_id))  # type: ignore[misc]
+                handover = Handover(item, lambda bill_id=bill_id: self._leave(bill_id), 1)  # type: ignore[misc]
                 self._handovers[bill_id] = handover
                 self._ask_more(handover)
 
--- a/bronzetiller/requests/quarantine.py
+++ b/bronzetiller/requests/quarantine.py
@@ -1,9 +1,10 @@
 """Tell requests that end the targets they run on from requests that were merely there.
 
 Each request is known by its workspace and the digest of its body. The first death of a target
-makes every request on it a suspect, the second makes it quarantined. Suspects run one at a time
-until they have proved themselves by a first part of an answer, so that a second death has one
-suspect. Nothing here reads a clock; times are seconds of one monotonic clock.
+makes every request on it a suspect. Suspects run one at a time until they have proved themselves
+by a first part of an answer, so that a second death mostly has one suspect, which is quarantined.
+Where it has several, each gets one more run. Nothing here reads a clock; times are seconds of one
+monotonic clock.
 """
 
 from collections import OrderedDict, deque
@@ -11,7 +12,8 @@
 
 from attrs import define, field, frozen
 
-DEATHS_MAX = 2
+DEATHS_ALONE_MAX = 2
+DEATHS_MAX = 3
 SAME_DEATH_SECONDS = 5.0
 PROVEN_SECONDS = 120.0
 PROVEN_MAX = 10_000
@@ -33,6 +35,10 @@
     target_id: str
     noted_at: float
 
+    def is_same(self, target_id: str, now: float) -> bool:
+        """Say whether a death noted at another time is this one."""
+        return self.target_id == target_id and abs(now - self.noted_at) < SAME_DEATH_SECONDS
+
 
 @define(eq=False)
 class Passage:
@@ -55,10 +61,7 @@
     def note_death(self, mark: RequestMark, target_id: str, now: float) -> bool:
         """Count a death, unless it is one that was counted; say whether it is new."""
         known = [death for death in self.deaths.pop(mark, []) if not self._is_over(death, now)]
-        same = any(
-            death.target_id == target_id and now - death.noted_at < SAME_DEATH_SECONDS
-            for death in known
-        )
+        same = any(death.is_same(target_id, now) for death in known)
         if not same:
             known.append(Death(target_id, now))
         self.deaths[mark] = known
@@ -72,9 +75,21 @@
         known = self.deaths.get(mark, [])
         return sum(1 for death in known if not self._is_over(death, now))
 
+    def group_deaths(self, now: float) -> dict[str, list[RequestMark]]:
+        """Return the requests that each death counts against, by the target that died."""
+        grouped: dict[str, list[RequestMark]] = {}
+        for mark, deaths in self.deaths.items():
+            for death in deaths:
+                if not self._is_over(death, now):
+                    grouped.setdefault(death.target_id, []).append(mark)
+        return grouped
+
     def is_quarantined(self, mark: RequestMark, now: float) -> bool:
         """Say whether a request may not run."""
-        return self.count_deaths(mark, now) >= DEATHS_MAX
+        deaths = [death for death in self.deaths.get(mark, []) if not self._is_over(death, now)]
+        if len(deaths) < DEATHS_ALONE_MAX:
+            return False
+        return len(deaths) >= DEATHS_MAX or not self._is_shared(mark, deaths[-1])
 
     def is_suspect(self, mark: RequestMark, now: float) -> bool:
         """Say whether a request was on a target that died."""
@@ -96,8 +111,7 @@
 
     def clear(self, mark: RequestMark) -> None:
         """Forget the deaths of a suspect that was answered whole."""
-        if len(self.deaths.get(mark, [])) < DEATHS_MAX:
-            self.deaths.pop(mark, None)
+        self.deaths.pop(mark, None)
 
     def leave(self, passage: Passage) -> None:
         """End the turn of a run, or its wait for one."""
@@ -139,5 +153,15 @@
         proven_at = self._proven_at.get(mark)
         return proven_at is not None and now - proven_at < PROVEN_SECONDS
 
+    def _is_shared(self, mark: RequestMark, death: Death) -> bool:
+        """Say whether another request that had been on a dead target was on this one too."""
+        for other, deaths in self.deaths.items():
+            if other == mark:
+                continue
+            for index, known in enumerate(deaths):
+                if index > 0 and known.is_same(death.target_id, death.noted_at):
+                    return True
+        return False
+
     def _is_over(self, death: Death, now: float) -> bool:
         return now - death.noted_at >= self.expiry_seconds
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -70,12 +70,17 @@
 
 @frozen
 class TargetDied:
-    """Tell peers which requests were on a target when it died; each tells its own peers once."""
+    """Tell a peer which requests were on a target when it died; each tells its own peers once."""
 
     target_id: str
     requests: list[MarkedRequest]
 
 
+@frozen
+class DeathNoted:
+    """Answer TargetDied."""
+
+
 @frozen
 class FetchEntries:
     """Ask a peer for the entries of a stream from an offset on, waiting for a first one."""
@@ -220,6 +225,7 @@
     | BillKept
     | DropBill
     | TargetDied
+    | DeathNoted
     | FetchEntries
     | Entries
     | AskTokens
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -150,11 +150,11 @@
     _set_log(fleet, down=True)
     assert _send_words(fleet.caller_address("node-1"), "brief", "key-3")[0] == 200
     for node_id in ("node-1", "node-2"):
-        fleet.processes[node_id].stop()
-    await_true(lambda: fleet.processes["node-1"].popen.poll() == 0, what="the end of node-1")
+        process = fleet.processes[node_id]
+        process.stop()
+        await_true(lambda process=process: process.popen.poll() == 0, what="the end of a router")
     _set_log(fleet)
     await_true(lambda: _count_accepted(fleet, "key-3") == 1, what="the bill from a peer")
-    await_true(lambda: fleet.processes["node-2"].popen.poll() == 0, what="the end of node-2")
 
 
 def test_appends_with_lost_answers_and_sends_to_two_routers_make_one_bill(fleet):
