--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -16,7 +16,7 @@
 from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.metrics import ANSWERS, OPEN_REQUESTS, REQUESTS, RETRIES
 from bronzetiller.net.event_stream import format_event
-from bronzetiller.net.http_client import HttpClient
+from bronzetiller.net.http_client import SILENCE, HttpClient
 from bronzetiller.net.http_server import Exchange
 from bronzetiller.platform.vm_list import Vm
 from bronzetiller.requests.admission import Admission, RequestKey, refuse_quarantined
@@ -24,6 +24,7 @@
 from bronzetiller.requests.deaths import DeathWatch
 from bronzetiller.requests.quarantine import Passage
 from bronzetiller.requests.retries import RetryBudget
+from bronzetiller.routing.chunks import merge_delta
 from bronzetiller.routing.engine import (
     AnswerEnd,
     AnswerPart,
@@ -32,9 +33,10 @@
     EngineAttempt,
     start_attempt,
 )
-from bronzetiller.routing.targets import TargetChooser
+from bronzetiller.routing.targets import TargetChooser, observe_attempt
 
 ATTEMPTS_MAX = 3
+CALLERS_FAULT_STATUSES = {400, 413, 415, 422}
 EVENT_STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -48,12 +50,18 @@
     holdings: Holdings
     biller: Biller
     chooser: TargetChooser
+    first_byte_seconds: float
     admission: Admission
     deaths: DeathWatch
     retries: RetryBudget
     open_runs: int = 0
 
 
+def make_message() -> dict[str, Any]:
+    """Return the message that the parts of an answer are added to."""
+    return {"role": "assistant", "content": ""}
+
+
 @define(eq=False)
 class ChatRun:
     """Hold the state of one chat request."""
@@ -69,9 +77,10 @@
     passage: Passage | None = None
     isolating: bool = False
     may_have_run: bool = False
-    attempts: int = 0
     tried: set[str] = field(factory=set)
-    text: list[str] = field(factory=list)
+    message: dict[str, Any] = field(factory=make_message)
+    failure: AttemptFailed | None = None
+    attempts: int = 0
     over: bool = False
 
     def start(self) -> None:
@@ -81,6 +90,7 @@
         self.services.open_runs += 1
         self.services.retries.note_request()
         self.exchange.on_disconnect = self._on_disconnect
+        self.exchange.on_flow = self._on_flow
         refusal = self.services.admission.check(self.key)
         if refusal is not None:
             self._refuse(refusal)
@@ -113,7 +123,8 @@
         self._refuse(Refusal(503, Reason.DEADLINE, detail, retry_after_seconds=1))
 
     def _choose(self, avoided: set[str]) -> Vm | None:
-        return self.services.chooser.choose(self.route.service, self.tried | avoided)
+        excluded = self.tried | avoided
+        return self.services.chooser.choose(self.route.service, excluded, self.request.prefix_key)
 
     def _dispatch(self) -> None:
         if self.over:
@@ -126,16 +137,14 @@
         targets = [vm.vm_id for vm in chooser.vm_list.find_service(self.route.service)]
         vm = deaths.choose(self.key.mark, self._choose, set(chooser.outstanding), targets)
         if vm is None:
-            refusal = Refusal(
-                503, Reason.NO_TARGET, "no target of the service is live", retry_after_seconds=1
-            )
-            self._refuse(refusal)
+            self._refuse_for_lack_of_targets()
             return
         self.isolating = deaths.is_suspect(self.key.mark)
         if self.isolating:
             deaths.isolate(vm)
         self.vm = vm
         self.tried.add(vm.vm_id)
+        self.attempts += 1
         self.services.chooser.begin(vm)
         self.attempt = start_attempt(
             self.services.http,
@@ -144,7 +153,8 @@
             self.request.body,
             answer_tokens_max=self.request.answer_tokens_max,
             silence_seconds=self.route.silence_seconds,
-            listener=self._on_attempt,
+            first_byte_seconds=self.services.first_byte_seconds,
+            listener=observe_attempt(self.services.chooser, vm, self._on_attempt),
         )
 
     def _on_attempt(self, event: AttemptEvent) -> None:
@@ -156,6 +166,8 @@
             return
         vm = self.vm
         assert vm is not None
+        if isinstance(event, AttemptFailed) and event.silent:
+            self.tried.discard(vm.vm_id)
         self._end_attempt()
         if isinstance(event, AnswerEnd):
             self.services.deaths.clear(self.key.mark)
@@ -165,7 +177,9 @@
 
     def _forward(self, part: AnswerPart) -> None:
         if not self.request.stream:
-            self.text.append(part.text)
+            merge_delta(self.message, part.delta)
+            return
+        if not part.data:
             return
         if not self.exchange.started:
             self.exchange.start(200, EVENT_STREAM_HEADERS)
@@ -208,7 +222,6 @@
         return [chunk for chunk in end.last_chunks if json.loads(chunk)["choices"]]
 
     def _make_completion(self, end: AnswerEnd) -> dict[str, Any]:
-        message = {"role": "assistant", "content": "".join(self.text)}
         usage = {
             "prompt_tokens": end.prompt_tokens,
             "completion_tokens": end.answer_tokens,
@@ -219,14 +232,16 @@
             "object": "chat.completion",
             "created": int(time.time()),
             "model": self.request.body["model"],
-            "choices": [{"index": 0, "message": message, "finish_reason": end.finish_reason}],
+            "choices": [{"index": 0, "message": self.message, "finish_reason": end.finish_reason}],
             "usage": usage,
         }
 
     def _recover(self, failure: AttemptFailed, vm: Vm) -> None:
+        self.failure = failure
         self.may_have_run |= failure.may_have_run
-        self.attempts += failure.may_have_run
-        if 400 <= failure.status < 500:
+        if not failure.may_have_run:
+            self.attempts -= 1
+        if failure.status in CALLERS_FAULT_STATUSES:
             self._refuse(Refusal(failure.status, Reason.BAD_REQUEST, failure.detail))
         elif failure.target_lost and failure.may_have_run:
             self.services.deaths.report_loss(self.key.mark, vm, lambda: self._repeat(failure))
@@ -240,18 +255,30 @@
         if self.services.deaths.is_quarantined(self.key.mark):
             self._refuse(refuse_quarantined(Ran.UNKNOWN))
             return
-        if self._take_retry():
-            RETRIES.labels("target_failed").inc()
-            self.text.clear()
+        if self._take_retry(failure):
+            RETRIES.labels(SILENCE if failure.silent else "target_failed").inc()
+            self.message = make_message()
             self._enter()
             return
+        self._refuse_for_failure(failure)
+
+    def _refuse_for_failure(self, failure: AttemptFailed) -> None:
         reason = Reason.ANSWER_INCOMPLETE if self.exchange.started else Reason.TARGET_FAILED
         self._refuse(Refusal(502, reason, failure.cause, retry_after_seconds=1))
 
-    def _take_retry(self) -> bool:
+    def _take_retry(self, failure: AttemptFailed) -> bool:
+        """Say whether to go on; targets that took no byte cost nothing and are tried once each."""
         if self.exchange.started or self.attempts >= ATTEMPTS_MAX:
             return False
-        return self.services.retries.take()
+        took_nothing = not failure.may_have_run and not failure.status
+        return took_nothing or self.services.retries.take()
+
+    def _refuse_for_lack_of_targets(self) -> None:
+        if self.failure is not None:
+            self._refuse_for_failure(self.failure)
+            return
+        detail = "no target of the service takes new work"
+        self._refuse(Refusal(503, Reason.NO_TARGET, detail, retry_after_seconds=1))
 
     def _refuse(self, refusal: Refusal) -> None:
         self._finish()
@@ -259,9 +286,16 @@
             refusal = evolve(refusal, ran=Ran.UNKNOWN)
         refuse(self.exchange, refusal)
 
+    def _on_flow(self, flowing: bool) -> None:
+        if self.attempt is not None:
+            self.attempt.set_flow(flowing)
+
     def _on_disconnect(self) -> None:
         """Run an answer to its end and bill it once its caller has got a part of it."""
-        if self.over or self.exchange.started:
+        if self.over:
+            return
+        if self.exchange.started:
+            self._on_flow(True)
             return
         if self.attempt is not None:
             self.attempt.cancel()
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -56,6 +56,8 @@
     heartbeat_bytes_per_second_max: float = field(default=2_500.0, validator=gt(0))
     relay: bool = True
     relay_fallback_seconds: float = field(default=1.0, validator=gt(0))
+    appends_per_second_max: float = field(default=300.0, validator=gt(0))
+    direct_append_seconds_max: float = field(default=0.1, validator=gt(0))
     seeds: list[Address] = field(factory=list)
 
 
@@ -73,11 +75,27 @@
     """Bound what one caller may ask of a node."""
 
     body_bytes_max: int = field(default=4 * 1024 * 1024, validator=gt(0))
+    head_bytes_max: int = field(default=32 * 1024, validator=ge(1024))
+    receive_seconds: float = field(default=30.0, validator=gt(0))
+    idle_seconds: float = field(default=120.0, validator=gt(0))
+    stall_seconds: float = field(default=30.0, validator=gt(0))
+    unsent_bytes_max: int = field(default=256 * 1024, validator=ge(16 * 1024))
+    connections_max: int = field(default=10_000, validator=gt(0))
     requests_waiting_max: int = field(default=512, validator=gt(0))
     request_seconds_max: float = field(default=300.0, validator=gt(0))
     entry_seconds: float = field(default=5.0, validator=gt(0))
 
 
+@frozen
+class RoutingSettings:
+    """Set how a node spreads work over targets; link_seconds is one way between regions."""
+
+    link_seconds: float = field(default=0.03, validator=ge(0))
+    first_byte_seconds: float = field(default=10.0, validator=gt(0))
+    load_interval_seconds: float = field(default=1.0, validator=gt(0))
+    load_polls_per_second: float = field(default=10.0, validator=gt(0))
+
+
 @frozen
 class RequestSettings:
     """Bound how long a request waits for its claim and its bill, and how often it is repeated.
@@ -109,6 +127,7 @@
     fleet: FleetSettings = field(factory=FleetSettings)
     snapshots: SnapshotSettings = field(factory=SnapshotSettings)
     limits: LimitSettings = field(factory=LimitSettings)
+    routing: RoutingSettings = field(factory=RoutingSettings)
     requests: RequestSettings = field(factory=RequestSettings)
     log_level: str = field(default="INFO", validator=matches_re("DEBUG|INFO|WARNING|ERROR"))
 
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -36,7 +36,10 @@
 
 
 def _add_node(fleet, node_id):
-    fleet.add_node(node_id, "west", f"west-{int(node_id[-1]) % 2 + 1}", requests=QUICK)
+    data_centre = f"west-{int(node_id[-1]) % 2 + 1}"
+    limits = {"entry_seconds": 0.5}
+    watch = {"silence_seconds": 1.0}
+    fleet.add_node(node_id, "west", data_centre, requests=QUICK, limits=limits, fleet=watch)
 
 
 def _set_log(fleet, **faults):
