--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -58,6 +58,7 @@
 from bronzetiller.wire.messages import AskTokens, Heartbeat
 
 CREDIT_CHECK_SECONDS = 0.5
+STOP_WITHOUT_LOG_SECONDS = 3.0
 STOP_CHECK_SECONDS = 0.5
 
 
@@ -162,7 +163,7 @@
             scheduler, self.shards, settings.requests, self.incarnation, self.membership.is_gone
         )
         quarantine = Quarantine(settings.requests.quarantine_seconds)
-        self.deaths = DeathWatch(scheduler, dialer, self.peers, quarantine)
+        self.deaths = DeathWatch(scheduler, dialer, self.peers, quarantine, settings.node_id)
         self.retries = RetryBudget(settings.requests.retry_share_max)
         self.drain = Drain(
             scheduler,
@@ -187,6 +188,7 @@
         )
         self.chooser.on_refusal = self.load_poller.ask
         self._was_ready = False
+        self._log_lost_at: float | None = None
         self.server = self._make_server()
         _Signals(self).register(self.loop.root)
 
@@ -250,10 +252,12 @@
         return [self.configuration_follower, *(shard.follower for shard in self.shards.all)]
 
     def _is_idle(self) -> bool:
-        if self.open_runs or self.server.open_exchanges or not self.couriers.is_idle:
+        if self.open_runs or self.server.open_exchanges or self.claimants.open_claims:
+            return False
+        if not self.couriers.is_idle or not self.biller.is_secured:
             return False
         backlog = sum(shard.writer.backlog for shard in self.shards.all)
-        return backlog == 0 or (self.biller.is_secured and not self.claimants.open_claims)
+        return backlog == 0 or self._has_lost_log()
 
     def _check_own_stop(self) -> None:
         own = self.vm_list.vms.get(self.settings.node_id)
@@ -267,6 +271,15 @@
         stops = self.configuration.planned_stops().values()
         return {stop.vm_id for stop in stops if stop.stop_at <= time.time()}
 
+    def _has_lost_log(self) -> bool:
+        """Say whether the log has taken nothing for long, so that waiting for it is in vain."""
+        now = self.loop.scheduler.now()
+        if all(shard.writer.reachable for shard in self.shards.all):
+            self._log_lost_at = None
+        elif self._log_lost_at is None:
+            self._log_lost_at = now
+        return self._log_lost_at is not None and now >= self._log_lost_at + STOP_WITHOUT_LOG_SECONDS
+
     @property
     def open_runs(self) -> int:
         """Count the requests that are not over, whether or not their callers are still there."""
