Find a caller's workspace by its key's digest in place of a scan

Cause: each request built a table of all workspaces from all items and looked through it, and every half second all top-ups ever made were looked up in the ledger.

Change: the fold keeps the bodies in force by kind and the owners of each key digest; top-ups that were credited are not looked at again, since they are never changed.

Seen: the fold's state machine compares the index with the items, and fails where a removed digest stays in it.

--- a/bronzetiller/callers/authentication.py
+++ b/bronzetiller/callers/authentication.py
@@ -15,10 +15,4 @@
 def authenticate(configuration: Configuration, headers: dict[str, str]) -> str | None:
     """Return the name of the caller's workspace, or nothing."""
     key = read_key(headers)
-    if key is None:
-        return None
-    digest = digest_key(key)
-    for name, workspace in configuration.workspaces().items():
-        if workspace.enabled and digest in workspace.key_digests:
-            return name
-    return None
+    return None if key is None else configuration.find_workspace(digest_key(key))
--- a/bronzetiller/configuration/fold.py
+++ b/bronzetiller/configuration/fold.py
@@ -73,6 +73,8 @@
     items: dict[tuple[str, str], Item] = field(factory=dict)
     decisions: deque[Decision] = field(factory=deque)
     _by_record_id: dict[str, Decision] = field(factory=dict)
+    _bodies: dict[str, dict[str, Any]] = field(factory=dict)
+    _owners: dict[str, list[str]] = field(factory=dict)
 
     def apply(self, offset: int, value: dict[str, Any]) -> Decision:
         """Apply one record in the order of the log."""
@@ -89,6 +91,8 @@
         self.items.clear()
         self.decisions.clear()
         self._by_record_id.clear()
+        self._bodies.clear()
+        self._owners.clear()
 
     def restore(self, offset: int, value: dict[str, Any]) -> Decision | None:
         """Put a record back that was accepted before, out of a snapshot."""
@@ -104,7 +108,7 @@
             self._remember(decision)
 
     def workspaces(self) -> dict[str, Workspace]:
-        """Return the workspaces in force by name."""
+        """Return the workspaces in force by name; not to be changed, as those below."""
         return self._in_force(Kind.WORKSPACE)
 
     def routes(self) -> dict[str, Route]:
@@ -132,12 +136,14 @@
         """Return the items whose newest record this version cannot read."""
         return {key: item for key, item in self.items.items() if item.note}
 
+    def find_workspace(self, key_digest: str) -> str | None:
+        """Return the name of the enabled workspace that has a key of this digest, or nothing."""
+        names = self._owners.get(key_digest, [])
+        workspaces = self.workspaces()
+        return next((name for name in names if workspaces[name].enabled), None)
+
     def _in_force(self, kind: Kind) -> dict[str, Any]:
-        return {
-            name: item.body
-            for (item_kind, name), item in self.items.items()
-            if item_kind == kind.value and item.body is not None
-        }
+        return self._bodies.setdefault(kind.value, {})
 
     def _remember(self, decision: Decision) -> None:
         self.decisions.append(decision)
@@ -178,6 +184,25 @@
         return f"{replaced}, but the newest record is at offset {revision} by {author}"
 
     def _put(self, offset: int, envelope: Envelope) -> str:
+        note = self._put_item(offset, envelope)
+        self._index(envelope.kind, envelope.name)
+        return note
+
+    def _index(self, kind: str, name: str) -> None:
+        bodies = self._bodies.setdefault(kind, {})
+        old, new = bodies.get(name), self.items[kind, name].body
+        if isinstance(old, Workspace):
+            for digest in set(old.key_digests):
+                self._owners[digest].remove(name)
+        if isinstance(new, Workspace):
+            for digest in set(new.key_digests):
+                self._owners.setdefault(digest, []).append(name)
+        if new is None:
+            bodies.pop(name, None)
+        else:
+            bodies[name] = new
+
+    def _put_item(self, offset: int, envelope: Envelope) -> str:
         key = (envelope.kind, envelope.name)
         old = self.items.get(key)
         if envelope.body is None:
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -8,7 +8,7 @@
 from bronzetiller import __version__
 from bronzetiller.budgets.asks import TokenAsker
 from bronzetiller.budgets.closing import GrantCloser
-from bronzetiller.budgets.credits import is_credit_pending, post_credits
+from bronzetiller.budgets.credits import CreditPoster
 from bronzetiller.budgets.grants import GrantKeeper
 from bronzetiller.budgets.holdings import Holdings
 from bronzetiller.budgets.pauses import PauseGuard
@@ -98,6 +98,7 @@
         self.snapshots = SnapshotKeeper(scheduler, self.log, self.peers, self.membership, settings)
         self.vm_relay = VmRelay(scheduler, self.peers, self.membership, self.vm_list, settings)
         self.delegation = Delegation(self.peers, self.membership, self.log, self._make_heartbeat)
+        self.credits = CreditPoster(self.configuration, self.shards)
         self.holdings = Holdings()
         self.transfers = Transfers(self.incarnation)
         self.guard = PauseGuard(scheduler, self.log, self.shards)
@@ -111,7 +112,7 @@
             self.guard,
             settings.budgets,
             self.incarnation,
-            lambda workspace: is_credit_pending(self.configuration, self.shards, workspace),
+            self.credits.is_pending,
             self.peers.connected,
         )
         self.closer = GrantCloser(
@@ -296,7 +297,7 @@
 
     def _post_credits(self) -> None:
         if all(shard.follower.caught_up for shard in self.shards.all):
-            post_credits(self.configuration, self.shards)
+            self.credits.post()
 
     def _make_heartbeat(self) -> Heartbeat:
         settings = self.settings
--- a/tests/test_configuration_fold.py
+++ b/tests/test_configuration_fold.py
@@ -19,10 +19,22 @@
 from bronzetiller.configuration.records import Envelope, Kind, dump_envelope, load_body
 
 PUBLISHERS = ("anna", "bert", "carys")
-KEYS = ((Kind.ROUTE.value, "namer"), (Kind.TOP_UP.value, "studio-1"), ("adapter", "later-kind"))
+KEYS = (
+    (Kind.ROUTE.value, "namer"),
+    (Kind.TOP_UP.value, "studio-1"),
+    (Kind.WORKSPACE.value, "studio"),
+    (Kind.WORKSPACE.value, "rival"),
+    ("adapter", "later-kind"),
+)
+DIGESTS = ("a" * 64, "b" * 64)
 BODIES = {
     Kind.ROUTE.value: [{"service": "names"}, {"service": "names", "answer_tokens_max": 5}, {}],
     Kind.TOP_UP.value: [{"workspace": "studio", "tokens": 5}, {"workspace": "studio"}],
+    Kind.WORKSPACE.value: [
+        {"key_digests": [DIGESTS[0]]},
+        {"key_digests": [*DIGESTS, DIGESTS[0]]},
+        {"key_digests": [DIGESTS[1]], "enabled": False},
+    ],
     "adapter": [{"of_a_later": "version"}],
 }
 SCHEMAS_OF_NODES = ((1, 2), (1,), (1, 2, 3))
@@ -145,6 +157,16 @@
             for key, item in node.items.items():
                 assert item.body == self.find_form(node, key), "not the newest readable form"
 
+    @invariant()
+    def a_key_finds_an_enabled_workspace_that_declares_it(self):
+        for node in self.nodes:
+            found = node.workspaces()
+            bodies = {key[1]: item.body for key, item in node.items.items() if "work" in key[0]}
+            assert found == {name: body for name, body in bodies.items() if body is not None}
+            for digest in DIGESTS:
+                owners = {n for n, w in found.items() if w.enabled and digest in w.key_digests}
+                assert node.find_workspace(digest) in (owners or {None})
+
     def find_form(self, node, key):
         accepted = [d.offset for d in node.decisions if d.accepted and (d.kind, d.name) == key]
         for offset in reversed(accepted):
