--- a/bronzetiller/configuration/fold.py
+++ b/bronzetiller/configuration/fold.py
@@ -143,7 +143,7 @@
         return next((name for name in names if workspaces[name].enabled), None)
 
     def _in_force(self, kind: Kind) -> dict[str, Any]:
-        return self._bodies.setdefault(kind.value, {})
+        return self._bodies.get(kind.value, {})
 
     def _remember(self, decision: Decision) -> None:
         self.decisions.append(decision)
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -1,6 +1,7 @@
 """Wire the parts of a node together and run it."""
 
 import time
+from random import Random
 from typing import Any
 
 from circuits import BaseComponent, handler
@@ -23,8 +24,11 @@
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.configuration.streams import CONFIGURATION_STREAM
 from bronzetiller.fleet.delegation import Delegation
+from bronzetiller.fleet.drain import Drain
+from bronzetiller.fleet.entries import EntryView, list_entries
 from bronzetiller.fleet.incarnations import make_incarnation
 from bronzetiller.fleet.membership import Membership
+from bronzetiller.fleet.pacing import Pacer
 from bronzetiller.fleet.peers import Peers
 from bronzetiller.fleet.relay import Relay
 from bronzetiller.fleet.snapshot_keeper import SnapshotKeeper
@@ -32,7 +36,7 @@
 from bronzetiller.logs import log_event
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.http_client import HttpClient
-from bronzetiller.net.http_server import HttpServer
+from bronzetiller.net.http_server import HttpLimits, HttpServer
 from bronzetiller.net.loop import Loop, make_loop
 from bronzetiller.platform.follower import StreamFollower
 from bronzetiller.platform.log_client import Entry, LogClient
@@ -48,11 +52,13 @@
 from bronzetiller.requests.deaths import DeathWatch
 from bronzetiller.requests.quarantine import Quarantine
 from bronzetiller.requests.retries import RetryBudget
+from bronzetiller.routing.load_poller import LoadPoller
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.settings import Settings
 from bronzetiller.wire.messages import AskTokens, Heartbeat
 
 CREDIT_CHECK_SECONDS = 0.5
+STOP_CHECK_SECONDS = 0.5
 
 
 class _Signals(BaseComponent):
@@ -97,8 +103,13 @@
         self.archive = Archive()
         self.snapshots = SnapshotKeeper(scheduler, self.log, self.peers, self.membership, settings)
         self.vm_relay = VmRelay(scheduler, self.peers, self.membership, self.vm_list, settings)
-        self.delegation = Delegation(self.peers, self.membership, self.log, self._make_heartbeat)
         self.credits = CreditPoster(self.configuration, self.shards)
+        self.delegation = Delegation(
+            self.peers, self.membership, self.log, self._make_heartbeat, scheduler
+        )
+        self.pacer = Pacer(
+            scheduler, self.vm_list, self.delegation, settings, self.delegation.choose_appender
+        )
         self.holdings = Holdings()
         self.transfers = Transfers(self.incarnation)
         self.guard = PauseGuard(scheduler, self.log, self.shards)
@@ -152,8 +163,28 @@
         quarantine = Quarantine(settings.requests.quarantine_seconds)
         self.deaths = DeathWatch(scheduler, dialer, self.peers, quarantine)
         self.retries = RetryBudget(settings.requests.retry_share_max)
-        self.chooser = TargetChooser(self.vm_list, settings.region)
-        self.stopping = False
+        self.drain = Drain(
+            scheduler,
+            announce=self.membership.announce,
+            release=self.keeper.return_all,
+            is_idle=self._is_idle,
+            end=self.loop.root.stop,
+        )
+        self._random = Random()
+        self.chooser = TargetChooser(
+            self.vm_list,
+            settings.region,
+            settings.routing.link_seconds,
+            find_stops=lambda: self.configuration.planned_stops().values(),
+        )
+        self.load_poller = LoadPoller(
+            scheduler,
+            self.http,
+            self.chooser,
+            settings.routing.load_interval_seconds,
+            settings.routing.load_polls_per_second,
+        )
+        self.chooser.on_refusal = self.load_poller.ask
         self._was_ready = False
         self.server = self._make_server()
         _Signals(self).register(self.loop.root)
@@ -172,6 +203,7 @@
             shard.writer.on_acknowledged = shard.follower.note_end
             shard.writer.delegate = self.delegation.append
         self.delegation.start()
+        self.pacer.start([shard.writer for shard in self.shards.all])
         self.membership.start()
         self.peers.on(AskTokens, self.keeper.answer_ask)
         self.keeper.start()
@@ -179,24 +211,33 @@
         self.guard.start()
         self.relay.start()
         self.vm_list.start()
+        self.load_poller.start()
         self.vm_relay.start()
         self.snapshots.start()
         scheduler = self.loop.scheduler
         scheduler.call_every(CREDIT_CHECK_SECONDS, self._post_credits)
+        scheduler.call_every(STOP_CHECK_SECONDS, self._check_own_stop)
         callers = f"{self.settings.listen.callers.ip}:{self.server.port}"
         peers = f"{self.settings.listen.peers.ip}:{peer_port}"
         print(f"ready kind=node id={self.settings.node_id} callers={callers} peers={peers}")
         log_event("started", incarnation=self.incarnation, callers=callers, peers=peers)
         self.loop.root.run()
 
-    def stop(self) -> None:
+    @property
+    def stopping(self) -> bool:
+        """Say whether the node has begun to stop."""
+        return self.drain.stopping
+
+    def stop(self, cause: str = "signal") -> None:
         """Finish what runs, then end the process."""
-        if self.stopping:
-            return
-        self.stopping = True
-        self.couriers.stop()
-        log_event("stopping", open_requests=self.server.open_exchanges)
-        self.loop.scheduler.call_every(0.05, self._stop_when_idle)
+        if not self.stopping:
+            self.couriers.stop()
+        leave_seconds = self.settings.limits.entry_seconds + self.settings.fleet.silence_seconds
+        self.drain.begin(
+            cause,
+            leave_seconds=leave_seconds,
+            stop_seconds_max=self.settings.limits.request_seconds_max,
+        )
 
     def is_ready(self) -> bool:
         """Say whether the node has read every stream to its end since it started."""
@@ -207,15 +248,23 @@
     def _followers(self) -> list[StreamFollower]:
         return [self.configuration_follower, *(shard.follower for shard in self.shards.all)]
 
-    def _stop_when_idle(self) -> None:
-        if self.open_runs == 0 and self.server.open_exchanges == 0:
-            self.keeper.return_all()
-        backlog = sum(shard.writer.backlog for shard in self.shards.all)
+    def _is_idle(self) -> bool:
         if self.open_runs or self.server.open_exchanges or not self.couriers.is_idle:
-            return
-        if backlog == 0 or (self.biller.is_secured and not self.claimants.open_claims):
-            log_event("stopped")
-            self.loop.root.stop()
+            return False
+        backlog = sum(shard.writer.backlog for shard in self.shards.all)
+        return backlog == 0 or (self.biller.is_secured and not self.claimants.open_claims)
+
+    def _check_own_stop(self) -> None:
+        own = self.vm_list.vms.get(self.settings.node_id)
+        if own is not None and own.state is VmState.LEAVING:
+            self.stop("vm_list")
+        elif self.settings.node_id in self._list_stops():
+            self.stop("planned_stop")
+
+    def _list_stops(self) -> set[str]:
+        """Return the ids of the VMs whose planned stop has come."""
+        stops = self.configuration.planned_stops().values()
+        return {stop.vm_id for stop in stops if stop.stop_at <= time.time()}
 
     @property
     def open_runs(self) -> int:
@@ -230,6 +279,7 @@
             holdings=self.holdings,
             biller=self.biller,
             chooser=self.chooser,
+            first_byte_seconds=self.settings.routing.first_byte_seconds,
             admission=admission,
             deaths=self.deaths,
             retries=self.retries,
@@ -253,6 +303,7 @@
             calls=self.calls,
             is_ready=self.is_ready,
             is_stopping=lambda: self.stopping,
+            is_refusing=lambda: self.drain.refusing,
             list_entries=self._list_entries,
             operator_handlers=make_operator_handlers(self._make_report_services()),
             entry_seconds=self.settings.limits.entry_seconds,
@@ -263,15 +314,32 @@
             self.settings.listen.callers.port,
             make_application(services),
             reject_malformed,
-            body_bytes_max=self.settings.limits.body_bytes_max,
+            limits=self._make_http_limits(),
             channel="callers",
         )
         return server.register(self.loop.root)
 
+    def _make_http_limits(self) -> HttpLimits:
+        limits = self.settings.limits
+        return HttpLimits(
+            body_bytes_max=limits.body_bytes_max,
+            head_bytes_max=limits.head_bytes_max,
+            request_seconds=limits.receive_seconds,
+            idle_seconds=limits.idle_seconds,
+            stall_seconds=limits.stall_seconds,
+            unsent_bytes_max=limits.unsent_bytes_max,
+            connections_max=limits.connections_max,
+        )
+
     def _list_entries(self) -> list[str]:
-        routers = self.vm_list.find_routers()
-        live = [vm for vm in routers if vm.state is VmState.LIVE]
-        return [str(vm.address) for vm in live]
+        view = EntryView(
+            own=self._make_heartbeat(),
+            routers=self.vm_list.find_routers(),
+            live=self.membership.live(),
+            silent=self.membership.silent(),
+            stops=self._list_stops(),
+        )
+        return list_entries(view, self._random)
 
     def _make_configuration_fold(self) -> Fold:
         return Fold(
