Refuse a key declared by two workspaces and show the newest decisions

Cause: a digest that stands in two workspaces makes it a matter of order whose budget pays; check passed it. report printed all 1,000 decisions.

--- a/bronzetiller/cli/main.py
+++ b/bronzetiller/cli/main.py
@@ -105,8 +105,8 @@
 
     connection: Connection
     from_offset: Annotated[
-        int, cappa.Arg(long="--from", default=0, help="first offset of the records to show")
-    ] = 0
+        int | None, cappa.Arg(long="--from", help="first offset to show (else the newest 20)")
+    ] = None
     json: Json = False
 
     def __call__(self) -> None:
--- a/bronzetiller/cli/reporting.py
+++ b/bronzetiller/cli/reporting.py
@@ -12,18 +12,22 @@
 from bronzetiller.reports.nodes import find_behind, find_unable
 
 T = TypeVar("T")
+DECISIONS_SHOWN = 20
 
 
-def show_report(options: ConnectionOptions, from_offset: int, *, as_json: bool) -> None:
+def show_report(options: ConnectionOptions, from_offset: int | None, *, as_json: bool) -> None:
     """Print the nodes, the decisions and the items that a node keeps in an older form."""
-    view = _unwrap(view_fleet(open_access(options), from_offset))
+    view = _unwrap(view_fleet(open_access(options), from_offset or 0))
     if as_json:
         print_json(view)
         return
     _print_nodes(view)
     print()
     heads = ["offset", "kind", "name", "schema", "author", "verdict", "in force", "reason"]
-    print_table(heads, [_make_row(item, view) for item in view.report.decisions])
+    decisions = view.report.decisions
+    if from_offset is None:
+        decisions = decisions[-DECISIONS_SHOWN:]
+    print_table(heads, [_make_row(item, view) for item in decisions])
     for item in view.report.unread:
         print(
             f"{item.kind} {item.name}: offset {item.in_force_revision} stays in force on"
--- a/bronzetiller/configuration/declarations.py
+++ b/bronzetiller/configuration/declarations.py
@@ -19,6 +19,7 @@
     Kind,
     Route,
     TopUp,
+    Workspace,
     check_body,
 )
 from bronzetiller.documents import Document, Problem, read_documents
@@ -73,6 +74,7 @@
             else:
                 declarations.append(result.ok_value)
     problems += _find_doubles(declarations)
+    problems += _find_shared_keys(declarations)
     if not problems:
         problems += _find_unknown_workspaces(declarations)
     return Err(problems) if problems else Ok(declarations)
@@ -135,6 +137,20 @@
     return problems
 
 
+def _find_shared_keys(declarations: list[Declaration]) -> list[Problem]:
+    owners: dict[str, str] = {}
+    problems = []
+    for declaration in declarations:
+        if not isinstance(declaration.body, Workspace):
+            continue
+        for index, digest in enumerate(declaration.body.key_digests):
+            owner = owners.setdefault(digest, declaration.name)
+            if owner != declaration.name:
+                error = FieldError(("spec", "key_digests", index), f"is a key of {owner} too")
+                problems.append(declaration.document.locate(error))
+    return problems
+
+
 def _find_unknown_workspaces(declarations: list[Declaration]) -> list[Problem]:
     known = {item.name for item in declarations if item.kind is Kind.WORKSPACE}
     problems = []
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -33,6 +33,8 @@
         "fleet_secret": FLEET_SECRET,
         "listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"},
         "platform": platform,
+        "limits": {"entry_seconds": 0.2},
+        "fleet": {"silence_seconds": 0.5},
     }
     settings = folder / "settings.yaml"
     settings.write_text(yaml.safe_dump(value))
--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -72,9 +72,12 @@
 def test_all_faults_are_found_in_one_run(tmp_path):
     write_tree(tmp_path, declare_studio(), declare("route", "a"), declare("route", "b", service=1))
     write_tree(tmp_path / "inner", declare_studio(), name="b.yml")
+    rival = declare("workspace", "rival", key_digests=["e" * 64, DIGEST])
+    write_tree(tmp_path / "other", rival, name="c.yaml")
     problems = find_problems(tmp_path)
-    assert len(problems) == 3, problems
+    assert len(problems) == 4, problems
     assert any("is declared in" in problem for problem in problems)
+    assert any("spec.key_digests[1]: is a key of studio too" in problem for problem in problems)
 
 
 def test_a_plan_holds_only_what_changes(tmp_path):
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,5 +1,6 @@
 """Check that a run passes over just the tests that are listed as known to fail."""
 
+import os
 import shutil
 import subprocess
 import sys
@@ -20,7 +21,10 @@
     def run_tests(listed, *options):
         (tmp_path / "KNOWN-RED.txt").write_text(listed)
         command = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", *options]
-        done = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True)
+        environment = os.environ | {"PYTEST_DISABLE_PLUGIN_AUTOLOAD": "1"}
+        done = subprocess.run(
+            command, cwd=tmp_path, capture_output=True, text=True, env=environment
+        )
         return done.returncode, done.stdout + done.stderr
 
     return run_tests
