--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -86,6 +86,16 @@
     entry_seconds: float = field(default=5.0, validator=gt(0))
 
 
+@frozen
+class RoutingSettings:
+    """Set how a node spreads work over targets; link_seconds is one way between regions."""
+
+    link_seconds: float = field(default=0.03, validator=ge(0))
+    first_byte_seconds: float = field(default=10.0, validator=gt(0))
+    load_interval_seconds: float = field(default=1.0, validator=gt(0))
+    load_polls_per_second: float = field(default=10.0, validator=gt(0))
+
+
 @frozen
 class OperatorSettings:
     """Say who may read reports: the SHA-256 digests (hex) of the operators' tokens."""
@@ -104,16 +114,6 @@
     )
 
 
-@frozen
-class RoutingSettings:
-    """Set how a node spreads work over targets; link_seconds is one way between regions."""
-
-    link_seconds: float = field(default=0.03, validator=ge(0))
-    first_byte_seconds: float = field(default=10.0, validator=gt(0))
-    load_interval_seconds: float = field(default=1.0, validator=gt(0))
-    load_polls_per_second: float = field(default=10.0, validator=gt(0))
-
-
 @frozen
 class RequestSettings:
     """Bound how long a request waits for its claim and its bill, and how often it is repeated.
@@ -145,9 +145,9 @@
     fleet: FleetSettings = field(factory=FleetSettings)
     snapshots: SnapshotSettings = field(factory=SnapshotSettings)
     limits: LimitSettings = field(factory=LimitSettings)
+    routing: RoutingSettings = field(factory=RoutingSettings)
     operators: OperatorSettings = field(factory=OperatorSettings)
     configuration: ConfigurationSettings = field(factory=ConfigurationSettings)
-    routing: RoutingSettings = field(factory=RoutingSettings)
     requests: RequestSettings = field(factory=RequestSettings)
     log_level: str = field(default="INFO", validator=matches_re("DEBUG|INFO|WARNING|ERROR"))
 
