--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -151,7 +151,9 @@
         if deaths.is_quarantined(self.key.mark):
             self._refuse(refuse_quarantined(self.key.ran_before))
             return
-        vm = deaths.choose(self.key.mark, self._choose, set(self.services.chooser.outstanding))
+        chooser = self.services.chooser
+        targets = [vm.vm_id for vm in chooser.vm_list.find_service(self.route.service)]
+        vm = deaths.choose(self.key.mark, self._choose, set(chooser.outstanding), targets)
         if vm is None:
             self._refuse_for_lack_of_targets()
             return
@@ -255,6 +257,8 @@
     def _recover(self, failure: AttemptFailed, vm: Vm) -> None:
         self.failure = failure
         self.may_have_run |= failure.may_have_run
+        if not failure.may_have_run:
+            self.attempts -= 1
         if failure.status in CALLERS_FAULT_STATUSES:
             self._refuse(Refusal(failure.status, Reason.BAD_REQUEST, failure.detail))
         elif failure.target_lost and failure.may_have_run:
@@ -269,7 +273,7 @@
         if self.services.deaths.is_quarantined(self.key.mark):
             self._refuse(refuse_quarantined(Ran.UNKNOWN))
             return
-        if self._take_retry():
+        if self._take_retry(failure):
             RETRIES.labels(SILENCE if failure.silent else "target_failed").inc()
             self.message = make_message()
             self._enter()
@@ -280,10 +284,12 @@
         reason = Reason.ANSWER_INCOMPLETE if self.exchange.started else Reason.TARGET_FAILED
         self._refuse(Refusal(502, reason, failure.cause, retry_after_seconds=1))
 
-    def _take_retry(self) -> bool:
+    def _take_retry(self, failure: AttemptFailed) -> bool:
+        """Say whether to go on; targets that took no byte cost nothing and are tried once each."""
         if self.exchange.started or self.attempts >= ATTEMPTS_MAX:
             return False
-        return self.services.retries.take()
+        took_nothing = not failure.may_have_run and not failure.status
+        return took_nothing or self.services.retries.take()
 
     def _refuse_for_lack_of_targets(self) -> None:
         if self.failure is not None:
