--- a/bench/overload.py
+++ b/bench/overload.py
@@ -1,10 +1,10 @@
 """Measure goodput, fairness and refusals of one router at 1, 2 and 5 times its capacity.
 
-python -m bench.overload [--seed N] [--seconds S]
+python -m bench.overload [--seed N] [--seconds S] [--weight W] [--load L ...]
 
-The engines' slots and pace give the capacity. One workspace of weight ten sends ten times as much
-as each of the ordinary ones. The baseline is the same router with a queue that never holds or
-refuses anything, in the same run.
+The engines' slots and pace give the capacity. One workspace (of weight W, by default ten) sends
+ten times as much as each of the ordinary ones. The baseline is the same router with a queue that
+never holds or refuses anything, in the same run.
 """
 
 import argparse
@@ -23,7 +23,7 @@
 TOKEN_SECONDS = 0.02
 FIRST_TOKEN_SECONDS = 0.02
 ORDINARY = 9
-WEIGHT = 10
+LARGE_REQUESTS = 10
 PATIENCE_SECONDS = 3.0
 BOUNDED = {"requests_waiting_max": 64, "queue_seconds": 2.0}
 BOUNDLESS = {"requests_waiting_max": 100_000, "queue_seconds": 1_000.0}
@@ -33,7 +33,7 @@
     address: str, rate: float, seconds: float, source: random.Random
 ) -> list[tuple[str, Outcome]]:
     """Send requests at random times whether or not earlier ones have their answers."""
-    names = ["large"] * WEIGHT + [f"ordinary-{number}" for number in range(ORDINARY)]
+    names = ["large"] * LARGE_REQUESTS + [f"ordinary-{number}" for number in range(ORDINARY)]
     outcomes: list[tuple[str, Outcome]] = []
     idle: list[Caller] = []
 
@@ -66,6 +66,8 @@
     return (
         f"overload name={name} load={load} sent={len(outcomes)}"
         f" goodput_per_s={len(good) / seconds:.1f}"
+        f" ordinary_answered={_share(outcomes, large=False):.2f}"
+        f" large_answered={_share(outcomes, large=True):.2f}"
         f" large_share={large / max(1, len(good)):.2f} refused={len(refused)} other={other}"
         f" refused_after_ms_p95={find_quantile([o.finished * 1000 for o in refused], 0.95):.0f}"
         f" ordinary_s_p50={find_quantile(ordinary, 0.5):.2f}"
@@ -73,16 +75,25 @@
     )
 
 
+def _share(outcomes: list[tuple[str, Outcome]], *, large: bool) -> float:
+    """Return the share of good answers among what the large or the ordinary ones asked for."""
+    own = [outcome for who, outcome in outcomes if (who == "large") is large]
+    good = [o for o in own if o.status == 200 and o.finished <= PATIENCE_SECONDS]
+    return len(good) / max(1, len(own))
+
+
 def main() -> None:
     """Run every load on both routers."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--weight", type=int, default=10)
+    parser.add_argument("--load", type=float, action="append")
     arguments = parser.parse_args()
     capacity = ENGINES * SLOTS / (FIRST_TOKEN_SECONDS + (TOKENS + 1) * TOKEN_SECONDS)
     print(f"overload capacity_per_s={capacity:.1f} seed={arguments.seed}", flush=True)
     for name, limits in (("fair", BOUNDED), ("boundless", BOUNDLESS)):
-        for load in (1.0, 2.0, 5.0):
+        for load in arguments.load or (1.0, 2.0, 5.0):
             fleet = Fleet()
             try:
                 fleet.start_platform()
@@ -93,7 +104,7 @@
                 fleet.add_node("node-1", "west", "west-1", limits=limits, routing=routing)
                 for who in ["large"] + [f"ordinary-{number}" for number in range(ORDINARY)]:
                     digest = hashlib.sha256(who.encode()).hexdigest()
-                    weight = WEIGHT if who == "large" else 1
+                    weight = arguments.weight if who == "large" else 1
                     body = {"key_digests": [digest], "weight": weight}
                     fleet.publish("workspace", who, body)
                     fleet.publish("top-up", f"{who}-1", {"workspace": who, "tokens": 10_000_000})
--- a/bronzetiller/callers/problems.py
+++ b/bronzetiller/callers/problems.py
@@ -14,7 +14,9 @@
     431: Reason.REQUEST_TOO_LARGE,
     500: Reason.INTERNAL,
     503: Reason.OVERLOADED,
+    504: Reason.DEADLINE,
 }
+_UNSURE_REASONS = {Reason.INTERNAL, Reason.DEADLINE}
 CONNECTIONS_RETRY_SECONDS = 1
 
 
@@ -31,7 +33,7 @@
 def reject_malformed(status: int, detail: str) -> tuple[dict[str, str], bytes]:
     """Answer a request that never became one; return its headers and body."""
     reason = _STATUS_REASONS.get(status, Reason.BAD_REQUEST)
-    ran = Ran.UNKNOWN if reason is Reason.INTERNAL else Ran.NO
+    ran = Ran.UNKNOWN if reason in _UNSURE_REASONS else Ran.NO
     retry_after = CONNECTIONS_RETRY_SECONDS if reason is Reason.OVERLOADED else None
     refusal = Refusal(status, reason, detail, ran, retry_after)
     _count(refusal)
--- a/bronzetiller/net/http_server.py
+++ b/bronzetiller/net/http_server.py
@@ -42,6 +42,7 @@
     request_seconds: float = 30.0
     idle_seconds: float = 120.0
     stall_seconds: float = 30.0
+    exchange_seconds: float = 300.0
     unsent_bytes_max: int = 256 * 1024
     connections_max: int = 10_000
 
@@ -161,6 +162,7 @@
     parser: h11.Connection
     watch: Watch
     stall: Watch
+    life: Watch
     request: h11.Request | None = None
     body: list[bytes] = field(factory=list)
     body_bytes: int = 0
@@ -255,6 +257,7 @@
             self._make_parser(),
             self._scheduler.watch(lambda: self._expire(connection)),
             self._scheduler.watch(lambda: self._cut_stalled(connection)),
+            self._scheduler.watch(lambda: self._end_life(connection)),
         )
         self._connections[sock] = connection
         connection.watch.expire_after(self._limits.idle_seconds)
@@ -289,6 +292,7 @@
             return
         connection.watch.cancel()
         connection.stall.cancel()
+        connection.life.cancel()
         exchange = connection.exchange
         connection.exchange = None
         if exchange is not None and not exchange.done:
@@ -348,6 +352,7 @@
         if self.server.count_unsent(sock) and connection.stall.deadline is None:
             connection.stall.expire_after(self._limits.stall_seconds)
         connection.exchange = None
+        connection.life.clear()
         connection.congested = False
         if res.close or connection.ended:
             self._close(connection)
@@ -463,6 +468,7 @@
             server=self,
         )
         connection.exchange = exchange
+        connection.life.expire_after(self._limits.exchange_seconds)
         connection.body = []
         try:
             self._application(exchange)
@@ -513,6 +519,18 @@
             self.server.write(connection.sock, CONTINUE)
         connection.watch.expire_after(PROBE_SECONDS)
 
+    def _end_life(self, connection: _Connection) -> None:
+        """Answer a request that took too long, or cut its stream, and tell the application."""
+        exchange = connection.exchange
+        if exchange is None:
+            return
+        if exchange.started:
+            self.cut(connection.sock)
+            return
+        if exchange.on_disconnect is not None:
+            exchange.on_disconnect()
+        exchange.respond(504, *self._reject(504, "the request took too long"))
+
     def _cut_stalled(self, connection: _Connection) -> None:
         log_event("stalled_caller_cut", level=30)
         self.cut(connection.sock)
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -350,6 +350,7 @@
             request_seconds=limits.receive_seconds,
             idle_seconds=limits.idle_seconds,
             stall_seconds=limits.stall_seconds,
+            exchange_seconds=limits.request_seconds_max,
             unsent_bytes_max=limits.unsent_bytes_max,
             connections_max=limits.connections_max,
         )
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -185,6 +185,20 @@
         call_json(engine, "/control/settings", {"first_token_seconds": 0.02})
 
 
+def test_a_request_that_takes_too_long_is_answered_and_cancelled(fleet, address):
+    engine = fleet.vms["engine-1"]["address"]
+    fleet.add_node("node-2", "west", "west-1", limits={"request_seconds_max": 1.0})
+    await_ready(fleet, "node-2")
+    brief = fleet.caller_address("node-2")
+    call_json(engine, "/control/settings", {"first_token_seconds": 30})
+    try:
+        status, body = send_chat(brief, "too long")
+        assert (status, body["reason"], body["ran"]) == (504, "deadline", "unknown")
+        await_true(lambda: _count_open(brief) == 0, 5, "the cancel")
+    finally:
+        call_json(engine, "/control/settings", {"first_token_seconds": 0.02})
+
+
 def _count_open(address):
     with urllib.request.urlopen(f"http://{address}/metrics") as response:
         lines = response.read().decode().splitlines()
