Count decisions and unread items, and answer operators once ready

Cause: a node that keeps an older form said so in its log and report only; a starting node answered with what it had read so far, so that a plan made on it proposed to create what was there (compare-and-set then refused it).

Change: bronzetiller_decisions_total and bronzetiller_unread_items; the configuration, budgets and bills are refused (503 not_ready) until the streams were read.

--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -19,6 +19,14 @@
 RULINGS = Counter(
     "bronzetiller_rulings", "Ledger rulings.", ["record", "verdict"], registry=REGISTRY
 )
+DECISIONS = Counter(
+    "bronzetiller_decisions", "Operator records by verdict.", ["verdict"], registry=REGISTRY
+)
+UNREAD_ITEMS = Gauge(
+    "bronzetiller_unread_items",
+    "Items of which an older form is in force, since the newest cannot be read.",
+    registry=REGISTRY,
+)
 LATE_BYTES = Counter("bronzetiller_late_bytes", "Bytes dropped after an end.", registry=REGISTRY)
 TARGET_DEATHS = Counter(
     "bronzetiller_target_deaths", "Targets seen to die with requests on them.", registry=REGISTRY
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -21,6 +21,7 @@
 from bronzetiller.callers.problems import reject_malformed
 from bronzetiller.callers.services import CallServices
 from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
+from bronzetiller.configuration.events import note_decision, watch_unread_items
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.configuration.streams import CONFIGURATION_STREAM
 from bronzetiller.fleet.delegation import Delegation
@@ -88,6 +89,7 @@
         self.log = LogClient(self.http, settings.platform.log)
         self.vm_list = VmList(scheduler, self.http, settings.platform.vm_list)
         self.configuration = Configuration(tuple(settings.configuration.schemas_understood))
+        watch_unread_items(self.configuration)
         self.configuration_follower = StreamFollower(scheduler, self.log, CONFIGURATION_STREAM)
         self.shards = Shards(
             scheduler,
@@ -351,17 +353,7 @@
     def _on_configuration(self, entry: Entry) -> None:
         decision = self.configuration.apply(entry.offset, entry.record)
         self.archive.note(decision, entry.record)
-        log_event(
-            "record_decided",
-            offset=entry.offset,
-            kind=decision.kind,
-            name=decision.name,
-            schema=decision.schema,
-            author=decision.author,
-            accepted=decision.accepted,
-            in_force=decision.in_force,
-            reason=decision.reason,
-        )
+        note_decision(decision)
 
     def _post_credits(self) -> None:
         if all(shard.follower.caught_up for shard in self.shards.all):
@@ -391,6 +383,7 @@
             configuration=self.configuration,
             shards=self.shards,
             token_digests=self.settings.operators.token_digests,
+            is_ready=self.is_ready,
             make_report=self._make_report,
         )
 
--- a/bronzetiller/reports/api.py
+++ b/bronzetiller/reports/api.py
@@ -32,6 +32,7 @@
     configuration: Configuration
     shards: Shards
     token_digests: list[str]
+    is_ready: Callable[[], bool]
     make_report: Callable[[int], Report]
 
 
@@ -47,12 +48,25 @@
 
         return serve
 
+    def await_ready(handle: Handler) -> Handler:
+        """Keep what a starting node has not read yet from being taken for the whole."""
+
+        def serve(exchange: Exchange) -> None:
+            if not services.is_ready():
+                detail = "the node is starting"
+                refusal = Refusal(503, Reason.NOT_READY, detail, retry_after_seconds=1)
+                refuse(exchange, refusal)
+                return
+            handle(exchange)
+
+        return serve
+
     return {
         ("GET", "/v1/report"): guard(_serve_report),
-        ("GET", "/v1/configuration"): guard(_serve_configuration),
+        ("GET", "/v1/configuration"): await_ready(guard(_serve_configuration)),
         ("GET", "/v1/decision"): guard(_serve_decision),
-        ("GET", "/v1/budget"): lambda exchange: _serve_budget(services, exchange),
-        ("GET", "/v1/bills"): lambda exchange: _serve_bills(services, exchange),
+        ("GET", "/v1/budget"): await_ready(lambda exchange: _serve_budget(services, exchange)),
+        ("GET", "/v1/bills"): await_ready(lambda exchange: _serve_bills(services, exchange)),
     }
 
 
--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -1,5 +1,8 @@
 """Check declarations and settings offline, and plan what publishing would change."""
 
+import subprocess
+import sys
+
 import pytest
 
 from bronzetiller.configuration.declarations import load_declarations
@@ -117,6 +120,13 @@
     assert plan(tmp_path, undeclared, prune=True)["top-up", "old"].action is Action.UNDECLARED
 
 
+def test_offline_commands_load_none_of_the_nodes_parts():
+    code = "import sys, bronzetiller.cli.main, bronzetiller.cli.checking, bronzetiller.cli.client"
+    code += "; print([name for name in ('circuits', 'websockets', 'h11') if name in sys.modules])"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
+
+
 def test_a_key_is_shown_once_and_its_digest_may_be_declared():
     code, output = run_command("key", "new")
     words = dict(line.split() for line in output.splitlines())
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -1,5 +1,7 @@
 """Publish declarations to real nodes under races, lost answers and slow links."""
 
+import urllib.request
+
 from bronzetiller.digests import digest_key
 from standins.fleet import OPERATOR_TOKEN, call_json
 from tests.conftest import KEY, await_ready, await_true, send_chat
@@ -41,6 +43,11 @@
     return call_json(fleet.caller_address(node_id), path, token=OPERATOR_TOKEN)
 
 
+def read_metrics(fleet, node_id):
+    with urllib.request.urlopen(f"http://{fleet.caller_address(node_id)}/metrics") as response:
+        return response.read().decode()
+
+
 def read_item(fleet, node_id, kind, name):
     items = call_json(fleet.caller_address(node_id), "/v1/configuration", token=OPERATOR_TOKEN)
     return next((item for item in items if (item["kind"], item["name"]) == (kind, name)), None)
@@ -130,6 +137,18 @@
     assert len({item["record_id"] for item in decisions}) == 1
 
 
+def test_a_log_without_answers_is_told_from_a_refusal(make_fleet, tmp_path):
+    fleet = start_fleet(make_fleet, nodes=("node-1",))
+    tree = write_tree(tmp_path / "tree", declare_studio())
+    call_json(fleet.log_address, "/control/faults", {"down": True}, "PUT")
+    options = reach(fleet, "node-1")
+    code, output = run_command("publish", tree, *options, "--wait-seconds", "1")
+    assert code == 3 and "publish again to find out" in output, output
+    call_json(fleet.log_address, "/control/faults", {"down": False}, "PUT")
+    code, output = run_command("publish", tree, *options)
+    assert code == 0 and "in force on every listed node" in output, output
+
+
 def test_publish_says_where_a_record_is_not_in_force_yet(make_fleet, tmp_path):
     fleet = start_fleet(make_fleet, with_links=True)
     tree = write_tree(tmp_path / "tree", declare_studio())
@@ -207,6 +226,8 @@
     assert code == 1 and "older form kept on node-2" in output, output
 
     assert [count_tokens("node-1"), count_tokens("node-2")] == [200, 100]
+    assert "bronzetiller_unread_items 1.0" in read_metrics(fleet, "node-2")
+    assert 'decisions_total{verdict="unread"} 1.0' in read_metrics(fleet, "node-2")
     unread = read_report(fleet, "node-2")["unread"]
     assert [(item["name"], item["in_force_revision"]) for item in unread] == [("namer", 2)]
     # The node is replaced by one that reads the first schema only, then by one that reads both.
