--- a/bronzetiller/callers/api.py
+++ b/bronzetiller/callers/api.py
@@ -40,7 +40,7 @@
     is_stopping: Callable[[], bool]
     is_refusing: Callable[[], bool]
     list_entries: Callable[[], list[str]]
-    make_report: Callable[[], dict[str, Any]]
+    operator_handlers: dict[tuple[str, str], Callable[[Exchange], None]]
     entry_seconds: float
 
 
@@ -51,12 +51,16 @@
         if services.is_refusing() and exchange.path.startswith(REQUEST_PATHS):
             _refuse_stopping(exchange)
             return
-        handle = _HANDLERS.get((exchange.method, exchange.path))
+        key = exchange.method, exchange.path
+        handle = _HANDLERS.get(key)
+        operator_handle = services.operator_handlers.get(key)
         if handle is not None:
             handle(services, exchange)
+        elif operator_handle is not None:
+            operator_handle(exchange)
         elif exchange.path.startswith(SERVICES_PREFIX):
             _serve_service(services, exchange)
-        elif any(path == exchange.path for _, path in _HANDLERS):
+        elif any(path == exchange.path for _, path in [*_HANDLERS, *services.operator_handlers]):
             detail = f"{exchange.method} is not served here"
             refuse(exchange, Refusal(405, Reason.METHOD_NOT_ALLOWED, detail))
         else:
@@ -90,10 +94,6 @@
     exchange.respond(200, {"Content-Type": "text/plain; version=0.0.4"}, render_metrics())
 
 
-def _serve_report(services: ApiServices, exchange: Exchange) -> None:
-    _respond(exchange, 200, services.make_report())
-
-
 def _serve_chat(services: ApiServices, exchange: Exchange) -> None:
     workspace = _admit(services, exchange)
     if workspace is None:
@@ -115,7 +115,8 @@
             caller_key = exchange.headers.get("idempotency-key")
             request_id = caller_key or uuid4().hex
             key = RequestKey(workspace, request_id, request.fingerprint, caller_key is None)
-            ChatRun(services.chat, exchange, key, route, request).start()
+            weight = services.configuration.workspaces()[workspace].weight
+            ChatRun(services.chat, exchange, key, route, request, weight).start()
 
 
 def _serve_service(services: ApiServices, exchange: Exchange) -> None:
@@ -160,6 +161,5 @@
     ("GET", "/healthz"): _serve_health,
     ("GET", "/readyz"): _serve_readiness,
     ("GET", "/metrics"): _serve_metrics,
-    ("GET", "/v1/report"): _serve_report,
     ("POST", "/v1/chat/completions"): _serve_chat,
 }
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -6,9 +6,10 @@
 
 from circuits import BaseComponent, handler
 
+from bronzetiller import __version__
 from bronzetiller.budgets.asks import TokenAsker
 from bronzetiller.budgets.closing import GrantCloser
-from bronzetiller.budgets.credits import is_credit_pending, post_credits
+from bronzetiller.budgets.credits import CreditPoster
 from bronzetiller.budgets.grants import GrantKeeper
 from bronzetiller.budgets.holdings import Holdings
 from bronzetiller.budgets.pauses import PauseGuard
@@ -21,6 +22,7 @@
 from bronzetiller.callers.services import CallServices
 from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
 from bronzetiller.configuration.fold import Configuration
+from bronzetiller.configuration.streams import CONFIGURATION_STREAM
 from bronzetiller.fleet.delegation import Delegation
 from bronzetiller.fleet.drain import Drain
 from bronzetiller.fleet.entries import EntryView, list_entries
@@ -40,6 +42,9 @@
 from bronzetiller.platform.log_client import Entry, LogClient
 from bronzetiller.platform.snapshots import Fold
 from bronzetiller.platform.vm_list import VmList, VmState
+from bronzetiller.reports.api import ReportServices, make_operator_handlers
+from bronzetiller.reports.nodes import list_nodes
+from bronzetiller.reports.report import Report, list_decisions, list_unread_items
 from bronzetiller.requests.admission import Admission
 from bronzetiller.requests.billing import Biller
 from bronzetiller.requests.claimants import Claimants
@@ -47,13 +52,14 @@
 from bronzetiller.requests.deaths import DeathWatch
 from bronzetiller.requests.quarantine import Quarantine
 from bronzetiller.requests.retries import RetryBudget
+from bronzetiller.routing.dispatcher import Dispatcher
 from bronzetiller.routing.load_poller import LoadPoller
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.settings import Settings
 from bronzetiller.wire.messages import AskTokens, Heartbeat
 
-CONFIGURATION_STREAM = "configuration"
 CREDIT_CHECK_SECONDS = 0.5
+STOP_WITHOUT_LOG_SECONDS = 3.0
 STOP_CHECK_SECONDS = 0.5
 
 
@@ -83,7 +89,7 @@
         self.http = HttpClient(scheduler, dialer)
         self.log = LogClient(self.http, settings.platform.log)
         self.vm_list = VmList(scheduler, self.http, settings.platform.vm_list)
-        self.configuration = Configuration()
+        self.configuration = Configuration(tuple(settings.configuration.schemas_understood))
         self.configuration_follower = StreamFollower(scheduler, self.log, CONFIGURATION_STREAM)
         self.shards = Shards(
             scheduler,
@@ -99,6 +105,7 @@
         self.archive = Archive()
         self.snapshots = SnapshotKeeper(scheduler, self.log, self.peers, self.membership, settings)
         self.vm_relay = VmRelay(scheduler, self.peers, self.membership, self.vm_list, settings)
+        self.credits = CreditPoster(self.configuration, self.shards)
         self.delegation = Delegation(
             self.peers, self.membership, self.log, self._make_heartbeat, scheduler
         )
@@ -108,17 +115,18 @@
         self.holdings = Holdings()
         self.transfers = Transfers(self.incarnation)
         self.guard = PauseGuard(scheduler, self.log, self.shards)
+        self.returns = Returns(self.shards, self.holdings, self.guard, self.incarnation)
         self.keeper = GrantKeeper(
             scheduler,
             self.shards,
             self.holdings,
             self.transfers,
             TokenAsker(self.peers, self.holdings, self.transfers, settings.node_id),
-            Returns(self.shards, self.holdings, self.guard, self.incarnation),
+            self.returns,
             self.guard,
             settings.budgets,
             self.incarnation,
-            lambda workspace: is_credit_pending(self.configuration, self.shards, workspace),
+            self.credits.is_pending,
             self.peers.connected,
         )
         self.closer = GrantCloser(
@@ -126,6 +134,7 @@
             self.shards,
             self.holdings,
             self.transfers,
+            self.returns,
             self.peers,
             self.vm_list,
             self.membership,
@@ -156,7 +165,7 @@
             scheduler, self.shards, settings.requests, self.incarnation, self.membership.is_gone
         )
         quarantine = Quarantine(settings.requests.quarantine_seconds)
-        self.deaths = DeathWatch(scheduler, dialer, self.peers, quarantine)
+        self.deaths = DeathWatch(scheduler, dialer, self.peers, quarantine, settings.node_id)
         self.retries = RetryBudget(settings.requests.retry_share_max)
         self.drain = Drain(
             scheduler,
@@ -180,7 +189,14 @@
             settings.routing.load_polls_per_second,
         )
         self.chooser.on_refusal = self.load_poller.ask
+        self.dispatcher = Dispatcher(
+            scheduler,
+            self.chooser,
+            settings.limits.requests_waiting_max,
+            settings.limits.queue_seconds,
+        )
         self._was_ready = False
+        self._log_lost_at: float | None = None
         self.server = self._make_server()
         _Signals(self).register(self.loop.root)
 
@@ -244,10 +260,12 @@
         return [self.configuration_follower, *(shard.follower for shard in self.shards.all)]
 
     def _is_idle(self) -> bool:
-        if self.open_runs or self.server.open_exchanges or not self.couriers.is_idle:
+        if self.open_runs or self.server.open_exchanges or self.claimants.open_claims:
+            return False
+        if not self.couriers.is_idle or not self.biller.is_secured:
             return False
         backlog = sum(shard.writer.backlog for shard in self.shards.all)
-        return backlog == 0 or (self.biller.is_secured and not self.claimants.open_claims)
+        return backlog == 0 or self._has_lost_log()
 
     def _check_own_stop(self) -> None:
         own = self.vm_list.vms.get(self.settings.node_id)
@@ -261,6 +279,15 @@
         stops = self.configuration.planned_stops().values()
         return {stop.vm_id for stop in stops if stop.stop_at <= time.time()}
 
+    def _has_lost_log(self) -> bool:
+        """Say whether the log has taken nothing for long, so that waiting for it is in vain."""
+        now = self.loop.scheduler.now()
+        if all(shard.writer.reachable for shard in self.shards.all):
+            self._log_lost_at = None
+        elif self._log_lost_at is None:
+            self._log_lost_at = now
+        return self._log_lost_at is not None and now >= self._log_lost_at + STOP_WITHOUT_LOG_SECONDS
+
     @property
     def open_runs(self) -> int:
         """Count the requests that are not over, whether or not their callers are still there."""
@@ -274,6 +301,7 @@
             holdings=self.holdings,
             biller=self.biller,
             chooser=self.chooser,
+            dispatcher=self.dispatcher,
             first_byte_seconds=self.settings.routing.first_byte_seconds,
             admission=admission,
             deaths=self.deaths,
@@ -300,7 +328,7 @@
             is_stopping=lambda: self.stopping,
             is_refusing=lambda: self.drain.refusing,
             list_entries=self._list_entries,
-            make_report=self._make_report,
+            operator_handlers=make_operator_handlers(self._make_report_services()),
             entry_seconds=self.settings.limits.entry_seconds,
         )
         server = HttpServer(
@@ -351,6 +379,8 @@
             offset=entry.offset,
             kind=decision.kind,
             name=decision.name,
+            schema=decision.schema,
+            author=decision.author,
             accepted=decision.accepted,
             in_force=decision.in_force,
             reason=decision.reason,
@@ -358,7 +388,7 @@
 
     def _post_credits(self) -> None:
         if all(shard.follower.caught_up for shard in self.shards.all):
-            post_credits(self.configuration, self.shards)
+            self.credits.post()
 
     def _make_heartbeat(self) -> Heartbeat:
         settings = self.settings
@@ -375,13 +405,31 @@
             ready=self.is_ready(),
             log_reachable=all(item.direct for item in followers),
             vm_list_age_seconds=None if read_at is None else self.peers.now() - read_at,
+            schemas_understood=settings.configuration.schemas_understood,
             snapshots=self.snapshots.marks(),
         )
 
-    def _make_report(self) -> dict[str, Any]:
-        return {
-            "node_id": self.settings.node_id,
-            "incarnation": self.incarnation,
-            "at": time.time(),
-            "next_offset": self.configuration_follower.next_offset,
-        }
+    def _make_report_services(self) -> ReportServices:
+        return ReportServices(
+            configuration=self.configuration,
+            shards=self.shards,
+            token_digests=self.settings.operators.token_digests,
+            make_report=self._make_report,
+        )
+
+    def _make_report(self, from_offset: int) -> Report:
+        return Report(
+            node_id=self.settings.node_id,
+            version=__version__,
+            at=time.time(),
+            next_offset=self.configuration_follower.next_offset,
+            log_reachable=self.configuration_follower.reachable,
+            vm_list_reachable=self.vm_list.reachable,
+            nodes=list_nodes(
+                self._make_heartbeat(),
+                self.membership.live().values(),
+                self.vm_list.find_routers(),
+            ),
+            decisions=list_decisions(self.configuration, from_offset),
+            unread=list_unread_items(self.configuration),
+        )
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -33,6 +33,7 @@
     ready: bool = False
     log_reachable: bool = False
     vm_list_age_seconds: float | None = None
+    schemas_understood: list[int] = field(factory=list)
     snapshots: dict[str, SnapshotMark] = field(factory=dict)
 
 
@@ -70,12 +71,17 @@
 
 @frozen
 class TargetDied:
-    """Tell peers which requests were on a target when it died; each tells its own peers once."""
+    """Tell a peer which requests were on a target when it died; each tells its own peers once."""
 
     target_id: str
     requests: list[MarkedRequest]
 
 
+@frozen
+class DeathNoted:
+    """Answer TargetDied."""
+
+
 @frozen
 class FetchEntries:
     """Ask a peer for the entries of a stream from an offset on, waiting for a first one."""
@@ -168,7 +174,8 @@
 class AskTokens:
     """Ask a peer for tokens of a workspace: some that are missing now and more that are wanted.
 
-    asker is a node id; without the log the asker cannot obtain a grant of its own.
+    asker is a node id; without the log it cannot obtain a grant of its own. may_wait says that
+    the peer may obtain one before it answers.
     """
 
     transfer_id: str
@@ -177,6 +184,7 @@
     wanted_tokens: int
     asker: str
     log_reachable: bool
+    may_wait: bool = False
 
 
 @frozen
@@ -204,13 +212,13 @@
 class HoldingsReport:
     """Answer ReportHoldings; the node takes no more tokens of the holder from now on.
 
-    retained gives tokens by grant for the node's own bills; kept_bills are those that it keeps
-    for others.
+    limits gives by grant the most that the node may use of it, from the first bill to the last;
+    kept_bills are those that it keeps for others.
     """
 
     holder: str
     incarnation: str
-    retained: dict[str, int] = field(factory=dict)
+    limits: dict[str, int] = field(factory=dict)
     kept_bills: list[Bill] = field(factory=list)
 
 
@@ -220,6 +228,7 @@
     | BillKept
     | DropBill
     | TargetDied
+    | DeathNoted
     | FetchEntries
     | Entries
     | AskTokens
