Give a cut-off peer only what it misses

Cause: in the partition test node-4 took more from node-3 than it used. Received tokens are not passed on, and can't go back while the log is out of reach: node-3 was refused with about 585 tokens left in its data centre, where a request needs 193.

Change: a peer that does not reach the log gets what it misses and no more; the rest stays with the holder, which can give it to anyone.

--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -315,7 +315,9 @@
     def _give(self, account: _Account, ask: AskTokens) -> TransferTokens:
         workspace = ask.workspace
         spare = self._count_givable(account, ask)
-        tokens = min(spare, max(ask.missing_tokens, min(ask.wanted_tokens, spare // 2)))
+        # What a peer received it can only spend or return, and return only where the log is.
+        more = min(ask.wanted_tokens, spare // 2) if ask.log_reachable else 0
+        tokens = min(spare, max(ask.missing_tokens, more))
         charges = self._transfers.give(self._holdings, ask.transfer_id, workspace, tokens)
         given = sum(charge.tokens for charge in charges)
         TOKENS_MOVED.labels("given_to_peer").inc(given)
