--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -9,7 +9,7 @@
 from bronzetiller import __version__
 from bronzetiller.budgets.asks import TokenAsker
 from bronzetiller.budgets.closing import GrantCloser
-from bronzetiller.budgets.credits import is_credit_pending, post_credits
+from bronzetiller.budgets.credits import CreditPoster
 from bronzetiller.budgets.grants import GrantKeeper
 from bronzetiller.budgets.holdings import Holdings
 from bronzetiller.budgets.pauses import PauseGuard
@@ -21,6 +21,7 @@
 from bronzetiller.callers.problems import reject_malformed
 from bronzetiller.callers.services import CallServices
 from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
+from bronzetiller.configuration.events import note_decision, watch_unread_items
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.configuration.streams import CONFIGURATION_STREAM
 from bronzetiller.fleet.delegation import Delegation
@@ -52,12 +53,14 @@
 from bronzetiller.requests.deaths import DeathWatch
 from bronzetiller.requests.quarantine import Quarantine
 from bronzetiller.requests.retries import RetryBudget
+from bronzetiller.routing.dispatcher import Dispatcher
 from bronzetiller.routing.load_poller import LoadPoller
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.settings import Settings
 from bronzetiller.wire.messages import AskTokens, Heartbeat
 
 CREDIT_CHECK_SECONDS = 0.5
+STOP_WITHOUT_LOG_SECONDS = 3.0
 STOP_CHECK_SECONDS = 0.5
 
 
@@ -88,6 +91,7 @@
         self.log = LogClient(self.http, settings.platform.log)
         self.vm_list = VmList(scheduler, self.http, settings.platform.vm_list)
         self.configuration = Configuration(tuple(settings.configuration.schemas_understood))
+        watch_unread_items(self.configuration)
         self.configuration_follower = StreamFollower(scheduler, self.log, CONFIGURATION_STREAM)
         self.shards = Shards(
             scheduler,
@@ -103,6 +107,7 @@
         self.archive = Archive()
         self.snapshots = SnapshotKeeper(scheduler, self.log, self.peers, self.membership, settings)
         self.vm_relay = VmRelay(scheduler, self.peers, self.membership, self.vm_list, settings)
+        self.credits = CreditPoster(self.configuration, self.shards)
         self.delegation = Delegation(
             self.peers, self.membership, self.log, self._make_heartbeat, scheduler
         )
@@ -123,7 +128,7 @@
             self.guard,
             settings.budgets,
             self.incarnation,
-            lambda workspace: is_credit_pending(self.configuration, self.shards, workspace),
+            self.credits.is_pending,
             self.peers.connected,
         )
         self.closer = GrantCloser(
@@ -162,7 +167,7 @@
             scheduler, self.shards, settings.requests, self.incarnation, self.membership.is_gone
         )
         quarantine = Quarantine(settings.requests.quarantine_seconds)
-        self.deaths = DeathWatch(scheduler, dialer, self.peers, quarantine)
+        self.deaths = DeathWatch(scheduler, dialer, self.peers, quarantine, settings.node_id)
         self.retries = RetryBudget(settings.requests.retry_share_max)
         self.drain = Drain(
             scheduler,
@@ -186,7 +191,14 @@
             settings.routing.load_polls_per_second,
         )
         self.chooser.on_refusal = self.load_poller.ask
+        self.dispatcher = Dispatcher(
+            scheduler,
+            self.chooser,
+            settings.limits.requests_waiting_max,
+            settings.limits.queue_seconds,
+        )
         self._was_ready = False
+        self._log_lost_at: float | None = None
         self.server = self._make_server()
         _Signals(self).register(self.loop.root)
 
@@ -250,10 +262,12 @@
         return [self.configuration_follower, *(shard.follower for shard in self.shards.all)]
 
     def _is_idle(self) -> bool:
-        if self.open_runs or self.server.open_exchanges or not self.couriers.is_idle:
+        if self.open_runs or self.server.open_exchanges or self.claimants.open_claims:
+            return False
+        if not self.couriers.is_idle or not self.biller.is_secured:
             return False
         backlog = sum(shard.writer.backlog for shard in self.shards.all)
-        return backlog == 0 or (self.biller.is_secured and not self.claimants.open_claims)
+        return backlog == 0 or self._has_lost_log()
 
     def _check_own_stop(self) -> None:
         own = self.vm_list.vms.get(self.settings.node_id)
@@ -267,6 +281,15 @@
         stops = self.configuration.planned_stops().values()
         return {stop.vm_id for stop in stops if stop.stop_at <= time.time()}
 
+    def _has_lost_log(self) -> bool:
+        """Say whether the log has taken nothing for long, so that waiting for it is in vain."""
+        now = self.loop.scheduler.now()
+        if all(shard.writer.reachable for shard in self.shards.all):
+            self._log_lost_at = None
+        elif self._log_lost_at is None:
+            self._log_lost_at = now
+        return self._log_lost_at is not None and now >= self._log_lost_at + STOP_WITHOUT_LOG_SECONDS
+
     @property
     def open_runs(self) -> int:
         """Count the requests that are not over, whether or not their callers are still there."""
@@ -280,6 +303,7 @@
             holdings=self.holdings,
             biller=self.biller,
             chooser=self.chooser,
+            dispatcher=self.dispatcher,
             first_byte_seconds=self.settings.routing.first_byte_seconds,
             admission=admission,
             deaths=self.deaths,
@@ -352,21 +376,11 @@
     def _on_configuration(self, entry: Entry) -> None:
         decision = self.configuration.apply(entry.offset, entry.record)
         self.archive.note(decision, entry.record)
-        log_event(
-            "record_decided",
-            offset=entry.offset,
-            kind=decision.kind,
-            name=decision.name,
-            schema=decision.schema,
-            author=decision.author,
-            accepted=decision.accepted,
-            in_force=decision.in_force,
-            reason=decision.reason,
-        )
+        note_decision(decision)
 
     def _post_credits(self) -> None:
         if all(shard.follower.caught_up for shard in self.shards.all):
-            post_credits(self.configuration, self.shards)
+            self.credits.post()
 
     def _make_heartbeat(self) -> Heartbeat:
         settings = self.settings
@@ -392,6 +406,7 @@
             configuration=self.configuration,
             shards=self.shards,
             token_digests=self.settings.operators.token_digests,
+            is_ready=self.is_ready,
             make_report=self._make_report,
         )
 
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -37,6 +37,18 @@
     snapshots: dict[str, SnapshotMark] = field(factory=dict)
 
 
+@frozen
+class Ping:
+    """Ask whether the connection and the peer are alive; answered by Pong."""
+
+
+@frozen
+class Pong:
+    """Answer Ping with the incarnation of the node."""
+
+    incarnation: str
+
+
 @frozen
 class KeepBill:
     """Ask a peer to keep a bill, and a claim's outcome, and to append it if its owner falls silent.
@@ -71,12 +83,17 @@
 
 @frozen
 class TargetDied:
-    """Tell peers which requests were on a target when it died; each tells its own peers once."""
+    """Tell a peer which requests were on a target when it died; each tells its own peers once."""
 
     target_id: str
     requests: list[MarkedRequest]
 
 
+@frozen
+class DeathNoted:
+    """Answer TargetDied."""
+
+
 @frozen
 class FetchEntries:
     """Ask a peer for the entries of a stream from an offset on, waiting for a first one."""
@@ -219,10 +236,13 @@
 
 Message = (
     Heartbeat
+    | Ping
+    | Pong
     | KeepBill
     | BillKept
     | DropBill
     | TargetDied
+    | DeathNoted
     | FetchEntries
     | Entries
     | AskTokens
