Tell callers of a stopping node not to keep their connections

Cause: a node that stops ends its kept connections only when it exits, so a request sent over one at that moment is lost without an answer.

Change: from the beginning of a stop each response closes its connection. Tests for this, for a fault in the application, for more connections than the limit and for a process out of descriptors; the last three passed at once and stand for code that was not run by a test before.

Counter-proof: before the change the response of a stopping node had no Connection header, as the first request of test_a_stopping_node_keeps_no_connection_for_a_next_request still shows.

--- a/bronzetiller/callers/api.py
+++ b/bronzetiller/callers/api.py
@@ -48,6 +48,8 @@
     """Return the application that serves every request of a node."""
 
     def serve(exchange: Exchange) -> None:
+        if services.is_stopping():
+            exchange.close_after()
         if services.is_refusing() and exchange.path.startswith(REQUEST_PATHS):
             _refuse_stopping(exchange)
             return
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import json
+import resource
 import socket
 import urllib.request
+from pathlib import Path
 
 import pytest
 
@@ -185,6 +187,65 @@
         call_json(engine, "/control/settings", {"first_token_seconds": 0.02})
 
 
+def test_a_fault_in_serving_one_request_costs_that_request_alone(fleet):
+    with connect(fleet.vms["engine-1"]["address"]) as sock:
+        for body in (b"{", b"[]"):
+            head = f"POST /control/settings HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}"
+            sock.sendall(head.encode() + b"\r\n\r\n" + body)
+            assert read_answer(sock).status == 500
+        sock.sendall(b"GET /v1/load HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert read_answer(sock).status == 200
+
+
+def test_connections_beyond_the_limit_are_refused_at_once(fleet):
+    fleet.add_node("node-3", "west", "west-1", limits={"connections_max": 8})
+    await_ready(fleet, "node-3")
+    address = fleet.caller_address("node-3")
+    with contextlib.ExitStack() as stack:
+        for _ in range(8):
+            sock = stack.enter_context(connect(address))
+            sock.sendall(HEALTH)
+            assert read_answer(sock).status == 200
+        answer = read_answer(stack.enter_context(connect(address)))
+        assert (answer.status, answer.problem["reason"]) == (503, "overloaded")
+        assert answer.headers["retry-after"] == "1"
+    await_true(lambda: call_json(address, "/healthz")["healthy"], what="room again")
+
+
+def test_a_node_out_of_descriptors_serves_again_once_some_are_free(fleet):
+    fleet.add_node("node-4", "west", "west-1")
+    await_ready(fleet, "node-4")
+    address = fleet.caller_address("node-4")
+    process = fleet.processes["node-4"]
+    count = len(list(Path(f"/proc/{process.popen.pid}/fd").iterdir())) + 20
+    resource.prlimit(process.popen.pid, resource.RLIMIT_NOFILE, (count, count))
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(connect(address)) for _ in range(60)]
+        socks[0].sendall(HEALTH)
+        assert read_answer(socks[0]).status == 200
+        log = fleet.folder / "node-4.log"
+        await_true(lambda: "descriptors_exhausted" in log.read_text(), what="the shortage")
+    await_true(lambda: call_json(address, "/healthz")["healthy"], what="service again")
+    assert process.popen.poll() is None
+
+
+def test_a_stopping_node_keeps_no_connection_for_a_next_request(fleet):
+    fleet.add_node("node-5", "west", "west-1")
+    await_ready(fleet, "node-5")
+    address = fleet.caller_address("node-5")
+    with connect(address) as stream, connect(address) as kept:
+        stream.sendall(make_chat(KEY, "a long stream", max_tokens=3_000, stream=True))
+        await_true(lambda: stream.recv(1), what="the first byte")
+        kept.sendall(HEALTH)
+        assert "connection" not in read_answer(kept).headers
+        fleet.processes["node-5"].stop()
+        await_true(lambda: "event=stopping" in (fleet.folder / "node-5.log").read_text())
+        kept.sendall(HEALTH)
+        assert read_answer(kept).headers["connection"] == "close"
+        assert await_close(kept) < 5
+        assert make_words("a long stream", 3_000)[-1].encode() in read_answer(stream, b"H").body
+
+
 def test_a_request_that_takes_too_long_is_answered_and_cancelled(fleet, address):
     engine = fleet.vms["engine-1"]["address"]
     fleet.add_node("node-2", "west", "west-1", limits={"request_seconds_max": 1.0})
