Refuse at three quarters of the longest wait

Cause: at twice the capacity the estimated wait stays near the bound, so requests were let into the queue and refused only when their time was up.

--- a/bronzetiller/routing/dispatcher.py
+++ b/bronzetiller/routing/dispatcher.py
@@ -12,6 +12,7 @@
 from bronzetiller.routing.targets import TargetChooser
 
 EXPIRY_SECONDS = 0.1
+EARLY_SHARE = 0.75
 RETRY_SECONDS_MIN = 1
 RETRY_SECONDS_MAX = 60
 
@@ -70,7 +71,7 @@
         if pool is None or not len(pool.queue):
             return None
         wait = self._estimate_wait(pool, workspace)
-        if wait is None or wait <= self._wait_seconds:
+        if wait is None or wait <= self._wait_seconds * EARLY_SHARE:
             return None
         return self._make_refusal(pool, "the queue is longer than a request may wait")
 
