--- a/bench/front.py
+++ b/bench/front.py
@@ -21,6 +21,7 @@
 
 KEY = "bench-key"
 TOKENS = 200
+COMMON_SETTINGS = ("region", "data_centre", "fleet_secret", "listen", "platform")
 
 
 def read_processor_seconds(process: Process) -> float:
@@ -32,7 +33,8 @@
 def start_earlier(fleet: Fleet, checkout: str) -> Process:
     """Start a node from another checkout, with the settings of node-1."""
     path = fleet.folder / "earlier.yaml"
-    path.write_text(yaml.safe_dump(fleet.settings["node-1"] | {"node_id": "earlier"}))
+    settings = {name: fleet.settings["node-1"][name] for name in COMMON_SETTINGS}
+    path.write_text(yaml.safe_dump(settings | {"node_id": "earlier"}))
     popen = subprocess.Popen(
         [sys.executable, "-m", "bronzetiller", "node", str(path)],
         stdout=subprocess.PIPE,
