Read the log itself where the ruling on a grant is late

Cause: nodes of a data centre read the log through one of them. While that one is frozen or cut off, the ruling on a grant stays away until the relay is given up, which can take longer than a request waits: refusals as unconfirmed with tokens free in the ledger.

Change: where a waiting request's grant has no ruling after half a second, the node reads the log itself once, and again every half second.

With the change off the new unit test fails (no answer).

--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -29,6 +29,7 @@
 
 RETRY_SECONDS = 0.2
 PEER_WAIT_SECONDS = 1.2
+PROBE_SECONDS = 0.5
 IDLE_CHECK_SECONDS = 1.0
 
 Obtained = Callable[[Result[Reservation, Refusal]], None]
@@ -53,6 +54,7 @@
     demand: Demand
     waiters: deque[_Waiter] = field(factory=deque)
     requested: str | None = None
+    probe_at: float = 0.0
     asking: bool = False
     asked: AskOutcome | None = None
     short_rounds: int = 0
@@ -252,6 +254,7 @@
         tokens = self._size_grant(workspace, account)
         if tokens <= 0 or account.requested is not None:
             return
+        account.probe_at = self._scheduler.now() + PROBE_SECONDS
         account.requested = name_grant(self._incarnation, uuid4().hex[:12])
         count = self._shards.find(workspace).ledger.grant_count
         GRANTS_ASKED.labels(cause).inc()
@@ -300,10 +303,18 @@
         def retry() -> None:
             account.retry = None
             account.asked = None
+            self._probe(workspace, account)
             self._advance(workspace)
 
         account.retry = self._scheduler.call_after(RETRY_SECONDS, retry)
 
+    def _probe(self, workspace: str, account: _Account) -> None:
+        """Read the log itself where a ruling is late, as the peer that relays it may be dead."""
+        now = self._scheduler.now()
+        if account.requested is not None and now >= account.probe_at:
+            account.probe_at = now + PROBE_SECONDS
+            self._shards.find(workspace).follower.probe()
+
     def _count_givable(self, account: _Account, ask: AskTokens) -> int:
         if not self._guard.may_spend(ask.workspace):
             return 0
--- a/tests/test_grant_keeper.py
+++ b/tests/test_grant_keeper.py
@@ -23,7 +23,7 @@
 from bronzetiller.budgets.shards import Shards
 from bronzetiller.budgets.transfers import Transfers
 from bronzetiller.net.scheduler import Timer
-from bronzetiller.platform.log_client import Entry
+from bronzetiller.platform.log_client import Entry, Page
 from bronzetiller.settings import BudgetSettings
 from bronzetiller.wire.messages import AskTokens, TransferTokens
 
@@ -69,7 +69,12 @@
         done(Ok(len(self.records) - len(records)))
 
     def read(self, stream, from_offset, done, *, wait_seconds):
-        pass
+        entries = [
+            Entry(offset, 0.0, record)
+            for offset, record in enumerate(self.records)
+            if offset >= from_offset
+        ]
+        done(Ok(Page(entries, 0, len(self.records))))
 
 
 class FakePeers:
@@ -324,3 +329,11 @@
     bench.keeper.answer_ask(ask, answers.append)
     assert answers[0].returned_tokens == 0
     assert bench.holdings.balance("studio") == 400
+
+
+def test_a_late_ruling_is_read_from_the_log_itself(bench):
+    bench.obtain(100)
+    bench.scheduler.run(0.4)
+    assert bench.results == []
+    bench.scheduler.run(0.6)
+    assert [result.is_ok() for result in bench.results] == [True]
