Let requests whose wait ended in a pause wait for the ledger

Cause: a node that was paused for longer than a request waits refused that request as unconfirmed at the moment it resumed, before it had read the ledger again.

Change: such a request waits a second more, once. With the change off the new test fails (refused at once); where the ledger stays out of reach it is refused after that second (a test).

--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -30,6 +30,7 @@
 RETRY_SECONDS = 0.2
 PEER_WAIT_SECONDS = 1.2
 PROBE_SECONDS = 0.5
+AFTER_PAUSE_SECONDS = 1.0
 IDLE_CHECK_SECONDS = 1.0
 
 Obtained = Callable[[Result[Reservation, Refusal]], None]
@@ -44,6 +45,7 @@
     try_serve: Callable[[], bool]
     refuse: Callable[[Refusal], None]
     local: bool
+    extended: bool = False
     timer: Timer | None = None
 
 
@@ -160,6 +162,11 @@
 
     def _wait(self, workspace: str, account: _Account, waiter: _Waiter, seconds: float) -> None:
         def expire() -> None:
+            # The wait was over while the process was paused; the ledger is being read again.
+            if not waiter.extended and not self._guard.may_spend(workspace):
+                waiter.extended = True
+                waiter.timer = self._scheduler.call_after(AFTER_PAUSE_SECONDS, expire)
+                return
             account.waiters.remove(waiter)
             waiter.refuse(_refuse_unconfirmed())
             self._advance(workspace)
--- a/tests/test_grant_keeper.py
+++ b/tests/test_grant_keeper.py
@@ -54,7 +54,8 @@
     def run(self, seconds):
         end = self.time + seconds
         while self._timers and self._timers[0][0] <= end:
-            self.time, _, timer = heapq.heappop(self._timers)
+            deadline, _, timer = heapq.heappop(self._timers)
+            self.time = max(self.time, deadline)
             if timer.action is not None:
                 timer.action()
         self.time = end
@@ -63,6 +64,7 @@
 class FakeLog:
     def __init__(self):
         self.records = []
+        self.late_reads = None
 
     def append(self, stream, records, done):
         self.records += records
@@ -74,7 +76,11 @@
             for offset, record in enumerate(self.records)
             if offset >= from_offset
         ]
-        done(Ok(Page(entries, 0, len(self.records))))
+        page = Ok(Page(entries, 0, len(self.records)))
+        if self.late_reads is None:
+            done(page)
+        else:
+            self.late_reads.append(lambda: done(page))
 
 
 class FakePeers:
@@ -337,3 +343,25 @@
     assert bench.results == []
     bench.scheduler.run(0.6)
     assert [result.is_ok() for result in bench.results] == [True]
+
+
+def test_a_request_whose_wait_ended_in_a_pause_still_gets_its_tokens(bench):
+    bench.obtain(100)
+    bench.scheduler.run(0.01)
+    bench.log.late_reads = []
+    bench.scheduler.time += 10.0
+    bench.scheduler.run(0.1)
+    assert bench.results == []
+    for read in bench.log.late_reads:
+        read()
+    bench.scheduler.run(0.1)
+    assert [result.is_ok() for result in bench.results] == [True]
+
+
+def test_a_request_is_refused_where_the_ledger_stays_out_of_reach_after_a_pause(bench):
+    bench.obtain(100)
+    bench.scheduler.run(0.01)
+    bench.log.late_reads = []
+    bench.scheduler.time += 10.0
+    bench.scheduler.run(1.5)
+    assert [result.err_value.reason for result in bench.results] == ["budget_unconfirmed"]
