Split accounts, giving and gaps from the keeper of grants

The module had grown to 450 lines with four jobs. State by workspace, answers to peers' asks and the detection of gaps have modules of their own; nothing changes in behaviour.

--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -1,15 +1,17 @@
 """Obtain tokens from the ledger and from peers, so that requests find tokens to reserve."""
 
-from collections import deque
 from collections.abc import Callable
 from uuid import uuid4
 
 from attrs import define, field
 from result import Err, Ok, Result
 
+from bronzetiller.budgets.accounts import Account, Waiter
 from bronzetiller.budgets.asks import Ask, TokenAsker
 from bronzetiller.budgets.closes import follow_close, follow_state, forget_void
 from bronzetiller.budgets.demand import Demand, is_low, size_grant
+from bronzetiller.budgets.gaps import GapDetector
+from bronzetiller.budgets.giving import TokenGiver
 from bronzetiller.budgets.holdings import Holdings, Reservation, name_grant
 from bronzetiller.budgets.ledger import Budget, Ledger, Ruling
 from bronzetiller.budgets.pauses import PauseGuard
@@ -22,7 +24,7 @@
 from bronzetiller.fleet.incarnations import read_node_id
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import GRANTS_ASKED, TOKENS_MOVED
-from bronzetiller.net.scheduler import Scheduler, Timer
+from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.log_client import Entry
 from bronzetiller.settings import BudgetSettings
 from bronzetiller.wire.messages import AskTokens, TransferTokens
@@ -37,34 +39,6 @@
 Answer = Callable[[TransferTokens], None]
 
 
-@define(eq=False)
-class _Waiter:
-    """Hold one request that waits for tokens, of a caller here or of a peer."""
-
-    tokens: int
-    try_serve: Callable[[], bool]
-    refuse: Callable[[Refusal], None]
-    local: bool
-    extended: bool = False
-    timer: Timer | None = None
-
-
-@define(eq=False)
-class _Account:
-    """Hold what a node knows of its need for the tokens of one workspace."""
-
-    demand: Demand
-    waiters: deque[_Waiter] = field(factory=deque)
-    requested: str | None = None
-    probe_at: float = 0.0
-    asking: bool = False
-    asked: AskOutcome | None = None
-    short_rounds: int = 0
-    rounds: int = 0
-    retry: Timer | None = None
-    used_at: float = 0.0
-
-
 @define(eq=False)
 class GrantKeeper:
     """Reserve tokens at once where the holdings suffice, else once they have come."""
@@ -80,16 +54,21 @@
     _incarnation: str
     _is_credit_pending: Callable[[str], bool]
     _list_peers: Callable[[], list[str]]
-    _accounts: dict[str, _Account] = field(factory=dict)
-    _positions: dict[str, int] = field(factory=dict)
-    _gaps: set[str] = field(factory=set)
+    _accounts: dict[str, Account] = field(factory=dict)
+    _gaps: GapDetector = field(factory=GapDetector)
+    _giver: TokenGiver = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._giver = TokenGiver(
+            self._holdings, self._transfers, self._returns, self._guard, self._incarnation
+        )
 
     def start(self) -> None:
         """Follow the ledger and return idle tokens from now on."""
         self._shards.subscribe(self._on_ruling)
         self._guard.confirmed = self._advance_all
         for shard in self._shards.all:
-            self._follow_positions(shard)
+            self._gaps.watch(shard)
         self._scheduler.call_every(IDLE_CHECK_SECONDS, self._check)
 
     def obtain(self, workspace: str, tokens: int, obtained: Obtained) -> None:
@@ -110,7 +89,7 @@
         if not account.waiters and try_serve():
             self._ask_ahead(workspace, account, tokens)
             return
-        waiter = _Waiter(tokens, try_serve, refuse, local=True)
+        waiter = Waiter(tokens, try_serve, refuse, local=True)
         self._wait(workspace, account, waiter, self._settings.wait_seconds)
 
     def answer_ask(self, ask: AskTokens, answer: Answer) -> None:
@@ -119,11 +98,10 @@
         account = self._account(workspace)
 
         def give(refusal: Refusal | None = None) -> None:
-            answer(self._give(account, ask))
+            answer(self._giver.give(account, ask, is_current=self._is_fresh(workspace)))
 
         def try_serve() -> bool:
-            known = ask.transfer_id in self._transfers.given
-            if not known and self._count_givable(account, ask) < ask.missing_tokens:
+            if not self._giver.can_give(account, ask):
                 return False
             give()
             return True
@@ -133,7 +111,7 @@
         if not ask.may_wait or not self._is_fresh(workspace):
             give()
             return
-        waiter = _Waiter(ask.missing_tokens, try_serve, give, local=False)
+        waiter = Waiter(ask.missing_tokens, try_serve, give, local=False)
         self._wait(workspace, account, waiter, PEER_WAIT_SECONDS)
 
     def return_all(self) -> None:
@@ -141,11 +119,11 @@
         for workspace in list(self._holdings.balances):
             self._returns.return_balance(workspace)
 
-    def _account(self, workspace: str) -> _Account:
+    def _account(self, workspace: str) -> Account:
         account = self._accounts.get(workspace)
         if account is None:
             demand = Demand(self._settings.grant_horizon_seconds)
-            account = self._accounts[workspace] = _Account(demand)
+            account = self._accounts[workspace] = Account(demand)
             account.used_at = self._scheduler.now()
         return account
 
@@ -160,7 +138,7 @@
     def _is_fresh(self, workspace: str) -> bool:
         return self._shards.find(workspace).is_current
 
-    def _wait(self, workspace: str, account: _Account, waiter: _Waiter, seconds: float) -> None:
+    def _wait(self, workspace: str, account: Account, waiter: Waiter, seconds: float) -> None:
         def expire() -> None:
             # The wait was over while the process was paused; the ledger is being read again.
             if not waiter.extended and not self._guard.may_spend(workspace):
@@ -209,17 +187,17 @@
                 self._serve_others(account)
                 self._retry_later(workspace, account)
 
-    def _serve_others(self, account: _Account) -> None:
+    def _serve_others(self, account: Account) -> None:
         for waiter in list(account.waiters):
             if waiter.try_serve():
                 self._remove(account, waiter)
 
-    def _remove(self, account: _Account, waiter: _Waiter) -> None:
+    def _remove(self, account: Account, waiter: Waiter) -> None:
         account.waiters.remove(waiter)
         if waiter.timer is not None:
             waiter.timer.cancel()
 
-    def _describe(self, workspace: str, account: _Account, waiter: _Waiter) -> Shortage:
+    def _describe(self, workspace: str, account: Account, waiter: Waiter) -> Shortage:
         budget = self._find_budget(workspace)
         return Shortage(
             needed=waiter.tokens,
@@ -238,7 +216,7 @@
     def _find_budget(self, workspace: str) -> Budget:
         return self._shards.find(workspace).ledger.budgets.get(workspace) or Budget()
 
-    def _ask_ahead(self, workspace: str, account: _Account, tokens: int) -> None:
+    def _ask_ahead(self, workspace: str, account: Account, tokens: int) -> None:
         balance = self._holdings.balance(workspace)
         demand = account.demand.estimate(self._scheduler.now())
         if account.requested is not None or not is_low(balance=balance, demand=demand):
@@ -247,7 +225,7 @@
         if size >= max(balance, tokens) and self._is_fresh(workspace):
             self._request_grant(workspace, account, "ahead")
 
-    def _size_grant(self, workspace: str, account: _Account) -> int:
+    def _size_grant(self, workspace: str, account: Account) -> int:
         return size_grant(
             waiting=sum(waiter.tokens for waiter in account.waiters),
             balance=self._holdings.balance(workspace),
@@ -257,7 +235,7 @@
             share_max=self._settings.grant_share_max,
         )
 
-    def _request_grant(self, workspace: str, account: _Account, cause: str) -> None:
+    def _request_grant(self, workspace: str, account: Account, cause: str) -> None:
         tokens = self._size_grant(workspace, account)
         if tokens <= 0 or account.requested is not None:
             return
@@ -272,7 +250,7 @@
             Grant(account.requested, workspace, self._incarnation, tokens, count, max(1, least))
         )
 
-    def _ask_peers(self, workspace: str, account: _Account) -> None:
+    def _ask_peers(self, workspace: str, account: Account) -> None:
         waiter = next(waiter for waiter in account.waiters if waiter.local)
         grants = self._find_budget(workspace).grants.values()
         left: dict[str, int] = {}
@@ -303,7 +281,7 @@
         account.asking = True
         self._asker.ask(ask, finish)
 
-    def _retry_later(self, workspace: str, account: _Account) -> None:
+    def _retry_later(self, workspace: str, account: Account) -> None:
         if account.retry is not None or account.asking:
             return
 
@@ -315,55 +293,16 @@
 
         account.retry = self._scheduler.call_after(RETRY_SECONDS, retry)
 
-    def _probe(self, workspace: str, account: _Account) -> None:
+    def _probe(self, workspace: str, account: Account) -> None:
         """Read the log itself where a ruling is late, as the peer that relays it may be dead."""
         now = self._scheduler.now()
         if account.requested is not None and now >= account.probe_at:
             account.probe_at = now + PROBE_SECONDS
             self._shards.find(workspace).follower.probe()
 
-    def _count_givable(self, account: _Account, ask: AskTokens) -> int:
-        if not self._guard.may_spend(ask.workspace):
-            return 0
-        spare = self._transfers.count_spare(self._holdings, ask.workspace)
-        # Of two nodes that both wait, one gives all to the other, else both would refuse.
-        own = any(waiter.local for waiter in account.waiters)
-        return 0 if own and ask.asker > read_node_id(self._incarnation) else spare
-
-    def _give(self, account: _Account, ask: AskTokens) -> TransferTokens:
-        workspace = ask.workspace
-        spare = self._count_givable(account, ask)
-        # What a peer received it can only spend or return, and return only where the log is.
-        more = min(ask.wanted_tokens, spare // 2) if ask.log_reachable else 0
-        tokens = min(spare, max(ask.missing_tokens, more))
-        charges = self._transfers.give(self._holdings, ask.transfer_id, workspace, tokens)
-        given = sum(charge.tokens for charge in charges)
-        TOKENS_MOVED.labels("given_to_peer").inc(given)
-        returned = 0
-        both_reachable = ask.log_reachable and self._is_fresh(workspace)
-        if given < ask.missing_tokens and not account.waiters and both_reachable:
-            returned = self._returns.return_balance(workspace)
-        kept = self._holdings.count_held(workspace)
-        return TransferTokens(ask.transfer_id, workspace, charges, kept, returned)
-
-    def _follow_positions(self, shard: Shard) -> None:
-        """Notice when the stream goes on behind a gap that a snapshot covers."""
-        stream = shard.follower.stream
-        self._positions[stream] = shard.follower.next_offset
-
-        def follow(entry: Entry) -> None:
-            if entry.offset != self._positions[stream]:
-                self._gaps.add(stream)
-            self._positions[stream] = entry.offset + 1
-
-        shard.follower.subscribe(follow)
-
     def _check(self) -> None:
         for shard in self._shards.all:
-            stream = shard.follower.stream
-            if stream in self._gaps or self._positions[stream] != shard.follower.next_offset:
-                self._gaps.discard(stream)
-                self._positions[stream] = shard.follower.next_offset
+            if self._gaps.take_gap(shard):
                 self._reconcile(shard)
         self._return_idle()
         self._returns.return_surplus()
@@ -381,7 +320,7 @@
         self._returns.reconcile(shard)
         self._advance_all()
 
-    def _reconcile_grant(self, ledger: Ledger, workspace: str, account: _Account) -> None:
+    def _reconcile_grant(self, ledger: Ledger, workspace: str, account: Account) -> None:
         if account.requested is None or account.requested not in ledger.grant_rulings:
             return
         grant = ledger.find_grant(workspace, account.requested)
