Print the tests known to be red in parallel runs too

Cause: with several processes only the workers ran the hook that noted the listed tests, so the run skipped them and printed nothing; and a wrong entry ended in an error that did not name it.

Change: the file is read when the run is configured. That each entry names a test is now checked by a test of its own, as strict as before, which parallel runs report like any other.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -33,19 +33,26 @@
     return entries
 
 
+def find_missing(entries, test_ids):
+    """Return the entries of collected files that name none of the collected tests."""
+    files = {test_id.partition("::")[0] for test_id in test_ids}
+    return [
+        entry.test
+        for entry in entries
+        if entry.test.partition("::")[0] in files and entry.test not in test_ids
+    ]
+
+
 def pytest_addoption(parser):
     parser.addoption("--known-red", action="store_true", help=f"run what {FILE_NAME} lists too")
 
 
-def pytest_collection_modifyitems(config, items):
+def pytest_configure(config):
     entries = read_known_red(Path(config.rootpath) / FILE_NAME)
     config.known_red = [] if config.getoption("--known-red") else entries
-    found = {item.nodeid for item in items}
-    files = {nodeid.partition("::")[0] for nodeid in found}
-    for entry in config.known_red:
-        whole_file = not any("::" in argument for argument in config.args)
-        if whole_file and entry.test.partition("::")[0] in files and entry.test not in found:
-            raise pytest.UsageError(f"{FILE_NAME} names no test: {entry.test}")
+
+
+def pytest_collection_modifyitems(config, items):
     reasons = {entry.test: entry.seen for entry in config.known_red}
     for item in items:
         if item.nodeid in reasons:
@@ -53,7 +60,7 @@
 
 
 def pytest_terminal_summary(terminalreporter, config):
-    for entry in getattr(config, "known_red", []):
+    for entry in config.known_red:
         terminalreporter.write_line(
             f"KNOWN RED, not run: {entry.test} ({entry.command}): {entry.seen}, {entry.issue}"
         )
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from tests.known_red import FILE_NAME, KnownRed, find_missing, read_known_red
+
 TESTS = "def test_red():\n    assert False\n\n\ndef test_green():\n    pass\n"
 ENTRY = "test_some.py::test_red | pytest test_some.py | always false | issue 7\n"
 
@@ -36,6 +38,12 @@
     assert "KNOWN RED, not run: test_some.py::test_red" in output and "issue 7" in output
 
 
+def test_parallel_runs_print_what_they_pass_over_too(run):
+    code, output = run(ENTRY, "-p", "xdist.plugin", "--numprocesses", "2")
+    assert code == 0 and "1 passed, 1 skipped" in output, output
+    assert output.count("KNOWN RED, not run: test_some.py::test_red") == 1
+
+
 def test_other_failures_still_fail(run):
     assert run("# nothing is listed\n")[0] == 1
     code, output = run(ENTRY.replace("test_red", "test_green"))
@@ -43,6 +51,19 @@
     assert run(ENTRY, "--known-red")[0] == 1
 
 
-def test_a_wrong_entry_stops_the_run(run):
-    assert "names no test" in run(ENTRY.replace("test_red", "test_gone"))[1]
-    assert "wants test |" in run("test_some.py::test_red | no more\n")[1]
+def test_a_malformed_entry_stops_the_run(run):
+    code, output = run("test_some.py::test_red | no more\n")
+    assert code != 0 and "wants test |" in output, output
+
+
+def test_an_entry_that_names_no_test_is_found():
+    entries = [KnownRed(name, "c", "s", "i") for name in ("a.py::x", "a.py::gone", "b.py::y")]
+    assert find_missing(entries, {"a.py::x", "a.py::z"}) == ["a.py::gone"]
+
+
+def test_every_listed_test_exists(request):
+    collected = {item.nodeid for item in request.session.items}
+    if any("::" in argument for argument in request.config.args):
+        collected.clear()  # a run of single tests collects no whole file
+    entries = read_known_red(Path(request.config.rootpath) / FILE_NAME)
+    assert find_missing(entries, collected) == []
