Post each credit once by the node that ranks first

Cause: every node appended a credit for each top-up that the ledger lacked, again at every check; while the log took no appends but answered reads, a node queued two more records a second for each top-up.

Change: one record is outstanding for a top-up; nodes post in the order of their rank among those heard, 2 s apart, while the credit is missing.

--- a/bronzetiller/budgets/credits.py
+++ b/bronzetiller/budgets/credits.py
@@ -1,5 +1,6 @@
 """Post accepted top-ups to the ledger."""
 
+from collections.abc import Callable
 from itertools import islice
 
 from attrs import define, field
@@ -9,35 +10,59 @@
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.configuration.records import TopUp
 
+RANK_DELAY_SECONDS = 2.0
+
+
+@define
+class _Pending:
+    top_up: TopUp
+    noted_at: float | None = None
+    outstanding: bool = False
+
 
 @define
 class CreditPoster:
     """Hold the top-ups in force that the ledger lacks.
 
-    Top-ups are never changed or deleted, so those looked at before need no second look, however
-    many there have been.
+    Any node may post a credit, since the ledger drops doubles; the one that ranks first does so at
+    once and the others later, each if it is still missing. Top-ups are never changed or deleted,
+    so those looked at before need no second look, however many there have been.
     """
 
     _configuration: Configuration
     _shards: Shards
+    _rank: Callable[[str], int]
     _seen: int = 0
-    _pending: dict[str, TopUp] = field(factory=dict)
+    _pending: dict[str, _Pending] = field(factory=dict)
 
-    def post(self) -> None:
-        """Append a credit for each top-up that the ledger lacks; doubles are dropped."""
+    def post(self, now: float) -> None:
+        """Append the credits whose turn has come (seconds, monotonic)."""
         self._refresh()
-        for name, top_up in self._pending.items():
-            self._shards.append(Credit(name, top_up.workspace, top_up.tokens))
+        for name, pending in self._pending.items():
+            if pending.noted_at is None:
+                pending.noted_at = now
+            waited_seconds = now - pending.noted_at
+            if not pending.outstanding and waited_seconds >= self._rank(name) * RANK_DELAY_SECONDS:
+                self._append(name, pending)
 
     def is_pending(self, workspace: str) -> bool:
         """Say whether a top-up of a workspace has not reached the ledger yet."""
         self._refresh()
-        return any(top_up.workspace == workspace for top_up in self._pending.values())
+        return any(item.top_up.workspace == workspace for item in self._pending.values())
+
+    def _append(self, name: str, pending: _Pending) -> None:
+        def acknowledge(offset: int) -> None:
+            pending.outstanding = False
+
+        pending.outstanding = True
+        credit = Credit(name, pending.top_up.workspace, pending.top_up.tokens)
+        self._shards.append(credit, acknowledge)
 
     def _refresh(self) -> None:
         top_ups = self._configuration.top_ups()
-        self._pending.update(islice(top_ups.items(), self._seen, None))
+        for name, top_up in islice(top_ups.items(), self._seen, None):
+            self._pending[name] = _Pending(top_up)
         self._seen = len(top_ups)
-        for name, top_up in list(self._pending.items()):
-            if name in self._shards.find(top_up.workspace).ledger.credit_ids:
+        for name, pending in list(self._pending.items()):
+            if name in self._shards.find(pending.top_up.workspace).ledger.credit_ids:
                 del self._pending[name]
--- a/bronzetiller/fleet/membership.py
+++ b/bronzetiller/fleet/membership.py
@@ -11,6 +11,7 @@
     PING_BYTES,
     choose_interval_seconds,
     choose_neighbours,
+    rank_nodes,
 )
 from bronzetiller.fleet.peers import Peers, PeerVm, Reply
 from bronzetiller.logs import log_event
@@ -85,6 +86,13 @@
         """Return the ids of the neighbours that are not heard from."""
         return (set(self.states) | self._neighbours) - set(self.live())
 
+    def rank(self, subject: str) -> int:
+        """Return this node's place, from 0, among those heard that could append for a subject."""
+        peers = self.live().items()
+        able = [k for k, peer in peers if peer.ready and peer.log_reachable and not peer.stopping]
+        own = self._settings.node_id
+        return rank_nodes(subject, [*able, own]).index(own)
+
     def is_gone(self, incarnation: str) -> bool:
         """Say whether an incarnation will never act again, as far as this node can tell."""
         grace_seconds = self._settings.fleet.gone_grace_seconds
--- a/bronzetiller/fleet/snapshot_keeper.py
+++ b/bronzetiller/fleet/snapshot_keeper.py
@@ -11,7 +11,6 @@
 from result import Err, Ok, Result
 
 from bronzetiller.fleet.membership import Membership
-from bronzetiller.fleet.neighbours import rank_nodes
 from bronzetiller.fleet.peers import Peers, Reply
 from bronzetiller.fleet.snapshot_reader import Found, LogSearch, PeerTransfer
 from bronzetiller.logs import log_event
@@ -192,16 +191,11 @@
         now = self._scheduler.now()
         if stream.due_since is None:
             stream.due_since = now
-        delay = self._rank(follower.stream) * settings.rank_delay_seconds
+        rank = self._membership.rank(f"snapshot/{follower.stream}")
+        delay = rank * settings.rank_delay_seconds
         if now - stream.due_since >= delay:
             self._write(stream)
 
-    def _rank(self, stream: str) -> int:
-        peers = self._membership.live().items()
-        able = [k for k, peer in peers if peer.ready and peer.log_reachable and not peer.stopping]
-        own = self._settings.node_id
-        return rank_nodes(f"snapshot/{stream}", [*able, own]).index(own)
-
     def _write(self, stream: _Stream) -> None:
         follower = stream.follower
         pieces = split_snapshot(follower.stream, follower.next_offset, stream.folds)
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -107,7 +107,9 @@
         self.archive = Archive()
         self.snapshots = SnapshotKeeper(scheduler, self.log, self.peers, self.membership, settings)
         self.vm_relay = VmRelay(scheduler, self.peers, self.membership, self.vm_list, settings)
-        self.credits = CreditPoster(self.configuration, self.shards)
+        self.credits = CreditPoster(
+            self.configuration, self.shards, lambda name: self.membership.rank(f"credit/{name}")
+        )
         self.delegation = Delegation(
             self.peers, self.membership, self.log, self._make_heartbeat, scheduler
         )
@@ -380,7 +382,7 @@
 
     def _post_credits(self) -> None:
         if all(shard.follower.caught_up for shard in self.shards.all):
-            self.credits.post()
+            self.credits.post(self.loop.scheduler.now())
 
     def _make_heartbeat(self) -> Heartbeat:
         settings = self.settings
