Hold the example of settings to the defaults as well as the names

Cause: the example says that it shows the defaults; the interval of heartbeats had changed, and three settings were missing.

--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -2,12 +2,12 @@
 
 from pathlib import Path
 
-from attrs import asdict, fields
+from attrs import NOTHING, asdict, fields
 
 from bronzetiller.configuration.records import BODY_CLASSES
 from bronzetiller.documents import read_document
 from bronzetiller.errors import Reason
-from bronzetiller.settings import load_settings
+from bronzetiller.settings import Settings, load_settings
 from tests.operators import run_command
 
 ROOT = Path(__file__).parent.parent
@@ -37,6 +37,10 @@
     for part in ("log", "vm_list"):
         known["platform"][part] = None
     assert name_fields(read_document(path).unwrap().value) == name_fields(known)
+    optional = [item for item in fields(Settings) if item.name not in ("operators", "log_level")]
+    shown = {item.name: getattr(settings, item.name) for item in optional}
+    defaults = {item.name: item.type() for item in optional if item.default is not NOTHING}
+    assert {name: shown[name] for name in defaults} == defaults
 
 
 def test_the_interfaces_page_names_every_refusal_and_every_field_of_a_record():
