--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -82,6 +82,15 @@
     code, output = run_command("report", *reach(fleet, "node-1"))
     assert code == 0 and output.count("everywhere") == 3, output
 
+    smaller = write_tree(tmp_path / "smaller", declare_studio(digest_key(KEY)))
+    code, output = run_command("publish", smaller, *reach(fleet, "node-1"))
+    assert code == 0 and "undeclared route namer" in output, output
+    assert send_chat(fleet.caller_address("node-2"))[0] == 200
+    code, output = run_command("publish", smaller, *reach(fleet, "node-1"), "--prune")
+    assert code == 0 and "route namer: accepted at offset 3, in force" in output, output
+    assert "undeclared top-up studio-1" in output
+    assert send_chat(fleet.caller_address("node-2"))[0] == 404
+
 
 def test_of_two_racing_operators_one_wins_and_the_other_learns_of_it(make_fleet, tmp_path):
     fleet = start_fleet(make_fleet)
