Keep suspects of different nodes on different targets

Change: the targets are shared out among the nodes for suspects, and a node keeps to its share even where it is busy; a second death is judged half a second later, when the peers have told.

Ruled out: the order of messages alone, since a third death in common counted whatever the order.

Left: where a node has no living target of its share, its suspects may still meet those of another node; such a request is let in again when its deaths expire.

--- a/bronzetiller/requests/deaths.py
+++ b/bronzetiller/requests/deaths.py
@@ -19,6 +19,7 @@
 AVOID_SECONDS = 5.0
 PASSAGE_SECONDS = 30.0
 TELL_SECONDS = 0.5
+REPORTS_SECONDS = 0.5
 PEERS_CHECK_SECONDS = 0.25
 CLOSED_CAUSE = "closed by the other end"
 REFUSED_CAUSES = ("connect: refused", "connect: errno 111")
@@ -110,8 +111,9 @@
         apart = dead | set(self._isolated)
         avoided = [apart, dead, set()]
         if self.is_suspect(mark):
-            avoided.insert(0, apart | busy)
-            avoided.insert(0, apart | busy | self._list_foreign(targets))
+            foreign = self._list_foreign(targets)
+            own = [apart | busy | foreign, apart | foreign, dead | foreign]
+            avoided = [*own, apart | busy, *avoided]
         return next((vm for vm in map(choose, avoided) if vm is not None), None)
 
     def _list_foreign(self, targets: list[str]) -> set[str]:
@@ -159,10 +161,15 @@
             marks = [mark for mark, _ in probe.reporters]
             log_event("target_died", level=30, target=probe.vm.vm_id, requests=len(marks))
             TARGET_DEATHS.inc()
-            self._note(probe.vm.vm_id, marks, lambda: self._judge(probe))
+            self._note(probe.vm.vm_id, marks, lambda: self._await_reports(probe))
         else:
             self._judge(probe)
 
+    def _await_reports(self, probe: _Probe) -> None:
+        """Give peers time to tell who else was on the target, before one request is blamed."""
+        blamed = any(self.is_quarantined(mark) for mark, _ in probe.reporters)
+        self._scheduler.call_after(REPORTS_SECONDS if blamed else 0.0, lambda: self._judge(probe))
+
     def _judge(self, probe: _Probe) -> None:
         for _, judged in probe.reporters:
             judged()
