--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from bronzetiller.budgets.asks import Ask, TokenAsker
-from bronzetiller.budgets.closes import follow_close, follow_state
+from bronzetiller.budgets.closes import follow_close, follow_state, forget_void
 from bronzetiller.budgets.demand import Demand, is_low, size_grant
 from bronzetiller.budgets.holdings import Holdings, Reservation, name_grant
 from bronzetiller.budgets.ledger import Budget, Ledger, Ruling
@@ -56,6 +56,7 @@
     asking: bool = False
     asked: AskOutcome | None = None
     short_rounds: int = 0
+    rounds: int = 0
     retry: Timer | None = None
     used_at: float = 0.0
 
@@ -125,7 +126,7 @@
 
         if try_serve():
             return
-        if ask.log_reachable or not self._is_fresh(workspace):
+        if not ask.may_wait or not self._is_fresh(workspace):
             give()
             return
         waiter = _Waiter(ask.missing_tokens, try_serve, give, local=False)
@@ -175,7 +176,7 @@
             self._remove(account, account.waiters[0])
         if not account.waiters:
             account.asked = None
-            account.short_rounds = 0
+            account.short_rounds = account.rounds = 0
             return
         if not self._guard.may_spend(workspace):
             return
@@ -183,6 +184,7 @@
         match choose_source(self._describe(workspace, account, waiter)):
             case Source.LEDGER:
                 self._request_grant(workspace, account, "waiting")
+                self._retry_later(workspace, account)  # the log may fall out of reach meanwhile
             case Source.PEERS if any(other.local for other in account.waiters):
                 self._ask_peers(workspace, account)
             case Source.RETURN:
@@ -274,7 +276,11 @@
             node_ids += [node_id for node_id in self._list_peers() if node_id not in left]
         missing = waiter.tokens - self._holdings.balance(workspace)
         demand = int(account.demand.estimate(self._scheduler.now()))
-        ask = Ask(workspace, missing, max(missing, demand), fresh, node_ids, complete=fresh)
+        # Peers that have tokens come before those that would first have to obtain a grant.
+        may_wait = not fresh and account.rounds > 0
+        account.rounds += 1
+        wanted = max(missing, demand)
+        ask = Ask(workspace, missing, wanted, fresh, may_wait, node_ids, complete=fresh)
 
         def finish(outcome: AskOutcome) -> None:
             account.asking = False
@@ -309,12 +315,15 @@
     def _give(self, account: _Account, ask: AskTokens) -> TransferTokens:
         workspace = ask.workspace
         spare = self._count_givable(account, ask)
-        tokens = min(spare, max(ask.missing_tokens, min(ask.wanted_tokens, spare // 2)))
+        # What a peer received it can only spend or return, and return only where the log is.
+        more = min(ask.wanted_tokens, spare // 2) if ask.log_reachable else 0
+        tokens = min(spare, max(ask.missing_tokens, more))
         charges = self._transfers.give(self._holdings, ask.transfer_id, workspace, tokens)
         given = sum(charge.tokens for charge in charges)
         TOKENS_MOVED.labels("given_to_peer").inc(given)
         returned = 0
-        if given < ask.missing_tokens and not account.waiters and self._is_fresh(workspace):
+        both_reachable = ask.log_reachable and self._is_fresh(workspace)
+        if given < ask.missing_tokens and not account.waiters and both_reachable:
             returned = self._returns.return_balance(workspace)
         kept = self._holdings.count_held(workspace)
         return TransferTokens(ask.transfer_id, workspace, charges, kept, returned)
@@ -340,6 +349,8 @@
                 self._reconcile(shard)
         self._return_idle()
         self._returns.return_surplus()
+        self._asker.repeat_unanswered()
+        forget_void(self._holdings, lambda workspace: self._shards.find(workspace).ledger)
         self._forget_idle()
 
     def _reconcile(self, shard: Shard) -> None:
@@ -381,7 +392,8 @@
             case Return() if record.holder == self._incarnation:
                 self._returns.take_ruling(record)
             case Close():
-                dropped = follow_close(self._holdings, self._incarnation, record, ruling)
+                ledger = self._shards.find(record.workspace).ledger
+                dropped = follow_close(self._holdings, self._incarnation, record, ledger)
                 TOKENS_MOVED.labels("dropped").inc(dropped)
             case Credit() | Bill():
                 pass
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -9,7 +9,7 @@
 from bronzetiller import __version__
 from bronzetiller.budgets.asks import TokenAsker
 from bronzetiller.budgets.closing import GrantCloser
-from bronzetiller.budgets.credits import is_credit_pending, post_credits
+from bronzetiller.budgets.credits import CreditPoster
 from bronzetiller.budgets.grants import GrantKeeper
 from bronzetiller.budgets.holdings import Holdings
 from bronzetiller.budgets.pauses import PauseGuard
@@ -21,6 +21,7 @@
 from bronzetiller.callers.problems import reject_malformed
 from bronzetiller.callers.services import CallServices
 from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
+from bronzetiller.configuration.events import note_decision, watch_unread_items
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.configuration.streams import CONFIGURATION_STREAM
 from bronzetiller.fleet.delegation import Delegation
@@ -52,6 +53,7 @@
 from bronzetiller.requests.deaths import DeathWatch
 from bronzetiller.requests.quarantine import Quarantine
 from bronzetiller.requests.retries import RetryBudget
+from bronzetiller.routing.dispatcher import Dispatcher
 from bronzetiller.routing.load_poller import LoadPoller
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.settings import Settings
@@ -89,6 +91,7 @@
         self.log = LogClient(self.http, settings.platform.log)
         self.vm_list = VmList(scheduler, self.http, settings.platform.vm_list)
         self.configuration = Configuration(tuple(settings.configuration.schemas_understood))
+        watch_unread_items(self.configuration)
         self.configuration_follower = StreamFollower(scheduler, self.log, CONFIGURATION_STREAM)
         self.shards = Shards(
             scheduler,
@@ -104,6 +107,7 @@
         self.archive = Archive()
         self.snapshots = SnapshotKeeper(scheduler, self.log, self.peers, self.membership, settings)
         self.vm_relay = VmRelay(scheduler, self.peers, self.membership, self.vm_list, settings)
+        self.credits = CreditPoster(self.configuration, self.shards)
         self.delegation = Delegation(
             self.peers, self.membership, self.log, self._make_heartbeat, scheduler
         )
@@ -113,17 +117,18 @@
         self.holdings = Holdings()
         self.transfers = Transfers(self.incarnation)
         self.guard = PauseGuard(scheduler, self.log, self.shards)
+        self.returns = Returns(self.shards, self.holdings, self.guard, self.incarnation)
         self.keeper = GrantKeeper(
             scheduler,
             self.shards,
             self.holdings,
             self.transfers,
             TokenAsker(self.peers, self.holdings, self.transfers, settings.node_id),
-            Returns(self.shards, self.holdings, self.guard, self.incarnation),
+            self.returns,
             self.guard,
             settings.budgets,
             self.incarnation,
-            lambda workspace: is_credit_pending(self.configuration, self.shards, workspace),
+            self.credits.is_pending,
             self.peers.connected,
         )
         self.closer = GrantCloser(
@@ -131,6 +136,7 @@
             self.shards,
             self.holdings,
             self.transfers,
+            self.returns,
             self.peers,
             self.vm_list,
             self.membership,
@@ -185,6 +191,12 @@
             settings.routing.load_polls_per_second,
         )
         self.chooser.on_refusal = self.load_poller.ask
+        self.dispatcher = Dispatcher(
+            scheduler,
+            self.chooser,
+            settings.limits.requests_waiting_max,
+            settings.limits.queue_seconds,
+        )
         self._was_ready = False
         self._log_lost_at: float | None = None
         self.server = self._make_server()
@@ -291,6 +303,7 @@
             holdings=self.holdings,
             biller=self.biller,
             chooser=self.chooser,
+            dispatcher=self.dispatcher,
             first_byte_seconds=self.settings.routing.first_byte_seconds,
             admission=admission,
             deaths=self.deaths,
@@ -363,21 +376,11 @@
     def _on_configuration(self, entry: Entry) -> None:
         decision = self.configuration.apply(entry.offset, entry.record)
         self.archive.note(decision, entry.record)
-        log_event(
-            "record_decided",
-            offset=entry.offset,
-            kind=decision.kind,
-            name=decision.name,
-            schema=decision.schema,
-            author=decision.author,
-            accepted=decision.accepted,
-            in_force=decision.in_force,
-            reason=decision.reason,
-        )
+        note_decision(decision)
 
     def _post_credits(self) -> None:
         if all(shard.follower.caught_up for shard in self.shards.all):
-            post_credits(self.configuration, self.shards)
+            self.credits.post()
 
     def _make_heartbeat(self) -> Heartbeat:
         settings = self.settings
@@ -403,6 +406,7 @@
             configuration=self.configuration,
             shards=self.shards,
             token_digests=self.settings.operators.token_digests,
+            is_ready=self.is_ready,
             make_report=self._make_report,
         )
 
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -37,6 +37,18 @@
     snapshots: dict[str, SnapshotMark] = field(factory=dict)
 
 
+@frozen
+class Ping:
+    """Ask whether the connection and the peer are alive; answered by Pong."""
+
+
+@frozen
+class Pong:
+    """Answer Ping with the incarnation of the node."""
+
+    incarnation: str
+
+
 @frozen
 class KeepBill:
     """Ask a peer to keep a bill, and a claim's outcome, and to append it if its owner falls silent.
@@ -174,7 +186,8 @@
 class AskTokens:
     """Ask a peer for tokens of a workspace: some that are missing now and more that are wanted.
 
-    asker is a node id; without the log the asker cannot obtain a grant of its own.
+    asker is a node id; without the log it cannot obtain a grant of its own. may_wait says that
+    the peer may obtain one before it answers.
     """
 
     transfer_id: str
@@ -183,6 +196,7 @@
     wanted_tokens: int
     asker: str
     log_reachable: bool
+    may_wait: bool = False
 
 
 @frozen
@@ -210,18 +224,20 @@
 class HoldingsReport:
     """Answer ReportHoldings; the node takes no more tokens of the holder from now on.
 
-    retained gives tokens by grant for the node's own bills; kept_bills are those that it keeps
-    for others.
+    limits gives by grant the most that the node may use of it, from the first bill to the last;
+    kept_bills are those that it keeps for others.
     """
 
     holder: str
     incarnation: str
-    retained: dict[str, int] = field(factory=dict)
+    limits: dict[str, int] = field(factory=dict)
     kept_bills: list[Bill] = field(factory=list)
 
 
 Message = (
     Heartbeat
+    | Ping
+    | Pong
     | KeepBill
     | BillKept
     | DropBill
--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -1,5 +1,8 @@
 """Check declarations and settings offline, and plan what publishing would change."""
 
+import subprocess
+import sys
+
 import pytest
 
 from bronzetiller.configuration.declarations import load_declarations
@@ -72,9 +75,12 @@
 def test_all_faults_are_found_in_one_run(tmp_path):
     write_tree(tmp_path, declare_studio(), declare("route", "a"), declare("route", "b", service=1))
     write_tree(tmp_path / "inner", declare_studio(), name="b.yml")
+    rival = declare("workspace", "rival", key_digests=["e" * 64, DIGEST])
+    write_tree(tmp_path / "other", rival, name="c.yaml")
     problems = find_problems(tmp_path)
-    assert len(problems) == 3, problems
+    assert len(problems) == 4, problems
     assert any("is declared in" in problem for problem in problems)
+    assert any("spec.key_digests[1]: is a key of studio too" in problem for problem in problems)
 
 
 def test_a_plan_holds_only_what_changes(tmp_path):
@@ -114,6 +120,13 @@
     assert plan(tmp_path, undeclared, prune=True)["top-up", "old"].action is Action.UNDECLARED
 
 
+def test_offline_commands_load_none_of_the_nodes_parts():
+    code = "import sys, bronzetiller.cli.main, bronzetiller.cli.checking, bronzetiller.cli.client"
+    code += "; print([name for name in ('circuits', 'websockets', 'h11') if name in sys.modules])"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
+
+
 def test_a_key_is_shown_once_and_its_digest_may_be_declared():
     code, output = run_command("key", "new")
     words = dict(line.split() for line in output.splitlines())
