Kill a node at each step of a call that runs at most once

A node dies while its claim is under way, while the service runs the call, and before the outcome is read back; the caller comes back elsewhere until it is told for good. At most one run, one bill where the answer was kept, and no answer says "not run". A peer that has reported on a holder's grants is shown to keep no further bill on them.

--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -152,8 +152,7 @@
             self._refuse(refuse_quarantined(self.key.ran_before))
             return
         chooser = self.services.chooser
-        targets = [vm.vm_id for vm in chooser.vm_list.find_service(self.route.service)]
-        vm = deaths.choose(self.key.mark, self._choose, set(chooser.outstanding), targets)
+        vm = deaths.choose(self.key.mark, self._choose, chooser, self.route.service)
         if vm is None:
             self._refuse_for_lack_of_targets()
             return
--- a/bronzetiller/callers/services.py
+++ b/bronzetiller/callers/services.py
@@ -174,8 +174,7 @@
             self._refuse(refuse_quarantined(self.key.ran_before))
             return
         chooser = self.services.chooser
-        targets = [vm.vm_id for vm in chooser.vm_list.find_service(self.route.service)]
-        vm = deaths.choose(self.key.mark, self._choose, set(chooser.outstanding), targets)
+        vm = deaths.choose(self.key.mark, self._choose, chooser, self.route.service)
         if vm is None:
             detail = "no target of the service is live"
             self._refuse(Refusal(503, Reason.NO_TARGET, detail, retry_after_seconds=1))
--- a/bronzetiller/requests/deaths.py
+++ b/bronzetiller/requests/deaths.py
@@ -11,6 +11,7 @@
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.vm_list import Vm
 from bronzetiller.requests.quarantine import Passage, Quarantine, RequestMark
+from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.wire.messages import DeathNoted, MarkedRequest, TargetDied
 
 PROBE_SECONDS = 1.0
@@ -104,14 +105,15 @@
             del self._isolated[vm.vm_id]
 
     def choose(
-        self, mark: RequestMark, choose: Choose, busy: set[str], targets: list[str]
+        self, mark: RequestMark, choose: Choose, chooser: TargetChooser, service: str
     ) -> Vm | None:
         """Choose a target apart from suspects; for a suspect, one that no other node uses so."""
         dead = {vm_id for vm_id, until in self._dead_until.items() if until > self._scheduler.now()}
         apart = dead | set(self._isolated)
         avoided = [apart, dead, set()]
         if self.is_suspect(mark):
-            foreign = self._list_foreign(targets)
+            busy = set(chooser.outstanding)
+            foreign = self._list_foreign([vm.vm_id for vm in chooser.find_targets(service)])
             own = [apart | busy | foreign, apart | foreign, dead | foreign]
             avoided = [*own, apart | busy, *avoided]
         return next((vm for vm in map(choose, avoided) if vm is not None), None)
@@ -178,6 +180,7 @@
     def _note(self, target_id: str, marks: list[RequestMark], told: Judged) -> None:
         """Count a death and tell the peers; told comes once those that can answer have."""
         now = self._scheduler.now()
+        self._dead_until = {vm: until for vm, until in self._dead_until.items() if until > now}
         self._dead_until[target_id] = now + AVOID_SECONDS
         fresh = [mark for mark in marks if self.quarantine.note_death(mark, target_id, now)]
         for mark in fresh:
--- a/tests/test_bill_machine.py
+++ b/tests/test_bill_machine.py
@@ -286,3 +286,20 @@
     monkeypatch.setattr(billing_module.Biller, "_take_duplicate", put_back)
     with pytest.raises(AssertionError):
         _run(BillMachine, examples=2_000)
+
+
+def test_a_peer_that_has_reported_on_a_holder_keeps_no_more_bills_on_its_grants():
+    machine = BillMachine()
+    machine.start()
+    owner = machine.nodes["node-a"]
+    for node in machine.nodes.values():
+        node.couriers._is_reported = {"node-a"}.__contains__
+    machine.serve("node-a", "key-1", "body", 5)
+    owner.scheduler.time = 0.5
+    owner.scheduler.run_due()
+    assert machine.messages
+    while machine.messages and owner.scheduler.time < 5:
+        machine._deliver(0, "arrives")
+        machine.wait("node-a", 0.1)
+    assert not machine.released
+    assert not any(node.couriers.list_bills() for node in machine.nodes.values())
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -131,29 +131,48 @@
     assert _count_runs(fleet, "order-3") == 1
 
 
-def test_an_order_in_flight_at_a_killed_node_is_unknown_and_never_run_again(make_fleet):
+MOMENTS = ("claim under way", "running", "outcome under way")
+
+
+@pytest.mark.parametrize("moment", MOMENTS)
+def test_an_order_whose_node_is_killed_is_run_at_most_once(make_fleet, moment):
+    """Kill the node at each step and let the caller come back elsewhere for a while."""
     fleet = _start(make_fleet())
-    _set_service_seconds(fleet, 30.0)
-    killed = fleet.caller_address("node-1")
+    _set_service_seconds(fleet, 60.0 if moment == "running" else 0.4)
+    killed, address = fleet.caller_address("node-1"), fleet.caller_address("node-2")
 
     def place():
         with contextlib.suppress(OSError):
             call(killed, "place", "a liner", "order-4")
 
+    if moment == "claim under way":
+        call_json(fleet.log_address, "/control/faults", {"delay_seconds": 0.7})
     sender = threading.Thread(target=place)
     sender.start()
-    await_true(lambda: _count_runs(fleet, "order-4") == 1, what="the first run")
+    if moment != "claim under way":
+        await_true(lambda: _count_runs(fleet, "order-4") == 1, what="the run")
+    if moment == "outcome under way":
+        call_json(fleet.log_address, "/control/faults", {"delay_seconds": 0.7})
+    if moment != "running":
+        await_true(lambda: call_json(fleet.log_address, "/control/counts")["delayed_appends"])
     fleet.processes["node-1"].kill()
     sender.join()
-    address = fleet.caller_address("node-2")
-    status, body = call(address, "place", "a liner", "order-4")
-    assert (status, body["reason"], body["ran"]) == (409, "claim_held", "unknown")
+    call_json(fleet.log_address, "/control/faults", {})
+    await_true(lambda: read_records(fleet, "claim"), what="the claim in the log")
     del fleet.vms["node-1"]
     fleet.publish_vms()
-    await_true(
-        lambda: call(address, "place", "a liner", "order-4")[1]["reason"] == "outcome_unknown"
-    )
-    assert _count_runs(fleet, "order-4") == 1
+    told = []
+
+    def is_settled():
+        told.append(call(address, "place", "a liner", "order-4"))
+        return told[-1][0] == 200 or told[-1][1]["reason"] == "outcome_unknown"
+
+    await_true(is_settled, what="a final answer")
+    runs = _count_runs(fleet, "order-4")
+    assert runs == (0 if moment == "claim under way" else 1)
+    assert len(_read_bills(fleet, "order-4")) == (1 if moment == "outcome under way" else 0)
+    assert (told[-1][0] == 200) == (moment == "outcome under way"), told[-1]
+    assert all(body.get("ran") != "no" for _, body in told), told
 
 
 def test_a_node_frozen_until_its_claim_was_given_up_does_not_dispatch(make_fleet):
