--- a/bronzetiller/requests/deaths.py
+++ b/bronzetiller/requests/deaths.py
@@ -11,6 +11,7 @@
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.vm_list import Vm
 from bronzetiller.requests.quarantine import Passage, Quarantine, RequestMark
+from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.wire.messages import DeathNoted, MarkedRequest, TargetDied
 
 PROBE_SECONDS = 1.0
@@ -19,6 +20,7 @@
 AVOID_SECONDS = 5.0
 PASSAGE_SECONDS = 30.0
 TELL_SECONDS = 0.5
+REPORTS_SECONDS = 0.5
 PEERS_CHECK_SECONDS = 0.25
 CLOSED_CAUSE = "closed by the other end"
 REFUSED_CAUSES = ("connect: refused", "connect: errno 111")
@@ -103,15 +105,17 @@
             del self._isolated[vm.vm_id]
 
     def choose(
-        self, mark: RequestMark, choose: Choose, busy: set[str], targets: list[str]
+        self, mark: RequestMark, choose: Choose, chooser: TargetChooser, service: str
     ) -> Vm | None:
         """Choose a target apart from suspects; for a suspect, one that no other node uses so."""
         dead = {vm_id for vm_id, until in self._dead_until.items() if until > self._scheduler.now()}
         apart = dead | set(self._isolated)
         avoided = [apart, dead, set()]
         if self.is_suspect(mark):
-            avoided.insert(0, apart | busy)
-            avoided.insert(0, apart | busy | self._list_foreign(targets))
+            busy = set(chooser.outstanding)
+            foreign = self._list_foreign([vm.vm_id for vm in chooser.find_targets(service)])
+            own = [apart | busy | foreign, apart | foreign, dead | foreign]
+            avoided = [*own, apart | busy, *avoided]
         return next((vm for vm in map(choose, avoided) if vm is not None), None)
 
     def _list_foreign(self, targets: list[str]) -> set[str]:
@@ -159,10 +163,15 @@
             marks = [mark for mark, _ in probe.reporters]
             log_event("target_died", level=30, target=probe.vm.vm_id, requests=len(marks))
             TARGET_DEATHS.inc()
-            self._note(probe.vm.vm_id, marks, lambda: self._judge(probe))
+            self._note(probe.vm.vm_id, marks, lambda: self._await_reports(probe))
         else:
             self._judge(probe)
 
+    def _await_reports(self, probe: _Probe) -> None:
+        """Give peers time to tell who else was on the target, before one request is blamed."""
+        blamed = any(self.is_quarantined(mark) for mark, _ in probe.reporters)
+        self._scheduler.call_after(REPORTS_SECONDS if blamed else 0.0, lambda: self._judge(probe))
+
     def _judge(self, probe: _Probe) -> None:
         for _, judged in probe.reporters:
             judged()
@@ -171,6 +180,7 @@
     def _note(self, target_id: str, marks: list[RequestMark], told: Judged) -> None:
         """Count a death and tell the peers; told comes once those that can answer have."""
         now = self._scheduler.now()
+        self._dead_until = {vm: until for vm, until in self._dead_until.items() if until > now}
         self._dead_until[target_id] = now + AVOID_SECONDS
         fresh = [mark for mark in marks if self.quarantine.note_death(mark, target_id, now)]
         for mark in fresh:
