Merge a node's own appends with those it makes for peers; measure control

With merging forced at six nodes (20 appends a second allowed) the log took 33.8 a second: the appender's own writer and its merges for peers each kept the interval, so together they made twice the appends.

The appender's own batches now join its merge.

--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,173 @@
+"""Measure what control costs a node, and how fast changes are in force everywhere.
+
+python -m bench.control [--nodes N ...] [--seconds S]
+
+Each size runs real nodes on one machine without requests: idle, with changes at the pace of
+16,000 a day, and with a burst of them. Bytes are those of messages between nodes and of log
+bodies, without the heads of HTTP, TCP and IP. Then requests run on six nodes, to count appends.
+"""
+
+import argparse
+import os
+import re
+import threading
+import time
+import urllib.request
+from datetime import datetime
+from statistics import median, quantiles
+
+from attrs import frozen
+
+from standins.demo import KEY, ask, await_ready
+from standins.fleet import Fleet, call_json
+
+CHANGES_PER_DAY = 16_000
+BURST_CHANGES = 200
+BYTES_PATTERN = re.compile(r"^bronzetiller_(?:sent|log)_bytes_total{.*} (\S+)$", re.MULTILINE)
+DECIDED_PATTERN = re.compile(r"^time=(\S+) .*event=record_decided offset=(\d+) ", re.MULTILINE)
+REGIONS = ("north", "middle", "south")
+CALLERS = 24
+
+
+@frozen
+class Use:
+    """Hold what one node used: seconds of processor time and bytes so far."""
+
+    cpu_seconds: float
+    sent_bytes: float
+
+
+def start_fleet(count: int, data_centres: int, **settings: object) -> Fleet:
+    """Start a platform and nodes spread over data centres in three regions."""
+    fleet = Fleet()
+    fleet.start_platform()
+    for index in range(count):
+        place = index % data_centres
+        region = REGIONS[place % len(REGIONS)]
+        fleet.add_node(f"node-{index}", region, f"{region}-{place}", **settings)
+    for index in range(count):
+        await_ready(fleet, f"node-{index}", 60.0)
+    return fleet
+
+
+def read_use(fleet: Fleet, node_id: str) -> Use:
+    """Return what a node has used since its start."""
+    pid = fleet.processes[node_id].popen.pid
+    with open(f"/proc/{pid}/stat") as stat:
+        fields = stat.read().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    url = f"http://{fleet.caller_address(node_id)}/metrics"
+    with urllib.request.urlopen(url, timeout=10) as response:
+        text = response.read().decode()
+    sent = sum(float(value) for value in BYTES_PATTERN.findall(text))
+    return Use(ticks / os.sysconf("SC_CLK_TCK"), sent)
+
+
+def measure_use(fleet: Fleet, seconds: float) -> tuple[float, float, float]:
+    """Return the median and highest bytes a second of a node, and the median core share in %."""
+    node_ids = [vm["vm_id"] for vm in fleet.nodes()]
+    before = {node_id: read_use(fleet, node_id) for node_id in node_ids}
+    started_at = time.monotonic()
+    time.sleep(seconds)
+    elapsed = time.monotonic() - started_at
+    after = {node_id: read_use(fleet, node_id) for node_id in node_ids}
+    rates = [(after[n].sent_bytes - before[n].sent_bytes) / elapsed for n in node_ids]
+    shares = [100 * (after[n].cpu_seconds - before[n].cpu_seconds) / elapsed for n in node_ids]
+    return median(rates), max(rates), median(shares)
+
+
+def publish_changes(fleet: Fleet, count: int, interval_seconds: float) -> list[int]:
+    """Publish routes; return their offsets."""
+    offsets = []
+    for index in range(count):
+        name = f"change-{time.time_ns()}-{index}"
+        offsets.append(fleet.publish("route", name, {"service": "names"}))
+        time.sleep(interval_seconds)
+    return offsets
+
+
+def measure_delays(fleet: Fleet, offsets: list[int]) -> tuple[float, float, int]:
+    """Return the median and 99th percentile of the seconds until a node decided, and the count."""
+    published = {e["offset"]: e["at"] for e in fleet.read_stream("configuration")}
+    wanted = set(offsets)
+    delays = []
+    for vm in fleet.nodes():
+        text = (fleet.folder / f"{vm['vm_id']}.log").read_text()
+        for at, offset in DECIDED_PATTERN.findall(text):
+            if int(offset) in wanted:
+                decided_at = datetime.fromisoformat(at).timestamp()
+                delays.append(decided_at - published[int(offset)])
+    return median(delays), quantiles(delays, n=100)[98], len(delays)
+
+
+def run_size(count: int, seconds: float) -> None:
+    """Measure one size and print its row."""
+    fleet = start_fleet(count, min(12, max(3, count // 4)))
+    try:
+        time.sleep(10.0)  # until the links stand
+        idle = measure_use(fleet, seconds)
+        interval = 24 * 3600 / CHANGES_PER_DAY
+        paced = publish_changes(fleet, max(4, int(seconds / interval)), interval)
+        burst = publish_changes(fleet, BURST_CHANGES, 0.0)
+        time.sleep(5.0)
+        slow = measure_delays(fleet, paced)
+        fast = measure_delays(fleet, burst)
+    finally:
+        fleet.close()
+    delays = [f"{part[0]:.3f} / {part[1]:.3f} ({part[2]})" for part in (slow, fast)]
+    cells = [str(count), f"{idle[0]:.0f}", f"{idle[1]:.0f}", f"{idle[2]:.1f}", *delays]
+    print(f"| {' | '.join(cells)} |", flush=True)
+
+
+def run_appends(seconds: float, appends_per_second_max: float) -> None:
+    """Count the appends a second of six nodes under load, and their answers."""
+    fleet = start_fleet(6, 3, fleet={"appends_per_second_max": appends_per_second_max})
+    try:
+        fleet.add_target("engine-1", "names", "north", "north-0", "--token-seconds", "0.001")
+        fleet.publish_workspace("studio", KEY, 100_000_000)
+        fleet.publish("route", "namer", {"service": "names"})
+        time.sleep(5.0)
+        addresses = [vm["address"] for vm in fleet.nodes()]
+        times: list[float] = []
+        end_at = time.monotonic() + seconds
+
+        def call(index: int) -> None:
+            while time.monotonic() < end_at:
+                started_at = time.monotonic()
+                ask(addresses[index % len(addresses)], f"caller {index}")
+                times.append(time.monotonic() - started_at)
+
+        before = call_json(fleet.log_address, "/control/counts")["appends"]
+        threads = [threading.Thread(target=call, args=(index,)) for index in range(CALLERS)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        appends = call_json(fleet.log_address, "/control/counts")["appends"] - before
+    finally:
+        fleet.close()
+    print(
+        f"| {appends_per_second_max:.0f} | {appends / seconds:.1f} | {len(times) / seconds:.1f} "
+        f"| {median(times):.3f} / {quantiles(times, n=20)[18]:.3f} |",
+        flush=True,
+    )
+
+
+def main() -> None:
+    """Run every size."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--nodes", type=int, nargs="*", default=[6, 24, 60])
+    parser.add_argument("--seconds", type=float, default=20.0)
+    arguments = parser.parse_args()
+    print("| nodes | bytes/s, median | bytes/s, most | core, % | paced changes, s | burst, s |")
+    print("| --- | --- | --- | --- | --- | --- |")
+    for count in arguments.nodes:
+        run_size(count, arguments.seconds)
+    print("| appends/s allowed | appends/s | answers/s | seconds to the answer, p50 / p95 |")
+    print("| --- | --- | --- | --- |")
+    for rate in (300.0, 20.0):
+        run_appends(arguments.seconds / 2, rate)
+
+
+if __name__ == "__main__":
+    main()
--- a/bronzetiller/fleet/delegation.py
+++ b/bronzetiller/fleet/delegation.py
@@ -30,7 +30,7 @@
     """Hold the batches of peers that go into one append."""
 
     records: list[Record] = field(factory=list)
-    replies: list[tuple[int, Reply]] = field(factory=list)
+    parts: list[tuple[int, AppendDone]] = field(factory=list)
 
 
 @define(eq=False)
@@ -50,7 +50,10 @@
         self._peers.on(AppendRecords, self._on_append)
 
     def append(self, stream: str, records: list[Record], done: AppendDone) -> bool:
-        """Append through a peer; return whether there is one."""
+        """Append through a peer, or with the batches of peers; return whether either can be."""
+        if self.merge_seconds and self.choose_appender(stream) == self._make_heartbeat().node_id:
+            self._merge(stream, records, done)
+            return True
         node_id = self._choose_peer(stream)
         if node_id is None:
             return False
@@ -96,22 +99,28 @@
         return {node_id: peer for node_id, peer in live.items() if node_id in connected}
 
     def _on_append(self, request: AppendRecords, reply: Reply) -> None:
-        merge = self._merges.get(request.stream)
+        def finish(result: Result[int, LogFailure]) -> None:
+            match result:
+                case Ok(first_offset):
+                    reply(RecordsAppended(first_offset))
+                case Err(failure):
+                    reply(RecordsAppended(None, failure.cause))
+
+        self._merge(request.stream, [json.loads(text) for text in request.records], finish)
+
+    def _merge(self, stream: str, records: list[Record], done: AppendDone) -> None:
+        merge = self._merges.get(stream)
         if merge is None:
-            merge = self._merges[request.stream] = _Merge()
-            self._scheduler.call_after(self.merge_seconds, lambda: self._flush(request.stream))
-        merge.replies.append((len(merge.records), reply))
-        merge.records += [json.loads(text) for text in request.records]
+            merge = self._merges[stream] = _Merge()
+            self._scheduler.call_after(self.merge_seconds, lambda: self._flush(stream))
+        merge.parts.append((len(merge.records), done))
+        merge.records += records
 
     def _flush(self, stream: str) -> None:
         merge = self._merges.pop(stream)
 
         def finish(result: Result[int, LogFailure]) -> None:
-            for index, reply in merge.replies:
-                match result:
-                    case Ok(first_offset):
-                        reply(RecordsAppended(first_offset + index))
-                    case Err(failure):
-                        reply(RecordsAppended(None, failure.cause))
+            for index, done in merge.parts:
+                done(result.map(lambda first_offset, index=index: first_offset + index))  # type: ignore[misc]
 
         self._log.append(stream, merge.records, finish)
--- a/bronzetiller/fleet/pacing.py
+++ b/bronzetiller/fleet/pacing.py
@@ -76,5 +76,5 @@
 
     def _pace(self, writer: StreamWriter, pace: Pace, seconds_min: float) -> None:
         appender = self._choose_appender(writer.stream) if pace.merged else None
-        writer.delegate_first = appender not in (None, self._settings.node_id)
+        writer.delegate_first = appender is not None
         writer.interval_seconds = seconds_min if writer.delegate_first else pace.append_seconds
