--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -9,7 +9,7 @@
 from bronzetiller.fleet.delegation import Delegation
 from bronzetiller.fleet.pacing import choose_pace
 from bronzetiller.platform.log_client import LogFailure
-from bronzetiller.wire.messages import AppendRecords, RecordsAppended
+from bronzetiller.wire.messages import AppendRecords, Heartbeat, RecordsAppended
 
 
 @given(
@@ -78,3 +78,27 @@
 def test_a_failed_merge_is_told_to_every_peer():
     failure = Err(LogFailure("down", sent=True))
     assert append_for_peers(failure)[1] == [RecordsAppended(None, "down")] * 3
+
+
+class NoPeers:
+    def connected(self):
+        return []
+
+    def live(self):
+        return {}
+
+    def on(self, message_class, handle):
+        self.handle = handle
+
+
+def test_the_appenders_own_batch_goes_into_the_append_it_makes_for_peers():
+    peers, log, scheduler, offsets = NoPeers(), FakeLog(Ok(10)), FakeScheduler(), []
+    own = Heartbeat("a", "a/1", "west", "west-1", "10.0.0.1:1", False, log_reachable=True)
+    delegation = Delegation(peers, peers, log, lambda: own, scheduler, merge_seconds=0.1)
+    delegation.start()
+    peers.handle(AppendRecords("ledger-0", ['{"n":1}']), lambda answer: offsets.append(answer))
+    assert delegation.append("ledger-0", [{"n": 2}], offsets.append)
+    for action in scheduler.actions:
+        action()
+    assert log.appends == [("ledger-0", [{"n": 1}, {"n": 2}])]
+    assert offsets == [RecordsAppended(10), Ok(11)]
