Keep a connection to each data centre's likely readers

In a large data centre a node knew only its ring neighbours, so that several nodes took themselves for the reader of a stream and each read it over the regional link.

Neighbours now hold the two that rank first as reader of each stream. The same node merges the appends. Counter-proof: without it the nodes of a data centre disagree on the reader at 330 nodes (a test); with it all agree.

--- a/bronzetiller/fleet/delegation.py
+++ b/bronzetiller/fleet/delegation.py
@@ -84,7 +84,7 @@
         ]
         if own.log_reachable and not own.stopping:
             near.append(own.node_id)
-        return choose_reader(f"append/{stream}", own.data_centre, near)
+        return choose_reader(stream, own.data_centre, near)
 
     def _choose_peer(self, stream: str) -> str | None:
         appender = self.choose_appender(stream)
--- a/bronzetiller/fleet/membership.py
+++ b/bronzetiller/fleet/membership.py
@@ -44,6 +44,7 @@
     _vm_list: VmList
     _settings: Settings
     _make_heartbeat: Callable[[], Heartbeat]
+    _streams: list[str]
     states: dict[str, PeerState] = field(factory=dict)
     _answered_at: dict[str, float] = field(factory=dict)
     _missing_since: dict[str, float] = field(factory=dict)
@@ -242,6 +243,7 @@
         neighbours = choose_neighbours(
             self._own_vm(),
             routers,
+            self._streams,
             near_peers_max=fleet.near_peers_max,
             far_peers_max=fleet.far_peers_max,
             links_max=fleet.links_max,
--- a/bronzetiller/fleet/relay.py
+++ b/bronzetiller/fleet/relay.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 
 from bronzetiller.fleet.membership import Membership
-from bronzetiller.fleet.neighbours import rank_nodes
+from bronzetiller.fleet.neighbours import rank_nodes, rank_readers
 from bronzetiller.fleet.peers import Peers, Reply
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import RELAYED_ENTRIES
@@ -52,7 +52,7 @@
 
 def choose_reader(stream: str, data_centre: str, candidates: list[str]) -> str | None:
     """Return the node that reads a stream from the log for a data centre."""
-    ranked = rank_nodes(f"{data_centre}/{stream}", candidates)
+    ranked = rank_readers(stream, data_centre, candidates)
     return ranked[0] if ranked else None
 
 
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -101,7 +101,12 @@
         )
         self.peers = Peers(scheduler, dialer, settings.node_id, settings.fleet_secret.encode())
         self.membership = Membership(
-            scheduler, self.peers, self.vm_list, settings, self._make_heartbeat
+            scheduler,
+            self.peers,
+            self.vm_list,
+            settings,
+            self._make_heartbeat,
+            [follower.stream for follower in self._followers()],
         )
         self.relay = Relay(scheduler, self.peers, self.membership, settings, self._make_heartbeat)
         self.archive = Archive()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,6 +6,7 @@
 
 from bronzetiller.fleet.incarnations import FleetView, is_gone, make_incarnation
 from bronzetiller.fleet.neighbours import choose_interval_seconds, choose_neighbours
+from bronzetiller.fleet.relay import choose_reader
 from bronzetiller.net.dialer import Address
 from bronzetiller.platform.vm_list import Vm, VmRole, VmState
 from standins.fleet import Fleet
@@ -14,6 +15,7 @@
 REACHED_AGAIN_SECONDS = 6.0
 
 
+STREAMS = ["configuration", "ledger-0"]
 OLD = make_incarnation("node-1", 1_000.0)
 NEW = make_incarnation("node-1", 1_000.2)
 
@@ -58,11 +60,11 @@
 
 
 @pytest.mark.parametrize("count", [7, 60, 330])
-def test_neighbours_are_few_and_every_node_is_reached_through_them(count):
+def test_neighbours_are_few_and_agree_on_every_reader(count):
     routers = make_routers(count)
     limits = {"near_peers_max": 8, "far_peers_max": 3, "links_max": 20}
     links = {
-        vm.vm_id: [peer.vm_id for peer in choose_neighbours(vm, routers, **limits)]
+        vm.vm_id: [peer.vm_id for peer in choose_neighbours(vm, routers, STREAMS, **limits)]
         for vm in routers
     }
     assert max(len(found) for found in links.values()) <= 20
@@ -73,6 +75,14 @@
             reached.add(node_id)
             rest += links[node_id]
     assert reached == set(links)
+    for data_centre in {vm.data_centre for vm in routers}:
+        near = [vm.vm_id for vm in routers if vm.data_centre == data_centre]
+        for stream in STREAMS:
+            readers = {
+                choose_reader(stream, data_centre, [node_id, *(set(links[node_id]) & set(near))])
+                for node_id in near
+            }
+            assert len(readers) == 1
 
 
 def test_messages_on_many_links_stay_under_their_rate():
