--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -218,3 +218,25 @@
     log = fleet.folder / "node-1.log"
     await_true(lambda: "records_expired" in log.read_text(), what="expired records")
     assert _ask(fleet, "after")[0] == 503
+
+
+def test_a_node_cut_off_until_its_next_records_expired_goes_on_from_a_snapshot(make_fleet):
+    fleet = make_fleet(with_links=True)
+    fleet.start_platform("--keep-records", str(KEEP_RECORDS))
+    fleet.add_target("engine-1", "names", "east", "east-1")
+    options = {"snapshots": SNAPSHOTS_EARLY, "fleet": {"relay_entries_max": 2}}
+    fleet.add_node("node-1", "west", "west-1", **options)
+    fleet.add_node("node-2", "east", "east-1", **options)
+    fleet.publish("route", "namer", {"service": "names"})
+    fleet.publish_workspace("studio", KEY, 30_000)
+    await_ready(fleet, "node-1", "node-2")
+    fleet.partition({"east-1"})
+    for index in range(2 * KEEP_RECORDS):
+        fleet.publish("route", f"filler-{index}", {"service": "names"})
+    fleet.publish_workspace("late", "late-key", 10_000)
+    node_1 = fleet.folder / "node-1.log"
+    await_true(lambda: node_1.read_text().count("snapshot_written") >= 1, what="a snapshot")
+    fleet.heal()
+    east = fleet.caller_address("node-2")
+    await_true(lambda: send_chat(east, key="late-key")[0] == 200, what="an answer in the east")
+    assert read_metric(east, r"bronzetiller_snapshots_total\{outcome=\"loaded\"\}") >= 1
