Prove that a lookup does not name a frozen node; ask any seed for the list

A start without the platform asked the first connected seed alone, for good, even where that one had no list. It now asks a random one each time.

--- a/bronzetiller/fleet/vm_relay.py
+++ b/bronzetiller/fleet/vm_relay.py
@@ -1,6 +1,8 @@
 """Take the list of VMs from a peer while the platform does not give it."""
 
-from attrs import define
+from random import Random
+
+from attrs import define, field
 from result import Ok, Result
 
 from bronzetiller.fleet.membership import Membership
@@ -28,6 +30,7 @@
     _vm_list: VmList
     _settings: Settings
     _asking: bool = False
+    _random: Random = field(factory=Random)
 
     def start(self) -> None:
         """Begin to serve and to watch the age of the own list."""
@@ -54,7 +57,7 @@
     def _choose_peer(self, age: float | None) -> str | None:
         connected = self._peers.connected()
         if age is None:
-            return connected[0] if connected else None
+            return self._random.choice(connected) if connected else None
         own = self._settings.data_centre
         ages = [
             (peer.data_centre != own, peer.vm_list_age_seconds, node_id)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,6 +4,7 @@
 
 from bronzetiller.fleet.relay import choose_log_peer, choose_reader, choose_source
 from bronzetiller.wire.messages import Heartbeat
+from standins.fleet import call_json
 from tests.conftest import KEY, await_ready, await_true, read_metric, read_records, send_chat
 
 KNOWN_SECONDS = 6.0
@@ -126,11 +127,21 @@
     assert _count_crossings(start()) < 0.7 * crossings_without_relay
 
 
+def _await_lookup_without(fleet, node_id, address):
+    entry = fleet.caller_address(node_id)
+    await_true(
+        lambda: address not in call_json(entry, "/v1/entry")["addresses"],
+        seconds=KNOWN_SECONDS,
+        what=f"the lookup of {node_id} without the silent node",
+    )
+
+
 def test_a_silent_reader_holds_nobody_up(start):
     fleet = start()
     for frozen, other in (("node-2", "node-3"), ("node-3", "node-2")):
         fleet.processes[frozen].freeze()
         fleet.publish_workspace(f"without-{frozen}", f"key-{frozen}", 10_000)
         _await_answer(fleet, other, f"key-{frozen}")
+        _await_lookup_without(fleet, other, fleet.caller_address(frozen))
         fleet.processes[frozen].thaw()
         _await_answer(fleet, frozen, f"key-{frozen}")
