--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -158,6 +158,7 @@
             node_id=settings.node_id,
             data_centre=settings.data_centre,
             copies=settings.budgets.bill_copies,
+            copies_least=settings.budgets.bill_copies_least,
             is_gone=self.membership.is_gone,
             is_reported=self.transfers.reported_holders.__contains__,
         )
@@ -359,6 +360,7 @@
             request_seconds=limits.receive_seconds,
             idle_seconds=limits.idle_seconds,
             stall_seconds=limits.stall_seconds,
+            exchange_seconds=limits.request_seconds_max,
             unsent_bytes_max=limits.unsent_bytes_max,
             connections_max=limits.connections_max,
         )
