--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -101,13 +101,20 @@
         )
         self.peers = Peers(scheduler, dialer, settings.node_id, settings.fleet_secret.encode())
         self.membership = Membership(
-            scheduler, self.peers, self.vm_list, settings, self._make_heartbeat
+            scheduler,
+            self.peers,
+            self.vm_list,
+            settings,
+            self._make_heartbeat,
+            [follower.stream for follower in self._followers()],
         )
         self.relay = Relay(scheduler, self.peers, self.membership, settings, self._make_heartbeat)
         self.archive = Archive()
         self.snapshots = SnapshotKeeper(scheduler, self.log, self.peers, self.membership, settings)
         self.vm_relay = VmRelay(scheduler, self.peers, self.membership, self.vm_list, settings)
-        self.credits = CreditPoster(self.configuration, self.shards)
+        self.credits = CreditPoster(
+            self.configuration, self.shards, lambda name: self.membership.rank(f"credit/{name}")
+        )
         self.delegation = Delegation(
             self.peers, self.membership, self.log, self._make_heartbeat, scheduler
         )
@@ -151,6 +158,7 @@
             node_id=settings.node_id,
             data_centre=settings.data_centre,
             copies=settings.budgets.bill_copies,
+            copies_least=settings.budgets.bill_copies_least,
             is_gone=self.membership.is_gone,
             is_reported=self.transfers.reported_holders.__contains__,
         )
@@ -381,7 +389,7 @@
 
     def _post_credits(self) -> None:
         if all(shard.follower.caught_up for shard in self.shards.all):
-            self.credits.post()
+            self.credits.post(self.loop.scheduler.now())
 
     def _make_heartbeat(self) -> Heartbeat:
         settings = self.settings
--- a/bronzetiller/requests/couriers.py
+++ b/bronzetiller/requests/couriers.py
@@ -52,6 +52,7 @@
         node_id: str,
         data_centre: str,
         copies: int,
+        copies_least: int,
         is_gone: Callable[[str], bool],
         is_reported: Callable[[str], bool],
     ) -> None:
@@ -63,6 +64,7 @@
         self._node_id = node_id
         self._data_centre = data_centre
         self._copies = copies
+        self._copies_least = copies_least
         self._is_gone = is_gone
         self._is_reported = is_reported
         self._silent_since: dict[str, float] = {}
@@ -83,9 +85,14 @@
 
     @property
     def copies_needed(self) -> int:
-        """Return how many peers must keep a bill; fewer where the fleet has fewer nodes."""
+        """Return how many peers must keep a bill; fewer where fewer are there or in reach.
+
+        The side of a partition may have one peer left for each node: one copy then, rather than
+        no answers for as long as the partition lasts.
+        """
         others = sum(1 for vm in self._vm_list.find_routers() if vm.vm_id != self._node_id)
-        return min(self._copies, others)
+        in_reach = max(self._copies_least, len(self._peers.connected()))
+        return min(self._copies, others, in_reach)
 
     @property
     def can_secure(self) -> bool:
@@ -145,16 +152,16 @@
             handover.asking -= 1
             match result:
                 case Ok(BillKept()):
-                    self._confirm(handover, node_id)
+                    handover.holders.add(node_id)
+            self._settle(handover)
             self._ask_more(handover)
 
         item = handover.item
         message = KeepBill(item.bill, item.owner, item.outcome)
         self._peers.ask(node_id, message, ANSWER_SECONDS, answered)
 
-    def _confirm(self, handover: Handover, node_id: str) -> None:
-        handover.holders.add(node_id)
-        enough = len(handover.holders) >= self._count_needed(handover)
+    def _settle(self, handover: Handover) -> None:
+        enough = 0 < self._count_needed(handover) <= len(handover.holders)
         if enough and not handover.over and not handover.is_secured:
             handover.is_secured = True
             handover.secured()
