--- a/tests/test_own_answers.py
+++ b/tests/test_own_answers.py
@@ -109,7 +109,8 @@
     with ThreadPoolExecutor(4) as pool:
         answers = list(pool.map(ask, range(12)))
     whole = ["".join(make_words(f"mine {number}", 30)) for number in range(12)]
-    assert all(answer in (None, own) for answer, own in zip(answers, whole, strict=True))
+    wrong = [pair for pair in zip(answers, whole, strict=True) if pair[0] not in (None, pair[1])]
+    assert not wrong, wrong
 
 
 def test_a_response_that_nobody_asked_for_ends_its_connection(fleet):
@@ -231,6 +232,10 @@
     assert _run_attempt(mixed, []) == "a x b c "
 
 
+def test_an_answer_that_lacks_a_chunk_in_its_middle_is_not_whole():
+    assert _run_attempt(b"".join(map(format_event, [OWN[0], *OWN[2:]])), []) is None
+
+
 def test_the_deltas_of_tool_calls_merge_into_whole_calls():
     message = {"role": "assistant", "content": ""}
     first = {"index": 0, "id": "call-1", "function": {"name": "find", "arguments": '{"a"'}}
