Let a region that is cut off with two routers go on

Cause: a bill needed two peers to keep it, so a region with two routers refused every request while it was cut off from the log, which may be for long.

Change: as many copies as bill_copies, but no more than the peers that can be reached, and one at least. A copy whose keeper's connection is lost is replaced.

Ruled out: counting the listed nodes, which are just those that can't be reached.

Conclusion: kept; a bill is lost if both routers die before the cut ends.

--- a/bronzetiller/requests/couriers.py
+++ b/bronzetiller/requests/couriers.py
@@ -81,16 +81,10 @@
         """Return the bills kept here for others."""
         return [item.bill for item in self.kept.bills.values()]
 
-    @property
-    def copies_needed(self) -> int:
-        """Return how many peers must keep a bill; fewer where the fleet has fewer nodes."""
-        others = sum(1 for vm in self._vm_list.find_routers() if vm.vm_id != self._node_id)
-        return min(self._copies, others)
-
     @property
     def can_secure(self) -> bool:
-        """Say whether enough peers are connected to keep a bill."""
-        return 0 < self.copies_needed <= len(self._peers.connected())
+        """Say whether a peer is connected that can keep a bill."""
+        return self._copies > 0 and bool(self._peers.connected())
 
     def secure(self, bill: Bill, outcome: Outcome | None, secured: Callable[[], None]) -> Handover:
         """Ask peers to keep a bill; secured comes once enough of them confirm."""
@@ -125,7 +119,8 @@
             self._ask(handover, node_id)
 
     def _count_needed(self, handover: Handover) -> int:
-        return min(handover.copies_max, self.copies_needed)
+        """Return how many peers must keep a bill: fewer, but one, where fewer can be reached."""
+        return min(handover.copies_max, max(1, len(self._peers.connected())))
 
     def _choose_peers(self, handover: Handover) -> list[str]:
         centres = {vm.vm_id: vm.data_centre for vm in self._vm_list.find_routers()}
@@ -154,7 +149,10 @@
 
     def _confirm(self, handover: Handover, node_id: str) -> None:
         handover.holders.add(node_id)
-        enough = len(handover.holders) >= self._count_needed(handover)
+        self._check_secured(handover)
+
+    def _check_secured(self, handover: Handover) -> None:
+        enough = 0 < self._count_needed(handover) <= len(handover.holders)
         if enough and not handover.over and not handover.is_secured:
             handover.is_secured = True
             handover.secured()
@@ -193,6 +191,7 @@
 
     def _check(self) -> None:
         for handover in list(self._handovers.values()):
+            self._check_secured(handover)
             if not handover.asking:
                 handover.holders &= set(self._peers.connected())
                 handover.asked &= handover.holders
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -87,3 +87,11 @@
     with urllib.request.urlopen(f"http://{address}/metrics", timeout=10) as response:
         text = response.read().decode()
     return sum(float(v) for v in re.findall(rf"^{name}(?:{{.*}})? (\S+)$", text, re.MULTILINE))
+
+
+def count_peers(address):
+    """Return how many peers a node has heard from of late."""
+    with urllib.request.urlopen(f"http://{address}/metrics", timeout=10) as response:
+        lines = response.read().decode().splitlines()
+    name = "bronzetiller_peers_heard "
+    return float(next(line.split()[1] for line in lines if line.startswith(name)))
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -10,7 +10,7 @@
 from bronzetiller.budgets.records import Bill, load_ledger_record
 from standins.engine import make_words
 from standins.fleet import Fleet, call_json
-from tests.conftest import KEY, await_ready, await_true, send_chat
+from tests.conftest import KEY, await_ready, await_true, count_peers, send_chat
 
 SLOW = {"token_seconds": 0.02, "first_token_seconds": 0.1}
 QUICK = {"confirm_seconds": 1.5, "copy_after_seconds": 0.1}
@@ -218,3 +218,24 @@
     expected = "".join(make_words("brief", WORDS))
     await_true(lambda: _send_words(address, "brief", "key-7") == (200, expected))
     assert _count_accepted(fleet, "key-7") == 1
+
+
+def test_a_region_cut_off_with_two_routers_goes_on_and_loses_no_bill(make_fleet):
+    fleet = make_fleet(with_links=True)
+    fleet.start_platform()
+    fleet.add_target("engine-1", "names", "east", "east-1")
+    for node_id, region in (("n-1", "west"), ("n-2", "west"), ("n-3", "east"), ("n-4", "east")):
+        fleet.add_node(node_id, region, f"{region}-1", requests=QUICK)
+    fleet.publish_workspace("studio", KEY, 1_000_000)
+    fleet.publish("route", "namer", {"service": "names"})
+    for node_id in ("n-3", "n-4"):
+        _warm_up(fleet, node_id)
+    expected = "".join(make_words("brief", WORDS))
+    address = fleet.caller_address("n-3")
+    await_true(lambda: count_peers(address) == 3, what="the peers of n-3")
+    fleet.partition({"east-1"})
+    await_true(lambda: _send_words(address, "brief", "key-9") == (200, expected))
+    assert _count_accepted(fleet, "key-9") == 0
+    fleet.processes["n-3"].kill()
+    fleet.heal()
+    await_true(lambda: _count_accepted(fleet, "key-9") == 1, what="the bill from the peer")
