--- a/bronzetiller/fleet/membership.py
+++ b/bronzetiller/fleet/membership.py
@@ -11,6 +11,7 @@
     PING_BYTES,
     choose_interval_seconds,
     choose_neighbours,
+    rank_nodes,
 )
 from bronzetiller.fleet.peers import Peers, PeerVm, Reply
 from bronzetiller.logs import log_event
@@ -44,6 +45,7 @@
     _vm_list: VmList
     _settings: Settings
     _make_heartbeat: Callable[[], Heartbeat]
+    _streams: list[str]
     states: dict[str, PeerState] = field(factory=dict)
     _answered_at: dict[str, float] = field(factory=dict)
     _missing_since: dict[str, float] = field(factory=dict)
@@ -85,6 +87,13 @@
         """Return the ids of the neighbours that are not heard from."""
         return (set(self.states) | self._neighbours) - set(self.live())
 
+    def rank(self, subject: str) -> int:
+        """Return this node's place, from 0, among those heard that could append for a subject."""
+        peers = self.live().items()
+        able = [k for k, peer in peers if peer.ready and peer.log_reachable and not peer.stopping]
+        own = self._settings.node_id
+        return rank_nodes(subject, [*able, own]).index(own)
+
     def is_gone(self, incarnation: str) -> bool:
         """Say whether an incarnation will never act again, as far as this node can tell."""
         grace_seconds = self._settings.fleet.gone_grace_seconds
@@ -242,6 +251,7 @@
         neighbours = choose_neighbours(
             self._own_vm(),
             routers,
+            self._streams,
             near_peers_max=fleet.near_peers_max,
             far_peers_max=fleet.far_peers_max,
             links_max=fleet.links_max,
