Refuse a billed call whose claim is forgotten

Cause: claims are forgotten after 24 hours, bills by their number; a key that came back between the two was run a second time, at no charge.

Change: a won claim whose request the ledger has billed is freed and refused, ran yes.

--- a/bronzetiller/callers/services.py
+++ b/bronzetiller/callers/services.py
@@ -137,6 +137,9 @@
             self._begin()
 
     def _begin(self) -> None:
+        if self.won is not None and self._is_billed():
+            self._refuse(_refuse_forgotten())
+            return
         refusal = self.services.admission.check(self.key)
         if refusal is not None:
             self._refuse(refusal)
@@ -284,16 +287,19 @@
 
     def _replay(self, outcome: Outcome) -> None:
         """Give the kept answer; it is billed now where its first bill did not count."""
-        ledger = self.services.shards.find(self.key.workspace).ledger
-        if ledger.find_bill(self.key.workspace, self.key.request_id) is None:
-            self._begin()
-        else:
+        if self._is_billed():
             self._give(outcome)
+        else:
+            self._begin()
+
+    def _is_billed(self) -> bool:
+        ledger = self.services.shards.find(self.key.workspace).ledger
+        bill = ledger.find_bill(self.key.workspace, self.key.request_id)
+        return bill is not None and bill.fingerprint == self.key.fingerprint
 
     def _give(self, outcome: Outcome) -> None:
         if not outcome.body_kept:
-            detail = "the request was run; its answer was too large to be kept"
-            self._refuse(Refusal(409, Reason.ANSWER_NOT_KEPT, detail, Ran.YES))
+            self._refuse(_refuse_forgotten())
             return
         REPLAYS.inc()
         body = base64.b64decode(outcome.body)
@@ -358,6 +364,11 @@
             self.won = None
 
 
+def _refuse_forgotten() -> Refusal:
+    detail = "the request was run; its answer is not kept"
+    return Refusal(409, Reason.ANSWER_NOT_KEPT, detail, Ran.YES)
+
+
 def _make_outcome(won: Won, answer: ServiceAnswer) -> Outcome:
     kept = len(answer.body) <= BODY_KEPT_BYTES_MAX
     return Outcome(
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -1,10 +1,12 @@
 """Call plain services through the fleet, whole, billed once and run at most once."""
 
 import contextlib
+import hashlib
 import threading
 
 import pytest
 
+from bronzetiller.budgets.records import Bill, dump_ledger_record
 from standins.fleet import Fleet, call_json
 from tests.conftest import KEY, await_ready, await_true, read_records, send
 
@@ -211,3 +213,15 @@
         status, body = call(address, "status", "where is it", f"status-{index}")
         assert status == 200, body
         assert len(_read_bills(fleet, f"status-{index}")) == 1
+
+
+def test_a_billed_order_is_not_run_again_once_its_claim_is_forgotten(fleet):
+    """Have the ledger know a bill whose claim the log no longer tells of."""
+    fingerprint = hashlib.sha256(b'POST\0/path\0x=1\0"a liner"').hexdigest()[:32]
+    bill = Bill("studio", "order-6", fingerprint, "node-9/1", 0, [], bill_id="bill-6")
+    records = {"records": [dump_ledger_record(bill)]}
+    call_json(fleet.log_address, "/v1/streams/ledger-0/records", records)
+    address = fleet.caller_address("node-1")
+    status, body = call(address, "place", "a liner", "order-6")
+    assert (status, body["reason"], body["ran"]) == (409, "answer_not_kept", "yes")
+    assert _count_runs(fleet, "order-6") == 0
