--- a/bronzetiller/requests/couriers.py
+++ b/bronzetiller/requests/couriers.py
@@ -52,6 +52,7 @@
         node_id: str,
         data_centre: str,
         copies: int,
+        copies_least: int,
         is_gone: Callable[[str], bool],
         is_reported: Callable[[str], bool],
     ) -> None:
@@ -63,6 +64,7 @@
         self._node_id = node_id
         self._data_centre = data_centre
         self._copies = copies
+        self._copies_least = copies_least
         self._is_gone = is_gone
         self._is_reported = is_reported
         self._silent_since: dict[str, float] = {}
@@ -81,10 +83,21 @@
         """Return the bills kept here for others."""
         return [item.bill for item in self.kept.bills.values()]
 
+    @property
+    def copies_needed(self) -> int:
+        """Return how many peers must keep a bill; fewer where fewer are there or in reach.
+
+        The side of a partition may have one peer left for each node: one copy then, rather than
+        no answers for as long as the partition lasts.
+        """
+        others = sum(1 for vm in self._vm_list.find_routers() if vm.vm_id != self._node_id)
+        in_reach = max(self._copies_least, len(self._peers.connected()))
+        return min(self._copies, others, in_reach)
+
     @property
     def can_secure(self) -> bool:
-        """Say whether a peer is connected that can keep a bill."""
-        return self._copies > 0 and bool(self._peers.connected())
+        """Say whether enough peers are connected to keep a bill."""
+        return 0 < self.copies_needed <= len(self._peers.connected())
 
     def secure(self, bill: Bill, outcome: Outcome | None, secured: Callable[[], None]) -> Handover:
         """Ask peers to keep a bill; secured comes once enough of them confirm."""
@@ -119,8 +132,7 @@
             self._ask(handover, node_id)
 
     def _count_needed(self, handover: Handover) -> int:
-        """Return how many peers must keep a bill: fewer, but one, where fewer can be reached."""
-        return min(handover.copies_max, max(1, len(self._peers.connected())))
+        return min(handover.copies_max, self.copies_needed)
 
     def _choose_peers(self, handover: Handover) -> list[str]:
         centres = {vm.vm_id: vm.data_centre for vm in self._vm_list.find_routers()}
@@ -140,18 +152,15 @@
             handover.asking -= 1
             match result:
                 case Ok(BillKept()):
-                    self._confirm(handover, node_id)
+                    handover.holders.add(node_id)
+            self._settle(handover)
             self._ask_more(handover)
 
         item = handover.item
         message = KeepBill(item.bill, item.owner, item.outcome)
         self._peers.ask(node_id, message, ANSWER_SECONDS, answered)
 
-    def _confirm(self, handover: Handover, node_id: str) -> None:
-        handover.holders.add(node_id)
-        self._check_secured(handover)
-
-    def _check_secured(self, handover: Handover) -> None:
+    def _settle(self, handover: Handover) -> None:
         enough = 0 < self._count_needed(handover) <= len(handover.holders)
         if enough and not handover.over and not handover.is_secured:
             handover.is_secured = True
@@ -191,7 +200,6 @@
 
     def _check(self) -> None:
         for handover in list(self._handovers.values()):
-            self._check_secured(handover)
             if not handover.asking:
                 handover.holders &= set(self._peers.connected())
                 handover.asked &= handover.holders
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -42,6 +42,7 @@
     idle_return_seconds: float = field(default=20.0, validator=gt(0))
     append_interval_seconds: float = field(default=0.02, validator=ge(0))
     bill_copies: int = field(default=2, validator=ge(0))
+    bill_copies_least: int = field(default=1, validator=ge(1))
 
 
 @frozen
--- a/tests/test_bill_machine.py
+++ b/tests/test_bill_machine.py
@@ -96,6 +96,7 @@
             node_id=self.node_id,
             data_centre=self.node_id,
             copies=2,
+            copies_least=2,
             is_gone=lambda owner: not self.world.nodes[owner].alive,
             is_reported=lambda holder: False,
         )
--- a/tests/test_budget_partition.py
+++ b/tests/test_budget_partition.py
@@ -24,7 +24,7 @@
 EAST = ("node-3", "node-4", "node-5")
 
 
-def start_fleet(make_fleet, tokens, **options):
+def start_fleet(make_fleet, tokens, east=EAST, **options):
     fleet = make_fleet(**options)
     fleet.start_platform()
     for vm_id, region, data_centre in (
@@ -36,13 +36,13 @@
     fleet.publish("route", "namer", {"service": "names", "template_tokens": 0})
     for node_id in WEST:
         fleet.add_node(node_id, "west", "west-1", budgets=BUDGETS)
-    for node_id in EAST:
+    for node_id in east:
         fleet.add_node(node_id, "east", "east-1", budgets=BUDGETS)
-    await_ready(fleet, *WEST, *EAST)
-    for node_id in (*WEST, *EAST):
+    await_ready(fleet, *WEST, *east)
+    for node_id in (*WEST, *east):
         address = fleet.caller_address(node_id)
         await_true(
-            lambda address=address: read_metric(address, "bronzetiller_peers_heard") == 3,
+            lambda address=address: read_metric(address, "bronzetiller_peers_heard") == len(east),
             what=f"connections of {node_id}",
         )
     return fleet
@@ -119,3 +119,13 @@
     await_true(lambda: count_accepted(fleet) == served * 101, what="every answer billed")
     assert set(drain_all(fleet, answers)) == {(402, "budget_exhausted")}, answers
     assert 4_000 - read_worst_case() < count_accepted(fleet) <= 4_000
+
+
+def test_a_side_of_two_nodes_serves_on_with_one_copy_of_each_bill(make_fleet):
+    fleet = start_fleet(make_fleet, 6_000, ("node-3", "node-4"), with_links=True)
+    answers = Counter()
+    assert spend(fleet, "node-3", answers, 1) == 1, answers
+    fleet.partition({"east-1"})
+    assert spend(fleet, "node-3", answers, 3) == 3, answers
+    fleet.heal()
+    await_true(lambda: len(read_records(fleet, "bill")) == 4, what="all bills in the log")
