Fail the answer whose chunk went to another stream

Cause of the known failure [swap]: an engine that mixes streams gives one answer a foreign chunk, which was refused, and leaves the other with a hole, which was not noticed. The reader of a foreign chunk now fails the attempt that the chunk names, if this node runs it.

test_binary also read descriptors that closed meanwhile; it passes those over now.

--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -32,6 +32,7 @@
     AttemptEvent,
     AttemptFailed,
     EngineAttempt,
+    OpenAttempts,
     start_attempt,
 )
 from bronzetiller.routing.targets import TargetChooser, observe_attempt
@@ -56,6 +57,7 @@
     admission: Admission
     deaths: DeathWatch
     retries: RetryBudget
+    open_attempts: OpenAttempts = field(factory=OpenAttempts)
     open_runs: int = 0
 
 
@@ -172,6 +174,7 @@
             silence_seconds=self.route.silence_seconds,
             first_byte_seconds=self.services.first_byte_seconds,
             listener=observe_attempt(self.services.chooser, vm, self._on_attempt),
+            open_attempts=self.services.open_attempts,
         )
 
     def _on_attempt(self, event: AttemptEvent) -> None:
--- a/bronzetiller/routing/engine.py
+++ b/bronzetiller/routing/engine.py
@@ -67,6 +67,27 @@
 AttemptListener = Callable[[AttemptEvent], None]
 
 
+@define(eq=False)
+class OpenAttempts:
+    """Know the attempts that run, so that one whose chunk went to another can be failed."""
+
+    _attempts: dict[str, "EngineAttempt"] = field(factory=dict)
+
+    def add(self, attempt: "EngineAttempt") -> None:
+        """Know an attempt until it is removed."""
+        self._attempts[attempt.attempt_id] = attempt
+
+    def remove(self, attempt: "EngineAttempt") -> None:
+        """Forget an attempt that is over."""
+        self._attempts.pop(attempt.attempt_id, None)
+
+    def fail_owner(self, chunk_id: str, reader: "EngineAttempt") -> None:
+        """Fail the attempt whose chunk another reader got, since its answer now lacks it."""
+        for attempt_id, attempt in list(self._attempts.items()):
+            if attempt_id in chunk_id and attempt is not reader:
+                attempt.fail("a chunk of the answer went to another attempt")
+
+
 @define(eq=False)
 class EngineAttempt:
     """Follow one attempt until its AnswerEnd or AttemptFailed."""
@@ -74,6 +95,7 @@
     attempt_id: str
     answer_tokens_max: int
     _listener: AttemptListener
+    _open_attempts: OpenAttempts = field(factory=OpenAttempts)
     call: OpenCall | None = None
     status: int = 0
     chunks: int = 0
@@ -87,9 +109,15 @@
 
     def cancel(self) -> None:
         """Drop the attempt; no event follows."""
+        self._open_attempts.remove(self)
         if self.call is not None:
             self.call.cancel()
 
+    def fail(self, cause: str) -> None:
+        """Drop the attempt as one that gave no whole answer."""
+        self.cancel()
+        self._listener(AttemptFailed(cause, True, target_lost=False))
+
     def set_flow(self, flowing: bool) -> None:
         """Read the answer, or stop reading it while its caller lags behind."""
         if self.call is None:
@@ -101,6 +129,8 @@
 
     def listen(self, event: CallEvent) -> None:
         """Take one event of the HTTP call."""
+        if isinstance(event, ResponseEnd | CallFailed):
+            self._open_attempts.remove(self)
         if isinstance(event, BodyPart):
             self._take_body(event.data)
         elif isinstance(event, ResponseHead):
@@ -144,6 +174,7 @@
         if self._id is None and self.attempt_id in chunk.id:
             self._id = chunk.id
         if chunk.id != self._id:
+            self._open_attempts.fail_owner(chunk.id, self)
             return self._reject("a chunk belongs to another attempt")
         if self.finish_reason is not None and chunk.has_choice:
             return self._reject("the answer goes on after its end")
@@ -188,8 +219,7 @@
             self._listener(end)
 
     def _reject(self, cause: str) -> bool:
-        self.cancel()
-        self._listener(AttemptFailed(cause, True, target_lost=False))
+        self.fail(cause)
         return False
 
 
@@ -203,9 +233,11 @@
     silence_seconds: float,
     first_byte_seconds: float | None = None,
     listener: AttemptListener,
+    open_attempts: OpenAttempts,
 ) -> EngineAttempt:
     """Send a chat request to an engine; the engine always streams."""
-    attempt = EngineAttempt(attempt_id, answer_tokens_max, listener)
+    attempt = EngineAttempt(attempt_id, answer_tokens_max, listener, open_attempts)
+    open_attempts.add(attempt)
     value = body | {
         "stream": True,
         "stream_options": {"include_usage": True},
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -1,5 +1,6 @@
 """Run a fleet's node from the one file that the product ships as."""
 
+import contextlib
 import os
 import subprocess
 import sys
@@ -59,6 +60,15 @@
     return [child for task in tasks for child in (task / "children").read_text().split()]
 
 
+def list_open_files(pid):
+    """Return what the descriptors of a process lead to, but for those that close meanwhile."""
+    opened = []
+    for item in Path(f"/proc/{pid}/fd").iterdir():
+        with contextlib.suppress(FileNotFoundError):
+            opened.append(os.readlink(item))
+    return opened
+
+
 def test_a_node_runs_from_one_file_as_one_process(make_fleet, binary, tmp_path):
     fleet = make_fleet()
     fleet.start_platform()
@@ -73,7 +83,7 @@
     assert list_children(pid) == []
     assert len(list(Path(f"/proc/{pid}/task").iterdir())) == 1
     assert list(home.iterdir()) == []
-    opened = [os.readlink(item) for item in Path(f"/proc/{pid}/fd").iterdir()]
+    opened = list_open_files(pid)
     files = {name for name in opened if name.startswith("/") and not name.startswith("/dev/")}
     assert files <= {str(binary), "/memfd:cbor2._cbor2 (deleted)"}
     fleet.processes["node-1"].stop()
--- a/tests/test_own_answers.py
+++ b/tests/test_own_answers.py
@@ -16,7 +16,13 @@
 from bronzetiller.net.http_client import BodyPart, ResponseEnd, ResponseHead
 from bronzetiller.routing import engine as engines
 from bronzetiller.routing.chunks import merge_delta, read_chunk
-from bronzetiller.routing.engine import AnswerEnd, AnswerPart, EngineAttempt
+from bronzetiller.routing.engine import (
+    AnswerEnd,
+    AnswerPart,
+    AttemptFailed,
+    EngineAttempt,
+    OpenAttempts,
+)
 from standins.engine import make_words
 from standins.fleet import Fleet, call_json
 from tests.conftest import KEY, await_ready, await_true, read_records, send_chat
@@ -236,6 +242,20 @@
     assert _run_attempt(b"".join(map(format_event, [OWN[0], *OWN[2:]])), []) is None
 
 
+def test_an_attempt_whose_chunk_went_to_another_is_failed():
+    attempts = OpenAttempts()
+    events = {"own": [], "foreign": []}
+    own = EngineAttempt("own", 100, events["own"].append, attempts)
+    foreign = EngineAttempt("foreign", 100, events["foreign"].append, attempts)
+    for attempt in (own, foreign):
+        attempts.add(attempt)
+        attempt.listen(ResponseHead(200, {"x-request-id": attempt.attempt_id}))
+    foreign.listen(BodyPart(format_event(FOREIGN[0])))
+    own.listen(BodyPart(format_event(FOREIGN[1])))
+    assert [type(event) for event in events["own"]] == [AttemptFailed]
+    assert [type(event) for event in events["foreign"]] == [AnswerPart, AttemptFailed]
+
+
 def test_the_deltas_of_tool_calls_merge_into_whole_calls():
     message = {"role": "assistant", "content": ""}
     first = {"index": 0, "id": "call-1", "function": {"name": "find", "arguments": '{"a"'}}
