Keep a reserve of every budget in each region

Ruled out: returning idle grants later, which strands tokens everywhere.

One node of each region, by rank, now keeps up to region_reserve_tokens of each budget, at most 2 % of what is free, and gives them to the region's other nodes when asked; a budget near its end keeps none.

--- a/bronzetiller/budgets/accounts.py
+++ b/bronzetiller/budgets/accounts.py
@@ -37,3 +37,4 @@
     rounds: int = 0
     retry: Timer | None = None
     used_at: float = 0.0
+    reserve_tokens: int = 0
--- a/bronzetiller/budgets/demand.py
+++ b/bronzetiller/budgets/demand.py
@@ -5,6 +5,7 @@
 from attrs import define
 
 LOW_WATER_SHARE = 0.5
+RESERVE_TOKENS_MIN = 1_000
 
 
 @define
@@ -41,3 +42,12 @@
 def is_low(*, balance: int, demand: float) -> bool:
     """Say whether to ask ahead, before any request has to wait."""
     return balance < demand * LOW_WATER_SHARE
+
+
+def size_reserve(*, free: int, balance: int, tokens: int, share_max: float) -> int:
+    """Return the tokens that a region keeps of a budget against being cut off, or 0.
+
+    A budget near its end keeps none, since its last tokens are worth more where they are asked for.
+    """
+    reserve = min(tokens, int((free + balance) * share_max))
+    return reserve if reserve >= RESERVE_TOKENS_MIN else 0
--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -9,7 +9,7 @@
 from bronzetiller.budgets.accounts import Account, Waiter
 from bronzetiller.budgets.asks import Ask, TokenAsker
 from bronzetiller.budgets.closes import follow_close, follow_state, forget_void
-from bronzetiller.budgets.demand import Demand, is_low, size_grant
+from bronzetiller.budgets.demand import Demand, is_low, size_grant, size_reserve
 from bronzetiller.budgets.gaps import GapDetector
 from bronzetiller.budgets.giving import TokenGiver
 from bronzetiller.budgets.holdings import Holdings, Reservation, name_grant
@@ -114,6 +114,27 @@
         waiter = Waiter(ask.missing_tokens, try_serve, give, local=False)
         self._wait(workspace, account, waiter, PEER_WAIT_SECONDS)
 
+    def set_reserve(self, workspace: str, *, kept: bool) -> None:
+        """Keep the region's reserve of a workspace on this node, or no longer."""
+        account = self._accounts.get(workspace)
+        if not kept:
+            if account is not None:
+                account.reserve_tokens = 0
+            return
+        balance = self._holdings.balance(workspace)
+        reserve = size_reserve(
+            free=self._find_budget(workspace).free,
+            balance=balance,
+            tokens=self._settings.region_reserve_tokens,
+            share_max=self._settings.region_reserve_share_max,
+        )
+        if not reserve or not self._is_fresh(workspace):
+            return
+        account = self._account(workspace)
+        account.reserve_tokens = reserve
+        if is_low(balance=balance, demand=reserve):
+            self._request_grant(workspace, account, "reserve")
+
     def return_all(self) -> None:
         """Return every unreserved token, before the node stops."""
         for workspace in list(self._holdings.balances):
@@ -231,7 +252,7 @@
             balance=self._holdings.balance(workspace),
             demand=account.demand.estimate(self._scheduler.now()),
             free=self._find_budget(workspace).free,
-            tokens_min=self._settings.grant_tokens_min,
+            tokens_min=max(self._settings.grant_tokens_min, account.reserve_tokens),
             share_max=self._settings.grant_share_max,
         )
 
@@ -331,8 +352,9 @@
     def _forget_idle(self) -> None:
         for workspace, account in list(self._accounts.items()):
             busy = account.waiters or account.requested is not None or account.asking
+            kept = bool(busy or account.reserve_tokens)
             demand = account.demand.estimate(self._scheduler.now())
-            if not busy and demand < 1 and not self._holdings.count_held(workspace):
+            if not kept and demand < 1 and not self._holdings.count_held(workspace):
                 del self._accounts[workspace]
 
     def _return_idle(self) -> None:
@@ -340,7 +362,7 @@
         for workspace, account in list(self._accounts.items()):
             idle_at = account.used_at + self._settings.idle_return_seconds
             if now >= idle_at and not account.waiters and self._is_fresh(workspace):
-                self._returns.return_balance(workspace)
+                self._returns.return_balance(workspace, keep=account.reserve_tokens)
 
     def _on_ruling(self, entry: Entry, record: LedgerRecord, ruling: Ruling) -> None:
         match record:
--- /dev/null
+++ b/bronzetiller/budgets/reserves.py
@@ -0,0 +1,29 @@
+"""Keep some tokens of every budget in each region, so that a region that is cut off serves on."""
+
+from collections.abc import Callable, Iterable
+
+from attrs import define
+
+from bronzetiller.budgets.grants import GrantKeeper
+from bronzetiller.net.scheduler import Scheduler
+
+CHECK_SECONDS = 1.0
+
+
+@define(eq=False)
+class RegionReserves:
+    """Make one node of a region, by rank, keep the region's reserve of each workspace."""
+
+    _scheduler: Scheduler
+    _keeper: GrantKeeper
+    _list_workspaces: Callable[[], Iterable[str]]
+    _rank: Callable[[str], int]
+
+    def start(self) -> None:
+        """Begin to check; go on for the life of the process."""
+        self._scheduler.call_every(CHECK_SECONDS, self._check)
+
+    def _check(self) -> None:
+        for workspace in self._list_workspaces():
+            is_first = self._rank(f"reserve/{workspace}") == 0
+            self._keeper.set_reserve(workspace, kept=is_first)
--- a/bronzetiller/budgets/returns.py
+++ b/bronzetiller/budgets/returns.py
@@ -39,11 +39,11 @@
             if is_held_by(grant_id, holder)
         }
 
-    def return_balance(self, workspace: str) -> int:
-        """Return every unreserved token of a workspace; give how many."""
+    def return_balance(self, workspace: str, keep: int = 0) -> int:
+        """Return the unreserved tokens of a workspace but those to keep; give how many."""
         if not self._guard.may_spend(workspace):
             return 0
-        tokens = self._holdings.balance(workspace)
+        tokens = max(0, self._holdings.balance(workspace) - keep)
         for charge in self._holdings.take(workspace, tokens) or []:
             self._append(workspace, charge.grant_id, charge.tokens)
         return tokens
--- a/bronzetiller/fleet/membership.py
+++ b/bronzetiller/fleet/membership.py
@@ -94,6 +94,14 @@
         own = self._settings.node_id
         return rank_nodes(subject, [*able, own]).index(own)
 
+    def rank_in_region(self, subject: str) -> int:
+        """Return this node's place, from 0, among those heard that stay in its region."""
+        region = self._settings.region
+        peers = self.live().items()
+        near = [k for k, peer in peers if peer.region == region and not peer.stopping]
+        own = self._settings.node_id
+        return rank_nodes(subject, [*near, own]).index(own)
+
     def is_gone(self, incarnation: str) -> bool:
         """Say whether an incarnation will never act again, as far as this node can tell."""
         grace_seconds = self._settings.fleet.gone_grace_seconds
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -13,6 +13,7 @@
 from bronzetiller.budgets.grants import GrantKeeper
 from bronzetiller.budgets.holdings import Holdings
 from bronzetiller.budgets.pauses import PauseGuard
+from bronzetiller.budgets.reserves import RegionReserves
 from bronzetiller.budgets.returns import Returns
 from bronzetiller.budgets.shards import Shards
 from bronzetiller.budgets.transfers import Transfers
@@ -138,6 +139,12 @@
             self.credits.is_pending,
             self.peers.connected,
         )
+        self.reserves = RegionReserves(
+            scheduler,
+            self.keeper,
+            lambda: self.configuration.workspaces(),
+            self.membership.rank_in_region,
+        )
         self.closer = GrantCloser(
             scheduler,
             self.shards,
@@ -228,6 +235,7 @@
         self.membership.start()
         self.peers.on(AskTokens, self.keeper.answer_ask)
         self.keeper.start()
+        self.reserves.start()
         self.closer.start()
         self.guard.start()
         self.relay.start()
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -40,6 +40,8 @@
     grant_share_max: float = field(default=0.25, validator=gt(0))
     wait_seconds: float = field(default=3.0, validator=gt(0))
     idle_return_seconds: float = field(default=20.0, validator=gt(0))
+    region_reserve_tokens: int = field(default=10_000, validator=ge(0))
+    region_reserve_share_max: float = field(default=0.02, validator=ge(0))
     append_interval_seconds: float = field(default=0.02, validator=ge(0))
     bill_copies: int = field(default=2, validator=ge(0))
     bill_copies_least: int = field(default=1, validator=ge(1))
--- a/tests/test_budget_partition.py
+++ b/tests/test_budget_partition.py
@@ -129,3 +129,16 @@
     assert spend(fleet, "node-3", answers, 3) == 3, answers
     fleet.heal()
     await_true(lambda: len(read_records(fleet, "bill")) == 4, what="all bills in the log")
+
+
+def test_a_region_cut_off_serves_a_workspace_that_it_never_served_before(make_fleet):
+    fleet = start_fleet(make_fleet, 100_000, ("node-3", "node-4"), with_links=True)
+    await_true(
+        lambda: {
+            record["holder"].partition("/")[0] for record in read_records(fleet, "grant")
+        }.intersection(("node-3", "node-4")),
+        what="the region's reserve",
+    )
+    fleet.partition({"east-1"})
+    for node_id in ("node-3", "node-4"):
+        assert spend(fleet, node_id, Counter(), 2) == 2
