--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,15 +21,20 @@
 from bronzetiller.budgets.records import (
     Bill,
     Charge,
+    Claim,
     Credit,
     Grant,
     LedgerRecord,
+    Outcome,
     Return,
     dump_ledger_record,
     load_ledger_record,
 )
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.configuration.records import Envelope, dump_envelope
+from bronzetiller.errors import Ran
+from bronzetiller.platform.vm_list import read_vms
+from bronzetiller.requests.claims import Claims
 from bronzetiller.wire.codec import decode_packet, encode_packet
 from bronzetiller.wire.messages import Heartbeat, KeepBill, Message, Packet
 
@@ -156,6 +161,35 @@
     return ledger
 
 
+def build_claims(count: int) -> object:
+    """Return claims of this many calls, each settled with a kept response of 200 bytes."""
+    claims = Claims()
+    for index in range(count):
+        request_id, attempt_id = f"{index:032x}", f"{index:032x}"
+        claims.apply(0.0, Claim("workspace", request_id, request_id, "node-1/a", attempt_id))
+        outcome = Outcome("workspace", request_id, attempt_id, Ran.YES, 200, "", "x" * 200)
+        claims.apply(0.0, outcome)
+    return claims
+
+
+def make_vm(index: int) -> dict[str, str]:
+    """Return one VM as the platform's list has it."""
+    return {
+        "vm_id": f"engine-{index}",
+        "address": f"10.{index // 65536}.{index // 256 % 256}.{index % 256}:8000",
+        "region": "region-1",
+        "data_centre": "region-1-a",
+        "role": "target",
+        "state": "live",
+        "service": "service-1",
+    }
+
+
+def build_vms(count: int) -> object:
+    """Return the list of this many VMs as a node keeps it."""
+    return read_vms(json.dumps({"vms": [make_vm(index) for index in range(count)]}).encode())
+
+
 def make_route(index: int) -> dict[str, object]:
     """Return the record of one route."""
     body = {"service": f"service-{index % 16}"}
@@ -217,6 +251,9 @@
     def encode_record(index: int) -> bytes:
         return json.dumps(dump_ledger_record(make_bill(index)), separators=(",", ":")).encode()
 
+    def encode_vm(index: int) -> bytes:
+        return json.dumps(make_vm(index)).encode()
+
     def encode_heartbeat(index: int) -> bytes:
         return encode_packet(Packet(index, 0, make_heartbeat()))
 
@@ -230,6 +267,9 @@
         fit_slope("bill remembered", "bytes", measure_memory(build_bills), 2_000, 10_000),
         fit_slope("budget with one grant", "bytes", measure_memory(build_budgets), 500, 4_000),
         fit_slope("grant opened and returned", "bytes", measure_memory(build_grants), 500, 4_000),
+        fit_slope("claim with its outcome", "bytes", measure_memory(build_claims), 500, 4_000),
+        fit_slope("VM in the list", "bytes", measure_memory(build_vms), 300, 3_000),
+        fit_slope("VM on the wire", "bytes", measure_bytes(encode_vm), 300, 3_000),
         fit_slope("configuration record folded", "us", configuration, 500, 4_000),
         fit_slope("configuration record", "bytes", measure_memory(build_configuration), 500, 4_000),
         fit_slope("heartbeat encoded and decoded", "us", heartbeat, 500, 4_000),
--- a/bronzetiller/platform/vm_list.py
+++ b/bronzetiller/platform/vm_list.py
@@ -97,7 +97,7 @@
 
     def _finish(self, body: bytes | None) -> None:
         self._scheduler.call_after(POLL_SECONDS, self._poll)
-        vms = None if body is None else _read_vms(body)
+        vms = None if body is None else read_vms(body)
         if vms is None:
             if self.reachable:
                 log_event("vm_list_unreachable", level=30)
@@ -109,7 +109,7 @@
 
     def adopt(self, text: str, age_seconds: float) -> None:
         """Take the list, as JSON text, that a peer has read."""
-        vms = _read_vms(text.encode())
+        vms = read_vms(text.encode())
         read_at = self._scheduler.now() - age_seconds
         if vms is not None and (self.read_at is None or read_at > self.read_at):
             self._set(vms, text, read_at)
@@ -123,7 +123,8 @@
                 subscriber()
 
 
-def _read_vms(body: bytes) -> dict[str, Vm] | None:
+def read_vms(body: bytes) -> dict[str, Vm] | None:
+    """Read the list from its JSON text; give nothing where it is malformed."""
     try:
         vms = [_make_vm(item) for item in json.loads(body)["vms"]]
     except (ValueError, KeyError, TypeError) as error:
