Let chat and service calls share one way through their targets

The turn apart from others, the target, those tried and the isolation of suspects stood twice, in chat.py and services.py. Behaviour stays as it was: 54 tests of quarantine, services, targets, own answers and the thin path pass.

--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -12,6 +12,7 @@
 from bronzetiller.budgets.holdings import Holdings, Reservation
 from bronzetiller.callers.chat_request import ChatRequest
 from bronzetiller.callers.problems import refuse
+from bronzetiller.callers.visits import Visits
 from bronzetiller.configuration.records import Route
 from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.metrics import ANSWERS, OPEN_REQUESTS, REQUESTS, RETRIES
@@ -22,7 +23,6 @@
 from bronzetiller.requests.admission import Admission, RequestKey, refuse_quarantined
 from bronzetiller.requests.billing import Biller
 from bronzetiller.requests.deaths import DeathWatch
-from bronzetiller.requests.quarantine import Passage
 from bronzetiller.requests.retries import RetryBudget
 from bronzetiller.routing.chunks import merge_delta
 from bronzetiller.routing.dispatcher import Dispatcher, Errand, Place
@@ -78,16 +78,17 @@
     weight: int = 1
     reservation: Reservation | None = None
     attempt: EngineAttempt | None = None
-    vm: Vm | None = None
-    passage: Passage | None = None
-    isolating: bool = False
     may_have_run: bool = False
-    tried: set[str] = field(factory=set)
     message: dict[str, Any] = field(factory=make_message)
     failure: AttemptFailed | None = None
     attempts: int = 0
     place: Place | None = None
     over: bool = False
+    visits: Visits = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        services = self.services
+        self.visits = Visits(services.deaths, services.chooser, self.key.mark)
 
     def start(self) -> None:
         """Reserve the tokens of the worst case, then dispatch."""
@@ -129,21 +130,10 @@
 
     def _enter(self) -> None:
         self.place = None
-        deaths = self.services.deaths
-        self.passage = deaths.enter(self.key.mark, self._dispatch, self._expire_passage)
-        deaths.admit()
-
-    def _leave(self) -> None:
-        if self.passage is not None:
-            passage, self.passage = self.passage, None
-            self.services.deaths.leave(passage)
-
-    def _expire_passage(self) -> None:
-        detail = "the request waited too long for a run apart from others"
-        self._refuse(Refusal(503, Reason.DEADLINE, detail, retry_after_seconds=1))
+        self.visits.enter(self._dispatch, self._refuse)
 
     def _choose(self, avoided: set[str]) -> Vm | None:
-        excluded = self.tried | avoided
+        excluded = self.visits.tried | avoided
         return self.services.chooser.choose(self.route.service, excluded, self.request.prefix_key)
 
     def _dispatch(self) -> None:
@@ -158,13 +148,8 @@
         if vm is None:
             self._refuse_for_lack_of_targets()
             return
-        self.isolating = deaths.is_suspect(self.key.mark)
-        if self.isolating:
-            deaths.isolate(vm)
-        self.vm = vm
-        self.tried.add(vm.vm_id)
         self.attempts += 1
-        self.services.chooser.begin(vm)
+        self.visits.begin(vm)
         self.attempt = start_attempt(
             self.services.http,
             vm,
@@ -179,16 +164,14 @@
 
     def _on_attempt(self, event: AttemptEvent) -> None:
         if isinstance(event, AnswerPart):
-            if self.passage is not None:
-                passage, self.passage = self.passage, None
-                self.services.deaths.prove(passage)
+            self.visits.prove()
             self._forward(event)
             return
-        vm = self.vm
+        vm = self.visits.vm
         assert vm is not None
         if isinstance(event, AttemptFailed) and event.silent:
-            self.tried.discard(vm.vm_id)
-        self._end_attempt()
+            self.visits.tried.discard(vm.vm_id)
+        self.visits.end()
         if isinstance(event, AnswerEnd):
             self.services.deaths.clear(self.key.mark)
             self._bill(event)
@@ -271,7 +254,7 @@
     def _repeat(self, failure: AttemptFailed) -> None:
         if self.over:
             return
-        self._leave()
+        self.visits.leave()
         if self.services.deaths.is_quarantined(self.key.mark):
             self._refuse(refuse_quarantined(Ran.UNKNOWN))
             return
@@ -322,13 +305,6 @@
         if self.reservation is not None or self.attempt is None:
             self._finish()
 
-    def _end_attempt(self) -> None:
-        if self.vm is not None:
-            if self.isolating:
-                self.services.deaths.rejoin(self.vm)
-            self.services.chooser.end(self.vm)
-            self.vm = None
-
     def _finish(self) -> None:
         if self.over:
             return
@@ -337,8 +313,8 @@
         self.services.open_runs -= 1
         if self.place is not None:
             self.place.leave()
-        self._end_attempt()
-        self._leave()
+        self.visits.end()
+        self.visits.leave()
         if self.reservation is not None:
             self.services.holdings.release(self.reservation)
             self.reservation = None
--- a/bronzetiller/callers/services.py
+++ b/bronzetiller/callers/services.py
@@ -12,6 +12,7 @@
 from bronzetiller.budgets.records import Outcome
 from bronzetiller.budgets.shards import Shards
 from bronzetiller.callers.problems import refuse
+from bronzetiller.callers.visits import Visits
 from bronzetiller.configuration.records import Route
 from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.metrics import ANSWERS, OPEN_REQUESTS, REPLAYS, REQUESTS, RETRIES
@@ -30,7 +31,6 @@
     Won,
 )
 from bronzetiller.requests.deaths import DeathWatch
-from bronzetiller.requests.quarantine import Passage
 from bronzetiller.requests.retries import RetryBudget
 from bronzetiller.routing.service import (
     CallOutcome,
@@ -96,14 +96,15 @@
     settled: Outcome | None = None
     reservation: Reservation | None = None
     attempt: ServiceAttempt | None = None
-    passage: Passage | None = None
-    vm: Vm | None = None
-    isolating: bool = False
     may_have_run: bool = False
     attempts: int = 0
-    tried: set[str] = field(factory=set)
     caller_gone: bool = False
     over: bool = False
+    visits: Visits = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        services = self.services
+        self.visits = Visits(services.deaths, services.chooser, self.key.mark)
 
     def start(self) -> None:
         """Claim the call where it may run only once, reserve its tokens, then dispatch."""
@@ -161,13 +162,7 @@
                 self._refuse(refusal)
 
     def _enter(self) -> None:
-        deaths = self.services.deaths
-        self.passage = deaths.enter(self.key.mark, self._dispatch, self._expire_passage)
-        deaths.admit()
-
-    def _expire_passage(self) -> None:
-        detail = "the request waited too long for a run apart from others"
-        self._refuse(Refusal(503, Reason.DEADLINE, detail, retry_after_seconds=1))
+        self.visits.enter(self._dispatch, self._refuse)
 
     def _dispatch(self) -> None:
         if self.over:
@@ -185,15 +180,10 @@
         self._start_attempt(vm)
 
     def _choose(self, avoided: set[str]) -> Vm | None:
-        return self.services.chooser.choose(self.route.service, self.tried | avoided)
+        return self.services.chooser.choose(self.route.service, self.visits.tried | avoided)
 
     def _start_attempt(self, vm: Vm) -> None:
-        self.isolating = self.services.deaths.is_suspect(self.key.mark)
-        if self.isolating:
-            self.services.deaths.isolate(vm)
-        self.vm = vm
-        self.tried.add(vm.vm_id)
-        self.services.chooser.begin(vm)
+        self.visits.begin(vm)
         self.attempt = start_service_attempt(
             self.services.http,
             vm,
@@ -208,9 +198,9 @@
         return self.won is None or self.services.scheduler.now() <= self.won.dispatch_by
 
     def _on_outcome(self, outcome: CallOutcome) -> None:
-        vm = self.vm
+        vm = self.visits.vm
         assert vm is not None
-        self._end_attempt()
+        self.visits.end()
         if isinstance(outcome, ServiceAnswer) or outcome.sent:
             self.may_have_run = True
             self.attempts += 1
@@ -240,7 +230,7 @@
     def _recover_after_loss(self, failure: ServiceFailed) -> None:
         if self.over:
             return
-        self._leave()
+        self.visits.leave()
         if not self.route.idempotent:
             self._refuse_unknown(failure)
         elif self.services.deaths.is_quarantined(self.key.mark):
@@ -336,26 +326,14 @@
         if self.reservation is not None or self.attempt is None:
             self._finish()
 
-    def _end_attempt(self) -> None:
-        if self.vm is not None:
-            if self.isolating:
-                self.services.deaths.rejoin(self.vm)
-            self.services.chooser.end(self.vm)
-            self.vm = None
-
-    def _leave(self) -> None:
-        if self.passage is not None:
-            passage, self.passage = self.passage, None
-            self.services.deaths.leave(passage)
-
     def _finish(self) -> None:
         if self.over:
             return
         self.over = True
         OPEN_REQUESTS.dec()
         self.services.open_runs -= 1
-        self._end_attempt()
-        self._leave()
+        self.visits.end()
+        self.visits.leave()
         if self.reservation is not None:
             self.services.holdings.release(self.reservation)
             self.reservation = None
