--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,8 +1,8 @@
 """Measure both deployments at their sizes, without faults and under each.
 
-python -m bench.fleet [--deployment NAME ...] [--fault NAME ...] [--seconds S] [--seed N]
+python -m bench.fleet [--deployment NAME ...] [--fault NAME ...] [--seconds S] [--seed N] [--fill F]
 
-Prints one row a run and, with --markdown PATH, writes the table to a page. In the same run it
+Prints one row a run, then a table. In the same run it
 measures the baselines: the engines called directly, an equal static split of every budget
 (replayed over the requests of the run), and one log round trip per request.
 """
@@ -40,6 +40,7 @@
     "grant_tokens_min": 1,
     "grant_horizon_seconds": 0.001,
     "idle_return_seconds": 0.001,
+    "region_reserve_tokens": 0,
 }
 
 
@@ -351,6 +352,9 @@
     parser.add_argument("--fault", action="append", choices=list(FAULTS))
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--fill", type=float, default=1.0, help="budgets in proportion to the usual ones"
+    )
     parser.add_argument("--json", type=Path)
     parser.add_argument("--no-baselines", action="store_true")
     arguments = parser.parse_args()
@@ -361,11 +365,15 @@
         if not arguments.no_baselines:
             rows.append(measure_direct(deployment, **options))
             round_trip = run(
-                deployment, "none", settings={"budgets": dict(ROUND_TRIP_BUDGETS)}, **options
+                deployment,
+                "none",
+                fill=arguments.fill,
+                settings={"budgets": dict(ROUND_TRIP_BUDGETS)},
+                **options,
             )
             rows.append(evolve(round_trip, fault="none, a log round trip per request"))
         for fault in arguments.fault or list(FAULTS):
-            rows.append(run(deployment, fault, **options))
+            rows.append(run(deployment, fault, fill=arguments.fill, **options))
             print(json.dumps(asdict(rows[-1])), flush=True)
     print(format_table(rows))
     if arguments.json is not None:
