Hold as many tokens as a cut-off region will use

Cause: a region that was cut off held 10 s of its demand and a reserve; its busy workspaces ran dry after that. Ruled out: a larger reserve alone, which costs the same for every workspace however busy.

33 tests of budgets, keeper, sources and examples pass.

--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -82,7 +82,7 @@
         Work("status", "/services/status/lookup", 0.3),
     ],
     requests_per_second=20.0,
-    budgets={"idle_return_seconds": 40.0},
+    budgets={"idle_return_seconds": 40.0, "grant_cover_seconds": 300.0},
 )
 
 DEPLOYMENTS = {item.name: item for item in (COOPERATIVE, COUNCIL)}
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -39,6 +39,7 @@
 ROUND_TRIP_BUDGETS = {
     "grant_tokens_min": 1,
     "grant_horizon_seconds": 0.001,
+    "grant_cover_seconds": 0.001,
     "idle_return_seconds": 0.001,
     "region_reserve_tokens": 0,
 }
--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -239,7 +239,7 @@
 
     def _ask_ahead(self, workspace: str, account: Account, tokens: int) -> None:
         balance = self._holdings.balance(workspace)
-        demand = account.demand.estimate(self._scheduler.now())
+        demand = self._estimate_need(account)
         if account.requested is not None or not is_low(balance=balance, demand=demand):
             return
         size = self._size_grant(workspace, account)
@@ -250,12 +250,17 @@
         return size_grant(
             waiting=sum(waiter.tokens for waiter in account.waiters),
             balance=self._holdings.balance(workspace),
-            demand=account.demand.estimate(self._scheduler.now()),
+            demand=self._estimate_need(account),
             free=self._find_budget(workspace).free,
             tokens_min=max(self._settings.grant_tokens_min, account.reserve_tokens),
             share_max=self._settings.grant_share_max,
         )
 
+    def _estimate_need(self, account: Account) -> float:
+        """Return the tokens that a node uses while it may be cut off, at its present demand."""
+        demand = account.demand.estimate(self._scheduler.now())
+        return demand * self._settings.grant_cover_seconds / self._settings.grant_horizon_seconds
+
     def _request_grant(self, workspace: str, account: Account, cause: str) -> None:
         tokens = self._size_grant(workspace, account)
         if tokens <= 0 or account.requested is not None:
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -37,6 +37,7 @@
     shards: int = field(default=1, validator=ge(1))
     grant_tokens_min: int = field(default=2_000, validator=gt(0))
     grant_horizon_seconds: float = field(default=10.0, validator=gt(0))
+    grant_cover_seconds: float = field(default=120.0, validator=gt(0))
     grant_share_max: float = field(default=0.25, validator=gt(0))
     wait_seconds: float = field(default=3.0, validator=gt(0))
     idle_return_seconds: float = field(default=20.0, validator=gt(0))
