--- a/standins/demo.py
+++ b/standins/demo.py
@@ -31,6 +31,8 @@
         fleet.add_node(node_id, region, data_centre)
     fleet.publish_workspace("studio", KEY, 1_000_000)
     fleet.publish("route", "namer", {"service": "names"})
+    approvals = {"service": "workflow", "protocol": "plain", "idempotent": False}
+    fleet.publish("route", "approvals", approvals)
     for node_id, _, _ in NODES:
         await_ready(fleet, node_id)
     return fleet
@@ -51,10 +53,15 @@
 def ask(address: str, prompt: str) -> Any:
     """Send one chat request as any HTTP client would."""
     body = {"model": "namer", "messages": [{"role": "user", "content": prompt}], "max_tokens": 8}
+    return post(address, "/v1/chat/completions", body)
+
+
+def post(address: str, path: str, body: Any, request_id: str = "") -> Any:
+    """Send one POST with the demo's key."""
     headers = {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
-    request = urllib.request.Request(
-        f"http://{address}/v1/chat/completions", json.dumps(body).encode(), headers
-    )
+    if request_id:
+        headers["Idempotency-Key"] = request_id
+    request = urllib.request.Request(f"http://{address}{path}", json.dumps(body).encode(), headers)
     with urllib.request.urlopen(request, timeout=30) as response:
         return json.loads(response.read())
 
@@ -67,6 +74,9 @@
         for index, address in enumerate(addresses):
             answer = ask(address, f"a brand name, please ({index})")
             print(f"{address} answered: {answer['choices'][0]['message']['content']}")
+        for address in addresses[:2]:
+            approval = post(address, "/services/approvals/approve", {"name": "x"}, "approval-1")
+            print(f"{address} says that approval-1 was run as number {approval['run']}.")
         records = [entry["record"] for entry in fleet.read_stream("ledger-0")]
         bills = [record for record in records if record["kind"] == "bill"]
         total = sum(bill["tokens"] for bill in bills)
--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -1,12 +1,11 @@
 """Serve a request from start to finish with separate processes."""
 
-import time
-
 import pytest
 from openai import OpenAI
 
 from standins.engine import make_words
 from standins.fleet import Fleet, call_json
+from tests.conftest import await_ready
 
 KEY = "studio-key"
 
@@ -20,24 +19,12 @@
         fleet.add_node("node-1", "west", "west-1")
         fleet.publish_workspace("studio", KEY, 100_000)
         fleet.publish("route", "namer", {"service": "names"})
-        _await_chat(fleet)
+        await_ready(fleet, "node-1")
         yield fleet
     finally:
         fleet.close()
 
 
-def _await_chat(fleet):
-    deadline = time.monotonic() + 15
-    while time.monotonic() < deadline:
-        try:
-            report = call_json(fleet.caller_address("node-1"), "/readyz")
-            if report["ready"]:
-                return
-        except OSError:
-            time.sleep(0.05)
-    raise AssertionError("the node did not become ready")
-
-
 def _client(fleet):
     address = call_json(fleet.caller_address("node-1"), "/v1/entry")["addresses"][0]
     return OpenAI(base_url=f"http://{address}/v1", api_key=KEY, max_retries=0)
