--- a/bronzetiller/callers/api.py
+++ b/bronzetiller/callers/api.py
@@ -23,7 +23,7 @@
 from bronzetiller.configuration.records import Route, RouteProtocol
 from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.metrics import render_metrics
-from bronzetiller.net.http_server import Exchange
+from bronzetiller.net.exchange import Exchange
 from bronzetiller.requests.admission import RequestKey
 
 REQUEST_PATHS = ("/v1/chat/", "/services/")
--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -17,8 +17,8 @@
 from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.metrics import ANSWERS, OPEN_REQUESTS, REQUESTS, RETRIES
 from bronzetiller.net.event_stream import format_event
+from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.http_client import SILENCE, HttpClient
-from bronzetiller.net.http_server import Exchange
 from bronzetiller.platform.vm_list import Vm
 from bronzetiller.requests.admission import Admission, RequestKey, refuse_quarantined
 from bronzetiller.requests.billing import Biller
--- a/bronzetiller/callers/problems.py
+++ b/bronzetiller/callers/problems.py
@@ -6,7 +6,7 @@
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import REFUSALS
 from bronzetiller.net.event_stream import format_event
-from bronzetiller.net.http_server import Exchange
+from bronzetiller.net.exchange import Exchange
 
 _STATUS_REASONS = {
     408: Reason.REQUEST_TIMEOUT,
--- a/bronzetiller/reports/api.py
+++ b/bronzetiller/reports/api.py
@@ -15,7 +15,7 @@
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.digests import digest_key
 from bronzetiller.errors import Reason, Refusal
-from bronzetiller.net.http_server import Exchange
+from bronzetiller.net.exchange import Exchange
 from bronzetiller.reports.budgets import report_bills, report_budget
 from bronzetiller.reports.report import Report, list_items
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -16,7 +16,7 @@
 from attrs import define, field
 
 from bronzetiller.net.event_stream import format_event
-from bronzetiller.net.http_server import Exchange
+from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.loop import Loop, make_loop
 from standins.process import respond_json, serve
 
--- a/standins/log.py
+++ b/standins/log.py
@@ -13,7 +13,7 @@
 
 from attrs import define, field
 
-from bronzetiller.net.http_server import Exchange
+from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.loop import Loop, make_loop
 from standins.process import respond_json, serve
 
--- a/standins/process.py
+++ b/standins/process.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from bronzetiller.net.http_server import Exchange, HttpLimits, HttpServer
+from bronzetiller.net.exchange import Exchange
+from bronzetiller.net.http_server import HttpLimits, HttpServer
 from bronzetiller.net.loop import Loop
 
 BODY_BYTES_MAX = 64 * 1024 * 1024
--- a/standins/service.py
+++ b/standins/service.py
@@ -7,7 +7,7 @@
 import json
 from typing import Any
 
-from bronzetiller.net.http_server import Exchange
+from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.loop import Loop, make_loop
 from standins.process import respond_json, serve
 
