--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -33,7 +33,7 @@
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.configuration.records import Envelope, dump_envelope
 from bronzetiller.errors import Ran
-from bronzetiller.platform.vm_list import read_vms
+from bronzetiller.fleet.vm_list import read_vms
 from bronzetiller.requests.claims import Claims
 from bronzetiller.wire.codec import decode_packet, encode_packet
 from bronzetiller.wire.messages import Heartbeat, KeepBill, Message, Packet
--- a/bench/snapshots.py
+++ b/bench/snapshots.py
@@ -9,7 +9,7 @@
 
 from bronzetiller.budgets.ledger import Ledger, dump_ledger, load_ledger
 from bronzetiller.budgets.records import Bill, Charge, Credit, Grant
-from bronzetiller.platform.snapshots import Fold, join_snapshot, split_snapshot
+from bronzetiller.storage.snapshots import Fold, join_snapshot, split_snapshot
 
 WORKSPACES = 100
 
--- a/bronzetiller/budgets/closing.py
+++ b/bronzetiller/budgets/closing.py
@@ -16,10 +16,10 @@
 from bronzetiller.fleet.membership import Membership
 from bronzetiller.fleet.neighbours import rank_nodes
 from bronzetiller.fleet.peers import Peers
+from bronzetiller.fleet.vm_list import VmList
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import GRANTS_CLOSED
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.vm_list import VmList
 from bronzetiller.wire.messages import HoldingsReport, Message, ReportHoldings
 
 CHECK_SECONDS = 0.5
--- a/bronzetiller/budgets/gaps.py
+++ b/bronzetiller/budgets/gaps.py
@@ -3,7 +3,7 @@
 from attrs import define, field
 
 from bronzetiller.budgets.shards import Shard
-from bronzetiller.platform.log_client import Entry
+from bronzetiller.storage.log_client import Entry
 
 
 @define(eq=False)
--- a/bronzetiller/budgets/grants.py
+++ b/bronzetiller/budgets/grants.py
@@ -25,8 +25,8 @@
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import GRANTS_ASKED, TOKENS_MOVED
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.log_client import Entry
 from bronzetiller.settings import BudgetSettings
+from bronzetiller.storage.log_client import Entry
 from bronzetiller.wire.messages import AskTokens, TransferTokens
 
 RETRY_SECONDS = 0.2
--- a/bronzetiller/budgets/pauses.py
+++ b/bronzetiller/budgets/pauses.py
@@ -10,7 +10,7 @@
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import LOOP_PAUSES
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.log_client import LogClient, LogFailure, Page
+from bronzetiller.storage.log_client import LogClient, LogFailure, Page
 
 PAUSE_SECONDS_MAX = 3.0
 TICK_SECONDS = 0.25
--- a/bronzetiller/budgets/shards.py
+++ b/bronzetiller/budgets/shards.py
@@ -18,10 +18,6 @@
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import RULINGS
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.follower import StreamFollower
-from bronzetiller.platform.log_client import Entry, LogClient
-from bronzetiller.platform.snapshots import Fold, replace_state
-from bronzetiller.platform.writer import Acknowledged, StreamWriter
 from bronzetiller.requests.claims import (
     ClaimRecord,
     Claims,
@@ -29,6 +25,10 @@
     dump_claims,
     load_claims,
 )
+from bronzetiller.storage.follower import StreamFollower
+from bronzetiller.storage.log_client import Entry, LogClient
+from bronzetiller.storage.snapshots import Fold, replace_state
+from bronzetiller.storage.writer import Acknowledged, StreamWriter
 
 ClaimListener = Callable[[Entry, ClaimRecord, ClaimVerdict], None]
 LAG_RECORDS_MAX = 500
--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -15,11 +15,11 @@
 from bronzetiller.callers.visits import Visits
 from bronzetiller.configuration.records import Route
 from bronzetiller.errors import Ran, Reason, Refusal
+from bronzetiller.fleet.vm_list import Vm
 from bronzetiller.metrics import ANSWERS, OPEN_REQUESTS, REQUESTS, RETRIES
 from bronzetiller.net.event_stream import format_event
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.http_client import SILENCE, HttpClient
-from bronzetiller.platform.vm_list import Vm
 from bronzetiller.requests.admission import Admission, RequestKey, refuse_quarantined
 from bronzetiller.requests.billing import Biller
 from bronzetiller.requests.deaths import DeathWatch
--- a/bronzetiller/callers/problems.py
+++ b/bronzetiller/callers/problems.py
@@ -1,6 +1,7 @@
 """Tell callers of refusals as problem+json (RFC 9457)."""
 
 import json
+from typing import Any
 
 from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.logs import log_event
@@ -22,12 +23,12 @@
 
 def refuse(exchange: Exchange, refusal: Refusal) -> None:
     """Answer with a refusal; a stream that has begun gets it as its last event and is cut."""
-    _count(refusal)
+    count_refusal(refusal)
     if not exchange.started:
-        headers = _make_headers(refusal)
-        exchange.respond(refusal.status, headers, _make_body(refusal))
+        headers = make_refusal_headers(refusal)
+        exchange.respond(refusal.status, headers, make_refusal_body(refusal))
         return
-    exchange.fail(format_event(_make_body(refusal)))
+    exchange.fail(format_event(make_refusal_body(refusal)))
 
 
 def reject_malformed(status: int, detail: str) -> tuple[dict[str, str], bytes]:
@@ -36,23 +37,26 @@
     ran = Ran.UNKNOWN if reason in _UNSURE_REASONS else Ran.NO
     retry_after = CONNECTIONS_RETRY_SECONDS if reason is Reason.OVERLOADED else None
     refusal = Refusal(status, reason, detail, ran, retry_after)
-    _count(refusal)
-    return _make_headers(refusal), _make_body(refusal)
+    count_refusal(refusal)
+    return make_refusal_headers(refusal), make_refusal_body(refusal)
 
 
-def _count(refusal: Refusal) -> None:
+def count_refusal(refusal: Refusal, **fields: Any) -> None:
+    """Count and log a refusal; the fields say whose it is."""
     REFUSALS.labels(refusal.reason, refusal.ran).inc()
-    log_event("refused", reason=refusal.reason, ran=refusal.ran, detail=refusal.detail)
+    log_event("refused", reason=refusal.reason, ran=refusal.ran, detail=refusal.detail, **fields)
 
 
-def _make_headers(refusal: Refusal) -> dict[str, str]:
+def make_refusal_headers(refusal: Refusal) -> dict[str, str]:
+    """Return the headers of a refusal."""
     headers = {"Content-Type": "application/problem+json"}
     if refusal.retry_after_seconds is not None:
         headers["Retry-After"] = str(refusal.retry_after_seconds)
     return headers
 
 
-def _make_body(refusal: Refusal) -> bytes:
+def make_refusal_body(refusal: Refusal) -> bytes:
+    """Return the body of a refusal as problem+json."""
     error = {"message": refusal.detail, "type": refusal.reason.value, "code": refusal.reason.value}
     value = {
         "type": f"urn:bronzetiller:refusal:{refusal.reason.value}",
--- a/bronzetiller/callers/services.py
+++ b/bronzetiller/callers/services.py
@@ -15,11 +15,11 @@
 from bronzetiller.callers.visits import Visits
 from bronzetiller.configuration.records import Route
 from bronzetiller.errors import Ran, Reason, Refusal
+from bronzetiller.fleet.vm_list import Vm
 from bronzetiller.metrics import ANSWERS, OPEN_REQUESTS, REPLAYS, REQUESTS, RETRIES
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.http_client import HttpClient
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.vm_list import Vm
 from bronzetiller.requests.admission import Admission, RequestKey, refuse_quarantined
 from bronzetiller.requests.billing import Biller
 from bronzetiller.requests.claimants import (
--- a/bronzetiller/callers/visits.py
+++ b/bronzetiller/callers/visits.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 from bronzetiller.errors import Reason, Refusal
-from bronzetiller.platform.vm_list import Vm
+from bronzetiller.fleet.vm_list import Vm
 from bronzetiller.requests.deaths import DeathWatch, Passage
 from bronzetiller.requests.quarantine import RequestMark
 from bronzetiller.routing.targets import TargetChooser
--- a/bronzetiller/cli/main.py
+++ b/bronzetiller/cli/main.py
@@ -41,6 +41,29 @@
         Node(settings).run()
 
 
+@cappa.command(name="gateway")
+@frozen
+class GatewayCommand:
+    """Run one node that serves path routes on the users' platform until SIGTERM."""
+
+    settings: Annotated[Path, cappa.Arg(help="settings file (YAML)")]
+
+    def __call__(self) -> None:
+        """Load the settings and serve."""
+        from bronzetiller.gateway.node import GatewayNode
+        from bronzetiller.gateway.settings import load_gateway_settings
+        from bronzetiller.logs import configure_bounded_logging
+
+        result = load_gateway_settings(self.settings)
+        if result.is_err():
+            fail("\n".join(map(str, result.unwrap_err())), ExitCode.BAD_INPUT)
+        settings = result.unwrap()
+        configure_bounded_logging(
+            settings.node_id, settings.log_level, settings.log_lines_per_second
+        )
+        GatewayNode(settings, self.settings).run()
+
+
 @cappa.command(name="check")
 @frozen
 class CheckCommand:
@@ -201,6 +224,7 @@
 
     command: cappa.Subcommands[
         NodeCommand
+        | GatewayCommand
         | CheckCommand
         | PlanCommand
         | PublishCommand
--- a/bronzetiller/errors.py
+++ b/bronzetiller/errors.py
@@ -53,7 +53,7 @@
     reason: Reason
     detail: str
     ran: Ran = Ran.NO
-    retry_after_seconds: int | None = None
+    retry_after_seconds: float | None = None
 
 
 class BronzetillerError(Exception):
--- a/bronzetiller/fleet/delegation.py
+++ b/bronzetiller/fleet/delegation.py
@@ -17,7 +17,7 @@
 from bronzetiller.fleet.relay import choose_log_peer, choose_reader
 from bronzetiller.metrics import DELEGATED_APPENDS
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.log_client import APPEND_SILENCE_SECONDS, LogClient, LogFailure, Record
+from bronzetiller.storage.log_client import APPEND_SILENCE_SECONDS, LogClient, LogFailure, Record
 from bronzetiller.wire.messages import AppendRecords, Heartbeat, Message, RecordsAppended
 
 ANSWER_SECONDS = APPEND_SILENCE_SECONDS + 1.0
--- a/bronzetiller/fleet/entries.py
+++ b/bronzetiller/fleet/entries.py
@@ -5,7 +5,7 @@
 
 from attrs import frozen
 
-from bronzetiller.platform.vm_list import Vm, VmState
+from bronzetiller.fleet.vm_list import Vm, VmState
 from bronzetiller.wire.messages import Heartbeat
 
 ENTRIES_MAX = 16
--- a/bronzetiller/fleet/membership.py
+++ b/bronzetiller/fleet/membership.py
@@ -14,10 +14,10 @@
     rank_nodes,
 )
 from bronzetiller.fleet.peers import Peers, PeerVm, Reply
+from bronzetiller.fleet.vm_list import Vm, VmList, VmRole, VmState
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import PEERS_HEARD, SILENT_LINKS
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.vm_list import Vm, VmList, VmRole, VmState
 from bronzetiller.settings import Settings
 from bronzetiller.wire.messages import Heartbeat, Message, Ping, Pong
 
--- a/bronzetiller/fleet/neighbours.py
+++ b/bronzetiller/fleet/neighbours.py
@@ -3,7 +3,7 @@
 import hashlib
 from collections.abc import Iterable
 
-from bronzetiller.platform.vm_list import Vm
+from bronzetiller.fleet.vm_list import Vm
 
 PING_BYTES = 70
 HEARTBEAT_BYTES = 400
--- a/bronzetiller/fleet/pacing.py
+++ b/bronzetiller/fleet/pacing.py
@@ -9,10 +9,10 @@
 from attrs import define, field, frozen
 
 from bronzetiller.fleet.delegation import Delegation
+from bronzetiller.fleet.vm_list import VmList
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.vm_list import VmList
-from bronzetiller.platform.writer import StreamWriter
 from bronzetiller.settings import Settings
+from bronzetiller.storage.writer import StreamWriter
 
 CHECK_SECONDS = 1.0
 
--- a/bronzetiller/fleet/relay.py
+++ b/bronzetiller/fleet/relay.py
@@ -17,9 +17,9 @@
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import RELAYED_ENTRIES
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.follower import PageReceived, Reader, StreamFollower
-from bronzetiller.platform.log_client import Entry, LogFailure, Page
 from bronzetiller.settings import Settings
+from bronzetiller.storage.follower import PageReceived, Reader, StreamFollower
+from bronzetiller.storage.log_client import Entry, LogFailure, Page
 from bronzetiller.wire.messages import Entries, FetchEntries, Heartbeat, Message, RelayedEntry
 
 WAIT_SECONDS = 2.0
--- a/bronzetiller/fleet/snapshot_keeper.py
+++ b/bronzetiller/fleet/snapshot_keeper.py
@@ -16,16 +16,16 @@
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import SNAPSHOTS
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.follower import StreamFollower
-from bronzetiller.platform.log_client import LogClient, LogFailure
-from bronzetiller.platform.snapshots import (
+from bronzetiller.settings import Settings
+from bronzetiller.storage.follower import StreamFollower
+from bronzetiller.storage.log_client import LogClient, LogFailure
+from bronzetiller.storage.snapshots import (
     Fold,
     Snapshot,
     dump_piece,
     name_snapshot_stream,
     split_snapshot,
 )
-from bronzetiller.settings import Settings
 from bronzetiller.wire.messages import FetchSnapshot, NoSnapshot, SnapshotMark, SnapshotPiece
 
 CHECK_SECONDS = 0.5
--- a/bronzetiller/fleet/snapshot_reader.py
+++ b/bronzetiller/fleet/snapshot_reader.py
@@ -6,8 +6,8 @@
 from result import Err, Ok, Result
 
 from bronzetiller.fleet.peers import Peers
-from bronzetiller.platform.log_client import LogClient, LogFailure, Page
-from bronzetiller.platform.snapshots import (
+from bronzetiller.storage.log_client import LogClient, LogFailure, Page
+from bronzetiller.storage.snapshots import (
     PieceCollector,
     Snapshot,
     join_snapshot,
--- a/bronzetiller/fleet/vm_relay.py
+++ b/bronzetiller/fleet/vm_relay.py
@@ -7,9 +7,9 @@
 
 from bronzetiller.fleet.membership import Membership
 from bronzetiller.fleet.peers import Peers, PeerVm, Reply
+from bronzetiller.fleet.vm_list import VmList
 from bronzetiller.logs import log_event
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.vm_list import VmList
 from bronzetiller.settings import Settings
 from bronzetiller.wire.messages import FetchVms, Message, Vms
 
--- /dev/null
+++ b/bronzetiller/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serve path routes: forward callers' requests to the engines and services behind them."""
--- /dev/null
+++ b/bronzetiller/gateway/application.py
@@ -0,0 +1,71 @@
+"""Turn requests of path routes into runs; refuse at once what no configuration allows."""
+
+from collections.abc import Callable
+
+from attrs import define
+
+from bronzetiller.callers.problems import (
+    count_refusal,
+    make_refusal_body,
+    make_refusal_headers,
+)
+from bronzetiller.errors import Reason, Refusal
+from bronzetiller.gateway.catalogue import Catalogue
+from bronzetiller.gateway.run import DEADLINE_MARGIN_SECONDS, GatewayRun, GatewayServices
+from bronzetiller.net.exchange import Exchange
+from bronzetiller.platform.headers import read_request_terms
+
+STARTING_RETRY_SECONDS = 0.5
+
+
+@define
+class Application:
+    """Hold what serving path routes needs."""
+
+    services: GatewayServices
+    find_catalogue: Callable[[], Catalogue | None]
+    is_stopping: Callable[[], bool]
+
+    def serve(self, exchange: Exchange) -> None:
+        """Answer one request of a caller."""
+        now = self.services.scheduler.now()
+        if self.is_stopping():
+            exchange.close_after()
+        terms = read_request_terms(exchange.headers)
+        catalogue = self.find_catalogue()
+        if catalogue is None:
+            detail = "the node has read no configuration yet"
+            self._refuse(
+                exchange,
+                terms.request_id,
+                Refusal(503, Reason.NOT_READY, detail, retry_after_seconds=STARTING_RETRY_SECONDS),
+            )
+            return
+        route = catalogue.find_route(exchange.headers.get("host", ""), exchange.path)
+        if route is None:
+            refusal = Refusal(404, Reason.UNKNOWN_ROUTE, "no route serves this path")
+            self._refuse(exchange, terms.request_id, refusal)
+            return
+        workspace = catalogue.keys.get(terms.key)
+        if workspace is None and catalogue.has_keys and not route.public:
+            refusal = Refusal(401, Reason.BAD_CREDENTIALS, "the key is not known")
+            self._refuse(exchange, terms.request_id, refusal)
+            return
+        seconds = route.timeout_seconds
+        if terms.seconds_left is not None:
+            seconds = min(seconds, terms.seconds_left)
+        GatewayRun(
+            services=self.services,
+            exchange=exchange,
+            catalogue=catalogue,
+            route=route,
+            terms=terms,
+            workspace=workspace,
+            begun_at=now,
+            deadline=now + seconds - DEADLINE_MARGIN_SECONDS,
+        ).start()
+
+    def _refuse(self, exchange: Exchange, request_id: str, refusal: Refusal) -> None:
+        count_refusal(refusal, id=request_id, path=exchange.path)
+        headers, body = make_refusal_headers(refusal), make_refusal_body(refusal)
+        exchange.respond(refusal.status, headers, body)
--- /dev/null
+++ b/bronzetiller/gateway/followers.py
@@ -0,0 +1,116 @@
+"""Keep the configuration and the targets of a node in step with the store."""
+
+from collections.abc import Callable
+
+from attrs import define, field
+from result import Err, Ok
+
+from bronzetiller.gateway.catalogue import Catalogue
+from bronzetiller.gateway.engines import EnginePool
+from bronzetiller.logs import log_event
+from bronzetiller.metrics import DECISIONS
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.platform.catalogue import (
+    CONFIGURATION_KEY,
+    OPERATOR_TOPIC,
+    REGISTRATIONS_TOPIC,
+    read_catalogue,
+    read_registration,
+)
+from bronzetiller.storage.keyed import KeyedRecord, KeyedStore, Partition
+from bronzetiller.storage.keyed_follower import KeyedFollower
+
+CONFIGURATION_WAIT_SECONDS = 1.0  # a silent connection is noticed after this and the answer's time
+CONFIGURATION_PAUSE_SECONDS = 0.05
+TARGETS_PAUSE_SECONDS = 0.5  # targets write every second or so; a change has seconds to be in force
+OUTAGE_SECONDS = 6.0  # after an outage, in which registrations may expire without a target's end
+
+
+@define(eq=False)
+class ConfigurationFollower:
+    """Hold the newest configuration; an older one never replaces it."""
+
+    _scheduler: Scheduler
+    _store: KeyedStore
+    _on_change: Callable[[Catalogue], None]
+    catalogue: Catalogue | None = None
+    follower: KeyedFollower = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.follower = KeyedFollower(
+            self._scheduler,
+            self._store,
+            Partition(OPERATOR_TOPIC),
+            self._take,
+            wait_seconds=CONFIGURATION_WAIT_SECONDS,
+            pause_seconds=CONFIGURATION_PAUSE_SECONDS,
+        )
+
+    def _take(self, records: list[KeyedRecord]) -> None:
+        values = [item.value for item in records if item.key == CONFIGURATION_KEY and item.value]
+        if not values:
+            return
+        match read_catalogue(values[-1]):
+            case Err(reason):
+                DECISIONS.labels("rejected").inc()
+                log_event("configuration_unread", level=40, cause=reason)
+            case Ok(catalogue):
+                self._adopt(catalogue)
+
+    def _adopt(self, catalogue: Catalogue) -> None:
+        known = -1 if self.catalogue is None else self.catalogue.version
+        if catalogue.version <= known:
+            log_event("configuration_older", level=30, version=catalogue.version, known=known)
+            return
+        self.catalogue = catalogue
+        DECISIONS.labels("accepted").inc()
+        log_event("configuration_in_force", version=catalogue.version, before=known)
+        self._on_change(catalogue)
+
+
+@define(eq=False)
+class TargetsFollower:
+    """Keep the pool in step with the targets' registrations."""
+
+    _scheduler: Scheduler
+    _store: KeyedStore
+    _pool: EnginePool
+    follower: KeyedFollower = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.follower = KeyedFollower(
+            self._scheduler,
+            self._store,
+            Partition(REGISTRATIONS_TOPIC),
+            self._take,
+            wait_seconds=0.0,
+            pause_seconds=TARGETS_PAUSE_SECONDS,
+        )
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self.follower.start()
+        self._scheduler.call_every(
+            TARGETS_PAUSE_SECONDS, lambda: self._pool.expire_lapsed(self._scheduler.now())
+        )
+
+    def _take(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            if record.value is None:
+                self._remove(record.key)
+                continue
+            match read_registration(record.key, record.value):
+                case Ok(registration):
+                    self._pool.register(registration)
+                case Err(reason):
+                    log_event("registration_unread", level=30, target=record.key, cause=reason)
+                    self._pool.remove(record.key, "registration cannot be read")
+
+    def _remove(self, engine_id: str) -> None:
+        """Drop a target, or keep it a while where an outage may have ended its registration."""
+        regained_at = self.follower.regained_at
+        now = self._scheduler.now()
+        if regained_at is not None and now - regained_at < OUTAGE_SECONDS:
+            self._pool.lapse(engine_id, now)
+        else:
+            self._pool.remove(engine_id, "registration removed")
--- /dev/null
+++ b/bronzetiller/gateway/members.py
@@ -0,0 +1,155 @@
+"""Know the nodes of the fleet through their records in the store, and which of them to name."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field, frozen
+
+from bronzetiller.gateway.placement import Distances
+from bronzetiller.logs import log_event
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.storage.keyed import KeyedRecord, KeyedStore, Partition
+from bronzetiller.storage.keyed_follower import KeyedFollower
+
+NODES_PARTITION = Partition("keyed.nodes")
+HEARTBEAT_SECONDS = 1.0
+SILENCE_SECONDS = 3.5  # three heartbeats and the pause between two reads
+NAMED_MIN = 2  # addresses to name at least, so that a caller can leave one that failed
+
+
+@frozen
+class Member:
+    """Describe a node; beat changes with each heartbeat."""
+
+    node_id: str
+    address: str
+    data_centre: str
+    incarnation: str
+    serving: bool
+    beat: int = 0
+
+    def encode(self) -> bytes:
+        """Return the record as the store keeps it."""
+        value = {
+            "address": self.address,
+            "data_centre": self.data_centre,
+            "incarnation": self.incarnation,
+            "serving": self.serving,
+            "beat": self.beat,
+        }
+        return json.dumps(value).encode()
+
+
+def read_member(node_id: str, value: bytes) -> Member | None:
+    """Read a record of the store, or nothing where it is malformed."""
+    try:
+        item: Any = json.loads(value)
+        return Member(
+            node_id,
+            str(item["address"]),
+            str(item["data_centre"]),
+            str(item["incarnation"]),
+            item["serving"] is True,
+            int(item["beat"]),
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def choose_members(
+    members: list[Member], data_centre: str, regions: dict[str, str]
+) -> list[Member]:
+    """Return the nodes to name to a caller: those of its data centre, or else of its region."""
+    region = regions.get(data_centre)
+    near = [item for item in members if item.data_centre == data_centre]
+    if len(near) >= NAMED_MIN:
+        return near
+    around = [item for item in members if regions.get(item.data_centre) == region]
+    return around if len(around) >= NAMED_MIN or near == members else members
+
+
+@define(eq=False)
+class Members:
+    """Publish this node and follow the others; heard_at is monotonic seconds by node id."""
+
+    _scheduler: Scheduler
+    _store: KeyedStore
+    _distances: Distances
+    _own: Callable[[], Member]
+    members: dict[str, Member] = field(factory=dict)
+    _heard_at: dict[str, float] = field(factory=dict)
+    _follower: KeyedFollower = field(init=False)
+    _publishing: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self._follower = KeyedFollower(
+            self._scheduler,
+            self._store,
+            NODES_PARTITION,
+            self._on_change,
+            wait_seconds=0.0,
+            pause_seconds=HEARTBEAT_SECONDS,
+        )
+
+    def start(self) -> None:
+        """Begin to publish and to follow."""
+        self._follower.start()
+        self._scheduler.call_every(HEARTBEAT_SECONDS, self.publish)
+        self.publish()
+
+    def publish(self) -> None:
+        """Write this node's record, unless the last write is still open."""
+        if self._publishing:
+            return
+        self._publishing = True
+        own = self._own()
+
+        def finish(result: object) -> None:
+            self._publishing = False
+
+        self._store.append(NODES_PARTITION, own.node_id, own.encode(), None, finish)
+
+    def list_serving(self) -> list[Member]:
+        """Return the nodes that serve callers, this one by its own state."""
+        own = self._own()
+        now = self._follower.lost_at or self._scheduler.now()
+        others = [
+            item
+            for item in self.members.values()
+            if item.node_id != own.node_id
+            and item.serving
+            and now - self._heard_at[item.node_id] <= SILENCE_SECONDS
+        ]
+        return [*others, own] if own.serving else others
+
+    def count_nodes(self) -> int:
+        """Count the nodes that serve callers, at least one."""
+        return max(1, len(self.list_serving()))
+
+    def list_addresses(self, data_centre: str) -> list[str]:
+        """Return the addresses that a caller of a data centre should use."""
+        named = choose_members(self.list_serving(), data_centre, self._distances.regions)
+        return [item.address for item in named]
+
+    def _on_change(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            member = None if record.value is None else read_member(record.key, record.value)
+            known = self.members.get(record.key)
+            if member is None:
+                self.members.pop(record.key, None)
+                continue
+            self.members[record.key] = member
+            self._heard_at[record.key] = self._scheduler.now()
+            if (
+                known is None
+                or known.incarnation != member.incarnation
+                or (known.serving != member.serving)
+            ):
+                log_event(
+                    "member_changed",
+                    member=member.node_id,
+                    address=member.address,
+                    incarnation=member.incarnation,
+                    serving=member.serving,
+                )
--- /dev/null
+++ b/bronzetiller/gateway/node.py
@@ -0,0 +1,200 @@
+"""Wire the parts of a gateway node together and run it."""
+
+import signal
+import time
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from circuits import BaseComponent, handler
+
+from bronzetiller.callers.problems import reject_malformed
+from bronzetiller.fleet.drain import Drain
+from bronzetiller.fleet.incarnations import make_incarnation
+from bronzetiller.gateway.allotment_keeper import AllotmentKeeper
+from bronzetiller.gateway.application import Application
+from bronzetiller.gateway.catalogue import Catalogue
+from bronzetiller.gateway.engines import EnginePool
+from bronzetiller.gateway.followers import ConfigurationFollower, TargetsFollower
+from bronzetiller.gateway.members import Member, Members
+from bronzetiller.gateway.placement import Distances
+from bronzetiller.gateway.retry_window import RetryWindow
+from bronzetiller.gateway.run import GatewayServices
+from bronzetiller.gateway.settings import GatewaySettings, load_gateway_settings
+from bronzetiller.logs import log_event
+from bronzetiller.metrics import render_metrics
+from bronzetiller.net.address import Address
+from bronzetiller.net.dialer import Dialer
+from bronzetiller.net.exchange import Exchange
+from bronzetiller.net.http_client import HttpClient
+from bronzetiller.net.http_server import Application as HttpApplication
+from bronzetiller.net.http_server import HttpLimits, HttpServer
+from bronzetiller.net.loop import make_loop
+from bronzetiller.platform.lookup import make_lookup_application, make_readiness_application
+from bronzetiller.platform.store import PlatformStore
+
+AHEAD_DELAY_SECONDS = 1.5  # until the nodes that start together know of each other
+STOP_MARGIN_SECONDS = 0.7  # of the grace, for the process to end
+STALE_LOOKUP_FACTOR = 2.0  # callers keep a lookup up to three times as long as they are told
+
+
+class _Signals(BaseComponent):
+    """Turn SIGTERM and SIGINT into a graceful stop."""
+
+    channel = "signals"
+
+    def __init__(self, node: "GatewayNode") -> None:
+        super().__init__()
+        self._node = node
+
+    @handler("signal", channel="*")
+    def _on_signal(self, number: int, stack: Any) -> None:
+        self._node.stop(signal.Signals(number).name)
+
+
+class GatewayNode:
+    """Hold the parts of one node; every part runs on the loop's one thread."""
+
+    def __init__(self, settings: GatewaySettings, settings_path: Path) -> None:
+        self.settings = settings
+        self._settings_path = settings_path
+        self.incarnation = make_incarnation(settings.node_id, time.time())
+        self.loop = make_loop()
+        self._scheduler = scheduler = self.loop.scheduler
+        dialer = Dialer(self.loop, channel="outgoing").register(self.loop.root)
+        store = PlatformStore(HttpClient(scheduler, dialer), settings.store.address)
+        self.pool = EnginePool()
+        self.configuration = ConfigurationFollower(scheduler, store, self._on_configuration)
+        self.targets = TargetsFollower(scheduler, store, self.pool)
+        self.distances = Distances(
+            settings.data_centre, settings.region, dict(settings.data_centres)
+        )
+        self.members = Members(scheduler, store, self.distances, self._describe)
+        self.keeper = AllotmentKeeper(
+            scheduler,
+            store,
+            settings.store.partitions,
+            self.incarnation,
+            self.members.count_nodes,
+        )
+        self._retries: dict[str, RetryWindow] = {}
+        self.services = GatewayServices(
+            scheduler=scheduler,
+            http=HttpClient(scheduler, dialer),
+            pool=self.pool,
+            keeper=self.keeper,
+            distances=self.distances,
+            retries=self._find_retries,
+            count_nodes=self.members.count_nodes,
+            draw=Random().random,
+        )
+        application = Application(
+            self.services, lambda: self.configuration.catalogue, lambda: self.drain.stopping
+        )
+        self.drain = Drain(
+            scheduler,
+            announce=self.members.publish,
+            release=self.keeper.return_all,
+            is_idle=self._is_idle,
+            end=self.loop.root.stop,
+        )
+        self._beat = 0
+        self._ahead = False
+        listen = settings.listen
+        self.server = self._serve(listen.callers, application.serve, "callers")
+        self._serve(listen.readiness, make_readiness_application(self.is_ready), "readiness")
+        entry_seconds = settings.stop.entry_seconds
+        lookup = make_lookup_application(self.members.list_addresses, entry_seconds)
+        self._serve(listen.lookup, lookup, "lookup")
+        self._serve(listen.metrics, _serve_metrics, "metrics")
+        _Signals(self).register(self.loop.root)
+
+    def run(self) -> None:
+        """Serve until a stop is asked for and the last request has its answer."""
+        signal.signal(signal.SIGHUP, lambda number, frame: self._reload())
+        self.configuration.follower.start()
+        self.targets.start()
+        self.members.start()
+        log_event("started", incarnation=self.incarnation, callers=self.settings.listen.callers)
+        self.loop.root.run()
+
+    def is_ready(self) -> bool:
+        """Say whether the node knows its configuration and targets and is not stopping."""
+        known = self.configuration.catalogue is not None and self.targets.follower.complete
+        return known and not self.drain.stopping
+
+    def stop(self, cause: str) -> None:
+        """Finish what runs, then end the process."""
+        stop = self.settings.stop
+        seconds = stop.grace_seconds - STOP_MARGIN_SECONDS
+        leave_seconds = min(seconds, STALE_LOOKUP_FACTOR * stop.entry_seconds)
+        self.drain.begin(cause, leave_seconds=leave_seconds, stop_seconds_max=seconds)
+
+    def _reload(self) -> None:
+        """Check the settings file again; addresses and names need a restart."""
+        result = load_gateway_settings(self._settings_path)
+        if result.is_err():
+            problems = "; ".join(map(str, result.unwrap_err()))
+            log_event("reload_failed", level=40, problems=problems)
+            return
+        log_event("reloaded", changed=result.unwrap() != self.settings)
+
+    def _is_idle(self) -> bool:
+        return not self.services.open_runs and not self.server.open_exchanges
+
+    def _describe(self) -> Member:
+        self._beat += 1
+        return Member(
+            self.settings.node_id,
+            str(self.settings.listen.callers),
+            self.settings.data_centre,
+            self.incarnation,
+            self.is_ready(),
+            self._beat,
+        )
+
+    def _on_configuration(self, catalogue: Catalogue) -> None:
+        limits = catalogue.limits
+        self.server.set_limits(
+            HttpLimits(
+                body_bytes_max=limits.body_bytes_max,
+                head_bytes_max=limits.head_bytes_max,
+                request_seconds=limits.head_seconds,
+                idle_seconds=limits.idle_seconds,
+                connections_max=self.settings.connections_max,
+                half_close_ends=True,
+            )
+        )
+        self.keeper.set_workspaces(catalogue.workspaces)
+        if not self._ahead:
+            self._ahead = True
+            self._scheduler.call_after(AHEAD_DELAY_SECONDS, self.keeper.start)
+
+    def _find_retries(self, service: str) -> RetryWindow:
+        bounds = self.settings.retries
+        window = self._retries.get(service)
+        if window is None:
+            window = RetryWindow(bounds.ratio, bounds.allowance, bounds.window_seconds)
+            self._retries[service] = window
+        return window
+
+    def _serve(self, address: Address, application: HttpApplication, channel: str) -> HttpServer:
+        limits = HttpLimits(
+            body_bytes_max=4 * 1024 * 1024,
+            connections_max=self.settings.connections_max,
+            half_close_ends=True,
+        )
+        server = HttpServer(
+            self.loop,
+            address.ip,
+            address.port,
+            application,
+            reject_malformed,
+            limits=limits,
+            channel=channel,
+        )
+        return server.register(self.loop.root)
+
+
+def _serve_metrics(exchange: Exchange) -> None:
+    exchange.respond(200, {"Content-Type": "text/plain; version=0.0.4"}, render_metrics())
--- /dev/null
+++ b/bronzetiller/gateway/run.py
@@ -0,0 +1,416 @@
+"""Serve one request of a path route from its budget to the end of its answer."""
+
+from collections.abc import Callable
+
+from attrs import define, field
+from result import Err, Result
+
+from bronzetiller.callers.problems import (
+    count_refusal,
+    make_refusal_body,
+    make_refusal_headers,
+)
+from bronzetiller.errors import Ran, Reason, Refusal
+from bronzetiller.gateway.allotment_keeper import AllotmentKeeper
+from bronzetiller.gateway.attempt import (
+    CONNECT_SECONDS,
+    Attempt,
+    AttemptEvent,
+    Lost,
+    NotRun,
+    StreamBegun,
+    StreamData,
+    StreamEnd,
+    WholeAnswer,
+)
+from bronzetiller.gateway.catalogue import Catalogue, PathRoute, WorkspaceTerms, choose_service
+from bronzetiller.gateway.engines import Engine, EnginePool
+from bronzetiller.gateway.placement import Distances, choose_engine, make_demand
+from bronzetiller.gateway.requests import RequestTerms
+from bronzetiller.gateway.retry_window import RetryWindow
+from bronzetiller.logs import log_event
+from bronzetiller.metrics import ANSWERS, OPEN_REQUESTS, REQUESTS, RETRIES
+from bronzetiller.net.exchange import Exchange
+from bronzetiller.net.http_client import HttpCall, HttpClient
+from bronzetiller.net.scheduler import Scheduler, Timer, Watch
+from bronzetiller.platform.headers import make_answer_headers, make_target_headers
+
+DIALS_MAX = 4  # targets that a request may fail to reach before it is refused
+DEADLINE_MARGIN_SECONDS = 0.03  # for the answer to reach the caller, some 3 ms away
+ROOM_SECONDS_MIN = 0.05  # with less time left no target can answer
+SILENT_HEAD_TARGETS = 2.5  # times the latency target, before a request is moved
+SILENT_PAUSES = 5.0  # times the longest pause of a stream that is on time
+SILENT_SECONDS_MIN = 0.7
+BROKEN_EVENTS = 2  # that a target may have made beyond those that arrived
+OVERLOADED_RETRY_SECONDS = 0.4
+
+
+@define
+class GatewayServices:
+    """Hold what requests need of the node."""
+
+    scheduler: Scheduler
+    http: HttpClient
+    pool: EnginePool
+    keeper: AllotmentKeeper
+    distances: Distances
+    retries: Callable[[str], RetryWindow]
+    count_nodes: Callable[[], int]
+    draw: Callable[[], float]
+    open_runs: int = 0
+
+
+@define(eq=False)
+class GatewayRun:
+    """Hold the state of one request; the deadline is in monotonic seconds."""
+
+    services: GatewayServices
+    exchange: Exchange
+    catalogue: Catalogue
+    route: PathRoute
+    terms: RequestTerms
+    workspace: WorkspaceTerms | None
+    begun_at: float
+    deadline: float
+    service: str = ""
+    tokens: int = 0
+    attempt: Attempt | None = None
+    attempts: int = 0
+    dials: int = 0
+    tried: list[str] = field(factory=list)
+    may_have_run: bool = False
+    last_event_id: int | None = None
+    events: int = 0
+    answer_head: bool = False
+    caller_gone: bool = False
+    over: bool = False
+    _timer: Timer | None = None
+    _silence: Watch | None = None
+
+    def start(self) -> None:
+        """Set the request's tokens aside, then place it."""
+        REQUESTS.labels("path").inc()
+        OPEN_REQUESTS.inc()
+        self.services.open_runs += 1
+        self.exchange.on_disconnect = self._on_disconnect
+        self._timer = self.services.scheduler.call_at(self.deadline, self._on_deadline)
+        self.last_event_id = self.terms.last_event_id
+        if self.workspace is None or self.terms.prompt is None:
+            self._place()
+            return
+        tokens = self.terms.prompt.tokens_max
+        self.services.keeper.obtain(
+            self.workspace.name,
+            tokens,
+            self.deadline,
+            lambda result: self._on_budget(tokens, result),
+        )
+
+    def _on_budget(self, tokens: int, result: Result[None, Refusal]) -> None:
+        if isinstance(result, Err):
+            self._refuse(result.err_value)
+            return
+        self.tokens = tokens
+        if self.over:
+            self._settle()
+        else:
+            self._place()
+
+    def _place(self) -> None:
+        """Choose a target and send the request to it."""
+        services = self.services
+        now = services.scheduler.now()
+        if self.deadline - now < ROOM_SECONDS_MIN:
+            self._on_deadline()
+            return
+        if not self.service:
+            draw = services.draw()
+            chosen = choose_service(self.route, draw, services.pool.list_services())
+            self.service = chosen or ""
+            services.retries(self.service).note_request(now)
+        engines = [
+            engine
+            for engine in services.pool.list_service(self.service)
+            if engine.engine_id not in self.tried
+        ]
+        demand = make_demand(self.terms.prompt)
+        engine = choose_engine(engines, demand, services.distances, now, services.draw)
+        if engine is None:
+            self._refuse_unplaced()
+            return
+        self._send(engine)
+
+    def _refuse_unplaced(self) -> None:
+        if self.may_have_run:
+            self._fail("no other target of the service")
+            return
+        detail = "no target of the service takes the request"
+        self._refuse(
+            Refusal(503, Reason.NO_TARGET, detail, retry_after_seconds=self._spread_return())
+        )
+
+    def _spread_return(self) -> float:
+        """Return when to come back, spread so that refused callers do not return at once."""
+        return round(OVERLOADED_RETRY_SECONDS * (0.6 + 0.8 * self.services.draw()), 3)
+
+    def _send(self, engine: Engine) -> None:
+        services = self.services
+        now = services.scheduler.now()
+        self.tried.append(engine.engine_id)
+        prompt = self.terms.prompt
+        if prompt is not None:
+            engine.note_parts((part.part_id for part in prompt.parts), now)
+        self.attempt = attempt = Attempt(
+            engine,
+            self.terms.request_id,
+            self.route.streamed,
+            services.scheduler.now,
+            self._on_event,
+        )
+        path = self.exchange.path
+        target = f"{path}?{self.exchange.query}" if self.exchange.query else path
+        call = HttpCall(
+            address=engine.registration.address,
+            method=self.exchange.method,
+            path=target,
+            headers=make_target_headers(
+                self.terms,
+                seconds_left=self.deadline - now,
+                target_id=engine.engine_id,
+                workspace=None if self.workspace is None else self.workspace.name,
+                priority=self._priority,
+                last_event_id=self.last_event_id,
+            ),
+            body=self.exchange.body,
+            silence_seconds=self.deadline - now + 1.0,  # the deadline and _silence end it before
+            connect_seconds=CONNECT_SECONDS,
+            host=self.exchange.headers.get("host"),
+            is_own=attempt.owns,
+        )
+        attempt.start(services.http, call)
+        self._watch_silence(SILENT_HEAD_TARGETS * self.route.target_seconds)
+
+    @property
+    def _priority(self) -> int:
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
+    def _watch_silence(self, seconds: float) -> None:
+        """Move the request to another target once this one is silent, where it may run again."""
+        if not self._may_repeat:
+            return
+        if self._silence is None:
+            self._silence = self.services.scheduler.watch(self._on_silence)
+        self._silence.expire_after(max(SILENT_SECONDS_MIN, seconds))
+
+    @property
+    def _may_repeat(self) -> bool:
+        return self.route.repeatable and self.attempts + 1 < self.route.attempts_max
+
+    def _on_silence(self) -> None:
+        attempt = self.attempt
+        if self.over or attempt is None or attempt.over or not attempt.sent:
+            return
+        if not self._take_retry("silent"):
+            return
+        attempt.cancel()
+        self.may_have_run = True
+        self.attempts += 1
+        attempt.engine.note_failure("silent", self.services.scheduler.now())
+        self._log_attempt("silent")
+        self._place()
+
+    def _on_event(self, event: AttemptEvent) -> None:
+        if isinstance(event, StreamData):
+            self._take_data(event)
+        elif isinstance(event, StreamBegun):
+            self.may_have_run = True
+            self._begin_stream(event)
+        elif isinstance(event, StreamEnd):
+            self._succeed()
+            self.exchange.finish()
+        elif isinstance(event, WholeAnswer):
+            self._take_answer(event)
+        elif isinstance(event, NotRun):
+            self._take_not_run(event)
+        elif isinstance(event, Lost):
+            self._take_loss(event)
+
+    def _begin_stream(self, event: StreamBegun) -> None:
+        if not self.answer_head:
+            self.answer_head = True
+            self.exchange.start(event.head.status, make_answer_headers(event.head))
+
+    def _take_data(self, event: StreamData) -> None:
+        self.events += event.events
+        if event.last_event_id is not None:
+            self.last_event_id = event.last_event_id
+        self.exchange.send(event.data)
+        self._watch_silence(SILENT_PAUSES * self.route.pause_seconds)
+
+    def _take_answer(self, event: WholeAnswer) -> None:
+        self.may_have_run = True
+        self.attempts += 1
+        if self.answer_head:
+            # A resumed stream cannot turn into another answer.
+            self._recover(f"status {event.head.status}")
+            return
+        if event.failed and self._can_repeat("target_failed"):
+            self._log_attempt(f"status {event.head.status}")
+            self._place()
+            return
+        self._succeed()
+        self.exchange.respond(event.head.status, make_answer_headers(event.head), event.body)
+
+    def _take_not_run(self, event: NotRun) -> None:
+        attempt = self.attempt
+        assert attempt is not None
+        now = self.services.scheduler.now()
+        self._log_attempt(event.cause)
+        if not event.reached:
+            attempt.engine.note_failure(event.cause, now)
+            self.dials += 1
+            if self.dials < DIALS_MAX:
+                self._place()
+                return
+        else:
+            self.services.pool.note_refusal(attempt.engine, event.cause, now)
+            self.attempts += 1
+            if self.attempts < self.route.attempts_max + 1 and self._take_retry("target_refused"):
+                self._place()
+                return
+        if self.may_have_run:
+            self._fail(event.cause)
+            return
+        self._refuse(
+            Refusal(503, Reason.OVERLOADED, event.cause, retry_after_seconds=self._spread_return())
+        )
+
+    def _take_loss(self, event: Lost) -> None:
+        attempt = self.attempt
+        assert attempt is not None
+        self.may_have_run = True
+        self.attempts += 1
+        attempt.engine.note_failure(event.cause, self.services.scheduler.now())
+        self._recover(event.cause)
+
+    def _recover(self, cause: str) -> None:
+        self._log_attempt(cause)
+        if self._can_repeat("target_lost"):
+            self._place()
+        else:
+            self._fail(cause)
+
+    def _can_repeat(self, reason: str) -> bool:
+        allowed = self.route.repeatable and self.attempts < self.route.attempts_max
+        return allowed and not self.caller_gone and self._take_retry(reason)
+
+    def _take_retry(self, reason: str) -> bool:
+        services = self.services
+        window = services.retries(self.service)
+        if not window.take(services.scheduler.now(), services.count_nodes()):
+            log_event("retry_refused", id=self.terms.request_id, cause=reason, service=self.service)
+            return False
+        RETRIES.labels(reason).inc()
+        return True
+
+    def _on_deadline(self) -> None:
+        if self.over:
+            return
+        if self.attempt is not None and not self.attempt.over:
+            self.may_have_run = self.may_have_run or self.attempt.sent
+            self.attempt.cancel()
+        if self.may_have_run:
+            self._fail("deadline")
+            return
+        detail = "the deadline passed before a target was found"
+        self._refuse(
+            Refusal(503, Reason.DEADLINE, detail, retry_after_seconds=self._spread_return())
+        )
+
+    def _on_disconnect(self) -> None:
+        """Stop the work of a caller that left, but for a call that runs and can run only once."""
+        self.caller_gone = True
+        attempt = self.attempt
+        runs_once = not self.route.repeatable and not self.route.streamed
+        if attempt is not None and not attempt.over and attempt.sent and runs_once:
+            return
+        if attempt is not None and not attempt.over:
+            self.may_have_run = self.may_have_run or attempt.sent
+            attempt.cancel()
+        self._finish("caller_gone")
+
+    def _succeed(self) -> None:
+        assert self.attempt is not None
+        self.attempt.engine.note_success()
+        ANSWERS.labels("path").inc()
+        self._finish("answered")
+
+    def _fail(self, cause: str) -> None:
+        """End a request that may have run without an answer; nothing is promised of it."""
+        late = cause == "deadline"
+        status, reason = (504, Reason.DEADLINE) if late else (502, Reason.TARGET_FAILED)
+        self._refuse(Refusal(status, reason, cause, Ran.UNKNOWN))
+
+    def _refuse(self, refusal: Refusal) -> None:
+        if self.over:
+            return
+        count_refusal(refusal, id=self.terms.request_id, route=self.route.name)
+        self._finish(refusal.reason.value)
+        if self.caller_gone:
+            return
+        if self.exchange.started:
+            self.exchange.abort()
+            return
+        headers, body = make_refusal_headers(refusal), make_refusal_body(refusal)
+        self.exchange.respond(refusal.status, headers, body)
+
+    def _finish(self, outcome: str) -> None:
+        if self.over:
+            return
+        self.over = True
+        OPEN_REQUESTS.dec()
+        self.services.open_runs -= 1
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._silence is not None:
+            self._silence.cancel()
+        self._settle(whole=outcome == "answered")
+        log_event(
+            "request",
+            id=self.terms.request_id,
+            route=self.route.name,
+            version=self.catalogue.version,
+            workspace="" if self.workspace is None else self.workspace.name,
+            targets=",".join(self.tried),
+            attempts=self.attempts,
+            events=self.events,
+            outcome=outcome,
+            ms=round((self.services.scheduler.now() - self.begun_at) * 1000),
+        )
+
+    def _settle(self, *, whole: bool = False) -> None:
+        """Charge the prompt once and the answer tokens that may have been made."""
+        if not self.tokens or self.workspace is None or self.terms.prompt is None:
+            return
+        used = 0
+        if self.may_have_run:
+            prompt = self.terms.prompt
+            event_tokens = self.catalogue.services[self.service].event_tokens
+            events = self.events if whole else self.events + BROKEN_EVENTS
+            used = prompt.tokens + min(prompt.answer_tokens_max, events * event_tokens)
+        self.services.keeper.settle(self.workspace.name, self.tokens, used)
+        self.tokens = 0
+
+    def _log_attempt(self, cause: str) -> None:
+        assert self.attempt is not None
+        engine = self.attempt.engine
+        log_event(
+            "attempt_failed",
+            id=self.terms.request_id,
+            target=engine.engine_id,
+            cause=cause,
+            load=engine.estimate_load(self.services.scheduler.now()),
+            heard_age=round(self.services.scheduler.now() - engine.heard_at, 2),
+        )
--- /dev/null
+++ b/bronzetiller/gateway/settings.py
@@ -0,0 +1,79 @@
+"""Read and check the settings of a gateway node."""
+
+from pathlib import Path
+
+from attrs import field, frozen
+from attrs.validators import ge, gt, matches_re, min_len
+from result import Err, Ok, Result
+
+from bronzetiller.documents import Problem, read_document
+from bronzetiller.net.address import Address, parse_address
+from bronzetiller.structure import describe_errors, make_converter
+
+
+@frozen
+class GatewayListen:
+    """Name the addresses a node listens on, as ip:port: callers, readiness checks, lookups."""
+
+    callers: Address
+    readiness: Address
+    lookup: Address
+    metrics: Address
+
+
+@frozen
+class GatewayStore:
+    """Name the store and the number of partitions of a topic."""
+
+    address: Address
+    partitions: int = field(validator=ge(1))
+
+
+@frozen
+class GatewayRetries:
+    """Bound the repeats of all nodes: a ratio of the requests and an allowance in a window."""
+
+    ratio: float = field(validator=ge(0))
+    allowance: float = field(validator=ge(0))
+    window_seconds: float = field(validator=gt(0))
+
+
+@frozen
+class GatewayStop:
+    """Bound a stop: the process ends within grace_seconds; lookups are kept entry_seconds."""
+
+    grace_seconds: float = field(validator=gt(0))
+    entry_seconds: float = field(default=2.0, validator=gt(0))
+
+
+@frozen
+class GatewaySettings:
+    """Hold all settings of one gateway node."""
+
+    node_id: str = field(validator=min_len(1))
+    region: str = field(validator=min_len(1))
+    data_centre: str = field(validator=min_len(1))
+    data_centres: dict[str, str]
+    listen: GatewayListen
+    store: GatewayStore
+    retries: GatewayRetries
+    stop: GatewayStop
+    connections_max: int = field(default=3_000, validator=gt(0))
+    log_lines_per_second: int = field(default=400, validator=gt(0))
+    log_level: str = field(default="INFO", validator=matches_re("DEBUG|INFO|WARNING|ERROR"))
+
+
+_CONVERTER = make_converter()
+_CONVERTER.register_structure_hook(Address, lambda value, _: parse_address(str(value)))
+
+
+def load_gateway_settings(path: Path) -> Result[GatewaySettings, list[Problem]]:
+    """Read a YAML file of settings; an error names the file, line and field."""
+    read = read_document(path)
+    if isinstance(read, Err):
+        return read
+    document = read.ok_value
+    try:
+        return Ok(_CONVERTER.structure(document.value, GatewaySettings))
+    except Exception as error:  # cattrs raises groups of many kinds for malformed input
+        return Err([document.locate(item) for item in describe_errors(error)])
--- a/bronzetiller/logs.py
+++ b/bronzetiller/logs.py
@@ -1,15 +1,61 @@
 """Write one key=value line per event."""
 
 import logging
+import os
 import sys
+import time
 from typing import Any
 
 _LOGGER = logging.getLogger("bronzetiller")
 
 
+BURST_SECONDS = 2.0  # of lines at the full rate that may come at once
+
+
+class BoundedHandler(logging.Handler):
+    """Write lines to a descriptor that never blocks; count those over the rate or not taken."""
+
+    def __init__(self, descriptor: int, lines_per_second: int) -> None:
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._rate = lines_per_second
+        self._tokens = BURST_SECONDS * lines_per_second
+        self._filled_at = time.monotonic()
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, or count it as dropped."""
+        now = time.monotonic()
+        most = BURST_SECONDS * self._rate
+        self._tokens = min(most, self._tokens + (now - self._filled_at) * self._rate)
+        self._filled_at = now
+        if self._tokens < 1:
+            self.dropped += 1
+            return
+        line = self.format(record)
+        if self.dropped:
+            line = f"{line} dropped_before={self.dropped}"
+        try:
+            os.write(self._descriptor, line.encode() + b"\n")
+        except OSError:  # a full pipe, or a reader that is gone; the next line says how many
+            self.dropped += 1
+            return
+        self._tokens -= 1
+        self.dropped = 0
+
+
+def configure_bounded_logging(node_id: str, level: str, lines_per_second: int) -> None:
+    """Send the log lines of this process to standard output, bounded and without blocking."""
+    _configure(BoundedHandler(sys.stdout.fileno(), lines_per_second), node_id, level)
+
+
 def configure_logging(node_id: str, level: str = "INFO") -> None:
     """Send the log lines of this process to standard error."""
-    stream = logging.StreamHandler(sys.stderr)
+    _configure(logging.StreamHandler(sys.stderr), node_id, level)
+
+
+def _configure(stream: logging.Handler, node_id: str, level: str) -> None:
     form = f"time=%(asctime)s.%(msecs)03d level=%(levelname)s node={node_id} %(message)s"
     stream.setFormatter(logging.Formatter(form, "%Y-%m-%dT%H:%M:%S"))
     _LOGGER.handlers[:] = [stream]
--- a/bronzetiller/net/dialer.py
+++ b/bronzetiller/net/dialer.py
@@ -20,6 +20,9 @@
 
 __all__ = ["Address", "Connection", "ConnectionHandlers", "Dialer", "parse_address"]
 
+CLOSED = "closed by the other end"
+RESET = "reset by the other end"
+
 
 @frozen
 class ConnectionHandlers:
@@ -142,11 +145,11 @@
 
     def take_end(self, sock: socket) -> None:
         """Take the other end's end for the end of the connection."""
-        self._fail(sock, "closed by the other end")
+        self._fail(sock, CLOSED)
 
     def take_loss(self, sock: socket) -> None:
         """Tell the handlers of a reset connection."""
-        self._fail(sock, "closed by the other end")
+        self._fail(sock, RESET)
 
     def _create_socket(self) -> socket:
         """Return a socket that never listens, since this component only dials."""
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -5,11 +5,14 @@
 import h11
 from attrs import define, field, frozen
 
-from bronzetiller.net.dialer import Address, Connection, ConnectionHandlers, Dialer
+from bronzetiller.net.dialer import CLOSED, Address, Connection, ConnectionHandlers, Dialer
 from bronzetiller.net.scheduler import Scheduler, Watch
 
 IDLE_CONNECTIONS_MAX = 32
 IDLE_SECONDS_MAX = 30.0
+KEPT_SHARE_MAX = 0.5  # of the server's own idle timeout, so that it does not close on a request
+BODILESS_METHODS = ("GET", "HEAD", "DELETE")
+FOREIGN_RESPONSES_MAX = 3  # responses of other requests before a connection is given up
 SILENCE = "silence"
 TOO_LATE = "too late to send"
 
@@ -44,6 +47,7 @@
 
 CallEvent = ResponseHead | BodyPart | ResponseEnd | CallFailed
 CallListener = Callable[[CallEvent], None]
+OwnershipCheck = Callable[[ResponseHead], bool]
 
 
 @frozen
@@ -52,7 +56,8 @@
 
     silence_seconds is the longest wait between two reads; first_byte_seconds is the longest wait
     for the first, the same unless it is given. A call with may_send goes over a connection of its
-    own and asks right before its first byte.
+    own and asks right before its first byte. A response that is_own rejects belongs to an earlier
+    request of the connection; it is dropped and the next one awaited.
     """
 
     address: Address
@@ -64,6 +69,8 @@
     connect_seconds: float = 2.0
     first_byte_seconds: float | None = None
     may_send: Callable[[], bool] | None = None
+    host: str | None = None
+    is_own: OwnershipCheck | None = None
 
 
 @define(eq=False)
@@ -110,7 +117,10 @@
     connection: Connection | None = None
     silence: Watch = field(init=False)
     paused: bool = False
-    idle_since: float = 0.0
+    idle_until: float = 0.0
+    keep_seconds: float = IDLE_SECONDS_MAX
+    foreign_responses: int = 0
+    foreign: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.silence = self.client.scheduler.watch(self.expire)
@@ -126,16 +136,20 @@
         if call.may_send is not None and not call.may_send():
             self.fail(TOO_LATE)
             return
-        headers = [("Host", str(call.address)), ("Content-Length", str(len(call.body)))]
+        self.open_call.sent = True
+        self.connection.write(self.encode(call))
+        self.silence.expire_after(call.first_byte_seconds or call.silence_seconds)
+
+    def encode(self, call: HttpCall) -> bytes:
+        headers = [("Host", call.host or str(call.address))]
+        if call.body or call.method not in BODILESS_METHODS:
+            headers.append(("Content-Length", str(len(call.body))))
         headers += list(call.headers.items())
         request = h11.Request(method=call.method, target=call.path, headers=headers)
         data = self.parser.send(request) or b""
         if call.body:
             data += self.parser.send(h11.Data(data=call.body)) or b""
-        data += self.parser.send(h11.EndOfMessage()) or b""
-        self.open_call.sent = True
-        self.connection.write(data)
-        self.silence.expire_after(call.first_byte_seconds or call.silence_seconds)
+        return data + (self.parser.send(h11.EndOfMessage()) or b"")
 
     def pause(self) -> None:
         self.paused = True
@@ -164,8 +178,8 @@
 
     def end(self, cause: str) -> None:
         self.connection = None
-        if self.open_call is not None and self.open_call.sent:
-            self.receive(b"")
+        if cause == CLOSED and self.open_call is not None and self.open_call.sent:
+            self.receive(b"")  # a response without a length ends here; after a reset none is whole
         self.fail(cause)
 
     def deliver(self, open_call: OpenCall) -> None:
@@ -173,7 +187,8 @@
         while not open_call.done:
             event = self.parser.next_event()
             if isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
+                if not self.foreign:
+                    parts.append(bytes(event.data))
                 continue
             if parts:
                 open_call.listener(BodyPart(b"".join(parts)))
@@ -182,7 +197,16 @@
                     return
             if isinstance(event, h11.Response):
                 headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
-                open_call.listener(ResponseHead(event.status_code, headers))
+                head = ResponseHead(event.status_code, headers)
+                self.keep_seconds = _read_keep_seconds(headers)
+                is_own = open_call.call.is_own
+                self.foreign = is_own is not None and not is_own(head)
+                if not self.foreign:
+                    open_call.listener(head)
+            elif isinstance(event, h11.EndOfMessage) and self.foreign:
+                if not self.await_next_response(open_call.call):
+                    self.fail("the connection holds responses of other requests")
+                    return
             elif isinstance(event, h11.EndOfMessage):
                 self.release()
                 open_call.done = True
@@ -190,6 +214,23 @@
             elif not isinstance(event, h11.InformationalResponse):
                 return
 
+    def await_next_response(self, call: HttpCall) -> bool:
+        """Parse what follows a foreign response as the answer to the request already sent."""
+        self.foreign_responses += 1
+        self.open_call.doubtful = True  # type: ignore[union-attr]
+        if (
+            self.foreign_responses > FOREIGN_RESPONSES_MAX
+            or self.parser.their_state is not h11.DONE
+        ):
+            return False
+        rest = self.parser.trailing_data[0]
+        self.parser = h11.Connection(h11.CLIENT)
+        self.encode(call)
+        self.foreign = False
+        if rest:
+            self.parser.receive_data(rest)
+        return True
+
     def release(self) -> None:
         doubtful = self.open_call is None or self.open_call.doubtful or self.paused
         self.open_call = None
@@ -249,7 +290,7 @@
         idle = self._idle.get(address, [])
         while idle:
             channel = idle.pop()
-            fresh = self.scheduler.now() - channel.idle_since < IDLE_SECONDS_MAX
+            fresh = self.scheduler.now() < channel.idle_until
             if fresh and channel.connection is not None and channel.connection.is_quiet():
                 return channel
             channel.close()
@@ -261,7 +302,7 @@
         if len(idle) >= IDLE_CONNECTIONS_MAX:
             channel.close()
         else:
-            channel.idle_since = self.scheduler.now()
+            channel.idle_until = self.scheduler.now() + channel.keep_seconds
             idle.append(channel)
 
     def close_idle(self, address: Address) -> None:
@@ -274,3 +315,12 @@
         idle = self._idle.get(channel.address)
         if idle is not None and channel in idle:
             idle.remove(channel)
+
+
+def _read_keep_seconds(headers: dict[str, str]) -> float:
+    """Return how long (seconds) a connection may stay idle, by what its server says."""
+    for part in headers.get("keep-alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return min(IDLE_SECONDS_MAX, KEPT_SHARE_MAX * int(value))
+    return IDLE_SECONDS_MAX
--- a/bronzetiller/net/http_server.py
+++ b/bronzetiller/net/http_server.py
@@ -35,7 +35,10 @@
 
 @frozen
 class HttpLimits:
-    """Bound what one connection may ask of the process."""
+    """Bound what one connection may ask of the process.
+
+    With half_close_ends, a caller that has finished sending counts as gone.
+    """
 
     body_bytes_max: int
     head_bytes_max: int = 32 * 1024
@@ -45,6 +48,7 @@
     exchange_seconds: float = 300.0
     unsent_bytes_max: int = 256 * 1024
     connections_max: int = 10_000
+    half_close_ends: bool = False
 
 
 Application = Callable[[Exchange], None]
@@ -162,6 +166,10 @@
     def _on_connect(self, *args: Any) -> None:
         """Leave connections to take_connection."""
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Bound connections anew; what runs keeps the deadlines it has."""
+        self._limits = limits
+
     def take_connection(self, sock: socket) -> None:
         """Await the first request of a connection, or refuse it where there are too many."""
         connection = _Connection(
@@ -190,7 +198,10 @@
         connection = self._connections[sock]
         connection.ended = True
         self.server.pause(sock)
-        if connection.exchange is not None:
+        if connection.exchange is not None and self._limits.half_close_ends:
+            self.server.drop(sock)
+            self.take_loss(sock)
+        elif connection.exchange is not None:
             self._probe(connection)
         elif connection.receiving and not connection.closing:
             self._refuse(connection, 400, "the connection ended before the request did")
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -34,16 +34,13 @@
 from bronzetiller.fleet.peers import Peers
 from bronzetiller.fleet.relay import Relay
 from bronzetiller.fleet.snapshot_keeper import SnapshotKeeper
+from bronzetiller.fleet.vm_list import VmList, VmState
 from bronzetiller.fleet.vm_relay import VmRelay
 from bronzetiller.logs import log_event
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.http_client import HttpClient
 from bronzetiller.net.http_server import HttpLimits, HttpServer
 from bronzetiller.net.loop import Loop, make_loop
-from bronzetiller.platform.follower import StreamFollower
-from bronzetiller.platform.log_client import Entry, LogClient
-from bronzetiller.platform.snapshots import Fold
-from bronzetiller.platform.vm_list import VmList, VmState
 from bronzetiller.reports.api import ReportServices, make_operator_handlers
 from bronzetiller.reports.nodes import list_nodes
 from bronzetiller.reports.report import Report, list_decisions, list_unread_items
@@ -58,6 +55,9 @@
 from bronzetiller.routing.load_poller import LoadPoller
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.settings import Settings
+from bronzetiller.storage.follower import StreamFollower
+from bronzetiller.storage.log_client import Entry, LogClient
+from bronzetiller.storage.snapshots import Fold
 from bronzetiller.wire.messages import AskTokens, Heartbeat
 
 CREDIT_CHECK_SECONDS = 0.5
--- a/bronzetiller/platform/__init__.py
+++ b/bronzetiller/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Speak to the platform's log service and VM list."""
+"""Translate between the users' platform and the gateway's own types; nothing here decides."""
--- /dev/null
+++ b/bronzetiller/platform/catalogue.py
@@ -0,0 +1,129 @@
+"""Decode the operator's configuration and the targets' registrations."""
+
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from bronzetiller.gateway.catalogue import (
+    Backend,
+    CallerLimits,
+    Catalogue,
+    PathRoute,
+    ServiceTerms,
+    WorkspaceTerms,
+    sort_routes,
+)
+from bronzetiller.gateway.engines import Registration
+from bronzetiller.net.address import parse_address
+
+OPERATOR_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+REGISTRATIONS_TOPIC = "keyed.servers"
+DEFAULT_PRIORITY = 5
+
+
+def read_catalogue(value: bytes) -> Result[Catalogue, str]:
+    """Read a configuration; an error says which part is malformed."""
+    try:
+        document = json.loads(value)
+        routes = [_read_route(item) for item in document["routes"]]
+        services = [_read_service(item) for item in document["services"]]
+        tenants = [(_read_tenant(item), item["api_keys"]) for item in document.get("tenants", [])]
+        return Ok(
+            Catalogue(
+                version=int(document["version"]),
+                routes=sort_routes(routes),
+                services={item.name: item for item in services},
+                workspaces={tenant.name: tenant for tenant, _ in tenants},
+                keys={key: tenant for tenant, keys in tenants for key in keys},
+                limits=_read_limits(document.get("limits", {})),
+            )
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Err(f"malformed configuration: {error!r}")
+
+
+def _read_route(item: dict[str, Any]) -> PathRoute:
+    backends = [
+        Backend(share["service"], int(share["weight"])) for share in item.get("backends", ())
+    ]
+    if not backends:
+        backends = [Backend(item["service"], 1)]
+    streamed = item["kind"] == "streaming"
+    # A stream may run again only if it can be resumed; calls of other kinds only if idempotent.
+    repeatable = bool(item.get("resume_streams")) if streamed else item["kind"] == "idempotent"
+    return PathRoute(
+        name=item["name"],
+        host=item["hostname"],
+        path_prefix=item["path_prefix"],
+        backends=tuple(backends),
+        streamed=streamed,
+        repeatable=repeatable,
+        timeout_seconds=float(item["timeout_ms"]) / 1000,
+        target_seconds=float(item.get("target_latency_ms") or item["timeout_ms"]) / 1000,
+        pause_seconds=float(item.get("gap_aim_ms") or 0) / 1000,
+        attempts_max=max(1, int(item.get("max_attempts") or 1)),
+        priority=int(item.get("priority") or 0),
+        public=bool(item.get("public")),
+    )
+
+
+def _read_service(item: dict[str, Any]) -> ServiceTerms:
+    engine = item.get("engine") or {}
+    return ServiceTerms(
+        name=item["name"],
+        connections_max=int(item.get("max_connections") or 0),
+        event_tokens=int(engine.get("stride") or (1 if engine else 0)),
+        cache_tokens=int(engine.get("kv_capacity") or 0),
+    )
+
+
+def _read_tenant(item: dict[str, Any]) -> WorkspaceTerms:
+    prepaid = item.get("prepaid")
+    priority = item.get("priority")
+    return WorkspaceTerms(
+        name=item["name"],
+        priority=None if priority is None else int(priority),
+        prepaid_tokens=None if prepaid is None else int(prepaid),
+    )
+
+
+def _read_limits(item: dict[str, Any]) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        head_bytes_max=int(item.get("max_header_bytes") or usual.head_bytes_max),
+        body_bytes_max=int(item.get("max_body_bytes") or usual.body_bytes_max),
+        head_seconds=float(item.get("header_timeout_ms") or usual.head_seconds * 1000) / 1000,
+        idle_seconds=float(item.get("idle_timeout_ms") or usual.idle_seconds * 1000) / 1000,
+    )
+
+
+def read_registration(engine_id: str, value: bytes) -> Result[Registration, str]:
+    """Read what a target says of itself; anything else than that names no target."""
+    try:
+        item = json.loads(value)
+        state = item["state"]
+        if state not in ("ready", "draining"):
+            return Err(f"unknown state {state!r}")
+        for name in ("service", "address", "zone"):
+            if not isinstance(item[name], str):
+                return Err(f"{name} is not a text")
+        slots = item["slots"]
+        if type(slots) is not int or slots < 1:
+            return Err("slots is not a positive whole number")
+        born = item.get("born", 0)
+        return Ok(
+            Registration(
+                engine_id=engine_id,
+                service=item["service"],
+                address=parse_address(item["address"]),
+                data_centre=item["zone"],
+                slots=slots,
+                leaving=state == "draining",
+                started_ms=born if type(born) is int else 0,
+                warm_up_seconds=float(item.get("warmup_left_ms") or 0) / 1000,
+            )
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Err(f"malformed registration: {error!r}")
--- /dev/null
+++ b/bronzetiller/platform/headers.py
@@ -0,0 +1,135 @@
+"""Name the headers of callers and targets, and decode them."""
+
+from attrs import evolve
+
+from bronzetiller.gateway.requests import HeardLoad, Prompt, PromptPart, RequestTerms, TargetVerdict
+from bronzetiller.net.http_client import ResponseHead
+
+_REQUEST_ID = "x-request-id"
+_KEY = "api-key"
+_DEADLINE = "x-deadline-ms"  # milliseconds left, not a point in time
+_PREFIX = "x-prompt-prefix"
+_USAGE = "x-token-usage"  # prompt tokens and the most answer tokens, of the request, not yet used
+_LAST_EVENT = "last-event-id"
+_NOT_RUN = "x-not-executed"
+_EXPECTED_TARGET = "x-expect-instance"
+_WORKSPACE = "x-tenant"
+_PRIORITY = "x-request-priority"
+_LOAD = "x-server-load"
+_INSTANCE = "x-instance-id"
+
+# Set by the router alone, whatever a caller sent.
+_OWN_HEADERS = {
+    _KEY,
+    _DEADLINE,
+    _EXPECTED_TARGET,
+    _WORKSPACE,
+    _PRIORITY,
+    "x-hold",
+    "x-pin-ms",
+    "x-kv-backup",
+    "kv-from",
+    "kv-fetch",
+    "x-expect-version",
+}
+_HOP_HEADERS = {
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "host",
+    "expect",
+}
+PRIORITY_MAX = 9
+
+
+def read_request_terms(headers: dict[str, str]) -> RequestTerms:
+    """Decode the headers of a caller's request; a malformed figure counts as absent."""
+    named = {name.strip().lower() for name in headers.get("connection", "").split(",")}
+    dropped = _OWN_HEADERS | _HOP_HEADERS | named
+    deadline_ms = _read_int(headers.get(_DEADLINE))
+    return RequestTerms(
+        request_id=headers.get(_REQUEST_ID, ""),
+        key=headers.get(_KEY, ""),
+        seconds_left=None if deadline_ms is None else max(0, deadline_ms) / 1000,
+        prompt=_read_prompt(headers),
+        last_event_id=_read_int(headers.get(_LAST_EVENT)),
+        passed_headers={name: value for name, value in headers.items() if name not in dropped},
+    )
+
+
+def make_target_headers(
+    terms: RequestTerms,
+    *,
+    seconds_left: float,
+    target_id: str,
+    workspace: str | None,
+    priority: int,
+    last_event_id: int | None,
+) -> dict[str, str]:
+    """Return the headers of a request as a target gets it."""
+    headers = dict(terms.passed_headers)
+    headers[_DEADLINE] = str(max(1, int(seconds_left * 1000)))
+    headers[_EXPECTED_TARGET] = target_id
+    headers[_PRIORITY] = str(min(PRIORITY_MAX, max(0, priority)))
+    if workspace is not None:
+        headers[_WORKSPACE] = workspace
+    if last_event_id is not None:
+        headers[_LAST_EVENT] = str(last_event_id)
+    return headers
+
+
+def make_answer_headers(head: ResponseHead) -> dict[str, str]:
+    """Return the headers of a target's response as the caller gets them."""
+    return {name: value for name, value in head.headers.items() if name not in _HOP_HEADERS}
+
+
+def answers_request(head: ResponseHead, request_id: str) -> bool:
+    """Say whether a response belongs to a request; one without an id is taken for its own."""
+    return head.headers.get(_REQUEST_ID, request_id) == request_id
+
+
+def read_verdict(head: ResponseHead) -> TargetVerdict:
+    """Say what a target made of a request: only a marked refusal says that it was not run."""
+    if head.status == 421:
+        return TargetVerdict.OTHER_TARGET
+    if _NOT_RUN in head.headers:
+        return TargetVerdict.NOT_RUN
+    return TargetVerdict.ANSWERED if head.status < 500 else TargetVerdict.FAILED
+
+
+def read_load(head: ResponseHead) -> HeardLoad | None:
+    """Read the load that a target reports: running, waiting and slots."""
+    numbers = [_read_int(part) for part in head.headers.get(_LOAD, "").split(",")]
+    if len(numbers) != 3 or None in numbers:
+        return None
+    running, waiting, slots = numbers
+    return HeardLoad(running, waiting, slots)  # type: ignore[arg-type]
+
+
+def _read_prompt(headers: dict[str, str]) -> Prompt | None:
+    usage = headers.get(_USAGE)
+    if usage is None:
+        return None
+    numbers = [_read_int(part) for part in usage.split(",")]
+    if len(numbers) != 2 or None in numbers:
+        return None
+    prompt = Prompt(numbers[0], numbers[1])  # type: ignore[arg-type]
+    parts = []
+    for entry in headers.get(_PREFIX, "").split(","):
+        part_id, _, tokens = entry.strip().partition(":")
+        size = _read_int(tokens)
+        if part_id and size is not None:
+            parts.append(PromptPart(part_id, size))
+    return evolve(prompt, parts=tuple(parts))
+
+
+def _read_int(text: str | None) -> int | None:
+    text = (text or "").strip()
+    return int(text) if text.isdigit() and len(text) < 16 else None
--- /dev/null
+++ b/bronzetiller/platform/store.py
@@ -0,0 +1,215 @@
+"""Call the platform's store: keyed topics, read by offset and appended under a condition."""
+
+import base64
+import json
+import struct
+from collections.abc import Callable
+from urllib.parse import urlencode
+
+from attrs import define, field
+from result import Err, Ok, Result
+
+from bronzetiller.net.dialer import Address
+from bronzetiller.net.http_client import (
+    BodyPart,
+    CallEvent,
+    CallFailed,
+    HttpCall,
+    HttpClient,
+    ResponseEnd,
+    ResponseHead,
+)
+from bronzetiller.storage.keyed import (
+    AppendDone,
+    EndMoved,
+    HistoryExpired,
+    KeyedRecord,
+    NewestDone,
+    Partition,
+    ReadDone,
+    RecordBatch,
+    StoreUnreachable,
+)
+
+ANSWER_SECONDS = 1.2  # answers take 4 ms as a rule, some 0.3 s from a slow store, and 60 ms of way
+CONNECT_SECONDS = 1.0
+READ_KILOBYTES_MAX = 1024
+_LENGTH = struct.Struct(">I")
+_READ_HEAD = struct.Struct(">QQ")
+
+_Answer = Result[tuple[int, bytes], StoreUnreachable]
+
+
+@define(eq=False)
+class PlatformStore:
+    """Hold the way to the store."""
+
+    _http: HttpClient
+    _address: Address
+
+    def read_newest(self, partition: Partition, done: NewestDone) -> None:
+        """Read the newest record of each key, page by page."""
+        _NewestRead(self, partition, done).read_page()
+
+    def read_from(
+        self, partition: Partition, offset: int, wait_seconds: float, done: ReadDone
+    ) -> None:
+        """Read the records from an offset on; wait for the first one."""
+        query = _name_partition(partition) | {"from": offset, "max_kb": READ_KILOBYTES_MAX}
+        if wait_seconds:
+            query["wait_ms"] = int(wait_seconds * 1000)
+
+        def take(answer: _Answer) -> None:
+            match answer:
+                case Ok((200, body)):
+                    done(_read_raw_records(body, offset))
+                case Ok((410, body)):
+                    done(Err(HistoryExpired(_read_number(body, "first"))))
+                case Ok((status, _)):
+                    done(Err(StoreUnreachable(f"status {status}", False)))
+                case Err(failure):
+                    done(Err(failure))
+
+        self.call("GET", "/-/log-read", query, b"", take, ANSWER_SECONDS + wait_seconds)
+
+    def append(
+        self, partition: Partition, key: str, value: bytes | None, end: int | None, done: AppendDone
+    ) -> None:
+        """Append one record, only where the partition ends at the given offset if there is one."""
+        query = _name_partition(partition)
+        if end is not None:
+            query["at"] = end
+        name = key.encode()
+        record = bytes([len(name)]) + name + (value or b"")
+
+        def take(answer: _Answer) -> None:
+            match answer:
+                case Ok((200, body)):
+                    done(Ok(_read_number(body, "offset")))
+                case Ok((412, body)):
+                    done(Err(EndMoved(_read_number(body, "end"))))
+                case Ok((status, _)):
+                    # A 503 or 429 says that nothing was done; of others that is not known.
+                    done(Err(StoreUnreachable(f"status {status}", status not in (429, 503))))
+                case Err(failure):
+                    done(Err(failure))
+
+        body = _LENGTH.pack(len(record)) + record
+        self.call("POST", "/-/log-append", query, body, take, ANSWER_SECONDS)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str | int],
+        body: bytes,
+        done: Callable[[_Answer], None],
+        seconds: float,
+    ) -> None:
+        """Make one call and give its status and whole body."""
+        target = f"{path}?{urlencode(query)}"
+        call = HttpCall(self._address, method, target, {}, body, seconds, CONNECT_SECONDS)
+        parts: list[bytes] = []
+        status = 0
+
+        def listen(event: CallEvent) -> None:
+            nonlocal status
+            if isinstance(event, ResponseHead):
+                status = event.status
+            elif isinstance(event, BodyPart):
+                parts.append(event.data)
+            elif isinstance(event, ResponseEnd):
+                done(Ok((status, b"".join(parts))))
+            elif isinstance(event, CallFailed):
+                done(Err(StoreUnreachable(event.cause, event.sent)))
+
+        self._http.send(call, listen)
+
+
+@define(eq=False)
+class _NewestRead:
+    """Collect the pages of the newest records; the first page's end starts the reads that follow.
+
+    Pages are no snapshot: what changes between two of them is read again from that end on.
+    """
+
+    _store: PlatformStore
+    _partition: Partition
+    _done: NewestDone
+    _records: list[KeyedRecord] = field(factory=list)
+    _end: int | None = None
+
+    def read_page(self, after: str | None = None) -> None:
+        """Ask for the page after a key."""
+        query = _name_partition(self._partition)
+        if after is not None:
+            query["after"] = after
+        self._store.call("GET", "/-/log-newest", query, b"", self._take, ANSWER_SECONDS)
+
+    def _take(self, answer: _Answer) -> None:
+        match answer:
+            case Ok((200, body)):
+                self._take_page(body)
+            case Ok((status, _)):
+                self._done(Err(StoreUnreachable(f"status {status}", False)))
+            case Err(failure):
+                self._done(Err(failure))
+
+    def _take_page(self, body: bytes) -> None:
+        try:
+            page = json.loads(body)
+            self._records += [
+                KeyedRecord(item["key"], base64.b64decode(item["value"]), item["offset"])
+                for item in page["items"]
+            ]
+            if self._end is None:
+                self._end = int(page["end"])
+        except (ValueError, KeyError, TypeError) as error:
+            self._done(Err(StoreUnreachable(f"malformed page: {error!r}", False)))
+            return
+        if page.get("more_pages") and page["items"]:
+            self.read_page(page["items"][-1]["key"])
+        else:
+            self._done(Ok(RecordBatch(self._records, self._end)))
+
+
+def _name_partition(partition: Partition) -> dict[str, str | int]:
+    return {"topic": partition.topic, "part": partition.number}
+
+
+def _read_number(body: bytes, name: str) -> int:
+    """Return a number of a JSON body, or -1 where there is none."""
+    try:
+        return int(json.loads(body)[name])
+    except (ValueError, KeyError, TypeError):
+        return -1
+
+
+def _read_raw_records(body: bytes, offset: int) -> Result[RecordBatch, StoreUnreachable]:
+    """Read the raw form: the end and the first kept offset, then length-prefixed records."""
+    if len(body) < _READ_HEAD.size:
+        return Err(StoreUnreachable("malformed read: no head", False))
+    end, first = _READ_HEAD.unpack_from(body)
+    position = _READ_HEAD.size
+    number = max(offset, first)
+    records = []
+    while position + _LENGTH.size <= len(body):
+        (size,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        data = body[position : position + size]
+        if len(data) < size:
+            return Err(StoreUnreachable("malformed read: a record is cut short", False))
+        position += size
+        record = _read_keyed(data, number)
+        if record is not None:
+            records.append(record)
+        number += 1
+    # A read carries at most so many kilobytes, so that it may stop before the end.
+    return Ok(RecordBatch(records, number if number < end else end))
+
+
+def _read_keyed(data: bytes, offset: int) -> KeyedRecord | None:
+    if not data or len(data) < 1 + data[0]:
+        return None
+    key = data[1 : 1 + data[0]].decode("utf-8", "replace")
+    return KeyedRecord(key, data[1 + data[0] :] or None, offset)
--- a/bronzetiller/reports/nodes.py
+++ b/bronzetiller/reports/nodes.py
@@ -8,7 +8,7 @@
 from bronzetiller.configuration.streams import CONFIGURATION_STREAM
 
 if TYPE_CHECKING:
-    from bronzetiller.platform.vm_list import Vm
+    from bronzetiller.fleet.vm_list import Vm
     from bronzetiller.wire.messages import Heartbeat
 
 
--- a/bronzetiller/requests/billing.py
+++ b/bronzetiller/requests/billing.py
@@ -13,10 +13,10 @@
 from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.metrics import TOKENS_BILLED
 from bronzetiller.net.scheduler import Scheduler, Timer
-from bronzetiller.platform.log_client import Entry
 from bronzetiller.requests.couriers import Couriers, Handover
 from bronzetiller.requests.kept_bills import separate
 from bronzetiller.settings import RequestSettings
+from bronzetiller.storage.log_client import Entry
 
 MISSED_CHECK_SECONDS = 1.0
 
--- a/bronzetiller/requests/claimants.py
+++ b/bronzetiller/requests/claimants.py
@@ -9,9 +9,9 @@
 from bronzetiller.budgets.shards import Shards
 from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.net.scheduler import Scheduler, Timer
-from bronzetiller.platform.log_client import Entry
 from bronzetiller.requests.claims import ClaimRecord, ClaimState, ClaimVerdict
 from bronzetiller.settings import RequestSettings
+from bronzetiller.storage.log_client import Entry
 
 GONE_CHECK_SECONDS = 0.5
 
--- a/bronzetiller/requests/couriers.py
+++ b/bronzetiller/requests/couriers.py
@@ -11,12 +11,12 @@
 from bronzetiller.budgets.shards import Shards
 from bronzetiller.fleet.incarnations import read_node_id
 from bronzetiller.fleet.peers import Peers, Reply
+from bronzetiller.fleet.vm_list import VmList
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import COURIER_BILLS, KEPT_BILLS
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.log_client import Entry
-from bronzetiller.platform.vm_list import VmList
 from bronzetiller.requests.kept_bills import KeptBill, KeptBills
+from bronzetiller.storage.log_client import Entry
 from bronzetiller.wire.messages import BillKept, DropBill, KeepBill, Message
 
 ANSWER_SECONDS = 1.0
--- a/bronzetiller/requests/deaths.py
+++ b/bronzetiller/requests/deaths.py
@@ -5,11 +5,11 @@
 from attrs import define, field
 
 from bronzetiller.fleet.peers import Peers, Reply
+from bronzetiller.fleet.vm_list import Vm
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import TARGET_DEATHS
-from bronzetiller.net.dialer import Connection, ConnectionHandlers, Dialer
+from bronzetiller.net.dialer import CLOSED, RESET, Connection, ConnectionHandlers, Dialer
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.vm_list import Vm
 from bronzetiller.requests.quarantine import Passage, Quarantine, RequestMark
 from bronzetiller.routing.targets import TargetChooser
 from bronzetiller.wire.messages import DeathNoted, MarkedRequest, TargetDied
@@ -22,7 +22,6 @@
 TELL_SECONDS = 0.5
 REPORTS_SECONDS = 0.5
 PEERS_CHECK_SECONDS = 0.25
-CLOSED_CAUSE = "closed by the other end"
 REFUSED_CAUSES = ("connect: refused", "connect: errno 111")
 
 Judged = Callable[[], None]
@@ -146,7 +145,7 @@
                 self._finish(probe, died=False)
 
         def close(cause: str) -> None:
-            if cause == CLOSED_CAUSE and probe.dials < DIALS_MAX:
+            if cause in (CLOSED, RESET) and probe.dials < DIALS_MAX:
                 self._dial(probe)
             else:
                 self._finish(probe, died=cause in REFUSED_CAUSES)
--- a/bronzetiller/routing/engine.py
+++ b/bronzetiller/routing/engine.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 from result import Err
 
+from bronzetiller.fleet.vm_list import Vm
 from bronzetiller.metrics import LATE_BYTES
 from bronzetiller.net.event_stream import EVENT_BYTES_MAX, EventSplitter
 from bronzetiller.net.http_client import (
@@ -20,7 +21,6 @@
     ResponseEnd,
     ResponseHead,
 )
-from bronzetiller.platform.vm_list import Vm
 from bronzetiller.routing.chunks import Chunk, Usage, read_chunk
 
 ATTEMPT_HEADER = "X-Request-Id"
--- a/bronzetiller/routing/load_poller.py
+++ b/bronzetiller/routing/load_poller.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 from result import Ok
 
+from bronzetiller.fleet.vm_list import Vm
 from bronzetiller.net.http_client import (
     BodyPart,
     CallEvent,
@@ -15,7 +16,6 @@
     ResponseHead,
 )
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.vm_list import Vm
 from bronzetiller.routing.target_state import read_load
 from bronzetiller.routing.targets import TargetChooser
 
--- a/bronzetiller/routing/selection.py
+++ b/bronzetiller/routing/selection.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-from bronzetiller.platform.vm_list import Vm
+from bronzetiller.fleet.vm_list import Vm
 from bronzetiller.routing.target_state import TargetState
 
 AFFINITY_SLACK = 0.25
--- a/bronzetiller/routing/service.py
+++ b/bronzetiller/routing/service.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field, frozen
 
+from bronzetiller.fleet.vm_list import Vm
 from bronzetiller.net.http_client import (
     BodyPart,
     CallEvent,
@@ -14,7 +15,6 @@
     ResponseEnd,
     ResponseHead,
 )
-from bronzetiller.platform.vm_list import Vm
 from bronzetiller.routing.engine import ATTEMPT_HEADER
 
 ANSWER_BYTES_MAX = 16 * 1024 * 1024
--- a/bronzetiller/routing/targets.py
+++ b/bronzetiller/routing/targets.py
@@ -8,10 +8,10 @@
 from attrs import define, field
 
 from bronzetiller.configuration.records import PlannedStop
+from bronzetiller.fleet.vm_list import Vm, VmList, VmState
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import TARGET_AVOIDANCES
 from bronzetiller.net.http_client import TOO_LATE
-from bronzetiller.platform.vm_list import Vm, VmList, VmState
 from bronzetiller.routing.engine import AnswerEnd, AnswerPart, AttemptEvent, AttemptListener
 from bronzetiller.routing.selection import SelectionRules, select_target
 from bronzetiller.routing.service import CallOutcome, OutcomeListener, ServiceFailed
--- a/bronzetiller/platform/follower.py
+++ b/bronzetiller/storage/follower.py
@@ -8,7 +8,7 @@
 
 from bronzetiller.logs import log_event
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.log_client import (
+from bronzetiller.storage.log_client import (
     READ_WAIT_SECONDS,
     Entry,
     LogClient,
--- /dev/null
+++ b/bronzetiller/storage/keyed_follower.py
@@ -0,0 +1,112 @@
+"""Follow one partition of a keyed store and hold the newest value of each key."""
+
+from collections.abc import Callable
+
+from attrs import define, field
+from result import Err, Ok, Result
+
+from bronzetiller.logs import log_event
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.storage.keyed import (
+    HistoryExpired,
+    KeyedRecord,
+    KeyedStore,
+    Partition,
+    ReadFailure,
+    RecordBatch,
+    StoreUnreachable,
+)
+
+RETRY_SECONDS_MIN = 0.1
+RETRY_SECONDS_MAX = 0.8  # well inside the few seconds in which a change has to be in force
+
+Changed = Callable[[list[KeyedRecord]], None]
+
+
+@define(eq=False)
+class KeyedFollower:
+    """Read a partition for the life of the process.
+
+    A read waits up to wait_seconds for the first new record and the next one begins
+    pause_seconds after the last. lost_at and regained_at are monotonic seconds.
+    """
+
+    _scheduler: Scheduler
+    _store: KeyedStore
+    partition: Partition
+    _on_change: Changed
+    wait_seconds: float
+    pause_seconds: float
+    values: dict[str, bytes] = field(factory=dict)
+    offset: int = -1
+    complete: bool = False
+    read_at: float = 0.0
+    lost_at: float | None = None
+    regained_at: float | None = None
+    _failures: int = 0
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._read()
+
+    @property
+    def is_lost(self) -> bool:
+        """Say whether the last read failed."""
+        return self.lost_at is not None
+
+    def _read(self) -> None:
+        if self.offset < 0:
+            self._store.read_newest(self.partition, self._take_newest)
+        else:
+            self._store.read_from(self.partition, self.offset, self.wait_seconds, self._take_next)
+
+    def _take_newest(self, result: Result[RecordBatch, StoreUnreachable]) -> None:
+        match result:
+            case Err(failure):
+                self._fail(failure)
+            case Ok(batch):
+                present = {record.key for record in batch.records}
+                gone = [KeyedRecord(key, None, batch.end) for key in self.values.keys() - present]
+                self._accept(RecordBatch([*gone, *batch.records], batch.end))
+
+    def _take_next(self, result: Result[RecordBatch, ReadFailure]) -> None:
+        match result:
+            case Err(HistoryExpired(first_offset)):
+                log_event("history_expired", partition=self.partition, first_offset=first_offset)
+                self.offset = -1
+                self._read()
+            case Err(StoreUnreachable() as failure):
+                self._fail(failure)
+            case Ok(batch):
+                self._accept(batch)
+
+    def _accept(self, batch: RecordBatch) -> None:
+        now = self._scheduler.now()
+        self.read_at = now
+        if self.lost_at is not None:
+            seconds = round(now - self.lost_at, 3)
+            log_event("store_regained", partition=self.partition, lost_seconds=seconds)
+            self.regained_at, self.lost_at = now, None
+        self._failures = 0
+        changed = [record for record in batch.records if self._apply(record)]
+        self.offset = batch.end
+        self.complete = True
+        if changed:
+            self._on_change(changed)
+        self._scheduler.call_after(self.pause_seconds, self._read)
+
+    def _apply(self, record: KeyedRecord) -> bool:
+        if record.value is None:
+            return self.values.pop(record.key, None) is not None
+        if self.values.get(record.key) == record.value:
+            return False
+        self.values[record.key] = record.value
+        return True
+
+    def _fail(self, failure: StoreUnreachable) -> None:
+        if self.lost_at is None:
+            self.lost_at = self._scheduler.now()
+            log_event("store_lost", level=30, partition=self.partition, cause=failure.cause)
+        delay = min(RETRY_SECONDS_MAX, RETRY_SECONDS_MIN * 2**self._failures)
+        self._failures = min(self._failures + 1, 8)
+        self._scheduler.call_after(delay, self._read)
--- a/bronzetiller/platform/log_client.py
+++ b/bronzetiller/storage/log_client.py
@@ -21,7 +21,7 @@
     ResponseEnd,
     ResponseHead,
 )
-from bronzetiller.platform.patience import Patience
+from bronzetiller.storage.patience import Patience
 
 APPEND_SILENCE_SECONDS = 2.0
 READ_WAIT_SECONDS = 2.0
--- a/bronzetiller/platform/snapshots.py
+++ b/bronzetiller/storage/snapshots.py
@@ -14,7 +14,7 @@
 from attrs import define, field, fields, frozen
 from cattrs import Converter
 
-from bronzetiller.platform.log_client import Record
+from bronzetiller.storage.log_client import Record
 from bronzetiller.wire.messages import SnapshotPiece
 
 PIECE_CHARACTERS = 128 * 1024
--- a/bronzetiller/platform/writer.py
+++ b/bronzetiller/storage/writer.py
@@ -7,7 +7,7 @@
 
 from bronzetiller.logs import log_event
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.log_client import LogClient, LogFailure, Record
+from bronzetiller.storage.log_client import LogClient, LogFailure, Record
 
 RETRY_SECONDS = 0.25
 UNREACHABLE_SECONDS = 1.0
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -12,8 +12,8 @@
 
 from bronzetiller.fleet.drain import Phase, find_phase
 from bronzetiller.fleet.entries import EntryView, list_entries
+from bronzetiller.fleet.vm_list import Vm, VmRole, VmState
 from bronzetiller.net.dialer import Address
-from bronzetiller.platform.vm_list import Vm, VmRole, VmState
 from bronzetiller.wire.messages import Heartbeat
 from standins.engine import make_words
 from standins.fleet import call_json
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from bronzetiller.platform.follower import StreamFollower
-from bronzetiller.platform.log_client import Entry, LogFailure, Page
+from bronzetiller.storage.follower import StreamFollower
+from bronzetiller.storage.log_client import Entry, LogFailure, Page
 
 RECORDS = 12
 
--- a/tests/test_grant_keeper.py
+++ b/tests/test_grant_keeper.py
@@ -23,8 +23,8 @@
 from bronzetiller.budgets.shards import Shards
 from bronzetiller.budgets.transfers import Transfers
 from bronzetiller.net.scheduler import Timer
-from bronzetiller.platform.log_client import Entry, Page
 from bronzetiller.settings import BudgetSettings
+from bronzetiller.storage.log_client import Entry, Page
 from bronzetiller.wire.messages import AskTokens, TransferTokens
 
 OWN = "node-1/a"
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,8 +7,8 @@
 from bronzetiller.fleet.incarnations import FleetView, is_gone, make_incarnation
 from bronzetiller.fleet.neighbours import choose_interval_seconds, choose_neighbours
 from bronzetiller.fleet.relay import choose_reader
+from bronzetiller.fleet.vm_list import Vm, VmRole, VmState
 from bronzetiller.net.dialer import Address
-from bronzetiller.platform.vm_list import Vm, VmRole, VmState
 from standins.fleet import Fleet
 from tests.conftest import KEY, await_ready, await_true, read_metric, send_chat
 
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bronzetiller.platform.patience import Patience
+from bronzetiller.storage.patience import Patience
 from standins.fleet import call_json
 from tests.conftest import KEY, await_ready, await_true, read_records, send_chat
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -8,7 +8,7 @@
 
 from bronzetiller.fleet.delegation import Delegation
 from bronzetiller.fleet.pacing import choose_pace
-from bronzetiller.platform.log_client import LogFailure
+from bronzetiller.storage.log_client import LogFailure
 from bronzetiller.wire.messages import AppendRecords, Heartbeat, RecordsAppended
 
 
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -9,7 +9,7 @@
 from bronzetiller.budgets.records import Bill, Charge, Credit, Grant, Return
 from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
 from bronzetiller.configuration.fold import Configuration
-from bronzetiller.platform.snapshots import (
+from bronzetiller.storage.snapshots import (
     PIECE_CHARACTERS,
     Fold,
     PieceCollector,
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from bronzetiller.configuration.records import PlannedStop
+from bronzetiller.fleet.vm_list import Vm, VmRole, VmState
 from bronzetiller.net.dialer import Address
-from bronzetiller.platform.vm_list import Vm, VmRole, VmState
 from bronzetiller.routing.selection import SelectionRules, select_target
 from bronzetiller.routing.target_state import (
     BACKOFF_SECONDS_MAX,
--- a/tests/test_token_sources.py
+++ b/tests/test_token_sources.py
@@ -9,7 +9,7 @@
 from bronzetiller.budgets.pauses import PAUSE_SECONDS_MAX, PauseDetector, PauseGuard
 from bronzetiller.budgets.shards import Shards
 from bronzetiller.budgets.sources import AskOutcome, Shortage, Source, choose_source, is_short
-from bronzetiller.platform.log_client import LogFailure, Page
+from bronzetiller.storage.log_client import LogFailure, Page
 
 SHORTAGE = Shortage(
     needed=100,
