Hand out budgets by node, with a slack that bounds what a dead node may have spent

One node also took over half of a budget in steps of a twelfth of what was free. Ruled out: that too little was left in all; the operator's top-ups. Now each node keeps one record, reports what it committed and a slack, and its next incarnation hands the rest back. Placement also counts prompts not yet read and waits seen.

--- a/bronzetiller/gateway/allotment_keeper.py
+++ b/bronzetiller/gateway/allotment_keeper.py
@@ -1,6 +1,6 @@
-"""Keep a node's allotments in step with the budgets in the store."""
+"""Keep a node's allotments in step with the records of all nodes in the store."""
 
-import zlib
+import time
 from collections.abc import Callable
 from itertools import count
 
@@ -9,14 +9,16 @@
 
 from bronzetiller.errors import Reason, Refusal
 from bronzetiller.gateway.allotments import (
+    Account,
     Allotment,
-    BudgetRecord,
-    read_budget_record,
-    size_request,
-    size_return,
-    size_wanted,
+    HoldingRecord,
+    read_holding_record,
+    reclaim_accounts,
+    size_change,
+    size_target,
 )
 from bronzetiller.gateway.catalogue import WorkspaceTerms
+from bronzetiller.gateway.clock_watch import ClockWatch
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import GRANTS_ASKED, TOKENS_MOVED
 from bronzetiller.net.scheduler import Scheduler
@@ -32,12 +34,13 @@
     StoreUnreachable,
 )
 
-BUDGETS_TOPIC = "keyed.budgets"
-CHECK_SECONDS = 0.5
+HOLDINGS_PARTITION = Partition("keyed.holdings")
+REPORT_SECONDS_MIN = 0.8  # a few writes a second of the hundreds that the store takes
+REPORT_SECONDS_PER_NODE = 0.08  # so that conditional writes of many nodes rarely collide
+CHECK_SECONDS = 0.2
 RETRY_SECONDS = 0.25
-FRESH_SECONDS = 1.5  # a budget read longer ago than this is read again before a refusal
 WAIT_SECONDS_MAX = 1.2  # a few answers of the store from another region, each some 70 ms
-UNCONFIRMED_RETRY_SECONDS = 1.0
+UNCONFIRMED_RETRY_SECONDS = 0.6
 
 Obtained = Callable[[Result[None, Refusal]], None]
 
@@ -50,50 +53,36 @@
     done: Obtained
 
 
-@define(eq=False)
-class _Change:
-    """Hold a conditional append until it is known whether it took effect."""
-
-    allotment: Allotment
-    tokens: int
-    record: BudgetRecord
-    end: int
-
-
-@define(eq=False)
-class _PartitionView:
-    """Hold what this node knows of one partition; one call is open at a time."""
-
-    partition: Partition
-    end: int = -1
-    records: dict[str, BudgetRecord] = field(factory=dict)
-    read_at: float = float("-inf")
-    busy: bool = False
-    change: _Change | None = None
-
-
 @define(eq=False)
 class AllotmentKeeper:
-    """Hold the allotments of a node; holder names its incarnation in the records it writes."""
+    """Hold the allotments of a node and its record; one call to the store is open at a time."""
 
     _scheduler: Scheduler
     _store: KeyedStore
-    _partitions: int
+    _node_id: str
     _holder: str
     _count_nodes: Callable[[], int]
+    _find_share: Callable[[], float]
     allotments: dict[str, Allotment] = field(factory=dict)
+    _started_at: float = field(factory=time.time)
+    _clock: ClockWatch = field(factory=ClockWatch)
+    _records: dict[str, HoldingRecord] = field(factory=dict)
+    _reclaimed: dict[str, Account] = field(factory=dict)
     _meters: dict[str, RateMeter] = field(factory=dict)
-    _views: dict[int, _PartitionView] = field(factory=dict)
     _waiters: dict[str, list[_Waiter]] = field(factory=dict)
-    _numbers: "count[int]" = field(factory=count)
-    _ahead: bool = False
+    _numbers: "count[int]" = field(factory=lambda: count(1))
+    _end: int = -1
+    _proposed: HoldingRecord | None = None
+    _busy: bool = False
+    _lost: bool = False
     _leaving: bool = False
+    _reported_at: float = float("-inf")
+    _read_at: float = float("-inf")
 
     def start(self) -> None:
-        """Begin to hold tokens ahead of need."""
-        self._ahead = True
-        self._scheduler.call_every(CHECK_SECONDS, self._check_all)
-        self._check_all()
+        """Begin to report and to hold tokens ahead of need."""
+        self._scheduler.call_every(CHECK_SECONDS, self._check)
+        self._check()
 
     def set_workspaces(self, workspaces: dict[str, WorkspaceTerms]) -> None:
         """Take over the budgets of a new configuration."""
@@ -103,7 +92,7 @@
                 continue
             known = self.allotments.get(name)
             if known is None:
-                self.allotments[name] = Allotment(name, terms.prepaid_tokens)
+                self.allotments[name] = self._make_allotment(name, terms.prepaid_tokens)
             elif known.prepaid != terms.prepaid_tokens:
                 log_event(
                     "budget_changed",
@@ -112,8 +101,6 @@
                     after=terms.prepaid_tokens,
                 )
                 known.prepaid = terms.prepaid_tokens
-        if self._ahead:
-            self._check_all()
 
     def obtain(self, workspace: str, tokens: int, deadline: float, done: Obtained) -> None:
         """Set tokens aside, now or once the store has handed them out; done is called once."""
@@ -121,22 +108,19 @@
         if allotment is None:
             done(Ok(None))
             return
-        if not self._waiters.get(workspace) and allotment.reserve(tokens):
-            self._meter(workspace).note(tokens, self._scheduler.now())
+        now = self._scheduler.now()
+        if not allotment.waiting and allotment.reserve(tokens, now):
+            self._meter(workspace).note(tokens, now)
             done(Ok(None))
-            self._act(allotment)
             return
-        allotment.largest = max(allotment.largest, tokens)
-        waiter = _Waiter(
-            allotment,
-            tokens,
-            min(deadline, self._scheduler.now() + WAIT_SECONDS_MAX),
-            done,
-        )
+        if self._lost:
+            done(Err(_refuse_unconfirmed("the store does not answer")))
+            return
+        waiter = _Waiter(allotment, tokens, min(deadline, now + WAIT_SECONDS_MAX), done)
         self._waiters.setdefault(workspace, []).append(waiter)
         allotment.waiting[id(waiter)] = tokens
         self._scheduler.call_at(waiter.deadline, lambda: self._expire(waiter))
-        self._act(allotment)
+        self._report()
 
     def settle(self, workspace: str, reserved: int, used: int) -> None:
         """Spend a part of what was set aside and put the rest back."""
@@ -149,202 +133,239 @@
 
     def return_all(self) -> None:
         """Hand back what no request needs, before the node ends."""
-        self._leaving = True
-        for allotment in self.allotments.values():
-            self._act(allotment)
+        if not self._leaving:
+            self._leaving = True
+            self._report()
 
-    @property
-    def is_idle(self) -> bool:
-        """Say whether no change waits for the store."""
-        return all(not view.busy for view in self._views.values())
+    def _make_allotment(self, name: str, prepaid: int) -> Allotment:
+        account = self._reclaimed.get(name, Account())
+        return Allotment(name, prepaid, spent=account.committed, reported=account)
 
     def _meter(self, workspace: str) -> RateMeter:
         return self._meters.setdefault(workspace, RateMeter())
 
-    def _view(self, workspace: str) -> _PartitionView:
-        number = zlib.crc32(workspace.encode()) % self._partitions
-        view = self._views.get(number)
-        if view is None:
-            view = self._views[number] = _PartitionView(Partition(BUDGETS_TOPIC, number))
-        return view
-
-    def _check_all(self) -> None:
-        for allotment in list(self.allotments.values()):
-            self._act(allotment)
-
-    def _act(self, allotment: Allotment) -> None:
-        """Ask for tokens or hand some back, if this node should and nothing is under way."""
-        view = self._view(allotment.workspace)
-        if view.busy:
+    def _check(self) -> None:
+        self._clock.check()
+        interval = max(REPORT_SECONDS_MIN, REPORT_SECONDS_PER_NODE * self._count_nodes())
+        due = self._scheduler.now() - self._reported_at >= interval
+        if due or any(allotment.waiting for allotment in self.allotments.values()):
+            self._report()
+
+    def _report(self) -> None:
+        """Write this node's record as it should be now, unless a call is open."""
+        if self._busy:
             return
-        if view.end < 0:
-            self._read(view)
+        if self._end < 0:
+            self._read()
             return
-        tokens = self._size_change(allotment, view)
-        if tokens:
-            self._change(view, allotment, tokens)
-        elif allotment.waiting:
-            self._refuse_or_refresh(view, allotment)
-
-    def _size_change(self, allotment: Allotment, view: _PartitionView) -> int:
-        """Return the tokens to take (positive) or to hand back (negative)."""
-        record = view.records.get(allotment.workspace, BudgetRecord())
-        free = allotment.prepaid - record.handed_out
-        if free < 0 or self._leaving:
-            return -allotment.balance if not allotment.waiting else 0
-        if not self._ahead:
-            return size_request(allotment, wanted=0, free=free, nodes=1)
-        nodes = max(1, self._count_nodes())
-        rate = self._meter(allotment.workspace).estimate(self._scheduler.now())
-        wanted = size_wanted(allotment, rate=rate, nodes=nodes)
-        tokens = size_request(allotment, wanted=wanted, free=free, nodes=nodes)
-        return tokens or -size_return(allotment, wanted=wanted)
-
-    def _change(self, view: _PartitionView, allotment: Allotment, tokens: int) -> None:
-        record = view.records.get(allotment.workspace, BudgetRecord())
-        if tokens < 0:
-            allotment.balance += tokens  # not to be spent while the record may already be lower
-        new = BudgetRecord(record.handed_out + tokens, f"{self._holder}/{next(self._numbers)}")
-        view.change = _Change(allotment, tokens, new, view.end)
-        view.busy = True
-        cause = "waiting" if allotment.waiting else "ahead" if tokens > 0 else "surplus"
-        GRANTS_ASKED.labels(cause).inc()
-        self._append(view)
-
-    def _append(self, view: _PartitionView) -> None:
-        change = view.change
-        assert change is not None
+        now = self._scheduler.now()
+        accounts = {}
+        for name, allotment in self.allotments.items():
+            change = self._size_change(allotment)
+            handed_out = allotment.reported.handed_out + change
+            rate = self._meter(name).estimate(now) or 0.0
+            accounts[name] = allotment.propose(handed_out, max(0.0, rate), now)
+            if change:
+                cause = "waiting" if allotment.waiting else "ahead" if change > 0 else "surplus"
+                GRANTS_ASKED.labels(cause).inc()
+        kept = {name: item for name, item in self._reclaimed.items() if name not in accounts}
+        self._proposed = HoldingRecord(
+            self._holder, next(self._numbers), time.time(), self._clock.steady, accounts | kept
+        )
+        self._busy = True
+        self._append()
+
+    def _size_change(self, allotment: Allotment) -> int:
+        others = [
+            record.accounts[allotment.workspace]
+            for node_id, record in self._records.items()
+            if node_id != self._node_id and allotment.workspace in record.accounts
+        ]
+        handed_out = allotment.reported.handed_out + sum(item.handed_out for item in others)
+        free = allotment.prepaid - handed_out
+        if self._leaving:
+            return -max(0, allotment.held)
+        left = allotment.prepaid - allotment.committed - sum(item.committed for item in others)
+        target = size_target(allotment, left=left, share=self._find_share())
+        return max(size_change(allotment, target=target, free=free), -max(0, allotment.held))
+
+    def _append(self) -> None:
+        record = self._proposed
+        assert record is not None
 
         def take(result: Result[int, AppendFailure]) -> None:
             match result:
                 case Ok(offset):
-                    view.end = offset + 1
-                    view.records[change.allotment.workspace] = change.record
-                    view.read_at = self._scheduler.now()
-                    self._finish(view, applied=True)
+                    self._end = offset + 1
+                    self._records[self._node_id] = record
+                    self._note_contact()
+                    self._conclude(applied=True)
                 case Err(EndMoved()):
-                    self._read(view)
+                    self._read()
                 case Err(StoreUnreachable(cause, may_have_run)):
-                    log_event("budget_change_unanswered", level=30, cause=cause, ran=may_have_run)
-                    if not may_have_run:
-                        self._finish(view, applied=False, pause=True)
-                    else:
+                    self._note_loss(cause)
+                    if may_have_run:
                         # Only the same append again tells whether the first one took effect.
-                        self._scheduler.call_after(RETRY_SECONDS, lambda: self._append(view))
+                        self._scheduler.call_after(RETRY_SECONDS, self._append)
+                    else:
+                        self._conclude(applied=False)
 
-        key = change.allotment.workspace
-        self._store.append(view.partition, key, change.record.encode(), change.end, take)
+        self._store.append(HOLDINGS_PARTITION, self._node_id, record.encode(), self._end, take)
 
-    def _read(self, view: _PartitionView) -> None:
-        view.busy = True
-        if view.end < 0:
-            self._store.read_newest(view.partition, lambda result: self._take_read(view, result))
-            return
-        self._store.read_from(
-            view.partition, view.end, 0.0, lambda result: self._take_read(view, result)
-        )
+    def _read(self) -> None:
+        self._busy = True
+        if self._end < 0:
+            self._store.read_newest(HOLDINGS_PARTITION, self._take_read)
+        else:
+            self._store.read_from(HOLDINGS_PARTITION, self._end, 0.0, self._take_read)
 
     def _take_read(
-        self,
-        view: _PartitionView,
-        result: Result[RecordBatch, ReadFailure] | Result[RecordBatch, StoreUnreachable],
+        self, result: Result[RecordBatch, ReadFailure] | Result[RecordBatch, StoreUnreachable]
     ) -> None:
         match result:
             case Err(HistoryExpired()):
-                view.end = -1
-                self._read(view)
+                self._end = -1
+                self._read()
             case Err(failure):
-                log_event("budget_unread", level=30, partition=view.partition, cause=failure)
-                self._scheduler.call_after(RETRY_SECONDS, lambda: self._read(view))
-                self._fail_waiters(view)
+                self._note_loss(str(failure))
+                self._scheduler.call_after(RETRY_SECONDS, self._read)
             case Ok(batch):
-                applied = False
+                first = not self._records and self._proposed is None
                 for item in batch.records:
-                    record = read_budget_record(item.value or b"")
+                    record = read_holding_record(item.value or b"")
                     if record is None:
-                        log_event("budget_record_malformed", level=40, key=item.key)
-                        continue
-                    view.records[item.key] = record
-                    if view.change is not None and record.writer == view.change.record.writer:
-                        applied = True
-                view.end = batch.end
-                view.read_at = self._scheduler.now()
-                self._finish(view, applied=applied)
-
-    def _finish(self, view: _PartitionView, *, applied: bool, pause: bool = False) -> None:
-        change, view.change = view.change, None
-        view.busy = False
-        if change is not None:
-            self._conclude(change, applied=applied)
-        if pause:
-            view.busy = True
-            self._scheduler.call_after(RETRY_SECONDS, lambda: self._resume(view))
-        else:
-            self._resume(view)
-
-    def _conclude(self, change: _Change, *, applied: bool) -> None:
-        allotment = change.allotment
-        if applied and change.tokens > 0:
-            allotment.balance += change.tokens
-            TOKENS_MOVED.labels("granted").inc(change.tokens)
-        elif applied:
-            TOKENS_MOVED.labels("returned").inc(-change.tokens)
-        elif change.tokens < 0:
-            allotment.balance -= change.tokens
+                        log_event("holding_record_malformed", level=40, key=item.key)
+                    else:
+                        self._records[item.key] = record
+                self._end = batch.end
+                self._note_contact()
+                if first:
+                    self._reclaim()
+                self._conclude(applied=self._is_applied())
+
+    def _is_applied(self) -> bool:
+        """Say whether the store holds the proposed record."""
+        own, proposed = self._records.get(self._node_id), self._proposed
+        if own is None or proposed is None:
+            return False
+        return own.holder == proposed.holder and own.number == proposed.number
+
+    def _reclaim(self) -> None:
+        """Take over what the last incarnation of this node cannot have spent."""
+        record = self._records.get(self._node_id)
+        if record is None:
+            return
+        self._reclaimed = reclaim_accounts(record, self._started_at)
+        for name, account in self._reclaimed.items():
+            log_event(
+                "holding_reclaimed",
+                workspace=name,
+                holder=record.holder,
+                age=round(self._started_at - record.reported_at, 2),
+                clock_steady=record.clock_steady,
+                handed_out=record.accounts[name].handed_out,
+                counted_as_spent=account.committed,
+            )
+            allotment = self.allotments.get(name)
+            if allotment is not None:
+                allotment.spent += account.committed
+                allotment.reported = account
+
+    def _note_contact(self) -> None:
+        self._read_at = self._scheduler.now()
+        if self._lost:
+            self._lost = False
+            log_event("budget_store_regained")
+
+    def _note_loss(self, cause: str) -> None:
+        if self._lost:
+            return
+        self._lost = True
+        log_event("budget_store_lost", level=30, cause=cause)
+        for waiters in list(self._waiters.values()):
+            for waiter in list(waiters):
+                self._end_wait(waiter, Err(_refuse_unconfirmed(cause)))
+
+    def _conclude(self, *, applied: bool) -> None:
+        proposed, self._proposed = self._proposed, None
+        self._busy = False
+        if applied:
+            self._reported_at = self._scheduler.now()
+        for allotment in self.allotments.values():
+            change = 0
+            if proposed is not None and allotment.proposed is not None:
+                change = allotment.proposed.handed_out - allotment.reported.handed_out
+            allotment.conclude(applied=applied)
+            if applied and change:
+                self._log_change(allotment, change)
+            self._serve_waiters(allotment)
+        self._refuse_uncovered()
+        if any(allotment.waiting for allotment in self.allotments.values()):
+            self._scheduler.call_after(0, self._report)
+
+    def _log_change(self, allotment: Allotment, change: int) -> None:
+        TOKENS_MOVED.labels("granted" if change > 0 else "returned").inc(abs(change))
         log_event(
             "budget_change",
             workspace=allotment.workspace,
-            tokens=change.tokens,
-            applied=applied,
-            handed_out=change.record.handed_out,
+            tokens=change,
             prepaid=allotment.prepaid,
-            balance=allotment.balance,
+            committed=allotment.committed,
+            held=allotment.held,
         )
-        self._serve_waiters(allotment)
-
-    def _resume(self, view: _PartitionView) -> None:
-        view.busy = False
-        for allotment in list(self.allotments.values()):
-            if self._view(allotment.workspace) is view:
-                self._act(allotment)
 
     def _serve_waiters(self, allotment: Allotment) -> None:
-        waiters = self._waiters.get(allotment.workspace, [])
-        for waiter in list(waiters):
-            if allotment.reserve(waiter.tokens):
-                self._meter(allotment.workspace).note(waiter.tokens, self._scheduler.now())
-                self._end(waiter, Ok(None))
-
-    def _refuse_or_refresh(self, view: _PartitionView, allotment: Allotment) -> None:
-        """Refuse the requests that the budget does not cover, once it has been read of late."""
-        if self._scheduler.now() - view.read_at > FRESH_SECONDS:
-            self._read(view)
-            return
-        detail = "what is left of the budget does not cover the request"
+        now = self._scheduler.now()
         for waiter in list(self._waiters.get(allotment.workspace, [])):
-            self._end(waiter, Err(Refusal(402, Reason.BUDGET_EXHAUSTED, detail)))
+            if allotment.reserve(waiter.tokens, now):
+                self._meter(allotment.workspace).note(waiter.tokens, now)
+                self._end_wait(waiter, Ok(None))
 
-    def _fail_waiters(self, view: _PartitionView) -> None:
-        for workspace, waiters in list(self._waiters.items()):
-            if self._view(workspace) is view:
-                for waiter in list(waiters):
-                    self._end(waiter, Err(_refuse_unconfirmed()))
+    def _refuse_uncovered(self) -> None:
+        """Refuse what the records just read cannot cover, for good or until nodes hand back."""
+        if self._end < 0:
+            return
+        for allotment in self.allotments.values():
+            if not allotment.waiting or self._size_change(allotment) > 0:
+                continue
+            committed = allotment.committed + sum(
+                record.accounts[allotment.workspace].committed
+                for node_id, record in self._records.items()
+                if node_id != self._node_id and allotment.workspace in record.accounts
+            )
+            for waiter in list(self._waiters.get(allotment.workspace, [])):
+                if waiter.tokens <= allotment.count_available(self._scheduler.now()):
+                    continue
+                if waiter.tokens <= allotment.held:
+                    continue
+                covered = waiter.tokens <= allotment.prepaid - committed
+                refusal = _refuse_scattered() if covered else _refuse_exhausted()
+                self._end_wait(waiter, Err(refusal))
 
     def _expire(self, waiter: _Waiter) -> None:
         if id(waiter) in waiter.allotment.waiting:
-            self._end(waiter, Err(_refuse_unconfirmed()))
+            self._end_wait(waiter, Err(_refuse_unconfirmed("the store is slow")))
 
-    def _end(self, waiter: _Waiter, result: Result[None, Refusal]) -> None:
+    def _end_wait(self, waiter: _Waiter, result: Result[None, Refusal]) -> None:
         self._waiters[waiter.allotment.workspace].remove(waiter)
         del waiter.allotment.waiting[id(waiter)]
         waiter.done(result)
 
 
-def _refuse_unconfirmed() -> Refusal:
-    detail = "the budget cannot be confirmed, as the store does not answer"
+def _refuse_exhausted() -> Refusal:
+    detail = "what is left of the budget does not cover the request"
+    return Refusal(402, Reason.BUDGET_EXHAUSTED, detail)
+
+
+def _refuse_scattered() -> Refusal:
+    detail = "other nodes hold what is left of the budget"
+    return Refusal(
+        503, Reason.BUDGET_UNCONFIRMED, detail, retry_after_seconds=UNCONFIRMED_RETRY_SECONDS
+    )
+
+
+def _refuse_unconfirmed(cause: str) -> Refusal:
+    detail = f"the budget cannot be confirmed: {cause}"
     return Refusal(
-        503,
-        Reason.BUDGET_UNCONFIRMED,
-        detail,
-        retry_after_seconds=UNCONFIRMED_RETRY_SECONDS,
+        503, Reason.BUDGET_UNCONFIRMED, detail, retry_after_seconds=UNCONFIRMED_RETRY_SECONDS
     )
--- a/bronzetiller/gateway/allotments.py
+++ b/bronzetiller/gateway/allotments.py
@@ -1,8 +1,12 @@
 """Decide how many prepaid tokens a node holds for each workspace; pure.
 
-A budget is one record that counts the tokens handed out to all nodes. A node adds to it, under the
-condition that nobody else did meanwhile, before it spends; what it hands back it subtracts. What a
-dead node held stays handed out, so that nothing is ever spent twice.
+Each node keeps one record in the store: the tokens handed out to it, and those it has committed
+to requests. What all nodes together were handed out never exceeds a budget, since a node raises
+its own record only under the condition that no record changed since it read them all.
+
+A node that dies takes what it held with it, but for what it cannot have spent: between two reports
+it commits at most a slack that grows with the time since the last one. Its next incarnation on the
+same VM counts that slack as spent and hands back the rest.
 """
 
 import json
@@ -11,93 +15,203 @@
 
 from attrs import define, field, frozen
 
-HORIZON_SECONDS = 11.0  # nodes are cut off from the store for up to about ten seconds
-LOW_SHARE = 0.7  # of the wanted tokens, below which more are asked for
-SURPLUS_FACTOR = 2.0  # times the wanted tokens, above which the rest is handed back
-FIRST_SHARE = 0.3  # of a budget, held by all nodes together before any demand is known
-FREE_SHARE_MAX = 0.5  # of the free tokens that all nodes may ask for ahead of need
+HELD_SHARE = 0.8  # of what is left of a budget, held by all nodes; the rest serves single requests
+SLACK_HELD_SHARE = 0.05  # of the held tokens, that may go before the next report
+SLACK_REQUESTS = 2.0  # requests of usual size that may go before the next report
+SLACK_RATE_FACTOR = 1.5  # of the usual rate, as a node that is cut off sees bursts too
+SLACK_HELD_SHARE_PER_SECOND = 0.03  # of the held tokens, for a node without a known rate
+CHANGE_SHARE_MIN = 0.15  # of the target, below which a difference is left as it is
+SIZE_DECAY = 0.9  # weight of earlier requests in their usual size
+AHEAD_REQUESTS_MIN = 2.0  # requests of usual size, below which nothing is held ahead of need
 
 
 @frozen
-class BudgetRecord:
-    """Count the tokens that nodes hold or have spent; writer names the last change."""
+class Account:
+    """Hold one workspace's tokens in a node's record.
+
+    handed_out is all that the node ever got less what it handed back; committed is spent or set
+    aside for requests; the slack (tokens, and tokens a second since the report) may be committed
+    beyond that without a further report.
+    """
 
     handed_out: int = 0
-    writer: str = ""
+    committed: int = 0
+    slack: int = 0
+    slack_per_second: int = 0
+
+    def bound_committed(self, seconds: float) -> int:
+        """Return the most that can have been committed so long after the report."""
+        most = self.committed + self.slack + math.ceil(self.slack_per_second * max(0.0, seconds))
+        return min(self.handed_out, most)
 
-    def encode(self) -> bytes:
-        """Return the record as the store keeps it."""
-        return json.dumps({"handed_out": self.handed_out, "writer": self.writer}).encode()
 
+@frozen
+class HoldingRecord:
+    """Hold a node's accounts; reported_at is the Unix time (seconds) by the VM's clock.
 
-def read_budget_record(value: bytes) -> BudgetRecord | None:
+    clock_steady is false once the clock was seen to jump, so that no elapsed time follows from it.
+    """
+
+    holder: str
+    number: int
+    reported_at: float
+    clock_steady: bool
+    accounts: dict[str, Account]
+
+    def encode(self) -> bytes:
+        """Return the record as the store keeps it."""
+        value = {
+            "holder": self.holder,
+            "number": self.number,
+            "reported_at": round(self.reported_at, 3),
+            "clock_steady": self.clock_steady,
+            "accounts": {
+                name: [item.handed_out, item.committed, item.slack, item.slack_per_second]
+                for name, item in self.accounts.items()
+            },
+        }
+        return json.dumps(value, separators=(",", ":")).encode()
+
+
+def read_holding_record(value: bytes) -> HoldingRecord | None:
     """Read a record of the store, or nothing where it is malformed."""
     try:
         item: Any = json.loads(value)
-        record = BudgetRecord(item["handed_out"], item["writer"])
-    except (ValueError, KeyError, TypeError):
+        accounts = {
+            str(name): Account(*(int(number) for number in numbers))
+            for name, numbers in item["accounts"].items()
+        }
+        return HoldingRecord(
+            str(item["holder"]),
+            int(item["number"]),
+            float(item["reported_at"]),
+            item["clock_steady"] is True,
+            accounts,
+        )
+    except (ValueError, KeyError, TypeError, AttributeError):
         return None
-    valid = type(record.handed_out) is int and type(record.writer) is str
-    return record if valid else None
+
+
+def reclaim_accounts(record: HoldingRecord, now: float) -> dict[str, Account]:
+    """Return the accounts of a node's next incarnation: what the last one may have spent is spent.
+
+    now is the Unix time by the same VM's clock, read as the new incarnation starts.
+    """
+    elapsed = now - record.reported_at
+    known = record.clock_steady and elapsed >= 0
+    accounts = {}
+    for name, account in record.accounts.items():
+        spent = account.bound_committed(elapsed) if known else account.handed_out
+        accounts[name] = Account(handed_out=spent, committed=spent)
+    return accounts
 
 
 @define
 class Allotment:
-    """Hold the tokens of one workspace at this node.
+    """Hold the tokens of one workspace at this node; times are monotonic seconds.
 
-    balance are the tokens that can be reserved, reserved those of requests that run.
+    reported is the account that the store has acknowledged, proposed the one that it may have.
     """
 
     workspace: str
     prepaid: int
-    balance: int = 0
+    spent: int = 0
     reserved: int = 0
+    reported: Account = field(factory=Account)
+    reported_at: float = 0.0
+    proposed: Account | None = None
+    proposed_at: float = 0.0
     waiting: dict[int, int] = field(factory=dict)
-    largest: int = 0
+    _mean: float = 0.0
+    _mean_square: float = 0.0
+
+    @property
+    def committed(self) -> int:
+        """Return the tokens that are spent or set aside."""
+        return self.spent + self.reserved
+
+    @property
+    def held(self) -> int:
+        """Return the tokens that this node has and has not committed."""
+        ceiling = self.reported.handed_out
+        if self.proposed is not None:
+            ceiling = min(ceiling, self.proposed.handed_out)
+        return ceiling - self.committed
 
-    def reserve(self, tokens: int) -> bool:
-        """Set tokens aside for a request, or say that the balance does not cover them."""
-        self.largest = max(self.largest, tokens)
-        if tokens > self.balance:
+    @property
+    def usual_size(self) -> float:
+        """Return the size of a request (root of the mean square, as large ones weigh most)."""
+        return math.sqrt(self._mean_square)
+
+    def count_available(self, now: float) -> int:
+        """Return the tokens that can be set aside before the next report."""
+        most = self.reported.bound_committed(now - self.reported_at)
+        if self.proposed is not None:
+            most = min(most, self.proposed.bound_committed(now - self.proposed_at))
+        return most - self.committed
+
+    def reserve(self, tokens: int, now: float) -> bool:
+        """Set tokens aside for a request, or say that too few are available."""
+        if tokens > self.count_available(now):
             return False
-        self.balance -= tokens
         self.reserved += tokens
+        self._mean_square = SIZE_DECAY * self._mean_square + (1 - SIZE_DECAY) * tokens**2
         return True
 
     def settle(self, reserved: int, used: int) -> None:
         """Spend a part of what was set aside and put the rest back."""
         self.reserved -= reserved
-        self.balance += max(0, reserved - used)
+        self.spent += min(reserved, used)
 
     @property
     def shortage(self) -> int:
-        """Return the tokens that waiting requests lack."""
-        return max(0, sum(self.waiting.values()) - self.balance)
-
+        """Return the tokens that waiting requests need and the node does not hold."""
+        return max(0, sum(self.waiting.values()) - self.held)
+
+    def propose(self, handed_out: int, rate: float, now: float) -> Account:
+        """Return the account to report, and keep within it from now on."""
+        held = max(0, handed_out - self.committed)
+        slack = SLACK_HELD_SHARE * held + SLACK_REQUESTS * self.usual_size
+        slack = max(slack, sum(self.waiting.values()))
+        per_second = SLACK_RATE_FACTOR * rate + SLACK_HELD_SHARE_PER_SECOND * held
+        self.proposed = Account(handed_out, self.committed, math.ceil(slack), math.ceil(per_second))
+        self.proposed_at = now
+        return self.proposed
+
+    def conclude(self, *, applied: bool) -> None:
+        """Take the proposed account for the reported one, or drop it."""
+        if applied and self.proposed is not None:
+            self.reported, self.reported_at = self.proposed, self.proposed_at
+        self.proposed = None
+
+
+def size_target(allotment: Allotment, *, left: int, share: float) -> int:
+    """Return the tokens that a node should hold: its share of what is left of the budget.
+
+    Near the end of a budget nothing is held ahead, so that its last tokens are not scattered over
+    nodes in parts too small for a request.
+    """
+    target = int(HELD_SHARE * share * max(0, left))
+    return 0 if target < AHEAD_REQUESTS_MIN * allotment.usual_size else target
 
-def size_wanted(allotment: Allotment, *, rate: float | None, nodes: int) -> int:
-    """Return the tokens that a node should hold, by its use a second."""
-    if rate is None:
-        return math.ceil(FIRST_SHARE * allotment.prepaid / max(1, nodes))
-    return math.ceil(rate * HORIZON_SECONDS) + allotment.largest
 
+def size_change(allotment: Allotment, *, target: int, free: int) -> int:
+    """Return the tokens to take (positive) or hand back (negative).
 
-def size_request(allotment: Allotment, *, wanted: int, free: int, nodes: int) -> int:
-    """Return the tokens to ask for, or 0: what waiting requests lack, and ahead of need a share."""
+    Free tokens are those that no node was handed out; they are negative where a budget shrank.
+    """
     shortage = allotment.shortage
-    if shortage > free:
-        # The newest requests may not fit; the smallest that does is served.
-        fitting = list(allotment.waiting.values())
-        lacking = min(fitting, default=0) - allotment.balance
-        return lacking if 0 < lacking <= free else 0
-    ahead = 0
-    if allotment.balance < LOW_SHARE * wanted:
-        ahead = min(wanted - allotment.balance, int(free * FREE_SHARE_MAX / max(1, nodes)))
-    return max(shortage, ahead, 0)
-
-
-def size_return(allotment: Allotment, *, wanted: int) -> int:
-    """Return the tokens to hand back, or 0."""
-    if allotment.waiting or allotment.balance <= SURPLUS_FACTOR * wanted + allotment.largest:
+    if shortage > 0:
+        if shortage > free:
+            return _fit_smallest(allotment, free)
+        return max(shortage, min(target - allotment.held, free))
+    difference = target - allotment.held
+    if abs(difference) < CHANGE_SHARE_MIN * target:
         return 0
-    return allotment.balance - wanted
+    return min(difference, max(0, free)) if difference > 0 else difference
+
+
+def _fit_smallest(allotment: Allotment, free: int) -> int:
+    """Return what the smallest waiting request lacks, if there is as much."""
+    lacking = min(allotment.waiting.values()) - allotment.held
+    return lacking if 0 < lacking <= free else 0
--- a/bronzetiller/gateway/engines.py
+++ b/bronzetiller/gateway/engines.py
@@ -1,5 +1,6 @@
 """Know the targets of each service: who is registered, and what this node has seen of each."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 
@@ -16,6 +17,8 @@
 LAPSE_SECONDS = 2.2  # registrations lost in an outage of the store are back two seconds after it
 OTHER_TARGET = "another target has the address"
 CACHED_PARTS_MAX = 4096
+DELAY_FADE_SECONDS = 1.0  # queues of prompts drain within about a second
+DELAY_WEIGHT = 0.5  # of the newest wait against the earlier ones
 FAILURE_DECAY = 0.8  # weight of a target's earlier outcomes against its newest one
 
 
@@ -39,7 +42,6 @@
 
     registration: Registration
     in_flight: int = 0
-    in_flight_tokens: int = 0
     sent_since_heard: int = 0
     heard: HeardLoad | None = None
     heard_at: float = 0.0
@@ -47,6 +49,9 @@
     failures_in_a_row: int = 0
     failure_share: float = 0.0
     lapsed_until: float | None = None
+    unread_tokens: int = 0
+    delay_seconds: float = 0.0
+    delayed_at: float = 0.0
     cached_parts: "OrderedDict[str, float]" = field(factory=OrderedDict)
 
     @property
@@ -61,6 +66,16 @@
         reported = self.heard.running + self.heard.waiting
         return max(self.in_flight, reported + self.sent_since_heard)
 
+    def estimate_delay(self, now: float) -> float:
+        """Estimate how long (seconds) a request waits there before its own prompt is read."""
+        return self.delay_seconds * math.exp((self.delayed_at - now) / DELAY_FADE_SECONDS)
+
+    def note_delay(self, seconds: float, now: float) -> None:
+        """Count the time that a request waited beyond the reading of its own prompt."""
+        known = self.estimate_delay(now)
+        self.delay_seconds = known + DELAY_WEIGHT * (max(0.0, seconds) - known)
+        self.delayed_at = now
+
     def note_load(self, load: HeardLoad, now: float) -> None:
         """Take a report of the target's load."""
         self.heard = load
--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.logs import log_event
@@ -15,12 +15,13 @@
 NODES_PARTITION = Partition("keyed.nodes")
 HEARTBEAT_SECONDS = 1.0
 SILENCE_SECONDS = 3.5  # three heartbeats and the pause between two reads
+LOAD_MIN = 1.0  # requests a second that a node without any is taken to get
 NAMED_MIN = 2  # addresses to name at least, so that a caller can leave one that failed
 
 
 @frozen
 class Member:
-    """Describe a node; beat changes with each heartbeat."""
+    """Describe a node; beat changes with each heartbeat, load is its requests a second."""
 
     node_id: str
     address: str
@@ -28,6 +29,7 @@
     incarnation: str
     serving: bool
     beat: int = 0
+    load: float = 0.0
 
     def encode(self) -> bytes:
         """Return the record as the store keeps it."""
@@ -37,6 +39,7 @@
             "incarnation": self.incarnation,
             "serving": self.serving,
             "beat": self.beat,
+            "load": round(self.load, 2),
         }
         return json.dumps(value).encode()
 
@@ -52,6 +55,7 @@
             str(item["incarnation"]),
             item["serving"] is True,
             int(item["beat"]),
+            float(item.get("load", 0.0)),
         )
     except (ValueError, KeyError, TypeError):
         return None
@@ -81,6 +85,7 @@
     _heard_at: dict[str, float] = field(factory=dict)
     _follower: KeyedFollower = field(init=False)
     _publishing: bool = False
+    _beat: int = 0
 
     def __attrs_post_init__(self) -> None:
         self._follower = KeyedFollower(
@@ -103,7 +108,8 @@
         if self._publishing:
             return
         self._publishing = True
-        own = self._own()
+        self._beat += 1
+        own = evolve(self._own(), beat=self._beat)
 
         def finish(result: object) -> None:
             self._publishing = False
@@ -127,6 +133,13 @@
         """Count the nodes that serve callers, at least one."""
         return max(1, len(self.list_serving()))
 
+    def find_share(self) -> float:
+        """Return the share of the fleet's requests that this node gets, of late."""
+        serving = self.list_serving()
+        own = LOAD_MIN + self._own().load
+        total = sum(LOAD_MIN + item.load for item in serving)
+        return min(1.0, own / total) if total else 1.0
+
     def list_addresses(self, data_centre: str) -> list[str]:
         """Return the addresses that a caller of a data centre should use."""
         named = choose_members(self.list_serving(), data_centre, self._distances.regions)
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -73,9 +73,10 @@
         self.keeper = AllotmentKeeper(
             scheduler,
             store,
-            settings.store.partitions,
+            settings.node_id,
             self.incarnation,
             self.members.count_nodes,
+            self.members.find_share,
         )
         self._retries: dict[str, RetryWindow] = {}
         self.services = GatewayServices(
@@ -98,7 +99,6 @@
             is_idle=self._is_idle,
             end=self.loop.root.stop,
         )
-        self._beat = 0
         self._ahead = False
         listen = settings.listen
         self.server = self._serve(listen.callers, application.serve, "callers")
@@ -143,14 +143,13 @@
         return not self.services.open_runs and not self.server.open_exchanges
 
     def _describe(self) -> Member:
-        self._beat += 1
         return Member(
             self.settings.node_id,
             str(self.settings.listen.callers),
             self.settings.data_centre,
             self.incarnation,
             self.is_ready(),
-            self._beat,
+            load=self.services.arrivals.estimate(self._scheduler.now()) or 0.0,
         )
 
     def _on_configuration(self, catalogue: Catalogue) -> None:
--- a/bronzetiller/gateway/placement.py
+++ b/bronzetiller/gateway/placement.py
@@ -14,6 +14,7 @@
 from bronzetiller.gateway.requests import Prompt
 
 PREFILL_TOKENS_PER_SECOND = 60_000.0  # the pages give 61 and 66 tokens a millisecond
+CROWD_FACTOR = 2.0  # prompts that wait at an engine for each one that this node sent there
 BUSY_SECONDS = 0.08  # what a full batch adds to the first token, by its step times
 FULL_SECONDS = 1.0  # waiting for a slot of a full target: about half of a stream's length
 FAILING_SECONDS = 2.0  # weight of a target's share of failures, about one lost attempt
@@ -94,6 +95,8 @@
     load = engine.estimate_load(now) / engine.registration.slots
     cost = distances.estimate(engine.registration.data_centre)
     cost += count_unread(engine, demand, is_home=is_home) / PREFILL_TOKENS_PER_SECOND
+    cost += CROWD_FACTOR * engine.unread_tokens / PREFILL_TOKENS_PER_SECOND
+    cost += engine.estimate_delay(now)
     cost += BUSY_SECONDS * load * (1 + load)
     if load >= 1:
         cost += FULL_SECONDS * load
--- a/bronzetiller/gateway/run.py
+++ b/bronzetiller/gateway/run.py
@@ -25,7 +25,13 @@
 )
 from bronzetiller.gateway.catalogue import Catalogue, PathRoute, WorkspaceTerms, choose_service
 from bronzetiller.gateway.engines import Engine, EnginePool
-from bronzetiller.gateway.placement import Distances, choose_engine, make_demand
+from bronzetiller.gateway.placement import (
+    PREFILL_TOKENS_PER_SECOND,
+    Distances,
+    choose_engine,
+    count_unread,
+    make_demand,
+)
 from bronzetiller.gateway.requests import RequestTerms
 from bronzetiller.gateway.retry_window import RetryWindow
 from bronzetiller.logs import log_event
@@ -34,6 +40,7 @@
 from bronzetiller.net.http_client import HttpCall, HttpClient
 from bronzetiller.net.scheduler import Scheduler, Timer, Watch
 from bronzetiller.platform.headers import make_answer_headers, make_target_headers
+from bronzetiller.routing.queues import RateMeter
 
 DIALS_MAX = 4  # targets that a request may fail to reach before it is refused
 DEADLINE_MARGIN_SECONDS = 0.03  # for the answer to reach the caller, some 3 ms away
@@ -58,6 +65,7 @@
     count_nodes: Callable[[], int]
     draw: Callable[[], float]
     open_runs: int = 0
+    arrivals: RateMeter = field(factory=RateMeter)
 
 
 @define(eq=False)
@@ -82,6 +90,8 @@
     last_event_id: int | None = None
     events: int = 0
     answer_head: bool = False
+    unread_tokens: int = 0
+    sent_at: float = 0.0
     caller_gone: bool = False
     over: bool = False
     _timer: Timer | None = None
@@ -92,6 +102,7 @@
         REQUESTS.labels("path").inc()
         OPEN_REQUESTS.inc()
         self.services.open_runs += 1
+        self.services.arrivals.note(1.0, self.begun_at)
         self.exchange.on_disconnect = self._on_disconnect
         self._timer = self.services.scheduler.call_at(self.deadline, self._on_deadline)
         self.last_event_id = self.terms.last_event_id
@@ -158,8 +169,11 @@
         now = services.scheduler.now()
         self.tried.append(engine.engine_id)
         prompt = self.terms.prompt
+        self.unread_tokens = count_unread(engine, make_demand(prompt), is_home=False)
+        self.sent_at = now
         if prompt is not None:
             engine.note_parts((part.part_id for part in prompt.parts), now)
+        engine.unread_tokens += self.unread_tokens
         self.attempt = attempt = Attempt(
             engine,
             self.terms.request_id,
@@ -215,6 +229,7 @@
         if not self._take_retry("silent"):
             return
         attempt.cancel()
+        self._note_begun()
         self.may_have_run = True
         self.attempts += 1
         attempt.engine.note_failure("silent", self.services.scheduler.now())
@@ -222,6 +237,8 @@
         self._place()
 
     def _on_event(self, event: AttemptEvent) -> None:
+        if not isinstance(event, StreamBegun | StreamData):
+            self._note_begun()
         if isinstance(event, StreamData):
             self._take_data(event)
         elif isinstance(event, StreamBegun):
@@ -242,7 +259,23 @@
             self.answer_head = True
             self.exchange.start(event.head.status, make_answer_headers(event.head))
 
+    def _note_begun(self) -> None:
+        """Count the request's prompt as read, or as never to be read, by its target."""
+        if self.attempt is not None:
+            self.attempt.engine.unread_tokens -= self.unread_tokens
+            self.unread_tokens = 0
+
+    def _note_first_event(self) -> None:
+        engine = self.attempt.engine  # type: ignore[union-attr]
+        now = self.services.scheduler.now()
+        usual = self.unread_tokens / PREFILL_TOKENS_PER_SECOND
+        usual += 2 * self.services.distances.estimate(engine.registration.data_centre)
+        engine.note_delay(now - self.sent_at - usual, now)
+        self._note_begun()
+
     def _take_data(self, event: StreamData) -> None:
+        if self.unread_tokens:
+            self._note_first_event()
         self.events += event.events
         if event.last_event_id is not None:
             self.last_event_id = event.last_event_id
@@ -370,6 +403,7 @@
         if self.over:
             return
         self.over = True
+        self._note_begun()
         OPEN_REQUESTS.dec()
         self.services.open_runs -= 1
         if self._timer is not None:
