--- a/bronzetiller/gateway/allotment_keeper.py
+++ b/bronzetiller/gateway/allotment_keeper.py
@@ -114,7 +114,7 @@
             done(Ok(None))
             return
         if self._lost:
-            done(Err(_refuse_unconfirmed("the store does not answer")))
+            done(Err(self._refuse_cut_off(allotment, tokens)))
             return
         waiter = _Waiter(allotment, tokens, min(deadline, now + WAIT_SECONDS_MAX), done)
         self._waiters.setdefault(workspace, []).append(waiter)
@@ -144,6 +144,13 @@
     def _meter(self, workspace: str) -> RateMeter:
         return self._meters.setdefault(workspace, RateMeter())
 
+    def _refuse_cut_off(self, allotment: Allotment, tokens: int) -> Refusal:
+        now = self._scheduler.now()
+        return _refuse_unconfirmed(
+            f"the store does not answer since {now - self._read_at:.1f} s; the request needs"
+            f" {tokens} tokens of {allotment.held} held, {allotment.count_available(now)} available"
+        )
+
     def _check(self) -> None:
         self._clock.check()
         interval = max(REPORT_SECONDS_MIN, REPORT_SECONDS_PER_NODE * self._count_nodes())
--- a/bronzetiller/gateway/allotments.py
+++ b/bronzetiller/gateway/allotments.py
@@ -5,7 +5,8 @@
 its own record only under the condition that no record changed since it read them all.
 
 A node that dies takes what it held with it, but for what it cannot have spent: between two reports
-it commits at most a slack that grows with the time since the last one. Its next incarnation on the
+it commits at most a slack that grows with the time since the last one, and all it holds only once
+it has been cut off for longer than a restart takes. Its next incarnation on the
 same VM counts that slack as spent and hands back the rest.
 """
 
@@ -16,10 +17,11 @@
 from attrs import define, field, frozen
 
 HELD_SHARE = 0.8  # of what is left of a budget, held by all nodes; the rest serves single requests
+CUT_OFF_SECONDS = 4.0  # without a report, after which all that is held may go: restarts take less
 SLACK_HELD_SHARE = 0.05  # of the held tokens, that may go before the next report
 SLACK_REQUESTS = 2.0  # requests of usual size that may go before the next report
 SLACK_RATE_FACTOR = 1.5  # of the usual rate, as a node that is cut off sees bursts too
-SLACK_HELD_SHARE_PER_SECOND = 0.03  # of the held tokens, for a node without a known rate
+SLACK_HELD_SHARE_PER_SECOND = 0.08  # of the held tokens, for a node without a known rate
 CHANGE_SHARE_MIN = 0.15  # of the target, below which a difference is left as it is
 SIZE_DECAY = 0.9  # weight of earlier requests in their usual size
 AHEAD_REQUESTS_MIN = 2.0  # requests of usual size, below which nothing is held ahead of need
@@ -41,6 +43,8 @@
 
     def bound_committed(self, seconds: float) -> int:
         """Return the most that can have been committed so long after the report."""
+        if seconds > CUT_OFF_SECONDS:
+            return self.handed_out
         most = self.committed + self.slack + math.ceil(self.slack_per_second * max(0.0, seconds))
         return min(self.handed_out, most)
 
--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -15,7 +15,7 @@
 NODES_PARTITION = Partition("keyed.nodes")
 HEARTBEAT_SECONDS = 1.0
 SILENCE_SECONDS = 3.5  # three heartbeats and the pause between two reads
-LOAD_MIN = 1.0  # requests a second that a node without any is taken to get
+LOAD_MIN = 4.0  # requests a second added to each, as the few of a small node vary most
 NAMED_MIN = 2  # addresses to name at least, so that a caller can leave one that failed
 
 
