Share a budget out by each node's use of it, and propose nothing while the store is away

Cause: in cuts some nodes held 65,000 tokens of a workspace while others had none, since callers keep their connections and a workspace's use is uneven over nodes; and each proposal that the store could not take bound the node to a fresh slack.

--- a/bronzetiller/gateway/allotment_keeper.py
+++ b/bronzetiller/gateway/allotment_keeper.py
@@ -12,6 +12,7 @@
     Account,
     Allotment,
     HoldingRecord,
+    blend_shares,
     read_holding_record,
     reclaim_accounts,
     size_change,
@@ -37,6 +38,7 @@
 HOLDINGS_PARTITION = Partition("keyed.holdings")
 REPORT_SECONDS_MIN = 0.8  # a few writes a second of the hundreds that the store takes
 REPORT_SECONDS_PER_NODE = 0.08  # so that conditional writes of many nodes rarely collide
+USE_FADE_SECONDS = 12.0  # a few large requests a workspace and node; cuts last some ten seconds
 CHECK_SECONDS = 0.2
 RETRY_SECONDS = 0.25
 WAIT_SECONDS_MAX = 1.2  # a few answers of the store from another region, each some 70 ms
@@ -142,7 +144,10 @@
         return Allotment(name, prepaid, spent=account.committed, reported=account)
 
     def _meter(self, workspace: str) -> RateMeter:
-        return self._meters.setdefault(workspace, RateMeter())
+        return self._meters.setdefault(workspace, RateMeter(USE_FADE_SECONDS))
+
+    def _estimate_rate(self, workspace: str) -> float:
+        return max(0.0, self._meter(workspace).estimate(self._scheduler.now()) or 0.0)
 
     def _refuse_cut_off(self, allotment: Allotment, tokens: int) -> Refusal:
         now = self._scheduler.now()
@@ -162,16 +167,15 @@
         """Write this node's record as it should be now, unless a call is open."""
         if self._busy:
             return
-        if self._end < 0:
-            self._read()
+        if self._end < 0 or self._lost:
+            self._read()  # a proposal would only bind the node while the store cannot take it
             return
         now = self._scheduler.now()
         accounts = {}
         for name, allotment in self.allotments.items():
             change = self._size_change(allotment)
             handed_out = allotment.reported.handed_out + change
-            rate = self._meter(name).estimate(now) or 0.0
-            accounts[name] = allotment.propose(handed_out, max(0.0, rate), now)
+            accounts[name] = allotment.propose(handed_out, self._estimate_rate(name), now)
             if change:
                 cause = "waiting" if allotment.waiting else "ahead" if change > 0 else "surplus"
                 GRANTS_ASKED.labels(cause).inc()
@@ -193,7 +197,10 @@
         if self._leaving:
             return -max(0, allotment.held)
         left = allotment.prepaid - allotment.committed - sum(item.committed for item in others)
-        target = size_target(allotment, left=left, share=self._find_share())
+        rate = self._estimate_rate(allotment.workspace)
+        rates_total = rate + sum(item.rate for item in others)
+        share = blend_shares(self._find_share(), rate, rates_total)
+        target = size_target(allotment, left=left, share=share)
         return max(size_change(allotment, target=target, free=free), -max(0, allotment.held))
 
     def _append(self) -> None:
--- a/bronzetiller/gateway/allotments.py
+++ b/bronzetiller/gateway/allotments.py
@@ -16,7 +16,8 @@
 
 from attrs import define, field, frozen
 
-HELD_SHARE = 0.8  # of what is left of a budget, held by all nodes; the rest serves single requests
+RATE_WEIGHT = 0.6  # of a workspace's own use against the load of all, in a node's share
+HELD_SHARE = 0.9  # of what is left of a budget, held by all nodes; the rest serves single requests
 CUT_OFF_SECONDS = 4.0  # without a report, after which all that is held may go: restarts take less
 SLACK_HELD_SHARE = 0.05  # of the held tokens, that may go before the next report
 SLACK_REQUESTS = 2.0  # requests of usual size that may go before the next report
@@ -33,13 +34,14 @@
 
     handed_out is all that the node ever got less what it handed back; committed is spent or set
     aside for requests; the slack (tokens, and tokens a second since the report) may be committed
-    beyond that without a further report.
+    beyond that without a further report. rate is the node's use in tokens a second.
     """
 
     handed_out: int = 0
     committed: int = 0
     slack: int = 0
     slack_per_second: int = 0
+    rate: int = 0
 
     def bound_committed(self, seconds: float) -> int:
         """Return the most that can have been committed so long after the report."""
@@ -70,7 +72,13 @@
             "reported_at": round(self.reported_at, 3),
             "clock_steady": self.clock_steady,
             "accounts": {
-                name: [item.handed_out, item.committed, item.slack, item.slack_per_second]
+                name: [
+                    item.handed_out,
+                    item.committed,
+                    item.slack,
+                    item.slack_per_second,
+                    item.rate,
+                ]
                 for name, item in self.accounts.items()
             },
         }
@@ -178,7 +186,9 @@
         slack = SLACK_HELD_SHARE * held + SLACK_REQUESTS * self.usual_size
         slack = max(slack, sum(self.waiting.values()))
         per_second = SLACK_RATE_FACTOR * rate + SLACK_HELD_SHARE_PER_SECOND * held
-        self.proposed = Account(handed_out, self.committed, math.ceil(slack), math.ceil(per_second))
+        self.proposed = Account(
+            handed_out, self.committed, math.ceil(slack), math.ceil(per_second), int(rate)
+        )
         self.proposed_at = now
         return self.proposed
 
@@ -189,6 +199,13 @@
         self.proposed = None
 
 
+def blend_shares(load_share: float, rate: float, rates_total: float) -> float:
+    """Return a node's share of a workspace's use: by its use of late and by its share of all."""
+    if rates_total <= 0:
+        return load_share
+    return RATE_WEIGHT * rate / rates_total + (1 - RATE_WEIGHT) * load_share
+
+
 def size_target(allotment: Allotment, *, left: int, share: float) -> int:
     """Return the tokens that a node should hold: its share of what is left of the budget.
 
--- a/bronzetiller/routing/queues.py
+++ b/bronzetiller/routing/queues.py
@@ -42,8 +42,9 @@
 
 @define(eq=False)
 class RateMeter:
-    """Estimate a rate per second from amounts; old ones count for less and less."""
+    """Estimate a rate per second from amounts; old ones fade with the time constant (seconds)."""
 
+    fade_seconds: float = RATE_SECONDS
     _amount: float = 0.0
     _samples: int = 0
     _begun_at: float = 0.0
@@ -53,7 +54,7 @@
         """Count an amount."""
         if not self._samples:
             self._begun_at = now
-        self._amount = self._amount * math.exp((self._last_at - now) / RATE_SECONDS) + amount
+        self._amount = self._amount * math.exp((self._last_at - now) / self.fade_seconds) + amount
         self._last_at = now
         self._samples += 1
 
@@ -62,8 +63,8 @@
         elapsed = now - self._begun_at
         if self._samples < RATE_SAMPLES_MIN or elapsed <= 0:
             return None
-        decayed = self._amount * math.exp((self._last_at - now) / RATE_SECONDS)
-        return decayed / (RATE_SECONDS * -math.expm1(-elapsed / RATE_SECONDS))
+        decayed = self._amount * math.exp((self._last_at - now) / self.fade_seconds)
+        return decayed / (self.fade_seconds * -math.expm1(-elapsed / self.fade_seconds))
 
 
 @define(eq=False)
