Drive the allotments of several nodes through store faults, cuts and restarts

The state machine spends from three nodes with lost, late and refused writes, expired history, kills and top-ups; a restart that forgets the slack is found.

--- a/bronzetiller/gateway/allotment_keeper.py
+++ b/bronzetiller/gateway/allotment_keeper.py
@@ -66,8 +66,9 @@
     _count_nodes: Callable[[], int]
     _find_share: Callable[[], float]
     allotments: dict[str, Allotment] = field(factory=dict)
-    _started_at: float = field(factory=time.time)
     _clock: ClockWatch = field(factory=ClockWatch)
+    _read_clock: Callable[[], float] = time.time
+    _started_at: float = field(factory=time.time)
     _records: dict[str, HoldingRecord] = field(factory=dict)
     _reclaimed: dict[str, Account] = field(factory=dict)
     _meters: dict[str, RateMeter] = field(factory=dict)
@@ -181,7 +182,11 @@
                 GRANTS_ASKED.labels(cause).inc()
         kept = {name: item for name, item in self._reclaimed.items() if name not in accounts}
         self._proposed = HoldingRecord(
-            self._holder, next(self._numbers), time.time(), self._clock.steady, accounts | kept
+            self._holder,
+            next(self._numbers),
+            self._read_clock(),
+            self._clock.steady,
+            accounts | kept,
         )
         self._busy = True
         self._append()
--- /dev/null
+++ b/tests/gateway_fakes.py
@@ -0,0 +1,148 @@
+"""Fakes that drive the gateway's parts without a network or a clock."""
+
+import heapq
+import itertools
+
+from attrs import define, field
+from result import Err, Ok
+
+from bronzetiller.storage.keyed import (
+    EndMoved,
+    HistoryExpired,
+    KeyedRecord,
+    RecordBatch,
+    StoreUnreachable,
+)
+
+
+@define(eq=False)
+class FakeTimer:
+    action: object
+
+    def cancel(self):
+        self.action = None
+
+
+@define(eq=False)
+class FakeScheduler:
+    """Run actions as the test advances the time (seconds)."""
+
+    time: float = 100.0
+    _timers: list = field(factory=list)
+    _order: object = field(factory=itertools.count)
+
+    def now(self):
+        return self.time
+
+    def call_at(self, deadline, action):
+        timer = FakeTimer(action)
+        heapq.heappush(self._timers, (deadline, next(self._order), timer))
+        return timer
+
+    def call_after(self, seconds, action):
+        return self.call_at(self.time + seconds, action)
+
+    def call_every(self, seconds, action):
+        def repeat():
+            self.call_after(seconds, repeat)
+            action()
+
+        self.call_after(seconds, repeat)
+
+    def advance(self, seconds):
+        end = self.time + seconds
+        while self._timers and self._timers[0][0] <= end:
+            deadline, _, timer = heapq.heappop(self._timers)
+            self.time = max(self.time, deadline)
+            if timer.action is not None:
+                timer.action()
+        self.time = end
+
+    def clear(self):
+        """Forget all timers, as the process that set them has died."""
+        self._timers.clear()
+
+
+@define(eq=False)
+class FakeStore:
+    """Keep keyed records; each node reaches it through a FakeStoreClient."""
+
+    partitions: dict = field(factory=dict)
+    first_offsets: dict = field(factory=dict)
+    late: list = field(factory=list)
+
+    def records(self, partition):
+        return self.partitions.setdefault(str(partition), [])
+
+    def append(self, partition, key, value, end):
+        """Append under the condition; return the offset, or none where it does not hold."""
+        records = self.records(partition)
+        if end is not None and end != len(records):
+            return None
+        records.append(KeyedRecord(key, value, len(records)))
+        return len(records) - 1
+
+    def newest(self, partition):
+        newest = {record.key: record for record in self.records(partition)}
+        return [record for record in newest.values() if record.value is not None]
+
+    def run_late(self):
+        """Execute the appends that were accepted without an answer, if they still can be."""
+        late, self.late = self.late, []
+        for append in late:
+            self.append(*append)
+
+
+@define(eq=False)
+class FakeStoreClient:
+    """Reach the store as one node does; mode is up, down, lost (done, no answer) or late."""
+
+    scheduler: FakeScheduler
+    store: FakeStore
+    mode: str = "up"
+    delay: float = 0.01
+    dead: bool = False
+    appends: int = 0
+
+    def _answer(self, done, result, delay=None):
+        def deliver():
+            if not self.dead:
+                done(result)
+
+        self.scheduler.call_after(self.delay if delay is None else delay, deliver)
+
+    def read_newest(self, partition, done):
+        if self.mode == "down":
+            self._answer(done, Err(StoreUnreachable("down", False)), 1.0)
+            return
+        records = self.store.records(partition)
+        batch = RecordBatch(self.store.newest(partition), len(records))
+        self._answer(done, Ok(batch))
+
+    def read_from(self, partition, offset, wait_seconds, done):
+        if self.mode == "down":
+            self._answer(done, Err(StoreUnreachable("down", False)), 1.0)
+            return
+        first = self.store.first_offsets.get(str(partition), 0)
+        if offset < first:
+            self._answer(done, Err(HistoryExpired(first)))
+            return
+        records = self.store.records(partition)
+        self._answer(done, Ok(RecordBatch(records[offset:], len(records))))
+
+    def append(self, partition, key, value, end, done):
+        self.appends += 1
+        if self.mode == "down":
+            self._answer(done, Err(StoreUnreachable("down", False)), 1.0)
+            return
+        if self.mode == "late":
+            self.store.late.append((partition, key, value, end))
+            self._answer(done, Err(StoreUnreachable("silence", True)), 1.0)
+            return
+        offset = self.store.append(partition, key, value, end)
+        if self.mode == "lost":
+            self._answer(done, Err(StoreUnreachable("silence", True)), 1.0)
+        elif offset is None:
+            self._answer(done, Err(EndMoved(len(self.store.records(partition)))))
+        else:
+            self._answer(done, Ok(offset))
--- /dev/null
+++ b/tests/test_allotment_machine.py
@@ -0,0 +1,164 @@
+"""Drive the allotments of several nodes through store faults, cuts, kills and restarts."""
+
+import itertools
+
+import pytest
+from attrs import define, field
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+from result import Ok
+
+from bronzetiller.gateway import allotment_keeper, allotments
+from bronzetiller.gateway.allotment_keeper import AllotmentKeeper
+from bronzetiller.gateway.catalogue import WorkspaceTerms
+from bronzetiller.gateway.clock_watch import ClockWatch
+from tests.gateway_fakes import FakeScheduler, FakeStore, FakeStoreClient
+
+NODES = 3
+PREPAID = 600
+WORKSPACE = "studio"
+nodes = st.integers(0, NODES - 1)
+
+
+@define(eq=False)
+class Incarnation:
+    """Hold one process of a node, and the tokens of its requests."""
+
+    keeper: AllotmentKeeper
+    client: FakeStoreClient
+    scheduler: FakeScheduler
+    running: list = field(factory=list)
+
+
+class AllotmentMachine(RuleBasedStateMachine):
+    """Spend from several nodes; what is spent in all never exceeds the budget.
+
+    Each process has timers of its own, so that it ends with them, and all share one time.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.store = FakeStore()
+        self.numbers = itertools.count()
+        self.now = 1_000.0
+        self.prepaid = PREPAID
+        self.spent = 0
+        self.live = {}
+        for index in range(NODES):
+            self.start(index)
+
+    def start(self, index):
+        scheduler = FakeScheduler(self.now)
+        client = FakeStoreClient(scheduler, self.store)
+        keeper = AllotmentKeeper(
+            scheduler,
+            client,
+            f"node-{index}",
+            f"node-{index}/{next(self.numbers)}",
+            lambda: NODES,
+            lambda: 1 / NODES,
+            started_at=self.now,
+            clock=ClockWatch(read_offset=lambda: 0.0),
+            read_clock=lambda: self.now,
+        )
+        keeper.set_workspaces({WORKSPACE: WorkspaceTerms(WORKSPACE, None, self.prepaid)})
+        self.live[index] = Incarnation(keeper, client, scheduler)
+        keeper.start()
+
+    @rule(index=nodes, tokens=st.integers(1, 150))
+    def send(self, index, tokens):
+        node = self.live[index]
+
+        def take(result):
+            if isinstance(result, Ok):
+                node.running.append(tokens)
+
+        node.keeper.obtain(WORKSPACE, tokens, self.now + 5, take)
+
+    @rule(index=nodes, share=st.floats(0, 1))
+    def finish(self, index, share):
+        node = self.live[index]
+        if node.running:
+            tokens = node.running.pop()
+            used = int(tokens * share)
+            self.spent += used
+            node.keeper.settle(WORKSPACE, tokens, used)
+
+    @rule(tokens=st.sampled_from([10, 40]))
+    def spend_all(self, tokens):
+        for _ in range(8):
+            for index in range(NODES):
+                self.send(index, tokens)
+                self.send(index, tokens)
+            self.wait(0.3)
+            for index in range(NODES):
+                self.finish(index, 1.0)
+                self.finish(index, 1.0)
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 3.0, 9.0]))
+    def wait(self, seconds):
+        steps = max(1, int(seconds / 0.05))
+        for _ in range(steps):
+            self.now += seconds / steps
+            for node in self.live.values():
+                node.scheduler.advance(self.now - node.scheduler.now())
+
+    @rule(index=nodes, mode=st.sampled_from(["up", "up", "down", "lost", "late"]))
+    def set_mode(self, index, mode):
+        self.live[index].client.mode = mode
+
+    @rule()
+    def run_late(self):
+        self.store.run_late()
+
+    @rule()
+    def expire_history(self):
+        for name, records in self.store.partitions.items():
+            self.store.first_offsets[name] = len(records)
+
+    @rule(index=nodes, down=st.sampled_from([0.2, 1.0, 4.0]))
+    def kill(self, index, down):
+        node = self.live[index]
+        self.spent += sum(node.running)  # a killed node's requests may have used all they could
+        node.client.dead = True
+        node.scheduler.clear()
+        del self.live[index]
+        self.wait(down)
+        self.start(index)
+
+    @rule(extra=st.integers(1, 300))
+    def top_up(self, extra):
+        self.prepaid += extra
+        for node in self.live.values():
+            node.keeper.set_workspaces({WORKSPACE: WorkspaceTerms(WORKSPACE, None, self.prepaid)})
+
+    @invariant()
+    def spends_within_the_budget(self):
+        running = sum(sum(node.running) for node in self.live.values())
+        assert self.spent + running <= self.prepaid
+
+
+SETTINGS = settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_nodes_never_spend_more_than_the_budget():
+    run_state_machine_as_test(AllotmentMachine, settings=SETTINGS)
+
+
+def test_the_machine_finds_a_restart_that_counts_too_little_as_spent(monkeypatch):
+    def forget_slack(record, now):
+        return {
+            name: allotments.Account(item.committed, item.committed)
+            for name, item in record.accounts.items()
+        }
+
+    monkeypatch.setattr(allotment_keeper, "reclaim_accounts", forget_slack)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(AllotmentMachine, settings=SETTINGS)
