--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -101,6 +101,7 @@
         )
         self._ahead = False
         listen = settings.listen
+        self._addresses: dict[str, str] = {}
         self.server = self._serve(listen.callers, application.serve, "callers")
         self._serve(listen.readiness, make_readiness_application(self.is_ready), "readiness")
         entry_seconds = settings.stop.entry_seconds
@@ -115,7 +116,9 @@
         self.configuration.follower.start()
         self.targets.start()
         self.members.start()
-        log_event("started", incarnation=self.incarnation, callers=self.settings.listen.callers)
+        names = " ".join(f"{name}={address}" for name, address in self._addresses.items())
+        print(f"ready kind=gateway id={self.settings.node_id} {names}", flush=True)
+        log_event("started", incarnation=self.incarnation, addresses=names)
         self.loop.root.run()
 
     def is_ready(self) -> bool:
@@ -145,7 +148,7 @@
     def _describe(self) -> Member:
         return Member(
             self.settings.node_id,
-            str(self.settings.listen.callers),
+            self._addresses["callers"],
             self.settings.data_centre,
             self.incarnation,
             self.is_ready(),
@@ -192,7 +195,9 @@
             limits=limits,
             channel=channel,
         )
-        return server.register(self.loop.root)
+        server.register(self.loop.root)
+        self._addresses[channel] = f"{address.ip}:{server.port}"
+        return server
 
 
 def _serve_metrics(exchange: Exchange) -> None:
--- /dev/null
+++ b/standins/gateway_fleet.py
@@ -0,0 +1,189 @@
+"""Start gateway nodes with a store and targets as separate processes, for tests and the demo."""
+
+import json
+import struct
+import tempfile
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+import yaml
+from attrs import define, field
+
+from standins.fleet import Process, start_process
+from standins.path_engine import make_registration
+
+HOST = "studio.example"
+MODEL_SERVICE = "namegen"
+PLAIN_SERVICE = "desk"
+REGIONS = {"regina-a": "sask", "winnipeg-a": "manitoba"}
+KEY = "studio-key"
+WORKSPACE = "studio"
+
+
+def make_configuration(version: int, *, prepaid: int = 100_000) -> dict[str, Any]:
+    """Return a configuration with a stream that may be resumed, one that may not, and two calls."""
+
+    def make_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+        route = {
+            "name": name,
+            "hostname": HOST,
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 5_000,
+            "target_latency_ms": 400,
+            "priority": 1,
+            "service": service,
+            "max_attempts": 2,
+            "public": False,
+        }
+        return route | fields
+
+    return {
+        "version": version,
+        "routes": [
+            make_route("draft", "streaming", MODEL_SERVICE, resume_streams=True, gap_aim_ms=250),
+            make_route("score", "streaming", MODEL_SERVICE, resume_streams=False, gap_aim_ms=250),
+            make_route("order", "non_idempotent", PLAIN_SERVICE),
+            make_route("status", "idempotent", PLAIN_SERVICE),
+        ],
+        "services": [
+            {
+                "name": MODEL_SERVICE,
+                "health_path": "/healthz",
+                "max_connections": 100,
+                "engine": {"slots": 8, "kv_capacity": 100_000, "stride": 1},
+            },
+            {"name": PLAIN_SERVICE, "health_path": "/healthz", "max_connections": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 1_000_000,
+            "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+        "tenants": [{"name": WORKSPACE, "api_keys": [KEY], "priority": 1, "prepaid": prepaid}],
+    }
+
+
+@define
+class Reply:
+    """Hold what a caller got; the body is what arrived, whole or not."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+def call(address: str, method: str, path: str, headers: dict[str, str], body: bytes = b"") -> Reply:
+    """Send one request and read its answer."""
+    data = body if method != "GET" else None
+    request = urllib.request.Request(f"http://{address}{path}", data, headers, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=15) as response:
+            named = {name.lower(): value for name, value in response.headers.items()}
+            try:
+                return Reply(response.status, named, response.read(), True)
+            except OSError:
+                return Reply(response.status, named, b"", False)
+            except Exception as error:  # http.client raises IncompleteRead for a cut answer
+                return Reply(response.status, named, getattr(error, "partial", b""), False)
+    except urllib.error.HTTPError as error:
+        named = {name.lower(): value for name, value in error.headers.items()}
+        return Reply(error.code, named, error.read(), True)
+
+
+@define(eq=False)
+class GatewayFleet:
+    """Hold the processes of one fleet."""
+
+    folder: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="gateway-")))
+    processes: dict[str, Process] = field(factory=dict)
+    arguments: dict[str, list[str]] = field(factory=dict)
+
+    def start_store(self, *extra: str) -> None:
+        """Start the store."""
+        self._start("store", ["standins.keyed_store", *extra])
+
+    def start_engine(
+        self, engine_id: str, service: str, data_centre: str = "regina-a", *extra: str
+    ) -> None:
+        """Start a target and register it."""
+        self._start(engine_id, ["standins.path_engine", "--id", engine_id, *extra])
+        self.register(engine_id, service, data_centre)
+
+    def register(self, engine_id: str, service: str, data_centre: str, **fields: Any) -> None:
+        """Write a target's registration."""
+        address = self.processes[engine_id].ready["address"]
+        value = make_registration(engine_id, service, address, data_centre, **fields)
+        self.write("keyed.servers", engine_id, value)
+
+    def configure(self, version: int, **fields: Any) -> None:
+        """Write a configuration."""
+        self.write("keyed.op", "config", json.dumps(make_configuration(version, **fields)).encode())
+
+    def start_node(self, node_id: str, data_centre: str = "regina-a") -> None:
+        """Start a gateway node."""
+        settings = {
+            "node_id": node_id,
+            "region": REGIONS[data_centre],
+            "data_centre": data_centre,
+            "data_centres": REGIONS,
+            "listen": dict.fromkeys(("callers", "readiness", "lookup", "metrics"), "127.0.0.1:0"),
+            "store": {"address": self.processes["store"].ready["address"], "partitions": 4},
+            "retries": {"ratio": 0.2, "allowance": 50, "window_seconds": 10},
+            "stop": {"grace_seconds": 4.0, "entry_seconds": 0.5},
+        }
+        path = self.folder / f"{node_id}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        self._start(node_id, ["bronzetiller", "gateway", str(path)])
+
+    def restart(self, name: str) -> None:
+        """Start a process again as it was started before."""
+        self._start(name, self.arguments[name])
+
+    def address(self, node_id: str, kind: str = "callers") -> str:
+        """Return one of a node's addresses."""
+        return self.processes[node_id].ready[kind]
+
+    def write(self, topic: str, key: str, value: bytes) -> None:
+        """Append a keyed record."""
+        record = bytes([len(key)]) + key.encode() + value
+        body = struct.pack(">I", len(record)) + record
+        address = self.processes["store"].ready["address"]
+        reply = call(address, "POST", f"/-/log-append?topic={topic}&part=0", {}, body)
+        assert reply.status == 200, reply
+
+    def set_faults(self, name: str, **faults: Any) -> None:
+        """Switch faults of a stand-in on; all others are off."""
+        address = self.processes[name].ready["address"]
+        call(address, "POST", "/control/faults", {}, json.dumps(faults).encode())
+
+    def list_runs(self, *engine_ids: str) -> list[dict[str, Any]]:
+        """Return the requests that ran on targets."""
+        runs = []
+        for engine_id in engine_ids:
+            address = self.processes[engine_id].ready["address"]
+            runs += json.loads(call(address, "GET", "/control/runs", {}).body)["runs"]
+        return runs
+
+    def send(self, node_id: str, route: str, request_id: str, **headers: str) -> Reply:
+        """Send a request of a route; model requests say what tokens they use."""
+        usage = {"X-Token-Usage": "40,10", "X-Prompt-Prefix": "aa:30,bb:10", "X-Model": "m"}
+        named = {"Host": HOST, "X-Request-Id": request_id, "Api-Key": KEY, "X-Deadline-Ms": "4000"}
+        named |= usage if route in ("draft", "score") else {}
+        named |= {name.replace("_", "-"): value for name, value in headers.items()}
+        method = "GET" if route == "status" else "POST"
+        return call(self.address(node_id), method, f"/{route}/2f", named, b"body")
+
+    def close(self) -> None:
+        """End all processes."""
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.kill()
+
+    def _start(self, name: str, arguments: list[str]) -> None:
+        self.arguments[name] = arguments
+        self.processes[name] = start_process(name, arguments, self.folder / f"{name}.log")
--- /dev/null
+++ b/standins/keyed_store.py
@@ -0,0 +1,173 @@
+"""Stand in for the users' platform's store: topics of records, read by offset or newest by key.
+
+python -m standins.keyed_store --listen ip:port [--keep-records N]
+"""
+
+import argparse
+import base64
+import json
+import struct
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+from attrs import define, field
+
+from bronzetiller.net.exchange import Exchange
+from bronzetiller.net.loop import Loop, make_loop
+from standins.process import respond_json, serve
+
+PAGE_RECORDS_MAX = 500
+LENGTH = struct.Struct(">I")
+
+
+def split_records(body: bytes) -> list[bytes]:
+    """Return the length-prefixed records of a call."""
+    records = []
+    position = 0
+    while position < len(body):
+        (size,) = LENGTH.unpack_from(body, position)
+        position += LENGTH.size
+        records.append(body[position : position + size])
+        position += size
+    return records
+
+
+def split_key(record: bytes) -> tuple[str, bytes]:
+    """Return the key and the value of a keyed record; an empty value deletes the key."""
+    return record[1 : 1 + record[0]].decode(), record[1 + record[0] :]
+
+
+@define
+class Partition:
+    first: int = 0
+    records: list[bytes] = field(factory=list)
+    newest: dict[str, tuple[int, bytes]] = field(factory=dict)
+    waiting: list[Callable[[], None]] = field(factory=list)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+    def append(self, record: bytes) -> None:
+        key, value = split_key(record)
+        if value:
+            self.newest[key] = (self.end, value)
+        else:
+            self.newest.pop(key, None)
+        self.records.append(record)
+
+
+@define
+class Faults:
+    """Say which faults the control interface has switched on."""
+
+    down: bool = False
+    silent: bool = False
+    drop_answers: int = 0
+    delay_seconds: float = 0.0
+
+
+class Store:
+    def __init__(self, loop: Loop, keep_records: int) -> None:
+        self._loop = loop
+        self._keep_records = keep_records
+        self._partitions: dict[tuple[str, str], Partition] = {}
+        self._faults = Faults()
+
+    def serve(self, exchange: Exchange) -> None:
+        if exchange.path == "/control/faults":
+            self._faults = Faults(**json.loads(exchange.body))
+            respond_json(exchange, 200, {})
+            return
+        if self._faults.silent:
+            return
+        if self._faults.down:
+            respond_json(exchange, 503, {})
+            return
+        query = {name: values[0] for name, values in parse_qs(exchange.query).items()}
+        handle = {
+            "/-/log-append": self._append,
+            "/-/log-read": self._read,
+            "/-/log-newest": self._list_newest,
+        }.get(exchange.path)
+        if handle is None:
+            respond_json(exchange, 404, {})
+            return
+        name = (query["topic"], query["part"])
+        partition = self._partitions.setdefault(name, Partition())
+        self._loop.scheduler.call_after(
+            self._faults.delay_seconds, lambda: handle(exchange, partition, query)
+        )
+
+    def _append(self, exchange: Exchange, partition: Partition, query: dict[str, Any]) -> None:
+        if "at" in query and int(query["at"]) != partition.end:
+            respond_json(exchange, 412, {"end": partition.end})
+            return
+        offset = partition.end
+        for record in split_records(exchange.body):
+            partition.append(record)
+        while len(partition.records) > self._keep_records:
+            partition.records.pop(0)
+            partition.first += 1
+        waiting, partition.waiting = partition.waiting, []
+        for wake in waiting:
+            wake()
+        if self._faults.drop_answers > 0:
+            self._faults.drop_answers -= 1
+            exchange.abort()
+            return
+        respond_json(exchange, 200, {"offset": offset, "end": partition.end})
+
+    def _read(self, exchange: Exchange, partition: Partition, query: dict[str, Any]) -> None:
+        start = int(query["from"])
+        if start < partition.first:
+            respond_json(exchange, 410, {"first": partition.first})
+            return
+        wait_ms = int(query.get("wait_ms", 0))
+        if start < partition.end or not wait_ms:
+            self._answer(exchange, partition, start)
+            return
+        timer = self._loop.scheduler.call_after(wait_ms / 1000, lambda: wake())
+
+        def wake() -> None:
+            timer.cancel()
+            if wake in partition.waiting:
+                partition.waiting.remove(wake)
+            self._answer(exchange, partition, start)
+
+        partition.waiting.append(wake)
+
+    def _answer(self, exchange: Exchange, partition: Partition, start: int) -> None:
+        body = struct.pack(">QQ", partition.end, partition.first)
+        for record in partition.records[start - partition.first :]:
+            body += LENGTH.pack(len(record)) + record
+        exchange.respond(200, {"Content-Type": "application/octet-stream"}, body)
+
+    def _list_newest(self, exchange: Exchange, partition: Partition, query: dict[str, Any]) -> None:
+        keys = sorted(key for key in partition.newest if key > query.get("after", ""))
+        page = keys[:PAGE_RECORDS_MAX]
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(partition.newest[key][1]).decode(),
+                "offset": partition.newest[key][0],
+            }
+            for key in page
+        ]
+        more = len(keys) > len(page)
+        respond_json(exchange, 200, {"items": items, "more_pages": more, "end": partition.end})
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--listen", default="127.0.0.1:0")
+    parser.add_argument("--keep-records", type=int, default=1_000_000)
+    arguments = parser.parse_args()
+    loop = make_loop()
+    store = Store(loop, arguments.keep_records)
+    serve(loop, "keyed_store", arguments.listen, store.serve)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/path_engine.py
@@ -0,0 +1,179 @@
+"""Stand in for a target of path routes: a model engine that streams events, or a plain service.
+
+python -m standins.path_engine --listen ip:port --id ID [--event-seconds S] [--slots N]
+
+The control interface switches faults on and tells which requests ran; a request runs once the
+engine has begun to answer it.
+"""
+
+import argparse
+import json
+from typing import Any
+
+from attrs import define
+
+from bronzetiller.net.exchange import Exchange
+from bronzetiller.net.loop import Loop, make_loop
+from standins.process import respond_json, serve
+
+EVENTS_MAX = 64
+
+
+@define
+class Faults:
+    """Say what goes wrong with the next requests; counts are used up, one a request."""
+
+    refuse: int = 0
+    break_after: int = 0
+    break_count: int = 0
+    reset: int = 0
+    mute: int = 0
+    fail: int = 0
+    leaving: bool = False
+
+
+@define
+class Run:
+    """Tell of one request that ran, as the target saw it."""
+
+    request_id: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: str
+    cancelled: bool = False
+
+
+class Engine:
+    def __init__(self, loop: Loop, engine_id: str, event_seconds: float, slots: int) -> None:
+        self._loop = loop
+        self._id = engine_id
+        self._event_seconds = event_seconds
+        self._slots = slots
+        self._running = 0
+        self._faults = Faults()
+        self._runs: list[Run] = []
+
+    def serve(self, exchange: Exchange) -> None:
+        if exchange.path == "/control/faults":
+            self._faults = Faults(**json.loads(exchange.body))
+            respond_json(exchange, 200, {})
+        elif exchange.path == "/control/runs":
+            runs = [
+                {name: getattr(run, name) for name in Run.__slots__ if name != "__weakref__"}
+                for run in self._runs
+            ]
+            respond_json(exchange, 200, {"runs": runs})
+        else:
+            self._serve_request(exchange)
+
+    def _serve_request(self, exchange: Exchange) -> None:
+        expected = exchange.headers.get("x-expect-instance")
+        if expected not in (None, self._id):
+            exchange.respond(421, {"X-Instance-Id": self._id}, b"")
+            return
+        if self._faults.refuse > 0 or self._running >= self._slots:
+            self._faults.refuse -= 1
+            exchange.respond(503, self._make_headers(exchange) | {"X-Not-Executed": "1"}, b"full")
+            return
+        run = Run(
+            exchange.headers.get("x-request-id", ""),
+            exchange.method,
+            exchange.path,
+            dict(exchange.headers),
+            exchange.body.decode("latin-1"),
+        )
+        self._runs.append(run)
+        if self._faults.reset > 0:
+            self._faults.reset -= 1
+            exchange.abort()
+        elif self._faults.mute > 0:
+            self._faults.mute -= 1
+        elif self._faults.fail > 0:
+            self._faults.fail -= 1
+            exchange.respond(500, self._make_headers(exchange) | {"X-Response-Seal": "bad"}, b"no")
+        elif "x-token-usage" in exchange.headers:
+            self._stream(exchange, run)
+        else:
+            headers = self._make_headers(exchange) | {"X-Response-Seal": f"seal-{self._id}"}
+            exchange.respond(200, headers, f"answer to {run.request_id}".encode())
+
+    def _make_headers(self, exchange: Exchange) -> dict[str, str]:
+        return {
+            "Content-Type": "application/octet-stream",
+            "X-Request-Id": exchange.headers.get("x-request-id", ""),
+            "X-Instance-Id": self._id,
+            "X-Server-Load": f"{self._running},0,{self._slots}",
+        }
+
+    def _stream(self, exchange: Exchange, run: Run) -> None:
+        self._running += 1
+        _, answer_tokens = exchange.headers["x-token-usage"].split(",")
+        events = min(EVENTS_MAX, int(answer_tokens))
+        begin = int(exchange.headers.get("last-event-id", 0)) + 1
+        breaks_at = None
+        if self._faults.break_count > 0:
+            self._faults.break_count -= 1
+            breaks_at = begin + self._faults.break_after
+        headers = self._make_headers(exchange) | {
+            "Content-Type": "text/event-stream",
+            "X-Response-Seal": f"seal-{self._id}",
+        }
+        exchange.start(200, headers)
+
+        def leave() -> None:
+            run.cancelled = True
+            self._running -= 1
+
+        exchange.on_disconnect = leave
+
+        def send(number: int) -> None:
+            if exchange.done:
+                return
+            if number == breaks_at:
+                self._running -= 1
+                exchange.send(f"id: {number}\ndata: half".encode())
+                exchange.abort()
+                return
+            if number > events:
+                self._running -= 1
+                exchange.finish()
+                return
+            exchange.send(f"id: {number}\ndata: {run.request_id}-{number}\n\n".encode())
+            self._loop.scheduler.call_after(self._event_seconds, lambda: send(number + 1))
+
+        self._loop.scheduler.call_after(self._event_seconds, lambda: send(begin))
+
+
+def make_registration(
+    engine_id: str, service: str, address: str, data_centre: str, **fields: Any
+) -> bytes:
+    """Return what an engine writes of itself in the store."""
+    value = {
+        "service": service,
+        "address": address,
+        "zone": data_centre,
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    return json.dumps(value | fields).encode()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--listen", default="127.0.0.1:0")
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--event-seconds", type=float, default=0.01)
+    parser.add_argument("--slots", type=int, default=8)
+    arguments = parser.parse_args()
+    loop = make_loop()
+    engine = Engine(loop, arguments.id, arguments.event_seconds, arguments.slots)
+    serve(loop, "path_engine", arguments.listen, engine.serve)
+
+
+if __name__ == "__main__":
+    main()
