--- a/bronzetiller/gateway/placement.py
+++ b/bronzetiller/gateway/placement.py
@@ -14,9 +14,12 @@
 from bronzetiller.gateway.requests import Prompt
 
 PREFILL_TOKENS_PER_SECOND = 60_000.0  # the pages give 61 and 66 tokens a millisecond
+DRAW_SECONDS = 0.002  # breaks ties between engines that cost the same
 CROWD_FACTOR = 2.0  # prompts that wait at an engine for each one that this node sent there
 BUSY_SECONDS = 0.08  # what a full batch adds to the first token, by its step times
 FULL_SECONDS = 1.0  # waiting for a slot of a full target: about half of a stream's length
+READ_AGAIN_FACTOR = 5.0  # a shared part read twice takes prefill from others and room from parts
+RANK_SECONDS = 0.004  # between an engine and the next in line for a prompt, so that nodes agree
 FAILING_SECONDS = 2.0  # weight of a target's share of failures, about one lost attempt
 
 
@@ -27,8 +30,8 @@
     data_centre: str
     region: str
     regions: dict[str, str]
-    near_seconds: float = 0.01
-    far_seconds: float = 0.12
+    near_seconds: float = 0.003
+    far_seconds: float = 0.06
 
     def estimate(self, data_centre: str) -> float:
         """Return the cost (seconds) of sending work to a data centre."""
@@ -65,36 +68,33 @@
     candidates = usable or list(engines)
     if not candidates:
         return None
-    home = find_home(candidates, demand, distances)
+    ranks = rank_engines(engines, demand)
 
     def estimate(engine: Engine) -> float:
-        return estimate_cost(engine, demand, distances, now, is_home=engine is home) + (
-            0.002 * draw()
-        )
+        rank = ranks.get(engine.engine_id)
+        return estimate_cost(engine, demand, distances, now, rank) + DRAW_SECONDS * draw()
 
     return min(candidates, key=estimate)
 
 
-def find_home(engines: Collection[Engine], demand: Demand, distances: Distances) -> Engine | None:
-    """Return the engine that all nodes of a data centre send a shared prompt to (rendezvous)."""
+def rank_engines(engines: Collection[Engine], demand: Demand) -> dict[str, int]:
+    """Rank the engines for a shared prompt; all nodes come to the same ranks (rendezvous)."""
     if not demand.mark:
-        return None
-    nearest = min(distances.estimate(engine.registration.data_centre) for engine in engines)
-    near = [
-        engine
-        for engine in engines
-        if distances.estimate(engine.registration.data_centre) == nearest
-    ]
-    return max(near, key=lambda engine: _rank(demand.mark, engine.engine_id))
+        return {}
+    ranked = sorted(engines, key=lambda item: _hash(demand.mark, item.engine_id), reverse=True)
+    return {engine.engine_id: rank for rank, engine in enumerate(ranked)}
 
 
 def estimate_cost(
-    engine: Engine, demand: Demand, distances: Distances, now: float, *, is_home: bool
+    engine: Engine, demand: Demand, distances: Distances, now: float, rank: int | None
 ) -> float:
     """Estimate what placing a request costs (seconds): way, prefill, load and failures."""
     load = engine.estimate_load(now) / engine.registration.slots
     cost = distances.estimate(engine.registration.data_centre)
-    cost += count_unread(engine, demand, is_home=is_home) / PREFILL_TOKENS_PER_SECOND
+    unread = count_unread(engine, demand, is_home=rank == 0)
+    cost += unread.tokens / PREFILL_TOKENS_PER_SECOND
+    cost += READ_AGAIN_FACTOR * unread.shared_tokens / PREFILL_TOKENS_PER_SECOND
+    cost += RANK_SECONDS * (rank or 0)
     cost += CROWD_FACTOR * engine.unread_tokens / PREFILL_TOKENS_PER_SECOND
     cost += engine.estimate_delay(now)
     cost += BUSY_SECONDS * load * (1 + load)
@@ -103,19 +103,28 @@
     return cost + FAILING_SECONDS * engine.failure_share
 
 
-def count_unread(engine: Engine, demand: Demand, *, is_home: bool) -> int:
-    """Return the prompt tokens that the engine is expected to read."""
+@frozen
+class Unread:
+    """Count the prompt tokens that an engine has to read, and those of parts others share."""
+
+    tokens: int = 0
+    shared_tokens: int = 0
+
+
+def count_unread(engine: Engine, demand: Demand, *, is_home: bool) -> Unread:
+    """Return what the engine is expected to read; the first in line has the shared parts."""
     if demand.prompt is None:
-        return 0
+        return Unread()
     known = 0
-    for part in demand.prompt.parts:
-        if not is_home and part.part_id not in engine.cached_parts:
-            break
-        if is_home and part is demand.prompt.parts[-1] and part.part_id not in engine.cached_parts:
+    shared = demand.prompt.shared_parts
+    for index, part in enumerate(demand.prompt.parts):
+        is_expected = is_home and index < len(shared)
+        if not is_expected and part.part_id not in engine.cached_parts:
             break
         known += part.tokens
-    return max(0, demand.prompt.tokens - known)
+    shared_tokens = sum(part.tokens for part in shared)
+    return Unread(max(0, demand.prompt.tokens - known), max(0, shared_tokens - known))
 
 
-def _rank(mark: str, engine_id: str) -> bytes:
+def _hash(mark: str, engine_id: str) -> bytes:
     return hashlib.blake2b(f"{mark}/{engine_id}".encode(), digest_size=8).digest()
--- a/bronzetiller/gateway/run.py
+++ b/bronzetiller/gateway/run.py
@@ -169,7 +169,7 @@
         now = services.scheduler.now()
         self.tried.append(engine.engine_id)
         prompt = self.terms.prompt
-        self.unread_tokens = count_unread(engine, make_demand(prompt), is_home=False)
+        self.unread_tokens = count_unread(engine, make_demand(prompt), is_home=False).tokens
         self.sent_at = now
         if prompt is not None:
             engine.note_parts((part.part_id for part in prompt.parts), now)
