--- a/bronzetiller/gateway/application.py
+++ b/bronzetiller/gateway/application.py
@@ -10,11 +10,13 @@
     make_refusal_headers,
 )
 from bronzetiller.errors import Reason, Refusal
+from bronzetiller.fleet.drain import Drain
 from bronzetiller.gateway.catalogue import Catalogue
 from bronzetiller.gateway.run import DEADLINE_MARGIN_SECONDS, GatewayRun, GatewayServices
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.platform.headers import read_request_terms
 
+STOPPING_RETRY_SECONDS = 0.05  # other nodes serve at once
 STARTING_RETRY_SECONDS = 0.5
 
 
@@ -24,14 +26,22 @@
 
     services: GatewayServices
     find_catalogue: Callable[[], Catalogue | None]
-    is_stopping: Callable[[], bool]
+    find_drain: Callable[[], Drain]
 
     def serve(self, exchange: Exchange) -> None:
         """Answer one request of a caller."""
         now = self.services.scheduler.now()
-        if self.is_stopping():
-            exchange.close_after()
         terms = read_request_terms(exchange.headers)
+        drain = self.find_drain()
+        if drain.stopping:
+            exchange.close_after()
+        if drain.refusing:
+            detail = "the node is stopping; look up another address"
+            refusal = Refusal(
+                503, Reason.STOPPING, detail, retry_after_seconds=STOPPING_RETRY_SECONDS
+            )
+            self._refuse(exchange, terms.request_id, refusal)
+            return
         catalogue = self.find_catalogue()
         if catalogue is None:
             detail = "the node has read no configuration yet"
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -35,7 +35,8 @@
 
 AHEAD_DELAY_SECONDS = 1.5  # until the nodes that start together know of each other
 STOP_MARGIN_SECONDS = 0.7  # of the grace, for the process to end
-STALE_LOOKUP_FACTOR = 2.0  # callers keep a lookup up to three times as long as they are told
+LEAVE_SECONDS = 3.0  # after a stop, in which new requests are still served: one and a half lookups
+BODY_SECONDS_MAX = 10.0  # for a body of 4 MB over a slow link; the operator bounds heads only
 
 
 class _Signals(BaseComponent):
@@ -90,7 +91,7 @@
             draw=Random().random,
         )
         application = Application(
-            self.services, lambda: self.configuration.catalogue, lambda: self.drain.stopping
+            self.services, lambda: self.configuration.catalogue, lambda: self.drain
         )
         self.drain = Drain(
             scheduler,
@@ -130,7 +131,7 @@
         """Finish what runs, then end the process."""
         stop = self.settings.stop
         seconds = stop.grace_seconds - STOP_MARGIN_SECONDS
-        leave_seconds = min(seconds, STALE_LOOKUP_FACTOR * stop.entry_seconds)
+        leave_seconds = min(seconds, LEAVE_SECONDS)
         self.drain.begin(cause, leave_seconds=leave_seconds, stop_seconds_max=seconds)
 
     def _reload(self) -> None:
@@ -165,6 +166,7 @@
                 idle_seconds=limits.idle_seconds,
                 connections_max=self.settings.connections_max,
                 half_close_ends=True,
+                body_seconds=BODY_SECONDS_MAX,
             )
         )
         self.keeper.set_workspaces(catalogue.workspaces)
--- a/bronzetiller/net/http_server.py
+++ b/bronzetiller/net/http_server.py
@@ -37,7 +37,8 @@
 class HttpLimits:
     """Bound what one connection may ask of the process.
 
-    With half_close_ends, a caller that has finished sending counts as gone.
+    With half_close_ends, a caller that has finished sending counts as gone. request_seconds bounds
+    the head and the body together, or the head alone where body_seconds bounds the body.
     """
 
     body_bytes_max: int
@@ -49,6 +50,7 @@
     unsent_bytes_max: int = 256 * 1024
     connections_max: int = 10_000
     half_close_ends: bool = False
+    body_seconds: float | None = None
 
 
 Application = Callable[[Exchange], None]
@@ -363,6 +365,8 @@
         if int(headers.get(b"content-length", b"0")) > self._limits.body_bytes_max:
             self._refuse(connection, 413, "the declared body is too large")
             return False
+        if self._limits.body_seconds is not None:
+            connection.watch.expire_after(self._limits.body_seconds)
         if headers.get(b"expect", b"").lower() == b"100-continue":
             self.server.write(connection.sock, CONTINUE)
         return True
--- /dev/null
+++ b/tests/test_gateway_parts.py
@@ -0,0 +1,358 @@
+"""Check the gateway's decisions and formats without a network."""
+
+import json
+import logging
+import os
+
+import pytest
+from result import Err, Ok
+
+from bronzetiller.gateway.allotments import (
+    Account,
+    Allotment,
+    HoldingRecord,
+    blend_shares,
+    read_holding_record,
+    reclaim_accounts,
+    size_change,
+    size_target,
+)
+from bronzetiller.gateway.catalogue import choose_service
+from bronzetiller.gateway.engines import EnginePool, Registration
+from bronzetiller.gateway.members import Member, choose_members
+from bronzetiller.gateway.placement import Distances, choose_engine, make_demand
+from bronzetiller.gateway.requests import HeardLoad, Prompt, PromptPart, TargetVerdict
+from bronzetiller.gateway.retry_window import RetryWindow
+from bronzetiller.logs import BoundedHandler
+from bronzetiller.net.address import Address
+from bronzetiller.net.http_client import ResponseHead
+from bronzetiller.platform.catalogue import read_catalogue, read_registration
+from bronzetiller.platform.headers import (
+    answers_request,
+    make_target_headers,
+    read_load,
+    read_request_terms,
+    read_verdict,
+)
+from standins.gateway_fleet import make_configuration
+
+REGIONS = {"a": "west", "b": "west", "c": "east"}
+DISTANCES = Distances("a", "west", REGIONS)
+NOW = 1000.0
+
+
+def make_registration(engine_id, data_centre="a", **fields):
+    values = {"service": "namegen", "slots": 8, "leaving": False, "started_ms": 1}
+    address = Address("10.0.0.1", 8000)
+    return Registration(engine_id, address=address, data_centre=data_centre, **(values | fields))
+
+
+@pytest.fixture
+def pool():
+    """Hold four engines in three data centres."""
+    pool = EnginePool()
+    for engine_id, data_centre in (("e1", "a"), ("e2", "a"), ("e3", "b"), ("e4", "c")):
+        pool.register(make_registration(engine_id, data_centre))
+    return pool
+
+
+def make_prompt(session="s1", shared=5000, own=500):
+    parts = (PromptPart("common", 100), PromptPart(session, shared - 100), PromptPart("own", own))
+    return Prompt(shared + own, 100, parts)
+
+
+def choose(pool, prompt=None, distances=DISTANCES, draw=0.5):
+    engines = pool.list_service("namegen")
+    return choose_engine(engines, make_demand(prompt), distances, NOW, lambda: draw)
+
+
+def test_all_nodes_send_a_shared_prompt_to_the_same_engine(pool):
+    others = [Distances("b", "west", REGIONS), Distances("c", "east", REGIONS)]
+    for number in range(20):
+        prompt = make_prompt(f"s{number}")
+        chosen = {choose(pool, prompt, item).engine_id for item in [DISTANCES, *others]}
+        assert len(chosen) == 1
+
+
+def test_shared_prompts_spread_over_the_engines(pool):
+    chosen = [choose(pool, make_prompt(f"s{number}")).engine_id for number in range(80)]
+    assert all(chosen.count(engine_id) >= 8 for engine_id in ("e1", "e2", "e3", "e4"))
+
+
+def test_a_full_engine_gives_its_shared_prompt_up(pool):
+    home = choose(pool, make_prompt())
+    home.note_load(HeardLoad(8, 6, 8), NOW)
+    assert choose(pool, make_prompt()) is not home
+
+
+def test_a_request_without_a_prompt_stays_near(pool):
+    assert choose(pool).registration.data_centre == "a"
+
+
+def test_an_engine_that_failed_is_avoided_longer_each_time_but_not_if_it_is_the_last(pool):
+    first = choose(pool, make_prompt())
+    first.note_failure("reset", NOW)
+    assert choose(pool, make_prompt()) is not first
+    once = first.avoid_until
+    first.note_failure("reset", NOW)
+    assert first.avoid_until > once
+    for engine in pool.engines.values():
+        engine.note_failure("reset", NOW)
+    assert choose(pool, make_prompt()) is not None
+
+
+def test_a_wait_seen_at_an_engine_counts_and_fades(pool):
+    engine = choose(pool)
+    engine.note_delay(2.0, NOW)
+    assert choose(pool) is not engine
+    assert engine.estimate_delay(NOW + 5) < 0.01
+
+
+def test_a_restarted_target_is_a_new_one_and_a_replaced_one_gets_no_work(pool):
+    engine = pool.engines["e1"]
+    engine.note_failure("reset", NOW)
+    pool.register(make_registration("e1", started_ms=2))
+    assert pool.engines["e1"] is not engine and pool.engines["e1"].avoid_until == 0
+    pool.refuse_address(pool.engines["e1"])
+    assert "e1" not in {item.engine_id for item in pool.list_service("namegen")}
+
+
+def test_a_lapsed_target_is_kept_until_it_should_be_back(pool):
+    pool.lapse("e1", NOW)
+    pool.expire_lapsed(NOW + 2.0)
+    assert "e1" in pool.engines
+    pool.register(make_registration("e1"))
+    pool.expire_lapsed(NOW + 9.0)
+    assert "e1" in pool.engines
+    pool.lapse("e1", NOW + 9)
+    pool.expire_lapsed(NOW + 11.3)
+    assert "e1" not in pool.engines
+
+
+def test_repeats_keep_to_the_ratio_and_a_share_of_the_allowance():
+    window = RetryWindow(0.2, 50, 10)
+    taken = sum(window.take(NOW, 5) for _ in range(100))
+    assert taken == 8  # 0.8 of a fifth of the allowance
+    for _ in range(100):
+        window.note_request(NOW + 1)
+    assert sum(window.take(NOW + 1, 5) for _ in range(100)) == 16
+    assert sum(window.take(NOW + 30, 5) for _ in range(100)) == 8
+
+
+def test_five_nodes_repeat_less_than_the_operator_allows():
+    windows = [RetryWindow(0.2, 50, 10) for _ in range(5)]
+    repeats = 0
+    for window in windows:
+        for _ in range(200):
+            window.note_request(NOW)
+            repeats += window.take(NOW, 5)
+    assert repeats <= 0.2 * 1000 + 50
+
+
+def test_a_cut_off_node_may_commit_all_it_holds_but_only_after_a_while():
+    allotment = Allotment("studio", 1000)
+    allotment.propose(600, 10.0, NOW)
+    assert not allotment.reserve(10, NOW)  # nothing before the store has it
+    allotment.conclude(applied=True)
+    assert not allotment.reserve(300, NOW + 0.1)
+    assert allotment.reserve(600, NOW + 4.1)
+
+
+def test_a_proposal_that_may_have_landed_binds_the_node():
+    allotment = Allotment("studio", 1000)
+    allotment.propose(600, 0.0, NOW)
+    allotment.conclude(applied=True)
+    allotment.propose(100, 0.0, NOW + 9)
+    assert not allotment.reserve(200, NOW + 9.1)
+    assert allotment.held == 100
+
+
+def test_a_restart_counts_the_slack_as_spent_and_hands_back_the_rest():
+    account = Account(handed_out=1000, committed=200, slack=50, slack_per_second=10)
+    record = HoldingRecord("node/1", 3, 5000.0, True, {"studio": account})
+    assert read_holding_record(record.encode()) == record
+    assert reclaim_accounts(record, 5002.0)["studio"].handed_out == 270
+    assert reclaim_accounts(record, 5004.1)["studio"].handed_out == 1000
+
+
+@pytest.mark.parametrize(("steady", "now"), [(False, 5001.0), (True, 4999.0)])
+def test_a_clock_that_jumped_reclaims_nothing(steady, now):
+    account = Account(handed_out=1000, committed=200)
+    record = HoldingRecord("node/1", 3, 5000.0, steady, {"studio": account})
+    assert reclaim_accounts(record, now)["studio"].handed_out == 1000
+
+
+def test_shares_follow_use_and_add_up():
+    shares = [blend_shares(1 / 3, rate, 100) for rate in (70, 30, 0)]
+    assert shares[0] > shares[1] > shares[2] > 0
+    assert sum(shares) == pytest.approx(1)
+
+
+def test_the_last_tokens_are_not_held_ahead_of_need():
+    allotment = Allotment("studio", 1000)
+    allotment.propose(500, 0.0, NOW)
+    allotment.conclude(applied=True)
+    assert allotment.reserve(100, NOW + 5)
+    usual = allotment.usual_size
+    assert size_target(allotment, left=int(usual), share=0.5) == 0
+    assert size_change(allotment, target=0, free=100) == -400
+
+
+def test_a_waiting_request_gets_what_it_lacks_or_makes_way_for_a_smaller_one():
+    allotment = Allotment("studio", 1000)
+    allotment.waiting = {1: 300}
+    assert size_change(allotment, target=0, free=500) == 300
+    allotment.waiting = {1: 300, 2: 50}
+    assert size_change(allotment, target=0, free=100) == 50
+    assert size_change(allotment, target=0, free=10) == 0
+
+
+def test_lookups_name_the_near_nodes_and_more_where_there_is_one():
+    members = [
+        Member(f"n{index}", f"10.0.0.{index}:1", data_centre, "x", True)
+        for index, data_centre in enumerate(("a", "a", "b", "c"))
+    ]
+
+    def name(data_centre):
+        return {item.node_id for item in choose_members(members, data_centre, REGIONS)}
+
+    assert name("a") == {"n0", "n1"}
+    assert name("b") == {"n0", "n1", "n2"}
+    assert name("c") == {"n0", "n1", "n2", "n3"}
+    assert name("unknown") == {"n0", "n1", "n2", "n3"}
+
+
+def test_a_configuration_is_decoded_once():
+    match read_catalogue(json.dumps(make_configuration(7)).encode()):
+        case Ok(catalogue):
+            pass
+    assert catalogue.version == 7
+    route = catalogue.find_route("Studio.example:80", "/draft/2f")
+    assert route.streamed and route.repeatable and route.timeout_seconds == 5.0
+    assert not catalogue.find_route("studio.example", "/score/x").repeatable
+    assert not catalogue.find_route("studio.example", "/order/x").repeatable
+    assert catalogue.find_route("studio.example", "/drafts/") is None
+    assert catalogue.keys["studio-key"].prepaid_tokens == 100_000
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b"{}", b'{"version":1,"routes":[{}]}'])
+def test_a_malformed_configuration_is_an_error(value):
+    assert isinstance(read_catalogue(value), Err)
+
+
+def test_the_longest_prefix_wins():
+    configuration = make_configuration(1)
+    configuration["routes"][1]["path_prefix"] = "/draft/2f/"
+    match read_catalogue(json.dumps(configuration).encode()):
+        case Ok(catalogue):
+            pass
+    assert catalogue.find_route("studio.example", "/draft/2f/x").name == "score"
+    assert catalogue.find_route("studio.example", "/draft/2g/x").name == "draft"
+
+
+def test_a_split_follows_its_weights_and_what_can_be_reached():
+    configuration = make_configuration(1)
+    route = configuration["routes"][0]
+    del route["service"]
+    route["backends"] = [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]
+    match read_catalogue(json.dumps(configuration).encode()):
+        case Ok(catalogue):
+            pass
+    split = catalogue.find_route("studio.example", "/draft/")
+    draws = [choose_service(split, n / 100, {"x", "y"}) for n in range(100)]
+    assert draws.count("x") == 90
+    assert choose_service(split, 0.1, {"y"}) == "y"
+    assert choose_service(split, 0.1, set()) == "x"
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\x00",
+        b"{}",
+        b'{"service":"s","address":"10.0.0.1:1","zone":"a","slots":1,"state":"odd"}',
+        b'{"service":"s","address":"nowhere","zone":"a","slots":1,"state":"ready"}',
+        b'{"service":"s","address":"10.0.0.1:1","zone":"a","slots":"1","state":"ready"}',
+        b'{"service":1,"address":"10.0.0.1:1","zone":"a","slots":1,"state":"ready"}',
+    ],
+)
+def test_a_malformed_registration_is_an_error(value):
+    assert isinstance(read_registration("e1", value), Err)
+
+
+def test_headers_are_decoded_and_only_the_router_sets_its_own():
+    terms = read_request_terms(
+        {
+            "x-request-id": "r1",
+            "api-key": "k",
+            "x-deadline-ms": "1500",
+            "x-token-usage": "1460,80",
+            "x-prompt-prefix": "5c:800,91:410,e4:250",
+            "x-tenant": "forged",
+            "x-hold": "forged",
+            "connection": "keep-alive, x-hop",
+            "x-hop": "1",
+            "x-model": "m",
+        }
+    )
+    assert terms.seconds_left == 1.5 and terms.key == "k"
+    assert terms.prompt.tokens_max == 1540 and len(terms.prompt.shared_parts) == 2
+    headers = make_target_headers(
+        terms,
+        seconds_left=1.2,
+        target_id="e1",
+        workspace="studio",
+        priority=12,
+        last_event_id=None,
+    )
+    assert headers["x-tenant"] == "studio" and headers["x-model"] == "m"
+    assert headers["x-deadline-ms"] == "1200" and headers["x-request-priority"] == "9"
+    assert not {"api-key", "x-hold", "x-hop", "connection"} & headers.keys()
+
+
+@pytest.mark.parametrize("text", ["", "x", "-1", "1,2,3", "1" * 30])
+def test_malformed_figures_count_as_absent(text):
+    terms = read_request_terms({"x-deadline-ms": text, "x-token-usage": text})
+    assert terms.seconds_left is None and terms.prompt is None
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "verdict"),
+    [
+        (200, {}, TargetVerdict.ANSWERED),
+        (404, {}, TargetVerdict.ANSWERED),
+        (500, {}, TargetVerdict.FAILED),
+        (503, {}, TargetVerdict.FAILED),
+        (503, {"x-not-executed": "1"}, TargetVerdict.NOT_RUN),
+        (421, {}, TargetVerdict.OTHER_TARGET),
+    ],
+)
+def test_only_a_marked_refusal_says_that_a_request_was_not_run(status, headers, verdict):
+    assert read_verdict(ResponseHead(status, headers)) is verdict
+
+
+def test_answers_of_other_requests_are_told_apart_and_loads_read():
+    head = ResponseHead(200, {"x-request-id": "r1", "x-server-load": "3,1,8"})
+    assert answers_request(head, "r1") and not answers_request(head, "r2")
+    assert read_load(head) == HeardLoad(3, 1, 8)
+    assert read_load(ResponseHead(200, {"x-server-load": "3,x"})) is None
+
+
+def test_log_lines_are_bounded_and_a_full_pipe_never_blocks():
+    reader, writer = os.pipe()
+    handler = BoundedHandler(writer, lines_per_second=50)
+    record = logging.LogRecord("x", logging.INFO, "", 0, "event=test", None, None)
+    for _ in range(1000):
+        handler.emit(record)
+    assert handler.dropped >= 890
+    lines = os.read(reader, 1 << 20).count(b"\n")
+    assert lines <= 101
+    endless = BoundedHandler(writer, lines_per_second=10_000_000)
+    for _ in range(20_000):
+        endless.emit(record)  # fills the pipe, which holds 64 KiB
+    assert endless.dropped > 0
+    os.read(reader, 1 << 20)
+    endless.emit(record)
+    assert b"dropped_before=" in os.read(reader, 1 << 20)
+    os.close(reader)
+    os.close(writer)
