--- /dev/null
+++ b/soak/load.py
@@ -0,0 +1,81 @@
+"""Send requests over kept connections, until the run ends."""
+
+import http.client
+import itertools
+import threading
+import time
+from random import Random
+
+from attrs import define, field
+
+from soak.history import Sent
+from soak.world import World
+from standins.gateway_fleet import HOST, KEY
+
+ROUTES = {"draft": True, "score": False, "order": False, "status": True}
+PROMPT_TOKENS = 20
+EVENTS_MAX = 12
+PAUSE_SECONDS = 0.05
+CALLER_SECONDS = 6.0  # a little longer than any route's timeout
+LEAVE_SHARE = 0.05  # of the callers, which close their connection right after sending
+
+
+@define(eq=False)
+class Caller:
+    """Hold one caller: a kept connection to one node at a time."""
+
+    world: World
+    random: Random
+    name: str
+    sent: list[Sent]
+    stop: threading.Event
+    _numbers: "itertools.count[int]" = field(factory=itertools.count)
+    _connection: http.client.HTTPConnection | None = None
+
+    def run(self) -> None:
+        """Send one request after another."""
+        while not self.stop.is_set():
+            self.sent.append(self._send())
+            time.sleep(self.random.uniform(0, 2 * PAUSE_SECONDS))
+
+    def _send(self) -> Sent:
+        route = self.random.choice(list(ROUTES))
+        request_id = f"{self.name}-{next(self._numbers)}"
+        events = self.random.randint(1, EVENTS_MAX)
+        headers = {"Host": HOST, "X-Request-Id": request_id, "Api-Key": KEY}
+        headers["X-Deadline-Ms"] = str(self.random.choice([800, 2000, 4000]))
+        if route in ("draft", "score"):
+            headers["X-Token-Usage"] = f"{PROMPT_TOKENS},{events}"
+            headers["X-Prompt-Prefix"] = f"{self.random.randint(1, 4):x}:15,{request_id}:5"
+        method = "GET" if route == "status" else "POST"
+        status, body, whole = 0, b"", False
+        try:
+            connection = self._connect()
+            connection.request(method, f"/{route}/2f", b"" if method == "GET" else b"x", headers)
+            if self.random.random() < LEAVE_SHARE:
+                self._close()
+            else:
+                response = connection.getresponse()
+                status = response.status
+                body = response.read()
+                whole = True
+                if response.will_close:
+                    self._close()
+        except http.client.IncompleteRead as error:
+            body = error.partial
+            self._close()
+        except (OSError, http.client.HTTPException):
+            self._close()
+        return Sent(request_id, route, ROUTES[route], events, status, body, whole)
+
+    def _connect(self) -> http.client.HTTPConnection:
+        if self._connection is None:
+            node = self.random.choice(self.world.nodes)
+            ip, _, port = self.world.fleet.address(node).rpartition(":")
+            self._connection = http.client.HTTPConnection(ip, int(port), timeout=CALLER_SECONDS)
+        return self._connection
+
+    def _close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,190 @@
+"""Hold the processes of a soak: a store, targets and gateway nodes, with links between them."""
+
+import json
+import signal
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from attrs import define, field
+
+from standins.fleet import Process, start_process
+from standins.gateway_fleet import MODEL_SERVICE, PLAIN_SERVICE, GatewayFleet, call
+from standins.path_engine import make_registration
+
+PREPAID_START = 3_000
+TARGET_SERVICES = {
+    "engine-1": MODEL_SERVICE,
+    "engine-2": MODEL_SERVICE,
+    "engine-3": MODEL_SERVICE,
+    "desk-1": PLAIN_SERVICE,
+    "desk-2": PLAIN_SERVICE,
+}
+
+
+@define(eq=False)
+class World:
+    """Start, disturb and end processes; only those started here are ever signalled."""
+
+    nodes: list[str]
+    fleet: GatewayFleet = field(factory=GatewayFleet)
+    prepaid: int = PREPAID_START
+    expected_ends: set[str] = field(factory=set)
+    own_ends: list[str] = field(factory=list)
+    _version: int = 1
+    _links: dict[str, str] = field(factory=dict)
+    _control: Any = None
+    _sequence: int = 1
+
+    def start(self) -> None:
+        """Start everything, and write the first configuration."""
+        fleet = self.fleet
+        fleet.start_store()
+        proxy = start_process("proxy", ["standins.proxy"], fleet.folder / "proxy.log")
+        fleet.processes["proxy"] = proxy
+        ip, _, port = proxy.ready["address"].rpartition(":")
+        self._control = socket.create_connection((ip, int(port))).makefile("rwb")
+        fleet.configure(1, prepaid=self.prepaid)
+        for target in TARGET_SERVICES:
+            self._start_target(target, "127.0.0.1:0")
+            self._add_link(target, fleet.processes[target].ready["address"])
+            self.set_state(target, "ready")
+        for index, node in enumerate(self.nodes):
+            self._add_link(f"{node}>store", fleet.store_address)
+            data_centre = "winnipeg-a" if index % 3 == 2 else "regina-a"
+            fleet.start_node(node, data_centre, self._links[f"{node}>store"])
+
+    @property
+    def runs_paths(self) -> list[Path]:
+        """Return the files in which the targets write their runs."""
+        return [self._runs_path(target) for target in TARGET_SERVICES]
+
+    def kill(self, node: str) -> None:
+        """End a node at once."""
+        self.expected_ends.add(node)
+        process = self.fleet.processes[node]
+        if process.popen.poll() is None:
+            process.kill()
+
+    def signal(self, node: str, number: signal.Signals) -> None:
+        """Send a node a signal, if it runs."""
+        process = self.fleet.processes[node]
+        if number is signal.SIGTERM:
+            self.expected_ends.add(node)
+        if process.popen.poll() is None:
+            process.popen.send_signal(number)
+
+    def restart(self, node: str) -> None:
+        """Start a node again once it has ended, as far as it was told to."""
+        if node not in self.expected_ends:
+            return
+        process = self.fleet.processes[node]
+        process.popen.send_signal(signal.SIGCONT)
+        process.popen.wait(timeout=10)
+        self.expected_ends.discard(node)
+        self.fleet.restart(node)
+
+    def note_own_ends(self) -> None:
+        """Record the nodes that ended though nothing told them to, and start them again."""
+        for node in self.nodes:
+            status = self.fleet.processes[node].popen.poll()
+            if status is not None and node not in self.expected_ends:
+                self.own_ends.append(f"{node} with status {status}")
+                self.fleet.restart(node)
+
+    def each(self, act: Callable[[str], None]) -> None:
+        """Do something to every node."""
+        for node in self.nodes:
+            act(node)
+
+    def set_link(self, link: str, fault: dict[str, Any]) -> None:
+        """Set the fault of a link; none clears it."""
+        self._command({"links": [link], "fault": fault})
+
+    def set_faults(self, name: str, fault: dict[str, Any]) -> None:
+        """Set the faults of a stand-in; none clears them."""
+        if self.fleet.processes[name].popen.poll() is None:
+            self.fleet.set_faults(name, **fault)
+
+    def kill_target(self, target: str) -> None:
+        """End a target at once; its registration stays for a while, as after a crash."""
+        process = self.fleet.processes[target]
+        if process.popen.poll() is None:
+            process.kill()
+
+    def restart_target(self, target: str) -> None:
+        """Start a target again under its id and address."""
+        process = self.fleet.processes[target]
+        if process.popen.poll() is not None:
+            self._start_target(target, process.ready["address"])
+            self.set_state(target, "ready", born=self._next_sequence())
+
+    def set_state(self, target: str, state: str, **fields: Any) -> None:
+        """Register a target."""
+        sequence = self._next_sequence()
+        value = make_registration(
+            target,
+            TARGET_SERVICES[target],
+            self._links[target],
+            "regina-a",
+            state=state,
+            sequence=sequence,
+            **fields,
+        )
+        self.fleet.write("keyed.servers", target, value)
+
+    def top_up(self, tokens: int) -> None:
+        """Add to the budget by a new configuration."""
+        self.prepaid += tokens
+        self._version += 1
+        self.fleet.configure(self._version, prepaid=self.prepaid)
+
+    def heal(self) -> None:
+        """Clear all faults and start all that does not run."""
+        for link in self._links:
+            self.set_link(link, {})
+        self.set_faults("store", {})
+        for target in TARGET_SERVICES:
+            self.restart_target(target)
+            self.set_faults(target, {})
+            self.set_state(target, "ready")
+        for node in self.nodes:
+            self.signal(node, signal.SIGCONT)
+            self.restart(node)
+
+    def is_ready(self, node: str) -> bool:
+        """Say whether a node counts itself ready."""
+        try:
+            return call(self.fleet.address(node, "readiness"), "GET", "/-/readyz", {}).status == 200
+        except OSError:
+            return False
+
+    def close(self) -> None:
+        """End all that was started."""
+        for process in self.fleet.processes.values():
+            if process.popen.poll() is None:
+                process.popen.send_signal(signal.SIGCONT)
+        self.fleet.close()
+
+    def _start_target(self, target: str, address: str) -> Process:
+        arguments = ["standins.path_engine", "--id", target, "--listen", address]
+        arguments += ["--runs", str(self._runs_path(target))]
+        log_path = self.fleet.folder / f"{target}.log"
+        self.fleet.processes[target] = start_process(target, arguments, log_path)
+        return self.fleet.processes[target]
+
+    def _runs_path(self, target: str) -> Path:
+        return self.fleet.folder / f"{target}.runs"
+
+    def _add_link(self, name: str, upstream: str) -> None:
+        self._links[name] = self._command({"add": name, "upstream": upstream})["address"]
+
+    def _command(self, command: dict[str, Any]) -> Any:
+        self._control.write(json.dumps(command).encode() + b"\n")
+        self._control.flush()
+        return json.loads(self._control.readline())
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -12,6 +12,7 @@
 from attrs import define, field
 
 from standins.fleet import Process, start_process
+from standins.keyed_store import OPERATOR_HEADER
 from standins.path_engine import make_registration
 
 HOST = "studio.example"
@@ -124,15 +125,17 @@
         """Write a configuration."""
         self.write("keyed.op", "config", json.dumps(make_configuration(version, **fields)).encode())
 
-    def start_node(self, node_id: str, data_centre: str = "regina-a") -> None:
-        """Start a gateway node."""
+    def start_node(
+        self, node_id: str, data_centre: str = "regina-a", store_address: str | None = None
+    ) -> None:
+        """Start a gateway node, which reaches the store at another address if one is given."""
         settings = {
             "node_id": node_id,
             "region": REGIONS[data_centre],
             "data_centre": data_centre,
             "data_centres": REGIONS,
             "listen": dict.fromkeys(("callers", "readiness", "lookup", "metrics"), "127.0.0.1:0"),
-            "store": {"address": self.processes["store"].ready["address"], "partitions": 4},
+            "store": {"address": store_address or self.store_address, "partitions": 4},
             "retries": {"ratio": 0.2, "allowance": 50, "window_seconds": 10},
             "stop": {"grace_seconds": 4.0, "entry_seconds": 0.5},
         }
@@ -144,6 +147,11 @@
         """Start a process again as it was started before."""
         self._start(name, self.arguments[name])
 
+    @property
+    def store_address(self) -> str:
+        """Return the store's own address."""
+        return self.processes["store"].ready["address"]
+
     def address(self, node_id: str, kind: str = "callers") -> str:
         """Return one of a node's addresses."""
         return self.processes[node_id].ready[kind]
@@ -152,8 +160,8 @@
         """Append a keyed record."""
         record = bytes([len(key)]) + key.encode() + value
         body = struct.pack(">I", len(record)) + record
-        address = self.processes["store"].ready["address"]
-        reply = call(address, "POST", f"/-/log-append?topic={topic}&part=0", {}, body)
+        path = f"/-/log-append?topic={topic}&part=0"
+        reply = call(self.store_address, "POST", path, {OPERATOR_HEADER: "1"}, body)
         assert reply.status == 200, reply
 
     def set_faults(self, name: str, **faults: Any) -> None:
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -17,6 +17,7 @@
 from bronzetiller.net.loop import Loop, make_loop
 from standins.process import respond_json, serve
 
+OPERATOR_HEADER = "x-standin-operator"  # writes of operators and targets pass all faults
 PAGE_RECORDS_MAX = 500
 LENGTH = struct.Struct(">I")
 
@@ -80,9 +81,10 @@
             self._faults = Faults(**json.loads(exchange.body))
             respond_json(exchange, 200, {})
             return
-        if self._faults.silent:
+        bypasses = OPERATOR_HEADER in exchange.headers
+        if self._faults.silent and not bypasses:
             return
-        if self._faults.down:
+        if self._faults.down and not bypasses:
             respond_json(exchange, 503, {})
             return
         query = {name: values[0] for name, values in parse_qs(exchange.query).items()}
@@ -96,9 +98,8 @@
             return
         name = (query["topic"], query["part"])
         partition = self._partitions.setdefault(name, Partition())
-        self._loop.scheduler.call_after(
-            self._faults.delay_seconds, lambda: handle(exchange, partition, query)
-        )
+        delay = 0.0 if bypasses else self._faults.delay_seconds
+        self._loop.scheduler.call_after(delay, lambda: handle(exchange, partition, query))
 
     def _append(self, exchange: Exchange, partition: Partition, query: dict[str, Any]) -> None:
         if "at" in query and int(query["at"]) != partition.end:
@@ -113,7 +114,7 @@
         waiting, partition.waiting = partition.waiting, []
         for wake in waiting:
             wake()
-        if self._faults.drop_answers > 0:
+        if self._faults.drop_answers > 0 and OPERATOR_HEADER not in exchange.headers:
             self._faults.drop_answers -= 1
             exchange.abort()
             return
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -1,13 +1,16 @@
 """Stand in for a target of path routes: a model engine that streams events, or a plain service.
 
 python -m standins.path_engine --listen ip:port --id ID [--event-seconds S] [--slots N]
+    [--runs FILE]
 
 The control interface switches faults on and tells which requests ran; a request runs once the
-engine has begun to answer it.
+engine has begun to answer it. With a file, each run and the events it made are appended there too,
+so that they outlive the engine.
 """
 
 import argparse
 import json
+from pathlib import Path
 from typing import Any
 
 from attrs import define
@@ -42,10 +45,13 @@
     headers: dict[str, str]
     body: str
     cancelled: bool = False
+    events: int = 0
 
 
 class Engine:
-    def __init__(self, loop: Loop, engine_id: str, event_seconds: float, slots: int) -> None:
+    def __init__(
+        self, loop: Loop, engine_id: str, event_seconds: float, slots: int, runs_path: Path | None
+    ) -> None:
         self._loop = loop
         self._id = engine_id
         self._event_seconds = event_seconds
@@ -53,6 +59,7 @@
         self._running = 0
         self._faults = Faults()
         self._runs: list[Run] = []
+        self._runs_file = None if runs_path is None else runs_path.open("a", buffering=1)
 
     def serve(self, exchange: Exchange) -> None:
         if exchange.path == "/control/faults":
@@ -84,6 +91,7 @@
             exchange.body.decode("latin-1"),
         )
         self._runs.append(run)
+        self._write(run, begun=True)
         if self._faults.reset > 0:
             self._faults.reset -= 1
             exchange.abort()
@@ -98,6 +106,16 @@
             headers = self._make_headers(exchange) | {"X-Response-Seal": f"seal-{self._id}"}
             exchange.respond(200, headers, f"answer to {run.request_id}".encode())
 
+    def _write(self, run: Run, *, begun: bool) -> None:
+        if self._runs_file is not None:
+            value = {"id": run.request_id, "begun": begun, "events": run.events} | {
+                "target": self._id,
+                "prompt": run.headers.get("x-token-usage", "0,0").partition(",")[0],
+                "workspace": run.headers.get("x-tenant", ""),
+                "has_key": "api-key" in run.headers,
+            }
+            self._runs_file.write(json.dumps(value) + "\n")
+
     def _make_headers(self, exchange: Exchange) -> dict[str, str]:
         return {
             "Content-Type": "application/octet-stream",
@@ -124,6 +142,7 @@
         def leave() -> None:
             run.cancelled = True
             self._running -= 1
+            self._write(run, begun=False)
 
         exchange.on_disconnect = leave
 
@@ -132,13 +151,16 @@
                 return
             if number == breaks_at:
                 self._running -= 1
+                self._write(run, begun=False)
                 exchange.send(f"id: {number}\ndata: half".encode())
                 exchange.abort()
                 return
             if number > events:
                 self._running -= 1
+                self._write(run, begun=False)
                 exchange.finish()
                 return
+            run.events += 1
             exchange.send(f"id: {number}\ndata: {run.request_id}-{number}\n\n".encode())
             self._loop.scheduler.call_after(self._event_seconds, lambda: send(number + 1))
 
@@ -169,9 +191,10 @@
     parser.add_argument("--id", required=True)
     parser.add_argument("--event-seconds", type=float, default=0.01)
     parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--runs", type=Path)
     arguments = parser.parse_args()
     loop = make_loop()
-    engine = Engine(loop, arguments.id, arguments.event_seconds, arguments.slots)
+    engine = Engine(loop, arguments.id, arguments.event_seconds, arguments.slots, arguments.runs)
     serve(loop, "path_engine", arguments.listen, engine.serve)
 
 
