Lose less of a budget at restarts, and wait in a cut for tokens that soon may be used

Now half a request, six seconds until a cut-off node may use all, and a stop waits for its last report.

--- a/bronzetiller/gateway/allotment_keeper.py
+++ b/bronzetiller/gateway/allotment_keeper.py
@@ -41,6 +41,7 @@
 USE_FADE_SECONDS = 12.0  # a few large requests a workspace and node; cuts last some ten seconds
 CHECK_SECONDS = 0.2
 RETRY_SECONDS = 0.25
+CUT_OFF_WAIT_SECONDS_MAX = 2.0  # late is better than refused, as another node is as likely cut off
 WAIT_SECONDS_MAX = 1.2  # a few answers of the store from another region, each some 70 ms
 UNCONFIRMED_RETRY_SECONDS = 0.6
 
@@ -116,10 +117,14 @@
             self._meter(workspace).note(tokens, now)
             done(Ok(None))
             return
+        wait_until = min(deadline, now + WAIT_SECONDS_MAX)
         if self._lost:
-            done(Err(self._refuse_cut_off(allotment, tokens)))
-            return
-        waiter = _Waiter(allotment, tokens, min(deadline, now + WAIT_SECONDS_MAX), done)
+            available_at = allotment.predict_available(tokens, now)
+            if available_at is None or available_at > min(deadline, now + CUT_OFF_WAIT_SECONDS_MAX):
+                done(Err(self._refuse_cut_off(allotment, tokens)))
+                return
+            wait_until = available_at + 2 * CHECK_SECONDS
+        waiter = _Waiter(allotment, tokens, wait_until, done)
         self._waiters.setdefault(workspace, []).append(waiter)
         allotment.waiting[id(waiter)] = tokens
         self._scheduler.call_at(waiter.deadline, lambda: self._expire(waiter))
@@ -140,6 +145,12 @@
             self._leaving = True
             self._report()
 
+    @property
+    def is_settled(self) -> bool:
+        """Say whether all was handed back, or cannot be as the store is away."""
+        held = any(allotment.held > 0 for allotment in self.allotments.values())
+        return self._leaving and (self._lost or not (held or self._busy))
+
     def _make_allotment(self, name: str, prepaid: int) -> Allotment:
         account = self._reclaimed.get(name, Account())
         return Allotment(name, prepaid, spent=account.committed, reported=account)
@@ -159,6 +170,9 @@
 
     def _check(self) -> None:
         self._clock.check()
+        if self._lost:
+            for allotment in self.allotments.values():
+                self._serve_waiters(allotment)
         interval = max(REPORT_SECONDS_MIN, REPORT_SECONDS_PER_NODE * self._count_nodes())
         due = self._scheduler.now() - self._reported_at >= interval
         if due or any(allotment.waiting for allotment in self.allotments.values()):
@@ -303,7 +317,8 @@
         log_event("budget_store_lost", level=30, cause=cause)
         for waiters in list(self._waiters.values()):
             for waiter in list(waiters):
-                self._end_wait(waiter, Err(_refuse_unconfirmed(cause)))
+                if waiter.tokens > waiter.allotment.held:
+                    self._end_wait(waiter, Err(_refuse_unconfirmed(cause)))
 
     def _conclude(self, *, applied: bool) -> None:
         proposed, self._proposed = self._proposed, None
--- a/bronzetiller/gateway/allotments.py
+++ b/bronzetiller/gateway/allotments.py
@@ -18,11 +18,11 @@
 
 RATE_WEIGHT = 0.6  # of a workspace's own use against the load of all, in a node's share
 HELD_SHARE = 0.9  # of what is left of a budget, held by all nodes; the rest serves single requests
-CUT_OFF_SECONDS = 4.0  # without a report, after which all that is held may go: restarts take less
+CUT_OFF_SECONDS = 6.0  # without a report, after which all that is held may go: restarts take less
 SLACK_HELD_SHARE = 0.05  # of the held tokens, that may go before the next report
-SLACK_REQUESTS = 2.0  # requests of usual size that may go before the next report
-SLACK_RATE_FACTOR = 1.5  # of the usual rate, as a node that is cut off sees bursts too
-SLACK_HELD_SHARE_PER_SECOND = 0.08  # of the held tokens, for a node without a known rate
+SLACK_REQUESTS = 0.5  # of the usual size; a request beyond the slack waits for one report
+SLACK_RATE_FACTOR = 1.3  # of the usual rate, as a node that is cut off sees bursts too
+SLACK_HELD_SHARE_PER_SECOND = 0.06  # of the held tokens, for a node without a known rate
 CHANGE_SHARE_MIN = 0.15  # of the target, below which a difference is left as it is
 SIZE_DECAY = 0.9  # weight of earlier requests in their usual size
 AHEAD_REQUESTS_MIN = 2.0  # requests of usual size, below which nothing is held ahead of need
@@ -175,6 +175,17 @@
         self.reserved -= reserved
         self.spent += min(reserved, used)
 
+    def predict_available(self, tokens: int, now: float) -> float | None:
+        """Return when the tokens can be set aside without a further report, or nothing."""
+        account = self.reported
+        if tokens > self.held or self.proposed is not None:
+            return None
+        lacking = self.committed + tokens - account.committed - account.slack
+        if account.slack_per_second <= 0:
+            return self.reported_at + CUT_OFF_SECONDS
+        seconds = min(CUT_OFF_SECONDS, lacking / account.slack_per_second)
+        return max(now, self.reported_at + seconds)
+
     @property
     def shortage(self) -> int:
         """Return the tokens that waiting requests need and the node does not hold."""
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -144,7 +144,9 @@
         log_event("reloaded", changed=result.unwrap() != self.settings)
 
     def _is_idle(self) -> bool:
-        return not self.services.open_runs and not self.server.open_exchanges
+        if self.services.open_runs or self.server.open_exchanges:
+            return False
+        return not self.drain.stopping or self.keeper.is_settled
 
     def _describe(self) -> Member:
         return Member(
