--- a/bronzetiller/gateway/run.py
+++ b/bronzetiller/gateway/run.py
@@ -410,7 +410,7 @@
             self._timer.cancel()
         if self._silence is not None:
             self._silence.cancel()
-        self._settle(whole=outcome == "answered")
+        used = self._settle(whole=outcome == "answered")
         log_event(
             "request",
             id=self.terms.request_id,
@@ -420,14 +420,15 @@
             targets=",".join(self.tried),
             attempts=self.attempts,
             events=self.events,
+            tokens=used,
             outcome=outcome,
             ms=round((self.services.scheduler.now() - self.begun_at) * 1000),
         )
 
-    def _settle(self, *, whole: bool = False) -> None:
-        """Charge the prompt once and the answer tokens that may have been made."""
+    def _settle(self, *, whole: bool = False) -> int:
+        """Charge the prompt once and the answer tokens that may have been made; return them."""
         if not self.tokens or self.workspace is None or self.terms.prompt is None:
-            return
+            return 0
         used = 0
         if self.may_have_run:
             prompt = self.terms.prompt
@@ -436,6 +437,7 @@
             used = prompt.tokens + min(prompt.answer_tokens_max, events * event_tokens)
         self.services.keeper.settle(self.workspace.name, self.tokens, used)
         self.tokens = 0
+        return used
 
     def _log_attempt(self, cause: str) -> None:
         assert self.attempt is not None
