--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -7,8 +7,10 @@
 from typing import Any
 
 from circuits import BaseComponent, handler
+from result import Err
 
 from bronzetiller.callers.problems import reject_malformed
+from bronzetiller.documents import Problem
 from bronzetiller.fleet.drain import Drain
 from bronzetiller.fleet.incarnations import make_incarnation
 from bronzetiller.gateway.allotment_keeper import AllotmentKeeper
@@ -21,7 +23,7 @@
 from bronzetiller.gateway.retry_window import RetryWindow
 from bronzetiller.gateway.run import GatewayServices
 from bronzetiller.gateway.settings import GatewaySettings, load_gateway_settings
-from bronzetiller.logs import log_event
+from bronzetiller.logs import configure_bounded_logging, log_event
 from bronzetiller.metrics import render_metrics
 from bronzetiller.net.address import Address
 from bronzetiller.net.dialer import Dialer
@@ -33,7 +35,7 @@
 from bronzetiller.platform.lookup import make_lookup_application, make_readiness_application
 from bronzetiller.platform.store import PlatformStore
 
-AHEAD_DELAY_SECONDS = 1.5  # until the nodes that start together know of each other
+AHEAD_DELAY_SECONDS = 0.6  # until the nodes that start together know of each other
 STOP_MARGIN_SECONDS = 0.7  # of the grace, for the process to end
 LEAVE_SECONDS = 3.0  # after a stop, in which new requests are still served: one and a half lookups
 BODY_SECONDS_MAX = 10.0  # for a body of 4 MB over a slow link; the operator bounds heads only
@@ -204,5 +206,16 @@
         return server
 
 
+def run_gateway(settings_path: Path) -> list[Problem]:
+    """Run a node until it has stopped; return what is wrong with its settings, if anything is."""
+    result = load_gateway_settings(settings_path)
+    if isinstance(result, Err):
+        return result.err_value
+    settings = result.ok_value
+    configure_bounded_logging(settings.node_id, settings.log_level, settings.log_lines_per_second)
+    GatewayNode(settings, settings_path).run()
+    return []
+
+
 def _serve_metrics(exchange: Exchange) -> None:
     exchange.respond(200, {"Content-Type": "text/plain; version=0.0.4"}, render_metrics())
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -141,7 +141,7 @@
         }
         path = self.folder / f"{node_id}.yaml"
         path.write_text(yaml.safe_dump(settings))
-        self._start(node_id, ["bronzetiller", "gateway", str(path)])
+        self._start(node_id, ["bronzetiller.gateway", str(path)])
 
     def restart(self, name: str) -> None:
         """Start a process again as it was started before."""
