--- a/bronzetiller/gateway/allotment_keeper.py
+++ b/bronzetiller/gateway/allotment_keeper.py
@@ -2,7 +2,6 @@
 
 import time
 from collections.abc import Callable
-from itertools import count
 
 from attrs import define, field
 from result import Err, Ok, Result
@@ -26,18 +25,19 @@
 from bronzetiller.routing.queues import RateMeter
 from bronzetiller.storage.keyed import (
     AppendFailure,
-    EndMoved,
+    Fenced,
     HistoryExpired,
     KeyedStore,
     Partition,
     ReadFailure,
     RecordBatch,
     StoreUnreachable,
+    WriteTurn,
 )
 
 HOLDINGS_PARTITION = Partition("keyed.holdings")
 REPORT_SECONDS_MIN = 0.8  # a few writes a second of the hundreds that the store takes
-REPORT_SECONDS_PER_NODE = 0.08  # so that conditional writes of many nodes rarely collide
+REPORT_SECONDS_PER_NODE = 0.03  # so that the nodes together make some 30 reports a second
 USE_FADE_SECONDS = 12.0  # a few large requests a workspace and node; cuts last some ten seconds
 CHECK_SECONDS = 0.2
 RETRY_SECONDS = 0.25
@@ -74,10 +74,13 @@
     _reclaimed: dict[str, Account] = field(factory=dict)
     _meters: dict[str, RateMeter] = field(factory=dict)
     _waiters: dict[str, list[_Waiter]] = field(factory=dict)
-    _numbers: "count[int]" = field(factory=lambda: count(1))
+    _epoch: int = 0
+    _number: int = 0
+    _offset: int | None = None
     _end: int = -1
     _proposed: HoldingRecord | None = None
     _busy: bool = False
+    _doubtful: bool = False
     _lost: bool = False
     _leaving: bool = False
     _reported_at: float = float("-inf")
@@ -195,9 +198,11 @@
                 cause = "waiting" if allotment.waiting else "ahead" if change > 0 else "surplus"
                 GRANTS_ASKED.labels(cause).inc()
         kept = {name: item for name, item in self._reclaimed.items() if name not in accounts}
+        self._number += 1
         self._proposed = HoldingRecord(
             self._holder,
-            next(self._numbers),
+            self._epoch,
+            self._number,
             self._read_clock(),
             self._clock.steady,
             accounts | kept,
@@ -206,13 +211,9 @@
         self._append()
 
     def _size_change(self, allotment: Allotment) -> int:
-        others = [
-            record.accounts[allotment.workspace]
-            for node_id, record in self._records.items()
-            if node_id != self._node_id and allotment.workspace in record.accounts
-        ]
-        handed_out = allotment.reported.handed_out + sum(item.handed_out for item in others)
-        free = allotment.prepaid - handed_out
+        others = self._list_others(allotment.workspace)
+        free = allotment.prepaid - allotment.reported.handed_out
+        free -= sum(item.handed_out for item in others)
         if self._leaving:
             return -max(0, allotment.held)
         left = allotment.prepaid - allotment.committed - sum(item.committed for item in others)
@@ -222,6 +223,14 @@
         target = size_target(allotment, left=left, share=share)
         return max(size_change(allotment, target=target, free=free), -max(0, allotment.held))
 
+    def _list_others(self, workspace: str) -> list[Account]:
+        """Return the other nodes' accounts of a workspace, by their newest records known."""
+        return [
+            record.accounts[workspace]
+            for node_id, record in self._records.items()
+            if node_id != self._node_id and workspace in record.accounts
+        ]
+
     def _append(self) -> None:
         record = self._proposed
         assert record is not None
@@ -229,21 +238,38 @@
         def take(result: Result[int, AppendFailure]) -> None:
             match result:
                 case Ok(offset):
-                    self._end = offset + 1
-                    self._records[self._node_id] = record
+                    self._doubtful = False
                     self._note_contact()
-                    self._conclude(applied=True)
-                case Err(EndMoved()):
+                    self._take_offset(record, offset)
+                case Err(Fenced(cause)):
+                    log_event("holding_record_fenced", level=40, epoch=record.epoch, cause=cause)
+                    self._epoch += 1
+                    self._doubtful = False
+                    self._drop_proposals()
                     self._read()
                 case Err(StoreUnreachable(cause, may_have_run)):
                     self._note_loss(cause)
-                    if may_have_run:
-                        # Only the same append again tells whether the first one took effect.
+                    self._doubtful = self._doubtful or may_have_run
+                    if self._doubtful:
+                        # The store tells by its number whether it already has this record.
                         self._scheduler.call_after(RETRY_SECONDS, self._append)
                     else:
-                        self._conclude(applied=False)
-
-        self._store.append(HOLDINGS_PARTITION, self._node_id, record.encode(), self._end, take)
+                        self._number -= 1
+                        self._drop_proposals()
+                        self._conclude()
+
+        turn = WriteTurn(self._node_id, record.epoch, record.number)
+        self._store.append(HOLDINGS_PARTITION, self._node_id, record.encode(), turn, take)
+
+    def _take_offset(self, record: HoldingRecord, offset: int) -> None:
+        """Judge the proposal by the records before it, which may first have to be read."""
+        self._offset = offset
+        if offset == self._end and record.number > 1:
+            self._end = offset + 1
+            self._records[self._node_id] = record
+            self._accept()
+        else:
+            self._read()
 
     def _read(self) -> None:
         self._busy = True
@@ -263,29 +289,64 @@
                 self._note_loss(str(failure))
                 self._scheduler.call_after(RETRY_SECONDS, self._read)
             case Ok(batch):
-                first = not self._records and self._proposed is None
-                for item in batch.records:
-                    record = read_holding_record(item.value or b"")
-                    if record is None:
-                        log_event("holding_record_malformed", level=40, key=item.key)
-                    else:
-                        self._records[item.key] = record
-                self._end = batch.end
                 self._note_contact()
-                if first:
-                    self._reclaim()
-                self._conclude(applied=self._is_applied())
-
-    def _is_applied(self) -> bool:
-        """Say whether the store holds the proposed record."""
-        own, proposed = self._records.get(self._node_id), self._proposed
-        if own is None or proposed is None:
+                self._apply(batch)
+
+    def _apply(self, batch: RecordBatch) -> None:
+        first = self._epoch == 0
+        accepted = False
+        for item in batch.records:
+            if item.offset == self._offset:
+                accepted = self._is_proposed(item.value)
+                if accepted:
+                    self._accept()
+            record = read_holding_record(item.value or b"")
+            if record is None:
+                log_event("holding_record_malformed", level=40, key=item.key)
+            else:
+                self._records[item.key] = record
+        self._end = batch.end
+        if first:
+            self._reclaim()
+        if accepted:
+            return
+        if self._offset is None:
+            self._conclude()
+        elif self._offset >= self._end:
+            self._read()
+        else:
+            # The record is no longer among those kept; all that are count as before it.
+            self._accept()
+
+    def _is_proposed(self, value: bytes | None) -> bool:
+        record = read_holding_record(value or b"")
+        proposed = self._proposed
+        if record is None or proposed is None:
             return False
-        return own.holder == proposed.holder and own.number == proposed.number
+        return (record.holder, record.number) == (proposed.holder, proposed.number)
+
+    def _accept(self) -> None:
+        """Take the proposals into force as far as the records read so far leave room."""
+        self._offset = None
+        self._proposed = None
+        self._reported_at = self._scheduler.now()
+        for allotment in self.allotments.values():
+            others = sum(item.handed_out for item in self._list_others(allotment.workspace))
+            change = allotment.accept(others)
+            if change:
+                self._log_change(allotment, change)
+        self._scheduler.call_after(0, self._conclude)
+
+    def _drop_proposals(self) -> None:
+        self._proposed = None
+        self._offset = None
+        for allotment in self.allotments.values():
+            allotment.drop_proposal()
 
     def _reclaim(self) -> None:
         """Take over what the last incarnation of this node cannot have spent."""
         record = self._records.get(self._node_id)
+        self._epoch = max(int(self._started_at), 0 if record is None else record.epoch + 1)
         if record is None:
             return
         self._reclaimed = reclaim_accounts(record, self._started_at)
@@ -320,18 +381,10 @@
                 if waiter.tokens > waiter.allotment.held:
                     self._end_wait(waiter, Err(_refuse_unconfirmed(cause)))
 
-    def _conclude(self, *, applied: bool) -> None:
-        proposed, self._proposed = self._proposed, None
+    def _conclude(self) -> None:
+        """Serve or refuse what waits, now that no call is open."""
         self._busy = False
-        if applied:
-            self._reported_at = self._scheduler.now()
         for allotment in self.allotments.values():
-            change = 0
-            if proposed is not None and allotment.proposed is not None:
-                change = allotment.proposed.handed_out - allotment.reported.handed_out
-            allotment.conclude(applied=applied)
-            if applied and change:
-                self._log_change(allotment, change)
             self._serve_waiters(allotment)
         self._refuse_uncovered()
         if any(allotment.waiting for allotment in self.allotments.values()):
@@ -362,11 +415,8 @@
         for allotment in self.allotments.values():
             if not allotment.waiting or self._size_change(allotment) > 0:
                 continue
-            committed = allotment.committed + sum(
-                record.accounts[allotment.workspace].committed
-                for node_id, record in self._records.items()
-                if node_id != self._node_id and allotment.workspace in record.accounts
-            )
+            others = self._list_others(allotment.workspace)
+            committed = allotment.committed + sum(item.committed for item in others)
             for waiter in list(self._waiters.get(allotment.workspace, [])):
                 if waiter.tokens <= allotment.count_available(self._scheduler.now()):
                     continue
--- a/bronzetiller/gateway/allotments.py
+++ b/bronzetiller/gateway/allotments.py
@@ -1,8 +1,9 @@
 """Decide how many prepaid tokens a node holds for each workspace; pure.
 
 Each node keeps one record in the store: the tokens handed out to it, and those it has committed
-to requests. What all nodes together were handed out never exceeds a budget, since a node raises
-its own record only under the condition that no record changed since it read them all.
+to requests. The order of the store's log decides who gets the last tokens: a node that raised its
+own record uses the raise only as far as the records before it leave room. Whoever writes later
+counts the raise in full, so that all nodes together never use more than a budget.
 
 A node that dies takes what it held with it, but for what it cannot have spent: between two reports
 it commits at most a slack that grows with the time since the last one, and all it holds only once
@@ -14,7 +15,7 @@
 import math
 from typing import Any
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 RATE_WEIGHT = 0.6  # of a workspace's own use against the load of all, in a node's share
 HELD_SHARE = 0.9  # of what is left of a budget, held by all nodes; the rest serves single requests
@@ -55,10 +56,13 @@
 class HoldingRecord:
     """Hold a node's accounts; reported_at is the Unix time (seconds) by the VM's clock.
 
+    epoch grows with each incarnation of the node, number with each record of an incarnation.
+
     clock_steady is false once the clock was seen to jump, so that no elapsed time follows from it.
     """
 
     holder: str
+    epoch: int
     number: int
     reported_at: float
     clock_steady: bool
@@ -68,6 +72,7 @@
         """Return the record as the store keeps it."""
         value = {
             "holder": self.holder,
+            "epoch": self.epoch,
             "number": self.number,
             "reported_at": round(self.reported_at, 3),
             "clock_steady": self.clock_steady,
@@ -95,6 +100,7 @@
         }
         return HoldingRecord(
             str(item["holder"]),
+            int(item["epoch"]),
             int(item["number"]),
             float(item["reported_at"]),
             item["clock_steady"] is True,
@@ -203,10 +209,20 @@
         self.proposed_at = now
         return self.proposed
 
-    def conclude(self, *, applied: bool) -> None:
-        """Take the proposed account for the reported one, or drop it."""
-        if applied and self.proposed is not None:
-            self.reported, self.reported_at = self.proposed, self.proposed_at
+    def accept(self, handed_out_by_others: int) -> int:
+        """Take the recorded proposal into force as far as there is room; return the change."""
+        if self.proposed is None:
+            return 0
+        before = self.reported.handed_out
+        room = max(0, self.prepaid - handed_out_by_others)
+        handed_out = min(self.proposed.handed_out, max(before, room))
+        self.reported = evolve(self.proposed, handed_out=handed_out)
+        self.reported_at = self.proposed_at
+        self.proposed = None
+        return handed_out - before
+
+    def drop_proposal(self) -> None:
+        """Forget a proposal that was never recorded."""
         self.proposed = None
 
 
--- a/bronzetiller/gateway/run.py
+++ b/bronzetiller/gateway/run.py
@@ -43,6 +43,7 @@
 from bronzetiller.routing.queues import RateMeter
 
 DIALS_MAX = 4  # targets that a request may fail to reach before it is refused
+REFUSALS_MAX = 2  # targets that may refuse a request before its caller is told to come back
 DEADLINE_MARGIN_SECONDS = 0.03  # for the answer to reach the caller, some 3 ms away
 ROOM_SECONDS_MIN = 0.05  # with less time left no target can answer
 SILENT_HEAD_TARGETS = 2.5  # times the latency target, before a request is moved
@@ -84,6 +85,7 @@
     tokens: int = 0
     attempt: Attempt | None = None
     attempts: int = 0
+    refusals: int = 0
     dials: int = 0
     tried: list[str] = field(factory=list)
     may_have_run: bool = False
@@ -213,6 +215,8 @@
     def _watch_silence(self, seconds: float) -> None:
         """Move the request to another target once this one is silent, where it may run again."""
         if not self._may_repeat:
+            if self._silence is not None:
+                self._silence.clear()  # it still runs for the target before this one
             return
         if self._silence is None:
             self._silence = self.services.scheduler.watch(self._on_silence)
@@ -309,8 +313,8 @@
                 return
         else:
             self.services.pool.note_refusal(attempt.engine, event.cause, now)
-            self.attempts += 1
-            if self.attempts < self.route.attempts_max + 1 and self._take_retry("target_refused"):
+            self.refusals += 1
+            if self.refusals <= REFUSALS_MAX and self._take_retry("target_refused"):
                 self._place()
                 return
         if self.may_have_run:
--- a/bronzetiller/platform/store.py
+++ b/bronzetiller/platform/store.py
@@ -1,4 +1,4 @@
-"""Call the platform's store: keyed topics, read by offset and appended under a condition."""
+"""Call the platform's store: keyed topics, read by offset and appended in turn."""
 
 import base64
 import json
@@ -21,7 +21,7 @@
 )
 from bronzetiller.storage.keyed import (
     AppendDone,
-    EndMoved,
+    Fenced,
     HistoryExpired,
     KeyedRecord,
     NewestDone,
@@ -29,6 +29,7 @@
     ReadDone,
     RecordBatch,
     StoreUnreachable,
+    WriteTurn,
 )
 
 ANSWER_SECONDS = 1.2  # answers take 4 ms as a rule, some 0.3 s from a slow store, and 60 ms of way
@@ -73,12 +74,19 @@
         self.call("GET", "/-/log-read", query, b"", take, ANSWER_SECONDS + wait_seconds)
 
     def append(
-        self, partition: Partition, key: str, value: bytes | None, end: int | None, done: AppendDone
+        self,
+        partition: Partition,
+        key: str,
+        value: bytes | None,
+        turn: WriteTurn | None,
+        done: AppendDone,
     ) -> None:
-        """Append one record, only where the partition ends at the given offset if there is one."""
+        """Append one record, in its writer's turn if one is given."""
         query = _name_partition(partition)
-        if end is not None:
-            query["at"] = end
+        if turn is not None:
+            query["producer"] = turn.writer
+            query["epoch"] = turn.epoch
+            query["sequence"] = turn.sequence
         name = key.encode()
         record = bytes([len(name)]) + name + (value or b"")
 
@@ -86,8 +94,8 @@
             match answer:
                 case Ok((200, body)):
                     done(Ok(_read_number(body, "offset")))
-                case Ok((412, body)):
-                    done(Err(EndMoved(_read_number(body, "end"))))
+                case Ok((409, body)):
+                    done(Err(Fenced(body[:200].decode("utf-8", "replace"))))
                 case Ok((status, _)):
                     # A 503 or 429 says that nothing was done; of others that is not known.
                     done(Err(StoreUnreachable(f"status {status}", status not in (429, 503))))
--- a/bronzetiller/storage/keyed.py
+++ b/bronzetiller/storage/keyed.py
@@ -55,14 +55,26 @@
 
 
 @frozen
-class EndMoved:
-    """Say that a partition did not end where a conditional append expected it to."""
+class WriteTurn:
+    """Number an append of one writer: a repeat is recognised, an older one than the last refused.
 
-    end: int
+    A writer's later epoch bars all appends of its earlier ones.
+    """
+
+    writer: str
+    epoch: int
+    sequence: int
+
+
+@frozen
+class Fenced:
+    """Say that an append came out of turn: its writer has a later epoch or sequence."""
+
+    cause: str
 
 
 ReadFailure = StoreUnreachable | HistoryExpired
-AppendFailure = StoreUnreachable | EndMoved
+AppendFailure = StoreUnreachable | Fenced
 NewestDone = Callable[[Result[RecordBatch, StoreUnreachable]], None]
 ReadDone = Callable[[Result[RecordBatch, ReadFailure]], None]
 AppendDone = Callable[[Result[int, AppendFailure]], None]
@@ -80,6 +92,11 @@
         """Read the records from an offset on; wait for the first one."""
 
     def append(
-        self, partition: Partition, key: str, value: bytes | None, end: int | None, done: AppendDone
+        self,
+        partition: Partition,
+        key: str,
+        value: bytes | None,
+        turn: WriteTurn | None,
+        done: AppendDone,
     ) -> None:
-        """Append one record, only where the partition ends at the given offset if there is one."""
+        """Append one record, in its writer's turn if one is given."""
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -45,11 +45,27 @@
     records: list[bytes] = field(factory=list)
     newest: dict[str, tuple[int, bytes]] = field(factory=dict)
     waiting: list[Callable[[], None]] = field(factory=list)
+    turns: dict[str, tuple[int, int, dict[int, int]]] = field(factory=dict)
 
     @property
     def end(self) -> int:
         return self.first + len(self.records)
 
+    def take_turn(self, writer: str, epoch: int, sequence: int) -> int | None:
+        """Return the offset of a repeat, -1 out of turn, or none where the append is next."""
+        last_epoch, last_sequence, offsets = self.turns.get(writer, (-1, 0, {}))
+        if epoch < last_epoch:
+            return -1
+        if epoch == last_epoch:
+            if sequence in offsets:
+                return offsets[sequence]
+            if sequence != last_sequence + 1:
+                return -1
+        else:
+            offsets = {}
+        self.turns[writer] = (epoch, sequence, offsets | {sequence: self.end})
+        return None
+
     def append(self, record: bytes) -> None:
         key, value = split_key(record)
         if value:
@@ -102,9 +118,14 @@
         self._loop.scheduler.call_after(delay, lambda: handle(exchange, partition, query))
 
     def _append(self, exchange: Exchange, partition: Partition, query: dict[str, Any]) -> None:
-        if "at" in query and int(query["at"]) != partition.end:
-            respond_json(exchange, 412, {"end": partition.end})
-            return
+        if "producer" in query:
+            known = partition.take_turn(
+                query["producer"], int(query["epoch"]), int(query["sequence"])
+            )
+            if known is not None:
+                status = 409 if known < 0 else 200
+                respond_json(exchange, status, {"offset": known, "reason": "fenced"})
+                return
         offset = partition.end
         for record in split_records(exchange.body):
             partition.append(record)
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from bronzetiller.storage.keyed import (
-    EndMoved,
+    Fenced,
     HistoryExpired,
     KeyedRecord,
     RecordBatch,
@@ -17,6 +17,7 @@
 
 @define(eq=False)
 class FakeTimer:
+    deadline: float
     action: object
 
     def cancel(self):
@@ -35,7 +36,7 @@
         return self.time
 
     def call_at(self, deadline, action):
-        timer = FakeTimer(action)
+        timer = FakeTimer(deadline, action)
         heapq.heappush(self._timers, (deadline, next(self._order), timer))
         return timer
 
@@ -70,15 +71,28 @@
     partitions: dict = field(factory=dict)
     first_offsets: dict = field(factory=dict)
     late: list = field(factory=list)
+    turns: dict = field(factory=dict)
 
     def records(self, partition):
         return self.partitions.setdefault(str(partition), [])
 
-    def append(self, partition, key, value, end):
-        """Append under the condition; return the offset, or none where it does not hold."""
+    def append(self, partition, key, value, turn):
+        """Append in turn; return the offset, the first one for a repeat, none out of turn."""
         records = self.records(partition)
-        if end is not None and end != len(records):
-            return None
+        if turn is not None:
+            writer = (str(partition), turn.writer)
+            epoch, sequence, offsets = self.turns.get(writer, (-1, 0, {}))
+            if turn.epoch < epoch:
+                return None
+            if turn.epoch == epoch:
+                if turn.sequence in offsets:
+                    return offsets[turn.sequence]
+                if turn.sequence != sequence + 1:
+                    return None
+            else:
+                offsets = {}
+            offsets[turn.sequence] = len(records)
+            self.turns[writer] = (turn.epoch, turn.sequence, offsets)
         records.append(KeyedRecord(key, value, len(records)))
         return len(records) - 1
 
@@ -130,19 +144,19 @@
         records = self.store.records(partition)
         self._answer(done, Ok(RecordBatch(records[offset:], len(records))))
 
-    def append(self, partition, key, value, end, done):
+    def append(self, partition, key, value, turn, done):
         self.appends += 1
         if self.mode == "down":
             self._answer(done, Err(StoreUnreachable("down", False)), 1.0)
             return
         if self.mode == "late":
-            self.store.late.append((partition, key, value, end))
+            self.store.late.append((partition, key, value, turn))
             self._answer(done, Err(StoreUnreachable("silence", True)), 1.0)
             return
-        offset = self.store.append(partition, key, value, end)
+        offset = self.store.append(partition, key, value, turn)
         if self.mode == "lost":
             self._answer(done, Err(StoreUnreachable("silence", True)), 1.0)
         elif offset is None:
-            self._answer(done, Err(EndMoved(len(self.store.records(partition)))))
+            self._answer(done, Err(Fenced("out of turn")))
         else:
             self._answer(done, Ok(offset))
--- a/tests/test_allotment_machine.py
+++ b/tests/test_allotment_machine.py
@@ -10,7 +10,7 @@
 from result import Ok
 
 from bronzetiller.gateway import allotment_keeper, allotments
-from bronzetiller.gateway.allotment_keeper import AllotmentKeeper
+from bronzetiller.gateway.allotment_keeper import HOLDINGS_PARTITION, AllotmentKeeper
 from bronzetiller.gateway.catalogue import WorkspaceTerms
 from bronzetiller.gateway.clock_watch import ClockWatch
 from tests.gateway_fakes import FakeScheduler, FakeStore, FakeStoreClient
@@ -133,6 +133,16 @@
         for node in self.live.values():
             node.keeper.set_workspaces({WORKSPACE: WorkspaceTerms(WORKSPACE, None, self.prepaid)})
 
+    @invariant()
+    def believes_no_more_than_the_store_says(self):
+        newest = {item.key: item for item in self.store.newest(HOLDINGS_PARTITION)}
+        for index, node in self.live.items():
+            allotment = node.keeper.allotments[WORKSPACE]
+            if allotment.proposed is None and f"node-{index}" in newest:
+                record = allotments.read_holding_record(newest[f"node-{index}"].value)
+                account = record.accounts.get(WORKSPACE, allotments.Account())
+                assert allotment.reported.handed_out <= account.handed_out
+
     @invariant()
     def spends_within_the_budget(self):
         running = sum(sum(node.running) for node in self.live.values())
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -153,7 +153,7 @@
     allotment = Allotment("studio", 1000)
     allotment.propose(600, 10.0, NOW)
     assert not allotment.reserve(10, NOW)  # nothing before the store has it
-    allotment.conclude(applied=True)
+    allotment.accept(0)
     assert not allotment.reserve(300, NOW + 0.1)
     assert allotment.predict_available(600, NOW + 1) == NOW + 6
     assert allotment.reserve(600, NOW + 6.1)
@@ -162,7 +162,7 @@
 def test_a_proposal_that_may_have_landed_binds_the_node():
     allotment = Allotment("studio", 1000)
     allotment.propose(600, 0.0, NOW)
-    allotment.conclude(applied=True)
+    allotment.accept(0)
     allotment.propose(100, 0.0, NOW + 9)
     assert not allotment.reserve(200, NOW + 9.1)
     assert allotment.held == 100
@@ -170,7 +170,7 @@
 
 def test_a_restart_counts_the_slack_as_spent_and_hands_back_the_rest():
     account = Account(handed_out=1000, committed=200, slack=50, slack_per_second=10)
-    record = HoldingRecord("node/1", 3, 5000.0, True, {"studio": account})
+    record = HoldingRecord("node/1", 7, 3, 5000.0, True, {"studio": account})
     assert read_holding_record(record.encode()) == record
     assert reclaim_accounts(record, 5002.0)["studio"].handed_out == 270
     assert reclaim_accounts(record, 5006.1)["studio"].handed_out == 1000
@@ -179,7 +179,7 @@
 @pytest.mark.parametrize(("steady", "now"), [(False, 5001.0), (True, 4999.0)])
 def test_a_clock_that_jumped_reclaims_nothing(steady, now):
     account = Account(handed_out=1000, committed=200)
-    record = HoldingRecord("node/1", 3, 5000.0, steady, {"studio": account})
+    record = HoldingRecord("node/1", 7, 3, 5000.0, steady, {"studio": account})
     assert reclaim_accounts(record, now)["studio"].handed_out == 1000
 
 
@@ -192,7 +192,7 @@
 def test_the_last_tokens_are_not_held_ahead_of_need():
     allotment = Allotment("studio", 1000)
     allotment.propose(500, 0.0, NOW)
-    allotment.conclude(applied=True)
+    allotment.accept(0)
     assert allotment.reserve(100, NOW + 7)
     usual = allotment.usual_size
     assert size_target(allotment, left=int(usual), share=0.5) == 0
