--- a/bronzetiller/gateway/engines.py
+++ b/bronzetiller/gateway/engines.py
@@ -14,7 +14,6 @@
 AVOID_SECONDS_MIN = 0.4  # a little over the time a target needs to refuse or reset again
 AVOID_SECONDS_MAX = 4.0  # targets that crash are back after some seconds
 HEARD_SECONDS_MAX = 2.0  # a report older than this says nothing of the load now
-LAPSE_SECONDS = 2.2  # registrations lost in an outage of the store are back two seconds after it
 OTHER_TARGET = "another target has the address"
 CACHED_PARTS_MAX = 4096
 DELAY_FADE_SECONDS = 1.0  # queues of prompts drain within about a second
@@ -146,12 +145,12 @@
             log_event("target_gone", target=engine_id, cause=cause)
             self._index()
 
-    def lapse(self, engine_id: str, now: float) -> None:
+    def lapse(self, engine_id: str, until: float) -> None:
         """Keep a target whose registration may only have expired in an outage of the store."""
         engine = self.engines.get(engine_id)
         if engine is not None and engine.lapsed_until is None:
-            engine.lapsed_until = now + LAPSE_SECONDS
-            log_event("target_lapsed", target=engine_id, seconds=LAPSE_SECONDS)
+            engine.lapsed_until = until
+            log_event("target_lapsed", target=engine_id)
 
     def expire_lapsed(self, now: float) -> None:
         """Forget the targets whose registrations have not come back in time."""
--- a/bronzetiller/gateway/followers.py
+++ b/bronzetiller/gateway/followers.py
@@ -23,7 +23,7 @@
 CONFIGURATION_WAIT_SECONDS = 1.0  # a silent connection is noticed after this and the answer's time
 CONFIGURATION_PAUSE_SECONDS = 0.05
 TARGETS_PAUSE_SECONDS = 0.5  # targets write every second or so; a change has seconds to be in force
-OUTAGE_SECONDS = 6.0  # after an outage, in which registrations may expire without a target's end
+LAPSE_SECONDS = 2.2  # after an outage, in which expired registrations are back if at all
 
 
 @define(eq=False)
@@ -87,13 +87,6 @@
             pause_seconds=TARGETS_PAUSE_SECONDS,
         )
 
-    def start(self) -> None:
-        """Begin to follow."""
-        self.follower.start()
-        self._scheduler.call_every(
-            TARGETS_PAUSE_SECONDS, lambda: self._pool.expire_lapsed(self._scheduler.now())
-        )
-
     def _take(self, records: list[KeyedRecord]) -> None:
         for record in records:
             if record.value is None:
@@ -110,7 +103,9 @@
         """Drop a target, or keep it a while where an outage may have ended its registration."""
         regained_at = self.follower.regained_at
         now = self._scheduler.now()
-        if regained_at is not None and now - regained_at < OUTAGE_SECONDS:
-            self._pool.lapse(engine_id, now)
+        if regained_at is not None and now < regained_at + LAPSE_SECONDS:
+            until = regained_at + LAPSE_SECONDS
+            self._pool.lapse(engine_id, until)
+            self._scheduler.call_at(until, lambda: self._pool.expire_lapsed(self._scheduler.now()))
         else:
             self._pool.remove(engine_id, "registration removed")
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -117,7 +117,7 @@
         """Serve until a stop is asked for and the last request has its answer."""
         signal.signal(signal.SIGHUP, lambda number, frame: self._reload())
         self.configuration.follower.start()
-        self.targets.start()
+        self.targets.follower.start()
         self.members.start()
         names = " ".join(f"{name}={address}" for name, address in self._addresses.items())
         print(f"ready kind=gateway id={self.settings.node_id} {names}", flush=True)
--- /dev/null
+++ b/tests/test_targets_follower.py
@@ -0,0 +1,82 @@
+"""Follow targets' registrations through outages of the store."""
+
+import pytest
+
+from bronzetiller.gateway.engines import EnginePool
+from bronzetiller.gateway.followers import TargetsFollower
+from bronzetiller.platform.catalogue import REGISTRATIONS_TOPIC
+from bronzetiller.storage.keyed import Partition
+from standins.path_engine import make_registration
+from tests.gateway_fakes import FakeScheduler, FakeStore, FakeStoreClient
+
+PARTITION = Partition(REGISTRATIONS_TOPIC)
+DRAIN_SECONDS = 3.0  # a target that left gets no new work after this, as the users bound it
+
+
+@pytest.fixture
+def world():
+    """Follow one registered target; return the pool, the store, its client and the scheduler."""
+    scheduler, store, pool = FakeScheduler(), FakeStore(), EnginePool()
+    client = FakeStoreClient(scheduler, store)
+    register(store)
+    follower = TargetsFollower(scheduler, client, pool)
+    follower.follower.start()
+    scheduler.advance(1.0)
+    assert pool.list_service("namegen")
+    return pool, store, client, scheduler
+
+
+def register(store):
+    value = make_registration("e1", "namegen", "10.0.0.1:8000", "a")
+    store.append(PARTITION, "e1", value, None)
+
+
+def remove(store):
+    store.append(PARTITION, "e1", None, None)
+
+
+def lose_store(client, scheduler):
+    client.mode = "down"
+    scheduler.advance(4.0)
+    client.mode = "up"
+
+
+def test_a_target_that_is_removed_gets_no_work_at_the_next_read(world):
+    pool, store, _, scheduler = world
+    remove(store)
+    scheduler.advance(0.6)
+    assert not pool.list_service("namegen")
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.5, 1.0, 1.9, 2.5, 4.0])
+def test_a_target_that_leaves_after_an_outage_gets_no_work_beyond_the_bound(world, delay):
+    pool, store, client, scheduler = world
+    lose_store(client, scheduler)
+    scheduler.advance(1.0 + delay)  # the store has been read again at the latest after the first
+    remove(store)
+    scheduler.advance(DRAIN_SECONDS - 0.1)
+    assert not pool.list_service("namegen")
+
+
+def test_a_registration_that_expired_in_an_outage_may_come_back(world):
+    pool, store, client, scheduler = world
+    engine = pool.engines["e1"]
+    client.mode = "down"
+    scheduler.advance(3.0)
+    remove(store)
+    client.mode = "up"
+    scheduler.advance(1.5)
+    assert pool.list_service("namegen")
+    register(store)
+    scheduler.advance(5.0)
+    assert pool.engines["e1"] is engine
+
+
+def test_a_registration_that_does_not_come_back_names_no_target(world):
+    pool, store, client, scheduler = world
+    client.mode = "down"
+    scheduler.advance(3.0)
+    remove(store)
+    client.mode = "up"
+    scheduler.advance(4.5)
+    assert "e1" not in pool.engines
