--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -30,6 +30,7 @@
     serving: bool
     beat: int = 0
     load: float = 0.0
+    crashes: dict[str, list[str]] = field(factory=dict)
 
     def encode(self) -> bytes:
         """Return the record as the store keeps it."""
@@ -40,6 +41,7 @@
             "serving": self.serving,
             "beat": self.beat,
             "load": round(self.load, 2),
+            "crashes": self.crashes,
         }
         return json.dumps(value).encode()
 
@@ -56,8 +58,9 @@
             item["serving"] is True,
             int(item["beat"]),
             float(item.get("load", 0.0)),
+            {str(name): list(map(str, found)) for name, found in item.get("crashes", {}).items()},
         )
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, AttributeError):
         return None
 
 
@@ -133,6 +136,10 @@
         """Count the nodes that serve callers, at least one."""
         return max(1, len(self.list_serving()))
 
+    def list_crashes(self) -> dict[str, dict[str, list[str]]]:
+        """Return the requests that nodes tell to have crashed targets, by node."""
+        return {item.node_id: item.crashes for item in self.list_serving() if item.crashes}
+
     def find_share(self) -> float:
         """Return the share of the fleet's requests that this node gets, of late."""
         serving = self.list_serving()
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -16,9 +16,10 @@
 from bronzetiller.gateway.allotment_keeper import AllotmentKeeper
 from bronzetiller.gateway.application import Application
 from bronzetiller.gateway.catalogue import Catalogue
+from bronzetiller.gateway.crashes import CrashWatch
 from bronzetiller.gateway.engines import EnginePool
 from bronzetiller.gateway.followers import ConfigurationFollower, TargetsFollower
-from bronzetiller.gateway.members import Member, Members
+from bronzetiller.gateway.members import HEARTBEAT_SECONDS, Member, Members
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.retry_window import RetryWindow
 from bronzetiller.gateway.run import GatewayServices
@@ -82,15 +83,18 @@
             self.members.find_share,
         )
         self._retries: dict[str, RetryWindow] = {}
+        http = HttpClient(scheduler, dialer)
+        self.crashes = CrashWatch(scheduler, http)
         self.services = GatewayServices(
             scheduler=scheduler,
-            http=HttpClient(scheduler, dialer),
+            http=http,
             pool=self.pool,
             keeper=self.keeper,
             distances=self.distances,
             retries=self._find_retries,
             count_nodes=self.members.count_nodes,
             draw=Random().random,
+            crashes=self.crashes,
         )
         application = Application(
             self.services, lambda: self.configuration.catalogue, lambda: self.drain
@@ -119,6 +123,9 @@
         self.configuration.follower.start()
         self.targets.follower.start()
         self.members.start()
+        self._scheduler.call_every(
+            HEARTBEAT_SECONDS, lambda: self.crashes.hear(self.members.list_crashes())
+        )
         names = " ".join(f"{name}={address}" for name, address in self._addresses.items())
         print(f"ready kind=gateway id={self.settings.node_id} {names}", flush=True)
         log_event("started", incarnation=self.incarnation, addresses=names)
@@ -158,6 +165,7 @@
             self.incarnation,
             self.is_ready(),
             load=self.services.arrivals.estimate(self._scheduler.now()) or 0.0,
+            crashes=self.crashes.list_own(),
         )
 
     def _on_configuration(self, catalogue: Catalogue) -> None:
--- a/bronzetiller/gateway/run.py
+++ b/bronzetiller/gateway/run.py
@@ -24,6 +24,7 @@
     WholeAnswer,
 )
 from bronzetiller.gateway.catalogue import Catalogue, PathRoute, WorkspaceTerms, choose_service
+from bronzetiller.gateway.crashes import CrashWatch, make_fingerprint
 from bronzetiller.gateway.engines import Engine, EnginePool
 from bronzetiller.gateway.placement import (
     PREFILL_TOKENS_PER_SECOND,
@@ -36,6 +37,7 @@
 from bronzetiller.gateway.retry_window import RetryWindow
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import ANSWERS, OPEN_REQUESTS, REQUESTS, RETRIES
+from bronzetiller.net.dialer import CLOSED, RESET
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.http_client import HttpCall, HttpClient
 from bronzetiller.net.scheduler import Scheduler, Timer, Watch
@@ -65,6 +67,7 @@
     retries: Callable[[str], RetryWindow]
     count_nodes: Callable[[], int]
     draw: Callable[[], float]
+    crashes: CrashWatch
     open_runs: int = 0
     arrivals: RateMeter = field(factory=RateMeter)
 
@@ -108,6 +111,10 @@
         self.exchange.on_disconnect = self._on_disconnect
         self._timer = self.services.scheduler.call_at(self.deadline, self._on_deadline)
         self.last_event_id = self.terms.last_event_id
+        if self.services.crashes.is_barred(self._make_fingerprint):
+            detail = "targets crashed while this request ran on them; it is not run for now"
+            self._refuse(Refusal(503, Reason.QUARANTINED, detail))
+            return
         if self.workspace is None or self.terms.prompt is None:
             self._place()
             return
@@ -330,8 +337,15 @@
         self.may_have_run = True
         self.attempts += 1
         attempt.engine.note_failure(event.cause, self.services.scheduler.now())
+        if event.cause in (CLOSED, RESET):
+            self.services.crashes.report_loss(attempt.engine, self._make_fingerprint())
         self._recover(event.cause)
 
+    def _make_fingerprint(self) -> str:
+        workspace = "" if self.workspace is None else self.workspace.name
+        exchange = self.exchange
+        return make_fingerprint(workspace, exchange.method, exchange.path, exchange.body)
+
     def _recover(self, cause: str) -> None:
         self._log_attempt(cause)
         if self._can_repeat("target_lost"):
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -13,6 +13,7 @@
 KEPT_SHARE_MAX = 0.5  # of the server's own idle timeout, so that it does not close on a request
 BODILESS_METHODS = ("GET", "HEAD", "DELETE")
 FOREIGN_RESPONSES_MAX = 3  # responses of other requests before a connection is given up
+REFUSED_CAUSES = ("connect: refused", "connect: errno 111")
 SILENCE = "silence"
 TOO_LATE = "too late to send"
 
@@ -285,6 +286,19 @@
         channel.dial(self._dialer)
         return open_call
 
+    def probe(self, address: Address, seconds: float, done: Callable[[bool], None]) -> None:
+        """Connect once; say whether the connection was refused, rather than taken or unanswered."""
+        holder: list[Connection] = []
+
+        def take() -> None:
+            holder[0].close()
+            done(False)
+
+        handlers = ConnectionHandlers(
+            take, lambda data: None, lambda cause: done(cause in REFUSED_CAUSES)
+        )
+        holder.append(self._dialer.dial(address, seconds, handlers))
+
     def _take_idle(self, address: Address) -> _Channel | None:
         """Take a kept connection on which nothing has arrived since its last response."""
         idle = self._idle.get(address, [])
--- a/bronzetiller/requests/deaths.py
+++ b/bronzetiller/requests/deaths.py
@@ -9,6 +9,7 @@
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import TARGET_DEATHS
 from bronzetiller.net.dialer import CLOSED, RESET, Connection, ConnectionHandlers, Dialer
+from bronzetiller.net.http_client import REFUSED_CAUSES
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.requests.quarantine import Passage, Quarantine, RequestMark
 from bronzetiller.routing.targets import TargetChooser
@@ -22,7 +23,6 @@
 TELL_SECONDS = 0.5
 REPORTS_SECONDS = 0.5
 PEERS_CHECK_SECONDS = 0.25
-REFUSED_CAUSES = ("connect: refused", "connect: errno 111")
 
 Judged = Callable[[], None]
 Choose = Callable[[set[str]], Vm | None]
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -11,7 +11,8 @@
     ServiceTerms,
     WorkspaceTerms,
 )
-from bronzetiller.gateway.engines import EnginePool, Registration
+from bronzetiller.gateway.crashes import CRASHES_MAX, CrashWatch, make_fingerprint
+from bronzetiller.gateway.engines import Engine, EnginePool, Registration
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.requests import Prompt, RequestTerms
 from bronzetiller.gateway.retry_window import RetryWindow
@@ -53,6 +54,10 @@
 @define(eq=False)
 class FakeHttp:
     calls: list = field(factory=list)
+    refuses: bool = False
+
+    def probe(self, address, seconds, done):
+        done(self.refuses)
 
     def send(self, call, listen):
         self.calls.append(FakeCall(call, listen))
@@ -138,6 +143,7 @@
             retries=lambda service: window,
             count_nodes=lambda: 1,
             draw=lambda: 0.5,
+            crashes=CrashWatch(scheduler, FakeHttp()),
         )
         terms = ServiceTerms("s", 10, event_tokens=6, cache_tokens=1000)
         run = GatewayRun(
@@ -251,6 +257,30 @@
     assert run.exchange.status == 503 and run.services.keeper.settled == [(160, 0)]
 
 
+def test_a_request_that_crashes_targets_is_barred_wherever_it_was_seen():
+    scheduler, http = WatchingScheduler(), FakeHttp(refuses=True)
+    first, second = CrashWatch(scheduler, http), CrashWatch(scheduler, http)
+    mark = make_fingerprint("studio", "POST", "/x/2f", b"body")
+    for number in range(CRASHES_MAX):
+        address = Address("10.0.0.1", 8000 + number)
+        engine = Engine(Registration(f"e{number}", "s", address, "a", 8, False))
+        watch = first if number else second
+        watch.report_loss(engine, mark)
+        watch.report_loss(engine, mark)  # one crash, however many losses
+    assert not first.is_barred(lambda: mark) and not second.is_barred(lambda: mark)
+    first.hear({"second": second.list_own()})
+    assert first.is_barred(lambda: mark) and not first.is_barred(lambda: "another")
+    scheduler.advance(200)
+    assert first.list_own() == {}
+
+
+def test_a_target_that_only_broke_off_counts_for_no_crash():
+    watch = CrashWatch(WatchingScheduler(), FakeHttp(refuses=False))
+    engine = Engine(Registration("e0", "s", Address("10.0.0.1", 8000), "a", 8, False))
+    watch.report_loss(engine, "mark")
+    assert watch.list_own() == {}
+
+
 def test_a_caller_that_leaves_stops_the_work_of_a_stream_but_not_of_an_order(start_run):
     run, calls, _ = start_run(streamed=True, prompt=Prompt(100, 60))
     calls[0].begin(make_event(1))
