--- a/bronzetiller/gateway/allotment_keeper.py
+++ b/bronzetiller/gateway/allotment_keeper.py
@@ -36,7 +36,7 @@
 )
 
 HOLDINGS_PARTITION = Partition("keyed.holdings")
-REPORT_SECONDS_MIN = 0.8  # a few writes a second of the hundreds that the store takes
+REPORT_SECONDS_MIN = 0.5  # a few writes a second of the hundreds that the store takes
 REPORT_SECONDS_PER_NODE = 0.03  # so that the nodes together make some 30 reports a second
 USE_FADE_SECONDS = 12.0  # a few large requests a workspace and node; cuts last some ten seconds
 CHECK_SECONDS = 0.2
--- a/bronzetiller/gateway/allotments.py
+++ b/bronzetiller/gateway/allotments.py
@@ -20,10 +20,10 @@
 RATE_WEIGHT = 0.6  # of a workspace's own use against the load of all, in a node's share
 HELD_SHARE = 0.9  # of what is left of a budget, held by all nodes; the rest serves single requests
 CUT_OFF_SECONDS = 6.0  # without a report, after which all that is held may go: restarts take less
-SLACK_HELD_SHARE = 0.05  # of the held tokens, that may go before the next report
+SLACK_HELD_SHARE = 0.03  # of the held tokens, that may go before the next report
 SLACK_REQUESTS = 0.5  # of the usual size; a request beyond the slack waits for one report
-SLACK_RATE_FACTOR = 1.3  # of the usual rate, as a node that is cut off sees bursts too
-SLACK_HELD_SHARE_PER_SECOND = 0.06  # of the held tokens, for a node without a known rate
+SLACK_RATE_FACTOR = 1.0  # of the usual rate; a node that is cut off waits out its bursts
+SLACK_HELD_SHARE_PER_SECOND = 0.03  # of the held tokens, for a node without a known rate
 CHANGE_SHARE_MIN = 0.15  # of the target, below which a difference is left as it is
 SIZE_DECAY = 0.9  # weight of earlier requests in their usual size
 AHEAD_REQUESTS_MIN = 2.0  # requests of usual size, below which nothing is held ahead of need
