--- a/standins/demo.py
+++ b/standins/demo.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from standins.fleet import Fleet, call_json
+from standins.gateway_fleet import MODEL_SERVICE, PLAIN_SERVICE, GatewayFleet
 
 KEY = "demo-key"
 NODES = [
@@ -83,6 +84,30 @@
         print(f"The log holds {len(bills)} bills over {total} tokens.")
     finally:
         fleet.close()
+    show_gateway()
+
+
+def show_gateway() -> None:
+    """Serve path routes through two gateway nodes, and go on after one is killed."""
+    fleet = GatewayFleet()
+    try:
+        fleet.start_store()
+        fleet.configure(1)
+        for engine_id in ("engine-1", "engine-2"):
+            fleet.start_engine(engine_id, MODEL_SERVICE)
+        fleet.start_engine("desk-1", PLAIN_SERVICE)
+        for node_id in ("node-1", "node-2"):
+            fleet.start_node(node_id)
+            fleet.await_ready(node_id)
+        for node_id in ("node-1", "node-2"):
+            reply = fleet.send(node_id, "draft", f"draft-{node_id}")
+            count = reply.body.count(b"data: ")
+            print(f"Gateway {node_id} streamed {count} events, status {reply.status}.")
+        fleet.processes["node-1"].kill()
+        reply = fleet.send("node-2", "order", "order-1")
+        print(f"With node-1 killed, node-2 answered an order with {reply.status}.")
+    finally:
+        fleet.close()
 
 
 if __name__ == "__main__":
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -3,6 +3,7 @@
 import json
 import struct
 import tempfile
+import time
 import urllib.error
 import urllib.request
 from pathlib import Path
@@ -143,6 +144,14 @@
         path.write_text(yaml.safe_dump(settings))
         self._start(node_id, ["bronzetiller.gateway", str(path)])
 
+    def await_ready(self, node_id: str, seconds: float = 15.0) -> None:
+        """Wait until a node serves callers."""
+        deadline = time.monotonic() + seconds
+        while call(self.address(node_id, "readiness"), "GET", "/-/readyz", {}).status != 200:
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"{node_id} is not ready after {seconds} s")
+            time.sleep(0.05)
+
     def restart(self, name: str) -> None:
         """Start a process again as it was started before."""
         self._start(name, self.arguments[name])
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -7,6 +7,7 @@
 from bronzetiller.configuration.records import BODY_CLASSES
 from bronzetiller.documents import read_document
 from bronzetiller.errors import Reason
+from bronzetiller.gateway.settings import GatewaySettings, load_gateway_settings
 from bronzetiller.settings import Settings, load_settings
 from tests.operators import run_command
 
@@ -48,3 +49,17 @@
     names = [reason.value for reason in Reason]
     names += [item.name for body in BODY_CLASSES.values() for item in fields(body)]
     assert [name for name in names if f"`{name}`" not in page] == []
+
+
+def test_the_example_of_a_gateway_names_every_setting():
+    result = load_gateway_settings(EXAMPLES / "gateway.yaml")
+    assert result.is_ok(), result
+    named = read_document(EXAMPLES / "gateway.yaml").unwrap().value
+    assert set(named) == {item.name for item in fields(GatewaySettings)}
+
+
+def test_malformed_settings_of_a_gateway_are_named_by_line(tmp_path):
+    path = tmp_path / "gateway.yaml"
+    path.write_text((EXAMPLES / "gateway.yaml").read_text().replace("ratio: 0.2", "ratio: much"))
+    (problem,) = load_gateway_settings(path).unwrap_err()
+    assert "retries.ratio" in str(problem) and problem.line > 1
