--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -63,3 +63,9 @@
     path.write_text((EXAMPLES / "gateway.yaml").read_text().replace("ratio: 0.2", "ratio: much"))
     (problem,) = load_gateway_settings(path).unwrap_err()
     assert "retries.ratio" in str(problem) and problem.line > 1
+
+
+def test_the_deployment_installs_the_versions_that_are_tested():
+    tested = (ROOT / "requirements.txt").read_text().splitlines()
+    deployed = (ROOT / "deploy" / "requirements.txt").read_text().splitlines()
+    assert deployed and set(deployed) <= set(tested)
