--- a/tests/test_allotment_machine.py
+++ b/tests/test_allotment_machine.py
@@ -162,7 +162,28 @@
     run_state_machine_as_test(AllotmentMachine, settings=SETTINGS)
 
 
-def test_the_machine_finds_a_restart_that_counts_too_little_as_spent(monkeypatch):
+def use_what_no_report_tells_of_and_restart(machine):
+    """Spend between two reports, lose the node, then spend all that is left."""
+    machine.wait(3.0)
+    for index in range(NODES):
+        machine.live[index].client.mode = "down"
+        for _ in range(40):
+            machine.send(index, 2)
+        machine.finish(index, 1.0)
+        machine.kill(index, 0.2)
+    machine.wait(1.0)
+    for _ in range(6):
+        machine.spend_all(40)
+        machine.spend_all(10)
+        machine.spend_all(1)
+        machine.spends_within_the_budget()
+
+
+def test_a_restart_counts_what_no_report_told_of_as_spent():
+    use_what_no_report_tells_of_and_restart(AllotmentMachine())
+
+
+def test_a_restart_that_forgets_the_slack_overspends(monkeypatch):
     def forget_slack(record, now):
         return {
             name: allotments.Account(item.committed, item.committed)
@@ -171,4 +192,4 @@
 
     monkeypatch.setattr(allotment_keeper, "reclaim_accounts", forget_slack)
     with pytest.raises(AssertionError):
-        run_state_machine_as_test(AllotmentMachine, settings=SETTINGS)
+        use_what_no_report_tells_of_and_restart(AllotmentMachine())
