Decide on a proposal only after all newest records are applied

Change: reads by offset and reads of newest records have handlers of their own; the latter applies all records first. A proposal whose offset holds the record of another incarnation is dropped in place of accepted.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -33,6 +33,7 @@
     AppendFailure,
     Fenced,
     HistoryExpired,
+    KeyedRecord,
     KeyedStore,
     Partition,
     ReadFailure,
@@ -327,56 +328,79 @@
     def _read(self) -> None:
         self._call_in_progress = True
         if self._end_offset < 0:
-            self._store.read_newest(HOLDINGS_PARTITION, self._handle_read)
+            self._store.read_newest(HOLDINGS_PARTITION, self._handle_newest)
         else:
-            self._store.read_from(HOLDINGS_PARTITION, self._end_offset, 0.0, self._handle_read)
+            self._store.read_from(HOLDINGS_PARTITION, self._end_offset, 0.0, self._handle_records)
 
-    def _handle_read(
-        self, result: Result[RecordBatch, ReadFailure] | Result[RecordBatch, StoreUnreachable]
-    ) -> None:
+    def _handle_newest(self, result: Result[RecordBatch, StoreUnreachable]) -> None:
+        if isinstance(result, Err):
+            self._retry_read(result.err_value)
+            return
+        batch = result.ok_value
+        self._record_store_success()
+        for item in batch.records:
+            self._apply_record(item)
+        self._end_offset = batch.end
+        if self._epoch == 0:
+            self._reclaim()
+        if self._proposed_offset is None:
+            self._finish_call()
+        elif self._proposed_offset >= batch.end:
+            self._read()
+        else:
+            # The records are in no order, so that all of them count as before the proposal.
+            self._conclude_proposal(self._records.get(self._node_id))
+
+    def _handle_records(self, result: Result[RecordBatch, ReadFailure]) -> None:
         match result:
             case Err(HistoryExpired()):
                 self._end_offset = -1
                 self._read()
             case Err(failure):
-                self._record_store_failure(str(failure))
-                self._scheduler.call_after(RETRY_DELAY_SECONDS, self._read)
+                self._retry_read(failure)
             case Ok(batch):
                 self._record_store_success()
                 self._apply_batch(batch)
 
+    def _retry_read(self, failure: ReadFailure) -> None:
+        self._record_store_failure(str(failure))
+        self._scheduler.call_after(RETRY_DELAY_SECONDS, self._read)
+
     def _apply_batch(self, batch: RecordBatch) -> None:
-        is_first_read = self._epoch == 0
-        accepted = False
+        """Apply records in log order; those before the proposal decide on it."""
+        concluded = False
         for item in batch.records:
             if item.offset == self._proposed_offset:
-                accepted = self._is_proposed(item.value)
-                if accepted:
-                    self._accept_proposals()
-            record = decode_holding_record(item.value or b"")
-            if record is None:
-                log_event("holding_record_malformed", level=40, key=item.key)
-            else:
-                self._records[item.key] = record
+                concluded = True
+                self._conclude_proposal(decode_holding_record(item.value or b""))
+            self._apply_record(item)
         self._end_offset = batch.end
-        if is_first_read:
-            self._reclaim()
-        if accepted:
+        if concluded:
             return
         if self._proposed_offset is None:
             self._finish_call()
-        elif self._proposed_offset >= self._end_offset:
-            self._read()
+            return
+        if self._proposed_offset < batch.end:
+            self._end_offset = -1  # the response did not contain the proposal
+        self._read()
+
+    def _apply_record(self, item: KeyedRecord) -> None:
+        record = decode_holding_record(item.value or b"")
+        if record is None:
+            log_event("holding_record_malformed", level=40, key=item.key)
         else:
-            # The record has expired from the log; all records that were read count as before it.
-            self._accept_proposals()
+            self._records[item.key] = record
 
-    def _is_proposed(self, value: bytes | None) -> bool:
-        record = decode_holding_record(value or b"")
+    def _conclude_proposal(self, written: HoldingRecord | None) -> None:
+        """Accept the proposals if the record at their offset is this node's, else drop them."""
         proposed = self._proposed
-        if record is None or proposed is None:
-            return False
-        return (record.holder, record.number) == (proposed.holder, proposed.number)
+        if written is not None and proposed is not None and _is_same_record(written, proposed):
+            self._accept_proposals()
+            return
+        log_event("holding_record_replaced", level=40, epoch=self._epoch)
+        self._epoch += 1
+        self._drop_proposals()
+        self._scheduler.call_after(0, self._finish_call)
 
     def _accept_proposals(self) -> None:
         """Apply the proposals as far as the records read so far leave tokens free."""
@@ -491,5 +515,9 @@
         waiter.done(result)
 
 
+def _is_same_record(first: HoldingRecord, second: HoldingRecord) -> bool:
+    return (first.holder, first.number) == (second.holder, second.number)
+
+
 def _extract_totals(accounts: dict[str, Account]) -> dict[str, tuple[int, int]]:
     return {name: (item.handed_out, item.committed) for name, item in accounts.items()}
--- a/tests/test_allocation_manager.py
+++ b/tests/test_allocation_manager.py
@@ -102,6 +102,21 @@
     assert held <= 1_000
 
 
+def test_a_change_that_expired_from_the_log_counts_after_the_changes_of_others(
+    store, start_manager
+):
+    first, first_scheduler, _ = start_manager("node-1")
+    second, second_scheduler, _ = start_manager("node-2")
+    second_results = reserve_when_available(second, 540)
+    second_scheduler.advance(0.2)
+    store.first_offsets[str(HOLDINGS_PARTITION)] = len(store.records(HOLDINGS_PARTITION)) + 1
+    first_results = reserve_when_available(first, 540)
+    first_scheduler.advance(2.0)
+    assert second_results == [Ok(None)]
+    assert first.allocations[WORKSPACE].reported.handed_out <= 460
+    assert isinstance(first_results[0], Err)
+
+
 def test_a_request_beyond_the_budget_is_refused_and_one_held_elsewhere_may_retry(
     store, start_manager
 ):
