Report again at once after a record that was retried for long

Cause: a node that was cut off retries the append of the record it made as the cut began. Once that succeeded, the next report was due half a second later, counted from the acceptance.

Change: the next report is due from when the last one was made.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -247,6 +247,8 @@
             self._clock.steady,
             accounts,
         )
+        # An append may be retried for seconds; the next report is due from when this one was made.
+        self._reported_at = now
         self._call_in_progress = True
         self._append()
 
@@ -406,7 +408,6 @@
         """Apply the proposals as far as the records read so far leave tokens free."""
         self._proposed_offset = None
         self._proposed = None
-        self._reported_at = self._scheduler.now()
         for allocation in self.allocations.values():
             others = sum(item.handed_out for item in self._list_others(allocation.workspace))
             change = allocation.accept(others)
--- a/tests/test_allocation_manager.py
+++ b/tests/test_allocation_manager.py
@@ -142,6 +142,19 @@
     assert isinstance(soon[0], Ok)
 
 
+def test_a_record_that_was_retried_for_long_is_followed_by_a_current_one(store, start_manager):
+    manager, scheduler, client = start_manager()
+    client.mode = "late"
+    manager.reserve(WORKSPACE, 5)  # so that the next report is not redundant
+    scheduler.advance(8.0)
+    client.mode = "up"
+    scheduler.advance(1.25)  # until the retry succeeds
+    records = [
+        decode_holding_record(item.value).reported_at for item in store.records(HOLDINGS_PARTITION)
+    ]
+    assert scheduler.time - records[-1] < 1.0
+
+
 def test_a_stopping_node_returns_its_tokens(store, start_manager):
     manager, scheduler, _ = start_manager()
     results = reserve_when_available(manager, 10)
