Report the use of tokens before it, in records that only a restart reads

Cause: between two reports a node may have spent half a typical request, 3 % of its tokens and half a second of use for each workspace, and all it held after six seconds; a restart counts that as spent.

Change: a request waits for a use record that covers it, unless it fits into 1.5 % of the held tokens. Use records have topics of their own, which only the writer's next incarnation reads, so that they cost no reads; both kinds of records carry one order, and the newest one counts. While a node is disconnected the bound grows by 1.5 times its rate, 1 % of the held tokens a second and a share that grows with the square of the time, all of it after 20 s, in place of all at 6 s. Records of the earlier version keep their rule. RecordWriter holds what both kinds of appends share. A stopping node keeps what queued requests need.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -1,9 +1,11 @@
 """Synchronize a node's token allocations with the records of all nodes in the store."""
 
+import itertools
 import time
+import zlib
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Err, Ok, Result
 
 from bronzetiller.errors import Refusal
@@ -13,6 +15,7 @@
     HoldingRecord,
     blend_shares,
     compute_change,
+    compute_slack_seconds,
     compute_target,
     decode_holding_record,
     reclaim_accounts,
@@ -24,10 +27,11 @@
 )
 from bronzetiller.gateway.clock_monitor import ClockMonitor
 from bronzetiller.gateway.configuration import WorkspaceConfiguration
+from bronzetiller.gateway.record_writer import RETRY_DELAY_SECONDS, MakeRecord, RecordWriter
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import GRANTS_REQUESTED, TOKENS_MOVED
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.platform.topics import HOLDINGS_TOPIC
+from bronzetiller.platform.topics import HOLDINGS_TOPIC, USE_TOPICS
 from bronzetiller.routing.queues import RateMeter
 from bronzetiller.storage.keyed import (
     AppendFailure,
@@ -39,16 +43,18 @@
     ReadFailure,
     RecordBatch,
     StoreUnreachable,
-    WriterSequence,
 )
 
 HOLDINGS_PARTITION = Partition(HOLDINGS_TOPIC)
 REPORT_INTERVAL_SECONDS_MIN = 0.5  # the store takes hundreds of writes a second
 REPORT_SECONDS_PER_WRITER = 0.03  # limits all nodes together to about 30 reports a second
+# Only the writer's next incarnation reads use records, so that they can be more frequent.
+USE_SECONDS_PER_WRITER = 0.01
+# Another holder may have an earlier report; a store in another region responds within 0.1 s.
+HELD_WAIT_SECONDS_MAX = 0.15
 # Time for a few large requests per workspace and node; disconnections last about ten seconds.
 RATE_TIME_CONSTANT_SECONDS = 12.0
 CHECK_INTERVAL_SECONDS = 0.2
-RETRY_DELAY_SECONDS = 0.25
 # A late response is better than a refusal, as another node is as likely to be disconnected.
 DISCONNECTED_WAIT_SECONDS_MAX = 2.0
 WAIT_SECONDS_MAX = 1.2  # a few responses of the store to another region, about 70 ms each
@@ -83,18 +89,31 @@
     _reclaimed: dict[str, Account] = field(factory=dict)
     _meters: dict[str, RateMeter] = field(factory=dict)
     _waiters: dict[str, list[_Waiter]] = field(factory=dict)
-    _epoch: int = 0
-    _record_number: int = 0
+    _holding_writer: RecordWriter = field(init=False)
+    _use_writer: RecordWriter = field(init=False)
+    _initialized: bool = False
     _proposed_offset: int | None = None
     _end_offset: int = -1
     _proposed: HoldingRecord | None = None
+    _proposed_order: int = 0
+    _orders: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
     _call_in_progress: bool = False
-    _outcome_unknown: bool = False
     _store_unreachable: bool = False
     _stopping: bool = False
+    _holding_recorded: bool = False
     _reported_at: float = float("-inf")
+    _use_reported_at: float = float("-inf")
     _last_contact_at: float = float("-inf")
 
+    def __attrs_post_init__(self) -> None:
+        def make_writer(partition: Partition) -> RecordWriter:
+            return RecordWriter(
+                self._scheduler, self._store, partition, self._node_id, self._record_store_failure
+            )
+
+        self._holding_writer = make_writer(HOLDINGS_PARTITION)
+        self._use_writer = make_writer(choose_use_partition(self._node_id))
+
     def start(self) -> None:
         """Start reporting and prefetching tokens."""
         self._scheduler.call_every(CHECK_INTERVAL_SECONDS, self._check)
@@ -139,11 +158,27 @@
                 done(Err(self._refuse_disconnected(allocation, tokens)))
                 return
             wait_until = available_at + 2 * CHECK_INTERVAL_SECONDS
-        waiter = _Waiter(allocation, tokens, wait_until, done)
-        self._waiters.setdefault(workspace, []).append(waiter)
-        allocation.waiting[id(waiter)] = tokens
+        self._enqueue(_Waiter(allocation, tokens, wait_until, done))
+
+    def reserve_held(
+        self, workspace: str, tokens: int, deadline: float, done: ReserveCallback
+    ) -> None:
+        """Reserve tokens that the node holds already, at the latest after one report of its use."""
+        allocation = self.allocations.get(workspace)
+        if allocation is None or self.reserve(workspace, tokens):
+            done(Ok(None))
+        elif self._stopping or self._store_unreachable or tokens > allocation.held:
+            done(Err(refuse_unconfirmed("the node holds too few tokens")))
+        else:
+            wait_until = min(deadline, self._scheduler.now() + HELD_WAIT_SECONDS_MAX)
+            self._enqueue(_Waiter(allocation, tokens, wait_until, done))
+
+    def _enqueue(self, waiter: _Waiter) -> None:
+        """Queue a request until a report covers it."""
+        self._waiters.setdefault(waiter.allocation.workspace, []).append(waiter)
+        waiter.allocation.waiting[id(waiter)] = waiter.tokens
         self._scheduler.call_at(waiter.deadline, lambda: self._expire_waiter(waiter))
-        self._report()
+        self._report_for_waiters()
 
     def reserve(self, workspace: str, tokens: int) -> bool:
         """Reserve tokens if the node holds enough and no request is queued for them."""
@@ -188,7 +223,9 @@
 
     def _make_allocation(self, name: str, prepaid: int) -> Allocation:
         account = self._reclaimed.get(name, Account())
-        return Allocation(name, prepaid, spent=account.committed, reported=account)
+        allocation = Allocation(name, prepaid)
+        allocation.reclaim(account)
+        return allocation
 
     def _get_meter(self, workspace: str) -> RateMeter:
         return self._meters.setdefault(workspace, RateMeter(RATE_TIME_CONSTANT_SECONDS))
@@ -206,13 +243,25 @@
 
     def _check(self) -> None:
         self._clock.check()
-        if self._store_unreachable:
-            for allocation in self.allocations.values():
-                self._serve_waiters(allocation)
-        interval = max(REPORT_INTERVAL_SECONDS_MIN, REPORT_SECONDS_PER_WRITER * len(self._records))
-        due = self._scheduler.now() - self._reported_at >= interval
-        if due or any(allocation.waiting for allocation in self.allocations.values()):
+        for allocation in self.allocations.values():
+            self._serve_waiters(allocation)
+        now = self._scheduler.now()
+        writers = len(self._records)
+        interval = max(REPORT_INTERVAL_SECONDS_MIN, REPORT_SECONDS_PER_WRITER * writers)
+        if now - self._reported_at >= interval:
             self._report()
+        interval = max(REPORT_INTERVAL_SECONDS_MIN, USE_SECONDS_PER_WRITER * writers)
+        if now - max(self._reported_at, self._use_reported_at) >= interval:
+            self._report_use()
+        self._report_for_waiters()
+
+    def _report_for_waiters(self) -> None:
+        """Write the records for which requests are queued."""
+        allocations = self.allocations.values()
+        if any(item.shortage for item in allocations) or not self._holding_recorded:
+            self._report()
+        if any(item.awaits_use_record for item in allocations):
+            self._report_use()
 
     def _report(self) -> None:
         """Write this node's current record, unless a store call is in progress."""
@@ -222,35 +271,77 @@
             self._read()  # a proposal would limit the node, and the store could not accept it
             return
         now = self._scheduler.now()
+        slack_seconds = compute_slack_seconds(self._holding_writer.latency)
+        order = self._proposed_order = next(self._orders)
         accounts = {}
         for name, allocation in self.allocations.items():
             change = self._compute_change(allocation)
-            handed_out = allocation.reported.handed_out + change
-            accounts[name] = allocation.propose(handed_out, self._estimate_rate(name), now)
+            handed_out = allocation.recorded_total + change
+            rate = self._estimate_rate(name)
+            accounts[name] = allocation.propose(order, handed_out, rate, slack_seconds, now)
             if change:
                 cause = "waiting" if allocation.waiting else "ahead" if change > 0 else "surplus"
                 GRANTS_REQUESTED.labels(cause).inc()
-        unconfigured = {
-            name: item for name, item in self._reclaimed.items() if name not in accounts
-        }
-        accounts = {name: item for name, item in (unconfigured | accounts).items() if item.is_used}
+        accounts = self._complete_accounts(accounts)
         if self._is_report_redundant(accounts):
             self._drop_proposals()
             self._reported_at = now
             return
-        self._record_number += 1
-        self._proposed = HoldingRecord(
-            self._holder,
-            self._epoch,
-            self._record_number,
-            self._read_clock(),
-            self._clock.steady,
-            accounts,
-        )
         # An append may be retried for seconds; the next report is due from when this one was made.
         self._reported_at = now
         self._call_in_progress = True
-        self._append()
+        self._proposed = self._holding_writer.append(
+            self._make_record(order, accounts), self._handle_append
+        )
+
+    def _complete_accounts(self, accounts: dict[str, Account]) -> dict[str, Account]:
+        """Add the accounts of workspaces that the configuration no longer has; drop unused ones."""
+        unconfigured = {
+            name: item for name, item in self._reclaimed.items() if name not in accounts
+        }
+        return {name: item for name, item in (unconfigured | accounts).items() if item.is_used}
+
+    def _make_record(self, order: int, accounts: dict[str, Account]) -> MakeRecord:
+        reported_at, steady = self._read_clock(), self._clock.steady
+
+        def make(epoch: int, number: int) -> HoldingRecord:
+            return HoldingRecord(self._holder, epoch, number, reported_at, steady, accounts, order)
+
+        return make
+
+    def _report_use(self) -> None:
+        """Write a use record, unless one is being written or the store is unreachable.
+
+        It counts only together with a holding record of this incarnation.
+        """
+        if self._use_writer.in_progress or self._store_unreachable or not self._holding_recorded:
+            return
+        now = self._scheduler.now()
+        if not any(allocation.held > 0 for allocation in self.allocations.values()):
+            return
+        slack_seconds = compute_slack_seconds(self._use_writer.latency)
+        order = next(self._orders)
+        accounts = {
+            name: allocation.propose_use(order, self._estimate_rate(name), slack_seconds, now)
+            for name, allocation in self.allocations.items()
+        }
+        reported = [self.allocations[name] for name in accounts]
+        self._use_reported_at = now
+
+        def handle_result(result: Result[int, AppendFailure]) -> None:
+            if isinstance(result, Ok):
+                self._record_store_success()
+            for allocation in reported:
+                if isinstance(result, Ok):
+                    allocation.reports.accept(order)
+                else:
+                    allocation.reports.drop(order)
+                self._serve_waiters(allocation)
+            self._scheduler.call_after(0, self._report_for_waiters)
+
+        self._use_writer.append(
+            self._make_record(order, self._complete_accounts(accounts)), handle_result
+        )
 
     def _is_report_redundant(self, accounts: dict[str, Account]) -> bool:
         """Return whether a record would not change what the other nodes know."""
@@ -264,10 +355,10 @@
 
     def _compute_change(self, allocation: Allocation) -> int:
         others = self._list_others(allocation.workspace)
-        free = allocation.prepaid - allocation.reported.handed_out
+        free = allocation.prepaid - allocation.recorded_total
         free -= sum(item.handed_out for item in others)
         if self._stopping:
-            return -max(0, allocation.held)
+            return -max(0, allocation.held - allocation.queued)
         remaining = (
             allocation.prepaid - allocation.committed - sum(item.committed for item in others)
         )
@@ -285,47 +376,26 @@
             if node_id != self._node_id and workspace in record.accounts
         ]
 
-    def _append(self) -> None:
+    def _handle_append(self, result: Result[int, AppendFailure]) -> None:
+        """Accept the proposal at once if all records before it are known, else read them first."""
         record = self._proposed
-        assert record is not None
-
-        def handle_result(result: Result[int, AppendFailure]) -> None:
-            match result:
-                case Ok(offset):
-                    self._outcome_unknown = False
-                    self._record_store_success()
-                    self._handle_append(record, offset)
-                case Err(Fenced(cause)):
-                    log_event("holding_record_fenced", level=40, epoch=record.epoch, cause=cause)
-                    self._epoch += 1
-                    self._outcome_unknown = False
-                    self._drop_proposals()
+        match result:
+            case Ok(offset):
+                assert record is not None
+                self._record_store_success()
+                self._proposed_offset = offset
+                if offset == self._end_offset and self._holding_recorded:
+                    self._end_offset = offset + 1
+                    self._records[self._node_id] = record
+                    self._accept_proposals()
+                else:
                     self._read()
-                case Err(StoreUnreachable(cause, may_have_run)):
-                    self._record_store_failure(cause)
-                    self._outcome_unknown = self._outcome_unknown or may_have_run
-                    if self._outcome_unknown:
-                        # The store recognises a record that it already has by its number.
-                        self._scheduler.call_after(RETRY_DELAY_SECONDS, self._append)
-                    else:
-                        self._record_number -= 1
-                        self._drop_proposals()
-                        self._finish_call()
-
-        writer_sequence = WriterSequence(self._node_id, record.epoch, record.number)
-        self._store.append(
-            HOLDINGS_PARTITION, self._node_id, record.encode(), writer_sequence, handle_result
-        )
-
-    def _handle_append(self, record: HoldingRecord, offset: int) -> None:
-        """Accept the proposal at once if all records before it are known, else read them first."""
-        self._proposed_offset = offset
-        if offset == self._end_offset and record.number > 1:
-            self._end_offset = offset + 1
-            self._records[self._node_id] = record
-            self._accept_proposals()
-        else:
-            self._read()
+            case Err(Fenced()):
+                self._drop_proposals()
+                self._read()
+            case Err():
+                self._drop_proposals()
+                self._finish_call()
 
     def _read(self) -> None:
         self._call_in_progress = True
@@ -343,9 +413,9 @@
         for item in batch.records:
             self._apply_record(item)
         self._end_offset = batch.end
-        if self._epoch == 0:
+        if not self._initialized:
             self._reclaim()
-        if self._proposed_offset is None:
+        elif self._proposed_offset is None:
             self._finish_call()
         elif self._proposed_offset >= batch.end:
             self._read()
@@ -399,8 +469,8 @@
         if written is not None and proposed is not None and _is_same_record(written, proposed):
             self._accept_proposals()
             return
-        log_event("holding_record_replaced", level=40, epoch=self._epoch)
-        self._epoch += 1
+        log_event("holding_record_replaced", level=40, epoch=self._holding_writer.epoch)
+        self._holding_writer.epoch += 1
         self._drop_proposals()
         self._scheduler.call_after(0, self._finish_call)
 
@@ -408,9 +478,10 @@
         """Apply the proposals as far as the records read so far leave tokens free."""
         self._proposed_offset = None
         self._proposed = None
+        self._holding_recorded = True
         for allocation in self.allocations.values():
             others = sum(item.handed_out for item in self._list_others(allocation.workspace))
-            change = allocation.accept(others)
+            change = allocation.accept(self._proposed_order, others)
             if change:
                 self._log_change(allocation, change)
         self._scheduler.call_after(0, self._finish_call)
@@ -419,29 +490,58 @@
         self._proposed = None
         self._proposed_offset = None
         for allocation in self.allocations.values():
-            allocation.drop_proposal()
+            allocation.drop_proposal(self._proposed_order)
 
     def _reclaim(self) -> None:
         """Reclaim the tokens that the last incarnation of this node cannot have spent."""
         record = self._records.get(self._node_id)
-        self._epoch = max(int(self._started_at), 0 if record is None else record.epoch + 1)
         if record is None:
+            self._initialize(None, None)
             return
-        self._reclaimed = reclaim_accounts(record, self._started_at)
+
+        def handle_use_records(result: Result[RecordBatch, StoreUnreachable]) -> None:
+            if isinstance(result, Err):
+                self._record_store_failure(str(result.err_value))
+                self._scheduler.call_after(RETRY_DELAY_SECONDS, self._reclaim)
+                return
+            self._record_store_success()
+            own = [item for item in result.ok_value.records if item.key == self._node_id]
+            use_record = decode_holding_record(own[-1].value or b"") if own else None
+            if own and use_record is None:
+                log_event("holding_record_malformed", level=40, key=self._node_id)
+                use_record = evolve(record, clock_steady=False)  # counts all tokens as spent
+            self._initialize(record, use_record)
+
+        self._store.read_newest(self._use_writer.partition, handle_use_records)
+
+    def _initialize(self, record: HoldingRecord | None, use_record: HoldingRecord | None) -> None:
+        """Continue from the records of the last incarnation, if there was one."""
+        self._initialized = True
+        epochs = [item.epoch + 1 for item in (record, use_record) if item is not None]
+        epoch = max([int(self._started_at), *epochs])
+        self._holding_writer.epoch = self._use_writer.epoch = epoch
+        if record is not None:
+            self._apply_reclaimed(record, use_record)
+        self._finish_call()
+
+    def _apply_reclaimed(self, record: HoldingRecord, use_record: HoldingRecord | None) -> None:
+        self._reclaimed = reclaim_accounts(record, use_record, self._started_at)
+        newest = record if use_record is None else use_record
         for name, account in self._reclaimed.items():
             log_event(
                 "holding_reclaimed",
                 workspace=name,
                 holder=record.holder,
                 age=round(self._started_at - record.reported_at, 2),
+                use_age=round(self._started_at - newest.reported_at, 2),
                 clock_steady=record.clock_steady,
                 handed_out=record.accounts[name].handed_out,
+                committed=record.accounts[name].committed,
                 counted_as_spent=account.committed,
             )
             allocation = self.allocations.get(name)
             if allocation is not None:
-                allocation.spent += account.committed
-                allocation.reported = account
+                allocation.reclaim(account)
 
     def _record_store_success(self) -> None:
         self._last_contact_at = self._scheduler.now()
@@ -466,7 +566,7 @@
             self._serve_waiters(allocation)
         self._refuse_uncovered()
         if any(allocation.waiting for allocation in self.allocations.values()):
-            self._scheduler.call_after(0, self._report)
+            self._scheduler.call_after(0, self._report_for_waiters)
 
     def _log_change(self, allocation: Allocation, change: int) -> None:
         TOKENS_MOVED.labels("granted" if change > 0 else "returned").inc(abs(change))
@@ -516,6 +616,11 @@
         waiter.done(result)
 
 
+def choose_use_partition(node_id: str) -> Partition:
+    """Return the partition of a node's use records."""
+    return Partition(USE_TOPICS[zlib.crc32(node_id.encode()) % len(USE_TOPICS)])
+
+
 def _is_same_record(first: HoldingRecord, second: HoldingRecord) -> bool:
     return (first.holder, first.number) == (second.holder, second.number)
 
--- a/bronzetiller/gateway/allocations.py
+++ b/bronzetiller/gateway/allocations.py
@@ -6,36 +6,40 @@
 tokens free. Nodes that write later count the increase in full, so that all nodes together never
 use more than a budget.
 
-Tokens held by a node that crashes are lost, except those that it cannot have spent: between two
-reports a node commits at most a slack that grows with the time since the last report, and it may
-commit all it holds only after it has been disconnected from the store for longer than a restart
-takes. Its next incarnation on the same VM counts that slack as spent and returns the rest.
+Tokens held by a node that crashes are lost, except those that it cannot have spent: a node commits
+no more than it has reported, plus a slack that grows with the time since the report. Its next
+incarnation on the same VM counts that as spent and returns the rest. Records of two kinds report:
+holding records, which all nodes with tokens read, and use records, which only the next incarnation
+reads, so that a node can write one for each request.
 """
 
 import json
 import math
 from typing import Any
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 # Weight of a node's share of the workspace's use, against its share of all load.
 RATE_WEIGHT = 0.6
 # Share of the remaining budget that all nodes hold together; the rest serves single requests.
 HELD_SHARE = 0.9
-# Time without a report after which a node may commit all it holds; a restart takes less.
-DISCONNECTED_SECONDS = 6.0
+# Records without reach_seconds allow all held tokens to be committed after this time.
+LEGACY_REACH_SECONDS = 6.0
+# Time after the slack delay in which a disconnected node gains all it holds, at increasing speed,
+# so that a loss of all nodes within a few seconds of a disconnection makes few tokens unavailable.
+REACH_SECONDS = 20.0
 # Share of the held tokens that may be committed before the next report.
-SLACK_HELD_SHARE = 0.03
-# In requests of typical size; a request that exceeds the slack waits for one report.
-SLACK_REQUESTS = 0.5
-# Seconds of use at the current rate, which covers the time between two reports.
-SLACK_RATE_SECONDS = 0.5
+SLACK_HELD_SHARE = 0.015
+# Share of the held tokens, so that slack also grows at a node whose rate is not known.
+SLACK_HELD_SHARE_PER_SECOND = 0.01
+# In mean latencies of an append: the use that must not wait for a report.
+SLACK_LATENCIES = 2.0
+# Seconds of use; a slower store makes requests wait, as they do while it is unreachable.
+SLACK_RATE_SECONDS_MAX = 1.0
 # Factor of the current rate; a disconnected node delays requests of a burst above that rate.
-SLACK_RATE_FACTOR = 1.0
+SLACK_RATE_FACTOR = 1.5
 # Two report intervals and a retry; a restart takes about as long.
 SLACK_DELAY_SECONDS = 1.2
-# Share of the held tokens, so that slack also grows at a node whose rate is not known.
-SLACK_HELD_SHARE_PER_SECOND = 0.03
 # Share of the target; smaller differences are not corrected.
 CHANGE_SHARE_MIN = 0.15
 # Weight of earlier requests in the typical size.
@@ -50,8 +54,9 @@
 
     handed_out counts all tokens that the node ever received less those it returned; committed
     counts those spent or reserved for requests. Beyond that the node may commit slack tokens
-    without a further report, and slack_per_second more each second once slack_delay seconds have
-    passed. rate is the node's use in tokens per second.
+    without a further report, slack_per_second more each second once slack_delay seconds have
+    passed, and all it holds reach_seconds after that (0: LEGACY_REACH_SECONDS after the report).
+    rate is the node's use in tokens per second.
     """
 
     handed_out: int = 0
@@ -60,6 +65,7 @@
     slack_per_second: int = 0
     rate: int = 0
     slack_delay: float = 0.0
+    reach_seconds: float = 0.0
 
     @property
     def is_used(self) -> bool:
@@ -68,17 +74,38 @@
 
     def bound_committed(self, seconds: float) -> int:
         """Return an upper bound of the committed tokens, some seconds after the report."""
-        if seconds > DISCONNECTED_SECONDS:
+        growing_seconds = max(0.0, seconds - self.slack_delay)
+        growth = self.slack_per_second * growing_seconds
+        if self.reach_seconds:
+            held = max(0, self.handed_out - self.committed)
+            growth += held * min(1.0, growing_seconds / self.reach_seconds) ** 2
+        elif seconds > LEGACY_REACH_SECONDS:
             return self.handed_out
-        growth = self.slack_per_second * max(0.0, seconds - self.slack_delay)
         return min(self.handed_out, self.committed + self.slack + math.ceil(growth))
 
+    def predict_bound(self, committed: int) -> float:
+        """Return the seconds after the report at which that many tokens may be committed."""
+        lacking = committed - self.committed - self.slack
+        if lacking <= 0:
+            return 0.0
+        if not self.reach_seconds:
+            if self.slack_per_second <= 0:
+                return LEGACY_REACH_SECONDS
+            return min(LEGACY_REACH_SECONDS, self.slack_delay + lacking / self.slack_per_second)
+        quadratic = max(0, self.handed_out - self.committed) / self.reach_seconds**2
+        linear = self.slack_per_second
+        root = math.sqrt(linear**2 + 4 * quadratic * lacking)
+        if root + linear <= 0:
+            return self.slack_delay + self.reach_seconds
+        return self.slack_delay + min(self.reach_seconds, 2 * lacking / (root + linear))
+
 
 @frozen
 class HoldingRecord:
     """Hold a node's accounts as the store keeps them.
 
-    epoch increases with each incarnation of the node, number with each record of an incarnation.
+    epoch increases with each incarnation of the node, number with each record of a partition, and
+    order with each record of an incarnation in any partition.
     reported_at is the Unix time (seconds) by the VM's clock. clock_steady is false once a jump of
     the clock was detected, so that no elapsed time can be computed from reported_at.
     """
@@ -89,6 +116,7 @@
     reported_at: float
     clock_steady: bool
     accounts: dict[str, Account]
+    order: int = 0
 
     def encode(self) -> bytes:
         """Encode the record as JSON for the store."""
@@ -96,6 +124,7 @@
             "holder": self.holder,
             "epoch": self.epoch,
             "number": self.number,
+            "order": self.order,
             "reported_at": round(self.reported_at, 3),
             "clock_steady": self.clock_steady,
             "accounts": {
@@ -106,6 +135,7 @@
                     item.slack_per_second,
                     item.rate,
                     item.slack_delay,
+                    item.reach_seconds,
                 ]
                 for name, item in self.accounts.items()
             },
@@ -127,47 +157,117 @@
             float(item["reported_at"]),
             item["clock_steady"] is True,
             accounts,
+            int(item.get("order", 0)),
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
 
 
 def _decode_account(numbers: list[Any]) -> Account:
-    """Decode an account; without slack_delay its slack grows from the report on."""
-    account = Account(*(int(number) for number in numbers[:5]))
-    return account if len(numbers) < 6 else evolve(account, slack_delay=float(numbers[5]))
+    """Decode an account; records of earlier versions lack its last fields."""
+    seconds = (float(number) for number in numbers[5:7])
+    return Account(*(int(number) for number in numbers[:5]), *seconds)
 
 
-def reclaim_accounts(record: HoldingRecord, now: float) -> dict[str, Account]:
+def reclaim_accounts(
+    record: HoldingRecord, use_record: HoldingRecord | None, now: float
+) -> dict[str, Account]:
     """Return a new incarnation's accounts, with all that the last one may have spent as spent.
 
     now is the Unix time by the same VM's clock, read when the new incarnation starts.
     """
-    elapsed = now - record.reported_at
-    elapsed_known = record.clock_steady and elapsed >= 0
+    newest = record
+    if use_record is not None and use_record.holder == record.holder:
+        newest = max(record, use_record, key=lambda item: item.order)
     accounts = {}
     for name, account in record.accounts.items():
-        spent = account.bound_committed(elapsed) if elapsed_known else account.handed_out
+        spent = account.handed_out
+        if name in newest.accounts:
+            spent = min(spent, _bound_spent(newest, name, now))
         accounts[name] = Account(handed_out=spent, committed=spent)
     return accounts
 
 
+def _bound_spent(record: HoldingRecord, workspace: str, now: float) -> int:
+    """Return an upper bound of the tokens spent since a record; all if its age is not known."""
+    account = record.accounts[workspace]
+    elapsed = now - record.reported_at
+    if not record.clock_steady or elapsed < 0:
+        return account.handed_out
+    return account.bound_committed(elapsed)
+
+
+@frozen
+class Report:
+    """Hold one workspace's account in a record, with the record's order and time (monotonic)."""
+
+    order: int = 0
+    account: Account = field(factory=Account)
+    made_at: float = 0.0
+
+    def count_committed_max(self, now: float) -> int:
+        """Return the tokens that may be committed in all."""
+        return self.account.bound_committed(now - self.made_at)
+
+    def predict(self, committed: int) -> float:
+        """Return when that many tokens may be committed."""
+        return self.made_at + self.account.predict_bound(committed)
+
+
+@define
+class Reports:
+    """Bound a node's use of one workspace by the records that its next incarnation may find.
+
+    That incarnation goes by the newest record in the store: the newest acknowledged one, or a later
+    one of those that were sent and that the store may or may not have.
+    """
+
+    newest: Report = field(factory=Report)
+    _pending: dict[int, Report] = field(factory=dict)
+
+    def propose(self, report: Report) -> None:
+        """Apply a report that is about to be sent."""
+        self._pending[report.order] = report
+
+    def accept(self, order: int) -> None:
+        """Apply a report that the store has acknowledged, if it covers this workspace."""
+        report = self._pending.pop(order, None)
+        if report is not None and order > self.newest.order:
+            self.newest = report
+
+    def drop(self, order: int) -> None:
+        """Discard a report that was never recorded."""
+        self._pending.pop(order, None)
+
+    def count_committed_max(self, now: float) -> int:
+        """Return the tokens that may be committed in all."""
+        return min(item.count_committed_max(now) for item in self._list_applicable())
+
+    def predict(self, committed: int) -> float:
+        """Return when that many tokens may be committed without a further record."""
+        return max(item.predict(committed) for item in self._list_applicable())
+
+    def _list_applicable(self) -> list[Report]:
+        later = (item for order, item in self._pending.items() if order > self.newest.order)
+        return [self.newest, *later]
+
+
 @define
 class Allocation:
     """Hold the tokens of one workspace at this node; times are monotonic seconds.
 
-    reported is the account that the store has acknowledged; proposed is one that was sent and that
-    the store may or may not have. waiting holds the tokens of each queued request by its id.
+    recorded_total is what the holding records give to this node; proposed_total is a total that was
+    sent and that the store may or may not have. waiting holds the tokens of each queued request by
+    its id.
     """
 
     workspace: str
     prepaid: int
     spent: int = 0
     reserved: int = 0
-    reported: Account = field(factory=Account)
-    reported_at: float = 0.0
-    proposed: Account | None = None
-    proposed_at: float = 0.0
+    recorded_total: int = 0
+    proposed_total: int | None = None
+    reports: Reports = field(factory=Reports)
     waiting: dict[int, int] = field(factory=dict)
     _mean_square: float = 0.0
 
@@ -176,13 +276,17 @@
         """Return the tokens that are spent or reserved."""
         return self.spent + self.reserved
 
+    @property
+    def handed_out(self) -> int:
+        """Return the tokens that this node may commit once they are reported."""
+        if self.proposed_total is None:
+            return self.recorded_total
+        return min(self.recorded_total, self.proposed_total)
+
     @property
     def held(self) -> int:
         """Return the tokens that this node holds and has not committed."""
-        ceiling = self.reported.handed_out
-        if self.proposed is not None:
-            ceiling = min(ceiling, self.proposed.handed_out)
-        return ceiling - self.committed
+        return self.handed_out - self.committed
 
     @property
     def typical_size(self) -> float:
@@ -191,10 +295,7 @@
 
     def count_available(self, now: float) -> int:
         """Return the tokens that can be reserved before the next report."""
-        upper_bound = self.reported.bound_committed(now - self.reported_at)
-        if self.proposed is not None:
-            upper_bound = min(upper_bound, self.proposed.bound_committed(now - self.proposed_at))
-        return upper_bound - self.committed
+        return min(self.reports.count_committed_max(now), self.handed_out) - self.committed
 
     def reserve(self, tokens: int, now: float) -> bool:
         """Reserve tokens for a request; return False if too few are available."""
@@ -211,55 +312,83 @@
 
     def predict_available(self, tokens: int, now: float) -> float | None:
         """Return when the tokens can be reserved without a further report, or None."""
-        account = self.reported
-        if tokens > self.held or self.proposed is not None:
+        if tokens > self.held:
             return None
-        lacking = self.committed + tokens - account.committed - account.slack
-        if account.slack_per_second <= 0:
-            return self.reported_at + DISCONNECTED_SECONDS
-        seconds = min(
-            DISCONNECTED_SECONDS, account.slack_delay + lacking / account.slack_per_second
-        )
-        return max(now, self.reported_at + seconds)
+        return max(now, self.reports.predict(self.committed + tokens))
+
+    @property
+    def queued(self) -> int:
+        """Return the tokens that queued requests need."""
+        return sum(self.waiting.values())
 
     @property
     def shortage(self) -> int:
         """Return the tokens that queued requests need and the node does not hold."""
-        return max(0, sum(self.waiting.values()) - self.held)
+        return max(0, self.queued - self.held)
 
-    def propose(self, handed_out: int, rate: float, now: float) -> Account:
-        """Return the account to report, and apply its limits from now on."""
+    @property
+    def awaits_use_record(self) -> bool:
+        """Return whether a queued request needs only a further report."""
+        return bool(self.waiting) and min(self.waiting.values()) <= self.held
+
+    def reclaim(self, account: Account) -> None:
+        """Continue from what the last incarnation may have spent."""
+        self.spent += account.committed
+        self.recorded_total = account.handed_out
+        self.reports = Reports(Report(account=account))
+
+    def propose(
+        self, order: int, handed_out: int, rate: float, slack_seconds: float, now: float
+    ) -> Account:
+        """Return the account of a holding record, and apply its limits from now on."""
+        self.proposed_total = handed_out
+        return self._propose_account(order, handed_out, rate, slack_seconds, now)
+
+    def propose_use(self, order: int, rate: float, slack_seconds: float, now: float) -> Account:
+        """Return the account of a use record, and apply its limits from now on."""
+        return self._propose_account(order, self.handed_out, rate, slack_seconds, now)
+
+    def _propose_account(
+        self, order: int, handed_out: int, rate: float, slack_seconds: float, now: float
+    ) -> Account:
         held = max(0, handed_out - self.committed)
-        slack = SLACK_HELD_SHARE * held + SLACK_REQUESTS * self.typical_size
-        slack += SLACK_RATE_SECONDS * rate
-        slack = max(slack, sum(self.waiting.values()))
-        per_second = SLACK_RATE_FACTOR * rate + SLACK_HELD_SHARE_PER_SECOND * held
-        self.proposed = Account(
+        account = Account(
             handed_out,
             self.committed,
-            math.ceil(slack),
-            math.ceil(per_second),
+            max(math.ceil(SLACK_HELD_SHARE * held + slack_seconds * rate), self.queued),
+            math.ceil(SLACK_RATE_FACTOR * rate + SLACK_HELD_SHARE_PER_SECOND * held),
             int(rate),
             SLACK_DELAY_SECONDS,
+            REACH_SECONDS,
         )
-        self.proposed_at = now
-        return self.proposed
+        self.reports.propose(Report(order, account, now))
+        return account
 
-    def accept(self, handed_out_by_others: int) -> int:
-        """Apply the recorded proposal as far as tokens are free; return the change."""
-        if self.proposed is None:
+    def accept(self, order: int, handed_out_by_others: int) -> int:
+        """Apply the recorded total as far as tokens are free; return the change."""
+        self.reports.accept(order)
+        if self.proposed_total is None:
             return 0
-        before = self.reported.handed_out
+        before = self.recorded_total
         available = max(0, self.prepaid - handed_out_by_others)
-        handed_out = min(self.proposed.handed_out, max(before, available))
-        self.reported = evolve(self.proposed, handed_out=handed_out)
-        self.reported_at = self.proposed_at
-        self.proposed = None
-        return handed_out - before
-
-    def drop_proposal(self) -> None:
-        """Discard a proposal that was never recorded."""
-        self.proposed = None
+        self.recorded_total = min(self.proposed_total, max(before, available))
+        self.proposed_total = None
+        return self.recorded_total - before
+
+    def drop_proposal(self, order: int) -> None:
+        """Discard a holding record that was never recorded."""
+        self.reports.drop(order)
+        self.proposed_total = None
+
+
+def compute_slack_seconds(latency: float) -> float:
+    """Return the seconds of use that may be committed without waiting for a report.
+
+    Designed for a store that responds within a tenth of a request's latency target: nearly every
+    request waits for the record that covers it, and a loss of all nodes makes hardly any tokens
+    unavailable. A slow store would delay each request by several appends.
+    """
+    return min(SLACK_RATE_SECONDS_MAX, SLACK_LATENCIES * latency)
 
 
 def blend_shares(load_share: float, rate: float, rates_total: float) -> float:
--- a/bronzetiller/gateway/budgets.py
+++ b/bronzetiller/gateway/budgets.py
@@ -134,15 +134,6 @@
     def _try_own_node(self, request: HolderRequest) -> None:
         manager = self._manager
         reservation = evolve(self._reservation, holder=request.node_id)
-        if not request.may_wait:
-            if manager.reserve(reservation.workspace, reservation.tokens):
-                self._finish(Ok(reservation))
-            else:
-                refusal = refuse_unconfirmed("this node holds too few tokens")
-                self._handle_response(
-                    request, Err(ReservationFailure(refusal, manager.is_store_unreachable))
-                )
-            return
 
         def handle_result(result: Result[None, Refusal]) -> None:
             if isinstance(result, Err):
@@ -152,9 +143,8 @@
             else:
                 self._finish(Ok(reservation))
 
-        manager.reserve_when_available(
-            reservation.workspace, reservation.tokens, self._deadline, handle_result
-        )
+        reserve = manager.reserve_when_available if request.may_wait else manager.reserve_held
+        reserve(reservation.workspace, reservation.tokens, self._deadline, handle_result)
 
     def _request_from_peer(self, request: HolderRequest) -> None:
         # Each request has its own id, so that releasing one does not settle another.
--- a/bronzetiller/gateway/reservation_server.py
+++ b/bronzetiller/gateway/reservation_server.py
@@ -54,28 +54,24 @@
             self._refuse(
                 message, reply, refuse_unconfirmed("the holder does not know the workspace")
             )
-        elif self._manager.reserve(message.workspace, message.tokens):
-            self._confirm(message, reply)
-        elif message.may_wait:
-
-            def handle_result(result: Result[None, Refusal]) -> None:
-                cancelled = message.reservation_id not in self._waiting_ids
-                self._waiting_ids.discard(message.reservation_id)
-                if cancelled:
-                    if isinstance(result, Ok):
-                        self._manager.settle(message.workspace, message.tokens, 0)
-                elif isinstance(result, Err):
-                    self._refuse(message, reply, result.err_value)
-                else:
-                    self._confirm(message, reply)
-
-            self._waiting_ids.add(message.reservation_id)
-            deadline = self._scheduler.now() + message.seconds_left
-            self._manager.reserve_when_available(
-                message.workspace, message.tokens, deadline, handle_result
-            )
-        else:
-            self._refuse(message, reply, refuse_unconfirmed("a holder has too few tokens"))
+            return
+
+        def handle_result(result: Result[None, Refusal]) -> None:
+            cancelled = message.reservation_id not in self._waiting_ids
+            self._waiting_ids.discard(message.reservation_id)
+            if cancelled:
+                if isinstance(result, Ok):
+                    self._manager.settle(message.workspace, message.tokens, 0)
+            elif isinstance(result, Err):
+                self._refuse(message, reply, result.err_value)
+            else:
+                self._confirm(message, reply)
+
+        self._waiting_ids.add(message.reservation_id)
+        manager = self._manager
+        reserve = manager.reserve_when_available if message.may_wait else manager.reserve_held
+        deadline = self._scheduler.now() + message.seconds_left
+        reserve(message.workspace, message.tokens, deadline, handle_result)
 
     def settle(self, message: SettleTokens, reply: Reply) -> None:
         """Close a reservation; an unknown one was already settled or has expired."""
