Move the fake scheduler and the store in memory to the stand-ins

Cause: the exploration of the budget protocol needs both, and nothing outside the tests may import from them.

--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -6,54 +6,11 @@
 from bronzetiller.storage.keyed import (
     Fenced,
     HistoryExpired,
-    KeyedRecord,
     RecordBatch,
     StoreUnreachable,
 )
-from tests.fake_scheduler import FakeScheduler
-
-
-@define(eq=False)
-class FakeStore:
-    """Store keyed records; each node accesses them through a FakeStoreClient."""
-
-    partitions: dict = field(factory=dict)
-    first_offsets: dict = field(factory=dict)
-    delayed_appends: list = field(factory=list)
-    sequences: dict = field(factory=dict)
-
-    def records(self, partition):
-        return self.partitions.setdefault(str(partition), [])
-
-    def append(self, partition, key, value, writer_sequence):
-        """Append in sequence; return the offset, the first one for a repeat, or None if fenced."""
-        records = self.records(partition)
-        if writer_sequence is not None:
-            writer = (str(partition), writer_sequence.writer)
-            epoch, sequence, offsets = self.sequences.get(writer, (-1, 0, {}))
-            if writer_sequence.epoch < epoch:
-                return None
-            if writer_sequence.epoch == epoch:
-                if writer_sequence.sequence in offsets:
-                    return offsets[writer_sequence.sequence]
-                if writer_sequence.sequence != sequence + 1:
-                    return None
-            else:
-                offsets = {}
-            offsets[writer_sequence.sequence] = len(records)
-            self.sequences[writer] = (writer_sequence.epoch, writer_sequence.sequence, offsets)
-        records.append(KeyedRecord(key, value, len(records)))
-        return len(records) - 1
-
-    def list_newest(self, partition):
-        newest = {record.key: record for record in self.records(partition)}
-        return [record for record in newest.values() if record.value is not None]
-
-    def run_delayed_appends(self):
-        """Execute the delayed appends; those out of sequence have no effect."""
-        delayed_appends, self.delayed_appends = self.delayed_appends, []
-        for append in delayed_appends:
-            self.append(*append)
+from standins.fake_scheduler import FakeScheduler
+from standins.memory_store import MemoryStore
 
 
 @define(eq=False)
@@ -61,7 +18,7 @@
     """Access the store as one node; mode is up, down, lost (executed, no response) or late."""
 
     scheduler: FakeScheduler
-    store: FakeStore
+    store: MemoryStore
     mode: str = "up"
     delay: float = 0.01
     stopped: bool = False
--- a/tests/test_allocation_machine.py
+++ b/tests/test_allocation_machine.py
@@ -13,8 +13,9 @@
 from bronzetiller.gateway.allocation_manager import HOLDINGS_PARTITION, AllocationManager
 from bronzetiller.gateway.clock_monitor import ClockMonitor
 from bronzetiller.gateway.configuration import WorkspaceConfiguration
-from tests.fake_scheduler import FakeScheduler
-from tests.gateway_fakes import FakeStore, FakeStoreClient
+from standins.fake_scheduler import FakeScheduler
+from standins.memory_store import MemoryStore
+from tests.gateway_fakes import FakeStoreClient
 
 NODES = 3
 PREPAID = 600
@@ -40,7 +41,7 @@
 
     def __init__(self):
         super().__init__()
-        self.store = FakeStore()
+        self.store = MemoryStore()
         self.incarnation_numbers = itertools.count()
         self.now = 1_000.0
         self.prepaid = PREPAID
--- a/tests/test_allocation_manager.py
+++ b/tests/test_allocation_manager.py
@@ -11,8 +11,9 @@
 from bronzetiller.gateway.allocations import Account, decode_holding_record
 from bronzetiller.gateway.clock_monitor import ClockMonitor
 from bronzetiller.gateway.configuration import WorkspaceConfiguration
-from tests.fake_scheduler import FakeScheduler
-from tests.gateway_fakes import FakeStore, FakeStoreClient
+from standins.fake_scheduler import FakeScheduler
+from standins.memory_store import MemoryStore
+from tests.gateway_fakes import FakeStoreClient
 
 WORKSPACE = "studio"
 
@@ -20,7 +21,7 @@
 @pytest.fixture
 def store():
     """Return an empty store."""
-    return FakeStore()
+    return MemoryStore()
 
 
 @pytest.fixture
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -18,8 +18,9 @@
 from bronzetiller.gateway.reservation_client import ReservationClient
 from bronzetiller.gateway.reservation_server import SETTLEMENT_RETRY_SECONDS_MAX, ReservationServer
 from bronzetiller.wire.messages import ReserveTokens, SettleTokens
-from tests.fake_scheduler import FakeScheduler
-from tests.gateway_fakes import FakePeers, FakeStore, FakeStoreClient
+from standins.fake_scheduler import FakeScheduler
+from standins.memory_store import MemoryStore
+from tests.gateway_fakes import FakePeers, FakeStoreClient
 
 WORKSPACE = "studio"
 REGIONS = {"regina-a": "sask", "winnipeg-a": "manitoba"}
@@ -41,7 +42,7 @@
 
     prepaid: int
     scheduler: FakeScheduler = field(factory=FakeScheduler)
-    store: FakeStore = field(factory=FakeStore)
+    store: MemoryStore = field(factory=MemoryStore)
     network: dict = field(factory=dict)
     nodes: dict = field(factory=dict)
     data_centres: dict = field(factory=dict)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -38,9 +38,10 @@
     is_matching_response,
     make_target_headers,
 )
+from standins.fake_scheduler import FakeScheduler
 from standins.gateway_fleet import make_configuration
-from tests.fake_scheduler import FakeScheduler
-from tests.gateway_fakes import FakeStore, FakeStoreClient
+from standins.memory_store import MemoryStore
+from tests.gateway_fakes import FakeStoreClient
 
 REGIONS = {"a": "west", "b": "west", "c": "east"}
 DISTANCES = Distances("a", "west", REGIONS)
@@ -491,7 +492,7 @@
 
 def test_a_heartbeat_that_was_not_written_is_logged(caplog):
     scheduler = FakeScheduler()
-    client = FakeStoreClient(scheduler, FakeStore(), mode="down")
+    client = FakeStoreClient(scheduler, MemoryStore(), mode="down")
     own = Member("n1", "10.0.0.1:1", "a", "x", True)
     members = Members(scheduler, client, client, lambda: own)
     with caplog.at_level("INFO", logger="bronzetiller"):
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -12,9 +12,10 @@
 from bronzetiller.storage.change_list import DELETIONS_KEPT_MAX, ChangeList
 from bronzetiller.storage.keyed import KeyedRecord, Partition
 from bronzetiller.storage.keyed_follower import KeyedFollower
+from standins.fake_scheduler import FakeScheduler
+from standins.memory_store import MemoryStore
 from standins.path_engine import make_registration
-from tests.fake_scheduler import FakeScheduler
-from tests.gateway_fakes import FakePeers, FakeStore, FakeStoreClient
+from tests.gateway_fakes import FakePeers, FakeStoreClient
 
 PARTITION = Partition("keyed.test")
 
@@ -32,7 +33,7 @@
     """Hold nodes that read one partition, some of them through another node."""
 
     scheduler: FakeScheduler = field(factory=FakeScheduler)
-    store: FakeStore = field(factory=FakeStore)
+    store: MemoryStore = field(factory=MemoryStore)
     network: dict = field(factory=dict)
     reads: dict = field(factory=dict)
 
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -21,7 +21,7 @@
 from bronzetiller.net.address import Address
 from bronzetiller.net.http_client import BodyPart, CallFailed, ResponseEnd, ResponseHead
 from bronzetiller.net.scheduler import Timeout
-from tests.fake_scheduler import FakeScheduler
+from standins.fake_scheduler import FakeScheduler
 
 WORKSPACE = WorkspaceConfiguration("studio", None, 1_000)
 
--- a/tests/test_grant_manager.py
+++ b/tests/test_grant_manager.py
@@ -22,7 +22,7 @@
 from bronzetiller.settings import BudgetSettings
 from bronzetiller.storage.log_client import Entry, Page
 from bronzetiller.wire.messages import AskTokens, TransferTokens
-from tests.fake_scheduler import FakeScheduler
+from standins.fake_scheduler import FakeScheduler
 
 OWN = "node-1/a"
 
--- a/tests/test_keyed_follower.py
+++ b/tests/test_keyed_follower.py
@@ -4,8 +4,9 @@
 
 from bronzetiller.storage.keyed import Partition
 from bronzetiller.storage.keyed_follower import KeyedFollower
-from tests.fake_scheduler import FakeScheduler
-from tests.gateway_fakes import FakeStore, FakeStoreClient
+from standins.fake_scheduler import FakeScheduler
+from standins.memory_store import MemoryStore
+from tests.gateway_fakes import FakeStoreClient
 
 PARTITION = Partition("keyed.test")
 
@@ -13,7 +14,7 @@
 @pytest.fixture
 def followed_partition():
     """Follow a partition with one record; return the follower, store, client and scheduler."""
-    scheduler, store = FakeScheduler(), FakeStore()
+    scheduler, store = FakeScheduler(), MemoryStore()
     client = FakeStoreClient(scheduler, store)
     store.append(PARTITION, "a", b"1", None)
     follower = KeyedFollower(
--- a/tests/test_targets_follower.py
+++ b/tests/test_targets_follower.py
@@ -6,9 +6,10 @@
 from bronzetiller.gateway.targets import TargetPool
 from bronzetiller.platform.topics import REGISTRATIONS_TOPIC
 from bronzetiller.storage.keyed import Partition
+from standins.fake_scheduler import FakeScheduler
+from standins.memory_store import MemoryStore
 from standins.path_engine import make_registration
-from tests.fake_scheduler import FakeScheduler
-from tests.gateway_fakes import FakeStore, FakeStoreClient
+from tests.gateway_fakes import FakeStoreClient
 
 PARTITION = Partition(REGISTRATIONS_TOPIC)
 DRAIN_SECONDS = 3.0  # by requirement, a target that left gets no new requests after this
@@ -17,7 +18,7 @@
 @pytest.fixture
 def followed_target():
     """Follow one registered target; return the pool, the store, its client and the scheduler."""
-    scheduler, store, pool = FakeScheduler(), FakeStore(), TargetPool()
+    scheduler, store, pool = FakeScheduler(), MemoryStore(), TargetPool()
     client = FakeStoreClient(scheduler, store)
     register(store)
     follower = TargetsFollower(scheduler, client, pool)
