Explore the budget protocol over the orders of its steps

Cause: the counter-example to the budget was met by chance; nobody knew how many more there were.

Change: python -m exploration drives the real allocation manager of two or more nodes around the store in memory: every store call stays open until a step answers it, loses it, delays it, rejects it or reads its first page; clocks, kills, suspensions, expired history and raised or cut budgets are steps too. A complete search visits all states to a depth, random walks go further and are shortened.

--- a/bronzetiller/gateway/allocations.py
+++ b/bronzetiller/gateway/allocations.py
@@ -247,9 +247,12 @@
         """Return when that many tokens may be committed without a further record."""
         return max(item.predict(committed) for item in self._list_applicable())
 
+    def list_pending(self) -> list[Report]:
+        """Return the reports that count beside the newest acknowledged one."""
+        return [item for order, item in self._pending.items() if order > self.newest.order]
+
     def _list_applicable(self) -> list[Report]:
-        later = (item for order, item in self._pending.items() if order > self.newest.order)
-        return [self.newest, *later]
+        return [self.newest, *self.list_pending()]
 
 
 @define
--- /dev/null
+++ b/tests/test_exploration.py
@@ -0,0 +1,186 @@
+"""Check the budget protocol over the orders of its steps, and that each mechanism is needed."""
+
+import logging
+import time
+from functools import partial
+
+import pytest
+
+from exploration.__main__ import format_test
+from exploration.budget_model import BudgetModel
+from exploration.mechanisms import MECHANISMS, take_out
+from exploration.search import explore, replay, walk
+
+# The shortest way to overspending without each mechanism, found by random walks.
+COUNTER_EXAMPLES = {
+    "unreported use counts as spent": [
+        ("send", 1),
+        ("answer", 1, 0),
+        ("kill", 1),
+        ("start", 1, "same"),
+        ("answer", 1, 0),
+        ("send", 1),
+        ("answer", 1, 0),
+        ("answer", 1, 0),
+        ("answer", 1, 0),
+    ],
+    "use records count as spent": [
+        ("send", 1),
+        ("answer", 1, 0),
+        ("kill", 1),
+        ("start", 1, "ahead"),
+        ("answer", 1, 0),
+        ("answer", 1, 0),
+        ("send", 1),
+        ("answer", 1, 0),
+        ("wait",),
+        ("answer", 0, 0),
+        ("send", 0),
+        ("lose", 0, 1),
+        ("answer", 0, 0),
+        ("send", 0),
+        ("answer", 0, 0),
+    ],
+    "a clock that went back reclaims nothing": [
+        ("wait_long",),
+        ("send", 0),
+        ("kill", 0),
+        ("start", 0, "back"),
+        ("send", 0),
+        ("answer", 0, 0),
+        ("answer", 0, 0),
+        ("answer", 0, 0),
+        ("answer", 0, 0),
+    ],
+    "records of others limit an increase": [
+        ("wait",),
+        ("wait",),
+        ("answer", 0, 1),
+        ("answer", 0, 0),
+        ("reject", 1, 1),
+        ("answer", 1, 0),
+        ("send", 0),
+        ("send", 0),
+        ("send", 1),
+        ("expire",),
+        ("answer", 1, 0),
+        ("answer", 0, 0),
+        ("answer", 0, 1),
+        ("reject", 0, 0),
+        ("wait",),
+        ("answer", 1, 0),
+        ("answer", 0, 0),
+        ("answer", 1, 0),
+        ("wait",),
+        ("answer", 0, 0),
+        ("answer", 1, 0),
+        ("answer", 1, 0),
+    ],
+    "a record without a response limits": [
+        ("wait",),
+        ("send", 1),
+        ("answer", 1, 1),
+        ("answer", 1, 0),
+        ("raise",),
+        ("learn", 1),
+        ("wait_long",),
+        ("answer", 1, 0),
+        ("send", 1),
+        ("answer", 1, 0),
+        ("kill", 1),
+        ("start", 1, "ahead"),
+        ("answer", 1, 0),
+        ("answer", 1, 0),
+        ("send", 1),
+        ("answer", 1, 0),
+        ("answer", 1, 0),
+    ],
+    "late appends are fenced off": [
+        ("send", 0),
+        ("send", 0),
+        ("delay", 0, 1),
+        ("send", 1),
+        ("answer", 0, 0),
+        ("wait",),
+        ("answer", 1, 0),
+        ("answer", 0, 0),
+        ("wait",),
+        ("reject", 0, 1),
+        ("answer", 0, 0),
+        ("answer", 1, 0),
+        ("answer", 1, 0),
+        ("answer", 1, 0),
+        ("wait",),
+        ("answer", 0, 0),
+        ("land",),
+        ("answer", 1, 0),
+        ("answer", 0, 0),
+        ("answer", 1, 0),
+    ],
+    "newest records are applied as a whole": [
+        ("send", 1),
+        ("answer", 1, 0),
+        ("expire",),
+        ("raise",),
+        ("learn", 1),
+        ("learn", 0),
+        ("send", 0),
+        ("answer", 0, 0),
+        ("send", 0),
+        ("send", 1),
+        ("answer", 1, 0),
+        ("answer", 0, 0),
+        ("answer", 0, 0),
+        ("answer", 0, 0),
+    ],
+}
+
+
+@pytest.fixture(autouse=True)
+def silence_logs():
+    """Disable the logs of thousands of replayed steps."""
+    logging.disable()
+    yield
+    logging.disable(logging.NOTSET)
+
+
+@pytest.mark.parametrize("nodes", [2, 3])
+def test_no_order_of_two_steps_overspends(nodes):
+    report = explore(partial(BudgetModel, nodes), depth=2, deadline=time.monotonic() + 60)
+    assert report.violation is None
+    assert report.complete
+
+
+@pytest.mark.parametrize("nodes", [2, 3])
+def test_random_walks_do_not_overspend(nodes):
+    report = walk(
+        partial(BudgetModel, nodes), walks=200, length=40, seed=3, deadline=time.monotonic() + 60
+    )
+    assert report.violation is None, format_test(report.steps, nodes)
+    assert report.complete
+
+
+def find_violation_on_the_way(steps):
+    """Take the steps that can happen; return the first violation."""
+    model = BudgetModel()
+    for step in steps:
+        if step in model.list_steps():
+            model.apply(step)
+        if model.find_violation() is not None:
+            return model.find_violation()
+    return None
+
+
+@pytest.mark.parametrize("mechanism", MECHANISMS)
+def test_each_mechanism_prevents_overspending(mechanism):
+    steps = COUNTER_EXAMPLES[mechanism]
+    assert find_violation_on_the_way(steps) is None
+    with take_out(mechanism):
+        assert replay(BudgetModel, steps).find_violation() is not None
+
+
+def test_a_counter_example_is_printed_as_a_test():
+    text = format_test([("wait",), ("kill", 1)], 2)
+    namespace = {"BudgetModel": BudgetModel}
+    exec(text, namespace)
+    namespace["test_nodes_spend_within_the_budget_after_these_steps"]()
