Bound responses that never end

Cause: an event of a stream without an end was kept and copied with each part that came (71.7 s of the node's one thread and 32 MB held at 32 MB, in parts of 16 KB); bodies of the store, the log, the list of VMs and load reports, bodies of other requests' responses and informational responses had no bound at all, and a byte now and then kept such a call open.

Change: HttpCall has body_bytes_max and seconds_max for callers that collect a body, and the store, the log, the list of VMs and load reports set them; the client closes a connection after 1 MB of mismatched bodies or nine informational responses. An attempt ends after 256 KB of one event, and searches only what is new.

--- a/bronzetiller/fleet/vm_list.py
+++ b/bronzetiller/fleet/vm_list.py
@@ -21,6 +21,8 @@
 
 POLL_INTERVAL_SECONDS = 1.0
 SILENCE_SECONDS = 2.0
+LIST_BYTES_MAX = 4 * 1024 * 1024  # some 1 KB for each of thousands of VMs
+TRANSFER_SECONDS_MAX = 10.0
 
 
 class VmState(StrEnum):
@@ -81,7 +83,16 @@
         return [vm for vm in self.vms.values() if vm.role is VmRole.ROUTER]
 
     def _poll(self) -> None:
-        call = HttpCall(self._address, "GET", "/v1/vms", {}, b"", SILENCE_SECONDS)
+        call = HttpCall(
+            self._address,
+            "GET",
+            "/v1/vms",
+            {},
+            b"",
+            SILENCE_SECONDS,
+            body_bytes_max=LIST_BYTES_MAX,
+            seconds_max=TRANSFER_SECONDS_MAX,
+        )
         parts: list[bytes] = []
 
         def handle_event(event: CallEvent) -> None:
--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -24,6 +24,7 @@
 
 CONNECT_SECONDS = 0.7  # ten round trips between regions; an unreachable target never responds
 BUFFERED_BYTES_MAX = 1024 * 1024  # of a response that is not streamed
+EVENT_BYTES_MAX = 256 * 1024  # of an event that is not complete yet
 
 
 @frozen
@@ -91,7 +92,7 @@
     _response_class: ResponseClass | None = None
     _body_parts: list[bytes] = field(factory=list)
     _body_size: int = 0
-    _partial_event: bytes = b""
+    _partial_event: bytearray = field(factory=bytearray)
 
     @property
     def sent(self) -> bool:
@@ -158,12 +159,17 @@
             else:
                 self._body_parts.append(data)
             return
-        data = self._partial_event + data
-        end = data.rfind(EVENT_SEPARATOR) + len(EVENT_SEPARATOR)
-        if end < len(EVENT_SEPARATOR):
-            self._partial_event = data
+        buffer = self._partial_event
+        searched = max(0, len(buffer) - len(EVENT_SEPARATOR) + 1)
+        buffer += data
+        found = buffer.rfind(EVENT_SEPARATOR, searched)
+        if found < 0:
+            if len(buffer) > EVENT_BYTES_MAX:
+                self._fail("an event of the stream is too large")
             return
-        complete_events, self._partial_event = data[:end], data[end:]
+        end = found + len(EVENT_SEPARATOR)
+        complete_events = bytes(buffer[:end])
+        del buffer[:end]
         self._listener(
             StreamData(
                 complete_events,
@@ -177,7 +183,7 @@
         assert head is not None
         if self._is_stream:
             if self._partial_event:
-                self._listener(StreamData(self._partial_event, 0, None))
+                self._listener(StreamData(bytes(self._partial_event), 0, None))
                 if self.finished:
                     return
             self._finish()
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -14,9 +14,13 @@
 KEEP_ALIVE_FRACTION_MAX = 0.5
 BODILESS_METHODS = ("GET", "HEAD", "DELETE")
 MISMATCHED_RESPONSES_MAX = 3  # responses to other requests before a connection is closed
+MISMATCHED_BYTES_MAX = 1024 * 1024  # of the bodies of such responses
+INFORMATIONAL_RESPONSES_MAX = 8  # before a connection is closed
 REFUSED_CAUSES = ("connect: refused", "connect: errno 111")
 SILENCE = "silence"
 TOO_LATE = "too late to send"
+TOO_LARGE = "the body is too large"
+TOO_LONG = "the response took too long"
 
 
 @frozen
@@ -60,6 +64,9 @@
     first_byte_seconds is given. A call with may_send uses a new connection and calls may_send
     right before it sends the first byte. A response that is_matching rejects belongs to an earlier
     request on the connection; it is discarded and the next one awaited.
+
+    A caller that collects the body sets body_bytes_max and seconds_max, which limit the body and
+    the time from the first byte sent to the end of the response, as a server may send forever.
     """
 
     address: Address
@@ -73,6 +80,8 @@
     may_send: Callable[[], bool] | None = None
     host: str | None = None
     is_matching: ResponseMatcher | None = None
+    body_bytes_max: int | None = None
+    seconds_max: float | None = None
 
 
 @define(eq=False)
@@ -122,10 +131,15 @@
     idle_until: float = 0.0
     keep_alive_seconds: float = IDLE_SECONDS_MAX
     mismatched_responses: int = 0
+    mismatched_bytes: int = 0
     mismatched: bool = False
+    informational_responses: int = 0
+    body_bytes: int = 0
+    end_timeout: Timeout = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.silence_timeout = self.client.scheduler.create_timeout(self.expire)
+        self.end_timeout = self.client.scheduler.create_timeout(lambda: self.fail(TOO_LONG))
 
     def dial(self, dialer: Dialer) -> None:
         assert self.open_call is not None
@@ -141,6 +155,9 @@
         self.open_call.sent = True
         self.connection.write(self.encode(call))
         self.silence_timeout.expire_after(call.first_byte_seconds or call.silence_seconds)
+        self.body_bytes = self.mismatched_bytes = self.informational_responses = 0
+        if call.seconds_max is not None:
+            self.end_timeout.expire_after(call.seconds_max)
 
     def encode(self, call: HttpCall) -> bytes:
         headers = [("Host", call.host or str(call.address))]
@@ -189,6 +206,9 @@
         while not open_call.done:
             event = self.parser.next_event()
             if isinstance(event, h11.Data):
+                if not self.count_body(open_call.call, len(event.data)):
+                    self.fail(TOO_LARGE)
+                    return
                 if not self.mismatched:
                     parts.append(bytes(event.data))
                 continue
@@ -213,9 +233,22 @@
                 self.release()
                 open_call.done = True
                 open_call.listener(ResponseEnd())
-            elif not isinstance(event, h11.InformationalResponse):
+            elif isinstance(event, h11.InformationalResponse):
+                self.informational_responses += 1
+                if self.informational_responses > INFORMATIONAL_RESPONSES_MAX:
+                    self.fail("too many informational responses")
+                    return
+            else:
                 return
 
+    def count_body(self, call: HttpCall, size: int) -> bool:
+        """Count bytes of a body; return whether it stays within its limit."""
+        if self.mismatched:
+            self.mismatched_bytes += size
+            return self.mismatched_bytes <= MISMATCHED_BYTES_MAX
+        self.body_bytes += size
+        return call.body_bytes_max is None or self.body_bytes <= call.body_bytes_max
+
     def await_next_response(self, call: HttpCall) -> bool:
         """Parse what follows a mismatched response as the response to the request already sent."""
         self.mismatched_responses += 1
@@ -237,6 +270,7 @@
         must_close = self.open_call is None or self.open_call.reuse_prevented or self.paused
         self.open_call = None
         self.silence_timeout.clear()
+        self.end_timeout.clear()
         states = {self.parser.our_state, self.parser.their_state}
         must_close = must_close or states != {h11.DONE} or bool(self.parser.trailing_data[0])
         if must_close or self.connection is None:
@@ -255,6 +289,7 @@
     def close(self) -> None:
         self.open_call = None
         self.silence_timeout.cancel()
+        self.end_timeout.cancel()
         self.client.remove_idle(self)
         if self.connection is not None:
             self.connection.close()
--- a/bronzetiller/platform/store.py
+++ b/bronzetiller/platform/store.py
@@ -36,6 +36,8 @@
 RESPONSE_TIMEOUT_SECONDS = 1.2
 CONNECT_TIMEOUT_SECONDS = 1.0
 READ_KILOBYTES_MAX = 1024
+RESPONSE_BYTES_MAX = 4 * 1024 * 1024  # a page of 1 MB in base64 and JSON
+TRANSFER_SECONDS_MAX = 5.0  # for a page over a link of 5 Mbit/s
 _LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
 
@@ -125,7 +127,15 @@
         """Make one HTTP call and pass its status and complete body to done."""
         target = f"{path}?{urlencode(query)}"
         call = HttpCall(
-            self._address, method, target, {}, body, timeout_seconds, CONNECT_TIMEOUT_SECONDS
+            self._address,
+            method,
+            target,
+            {},
+            body,
+            timeout_seconds,
+            CONNECT_TIMEOUT_SECONDS,
+            body_bytes_max=RESPONSE_BYTES_MAX,
+            seconds_max=timeout_seconds + TRANSFER_SECONDS_MAX,
         )
         parts: list[bytes] = []
         status = 0
--- a/bronzetiller/routing/load_poller.py
+++ b/bronzetiller/routing/load_poller.py
@@ -46,7 +46,16 @@
             return
         self._in_flight.add(vm.vm_id)
         outstanding = self._chooser.get_state(vm).outstanding
-        call = HttpCall(vm.address, "GET", LOAD_PATH, {}, b"", SILENCE_SECONDS)
+        call = HttpCall(
+            vm.address,
+            "GET",
+            LOAD_PATH,
+            {},
+            b"",
+            SILENCE_SECONDS,
+            body_bytes_max=BODY_BYTES_MAX,
+            seconds_max=2 * SILENCE_SECONDS,
+        )
         status = 0
         body = b""
 
@@ -55,7 +64,7 @@
             if isinstance(event, ResponseHead):
                 status = event.status
             elif isinstance(event, BodyPart):
-                body = (body + event.data)[:BODY_BYTES_MAX]
+                body += event.data
             elif isinstance(event, ResponseEnd | CallFailed):
                 self._in_flight.discard(vm.vm_id)
                 if isinstance(event, ResponseEnd) and status == 200:
--- a/bronzetiller/storage/log_client.py
+++ b/bronzetiller/storage/log_client.py
@@ -5,7 +5,7 @@
 from typing import Any
 from urllib.parse import quote
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from result import Err, Ok, Result
 
 from bronzetiller.metrics import LOG_BYTES
@@ -27,6 +27,8 @@
 READ_WAIT_SECONDS = 2.0
 READ_SILENCE_SECONDS = READ_WAIT_SECONDS + 1.5
 READ_RECORDS_MAX = 2_000
+RESPONSE_BYTES_MAX = 64 * 1024 * 1024
+TRANSFER_SECONDS_MAX = 30.0
 
 Record = dict[str, Any]
 
@@ -116,6 +118,11 @@
         done: Callable[[Result[Any, LogFailure]], None],
         wait_seconds: float = 0.0,
     ) -> OpenCall:
+        call = evolve(
+            call,
+            body_bytes_max=RESPONSE_BYTES_MAX,
+            seconds_max=call.silence_seconds + TRANSFER_SECONDS_MAX,
+        )
         response = _ResponseBuffer()
         scheduler = self._http.scheduler
         started_at = scheduler.now()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,8 +1,10 @@
 """Test the HTTP client with responses that are truncated, mismatched or without a length."""
 
+import contextlib
 import socket
 import struct
 import threading
+import time
 
 import pytest
 
@@ -38,13 +40,25 @@
             self.connections += 1
             while self._responses and sock.recv(65536):
                 response, close = self._responses.pop(0)
-                sock.sendall(response)
+                self._send(sock, response)
                 if close:
                     break
             if self._reset:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             sock.close()
 
+    def _send(self, sock, response):
+        """Send bytes, or a head followed by more bytes until the client closes."""
+        if isinstance(response, bytes):
+            sock.sendall(response)
+            return
+        head, following, pause_seconds = response
+        with contextlib.suppress(OSError):
+            sock.sendall(head)
+            while True:
+                sock.sendall(following)
+                time.sleep(pause_seconds)
+
 
 @pytest.fixture
 def call_sequentially():
@@ -74,6 +88,8 @@
                     b"",
                     2.0,
                     is_matching=lambda head: head.headers["x-request-id"] == request_id,
+                    body_bytes_max=100_000,
+                    seconds_max=1.0,
                 ),
                 handle_event,
             )
@@ -125,3 +141,34 @@
     server = RawServer([(short, False), (make_response(b"two", b""), True)])
     call_sequentially(server, "one", "two")
     assert server.connections == 2
+
+
+ENDLESS_RESPONSES = {
+    "head line": (b"HTTP/1.1 200 " + b"O" * 1000, b"K" * 16_384, 0.0),
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"X-Filler: 1\r\n" * 1_000, 0.0),
+    "informational responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 10, 0.0),
+    "body without a length": (HEAD % b"a" + b"\r\n", b"x" * 16_384, 0.0),
+    "chunks": (HEAD % b"a" + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n" * 4_000, 0.0),
+    "chunk size": (HEAD % b"a" + b"Transfer-Encoding: chunked\r\n\r\n", b"0" * 16_384, 0.0),
+    "body of another request": (HEAD % b"b" + b"\r\n", b"x" * 16_384, 0.0),
+    "a byte now and then": (HEAD % b"a" + b"\r\n", b"x", 0.2),
+}
+
+
+@pytest.mark.parametrize("response", ENDLESS_RESPONSES.values(), ids=ENDLESS_RESPONSES.keys())
+def test_a_response_without_end_fails_within_its_limits(call_sequentially, response):
+    started_at = time.monotonic()
+    events = call_sequentially(RawServer([(response, True)]), "a")["a"]
+    assert isinstance(events[-1], CallFailed) and events[-1].sent
+    assert len(read_body(events)) <= 100_000
+    assert time.monotonic() - started_at < 3.0
+
+
+def test_bytes_after_a_complete_response_are_not_read_as_the_next_one(call_sequentially):
+    server = RawServer(
+        [(make_response(b"a", b"first") + make_response(b"a", b"copy"), False)]
+        + [(make_response(b"b", b"second"), False)]
+    )
+    events = call_sequentially(server, "a", "b")
+    assert read_body(events["a"]) == b"first" and read_body(events["b"]) == b"second"
+    assert server.connections == 2
