Relay only changes of members within a data centre

After an outage of the store longer than the heartbeat timeout a node also took all others for silent until their next heartbeats.

Change: the members have a reader in each data centre of six nodes or more, as configuration and targets have; it passes on who came, left, fell silent or has another load. Silence is measured up to the last read and from when the store was regained. Records and addresses are decoded once.

--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -1,7 +1,12 @@
-"""Track the nodes of the fleet through their records in the store."""
+"""Track the nodes of the fleet through their records in the store.
+
+In a large data centre one node reads the heartbeats of all nodes; the others receive from it only
+what changed in more than the heartbeat: nodes that came, left, fell silent or have another load.
+"""
 
 import json
 from collections.abc import Callable
+from functools import lru_cache
 from typing import Any
 
 from attrs import define, evolve, field, frozen
@@ -10,6 +15,7 @@
 from bronzetiller.logs import log_event
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.topics import NODES_TOPIC
+from bronzetiller.storage.change_list import ChangeList
 from bronzetiller.storage.keyed import (
     AppendFailure,
     KeyedReader,
@@ -22,6 +28,10 @@
 NODES_PARTITION = Partition(NODES_TOPIC)
 HEARTBEAT_SECONDS = 1.0
 HEARTBEAT_TIMEOUT_SECONDS = 3.5  # three heartbeat intervals and the pause between two reads
+# Changes of a node's load that are relayed: as a share of it, and at least in requests per second.
+LOAD_CHANGE_SHARE_MIN = 0.25
+LOAD_CHANGE_MIN = 2.0
+DECODED_MEMBERS_MAX = 2_048
 # Added to the load of each node, as the load of a small node varies most.
 BASE_LOAD_REQUESTS_PER_SECOND = 4.0
 
@@ -68,10 +78,17 @@
 
 def decode_member(node_id: str, value: bytes) -> Member | None:
     """Decode a record of the store; return None if it is malformed."""
+    member = _decode_anonymous(value)
+    return None if member is None else evolve(member, node_id=node_id)
+
+
+@lru_cache(DECODED_MEMBERS_MAX)
+def _decode_anonymous(value: bytes) -> Member | None:
+    """Decode a record without the node's id, which is the record's key."""
     try:
         item: Any = json.loads(value)
         return Member(
-            node_id,
+            "",
             str(item["address"]),
             str(item["data_centre"]),
             str(item["incarnation"]),
@@ -89,17 +106,31 @@
         return None
 
 
+def has_member_changed(before: bytes | None, after: bytes | None) -> bool:
+    """Return whether a record changed in more than its heartbeat and a little load."""
+    known = None if before is None else _decode_anonymous(before)
+    newer = None if after is None else _decode_anonymous(after)
+    if known is None or newer is None:
+        return known is not newer
+    change = abs(newer.load - known.load)
+    if change > max(LOAD_CHANGE_MIN, LOAD_CHANGE_SHARE_MIN * known.load):
+        return True
+    return evolve(known, beat=newer.beat, load=newer.load) != newer
+
+
 @define(eq=False)
 class Members:
     """Publish this node's record and follow those of the other nodes.
 
-    _last_seen_at holds monotonic seconds by node id.
+    A node that reads the store itself discards members without heartbeats; one that reads through
+    a peer goes by what the peer discards. _last_seen_at holds monotonic seconds by node id.
     """
 
     _scheduler: Scheduler
     _store: KeyedStore
     _reader: KeyedReader
     _describe_self: Callable[[], Member]
+    _is_direct: Callable[[], bool] = lambda: True
     members: dict[str, Member] = field(factory=dict)
     _last_seen_at: dict[str, float] = field(factory=dict)
     follower: KeyedFollower = field(init=False)
@@ -114,12 +145,14 @@
             self._on_change,
             wait_seconds=0.0,
             pause_seconds=HEARTBEAT_SECONDS,
+            changes=ChangeList(has_member_changed),
         )
 
     def start(self) -> None:
         """Start publishing and following."""
         self.follower.start()
         self._scheduler.call_every(HEARTBEAT_SECONDS, self.publish)
+        self._scheduler.call_every(HEARTBEAT_SECONDS, self._discard_silent)
         self.publish()
 
     def publish(self) -> None:
@@ -140,16 +173,36 @@
     def list_serving(self) -> list[Member]:
         """Return the nodes that serve callers; this node's own state is read directly."""
         own = self._describe_self()
-        now = self.follower.lost_at or self._scheduler.now()
         others = [
             item
             for item in self.members.values()
-            if item.node_id != own.node_id
-            and item.serving
-            and now - self._last_seen_at[item.node_id] <= HEARTBEAT_TIMEOUT_SECONDS
+            if item.node_id != own.node_id and item.serving and not self._is_silent(item.node_id)
         ]
         return [*others, own] if own.serving else others
 
+    def _is_silent(self, node_id: str) -> bool:
+        """Return whether a node sent no heartbeat for too long, as of the last read.
+
+        Nobody could write heartbeats before the store was regained.
+        """
+        if not self._is_direct():
+            return False
+        follower = self.follower
+        seen_at = max(self._last_seen_at[node_id], follower.regained_at or 0.0)
+        return follower.read_at - seen_at > HEARTBEAT_TIMEOUT_SECONDS
+
+    def _discard_silent(self) -> None:
+        """Discard the members without heartbeats; those relayed by a peer count as seen now."""
+        if not self._is_direct():
+            self._last_seen_at = dict.fromkeys(self.members, self._scheduler.now())
+            return
+        own_id = self._describe_self().node_id
+        for node_id in list(self.members):
+            if node_id != own_id and self._is_silent(node_id):
+                del self.members[node_id]
+                self.follower.discard(node_id)
+                log_event("member_silent", member=node_id)
+
     def count_nodes(self) -> int:
         """Return the number of nodes that serve callers, at least 1."""
         return max(1, len(self.list_serving()))
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -45,7 +45,7 @@
 from bronzetiller.net.loop import make_loop
 from bronzetiller.platform.lookup import make_lookup_application, make_readiness_application
 from bronzetiller.platform.store import PlatformStore
-from bronzetiller.platform.topics import OPERATOR_TOPIC, REGISTRATIONS_TOPIC
+from bronzetiller.platform.topics import NODES_TOPIC, OPERATOR_TOPIC, REGISTRATIONS_TOPIC
 from bronzetiller.storage.keyed import KeyedStore
 
 PREALLOCATION_DELAY_SECONDS = 0.6  # until nodes that start together have discovered each other
@@ -134,8 +134,10 @@
         )
         registration_reader = self._make_reader(store, REGISTRATIONS_TOPIC)
         self.targets_follower = TargetsFollower(scheduler, registration_reader, self.pool)
-        member_reader = PeerReader(scheduler, self.peers, store, lambda: None, self._list_seeds)
-        self.members = Members(scheduler, store, member_reader, self._make_member)
+        member_reader = self._make_reader(store, NODES_TOPIC)
+        self.members = Members(
+            scheduler, store, member_reader, self._make_member, lambda: member_reader.is_direct
+        )
         self.holders = HolderMap(self.settings.node_id, self.distances, self.members.list_serving)
         followed_readers = (
             (self.configuration_follower.follower, configuration_reader),
@@ -192,7 +194,7 @@
         own_id, data_centre = self.settings.node_id, self.settings.data_centre
         readers = {
             choose_reader(own_id, topic, data_centre, self.holders.members)
-            for topic in (OPERATOR_TOPIC, REGISTRATIONS_TOPIC)
+            for topic in (OPERATOR_TOPIC, REGISTRATIONS_TOPIC, NODES_TOPIC)
         }
         holders = self.holders.list_holders(self.allocation_manager.allocations)
         return holders | {reader for reader in readers if reader is not None}
--- a/bronzetiller/net/address.py
+++ b/bronzetiller/net/address.py
@@ -1,9 +1,12 @@
 """Parse and format socket addresses."""
 
 import socket as sockets
+from functools import lru_cache
 
 from attrs import frozen
 
+PARSED_ADDRESSES_MAX = 4_096
+
 
 @frozen
 class Address:
@@ -16,6 +19,7 @@
         return f"{self.ip}:{self.port}"
 
 
+@lru_cache(PARSED_ADDRESSES_MAX)
 def parse_address(text: str) -> Address:
     """Parse an address written as ip:port; raise ValueError if it is malformed."""
     ip, separator, port = text.rpartition(":")
--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -62,6 +62,14 @@
         """Call the action after each read that changed a value."""
         self._listeners.append(action)
 
+    def discard(self, key: str) -> None:
+        """Treat a key as deleted until it is written again, also for the nodes that read from here.
+
+        The deletion has the offset of the next record, so that these nodes have not read past it.
+        """
+        if self.values.pop(key, None) is not None:
+            self.changes.add(KeyedRecord(key, None, self.offset))
+
     def _read(self) -> None:
         if self.offset < 0:
             self._reader.read_newest(self.partition, self._handle_newest)
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 
 from bronzetiller.gateway.followers import has_registration_changed
-from bronzetiller.gateway.members import Member
+from bronzetiller.gateway.members import Member, Members
 from bronzetiller.gateway.readers import RELAYED_NODES_MIN, choose_reader
 from bronzetiller.gateway.relay import PeerReader, RelayedPartition, register_fetch_handler
 from bronzetiller.storage.change_list import DELETIONS_KEPT_MAX, ChangeList
@@ -167,6 +167,101 @@
     return [Member(f"n{index}", "", data_centre, "x", True) for index in range(count)]
 
 
+@define(eq=False)
+class Fleet:
+    """Hold nodes of one data centre that follow the members, some of them through a reader."""
+
+    scheduler: FakeScheduler = field(factory=FakeScheduler)
+    store: MemoryStore = field(factory=MemoryStore)
+    network: dict = field(factory=dict)
+    clients: dict = field(factory=dict)
+    loads: dict = field(factory=dict)
+
+    def start(self, node_id, reader=None):
+        scheduler = self.scheduler
+        client = self.clients[node_id] = FakeStoreClient(scheduler, self.store)
+        peers = self.network[node_id] = FakePeers(self.network, scheduler, node_id)
+        source = PeerReader(scheduler, peers, client, lambda: reader, lambda: [])
+
+        def describe():
+            return Member(node_id, "10.0.0.1:1", "a", "x", True, load=self.loads.get(node_id, 1.0))
+
+        members = Members(scheduler, client, source, describe, lambda: source.is_direct)
+        relayed = RelayedPartition(scheduler, members.follower, source)
+        register_fetch_handler(peers, {members.follower.partition.topic: relayed})
+        members.start()
+        return members
+
+    def stop(self, node_id):
+        self.clients[node_id].stopped = True
+        self.network[node_id].silent = True
+
+
+@pytest.fixture
+def fleet():
+    """Return a fleet without nodes."""
+    return Fleet()
+
+
+def list_ids(members):
+    return {item.node_id for item in members.list_serving()}
+
+
+def test_members_are_known_through_the_reader_until_they_fall_silent(fleet):
+    fleet.start("reader")
+    follower = fleet.start("follower", reader="reader")
+    fleet.start("other", reader="reader")
+    fleet.scheduler.advance(10.0)
+    assert list_ids(follower) == {"reader", "follower", "other"}
+    fleet.stop("other")
+    fleet.scheduler.advance(7.0)
+    assert list_ids(follower) == {"reader", "follower"}
+    fleet.start("other", reader="reader")
+    fleet.scheduler.advance(3.0)
+    assert list_ids(follower) == {"reader", "follower", "other"}
+
+
+def test_heartbeats_are_not_relayed_but_other_loads_are(fleet):
+    reader = fleet.start("reader")
+    follower = fleet.start("follower", reader="reader")
+    fleet.scheduler.advance(5.0)
+    offset = reader.follower.offset
+    fleet.scheduler.advance(5.0)
+    assert reader.follower.changes.list_since(offset) == (False, [])
+    fleet.loads["reader"] = 100.0
+    fleet.scheduler.advance(3.0)
+    loads = {item.node_id: item.load for item in follower.list_serving()}
+    assert loads["reader"] == 100.0
+
+
+def test_members_stay_known_after_the_reader_is_lost(fleet):
+    fleet.start("reader")
+    follower = fleet.start("follower", reader="reader")
+    fleet.start("other")
+    fleet.scheduler.advance(10.0)
+    fleet.stop("reader")
+    for _ in range(50):
+        fleet.scheduler.advance(0.2)
+        assert {"follower", "other"} <= list_ids(follower)
+    assert list_ids(follower) == {"follower", "other"}
+
+
+def test_members_stay_known_through_an_outage_of_the_store(fleet):
+    nodes = [fleet.start(f"node-{index}") for index in range(3)]
+    fleet.scheduler.advance(4.3)  # every heartbeat has been read
+    for client in fleet.clients.values():
+        client.mode = "down"
+    fleet.scheduler.advance(8.0)
+    fleet.clients["node-0"].mode = "up"  # the others cannot write heartbeats yet
+    fleet.scheduler.advance(2.5)
+    assert len(list_ids(nodes[0])) == 3
+    for client in fleet.clients.values():
+        client.mode = "up"
+    for _ in range(25):
+        fleet.scheduler.advance(0.2)
+        assert all(len(list_ids(node)) == 3 for node in nodes)
+
+
 def test_one_node_of_a_large_data_centre_reads_the_store():
     members = make_members(RELAYED_NODES_MIN)
     readers = {choose_reader(item.node_id, "t", "a", members) for item in members}
