--- a/bronzetiller/configuration/archive.py
+++ b/bronzetiller/configuration/archive.py
@@ -12,6 +12,7 @@
 from bronzetiller.configuration.fold import Configuration, Decision
 
 ARCHIVED_RECORDS_PER_SCHEMA_MAX = 16
+DELETIONS = 0  # in place of a schema, as every version reads a deletion
 
 
 @frozen
@@ -27,6 +28,7 @@
     """Retain for each item and schema the newest record in force on this node and all later ones.
 
     A node that supports fewer schemas thus still finds in a snapshot the record it had in force.
+    The newest deletion of an item is retained too, also behind records that only some nodes read.
     """
 
     records: dict[tuple[str, str], dict[int, list[ArchivedRecord]]] = field(factory=dict)
@@ -36,9 +38,11 @@
         if not decision.accepted:
             return
         schemas = self.records.setdefault((decision.kind, decision.name), {})
+        schema = decision.schema
         if record["body"] is None:
-            schemas.clear()  # a deletion applies to every schema
-        retained = schemas.setdefault(decision.schema, [])
+            schemas.clear()
+            schema = DELETIONS
+        retained = schemas.setdefault(schema, [])
         if decision.in_force:
             retained.clear()
         retained.append(ArchivedRecord(decision.offset, record))
