Compare the boot-time clock too when a restart computes a record's age

Cause: the exploration found that a wall clock that goes back while a process restarts hides the time in which it spent tokens (15 steps: 80 spent, 40 reserved, 13 held of 100). A jump is noticed only by a process that runs.

Change: records hold the boot-time clock as well; the larger of both elapsed times counts. What remains is a VM that restarts and whose wall clock went back by nearly the age of its last record.

--- a/exploration/budget_model.py
+++ b/exploration/budget_model.py
@@ -12,7 +12,7 @@
 from bronzetiller.errors import Refusal
 from bronzetiller.gateway.allocation_manager import HOLDINGS_PARTITION, AllocationManager
 from bronzetiller.gateway.allocations import decode_holding_record
-from bronzetiller.gateway.clock_monitor import ClockMonitor
+from bronzetiller.gateway.clock_monitor import ClockMonitor, ClockReading
 from bronzetiller.gateway.configuration import WorkspaceConfiguration
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.storage.keyed import (
@@ -140,15 +140,20 @@
 class Process:
     """Hold one incarnation of a node and the tokens of its running requests.
 
-    clock_lead is the wall clock minus the steady clock, which does not count suspended seconds.
+    Its steady clock does not count the seconds in which the VM was suspended.
     """
 
     manager: AllocationManager = field(init=False)
     store: SteppedStore
     scheduler: FakeScheduler
-    clock_lead: float
+    clock_offset: float
+    suspended_seconds: float = 0.0
     running: list[int] = field(factory=list)
 
+    def read_clocks(self) -> ClockReading:
+        boot = self.scheduler.now() + self.suspended_seconds
+        return ClockReading(boot + self.clock_offset, boot)
+
 
 class BudgetModel:
     """Hold the nodes, the store and what was really spent.
@@ -249,7 +254,7 @@
             for other in self.processes.values():
                 if other is not process:
                     other.scheduler.advance(SUSPENDED_SECONDS)
-            process.clock_lead += SUSPENDED_SECONDS
+            process.suspended_seconds += SUSPENDED_SECONDS
             self.now += SUSPENDED_SECONDS
         else:
             process.store.finish(number, name)
@@ -348,9 +353,9 @@
             f"node-{index}",
             f"node-{index}/{self.starts}",
             lambda workspace: 1 / self.nodes,
-            started_at=self.now + clock_offset,
+            started_at=ClockReading(self.now + clock_offset, self.now),
             clock=ClockMonitor(read_offset=lambda: 0.0),
-            read_clock=lambda: scheduler.now() + process.clock_lead,
+            read_clocks=process.read_clocks,
         )
         process.manager.set_workspaces(self._make_workspaces())
         self.processes[index] = process
