Wait for the only target of a silent request, and match IPv6 literals

Cause: a retryable request to a service with one target cancelled its attempt after 2.5 latency targets of silence before it knew of another one, and ended in 502; a Host that is an IPv6 literal without a port lost its last group.

Change: the attempt goes on unless another target is left; a literal keeps its brackets.

Result: one test each, both fail without the change.

--- a/bronzetiller/gateway/configuration.py
+++ b/bronzetiller/gateway/configuration.py
@@ -78,7 +78,8 @@
 
     def find_route(self, host: str, path: str) -> PathRoute | None:
         """Return the route with the longest matching path prefix."""
-        hostname = host.rpartition(":")[0] if ":" in host else host
+        has_port = ":" in host and not host.endswith("]")  # an IPv6 literal has colons of its own
+        hostname = host.rpartition(":")[0] if has_port else host
         for route in self.routes.get(hostname.lower(), ()):
             if path.startswith(route.path_prefix):
                 return route
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -155,11 +155,7 @@
             chosen = choose_service(self.route, route_draw, context.pool.list_services())
             self.service = chosen or ""
             context.find_retry_window(self.service).record_request(now)
-        targets = [
-            target
-            for target in context.pool.list_targets(self.service)
-            if target.target_id not in self.tried_target_ids
-        ]
+        targets = self._list_untried_targets()
         request = make_placement_request(self.metadata.prompt)
         target = choose_target(targets, request, context.distances, now, context.draw_uniform)
         if target is None:
@@ -167,6 +163,13 @@
             return
         self._send(target, request)
 
+    def _list_untried_targets(self) -> list[Target]:
+        return [
+            target
+            for target in self.context.pool.list_targets(self.service)
+            if target.target_id not in self.tried_target_ids
+        ]
+
     def _refuse_without_target(self) -> None:
         if self.may_have_run:
             self._fail("the service has no other target")
@@ -244,6 +247,8 @@
         attempt = self.attempt
         if self.finished or attempt is None or attempt.finished or not attempt.sent:
             return
+        if not self._list_untried_targets():
+            return  # the silent target may still respond before the deadline
         if not self._acquire_retry("silent"):
             return
         attempt.cancel()
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -19,7 +19,12 @@
 )
 from bronzetiller.gateway.capacity import estimate_capacity
 from bronzetiller.gateway.clock_monitor import ClockReading
-from bronzetiller.gateway.configuration import choose_service
+from bronzetiller.gateway.configuration import (
+    GatewayConfiguration,
+    PathRoute,
+    choose_service,
+    sort_routes,
+)
 from bronzetiller.gateway.entries import choose_entries
 from bronzetiller.gateway.holders import choose_holders
 from bronzetiller.gateway.members import Member, Members
@@ -520,3 +525,13 @@
         members.publish()
         scheduler.advance(1.5)
     assert "heartbeat_unwritten" in caplog.text and "down" in caplog.text
+
+
+@pytest.mark.parametrize(
+    ("host", "found"),
+    [("[::1]", True), ("[::1]:80", True), ("[::2]", False), ("studio.example:80", False)],
+)
+def test_a_route_of_an_ipv6_literal_is_found_with_and_without_a_port(host, found):
+    route = PathRoute("r", "[::1]", "/", (), False, True, 1.0, 1.0, 1.0, 1, 1, False)
+    configuration = GatewayConfiguration(1, sort_routes([route]), {}, {}, {})
+    assert (configuration.find_route(host, "/x") is route) is found
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -114,7 +114,9 @@
 def start_request():
     """Return a function that starts a request handler with three targets."""
 
-    def start(*, retryable=True, streamed=False, attempts_max=2, allowance=100, prompt=None):
+    def start(
+        *, retryable=True, streamed=False, attempts_max=2, allowance=100, prompt=None, targets=3
+    ):
         route = PathRoute(
             name="x",
             host="h",
@@ -131,7 +133,7 @@
         )
         scheduler = SchedulerWithTimeouts()
         pool = TargetPool()
-        for number in range(3):
+        for number in range(targets):
             address = Address("10.0.0.1", 8000 + number)
             pool.register(Registration(f"e{number}", "s", address, "a", 8, False))
         window = RetryWindow(0.0, allowance, 10)
@@ -188,6 +190,14 @@
     assert len(calls) == 2 and not calls[1].cancelled
 
 
+def test_a_retryable_request_waits_for_the_only_target(start_request):
+    handler, calls, scheduler = start_request(targets=1)
+    scheduler.advance(2.0)
+    assert len(calls) == 1 and not calls[0].cancelled
+    calls[0].send_response(200)
+    assert handler.exchange.status == 200
+
+
 @pytest.mark.parametrize("streamed", [False, True])
 def test_an_at_most_once_request_does_not_leave_a_silent_target(start_request, streamed):
     handler, calls, scheduler = start_request(retryable=False, streamed=streamed)
