--- a/bronzetiller/gateway/allocations.py
+++ b/bronzetiller/gateway/allocations.py
@@ -31,15 +31,18 @@
 # so that a loss of all nodes within a few seconds of a disconnection makes few tokens unavailable.
 REACH_SECONDS = 20.0
 # Share of the held tokens that may be committed before the next report.
-SLACK_HELD_SHARE = 0.015
+SLACK_HELD_SHARE = 0.06
 # Share of the held tokens, so that slack also grows at a node whose rate is not known.
-SLACK_HELD_SHARE_PER_SECOND = 0.01
-# In mean latencies of an append: the use that must not wait for a report.
+SLACK_HELD_SHARE_PER_SECOND = 0.03
+# Seconds of use, and in mean latencies of an append: the use that must not wait for a report.
+SLACK_RATE_SECONDS = 0.5
 SLACK_LATENCIES = 2.0
 # Seconds of use; a slower store makes requests wait, as they do while it is unreachable.
 SLACK_RATE_SECONDS_MAX = 1.0
 # Factor of the current rate; a disconnected node delays requests of a burst above that rate.
 SLACK_RATE_FACTOR = 1.5
+# Share of the held tokens; a rate measured over a few requests may be far too high.
+SLACK_RATE_HELD_SHARE_MAX = 0.06
 # Two report intervals and a retry; a restart takes about as long.
 SLACK_DELAY_SECONDS = 1.2
 # Share of the target; smaller differences are not corrected.
@@ -361,11 +364,12 @@
         self, order: int, handed_out: int, rate: float, slack_seconds: float, now: float
     ) -> Account:
         held = max(0, handed_out - self.committed)
+        growth = min(SLACK_RATE_FACTOR * rate, SLACK_RATE_HELD_SHARE_MAX * held)
         account = Account(
             handed_out,
             self.committed,
             max(math.ceil(SLACK_HELD_SHARE * held + slack_seconds * rate), self.queued),
-            math.ceil(SLACK_RATE_FACTOR * rate + SLACK_HELD_SHARE_PER_SECOND * held),
+            math.ceil(growth + SLACK_HELD_SHARE_PER_SECOND * held),
             int(rate),
             SLACK_DELAY_SECONDS,
             REACH_SECONDS,
@@ -397,7 +401,7 @@
     request waits for the record that covers it, and a loss of all nodes makes hardly any tokens
     unavailable. A slow store would delay each request by several appends.
     """
-    return min(SLACK_RATE_SECONDS_MAX, SLACK_LATENCIES * latency)
+    return min(SLACK_RATE_SECONDS_MAX, SLACK_RATE_SECONDS + SLACK_LATENCIES * latency)
 
 
 def blend_shares(load_share: float, rate: float, rates_total: float) -> float:
