--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -73,7 +73,7 @@
 
 @define(eq=False)
 class AllocationManager:
-    """Manage the allocations of a node and its record, with one store call at a time."""
+    """Manage the allocations of a node and its records, with one append of each kind at a time."""
 
     _scheduler: Scheduler
     _store: KeyedStore
--- a/bronzetiller/gateway/allocations.py
+++ b/bronzetiller/gateway/allocations.py
@@ -1,7 +1,7 @@
 """Compute how many prepaid tokens a node holds for each workspace; no I/O.
 
-Each node keeps one record in the store: the tokens handed out to it, and those it has committed
-to requests. The order of the store's log decides which node gets the last tokens: a node that
+Each node keeps a record in the store: the tokens handed out to it, and those it has committed to
+requests. The order of the store's log decides which node gets the last tokens: a node that
 increased its own total uses the increase only as far as the records before it in the log leave
 tokens free. Nodes that write later count the increase in full, so that all nodes together never
 use more than a budget.
@@ -110,10 +110,10 @@
     """Hold a node's accounts as the store keeps them.
 
     epoch increases with each incarnation of the node, number with each record of a partition, and
-    order with each record of an incarnation in any partition.
-    reported_at is the Unix time (seconds) by the VM's clock, booted_seconds its boot-time clock (0
-    in records of earlier versions). clock_steady is false once a jump of
-    the clock was detected, so that no elapsed time can be computed from reported_at.
+    order with each record of an incarnation in any partition. reported_at is the Unix time
+    (seconds) by the VM's clock, booted_seconds its boot-time clock (0 in records of earlier
+    versions). clock_steady is false once a jump of the clock was detected, so that no elapsed time
+    can be computed from reported_at.
     """
 
     holder: str
