--- a/exploration/__main__.py
+++ b/exploration/__main__.py
@@ -1,4 +1,4 @@
-"""Explore the budget protocol, and print the shortest way to a violation as a test.
+"""Explore the budget protocol, and print the shortest way found to a violation as a test.
 
 python -m exploration [--nodes N] [--depth D] [--walks W] [--length L] [--seed S] [--seconds T]
     [--without MECHANISM | --table]
--- a/exploration/budget_model.py
+++ b/exploration/budget_model.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any, cast
 
-from attrs import astuple, define, field
+from attrs import define, field
 from result import Err, Ok, Result
 
 from bronzetiller.errors import Refusal
@@ -332,15 +332,13 @@
         internal = cast(Any, manager)
         return (
             tuple(process.running),
-            [astuple(item, recurse=False)[:2] for item in reports].__repr__(),
+            tuple((item.order, item.account) for item in reports),
             tuple(round(now - item.made_at, 2) for item in reports),
             (allocation.prepaid, allocation.spent, allocation.recorded_total),
             (allocation.proposed_total, tuple(allocation.waiting.values())),
             round(allocation.typical_size, 3),
             tuple(round(delay, 2) for delay in process.scheduler.list_delays()),
-            tuple(
-                (item.kind, str(item.partition), item.page) for item in process.store.calls
-            ).__repr__(),
+            repr([(item.kind, str(item.partition), item.page) for item in process.store.calls]),
             (internal._end_offset, internal._proposed_offset, internal._store_unreachable),
             (internal._holding_writer.epoch, internal._use_writer.epoch),
             repr(sorted((key, record.number) for key, record in internal._records.items())),
