Count all tokens as spent if the last use record cannot be read

Cause: the stand-in for an unreadable use record had the order of the holding record, which won the tie, so that a restart reclaimed tokens that the last incarnation may have spent.

Change: the stand-in comes after the holding record.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -509,7 +509,8 @@
             use_record = decode_holding_record(own[-1].value or b"") if own else None
             if own and use_record is None:
                 log_event("holding_record_malformed", level=40, key=self._node_id)
-                use_record = evolve(record, clock_steady=False)  # counts all tokens as spent
+                # A newest record of unknown age counts all tokens as spent.
+                use_record = evolve(record, clock_steady=False, order=record.order + 1)
             self._initialize(record, use_record)
 
         self._store.read_newest(self._use_writer.partition, handle_use_records)
--- a/tests/test_allocation_manager.py
+++ b/tests/test_allocation_manager.py
@@ -219,3 +219,13 @@
     scheduler.advance(1.0)
     assert isinstance(results[0], Ok) and read_handed_out(store) == 10
     assert manager.is_settled
+
+
+def test_an_unreadable_use_record_counts_all_tokens_as_spent(store, start_manager):
+    manager, scheduler, client = start_manager()
+    manager.reserve_held(WORKSPACE, 200, float("inf"), lambda result: None)
+    scheduler.advance(0.05)
+    client.stopped = True
+    store.append(choose_use_partition("node-1"), "node-1", b"unreadable", None)
+    successor, _, _ = start_manager(started_at=scheduler.time + 0.5)
+    assert successor.allocations[WORKSPACE].spent == 450
