Log probes that find a target alive, and the prompt's segments of failed attempts

Cause: the logs cannot tell whether crashes go undetected or are attributed to the wrong thing: a probe that finds its target alive writes no line, and no line holds the parts of a request's prompt.

Change: target_alive beside target_crashed; attempt_failed also gives the events sent so far, milliseconds since the request was sent, and the shared segments of its prompt.

--- a/bronzetiller/gateway/crashes.py
+++ b/bronzetiller/gateway/crashes.py
@@ -78,14 +78,14 @@
 
     def _handle_probe_result(self, target_instance: str, *, refused: bool) -> None:
         fingerprints = self._suspects.pop(target_instance)
-        if not refused:
-            return
-        TARGET_CRASHES.inc()
         log_event(
-            "target_crashed",
+            "target_crashed" if refused else "target_alive",
             target=target_instance,
             requests=",".join(fingerprints[:REPORTED_REQUESTS_MAX]),
         )
+        if not refused:
+            return
+        TARGET_CRASHES.inc()
         for fingerprint in fingerprints:
             self._local_crashes.setdefault(fingerprint, {})[target_instance] = self._scheduler.now()
             self._local_crashes.move_to_end(fingerprint)
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -486,4 +486,11 @@
             cause=cause,
             load=target.estimate_load(self.context.scheduler.now()),
             heard_age=round(self.context.scheduler.now() - target.load_reported_at, 2),
+            events=self.events,
+            ms=round((self.context.scheduler.now() - self.sent_at) * 1000),
+            shared=",".join(self._list_shared_segments()),
         )
+
+    def _list_shared_segments(self) -> list[str]:
+        prompt = self.metadata.prompt
+        return [] if prompt is None else [item.segment_id for item in prompt.shared_segments]
