Reproduce a prompt segment that crashes target after target

Cause: open; requests that share one segment of their prompts crash every target that begins to respond to them.

--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -1,16 +1,18 @@
 """Stand-in for a target of path routes: a model engine that streams events, or a plain service.
 
 python -m standins.path_engine --listen ip:port --id ID [--event-seconds S] [--slots N]
-    [--runs FILE]
+    [--runs FILE] [--crash-segment ID]
 
 The control interface sets faults and returns the requests that were executed; a request counts as
 executed as soon as the target has accepted it. With --runs, a record is also appended to FILE when
 an execution begins and another one, with the number of events sent, when its stream ends, so that
-they outlive the process.
+they outlive the process. With --crash-segment, the process exits instead of sending the first event
+of a prompt that has this segment.
 """
 
 import argparse
 import json
+import os
 from pathlib import Path
 from typing import Any
 
@@ -51,12 +53,19 @@
 
 class Target:
     def __init__(
-        self, loop: Loop, target_id: str, event_seconds: float, slots: int, runs_path: Path | None
+        self,
+        loop: Loop,
+        target_id: str,
+        event_seconds: float,
+        slots: int,
+        runs_path: Path | None,
+        crash_segment: str | None,
     ) -> None:
         self._loop = loop
         self._id = target_id
         self._event_seconds = event_seconds
         self._slots = slots
+        self._crash_segment = crash_segment
         self._running = 0
         self._faults = Faults()
         self._runs: list[Run] = []
@@ -146,8 +155,12 @@
             self._write_run(run, begun=False)
 
         exchange.on_disconnect = handle_disconnect
+        prefix = exchange.headers.get("x-prompt-prefix", "")
+        crashes = self._crash_segment in [entry.partition(":")[0] for entry in prefix.split(",")]
 
         def send(event_id: int) -> None:
+            if crashes:
+                os._exit(1)
             if exchange.done:
                 return
             if event_id == break_event:
@@ -193,9 +206,17 @@
     parser.add_argument("--event-seconds", type=float, default=0.01)
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--runs", type=Path)
+    parser.add_argument("--crash-segment")
     arguments = parser.parse_args()
     loop = make_loop()
-    target = Target(loop, arguments.id, arguments.event_seconds, arguments.slots, arguments.runs)
+    target = Target(
+        loop,
+        arguments.id,
+        arguments.event_seconds,
+        arguments.slots,
+        arguments.runs,
+        arguments.crash_segment,
+    )
     serve(loop, "path_engine", arguments.listen, target.serve)
 
 
