Report a connection that ends inside a response as lost

Callers saw: targets crashed one after the other under the same requests, and no node held these back.

Cause: the crash tracker probed a target only if the call failed with one of the dialer's two texts for a closed or reset connection. A close inside a response went to the HTTP parser first, which failed with a text of its own, so that a target which crashed after the head of its response was never probed. One layer compared the error texts of another.

Change: CallFailed tells by a field that the connection was closed or reset after the request may have been sent; the crash tracker goes by it.

--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -40,6 +40,7 @@
     """Report that no complete response arrived and the request may have been executed."""
 
     cause: str
+    disconnected: bool = False
 
 
 @frozen
@@ -205,7 +206,7 @@
         elif self._response_class in (ResponseClass.NOT_RUN, ResponseClass.MISDIRECTED):
             self._listener(NotRun(failure.cause, reached=True))
         else:
-            self._listener(ResponseLost(failure.cause))
+            self._listener(ResponseLost(failure.cause, failure.disconnected))
 
     def _fail(self, cause: str) -> None:
         self.cancel()
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -44,7 +44,6 @@
 from bronzetiller.gateway.targets import Target, TargetPool
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import OPEN_REQUESTS, REQUESTS, RESPONSES, RETRIES
-from bronzetiller.net.dialer import CLOSED, RESET
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.http_client import HttpCall, HttpClient
 from bronzetiller.net.scheduler import Scheduler, Timeout, Timer
@@ -349,7 +348,7 @@
         self.may_have_run = True
         self.attempts += 1
         attempt.target.record_failure(event.cause, self.context.scheduler.now())
-        if event.cause in (CLOSED, RESET):
+        if event.disconnected:
             self.context.crash_tracker.report_loss(attempt.target, self._make_fingerprint())
         self._retry_or_fail(event.cause)
 
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -45,10 +45,14 @@
 
 @frozen
 class CallFailed:
-    """Describe why no complete response arrived and whether the request may have been sent."""
+    """Describe why no complete response arrived and whether the request may have been sent.
+
+    disconnected tells that the connection was closed or reset after the request may have been sent.
+    """
 
     cause: str
     sent: bool
+    disconnected: bool = False
 
 
 CallEvent = ResponseHead | BodyPart | ResponseEnd | CallFailed
@@ -190,16 +194,22 @@
         if not self.paused:
             self.silence_timeout.expire_after(self.open_call.call.silence_seconds)
         try:
-            self.parser.receive_data(data)
-            self.deliver_events(self.open_call)
+            self.parse(data, self.open_call)
         except h11.RemoteProtocolError as error:
             self.fail(f"protocol: {error}")
 
+    def parse(self, data: bytes, open_call: OpenCall) -> None:
+        self.parser.receive_data(data)
+        self.deliver_events(open_call)
+
     def handle_close(self, cause: str) -> None:
         self.connection = None
         if cause == CLOSED and self.open_call is not None and self.open_call.sent:
-            self.receive(b"")  # a response without a length ends with a close, but not with a reset
-        self.fail(cause)
+            try:  # a response without a length ends with a close, but not with a reset
+                self.parse(b"", self.open_call)
+            except h11.RemoteProtocolError as error:
+                cause = f"{cause}: {error}"
+        self.fail(cause, disconnected=True)
 
     def deliver_events(self, open_call: OpenCall) -> None:
         parts: list[bytes] = []
@@ -279,12 +289,12 @@
         self.parser.start_next_cycle()
         self.client.add_idle(self)
 
-    def fail(self, cause: str) -> None:
+    def fail(self, cause: str, *, disconnected: bool = False) -> None:
         open_call = self.open_call
         self.close()
         if open_call is not None and not open_call.done:
             open_call.done = True
-            open_call.listener(CallFailed(cause, open_call.sent))
+            open_call.listener(CallFailed(cause, open_call.sent, disconnected and open_call.sent))
 
     def close(self) -> None:
         self.open_call = None
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -49,7 +49,7 @@
 
     def fail(self, cause="reset by the other end", sent=True):
         self.sent = sent
-        self.on_event(CallFailed(cause, sent))
+        self.on_event(CallFailed(cause, sent, disconnected=sent))
 
 
 @define(eq=False)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -136,6 +136,29 @@
     assert isinstance(events[0], ResponseHead) and isinstance(events[-1], CallFailed)
 
 
+BROKEN_RESPONSES = {
+    "before the head": b"",
+    "in the head": HEAD % b"one",
+    "in a body with a length": make_response(b"one", b"whole")[:-2],
+    "in a chunked body": HEAD % b"one" + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+    "between chunks": HEAD % b"one" + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+}
+
+
+@pytest.mark.parametrize("reset", [False, True], ids=["close", "reset"])
+@pytest.mark.parametrize("response", BROKEN_RESPONSES.values(), ids=BROKEN_RESPONSES.keys())
+def test_a_connection_that_ends_within_a_response_is_reported_as_lost(
+    call_sequentially, response, reset
+):
+    events = call_sequentially(RawServer([(response, True)], reset=reset), "one")["one"]
+    assert isinstance(events[-1], CallFailed) and events[-1].disconnected
+
+
+def test_a_malformed_response_on_an_open_connection_is_not_reported_as_lost(call_sequentially):
+    events = call_sequentially(RawServer([(b"no response\r\n\r\n", False)]), "one")["one"]
+    assert isinstance(events[-1], CallFailed) and not events[-1].disconnected
+
+
 def test_an_idle_connection_is_closed_before_its_server_closes_it(call_sequentially):
     short = HEAD % b"one" + b"Keep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n"
     server = RawServer([(short, False), (make_response(b"two", b""), True)])
