Treat a stream that ends inside an event as broken off

Callers would see: a stream that its target broke off inside an event, or closed before the first one, ended as a complete response.

Cause: the attempt forwarded the bytes after the last event and reported the end of the stream, going by the response's framing alone; a response without a length ends with its connection, also when its target crashes.

Change: bytes after the last event, or no event before the close of a stream without a length, make the response lost; it is resumed where the route allows that, and cut off otherwise. ResponseEnd tells that a close ended the response. The engine's attempt of bronzetiller node, which rejected such a stream already, now also counts the target as lost.

--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -61,7 +61,7 @@
 
 @frozen
 class StreamData:
-    """Carry complete events of a stream, or the bytes after its last event."""
+    """Carry complete events of a stream."""
 
     data: bytes
     events: int
@@ -94,6 +94,7 @@
     _body_parts: list[bytes] = field(factory=list)
     _body_size: int = 0
     _partial_event: bytearray = field(factory=bytearray)
+    _has_events: bool = False
 
     @property
     def sent(self) -> bool:
@@ -130,7 +131,7 @@
         elif isinstance(event, ResponseHead):
             self._handle_head(event)
         elif isinstance(event, ResponseEnd):
-            self._handle_end()
+            self._handle_end(event)
         else:
             self._handle_failure(event)
 
@@ -171,6 +172,7 @@
         end = found + len(EVENT_SEPARATOR)
         complete_events = bytes(buffer[:end])
         del buffer[:end]
+        self._has_events = True
         self._listener(
             StreamData(
                 complete_events,
@@ -179,18 +181,13 @@
             )
         )
 
-    def _handle_end(self) -> None:
+    def _handle_end(self, end: ResponseEnd) -> None:
         head = self._head
         assert head is not None
+        self._finish()
         if self._is_stream:
-            if self._partial_event:
-                self._listener(StreamData(bytes(self._partial_event), 0, None))
-                if self.finished:
-                    return
-            self._finish()
-            self._listener(StreamEnd())
+            self._listener(self._make_stream_end(end))
             return
-        self._finish()
         if self._response_class is ResponseClass.NOT_RUN:
             self._listener(NotRun(f"status {head.status}", reached=True))
         elif self._response_class is ResponseClass.MISDIRECTED:
@@ -199,6 +196,13 @@
             failed = self._response_class is ResponseClass.FAILED
             self._listener(CompleteResponse(head, b"".join(self._body_parts), failed))
 
+    def _make_stream_end(self, end: ResponseEnd) -> StreamEnd | ResponseLost:
+        if self._partial_event.strip():
+            return ResponseLost("the stream ended inside an event", end.by_close)
+        if end.by_close and not self._has_events:
+            return ResponseLost("the stream was closed before its first event", end.by_close)
+        return StreamEnd()
+
     def _handle_failure(self, failure: CallFailed) -> None:
         self._finish()
         if not failure.sent:
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -40,7 +40,12 @@
 
 @frozen
 class ResponseEnd:
-    """Mark the end of a response that is complete by its own framing."""
+    """Mark the end of a response that is complete by its own framing.
+
+    One without a length ends when its server closes the connection, which by_close tells.
+    """
+
+    by_close: bool = False
 
 
 @frozen
@@ -139,6 +144,7 @@
     mismatched: bool = False
     informational_responses: int = 0
     body_bytes: int = 0
+    closed: bool = False
     end_timeout: Timeout = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -204,6 +210,7 @@
 
     def handle_close(self, cause: str) -> None:
         self.connection = None
+        self.closed = True
         if cause == CLOSED and self.open_call is not None and self.open_call.sent:
             try:  # a response without a length ends with a close, but not with a reset
                 self.parse(b"", self.open_call)
@@ -242,7 +249,7 @@
             elif isinstance(event, h11.EndOfMessage):
                 self.release()
                 open_call.done = True
-                open_call.listener(ResponseEnd())
+                open_call.listener(ResponseEnd(by_close=self.closed))
             elif isinstance(event, h11.InformationalResponse):
                 self.informational_responses += 1
                 if self.informational_responses > INFORMATIONAL_RESPONSES_MAX:
--- a/bronzetiller/routing/engine.py
+++ b/bronzetiller/routing/engine.py
@@ -136,7 +136,7 @@
         elif isinstance(event, ResponseHead):
             self._handle_head(event)
         elif isinstance(event, ResponseEnd):
-            self._handle_end()
+            self._handle_end(event)
         elif isinstance(event, CallFailed):
             self._listener(AttemptFailed(event.cause, event.sent, target_lost=True))
 
@@ -203,7 +203,7 @@
         last_chunk = json.dumps(value).encode()
         self._listener(CompletionEnd("length", 0, self.answer_tokens_max, [last_chunk]))
 
-    def _handle_end(self) -> None:
+    def _handle_end(self, end: ResponseEnd) -> None:
         if self.status != 200:
             detail = self._error_body[:500].decode("utf-8", "replace")
             may_have_run = self.status >= 500 and self.status != 503
@@ -212,13 +212,16 @@
                 AttemptFailed(f"status {self.status}", may_have_run, lost, self.status, detail)
             )
         elif not self.ended or self.finish_reason is None or self.usage is None:
-            self._listener(AttemptFailed("the response is truncated", True, target_lost=False))
+            self._listener(
+                AttemptFailed("the response is truncated", True, target_lost=end.by_close)
+            )
         else:
             usage = self.usage
-            end = CompletionEnd(
-                self.finish_reason, usage.prompt_tokens, usage.answer_tokens, self.last_chunks
+            self._listener(
+                CompletionEnd(
+                    self.finish_reason, usage.prompt_tokens, usage.answer_tokens, self.last_chunks
+                )
             )
-            self._listener(end)
 
     def _reject(self, cause: str) -> bool:
         self.fail(cause)
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -5,10 +5,16 @@
 import pytest
 from attrs import define, field
 
-from bronzetiller.gateway.attempt import EVENT_BYTES_MAX, Attempt, ResponseLost, StreamData
+from bronzetiller.gateway.attempt import (
+    EVENT_BYTES_MAX,
+    Attempt,
+    ResponseLost,
+    StreamData,
+    StreamEnd,
+)
 from bronzetiller.gateway.targets import Registration, Target
 from bronzetiller.net.address import Address
-from bronzetiller.net.http_client import BodyPart, ResponseHead
+from bronzetiller.net.http_client import BodyPart, ResponseEnd, ResponseHead
 
 PART_BYTES = 16 * 1024
 
@@ -68,3 +74,27 @@
         data[15:],
     ]
     assert [event.last_event_id for event in events] == [1, 2]
+
+
+@pytest.mark.parametrize("by_close", [False, True])
+def test_a_stream_that_ends_inside_an_event_is_incomplete(stream, by_close):
+    attempt, events, http = stream
+    http.listener(BodyPart(b"id: 1\ndata: a\n\nid: 2\ndata: b\n"))
+    http.listener(ResponseEnd(by_close))
+    assert events == [
+        StreamData(b"id: 1\ndata: a\n\n", 1, 1),
+        ResponseLost("the stream ended inside an event", by_close),
+    ]
+
+
+def test_a_stream_closed_before_its_first_event_is_incomplete(stream):
+    attempt, events, http = stream
+    http.listener(ResponseEnd(by_close=True))
+    assert isinstance(events[-1], ResponseLost) and events[-1].disconnected
+
+
+def test_a_stream_without_a_length_is_complete_after_an_event(stream):
+    attempt, events, http = stream
+    http.listener(BodyPart(b"id: 1\ndata: a\n\n"))
+    http.listener(ResponseEnd(by_close=True))
+    assert isinstance(events[-1], StreamEnd)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -121,7 +121,7 @@
 def test_a_response_without_a_length_ends_with_its_connection(call_sequentially):
     server = RawServer([(HEAD % b"one" + b"\r\nall of it", True)])
     events = call_sequentially(server, "one")["one"]
-    assert read_body(events) == b"all of it" and isinstance(events[-1], ResponseEnd)
+    assert read_body(events) == b"all of it" and events[-1] == ResponseEnd(by_close=True)
 
 
 def test_a_response_without_a_length_is_incomplete_after_a_reset(call_sequentially):
