Quarantine prompt segments that crash targets, and keep the evidence in the store

Cause: crashes were counted against the digest of the whole request, so that requests which share only a segment each counted once. Class of fault: failures attributed to an identity that the trigger does not depend on. Besides, the counts were in heartbeats, which a restart overwrites.

Change: requests/crash_evidence.py counts crashes against fingerprints of the request and of each shared segment. A response that goes on or completes clears its segments, at whichever node; a suspect is disregarded where another one that the request lacks was on the same targets. Reports are records in keyed.crashes, followed by a long poll, and adopted by the next incarnation. A quarantined request is refused before its tokens are reserved, with the end of the quarantine as Retry-After; a retry checks it too.

Why this works: the segment is on every target that it crashes and is never proven; what shares requests with it is proven by requests without it.

The two tests of fingerprints in heartbeats are replaced: reports between nodes and a closed connection to a live target are now in test_crash_evidence.py, with the store between the nodes.

--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -45,11 +45,12 @@
 
 @frozen
 class CompleteResponse:
-    """Carry a complete response."""
+    """Carry a complete response; by_close tells that the target closed the connection to end it."""
 
     head: ResponseHead
     body: bytes
     failed: bool
+    by_close: bool = False
 
 
 @frozen
@@ -70,7 +71,9 @@
 
 @frozen
 class StreamEnd:
-    """Report that a streamed response is complete."""
+    """Report that a streamed response is complete; by_close as for CompleteResponse."""
+
+    by_close: bool = False
 
 
 AttemptEvent = NotRun | ResponseLost | CompleteResponse | StreamStarted | StreamData | StreamEnd
@@ -194,14 +197,15 @@
             self._listener(NotRun(MISDIRECTED_CAUSE, reached=True))
         else:
             failed = self._response_class is ResponseClass.FAILED
-            self._listener(CompleteResponse(head, b"".join(self._body_parts), failed))
+            body = b"".join(self._body_parts)
+            self._listener(CompleteResponse(head, body, failed, end.by_close))
 
     def _make_stream_end(self, end: ResponseEnd) -> StreamEnd | ResponseLost:
         if self._partial_event.strip():
             return ResponseLost("the stream ended inside an event", end.by_close)
         if end.by_close and not self._has_events:
             return ResponseLost("the stream was closed before its first event", end.by_close)
-        return StreamEnd()
+        return StreamEnd(end.by_close)
 
     def _handle_failure(self, failure: CallFailed) -> None:
         self._finish()
--- /dev/null
+++ b/bronzetiller/gateway/crash_reports.py
@@ -0,0 +1,130 @@
+"""Share the nodes' crash reports through the store, where they outlast every node."""
+
+import json
+from typing import Any
+
+from attrs import define, field
+from result import Err, Result
+
+from bronzetiller.gateway.crashes import CrashReport, CrashTracker
+from bronzetiller.logs import log_event
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.platform.topics import CRASHES_TOPIC
+from bronzetiller.requests.crash_evidence import Crash
+from bronzetiller.storage.keyed import (
+    AppendFailure,
+    KeyedReader,
+    KeyedRecord,
+    KeyedStore,
+    Partition,
+)
+from bronzetiller.storage.keyed_follower import KeyedFollower
+
+CRASHES_PARTITION = Partition(CRASHES_TOPIC)
+READ_WAIT_SECONDS = 1.5  # plus the response time: how late a silent connection is detected
+READ_PAUSE_SECONDS = 0.05
+RETRY_SECONDS = 0.25
+REPORT_BYTES_MAX = 64 * 1024
+
+
+def encode_report(report: CrashReport) -> bytes:
+    """Encode a report as JSON, without its oldest crashes if it would be too large."""
+    crashes = sorted(report.crashes.values(), key=lambda item: item.at)
+    while True:
+        value = {
+            "crashes": [[item.target, item.at, sorted(item.fingerprints)] for item in crashes],
+            "cleared": {name: sorted(targets) for name, targets in report.cleared.items()},
+        }
+        encoded = json.dumps(value).encode()
+        if len(encoded) <= REPORT_BYTES_MAX or not crashes:
+            return encoded
+        del crashes[: len(crashes) // 2 + 1]
+
+
+def decode_report(value: bytes) -> CrashReport | None:
+    """Decode a report; return None if it is malformed."""
+    try:
+        item: Any = json.loads(value)
+        crashes = [
+            Crash(str(target), float(at), frozenset(map(str, fingerprints)))
+            for target, at, fingerprints in item["crashes"]
+        ]
+        cleared = {str(name): set(map(str, targets)) for name, targets in item["cleared"].items()}
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+    return CrashReport({crash.target: crash for crash in crashes}, cleared)
+
+
+@define(eq=False)
+class CrashReports:
+    """Publish this node's crash report and follow those of all nodes.
+
+    The report of this node's last incarnation is read before the first one replaces it.
+    """
+
+    _scheduler: Scheduler
+    _store: KeyedStore
+    _reader: KeyedReader
+    _node_id: str
+    _tracker: CrashTracker
+    follower: KeyedFollower = field(init=False)
+    _changed: bool = False
+    _writing: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self._tracker.on_report_change = self._publish
+        self.follower = KeyedFollower(
+            self._scheduler,
+            self._reader,
+            CRASHES_PARTITION,
+            self._apply_records,
+            wait_seconds=READ_WAIT_SECONDS,
+            pause_seconds=READ_PAUSE_SECONDS,
+        )
+
+    def start(self) -> None:
+        """Start following."""
+        self.follower.start()
+
+    def _apply_records(self, records: list[KeyedRecord]) -> None:
+        for record in {record.key: record for record in records}.values():
+            if record.value is None:
+                continue
+            report = decode_report(record.value)
+            if report is None:
+                log_event("crash_report_unread", level=30, peer=record.key)
+                continue
+            own = record.key == self._node_id
+            self._tracker.merge_report(report, own=own)
+            if own and not self._writing and report != self._tracker.report:
+                self._publish()  # an append without a response was executed after a newer one
+
+    def _publish(self) -> None:
+        self._changed = True
+        self._write()
+
+    def _write(self) -> None:
+        if self._writing or not self._changed:
+            return
+        self._writing = True
+        if not self.follower.complete:
+            self._scheduler.call_after(RETRY_SECONDS, self._retry)
+            return
+        self._changed = False
+        report = self._tracker.report
+        value = encode_report(report) if report.crashes or report.cleared else None
+
+        def handle_result(result: Result[int, AppendFailure]) -> None:
+            if isinstance(result, Err):
+                log_event("crash_report_unwritten", level=30, cause=result.err_value)
+                self._changed = True
+                self._scheduler.call_after(RETRY_SECONDS, self._retry)
+                return
+            self._writing = False
+            self._write()
+
+        self._store.append(CRASHES_PARTITION, self._node_id, value, None, handle_result)
+
+    def _retry(self) -> None:
+        self._writing = False
+        self._write()
--- a/bronzetiller/gateway/crashes.py
+++ b/bronzetiller/gateway/crashes.py
@@ -1,97 +1,203 @@
-"""Detect requests that crash their targets and quarantine those that did so repeatedly.
+"""Detect crashed targets, and quarantine the requests and prompt segments that crash them.
 
 A target that closes or resets a connection during a request may have crashed; a new connection
-attempt shows whether it did. Nodes share which requests ran on crashed targets, so that a request
-is quarantined at whichever node it arrives.
+attempt shows whether it did. Nodes share their observations, so that a request is quarantined at
+whichever node it arrives, and the responses of any node prove a segment harmless.
 """
 
 import hashlib
+import time
 from collections import OrderedDict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from bronzetiller.gateway.targets import Target
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import TARGET_CRASHES
 from bronzetiller.net.http_client import HttpClient
 from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.requests.crash_evidence import Crash, CrashEvidence, QuarantinedFingerprint
 
-CRASHES_MAX = 3  # fewer would quarantine requests that merely shared the target
-RETENTION_SECONDS = 120.0  # callers retry a request that crashes targets within seconds
-REPORTED_REQUESTS_MAX = 40  # requests in a heartbeat, some 40 bytes each
 PROBE_SECONDS = 0.5
+# A response this long before a crash proves a segment harmless: it would have crashed its target.
+PROOF_SECONDS = 5.0
+PROVEN_MAX = 10_000
+EXPIRY_INTERVAL_SECONDS = 60.0
+# Nodes spread their clearances over this time for each node, so that one or a few write them.
+CLEARANCE_SECONDS_PER_NODE = 0.01
+CLEARANCE_SECONDS_MAX = 1.0
+LOGGED_FINGERPRINTS_MAX = 40
 
-Crashes = dict[str, list[str]]
 
+@define
+class CrashReport:
+    """Hold what one node observed: crashes by target, and cleared targets by fingerprint."""
 
-def make_fingerprint(workspace: str, method: str, path: str, body: bytes) -> str:
+    crashes: dict[str, Crash] = field(factory=dict)
+    cleared: dict[str, set[str]] = field(factory=dict)
+
+
+def make_request_fingerprint(workspace: str, method: str, path: str, body: bytes) -> str:
     """Return a digest that identifies a request, the same at every node and for every retry."""
     digest = hashlib.blake2b(digest_size=8)
     for part in (workspace.encode(), method.encode(), path.encode(), body):
         digest.update(len(part).to_bytes(8, "big") + part)
-    return digest.hexdigest()
+    return f"request:{digest.hexdigest()}"
+
+
+def make_segment_fingerprint(segment_id: str) -> str:
+    """Return the fingerprint of a prompt segment, the same for every request that has it."""
+    return f"segment:{segment_id}"
 
 
 @define(eq=False)
 class CrashTracker:
-    """Hold the crashed targets by request, as observed by this node and reported by its peers."""
+    """Hold the crashes that this node and its peers observed, and what was proven harmless."""
 
     _scheduler: Scheduler
     _http: HttpClient
-    _local_crashes: "OrderedDict[str, dict[str, float]]" = field(factory=OrderedDict)
-    _peer_crashes: dict[str, Crashes] = field(factory=dict)
-    _suspects: dict[str, list[str]] = field(factory=dict)
-
-    def report_loss(self, target: Target, fingerprint: str) -> None:
+    _count_nodes: Callable[[], int] = lambda: 1
+    _draw_uniform: Callable[[], float] = lambda: 0.5
+    _read_clock: Callable[[], float] = time.time
+    on_report_change: Callable[[], None] = lambda: None
+    report: CrashReport = field(factory=CrashReport)
+    evidence: CrashEvidence = field(factory=CrashEvidence)
+    _heard_at: dict[str, float] = field(factory=dict)
+    _proven_at: "OrderedDict[str, float]" = field(factory=OrderedDict)
+    _clearances: dict[str, set[str]] = field(factory=dict)
+    _probed: dict[str, set[str]] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self._scheduler.call_every(EXPIRY_INTERVAL_SECONDS, self._expire)
+
+    def report_loss(self, target: Target, fingerprints: Collection[str]) -> None:
         """Probe a target that closed the connection during a request, to see if it crashed."""
         target_instance = f"{target.target_id}/{target.registration.started_ms}"
-        if target_instance in self._suspects:
-            self._suspects[target_instance].append(fingerprint)
+        if target_instance in self._probed:
+            self._probed[target_instance].update(fingerprints)
             return
-        self._suspects[target_instance] = [fingerprint]
+        self._probed[target_instance] = set(fingerprints)
         self._http.probe(
             target.registration.address,
             PROBE_SECONDS,
             lambda refused: self._handle_probe_result(target_instance, refused=refused),
         )
 
-    def update_from_peers(self, crashes_by_node: Mapping[str, Crashes]) -> None:
-        """Replace the crashes that the other nodes report."""
-        self._peer_crashes = {node: crashes for node, crashes in crashes_by_node.items() if crashes}
-
-    def list_local(self) -> Crashes:
-        """Return the recent crashes that this node observed, to be sent to its peers."""
-        self._expire()
-        newest = list(self._local_crashes.items())[-REPORTED_REQUESTS_MAX:]
-        return {fingerprint: sorted(targets) for fingerprint, targets in newest}
-
-    def is_quarantined(self, compute_fingerprint: Callable[[], str]) -> bool:
-        """Return whether a request crashed too many targets; compute its fingerprint if needed."""
-        if not self._local_crashes and not self._peer_crashes:
-            return False
-        fingerprint = compute_fingerprint()
-        targets = set(self._local_crashes.get(fingerprint, ()))
-        for crashes in self._peer_crashes.values():
-            targets.update(crashes.get(fingerprint, ()))
-        return len(targets) >= CRASHES_MAX
+    def record_proof(self, fingerprints: Collection[str]) -> None:
+        """Record that a target survived a request: it went on with its response or completed it."""
+        now = self._scheduler.now()
+        for fingerprint in fingerprints:
+            self._proven_at[fingerprint] = now
+            self._proven_at.move_to_end(fingerprint)
+        while len(self._proven_at) > PROVEN_MAX:
+            self._proven_at.popitem(last=False)
+        if self.evidence:
+            self._clear_proven()
+
+    def find_quarantined(
+        self, get_fingerprints: Callable[[], Collection[str]]
+    ) -> QuarantinedFingerprint | None:
+        """Return why a request must not run and until when (monotonic seconds), or None.
+
+        Its fingerprints are computed only if there were crashes.
+        """
+        if not self.evidence:
+            return None
+        now = self._read_clock()
+        quarantined = self.evidence.find_quarantined(get_fingerprints(), now)
+        if quarantined is None:
+            return None
+        return evolve(quarantined, until=self._scheduler.now() + quarantined.until - now)
+
+    def merge_report(self, report: CrashReport, *, own: bool) -> None:
+        """Add the report of a node, or of this node's last incarnation."""
+        for crash in report.crashes.values():
+            self._add_crash(crash)
+            if own:
+                self.report.crashes.setdefault(crash.target, crash)
+        for fingerprint, targets in report.cleared.items():
+            self.evidence.clear(fingerprint, targets)
+            if own:
+                self.report.cleared.setdefault(fingerprint, set()).update(targets)
+            elif fingerprint in self._clearances:
+                self._clearances[fingerprint] -= targets
+        self._clear_proven()
 
     def _handle_probe_result(self, target_instance: str, *, refused: bool) -> None:
-        fingerprints = self._suspects.pop(target_instance)
+        fingerprints = self._probed.pop(target_instance)
         log_event(
             "target_crashed" if refused else "target_alive",
             target=target_instance,
-            requests=",".join(fingerprints[:REPORTED_REQUESTS_MAX]),
+            suspects=",".join(sorted(fingerprints)[:LOGGED_FINGERPRINTS_MAX]),
         )
         if not refused:
             return
-        TARGET_CRASHES.inc()
-        for fingerprint in fingerprints:
-            self._local_crashes.setdefault(fingerprint, {})[target_instance] = self._scheduler.now()
-            self._local_crashes.move_to_end(fingerprint)
+        known = self.report.crashes.get(target_instance)
+        if known is None:
+            TARGET_CRASHES.inc()
+            crash = Crash(target_instance, self._read_clock(), frozenset(fingerprints))
+        else:
+            crash = Crash(target_instance, known.at, known.fingerprints | fingerprints)
+        self.report.crashes[target_instance] = crash
+        self._add_crash(crash)
+        self._clear_proven()
+        self.on_report_change()
+
+    def _add_crash(self, crash: Crash) -> None:
+        self._heard_at.setdefault(crash.target, self._scheduler.now())
+        before = set(self.evidence.list_suspects())
+        self.evidence.add(crash)
+        for fingerprint in set(self.evidence.list_suspects()) - before:
+            targets = ",".join(sorted(self.evidence.list_targets(fingerprint)))
+            log_event("crash_suspect", level=30, fingerprint=fingerprint, targets=targets)
+
+    def _clear_proven(self) -> None:
+        """Clear the suspects that a response of this node proved harmless."""
+        for fingerprint in self.evidence.list_suspects():
+            proven_at = self._proven_at.get(fingerprint)
+            if proven_at is None:
+                continue
+            until = proven_at + PROOF_SECONDS
+            targets = {
+                target
+                for target in self.evidence.list_targets(fingerprint)
+                if self._heard_at[target] <= until
+            }
+            if not targets:
+                continue
+            log_event("crash_suspect_cleared", fingerprint=fingerprint, crashes=len(targets))
+            self.evidence.clear(fingerprint, targets)
+            if not self._clearances:
+                seconds = min(
+                    CLEARANCE_SECONDS_MAX, CLEARANCE_SECONDS_PER_NODE * self._count_nodes()
+                )
+                self._scheduler.call_after(seconds * self._draw_uniform(), self._report_clearances)
+            self._clearances.setdefault(fingerprint, set()).update(targets)
+
+    def _report_clearances(self) -> None:
+        """Report the clearances that no peer has reported meanwhile."""
+        clearances, self._clearances = self._clearances, {}
+        missing = {fingerprint: targets for fingerprint, targets in clearances.items() if targets}
+        for fingerprint, targets in missing.items():
+            self.report.cleared.setdefault(fingerprint, set()).update(targets)
+        if missing:
+            self.on_report_change()
 
     def _expire(self) -> None:
-        expiry = self._scheduler.now() - RETENTION_SECONDS
-        for fingerprint, targets in list(self._local_crashes.items()):
-            if max(targets.values()) < expiry:
-                del self._local_crashes[fingerprint]
+        self.evidence.expire(self._read_clock())
+        known = self.evidence.list_crashes()
+        self._heard_at = {
+            target: heard_at for target, heard_at in self._heard_at.items() if target in known
+        }
+        report = CrashReport(
+            {target: crash for target, crash in self.report.crashes.items() if target in known},
+            {
+                fingerprint: kept
+                for fingerprint, targets in self.report.cleared.items()
+                if (kept := targets & known)
+            },
+        )
+        if report != self.report:
+            self.report = report
+            self.on_report_change()
--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -41,7 +41,6 @@
     """Describe a node; beat changes with each heartbeat.
 
     load is the requests per second that the node receives, capacity those that it can handle.
-    crashes maps the fingerprint of a request to the targets that crashed while they ran it.
     """
 
     node_id: str
@@ -53,7 +52,6 @@
     beat: int = 0
     load: float = 0.0
     capacity: float = 1.0
-    crashes: dict[str, list[str]] = field(factory=dict)
 
     @property
     def expected_load(self) -> float:
@@ -71,7 +69,6 @@
             "beat": self.beat,
             "load": round(self.load, 2),
             "capacity": round(self.capacity, 2),
-            "crashes": self.crashes,
         }
         return json.dumps(value).encode()
 
@@ -97,10 +94,6 @@
             int(item["beat"]),
             float(item.get("load", 0.0)),
             float(item.get("capacity", 1.0)),
-            {
-                str(name): list(map(str, targets))
-                for name, targets in item.get("crashes", {}).items()
-            },
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
@@ -207,10 +200,6 @@
         """Return the number of nodes that serve callers, at least 1."""
         return max(1, len(self.list_serving()))
 
-    def list_crashes(self) -> dict[str, dict[str, list[str]]]:
-        """Return the requests that crashed targets, as reported by each node."""
-        return {item.node_id: item.crashes for item in self.list_serving() if item.crashes}
-
     def _on_change(self, records: list[KeyedRecord]) -> None:
         for record in records:
             member = None if record.value is None else decode_member(record.key, record.value)
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -19,11 +19,12 @@
 from bronzetiller.gateway.budgets import Budgets
 from bronzetiller.gateway.capacity import estimate_capacity
 from bronzetiller.gateway.configuration import GatewayConfiguration
+from bronzetiller.gateway.crash_reports import CrashReports
 from bronzetiller.gateway.crashes import CrashTracker
 from bronzetiller.gateway.entries import choose_entries
 from bronzetiller.gateway.followers import ConfigurationFollower, TargetsFollower
 from bronzetiller.gateway.holder_map import HolderMap
-from bronzetiller.gateway.members import HEARTBEAT_SECONDS, Member, Members
+from bronzetiller.gateway.members import Member, Members
 from bronzetiller.gateway.peer_links import PeerLinks
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.readers import choose_reader
@@ -45,7 +46,12 @@
 from bronzetiller.net.loop import make_loop
 from bronzetiller.platform.lookup import make_lookup_application, make_readiness_application
 from bronzetiller.platform.store import PlatformStore
-from bronzetiller.platform.topics import NODES_TOPIC, OPERATOR_TOPIC, REGISTRATIONS_TOPIC
+from bronzetiller.platform.topics import (
+    CRASHES_TOPIC,
+    NODES_TOPIC,
+    OPERATOR_TOPIC,
+    REGISTRATIONS_TOPIC,
+)
 from bronzetiller.storage.keyed import KeyedStore
 
 PREALLOCATION_DELAY_SECONDS = 0.6  # until nodes that start together have discovered each other
@@ -83,11 +89,11 @@
         )
         self.peers = Peers(scheduler, dialer, settings.node_id, settings.fleet_secret.encode())
         store = PlatformStore(HttpClient(scheduler, dialer), settings.store.address)
-        self._set_up_followers(store)
+        http = HttpClient(scheduler, dialer)
+        self._draw_uniform = Random().random
+        self._set_up_followers(store, http)
         self._set_up_budgets(store)
         self._retry_windows: dict[str, RetryWindow] = {}
-        http = HttpClient(scheduler, dialer)
-        self.crash_tracker = CrashTracker(scheduler, http)
         self.request_context = RequestContext(
             scheduler=scheduler,
             http=http,
@@ -96,7 +102,7 @@
             distances=self.distances,
             find_retry_window=self._find_retry_window,
             count_nodes=self.members.count_nodes,
-            draw_uniform=Random().random,
+            draw_uniform=self._draw_uniform,
             crash_tracker=self.crash_tracker,
         )
         application = Application(
@@ -124,7 +130,7 @@
         self._addresses["peers"] = f"{listen.peers.ip}:{peers_port}"
         _Signals(self).register(self.loop.root)
 
-    def _set_up_followers(self, store: KeyedStore) -> None:
+    def _set_up_followers(self, store: KeyedStore, http: HttpClient) -> None:
         """Set up the followers of the store, which read it directly or through a peer."""
         scheduler = self._scheduler
         self.pool = TargetPool()
@@ -138,11 +144,19 @@
         self.members = Members(
             scheduler, store, member_reader, self._make_member, lambda: member_reader.is_direct
         )
+        crashes_reader = self._make_reader(store, CRASHES_TOPIC)
+        self.crash_tracker = CrashTracker(
+            scheduler, http, self.members.count_nodes, self._draw_uniform
+        )
+        self.crash_reports = CrashReports(
+            scheduler, store, crashes_reader, self.settings.node_id, self.crash_tracker
+        )
         self.holders = HolderMap(self.settings.node_id, self.distances, self.members.list_serving)
         followed_readers = (
             (self.configuration_follower.follower, configuration_reader),
             (self.targets_follower.follower, registration_reader),
             (self.members.follower, member_reader),
+            (self.crash_reports.follower, crashes_reader),
         )
         register_fetch_handler(
             self.peers,
@@ -194,7 +208,7 @@
         own_id, data_centre = self.settings.node_id, self.settings.data_centre
         readers = {
             choose_reader(own_id, topic, data_centre, self.holders.members)
-            for topic in (OPERATOR_TOPIC, REGISTRATIONS_TOPIC, NODES_TOPIC)
+            for topic in (OPERATOR_TOPIC, REGISTRATIONS_TOPIC, NODES_TOPIC, CRASHES_TOPIC)
         }
         holders = self.holders.list_holders(self.allocation_manager.allocations)
         return holders | {reader for reader in readers if reader is not None}
@@ -205,11 +219,8 @@
         self.configuration_follower.follower.start()
         self.targets_follower.follower.start()
         self.members.start()
+        self.crash_reports.start()
         self.links.start()
-        self._scheduler.call_every(
-            HEARTBEAT_SECONDS,
-            lambda: self.crash_tracker.update_from_peers(self.members.list_crashes()),
-        )
         names = " ".join(f"{name}={address}" for name, address in self._addresses.items())
         print(f"ready kind=gateway id={self.settings.node_id} {names}", flush=True)
         log_event("started", incarnation=self.incarnation, addresses=names)
@@ -260,7 +271,6 @@
             self._addresses["peers"],
             load=self.request_context.arrival_rate.estimate(self._scheduler.now()) or 0.0,
             capacity=estimate_capacity(self.settings.capacity),
-            crashes=self.crash_tracker.list_local(),
         )
 
     def _on_configuration(self, configuration: GatewayConfiguration) -> None:
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -29,7 +29,11 @@
     WorkspaceConfiguration,
     choose_service,
 )
-from bronzetiller.gateway.crashes import CrashTracker, make_fingerprint
+from bronzetiller.gateway.crashes import (
+    CrashTracker,
+    make_request_fingerprint,
+    make_segment_fingerprint,
+)
 from bronzetiller.gateway.placement import (
     PREFILL_TOKENS_PER_SECOND,
     Distances,
@@ -59,6 +63,8 @@
 SILENCE_SECONDS_MIN = 0.7
 UNDELIVERED_EVENTS_MAX = 2  # charged for a broken stream: generated but not delivered
 OVERLOADED_RETRY_SECONDS = 0.4
+PROOF_STREAM_SECONDS = 0.5  # of events, until a stream that goes on proves its request harmless
+FINGERPRINTED_SEGMENTS_MAX = 32
 
 
 @define
@@ -103,6 +109,8 @@
     head_sent: bool = False
     pending_prefill_tokens: int = 0
     sent_at: float = 0.0
+    proven_at: float | None = None
+    proven: bool = False
     caller_disconnected: bool = False
     finished: bool = False
     _deadline_timer: Timer | None = None
@@ -117,9 +125,7 @@
         self.exchange.on_disconnect = self._on_disconnect
         self._deadline_timer = self.context.scheduler.call_at(self.deadline, self._on_deadline)
         self.last_event_id = self.metadata.last_event_id
-        if self.context.crash_tracker.is_quarantined(self._make_fingerprint):
-            detail = "the request is quarantined because targets crashed while executing it"
-            self._refuse(Refusal(503, Reason.QUARANTINED, detail))
+        if self._refuse_if_quarantined():
             return
         if self.workspace is None or self.metadata.prompt is None:
             self._place()
@@ -149,6 +155,8 @@
         if self.deadline - now < PLACEMENT_SECONDS_MIN:
             self._on_deadline()
             return
+        if self._refuse_if_quarantined():
+            return
         if not self.service:
             route_draw = context.draw_uniform()
             chosen = choose_service(self.route, route_draw, context.pool.list_services())
@@ -162,6 +170,19 @@
             return
         self._send(target, request)
 
+    def _refuse_if_quarantined(self) -> bool:
+        """Refuse the request if it, or a segment of its prompt, crashes targets."""
+        quarantined = self.context.crash_tracker.find_quarantined(self._make_fingerprints)
+        if quarantined is None:
+            return False
+        detail = f"targets crashed under requests with {quarantined.fingerprint}"
+        if self.may_have_run:
+            self._refuse(Refusal(502, Reason.QUARANTINED, detail, Ran.UNKNOWN))
+            return True
+        seconds = max(1, round(quarantined.until - self.context.scheduler.now()))
+        self._refuse(Refusal(503, Reason.QUARANTINED, detail, retry_after_seconds=seconds))
+        return True
+
     def _list_untried_targets(self) -> list[Target]:
         return [
             target
@@ -183,6 +204,7 @@
     def _send(self, target: Target, request: PlacementRequest) -> None:
         context = self.context
         now = context.scheduler.now()
+        self.proven_at = None
         self.tried_target_ids.append(target.target_id)
         prompt = self.metadata.prompt
         self.pending_prefill_tokens = estimate_prefill(target, request, is_preferred=False).tokens
@@ -267,6 +289,7 @@
             self.may_have_run = True
             self._handle_stream_start(event)
         elif isinstance(event, StreamEnd):
+            self._record_survival(by_close=event.by_close)
             self._succeed()
             self.exchange.finish()
         elif isinstance(event, CompleteResponse):
@@ -298,6 +321,7 @@
     def _handle_stream_data(self, event: StreamData) -> None:
         if self.pending_prefill_tokens:
             self._record_queue_delay()
+        self._record_progress()
         self.events += event.events
         if event.last_event_id is not None:
             self.last_event_id = event.last_event_id
@@ -307,6 +331,7 @@
     def _handle_response(self, event: CompleteResponse) -> None:
         self.may_have_run = True
         self.attempts += 1
+        self._record_survival(by_close=event.by_close)
         if self.head_sent:
             # The caller already has the head of the stream; no other response can follow it.
             self._retry_or_fail(f"status {event.head.status}")
@@ -349,13 +374,49 @@
         self.attempts += 1
         attempt.target.record_failure(event.cause, self.context.scheduler.now())
         if event.disconnected:
-            self.context.crash_tracker.report_loss(attempt.target, self._make_fingerprint())
+            self._report_loss()
         self._retry_or_fail(event.cause)
 
-    def _make_fingerprint(self) -> str:
+    def _record_progress(self) -> None:
+        """Record a proof once the target has gone on with its stream for long enough."""
+        if self.proven:
+            return
+        now = self.context.scheduler.now()
+        if self.proven_at is None:
+            self.proven_at = now + PROOF_STREAM_SECONDS
+        elif now >= self.proven_at:
+            self._record_proof()
+
+    def _record_survival(self, *, by_close: bool) -> None:
+        """Record that the target completed its response, unless its close may be a crash."""
+        if self.proven:
+            return
+        if by_close:
+            self._report_loss()
+        else:
+            self._record_proof()
+
+    def _record_proof(self) -> None:
+        self.proven = True
+        tracker = self.context.crash_tracker
+        fingerprints = self._make_segment_fingerprints()
+        tracker.record_proof(self._make_fingerprints() if tracker.evidence else fingerprints)
+
+    def _report_loss(self) -> None:
+        """Report that the connection was lost before the request was proven harmless."""
+        assert self.attempt is not None
+        if not self.proven:
+            self.context.crash_tracker.report_loss(self.attempt.target, self._make_fingerprints())
+
+    def _make_fingerprints(self) -> list[str]:
         workspace = "" if self.workspace is None else self.workspace.name
         exchange = self.exchange
-        return make_fingerprint(workspace, exchange.method, exchange.path, exchange.body)
+        request = make_request_fingerprint(workspace, exchange.method, exchange.path, exchange.body)
+        return [request, *self._make_segment_fingerprints()]
+
+    def _make_segment_fingerprints(self) -> list[str]:
+        segment_ids = self._list_shared_segments()[:FINGERPRINTED_SEGMENTS_MAX]
+        return list(map(make_segment_fingerprint, segment_ids))
 
     def _retry_or_fail(self, cause: str) -> None:
         self._log_failed_attempt(cause)
--- a/bronzetiller/platform/topics.py
+++ b/bronzetiller/platform/topics.py
@@ -7,6 +7,7 @@
 CONFIGURATION_KEY = "config"
 REGISTRATIONS_TOPIC = "keyed.servers"
 NODES_TOPIC = "keyed.nodes"
+CRASHES_TOPIC = "keyed.crashes"
 HOLDINGS_TOPIC = "keyed.holdings"
 # Only its writer's next incarnation reads a use record; several topics keep that read short.
 USE_TOPICS = tuple(f"keyed.use-{number}" for number in range(8))
--- /dev/null
+++ b/bronzetiller/requests/crash_evidence.py
@@ -0,0 +1,134 @@
+"""Infer which request, or which part that requests share, crashes the targets that run it.
+
+A crash counts against every request on the target that was not proven harmless, by its
+fingerprints: one of the whole request, and one of each part that it may share with others. The
+fingerprint that crashes targets is on each of them; others are there by chance, or because they
+share requests with it.
+
+Designed for single requests or parts that crash every target, among many harmless requests that
+share their other parts. This module reads no clock; times are Unix seconds.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterable
+
+from attrs import define, evolve, field, frozen
+
+CRASHES_MAX = 3  # fewer would quarantine requests that merely shared the target
+QUARANTINE_SECONDS = 60.0  # after the third crash; twice as long after each further one
+RETENTION_SECONDS = 3600.0
+CRASHES_KEPT_MAX = 256
+
+
+@frozen
+class Crash:
+    """Hold the incarnation of a target that crashed, when, and the fingerprints on it."""
+
+    target: str
+    at: float
+    fingerprints: frozenset[str]
+
+
+@frozen
+class QuarantinedFingerprint:
+    """Hold the fingerprint for which a request must not run, and until when."""
+
+    fingerprint: str
+    until: float
+
+
+@define(eq=False)
+class CrashEvidence:
+    """Hold the crashes that a fleet has observed, and which of them count against a fingerprint.
+
+    Reports may arrive in any order, late and repeatedly. A crash no longer counts against a
+    fingerprint once it is cleared, since a response proved the fingerprint harmless.
+    """
+
+    _crashes: OrderedDict[str, Crash] = field(factory=OrderedDict)
+    _cleared: dict[str, set[str]] = field(factory=dict)
+    _counting: dict[str, dict[str, float]] = field(factory=dict)
+    _suspects: set[str] = field(factory=set)
+
+    def __bool__(self) -> bool:
+        return bool(self._crashes)
+
+    def add(self, crash: Crash) -> None:
+        """Add the report of a crash, or join it with earlier reports of the same one."""
+        known = self._crashes.get(crash.target)
+        if known is not None:
+            crash = evolve(
+                known,
+                at=min(known.at, crash.at),
+                fingerprints=known.fingerprints | crash.fingerprints,
+            )
+        self._crashes[crash.target] = crash
+        for fingerprint in crash.fingerprints:
+            if crash.target not in self._cleared.get(fingerprint, ()):
+                self._counting.setdefault(fingerprint, {})[crash.target] = crash.at
+                self._update_suspects(fingerprint)
+        while len(self._crashes) > CRASHES_KEPT_MAX:
+            self._remove(next(iter(self._crashes)))
+
+    def clear(self, fingerprint: str, targets: Iterable[str]) -> None:
+        """Stop counting the crashes of these targets against a fingerprint."""
+        cleared = self._cleared.setdefault(fingerprint, set())
+        for target in targets:
+            cleared.add(target)
+            self._stop_counting(fingerprint, target)
+
+    def expire(self, now: float) -> None:
+        """Forget the crashes that are too old to count."""
+        expiry = now - RETENTION_SECONDS
+        for target in [item.target for item in self._crashes.values() if item.at < expiry]:
+            self._remove(target)
+        for fingerprint, targets in list(self._cleared.items()):
+            targets &= self._crashes.keys()
+            if not targets:
+                del self._cleared[fingerprint]
+
+    def list_crashes(self) -> set[str]:
+        """Return the targets whose crashes are known."""
+        return set(self._crashes)
+
+    def list_suspects(self) -> list[str]:
+        """Return the fingerprints that were on enough crashed targets to be quarantined."""
+        return sorted(self._suspects)
+
+    def list_targets(self, fingerprint: str) -> set[str]:
+        """Return the crashed targets that count against a fingerprint."""
+        return set(self._counting.get(fingerprint, ()))
+
+    def find_quarantined(
+        self, fingerprints: Collection[str], now: float
+    ) -> QuarantinedFingerprint | None:
+        """Return why a request with these fingerprints must not run, or None if it may."""
+        for fingerprint in self._suspects.intersection(fingerprints):
+            crashed_at = self._counting[fingerprint]
+            doublings = len(crashed_at) - CRASHES_MAX
+            until = max(crashed_at.values()) + QUARANTINE_SECONDS * 2.0**doublings
+            if now < until and not self._is_explained(set(crashed_at), fingerprints):
+                return QuarantinedFingerprint(fingerprint, until)
+        return None
+
+    def _is_explained(self, targets: set[str], fingerprints: Collection[str]) -> bool:
+        """Return whether a suspect that the request lacks accounts for nearly all the crashes."""
+        others = self._suspects.difference(fingerprints)
+        return any(len(targets - self._counting[other].keys()) < CRASHES_MAX for other in others)
+
+    def _remove(self, target: str) -> None:
+        for fingerprint in self._crashes.pop(target).fingerprints:
+            self._stop_counting(fingerprint, target)
+
+    def _stop_counting(self, fingerprint: str, target: str) -> None:
+        counting = self._counting.get(fingerprint, {})
+        counting.pop(target, None)
+        if not counting:
+            self._counting.pop(fingerprint, None)
+        self._update_suspects(fingerprint)
+
+    def _update_suspects(self, fingerprint: str) -> None:
+        if len(self._counting.get(fingerprint, ())) >= CRASHES_MAX:
+            self._suspects.add(fingerprint)
+        else:
+            self._suspects.discard(fingerprint)
--- /dev/null
+++ b/tests/test_crash_evidence.py
@@ -0,0 +1,356 @@
+"""Test which requests and prompt segments are quarantined after crashes, without a network."""
+
+import itertools
+from random import Random
+
+import pytest
+from attrs import define, field
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bronzetiller.gateway.crash_reports import (
+    CRASHES_PARTITION,
+    CrashReports,
+    decode_report,
+    encode_report,
+)
+from bronzetiller.gateway.crashes import CrashReport, CrashTracker
+from bronzetiller.gateway.targets import Registration, Target
+from bronzetiller.net.address import Address
+from bronzetiller.requests.crash_evidence import (
+    CRASHES_MAX,
+    QUARANTINE_SECONDS,
+    Crash,
+    CrashEvidence,
+)
+from standins.fake_scheduler import FakeScheduler
+from standins.memory_store import MemoryStore
+from tests.gateway_fakes import FakeStoreClient
+
+NOW = 1_000.0
+CONTACT_SECONDS = 4.0  # after the fifth crash, until all nodes must hold such requests back
+LATER_REQUESTS_MAX = 3
+
+
+def make_evidence(*crashes):
+    evidence = CrashEvidence()
+    for number, fingerprints in enumerate(crashes):
+        evidence.add(Crash(f"e{number}", NOW, frozenset(fingerprints)))
+    return evidence
+
+
+def is_quarantined(evidence, *fingerprints, now=NOW):
+    return evidence.find_quarantined(fingerprints, now) is not None
+
+
+def test_two_crashes_quarantine_nothing():
+    evidence = make_evidence(*[{"first", "bad"}] * (CRASHES_MAX - 1))
+    assert not is_quarantined(evidence, "first", "bad")
+
+
+def test_a_segment_on_all_crashed_targets_is_quarantined_with_whatever_else():
+    evidence = make_evidence({"first", "bad"}, {"first", "bad"}, {"other", "bad"})
+    assert is_quarantined(evidence, "first", "bad")
+    assert is_quarantined(evidence, "unseen", "bad")
+    assert not is_quarantined(evidence, "first") and not is_quarantined(evidence, "other")
+
+
+def test_requests_that_share_all_but_the_crashing_segment_may_run():
+    evidence = make_evidence(*[{"first", "middle", "bad"}] * 5)
+    assert is_quarantined(evidence, "first", "middle", "bad")
+    assert not is_quarantined(evidence, "first", "middle")
+
+
+def test_the_first_segment_is_quarantined_if_it_crashes_targets_by_itself():
+    evidence = make_evidence({"bad", "m1"}, {"bad", "m2"}, {"bad", "m3"})
+    assert is_quarantined(evidence, "bad", "m4")
+
+
+def test_crashes_for_other_reasons_do_not_change_what_is_quarantined():
+    crashes = [{"first", "bad"}] * 5 + [{"first"}, {"first", "x"}]
+    evidence = make_evidence(*crashes)
+    assert is_quarantined(evidence, "first", "bad")
+    assert not is_quarantined(evidence, "first")
+
+
+def test_a_quarantine_ends_by_itself_and_lasts_longer_after_another_crash():
+    evidence = make_evidence(*[{"bad"}] * CRASHES_MAX)
+    assert is_quarantined(evidence, "bad", now=NOW + QUARANTINE_SECONDS - 1)
+    later = NOW + QUARANTINE_SECONDS + 1
+    assert not is_quarantined(evidence, "bad", now=later)
+    evidence.add(Crash("another", later, frozenset({"bad"})))
+    assert is_quarantined(evidence, "bad", now=later + 2 * QUARANTINE_SECONDS - 1)
+
+
+FINGERPRINTS = ("a", "b", "c")
+REPORTS = st.lists(
+    st.one_of(
+        st.tuples(
+            st.just("crash"), st.integers(0, 5), st.sets(st.sampled_from(FINGERPRINTS), min_size=1)
+        ),
+        st.tuples(st.just("clear"), st.sampled_from(FINGERPRINTS), st.sets(st.integers(0, 5))),
+    ),
+    max_size=12,
+)
+
+
+@given(REPORTS, st.randoms(use_true_random=False))
+def test_reports_give_the_same_evidence_in_any_order_and_repeated(reports, random):
+    def judge(ordered):
+        evidence = CrashEvidence()
+        for kind, first, second in ordered:
+            if kind == "crash":
+                evidence.add(Crash(f"e{first}", NOW, frozenset(second)))
+            else:
+                evidence.clear(first, [f"e{number}" for number in second])
+        requests = itertools.chain.from_iterable(
+            itertools.combinations(FINGERPRINTS, size) for size in (1, 2, 3)
+        )
+        return [is_quarantined(evidence, *request) for request in requests]
+
+    shuffled = reports + reports
+    random.shuffle(shuffled)
+    assert judge(reports) == judge(shuffled)
+
+
+def test_a_report_is_decoded_as_it_was_encoded_and_a_malformed_one_is_rejected():
+    crash = Crash("e1/5", NOW, frozenset({"segment:a", "request:b"}))
+    report = CrashReport({"e1/5": crash}, {"segment:c": {"e1/5", "e2/7"}})
+    assert decode_report(encode_report(report)) == report
+    for value in (
+        b"",
+        b"[]",
+        b'{"crashes": [[1]], "cleared": {}}',
+        b'{"crashes": [], "cleared": 5}',
+    ):
+        assert decode_report(value) is None
+
+
+def test_an_encoded_report_is_bounded_and_keeps_the_newest_crashes():
+    crashes = {
+        f"e{number}": Crash(f"e{number}", NOW + number, frozenset({"x" * 1_000, str(number)}))
+        for number in range(200)
+    }
+    value = encode_report(CrashReport(crashes, {}))
+    decoded = decode_report(value)
+    assert len(value) <= 64 * 1024 and "e199" in decoded.crashes
+
+
+@define(eq=False)
+class FakeTargets:
+    """Hold targets that crash under prompts with segment bad and start again some seconds later."""
+
+    scheduler: FakeScheduler
+    up_at: list = field(factory=lambda: [0.0] * 8)
+    starts: int = 0
+    crashes: list = field(factory=list)
+
+    def probe(self, address, seconds, on_result):
+        number = address.port
+        refused = self.up_at[number] > self.scheduler.now()
+        self.scheduler.call_after(0.01, lambda: on_result(refused))
+
+
+@define(eq=False)
+class FakeNode:
+    """Hold a node's tracker and reports; start() begins a new incarnation."""
+
+    world: "World"
+    node_id: str
+    tracker: CrashTracker = None
+    reports: CrashReports = None
+
+    def start(self):
+        scheduler, store = self.world.scheduler, self.world.store
+        client = FakeStoreClient(scheduler, store)
+        self.tracker = CrashTracker(
+            scheduler,
+            self.world.targets,
+            lambda: len(self.world.nodes),
+            self.world.random.random,
+            scheduler.now,
+        )
+        self.reports = CrashReports(scheduler, client, client, self.node_id, self.tracker)
+        self.reports.start()
+
+
+@define(eq=False)
+class World:
+    """Hold a fleet of nodes, and requests with a sound and with a crashing segment."""
+
+    scheduler: FakeScheduler = field(factory=FakeScheduler)
+    store: MemoryStore = field(factory=MemoryStore)
+    random: Random = field(factory=lambda: Random(7))
+    targets: FakeTargets = None
+    nodes: list = field(factory=list)
+    running: dict = field(factory=dict)
+    bad_sent_at: list = field(factory=list)
+    sound_refused_at: list = field(factory=list)
+    sound_sent_at: list = field(factory=list)
+
+    def send(self, *segments):
+        node = self.random.choice(self.nodes)
+        bad = "bad" in segments
+        fingerprints = [f"segment:{segment}" for segment in segments]
+        now = self.scheduler.now()
+        if node.tracker.find_quarantined(lambda: fingerprints) is not None:
+            if not bad:
+                self.sound_refused_at.append(now)
+            return
+        up = [number for number, up_at in enumerate(self.targets.up_at) if up_at <= now]
+        if not up:
+            return
+        number = self.random.choice(up)
+        (self.bad_sent_at if bad else self.sound_sent_at).append(now)
+        request = [node, fingerprints, True]
+        self.running.setdefault(number, []).append(request)
+        if bad:
+            self.scheduler.call_after(0.1, lambda: self.crash(number))
+        else:
+            self.scheduler.call_after(0.6, lambda: self.finish(request))
+
+    def finish(self, request):
+        node, fingerprints, running = request
+        if running:
+            request[2] = False
+            node.tracker.record_proof(fingerprints)
+
+    def crash(self, number):
+        now = self.scheduler.now()
+        if self.targets.up_at[number] > now:
+            return
+        self.targets.up_at[number] = now + 3.0
+        self.targets.crashes.append(now)
+        self.targets.starts += 1
+        address = Address("10.0.0.1", number)
+        registration = Registration(f"e{self.targets.starts}", "s", address, "a", 8, False)
+        for request in self.running.pop(number, []):
+            node, fingerprints, running = request
+            request[2] = False
+            if running:
+                node.tracker.report_loss(Target(registration), fingerprints)
+
+    def play(self, seconds, *, bad_per_second=2.0, sound_per_second=20.0):
+        end = self.scheduler.now() + seconds
+        step = 1.0 / sound_per_second
+        owed = 0.0
+        while self.scheduler.now() < end:
+            self.send("first", self.random.choice(("m1", "m2", "m3")))
+            owed += step * bad_per_second
+            if owed >= 1.0:
+                owed -= 1.0
+                self.send("first", self.random.choice(("m1", "m2")), "bad")
+            self.scheduler.advance(step)
+
+
+@pytest.fixture
+def make_world():
+    """Return a function that starts a fleet of the given size and serves sound requests."""
+
+    def make(nodes):
+        world = World()
+        world.targets = FakeTargets(world.scheduler)
+        world.nodes = [FakeNode(world, f"node-{number}") for number in range(nodes)]
+        for node in world.nodes:
+            node.start()
+        world.play(2.0, bad_per_second=0.0)
+        return world
+
+    return make
+
+
+def count_later(times, since):
+    return sum(at > since for at in times)
+
+
+@pytest.mark.parametrize("nodes", [6, 330])
+def test_a_crashing_segment_is_contained_and_the_requests_beside_it_are_served(make_world, nodes):
+    world = make_world(nodes)
+    world.play(12.0)
+    crashes = world.targets.crashes
+    since = crashes[min(4, len(crashes) - 1)] + CONTACT_SECONDS
+    assert count_later(world.bad_sent_at, since) <= LATER_REQUESTS_MAX
+    served, refused = (
+        count_later(times, since) for times in (world.sound_sent_at, world.sound_refused_at)
+    )
+    assert served > 100 and refused == 0
+
+
+def test_a_crashing_segment_stays_contained_when_all_nodes_are_killed(make_world):
+    world = make_world(6)
+    world.play(6.0)
+    world.scheduler.clear()
+    for node in world.nodes:
+        node.start()
+    restarted_at = world.scheduler.now()
+    world.scheduler.advance(0.1)
+    world.play(8.0)
+    assert count_later(world.bad_sent_at, restarted_at) <= LATER_REQUESTS_MAX
+    assert count_later(world.sound_sent_at, restarted_at) > 100
+
+
+def test_targets_that_crash_at_once_for_another_reason_quarantine_nothing(make_world):
+    world = make_world(6)
+    for _ in range(4):
+        for number in range(8):
+            world.crash(number)
+        world.play(5.0, bad_per_second=0.0)
+    end = world.scheduler.now()
+    world.play(5.0, bad_per_second=0.0)
+    assert count_later(world.sound_refused_at, end) == 0
+    assert len(world.sound_refused_at) <= 0.02 * len(world.sound_sent_at)
+
+
+def test_a_closed_connection_to_a_live_target_is_not_a_crash(make_world):
+    world = make_world(1)
+    registration = Registration("e0", "s", Address("10.0.0.1", 0), "a", 8, False)
+    tracker = world.nodes[0].tracker
+    for _ in range(CRASHES_MAX):
+        tracker.report_loss(Target(registration), ["segment:first"])
+        world.scheduler.advance(0.1)
+    assert not tracker.evidence
+
+
+def crash_targets(world, node, *fingerprints):
+    for number in range(CRASHES_MAX):
+        world.targets.up_at[number] = world.scheduler.now() + 1.0
+        address = Address("10.0.0.1", number)
+        registration = Registration(f"e{number}", "s", address, "a", 8, False)
+        node.tracker.report_loss(Target(registration), fingerprints)
+    world.scheduler.advance(0.5)
+
+
+def test_a_response_after_the_crashes_clears_a_segment_at_every_node(make_world):
+    world = make_world(2)
+    first, second = world.nodes
+    crash_targets(world, first, "segment:rare")
+    for node in world.nodes:
+        assert node.tracker.find_quarantined(lambda: ["segment:rare"])
+    second.tracker.record_proof(["segment:rare"])
+    world.scheduler.advance(0.5)
+    for node in world.nodes:
+        assert not node.tracker.find_quarantined(lambda: ["segment:rare"])
+
+
+def test_a_report_that_a_late_append_replaced_is_written_again(make_world):
+    world = make_world(2)
+    first, second = world.nodes
+    crash_targets(world, first, "segment:bad")
+    world.store.append(CRASHES_PARTITION, "node-0", encode_report(CrashReport()), None)
+    world.scheduler.advance(0.5)
+    second.start()
+    world.scheduler.advance(0.1)
+    assert second.tracker.find_quarantined(lambda: ["segment:bad"])
+
+
+def test_a_restarted_node_keeps_what_its_last_incarnation_reported(make_world):
+    world = make_world(2)
+    first, second = world.nodes
+    crash_targets(world, first, "segment:bad")
+    first.start()
+    world.scheduler.advance(0.1)
+    first.tracker.record_proof(["segment:other"])
+    crash_targets(world, first, "segment:other")
+    second.start()
+    world.scheduler.advance(0.1)
+    assert second.tracker.find_quarantined(lambda: ["segment:bad"])
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -11,16 +11,17 @@
     WeightedBackend,
     WorkspaceConfiguration,
 )
-from bronzetiller.gateway.crashes import CRASHES_MAX, CrashTracker, make_fingerprint
+from bronzetiller.gateway.crashes import CrashTracker
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.request_handler import RequestContext, RequestHandler
-from bronzetiller.gateway.requests import Prompt, RequestMetadata
+from bronzetiller.gateway.requests import Prompt, PromptSegment, RequestMetadata
 from bronzetiller.gateway.reservation_client import Reservation
 from bronzetiller.gateway.retry_window import RetryWindow
-from bronzetiller.gateway.targets import Registration, Target, TargetPool
+from bronzetiller.gateway.targets import Registration, TargetPool
 from bronzetiller.net.address import Address
 from bronzetiller.net.http_client import BodyPart, CallFailed, ResponseEnd, ResponseHead
 from bronzetiller.net.scheduler import Timeout
+from bronzetiller.requests.crash_evidence import CRASHES_MAX, Crash
 from standins.fake_scheduler import FakeScheduler
 
 WORKSPACE = WorkspaceConfiguration("studio", None, 1_000)
@@ -79,7 +80,7 @@
     on_disconnect: object = None
 
     def respond(self, status, headers, body):
-        self.status, self.sent, self.end = status, body, "finished"
+        self.status, self.headers, self.sent, self.end = status, headers, body, "finished"
 
     def start(self, status, headers):
         self.status, self.started = status, True
@@ -110,12 +111,26 @@
         return Timeout(self, action)
 
 
+def add_crashes(tracker, *fingerprints, count=CRASHES_MAX):
+    for number in range(count if fingerprints else 0):
+        crash = Crash(f"crashed-{number}", tracker._read_clock(), frozenset(fingerprints))
+        tracker.evidence.add(crash)
+
+
 @pytest.fixture
 def start_request():
     """Return a function that starts a request handler with three targets."""
 
     def start(
-        *, retryable=True, streamed=False, attempts_max=2, allowance=100, prompt=None, targets=3
+        *,
+        retryable=True,
+        streamed=False,
+        attempts_max=2,
+        allowance=100,
+        prompt=None,
+        targets=3,
+        refuses=False,
+        crashed=(),
     ):
         route = PathRoute(
             name="x",
@@ -146,8 +161,11 @@
             find_retry_window=lambda service: window,
             count_nodes=lambda: 1,
             draw_uniform=lambda: 0.5,
-            crash_tracker=CrashTracker(scheduler, FakeHttp()),
+            crash_tracker=CrashTracker(
+                scheduler, FakeHttp(refuses=refuses), read_clock=scheduler.now
+            ),
         )
+        add_crashes(context.crash_tracker, *crashed)
         service_configuration = ServiceConfiguration("s", tokens_per_event=6)
         handler = RequestHandler(
             context=context,
@@ -279,29 +297,54 @@
     assert handler.exchange.status == 503 and handler.context.budgets.settled == [(160, 0)]
 
 
-def test_crashes_seen_by_any_node_count_towards_quarantine():
-    scheduler, http = SchedulerWithTimeouts(), FakeHttp(refuses=True)
-    first, second = CrashTracker(scheduler, http), CrashTracker(scheduler, http)
-    fingerprint = make_fingerprint("studio", "POST", "/x/2f", b"body")
-    for number in range(CRASHES_MAX):
-        address = Address("10.0.0.1", 8000 + number)
-        target = Target(Registration(f"e{number}", "s", address, "a", 8, False))
-        tracker = first if number else second
-        tracker.report_loss(target, fingerprint)
-        tracker.report_loss(target, fingerprint)  # several lost responses, one crash
-    assert not first.is_quarantined(lambda: fingerprint)
-    assert not second.is_quarantined(lambda: fingerprint)
-    first.update_from_peers({"second": second.list_local()})
-    assert first.is_quarantined(lambda: fingerprint) and not first.is_quarantined(lambda: "another")
-    scheduler.advance(200)
-    assert first.list_local() == {}
-
-
-def test_a_closed_connection_to_a_live_target_is_not_a_crash():
-    tracker = CrashTracker(SchedulerWithTimeouts(), FakeHttp(refuses=False))
-    target = Target(Registration("e0", "s", Address("10.0.0.1", 8000), "a", 8, False))
-    tracker.report_loss(target, "fingerprint")
-    assert tracker.list_local() == {}
+def make_prompt(*segment_ids):
+    segments = tuple(PromptSegment(segment_id, 10) for segment_id in segment_ids)
+    return Prompt(10 * len(segments), 60, segments)
+
+
+@pytest.mark.parametrize("by_close", [False, True])
+def test_a_target_that_closes_a_stream_before_its_events_is_probed(start_request, by_close):
+    prompt = make_prompt("first", "bad", "own")
+    handler, calls, _ = start_request(streamed=True, retryable=False, prompt=prompt, refuses=True)
+    calls[0].start_stream()
+    if by_close:
+        calls[0].on_event(ResponseEnd(by_close=True))
+    else:
+        calls[0].fail("closed by the other end: incomplete chunked read")
+    evidence = handler.context.crash_tracker.evidence
+    assert evidence.list_targets("segment:bad") == {"e0/0"}
+    assert evidence.list_targets("segment:first") == {"e0/0"}
+    assert not evidence.list_targets("segment:own")
+
+
+def test_a_stream_that_went_on_does_not_count_against_its_segments(start_request):
+    prompt = make_prompt("first", "own")
+    handler, calls, scheduler = start_request(
+        streamed=True, retryable=False, prompt=prompt, refuses=True
+    )
+    calls[0].start_stream(make_event(1))
+    scheduler.advance(0.6)
+    calls[0].on_event(BodyPart(make_event(2)))
+    calls[0].fail()
+    assert not handler.context.crash_tracker.evidence
+
+
+def test_a_quarantined_segment_is_refused_at_once_with_the_time_to_come_back(start_request):
+    handler, calls, _ = start_request(
+        streamed=True, prompt=make_prompt("bad", "own"), crashed=("segment:bad",)
+    )
+    assert not calls and handler.exchange.status == 503
+    assert b"segment:bad" in handler.exchange.sent and b'"ran": "no"' in handler.exchange.sent
+    assert handler.exchange.headers["Retry-After"] == "60"
+    assert not handler.context.budgets.settled
+
+
+def test_a_request_quarantined_while_it_ran_is_not_sent_again(start_request):
+    handler, calls, _ = start_request(streamed=True, prompt=make_prompt("bad", "own"), refuses=True)
+    add_crashes(handler.context.crash_tracker, "segment:bad", count=CRASHES_MAX - 1)
+    calls[0].fail()
+    assert len(calls) == 1 and handler.exchange.status == 502
+    assert b'"ran": "unknown"' in handler.exchange.sent
 
 
 def test_a_disconnect_cancels_a_stream_but_not_an_at_most_once_request(start_request):
