Quarantine messages that crash engines in whatever chat

Callers of bronzetiller node would see: chats that share one message crash two engines each, however many come.

Cause: the same as at the gateway: crashes are counted against the digest of the whole request, which the trigger does not depend on.

Change: crashes also count against the digests of all messages but the last, in the same evidence as the gateway's. TargetDied carries them; SegmentsProven tells peers of messages that a response proved harmless. What holds proofs moves from the gateway's tracker to crash_evidence.py, so that both forms use it.

The tests of the quarantine, the crash evidence, the gateway's requests and the services pass.

--- a/bronzetiller/callers/api.py
+++ b/bronzetiller/callers/api.py
@@ -120,7 +120,13 @@
         case Ok(request):
             caller_key = exchange.headers.get("idempotency-key")
             request_id = caller_key or uuid4().hex
-            key = RequestKey(workspace, request_id, request.fingerprint, caller_key is None)
+            key = RequestKey(
+                workspace,
+                request_id,
+                request.fingerprint,
+                caller_key is None,
+                request.segments,
+            )
             weight = context.configuration.workspaces()[workspace].weight
             ChatRequestHandler(context.chat, exchange, key, route, request, weight).start()
 
--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -182,7 +182,7 @@
             self.assignment.tried_ids.discard(vm.vm_id)
         self.assignment.unassign()
         if isinstance(event, CompletionEnd):
-            self.context.crash_monitor.clear(self.key.signature)
+            self.assignment.mark_completed()
             self._bill(event)
         else:
             self._handle_failure(event, vm)
@@ -256,9 +256,7 @@
         if failure.status in CLIENT_ERROR_STATUSES:
             self._refuse(Refusal(failure.status, Reason.BAD_REQUEST, failure.detail))
         elif failure.target_lost and failure.may_have_run:
-            self.context.crash_monitor.report_loss(
-                self.key.signature, vm, lambda: self._retry_or_refuse(failure)
-            )
+            self.assignment.report_loss(vm, lambda: self._retry_or_refuse(failure))
         else:
             self._retry_or_refuse(failure)
 
--- a/bronzetiller/callers/chat_request.py
+++ b/bronzetiller/callers/chat_request.py
@@ -15,6 +15,7 @@
 IDEMPOTENCY_KEY_LENGTH_MAX = 200
 PROMPT_PREFIX_LENGTH_MAX = 256
 SYSTEM_PROMPT_LENGTH_MAX = 4096
+SEGMENTS_MAX = 32  # messages of a chat that are told apart after a crash
 
 
 @frozen
@@ -22,6 +23,7 @@
     """Hold a validated chat request and the most tokens that it can use.
 
     The prompt has at most one token per byte, plus those of the route's template and its messages.
+    segments are the digests of all messages but the last.
     """
 
     body: dict[str, Any]
@@ -31,6 +33,7 @@
     answer_tokens_max: int
     fingerprint: str
     prefix_key: str
+    segments: tuple[str, ...] = ()
 
     @property
     def tokens_max(self) -> int:
@@ -78,10 +81,16 @@
             answer_tokens_max=min(max_tokens, route.answer_tokens_max),
             fingerprint=hashlib.sha256(raw).hexdigest()[:32],
             prefix_key=_make_prefix_key(body["model"], messages),
+            segments=tuple(map(_digest_message, messages[:-1][:SEGMENTS_MAX])),
         )
     )
 
 
+def _digest_message(message: dict[str, Any]) -> str:
+    data = json.dumps(message, sort_keys=True, ensure_ascii=True).encode()
+    return hashlib.sha256(data).hexdigest()[:16]
+
+
 def _make_prefix_key(model: str, messages: list[dict[str, Any]]) -> str:
     """Return a key shared by requests whose prompts start alike, for an engine's prefix cache."""
     first = messages[0]
--- a/bronzetiller/callers/service_calls.py
+++ b/bronzetiller/callers/service_calls.py
@@ -222,7 +222,7 @@
             RETRIES.labels("target_refused").inc()
             self._dispatch()
         else:
-            self.context.crash_monitor.clear(self.key.signature)
+            self.assignment.mark_completed()
             self._bill(outcome)
 
     def _try_spend_retry(self) -> bool:
@@ -230,9 +230,7 @@
 
     def _handle_failure(self, failure: ServiceFailed, vm: Vm) -> None:
         if failure.sent:
-            self.context.crash_monitor.report_loss(
-                self.key.signature, vm, lambda: self._handle_loss(failure)
-            )
+            self.assignment.report_loss(vm, lambda: self._handle_loss(failure))
         elif self._may_send() and self._try_spend_retry():
             RETRIES.labels("not_sent").inc()
             self._dispatch()
--- a/bronzetiller/gateway/crashes.py
+++ b/bronzetiller/gateway/crashes.py
@@ -7,7 +7,6 @@
 
 import hashlib
 import time
-from collections import OrderedDict
 from collections.abc import Callable, Collection
 
 from attrs import define, evolve, field
@@ -17,12 +16,14 @@
 from bronzetiller.metrics import TARGET_CRASHES
 from bronzetiller.net.http_client import HttpClient
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.requests.crash_evidence import Crash, CrashEvidence, QuarantinedFingerprint
+from bronzetiller.requests.crash_evidence import (
+    Crash,
+    CrashEvidence,
+    Proofs,
+    QuarantinedFingerprint,
+)
 
 PROBE_SECONDS = 0.5
-# A response this long before a crash proves a segment harmless: it would have crashed its target.
-PROOF_SECONDS = 5.0
-PROVEN_MAX = 10_000
 EXPIRY_INTERVAL_SECONDS = 60.0
 # Nodes spread their clearances over this time for each node, so that one or a few write them.
 CLEARANCE_SECONDS_PER_NODE = 0.01
@@ -63,8 +64,7 @@
     on_report_change: Callable[[], None] = lambda: None
     report: CrashReport = field(factory=CrashReport)
     evidence: CrashEvidence = field(factory=CrashEvidence)
-    _heard_at: dict[str, float] = field(factory=dict)
-    _proven_at: "OrderedDict[str, float]" = field(factory=OrderedDict)
+    proofs: Proofs = field(factory=Proofs)
     _clearances: dict[str, set[str]] = field(factory=dict)
     _probed: dict[str, set[str]] = field(factory=dict)
 
@@ -86,12 +86,7 @@
 
     def record_proof(self, fingerprints: Collection[str]) -> None:
         """Record that a target survived a request: it went on with its response or completed it."""
-        now = self._scheduler.now()
-        for fingerprint in fingerprints:
-            self._proven_at[fingerprint] = now
-            self._proven_at.move_to_end(fingerprint)
-        while len(self._proven_at) > PROVEN_MAX:
-            self._proven_at.popitem(last=False)
+        self.proofs.record(fingerprints, self._scheduler.now())
         if self.evidence:
             self._clear_proven()
 
@@ -145,7 +140,7 @@
         self.on_report_change()
 
     def _add_crash(self, crash: Crash) -> None:
-        self._heard_at.setdefault(crash.target, self._scheduler.now())
+        self.proofs.hear(crash.target, self._scheduler.now())
         before = set(self.evidence.list_suspects())
         self.evidence.add(crash)
         for fingerprint in set(self.evidence.list_suspects()) - before:
@@ -154,20 +149,8 @@
 
     def _clear_proven(self) -> None:
         """Clear the suspects that a response of this node proved harmless."""
-        for fingerprint in self.evidence.list_suspects():
-            proven_at = self._proven_at.get(fingerprint)
-            if proven_at is None:
-                continue
-            until = proven_at + PROOF_SECONDS
-            targets = {
-                target
-                for target in self.evidence.list_targets(fingerprint)
-                if self._heard_at[target] <= until
-            }
-            if not targets:
-                continue
+        for fingerprint, targets in self.proofs.clear(self.evidence).items():
             log_event("crash_suspect_cleared", fingerprint=fingerprint, crashes=len(targets))
-            self.evidence.clear(fingerprint, targets)
             if not self._clearances:
                 seconds = min(
                     CLEARANCE_SECONDS_MAX, CLEARANCE_SECONDS_PER_NODE * self._count_nodes()
@@ -187,9 +170,7 @@
     def _expire(self) -> None:
         self.evidence.expire(self._read_clock())
         known = self.evidence.list_crashes()
-        self._heard_at = {
-            target: heard_at for target, heard_at in self._heard_at.items() if target in known
-        }
+        self.proofs.keep(known)
         report = CrashReport(
             {target: crash for target, crash in self.report.crashes.items() if target in known},
             {
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -52,6 +52,7 @@
 from bronzetiller.net.http_client import HttpCall, HttpClient
 from bronzetiller.net.scheduler import Scheduler, Timeout, Timer
 from bronzetiller.platform.headers import make_response_headers, make_target_headers
+from bronzetiller.requests.crash_evidence import PROOF_STREAM_SECONDS
 from bronzetiller.routing.queues import RateMeter
 
 CONNECT_FAILURES_MAX = 4  # failed connections to targets before a request is refused
@@ -63,7 +64,6 @@
 SILENCE_SECONDS_MIN = 0.7
 UNDELIVERED_EVENTS_MAX = 2  # charged for a broken stream: generated but not delivered
 OVERLOADED_RETRY_SECONDS = 0.4
-PROOF_STREAM_SECONDS = 0.5  # of events, until a stream that goes on proves its request harmless
 FINGERPRINTED_SEGMENTS_MAX = 32
 
 
--- a/bronzetiller/requests/admission.py
+++ b/bronzetiller/requests/admission.py
@@ -18,11 +18,12 @@
     request_id: str
     fingerprint: str
     is_first: bool
+    segments: tuple[str, ...] = ()
 
     @property
     def signature(self) -> RequestSignature:
         """Return the signature, which is the same under every request id."""
-        return RequestSignature(self.workspace, self.fingerprint)
+        return RequestSignature(self.workspace, self.fingerprint, self.segments)
 
     @property
     def ran_before(self) -> Ran:
--- a/bronzetiller/requests/crash_evidence.py
+++ b/bronzetiller/requests/crash_evidence.py
@@ -18,6 +18,10 @@
 QUARANTINE_SECONDS = 60.0  # after the third crash; twice as long after each further one
 RETENTION_SECONDS = 3600.0
 CRASHES_KEPT_MAX = 256
+PROOF_STREAM_SECONDS = 0.5  # of a stream that goes on, until it proves its request harmless
+# A response this long before a crash proves a segment harmless: it would have crashed its target.
+PROOF_SECONDS = 5.0
+PROVEN_MAX = 10_000
 
 
 @frozen
@@ -99,6 +103,12 @@
         """Return the crashed targets that count against a fingerprint."""
         return set(self._counting.get(fingerprint, ()))
 
+    def list_fingerprints(self, target: str) -> list[str]:
+        """Return the fingerprints against which the crash of a target counts."""
+        crash = self._crashes.get(target)
+        names = () if crash is None else crash.fingerprints
+        return sorted(name for name in names if target in self._counting.get(name, ()))
+
     def find_quarantined(
         self, fingerprints: Collection[str], now: float
     ) -> QuarantinedFingerprint | None:
@@ -132,3 +142,50 @@
             self._suspects.add(fingerprint)
         else:
             self._suspects.discard(fingerprint)
+
+
+@define(eq=False)
+class Proofs:
+    """Hold when responses proved fingerprints harmless, and when crashes were heard of.
+
+    Times are monotonic seconds of this node.
+    """
+
+    _proven_at: OrderedDict[str, float] = field(factory=OrderedDict)
+    _heard_at: dict[str, float] = field(factory=dict)
+
+    def record(self, fingerprints: Iterable[str], now: float) -> None:
+        """Record that a target survived a request with these fingerprints."""
+        for fingerprint in fingerprints:
+            self._proven_at[fingerprint] = now
+            self._proven_at.move_to_end(fingerprint)
+        while len(self._proven_at) > PROVEN_MAX:
+            self._proven_at.popitem(last=False)
+
+    def hear(self, target: str, now: float) -> None:
+        """Record when the crash of a target was first heard of."""
+        self._heard_at.setdefault(target, now)
+
+    def keep(self, targets: Collection[str]) -> None:
+        """Forget all crashes but those of these targets."""
+        self._heard_at = {
+            target: heard_at for target, heard_at in self._heard_at.items() if target in targets
+        }
+
+    def clear(self, evidence: CrashEvidence) -> dict[str, set[str]]:
+        """Clear the suspects that are proven harmless; return the cleared crashes of each."""
+        cleared: dict[str, set[str]] = {}
+        for fingerprint in evidence.list_suspects():
+            proven_at = self._proven_at.get(fingerprint)
+            if proven_at is None:
+                continue
+            until = proven_at + PROOF_SECONDS
+            targets = {
+                target
+                for target in evidence.list_targets(fingerprint)
+                if self._heard_at[target] <= until
+            }
+            if targets:
+                evidence.clear(fingerprint, targets)
+                cleared[fingerprint] = targets
+        return cleared
--- a/bronzetiller/requests/crash_monitor.py
+++ b/bronzetiller/requests/crash_monitor.py
@@ -1,6 +1,6 @@
 """Detect crashed targets, share their requests with peers, and gate dispatch by quarantine."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from attrs import define, field
 
@@ -11,9 +11,15 @@
 from bronzetiller.net.dialer import CLOSED, RESET, Connection, ConnectionHandlers, Dialer
 from bronzetiller.net.http_client import REFUSED_CAUSES
 from bronzetiller.net.scheduler import Scheduler
-from bronzetiller.requests.quarantine import Quarantine, RequestSignature, RunPermit
+from bronzetiller.requests.crash_evidence import Crash, CrashEvidence, Proofs
+from bronzetiller.requests.quarantine import (
+    SAME_CRASH_SECONDS,
+    Quarantine,
+    RequestSignature,
+    RunPermit,
+)
 from bronzetiller.routing.targets import TargetChooser
-from bronzetiller.wire.messages import DeathNoted, MarkedRequest, TargetDied
+from bronzetiller.wire.messages import DeathNoted, MarkedRequest, SegmentsProven, TargetDied
 
 PROBE_SECONDS = 1.0
 PROBE_OPEN_SECONDS = 0.1  # a probed target whose connection stays open this long is alive
@@ -23,6 +29,7 @@
 PEER_TIMEOUT_SECONDS = 0.5
 PEER_REPORT_WAIT_SECONDS = 0.5
 PEERS_CHECK_INTERVAL_SECONDS = 0.25
+EXPIRY_INTERVAL_SECONDS = 60.0
 
 Callback = Callable[[], None]
 Choose = Callable[[set[str]], Vm | None]
@@ -56,12 +63,31 @@
         self._isolated: dict[str, int] = {}
         self._avoided_until: dict[str, float] = {}
         self._known_peers: set[str] = set()
+        self._evidence = CrashEvidence()
+        self._proofs = Proofs()
+        self._crash_names: dict[str, tuple[str, float]] = {}
         peers.on(TargetDied, self._on_target_died)
+        peers.on(SegmentsProven, self._on_segments_proven)
+        scheduler.call_every(EXPIRY_INTERVAL_SECONDS, self._expire_evidence)
         scheduler.call_every(PEERS_CHECK_INTERVAL_SECONDS, self._send_crashes_to_new_peers)
 
     def is_quarantined(self, signature: RequestSignature) -> bool:
-        """Return whether a request must not run."""
-        return self.quarantine.is_quarantined(signature, self._scheduler.now())
+        """Return whether a request must not run, for its own crashes or those of a segment."""
+        now = self._scheduler.now()
+        return (
+            self.quarantine.is_quarantined(signature, now)
+            or self._evidence.find_quarantined(signature.segments, now) is not None
+        )
+
+    def now(self) -> float:
+        """Return the time (monotonic seconds)."""
+        return self._scheduler.now()
+
+    def record_proof(self, segments: Collection[str]) -> None:
+        """Record that a target survived a request with these prompt segments."""
+        self._proofs.record(segments, self._scheduler.now())
+        if self._evidence:
+            self._clear_proven()
 
     def is_suspect(self, signature: RequestSignature) -> bool:
         """Return whether a request was running on a target that crashed."""
@@ -204,6 +230,7 @@
             vm: until for vm, until in self._avoided_until.items() if until > now
         }
         self._avoided_until[target_id] = now + AVOID_SECONDS
+        self._record_segments(target_id, {name for item in signatures for name in item.segments})
         new = [item for item in signatures if self.quarantine.record_crash(item, target_id, now)]
         for item in new:
             if self.quarantine.is_quarantined(item, now):
@@ -218,7 +245,7 @@
             if not unanswered:
                 on_acknowledged()
 
-        message = _make_message(target_id, new)
+        message = self._make_message(target_id, new)
         for node_id in list(unanswered):
             self._peers.request(
                 node_id,
@@ -231,17 +258,58 @@
         signatures = [
             RequestSignature(item.workspace, item.fingerprint) for item in message.requests
         ]
+        self._record_segments(message.target_id, message.segments)
         self._record_crash(message.target_id, signatures, lambda: None)
         reply(DeathNoted())
         self.admit()
 
+    def _on_segments_proven(self, message: SegmentsProven, reply: Reply) -> None:
+        for segment in message.segments:
+            self._evidence.clear(segment, self._evidence.list_targets(segment))
+
+    def _record_segments(self, target_id: str, segments: Collection[str]) -> None:
+        if not segments:
+            return
+        now = self._scheduler.now()
+        name, at = self._crash_names.get(target_id, ("", -SAME_CRASH_SECONDS))
+        if now - at >= SAME_CRASH_SECONDS:
+            name, at = f"{target_id}/{now:.3f}", now
+            self._crash_names[target_id] = (name, at)
+        self._proofs.hear(name, now)
+        self._evidence.add(Crash(name, at, frozenset(segments)))
+        self._clear_proven()
+
+    def _clear_proven(self) -> None:
+        """Clear the segments that a response of this node proved harmless, and tell the peers."""
+        cleared = self._proofs.clear(self._evidence)
+        if not cleared:
+            return
+        log_event("segments_cleared", segments=",".join(cleared))
+        for node_id in self._peers.connected():
+            self._peers.send(node_id, SegmentsProven(list(cleared)))
+
+    def _expire_evidence(self) -> None:
+        self._evidence.expire(self._scheduler.now())
+        known = self._evidence.list_crashes()
+        self._proofs.keep(known)
+        self._crash_names = {
+            target_id: (name, at)
+            for target_id, (name, at) in self._crash_names.items()
+            if name in known
+        }
+
+    def _list_segments(self, target_id: str) -> list[str]:
+        """Return the segments against which the last crash of a target counts."""
+        name, _ = self._crash_names.get(target_id, ("", 0.0))
+        return self._evidence.list_fingerprints(name)
+
     def _send_crashes_to_new_peers(self) -> None:
         connected = set(self._peers.connected())
         for node_id in connected - self._known_peers:
             for target_id, signatures in self.quarantine.group_crashes(
                 self._scheduler.now()
             ).items():
-                self._peers.send(node_id, _make_message(target_id, signatures))
+                self._peers.send(node_id, self._make_message(target_id, signatures))
         self._known_peers = connected
 
     def admit(self) -> None:
@@ -250,9 +318,8 @@
             for permit in permits:
                 permit.start()
 
-
-def _make_message(target_id: str, signatures: list[RequestSignature]) -> TargetDied:
-    requests = [
-        MarkedRequest(signature.workspace, signature.fingerprint) for signature in signatures
-    ]
-    return TargetDied(target_id, requests)
+    def _make_message(self, target_id: str, signatures: list[RequestSignature]) -> TargetDied:
+        requests = [
+            MarkedRequest(signature.workspace, signature.fingerprint) for signature in signatures
+        ]
+        return TargetDied(target_id, requests, self._list_segments(target_id))
--- a/bronzetiller/requests/quarantine.py
+++ b/bronzetiller/requests/quarantine.py
@@ -21,10 +21,14 @@
 
 @frozen
 class RequestSignature:
-    """Identify a request by its content, whoever sends it and under whatever id."""
+    """Identify a request by its content, whoever sends it and under whatever id.
+
+    segments are the digests of the parts of its prompt that other requests may share.
+    """
 
     workspace: str
     fingerprint: str
+    segments: tuple[str, ...] = field(default=(), eq=False)
 
 
 @frozen
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -84,10 +84,21 @@
 
 @frozen
 class TargetDied:
-    """Report the requests that ran on a target when it crashed; receivers forward it once."""
+    """Report the requests that ran on a target when it crashed; receivers forward it once.
+
+    segments are the digests of the parts of their prompts that were not proven harmless.
+    """
 
     target_id: str
     requests: list[MarkedRequest]
+    segments: list[str] = field(factory=list)
+
+
+@frozen
+class SegmentsProven:
+    """Report that requests with these prompt segments got their responses after crashes."""
+
+    segments: list[str]
 
 
 @frozen
@@ -334,6 +345,7 @@
     | DropBill
     | TargetDied
     | DeathNoted
+    | SegmentsProven
     | FetchEntries
     | Entries
     | AskTokens
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -112,3 +112,20 @@
         thread.join()
     assert CRASHES_ALONE_MAX <= _count_crashed(fleet) <= len(NODES) + 1
     assert send_chat(fleet.caller_address("node-1"), "harmless")[0] == 200
+
+
+def _send_messages(fleet, node_id, *contents):
+    messages = [{"role": "user", "content": content} for content in contents]
+    return send_chat(fleet.caller_address(node_id), messages=messages)
+
+
+def test_a_message_that_crashes_engines_is_quarantined_in_whatever_chat(fleet):
+    for index in range(2 * len(NODES)):
+        node_id = NODES[index % len(NODES)]
+        status, body = _send_messages(fleet, node_id, "style", CRASH_MARKER, f"own {index}")
+        assert status != 200
+    assert (status, body["reason"], body["ran"]) == (422, "quarantined", "no")
+    assert _count_crashed(fleet) <= CRASHES_MAX
+    for node_id in NODES:
+        status, body = _send_messages(fleet, node_id, "style", f"sound {node_id}")
+        assert status == 200, body
