Log the limits of requests that targets state

Cause: the logs cannot tell when a node learned that a target limits its requests.

Change: platform/headers.py decodes the limit, the target holds it, and target_limit is logged when it changes. Nothing goes by it yet. The stand-in target states a limit on demand and records when requests arrive.

--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -19,6 +19,7 @@
 from bronzetiller.platform.headers import (
     classify_response,
     decode_load_report,
+    decode_request_limit,
     is_matching_response,
 )
 
@@ -144,6 +145,8 @@
         load = decode_load_report(head)
         if load is not None:
             self.target.record_load(load, self.now())
+        if self._response_class is not ResponseClass.MISDIRECTED:
+            self.target.record_request_limit(decode_request_limit(head))
         if self._is_stream:
             self._listener(StreamStarted(head))
 
--- a/bronzetiller/platform/headers.py
+++ b/bronzetiller/platform/headers.py
@@ -1,5 +1,7 @@
 """Decode and make the HTTP headers of callers and targets."""
 
+import math
+
 from attrs import evolve
 
 from bronzetiller.gateway.requests import (
@@ -24,6 +26,7 @@
 _WORKSPACE = "x-tenant"
 _PRIORITY = "x-request-priority"
 _LOAD = "x-server-load"
+_REQUEST_LIMIT = "server-limit"  # requests per second from all nodes together
 
 # Only the router sets these headers; those that a caller sends are dropped.
 _ROUTER_HEADERS = {
@@ -120,6 +123,15 @@
     return LoadReport(running, waiting, slots)  # type: ignore[arg-type]
 
 
+def decode_request_limit(head: ResponseHead) -> float | None:
+    """Decode the requests per second that a target accepts from the fleet; None is no limit."""
+    try:
+        limit = float(head.headers.get(_REQUEST_LIMIT, ""))
+    except ValueError:
+        return None
+    return limit if math.isfinite(limit) and limit >= 0 else None
+
+
 def _decode_prompt(headers: dict[str, str]) -> Prompt | None:
     usage = headers.get(_USAGE)
     if usage is None:
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -13,6 +13,7 @@
 import argparse
 import json
 import os
+import time
 from pathlib import Path
 from typing import Any
 
@@ -35,6 +36,7 @@
     reset: int = 0  # abort the connection without a response
     mute: int = 0  # never respond
     fail: int = 0  # respond with 500 and an invalid seal
+    limit: float | None = None  # requests per second that the responses state, not enforced
     leaving: bool = False
 
 
@@ -47,6 +49,7 @@
     path: str
     headers: dict[str, str]
     body: str
+    received_at: float
     cancelled: bool = False
     events: int = 0
 
@@ -99,6 +102,7 @@
             exchange.path,
             dict(exchange.headers),
             exchange.body.decode("latin-1"),
+            time.time(),
         )
         self._runs.append(run)
         self._write_run(run, begun=True)
@@ -127,12 +131,15 @@
             self._runs_file.write(json.dumps(value) + "\n")
 
     def _make_headers(self, exchange: Exchange) -> dict[str, str]:
-        return {
+        headers = {
             "Content-Type": "application/octet-stream",
             "X-Request-Id": exchange.headers.get("x-request-id", ""),
             "X-Instance-Id": self._id,
             "X-Server-Load": f"{self._running},0,{self._slots}",
         }
+        if self._faults.limit is not None:
+            headers["Server-Limit"] = str(self._faults.limit)
+        return headers
 
     def _stream(self, exchange: Exchange, run: Run) -> None:
         self._running += 1
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -39,6 +39,7 @@
 from bronzetiller.platform.headers import (
     classify_response,
     decode_load_report,
+    decode_request_limit,
     decode_request_metadata,
     is_matching_response,
     make_target_headers,
@@ -475,6 +476,14 @@
     assert decode_load_report(ResponseHead(200, {"x-server-load": "3,x"})) is None
 
 
+@pytest.mark.parametrize(
+    ("text", "limit"),
+    [("1.9", 1.9), ("2", 2.0), ("0", 0.0), ("", None), ("-1", None), ("nan", None), ("inf", None)],
+)
+def test_a_stated_request_limit_is_decoded(text, limit):
+    assert decode_request_limit(ResponseHead(200, {"server-limit": text})) == limit
+
+
 def test_log_lines_are_bounded_and_a_full_pipe_never_blocks():
     reader, writer = os.pipe()
     handler = BoundedHandler(writer, lines_per_second=50)
