--- a/bronzetiller/gateway/target_limits.py
+++ b/bronzetiller/gateway/target_limits.py
@@ -77,6 +77,8 @@
             for instance, limit in node.limits.items():
                 if node.node_id != self._node_id:
                     self._by_peers[instance] = min(limit, self._by_peers.get(instance, limit))
+        if not self._stated and not self._shares:
+            return
         present = {target.instance for target in targets}
         for gone in self._stated.keys() - present:
             del self._stated[gone]
