Compute the fingerprints of a request once

Cause: for an hour after a crash each request was digested three times, at its start, before it is sent and when it is proven harmless.

Change: the handler keeps them.

Result: the tests of the gateway's requests and of the crash evidence pass.

--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -116,6 +116,7 @@
     proven: bool = False
     caller_disconnected: bool = False
     finished: bool = False
+    _fingerprints: list[str] | None = None
     _deadline_timer: Timer | None = None
     _silence_timeout: Timeout | None = None
 
@@ -437,10 +438,13 @@
             self.context.crash_tracker.report_loss(self.attempt.target, self._make_fingerprints())
 
     def _make_fingerprints(self) -> list[str]:
+        if self._fingerprints is not None:
+            return self._fingerprints
         workspace = "" if self.workspace is None else self.workspace.name
         exchange = self.exchange
         request = make_request_fingerprint(workspace, exchange.method, exchange.path, exchange.body)
-        return [request, *self._make_segment_fingerprints()]
+        self._fingerprints = [request, *self._make_segment_fingerprints()]
+        return self._fingerprints
 
     def _make_segment_fingerprints(self) -> list[str]:
         segment_ids = self._list_shared_segments()[:FINGERPRINTED_SEGMENTS_MAX]
