Share the proof of a response between both forms, and bound clearances

The handler and the target assignment held the same state machine for the half second that proves a request harmless; the log of bronzetiller node did not tell when a message became a suspect; the named fingerprint of a refusal depended on the order of a set; clearances of a report had no bound of bytes, so that an append the store rejects would be repeated for ever; a report shortened to its bound was compared with the whole one and written a second time.

Change: StreamProof in crash_evidence.py serves both; CrashEvidence.add returns the new suspects; fingerprints are checked in their order; a report drops its clearances before its oldest crashes; the record read is compared with the one written.

--- a/bronzetiller/callers/target_assignment.py
+++ b/bronzetiller/callers/target_assignment.py
@@ -6,7 +6,7 @@
 
 from bronzetiller.errors import Reason, Refusal
 from bronzetiller.fleet.vm_list import Vm
-from bronzetiller.requests.crash_evidence import PROOF_STREAM_SECONDS
+from bronzetiller.requests.crash_evidence import StreamProof
 from bronzetiller.requests.crash_monitor import CrashMonitor, RunPermit
 from bronzetiller.requests.quarantine import RequestSignature
 from bronzetiller.routing.targets import TargetChooser
@@ -21,8 +21,7 @@
     _signature: RequestSignature
     vm: Vm | None = None
     tried_ids: set[str] = field(factory=set)
-    _proven_at: float | None = None
-    _segments_proven: bool = False
+    _proof: StreamProof = field(factory=StreamProof)
     _isolating: bool = False
     _permit: RunPermit | None = None
 
@@ -41,31 +40,22 @@
         if self._permit is not None:
             permit, self._permit = self._permit, None
             self._crash_monitor.mark_proven(permit)
-        if self._segments_proven:
-            return
-        now = self._crash_monitor.now()
-        if self._proven_at is None:
-            self._proven_at = now + PROOF_STREAM_SECONDS
-        elif now >= self._proven_at:
-            self._record_proof()
+        if self._proof.advance(self._crash_monitor.now()):
+            self._crash_monitor.record_proof(self._signature.segments)
 
     def mark_completed(self) -> None:
         """Record that the target has completed its response."""
         self._crash_monitor.clear(self._signature)
-        if not self._segments_proven:
-            self._record_proof()
+        if self._proof.complete():
+            self._crash_monitor.record_proof(self._signature.segments)
 
     def report_loss(self, vm: Vm, on_checked: Callable[[], None]) -> None:
         """Have it checked whether the target crashed, when its connection was lost."""
         signature = self._signature
-        if self._segments_proven:
+        if self._proof.proven:
             signature = evolve(signature, segments=())
         self._crash_monitor.report_loss(signature, vm, on_checked)
 
-    def _record_proof(self) -> None:
-        self._segments_proven = True
-        self._crash_monitor.record_proof(self._signature.segments)
-
     def release_permit(self) -> None:
         """Release the permit, or cancel the wait for one."""
         if self._permit is not None:
@@ -74,7 +64,7 @@
 
     def assign(self, vm: Vm) -> None:
         """Record that the request runs on a target."""
-        self._proven_at = None
+        self._proof.restart()
         self._isolating = self._crash_monitor.is_suspect(self._signature)
         if self._isolating:
             self._crash_monitor.isolate(vm)
--- a/bronzetiller/gateway/crash_reports.py
+++ b/bronzetiller/gateway/crash_reports.py
@@ -28,16 +28,18 @@
 
 
 def encode_report(report: CrashReport) -> bytes:
-    """Encode a report as JSON, without its oldest crashes if it would be too large."""
+    """Encode a report as JSON, without its clearances and oldest crashes if it would be too large.
+
+    Clearances that are lost are written again once a response proves the fingerprint harmless.
+    """
     crashes = sorted(report.crashes.values(), key=lambda item: item.at)
+    cleared = {name: sorted(targets) for name, targets in report.cleared.items()}
     while True:
-        value = {
-            "crashes": [[item.target, item.at, sorted(item.fingerprints)] for item in crashes],
-            "cleared": {name: sorted(targets) for name, targets in report.cleared.items()},
-        }
-        encoded = json.dumps(value).encode()
-        if len(encoded) <= REPORT_BYTES_MAX or not crashes:
+        rows = [[item.target, item.at, sorted(item.fingerprints)] for item in crashes]
+        encoded = json.dumps({"crashes": rows, "cleared": cleared}).encode()
+        if len(encoded) <= REPORT_BYTES_MAX or not (crashes or cleared):
             return encoded
+        cleared = {}
         del crashes[: len(crashes) // 2 + 1]
 
 
@@ -68,6 +70,7 @@
     _node_id: str
     _tracker: CrashTracker
     follower: KeyedFollower = field(init=False)
+    _written: bytes | None = None
     _changed: bool = False
     _writing: bool = False
 
@@ -96,7 +99,7 @@
                 continue
             own = record.key == self._node_id
             self._tracker.merge_report(report, own=own)
-            if own and not self._writing and report != self._tracker.report:
+            if own and not self._writing and self._written not in (None, record.value):
                 self._publish()  # an append without a response was executed after a newer one
 
     def _publish(self) -> None:
@@ -120,6 +123,7 @@
                 self._changed = True
                 self._scheduler.call_after(RETRY_SECONDS, self._retry)
                 return
+            self._written = value
             self._writing = False
             self._write()
 
--- a/bronzetiller/gateway/crashes.py
+++ b/bronzetiller/gateway/crashes.py
@@ -141,9 +141,7 @@
 
     def _add_crash(self, crash: Crash) -> None:
         self.proofs.hear(crash.target, self._scheduler.now())
-        before = set(self.evidence.list_suspects())
-        self.evidence.add(crash)
-        for fingerprint in set(self.evidence.list_suspects()) - before:
+        for fingerprint in self.evidence.add(crash):
             targets = ",".join(sorted(self.evidence.list_targets(fingerprint)))
             log_event("crash_suspect", level=30, fingerprint=fingerprint, targets=targets)
 
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -54,7 +54,7 @@
 from bronzetiller.net.http_client import HttpCall, HttpClient
 from bronzetiller.net.scheduler import Scheduler, Timeout, Timer
 from bronzetiller.platform.headers import make_response_headers, make_target_headers
-from bronzetiller.requests.crash_evidence import PROOF_STREAM_SECONDS
+from bronzetiller.requests.crash_evidence import StreamProof
 from bronzetiller.routing.queues import RateMeter
 
 CONNECT_FAILURES_MAX = 4  # failed connections to targets before a request is refused
@@ -112,8 +112,7 @@
     head_sent: bool = False
     pending_prefill_tokens: int = 0
     sent_at: float = 0.0
-    proven_at: float | None = None
-    proven: bool = False
+    proof: StreamProof = field(factory=StreamProof)
     caller_disconnected: bool = False
     finished: bool = False
     _fingerprints: list[str] | None = None
@@ -227,7 +226,7 @@
     def _send(self, target: Target, request: PlacementRequest) -> None:
         context = self.context
         now = context.scheduler.now()
-        self.proven_at = None
+        self.proof.restart()
         self.tried_target_ids.append(target.target_id)
         prompt = self.metadata.prompt
         self.pending_prefill_tokens = estimate_prefill(target, request, is_preferred=False).tokens
@@ -350,7 +349,8 @@
     def _handle_stream_data(self, event: StreamData) -> None:
         if self.pending_prefill_tokens:
             self._record_queue_delay()
-        self._record_progress()
+        if self.proof.advance(self.context.scheduler.now()):
+            self._record_proof()
         self.events += event.events
         if event.last_event_id is not None:
             self.last_event_id = event.last_event_id
@@ -406,27 +406,14 @@
             self._report_loss()
         self._retry_or_fail(event.cause)
 
-    def _record_progress(self) -> None:
-        """Record a proof once the target has gone on with its stream for long enough."""
-        if self.proven:
-            return
-        now = self.context.scheduler.now()
-        if self.proven_at is None:
-            self.proven_at = now + PROOF_STREAM_SECONDS
-        elif now >= self.proven_at:
-            self._record_proof()
-
     def _record_survival(self, *, by_close: bool) -> None:
         """Record that the target completed its response, unless its close may be a crash."""
-        if self.proven:
-            return
         if by_close:
             self._report_loss()
-        else:
+        elif self.proof.complete():
             self._record_proof()
 
     def _record_proof(self) -> None:
-        self.proven = True
         tracker = self.context.crash_tracker
         fingerprints = self._make_segment_fingerprints()
         tracker.record_proof(self._make_fingerprints() if tracker.evidence else fingerprints)
@@ -434,7 +421,7 @@
     def _report_loss(self) -> None:
         """Report that the connection was lost before the request was proven harmless."""
         assert self.attempt is not None
-        if not self.proven:
+        if not self.proof.proven:
             self.context.crash_tracker.report_loss(self.attempt.target, self._make_fingerprints())
 
     def _make_fingerprints(self) -> list[str]:
--- a/bronzetiller/requests/crash_evidence.py
+++ b/bronzetiller/requests/crash_evidence.py
@@ -57,8 +57,9 @@
     def __bool__(self) -> bool:
         return bool(self._crashes)
 
-    def add(self, crash: Crash) -> None:
-        """Add the report of a crash, or join it with earlier reports of the same one."""
+    def add(self, crash: Crash) -> list[str]:
+        """Add the report of a crash, or join it with earlier ones; return the new suspects."""
+        before = set(self._suspects)
         known = self._crashes.get(crash.target)
         if known is not None:
             crash = evolve(
@@ -73,6 +74,7 @@
                 self._update_suspects(fingerprint)
         while len(self._crashes) > CRASHES_KEPT_MAX:
             self._remove(next(iter(self._crashes)))
+        return sorted(self._suspects - before)
 
     def clear(self, fingerprint: str, targets: Iterable[str]) -> None:
         """Stop counting the crashes of these targets against a fingerprint."""
@@ -113,7 +115,9 @@
         self, fingerprints: Collection[str], now: float
     ) -> QuarantinedFingerprint | None:
         """Return why a request with these fingerprints must not run, or None if it may."""
-        for fingerprint in self._suspects.intersection(fingerprints):
+        for fingerprint in fingerprints:
+            if fingerprint not in self._suspects:
+                continue
             crashed_at = self._counting[fingerprint]
             doublings = len(crashed_at) - CRASHES_MAX
             until = max(crashed_at.values()) + QUARANTINE_SECONDS * 2.0**doublings
@@ -144,6 +148,35 @@
             self._suspects.discard(fingerprint)
 
 
+@define
+class StreamProof:
+    """Hold whether a response went on for long enough to prove its request harmless.
+
+    Times are monotonic seconds of this node.
+    """
+
+    proven: bool = False
+    _due_at: float | None = None
+
+    def restart(self) -> None:
+        """Begin with the response of another target."""
+        self._due_at = None
+
+    def advance(self, now: float) -> bool:
+        """Record a part of the response; return whether it is the one that proves the request."""
+        if self.proven:
+            return False
+        if self._due_at is None:
+            self._due_at = now + PROOF_STREAM_SECONDS
+        self.proven = now >= self._due_at
+        return self.proven
+
+    def complete(self) -> bool:
+        """Record the end of the response; return whether it is what proves the request."""
+        was_proven, self.proven = self.proven, True
+        return not was_proven
+
+
 @define(eq=False)
 class Proofs:
     """Hold when responses proved fingerprints harmless, and when crashes were heard of.
--- a/bronzetiller/requests/crash_monitor.py
+++ b/bronzetiller/requests/crash_monitor.py
@@ -276,7 +276,9 @@
             name, at = f"{target_id}/{now:.3f}", now
             self._crash_names[target_id] = (name, at)
         self._proofs.hear(name, now)
-        self._evidence.add(Crash(name, at, frozenset(segments)))
+        for segment in self._evidence.add(Crash(name, at, frozenset(segments))):
+            targets = ",".join(sorted(self._evidence.list_targets(segment)))
+            log_event("crash_suspect", level=30, segment=segment, targets=targets)
         self._clear_proven()
 
     def _clear_proven(self) -> None:
@@ -284,7 +286,7 @@
         cleared = self._proofs.clear(self._evidence)
         if not cleared:
             return
-        log_event("segments_cleared", segments=",".join(cleared))
+        log_event("crash_suspects_cleared", segments=",".join(cleared))
         for node_id in self._peers.connected():
             self._peers.send(node_id, SegmentsProven(list(cleared)))
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -131,7 +131,8 @@
         f"e{number}": Crash(f"e{number}", NOW + number, frozenset({"x" * 1_000, str(number)}))
         for number in range(200)
     }
-    value = encode_report(CrashReport(crashes, {}))
+    cleared = {str(number): {f"e{number}", "x" * 1_000} for number in range(200)}
+    value = encode_report(CrashReport(crashes, cleared))
     decoded = decode_report(value)
     assert len(value) <= 64 * 1024 and "e199" in decoded.crashes
 
@@ -343,6 +344,15 @@
     assert second.tracker.find_quarantined(lambda: ["segment:bad"])
 
 
+def test_a_report_too_large_to_write_whole_is_not_written_repeatedly(make_world):
+    world = make_world(1)
+    (node,) = world.nodes
+    crash_targets(world, node, *[f"segment:{number}-{'x' * 1_000}" for number in range(100)])
+    written = len(world.store.records(CRASHES_PARTITION))
+    world.scheduler.advance(5.0)
+    assert 0 < written == len(world.store.records(CRASHES_PARTITION))
+
+
 def test_a_restarted_node_keeps_what_its_last_incarnation_reported(make_world):
     world = make_world(2)
     first, second = world.nodes
