Forget limits by the clock, and only by responses of requests that ran

A statement of a limit was forgotten only when this node chose among targets, so that a node without requests went on reporting a limit that had ended, and all others kept to it. A refusal without the header ended the limit too, though the target may leave it out there.

--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -149,8 +149,10 @@
         load = decode_load_report(head)
         if load is not None:
             self.target.record_load(load, self.now())
-        if self._response_class is not ResponseClass.MISDIRECTED:
-            self.record_limit(decode_request_limit(head))
+        limit = decode_request_limit(head)
+        ran = self._response_class in (ResponseClass.ANSWERED, ResponseClass.FAILED)
+        if ran or (limit is not None and self._response_class is ResponseClass.NOT_RUN):
+            self.record_limit(limit)
         if self._is_stream:
             self._listener(StreamStarted(head))
 
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -235,7 +235,7 @@
             LimitedNode(item.node_id, item.data_centre, item.limits)
             for item in self.members.list_serving()
         ]
-        self.limits.refresh(nodes, self.pool.targets.values())
+        self.limits.refresh(nodes, self.pool.targets.values(), self._scheduler.now())
 
     def is_ready(self) -> bool:
         """Return whether the node has its configuration and targets and is not stopping."""
--- a/bronzetiller/gateway/target_limits.py
+++ b/bronzetiller/gateway/target_limits.py
@@ -68,8 +68,8 @@
         elif self._stated.pop(target.instance, None) is not None:
             self._shares.pop(target.instance, None)
 
-    def refresh(self, nodes: Iterable[LimitedNode], targets: Iterable[Target]) -> None:
-        """Update the nodes that serve callers, and forget all targets but those given."""
+    def refresh(self, nodes: Iterable[LimitedNode], targets: Iterable[Target], now: float) -> None:
+        """Update the nodes that serve callers; forget old statements and targets not given."""
         self._nodes = list(nodes)
         self._owners.clear()
         self._by_peers = {}
@@ -79,11 +79,17 @@
                     self._by_peers[instance] = min(limit, self._by_peers.get(instance, limit))
         if not self._stated and not self._shares:
             return
-        present = {target.instance for target in targets}
-        for gone in self._stated.keys() - present:
-            del self._stated[gone]
-        for gone in self._shares.keys() - present:
-            del self._shares[gone]
+        present = {target.instance: target for target in targets}
+        for instance, statement in list(self._stated.items()):
+            target = present.get(instance)
+            if target is None or now - statement.at > self._find_validity(target):
+                del self._stated[instance]
+        for instance in self._shares.keys() - present.keys():
+            del self._shares[instance]
+
+    def _find_validity(self, target: Target) -> float:
+        """Return how long (seconds) a limit holds that the target has not stated again."""
+        return UNSHARED_SECONDS if self._find_rate(target) == 0.0 else UNUSED_SECONDS
 
     def list_stated(self) -> dict[str, float]:
         """Return the limits that targets state to this node, to be sent to its peers."""
@@ -91,20 +97,20 @@
 
     def take(self, target: Target, now: float) -> None:
         """Use up one request of this node's share, if the target has a limit."""
-        rate = self._find_rate(target, now)
+        rate = self._find_rate(target)
         if rate is not None:
             self._refill(target.instance, rate, now).requests -= 1.0
 
     def find_free_at(self, target: Target, now: float) -> float:
         """Return when this node may send its next request, infinite if it has no share."""
-        rate = self._find_rate(target, now)
+        rate = self._find_rate(target)
         if rate is None:
             return now
         if rate == 0.0:
             return float("inf")
         return now + max(0.0, (1.0 - self._refill(target.instance, rate, now).requests) / rate)
 
-    def _find_rate(self, target: Target, now: float) -> float | None:
+    def _find_rate(self, target: Target) -> float | None:
         """Return the rate of this node's share, 0 without a share, None without a limit."""
         if not self._stated and not self._by_peers:
             return None
@@ -112,12 +118,9 @@
         if limit is None:
             return None
         owners = self._list_owners(target, limit)
-        has_share = self._node_id in owners
-        statement = self._stated.get(target.instance)
-        seconds = UNUSED_SECONDS if has_share else UNSHARED_SECONDS
-        if statement is not None and now - statement.at > seconds:
-            del self._stated[target.instance]
-        return SHARED_PORTION * max(LIMIT_MIN, limit) / len(owners) if has_share else 0.0
+        if self._node_id not in owners:
+            return 0.0
+        return SHARED_PORTION * max(LIMIT_MIN, limit) / len(owners)
 
     def _find_limit(self, instance: str) -> float | None:
         statement = self._stated.get(instance)
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -367,6 +367,7 @@
     calls[0].send_response(200, server_limit="1")
     second, calls, scheduler = start_request(retryable=False, targets=1, like=handler)
     assert len(calls) == 2
+    calls[1].send_response(503, x_not_executed="1")  # without a limit, and not run
     third, calls, _ = start_request(retryable=False, targets=1, like=handler)
     assert len(calls) == 2 and third.exchange.status == 503
     assert b'"ran": "no"' in third.exchange.sent
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -56,7 +56,7 @@
             for node_id, limits in self.nodes.items()
         ]
         for limits in self.nodes.values():
-            limits.refresh(members, [self.target])
+            limits.refresh(members, [self.target], self.now)
 
     def send(self, node_id):
         limits = self.nodes[node_id]
@@ -131,7 +131,7 @@
     target = make_target()
     limits = TargetLimits("node-0", REGIONS)
     nodes = [LimitedNode(f"node-{number}", "a", {target.instance: 2.0}) for number in range(1, 9)]
-    limits.refresh([LimitedNode("node-0", "c", {}), *nodes], [target])
+    limits.refresh([LimitedNode("node-0", "c", {}), *nodes], [target], 5.0)
     assert limits.find_free_at(target, 5.0) == float("inf")
     assert limits.find_free_at(make_target(1), 5.0) == 5.0
 
@@ -142,7 +142,7 @@
     nodes += [LimitedNode(f"near-{number}", "a", {}) for number in range(SHARES_MIN + 2)]
     for node in nodes:
         limits = TargetLimits(node.node_id, REGIONS)
-        limits.refresh(nodes, [target])
+        limits.refresh(nodes, [target], 1.0)
         limits.record_response(target, 2.0, 1.0)
         assert (limits.find_free_at(target, 1.0) == 1.0) == (node.data_centre == "a")
 
@@ -150,7 +150,7 @@
 def test_a_share_allows_one_request_and_says_when_the_next_is_free():
     target = make_target()
     limits = TargetLimits("node-0", REGIONS)
-    limits.refresh([LimitedNode("node-0", "a", {})], [target])
+    limits.refresh([LimitedNode("node-0", "a", {})], [target], 10.0)
     limits.record_response(target, 2.0, 10.0)
     assert limits.find_free_at(target, 10.0) == 10.0
     limits.take(target, 10.0)
@@ -161,20 +161,21 @@
 def test_a_target_that_started_again_has_no_limit():
     target = make_target()
     limits = TargetLimits("node-0", REGIONS)
-    limits.refresh([LimitedNode("node-0", "a", {})], [target])
+    limits.refresh([LimitedNode("node-0", "a", {})], [target], 10.0)
     limits.record_response(target, 2.0, 10.0)
     limits.take(target, 10.0)
     restarted = make_target(started_ms=77)
     assert limits.find_free_at(restarted, 10.0) == 10.0
-    limits.refresh([LimitedNode("node-0", "a", {})], [restarted])
+    limits.refresh([LimitedNode("node-0", "a", {})], [restarted], 10.0)
     assert limits.list_stated() == {}
 
 
 def test_a_limit_that_a_node_has_not_heard_of_for_long_is_forgotten():
     target = make_target()
     limits = TargetLimits("node-0", REGIONS)
-    limits.refresh([LimitedNode("node-0", "a", {})], [target])
+    limits.refresh([LimitedNode("node-0", "a", {})], [target], 10.0)
     limits.record_response(target, 2.0, 10.0)
-    limits.take(target, 10.0)
-    limits.find_free_at(target, 11.0 + UNUSED_SECONDS)
+    limits.refresh([LimitedNode("node-0", "a", {})], [target], 9.0 + UNUSED_SECONDS)
+    assert limits.list_stated()
+    limits.refresh([LimitedNode("node-0", "a", {})], [target], 11.0 + UNUSED_SECONDS)
     assert limits.list_stated() == {}
