Log responses that end with their connection

Cause: the log of a node can't tell a stream that ended by its framing from one that its target's close ended, so that the two hypotheses on broken responses can't be judged from it. One line a response without a length, with its target, events and time. No change of behaviour.

--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -409,6 +409,7 @@
     def _record_survival(self, *, by_close: bool) -> None:
         """Record that the target completed its response, unless its close may be a crash."""
         if by_close:
+            self._log_close()
             self._report_loss()
         elif self.proof.complete():
             self._record_proof()
@@ -570,6 +571,16 @@
             shared=",".join(self._list_shared_segments()),
         )
 
+    def _log_close(self) -> None:
+        assert self.attempt is not None
+        log_event(
+            "response_closed",
+            id=self.metadata.request_id,
+            target=self.attempt.target.target_id,
+            events=self.events,
+            ms=round((self.context.scheduler.now() - self.sent_at) * 1000),
+        )
+
     def _list_shared_segments(self) -> list[str]:
         prompt = self.metadata.prompt
         return [] if prompt is None else [item.segment_id for item in prompt.shared_segments]
