--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -213,7 +213,9 @@
             runs += json.loads(send_request(address, "GET", "/control/runs", {}).body)["runs"]
         return runs
 
-    def send(self, node_id: str, route: str, request_id: str, **headers: str) -> Reply:
+    def send(
+        self, node_id: str, route: str, request_id: str, body: bytes = b"body", **headers: str
+    ) -> Reply:
         """Send a request to a route; requests to model routes declare their token usage."""
         usage = {"X-Token-Usage": "40,10", "X-Prompt-Prefix": "aa:30,bb:10", "X-Model": "m"}
         request_headers = {
@@ -225,7 +227,7 @@
         request_headers |= usage if route in ("draft", "score") else {}
         request_headers |= {name.replace("_", "-"): value for name, value in headers.items()}
         method = "GET" if route == "status" else "POST"
-        return send_request(self.address(node_id), method, f"/{route}/2f", request_headers, b"body")
+        return send_request(self.address(node_id), method, f"/{route}/2f", request_headers, body)
 
     def close(self) -> None:
         """Kill all processes that are still running."""
--- /dev/null
+++ b/tests/raw_target.py
@@ -0,0 +1,99 @@
+"""Answer requests with given bytes over raw sockets, and end as a crashed or a living target."""
+
+import socket
+import struct
+import threading
+from collections.abc import Callable
+
+from attrs import define, field
+
+EVENT_STREAM = ("Content-Type: text/event-stream",)
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: close with a reset
+
+
+@define
+class RawAnswer:
+    """Hold the bytes of an answer, and how the target ends it.
+
+    The target leaves the connection open unless it closes, resets or crashes; a crash closes the
+    listening socket too.
+    """
+
+    parts: list[bytes]
+    headers: tuple[str, ...] = ()
+    end: str = "open"
+
+
+@define
+class RawRequest:
+    request_id: str
+    last_event_id: int
+
+
+@define(eq=False)
+class RawTarget:
+    """Answer each request on a connection of its own, by a function of the request."""
+
+    target_id: str
+    make_answer: Callable[[RawRequest], RawAnswer]
+    requests: list[RawRequest] = field(factory=list)
+    connections: int = 0
+    _listener: socket.socket = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        ip, port = self._listener.getsockname()
+        return f"{ip}:{port}"
+
+    def close(self) -> None:
+        """Stop listening at once; new connections are refused."""
+        try:
+            self._listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            connection.settimeout(10)
+            request = _read_request(connection)
+            if request is None:
+                return
+            self.requests.append(request)
+            answer = self.make_answer(request)
+            names = (f"X-Request-Id: {request.request_id}", f"X-Response-Seal: {self.target_id}")
+            lines = ("HTTP/1.1 200 OK", *names, *answer.headers)
+            connection.sendall("\r\n".join((*lines, "", "")).encode())
+            for part in answer.parts:
+                connection.sendall(part)
+            if answer.end == "crash":
+                self.close()
+            if answer.end == "reset":
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            if answer.end == "open":
+                connection.recv(1)  # until the other end closes
+
+
+def _read_request(connection: socket.socket) -> RawRequest | None:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        received = connection.recv(65_536)
+        if not received:
+            return None
+        data += received
+    head = data.partition(b"\r\n\r\n")[0].decode().split("\r\n")[1:]
+    headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in head)}
+    return RawRequest(headers.get("x-request-id", ""), int(headers.get("last-event-id", 0)))
--- /dev/null
+++ b/tests/test_broken_answer.py
@@ -0,0 +1,167 @@
+"""Test with a real node that an answer which its target broke off is never complete to a caller."""
+
+import itertools
+import zlib
+
+import pytest
+
+from standins.gateway_fleet import MODEL_SERVICE, PLAIN_SERVICE, GatewayFleet
+from standins.path_engine import make_registration
+from tests.conftest import await_true
+from tests.raw_target import EVENT_STREAM, RawAnswer, RawTarget
+
+EVENTS = 6
+BODY = b"x" * 600
+CHUNKED = "Transfer-Encoding: chunked"
+
+
+def make_event(number):
+    return b"id: %d\ndata: part-%d\n\n" % (number, number)
+
+
+def make_events(first, last):
+    return [make_event(number) for number in range(first, last + 1)]
+
+
+def make_chunks(parts):
+    return [b"%x\r\n%b\r\n" % (len(part), part) for part in parts]
+
+
+@pytest.fixture(scope="module")
+def shared_fleet():
+    fleet = GatewayFleet()
+    try:
+        fleet.start_store()
+        fleet.configure(1, prepaid=1_000_000)
+        fleet.start_target("warm-engine", MODEL_SERVICE)
+        fleet.start_target("warm-desk", PLAIN_SERVICE)
+        fleet.start_node("node-1")
+        fleet.await_ready("node-1")
+        await_true(lambda: fleet.send("node-1", "score", "warm").status == 200, what="tokens")
+        for target_id in ("warm-engine", "warm-desk"):
+            fleet.append_record("keyed.servers", target_id, b"")
+        yield fleet
+    finally:
+        fleet.close()
+
+
+@pytest.fixture
+def start_raw(shared_fleet):
+    """Register targets that answer with given bytes; they are gone after the test."""
+    targets = []
+    numbers = itertools.count()
+
+    def start(make_answer, service=MODEL_SERVICE):
+        target = RawTarget(f"raw-{id(targets)}-{next(numbers)}", make_answer)
+        value = make_registration(target.target_id, service, target.address, "regina-a")
+        shared_fleet.append_record("keyed.servers", target.target_id, value)
+        targets.append(target)
+        return target
+
+    yield start
+    for target in targets:
+        shared_fleet.append_record("keyed.servers", target.target_id, b"")
+        target.close()
+
+
+@pytest.fixture
+def send(shared_fleet, request):
+    """Send a request once a target is known; return the caller's reply."""
+    numbers = itertools.count()
+
+    def send_once(route):
+        # No two requests share a body or a segment, so that none is quarantined for crashes.
+        name = f"{zlib.crc32(request.node.name.encode()):x}{next(numbers)}"
+        return shared_fleet.send(
+            "node-1", route, name, body=name.encode(), X_Prompt_Prefix=f"{name}:40"
+        )
+
+    def send_until_served(route, targets):
+        replies = []
+
+        def is_answered():
+            replies.append(send_once(route))
+            return any(target.requests for target in targets)
+
+        await_true(is_answered, what="a request at the targets")
+        return replies[-1]
+
+    return send_until_served
+
+
+@pytest.mark.parametrize("end", ["crash", "reset"])
+@pytest.mark.parametrize("route", ["score", "draft"])
+def test_a_stream_without_a_length_cut_between_two_events_is_not_complete(
+    start_raw, send, route, end
+):
+    target = start_raw(lambda request: RawAnswer(make_events(1, 3), EVENT_STREAM, end))
+    reply = send(route, [target])
+    assert reply.status == 200 and not reply.complete
+
+
+def test_a_stream_without_a_length_cut_between_two_events_is_resumed(start_raw, send):
+    """The first of two targets crashes after three events, the other one resumes there."""
+    crashed = []
+
+    def make_answer(request):
+        if not crashed:
+            crashed.append(request)
+            return RawAnswer(make_events(1, 3), EVENT_STREAM, "crash")
+        return RawAnswer(make_events(request.last_event_id + 1, EVENTS), EVENT_STREAM, "close")
+
+    targets = [start_raw(make_answer), start_raw(make_answer)]
+    reply = send("draft", targets)
+    assert reply.complete and reply.body == b"".join(make_events(1, EVENTS))
+
+
+@pytest.mark.parametrize("end", ["crash", "reset"])
+def test_a_body_without_a_length_cut_by_its_target_is_not_answered(start_raw, send, end):
+    target = start_raw(lambda request: RawAnswer([BODY[:300]], (), end), PLAIN_SERVICE)
+    assert send("order", [target]).status == 502
+    assert len(target.requests) == 1
+
+
+def test_a_body_without_a_length_cut_by_a_crash_is_fetched_from_another_target(start_raw, send):
+    crashed = []
+
+    def make_answer(request):
+        if not crashed:
+            crashed.append(request)
+            return RawAnswer([BODY[:300]], (), "crash")
+        return RawAnswer([BODY], (), "close")
+
+    targets = [start_raw(make_answer, PLAIN_SERVICE), start_raw(make_answer, PLAIN_SERVICE)]
+    reply = send("status", targets)
+    assert reply.status == 200 and reply.body == BODY
+
+
+@pytest.mark.parametrize("route", ["score", "draft"])
+def test_a_whole_stream_without_a_length_is_complete(start_raw, send, route):
+    target = start_raw(lambda request: RawAnswer(make_events(1, EVENTS), EVENT_STREAM, "close"))
+    reply = send(route, [target])
+    assert reply.complete and reply.body == b"".join(make_events(1, EVENTS))
+
+
+@pytest.mark.parametrize("route", ["order", "status"])
+def test_a_whole_body_without_a_length_is_answered(start_raw, send, route):
+    target = start_raw(lambda request: RawAnswer([BODY], (), "close"), PLAIN_SERVICE)
+    reply = send(route, [target])
+    assert reply.status == 200 and reply.body == BODY
+    assert len(target.requests) == 1
+
+
+@pytest.mark.parametrize("end", ["close", "crash", "reset"])
+@pytest.mark.parametrize(
+    "parts",
+    [[], [b"id: 1\nda"], make_events(1, 2), [*make_events(1, 2), b"id: 3\ndata: pa"]],
+    ids=["before-the-first-event", "in-the-first-event", "between-events", "in-a-later-event"],
+)
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_a_framed_stream_that_ends_too_early_is_not_complete(start_raw, send, framing, parts, end):
+    if framing == "chunks":
+        answer = RawAnswer(make_chunks(parts), (*EVENT_STREAM, CHUNKED), end)
+    else:
+        size = len(b"".join(make_events(1, EVENTS)))
+        answer = RawAnswer(parts, (*EVENT_STREAM, f"Content-Length: {size}"), end)
+    target = start_raw(lambda request: answer)
+    assert not send("score", [target]).complete
