Confirm at the target that a close ended a response without a length

What callers saw: a 200 with a short body that its framing called complete, 5 to 35 ms after its target had crashed.

Cause: a response without a length or chunks ends with its connection, and a crash ends the connection in the same way. The node took every close for the end and sent the last chunk, or the half body with a length of its own.

Change: such an end counts only once the target has accepted a connection opened after the close, and kept it for 50 ms. Otherwise the response is lost: resumed, tried again or broken off. One connection attempt at a time for a target; closes that come meanwhile share the next one. A connection without an answer confirms neither the response nor a crash.

Why it works: a process that has ended has no listening socket, and it takes seconds to start.

--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -46,7 +46,7 @@
 
 @frozen
 class CompleteResponse:
-    """Carry a complete response; by_close tells that the target closed the connection to end it."""
+    """Carry a complete response; with by_close its end is a close, which may also be a crash."""
 
     head: ResponseHead
     body: bytes
@@ -72,7 +72,7 @@
 
 @frozen
 class StreamEnd:
-    """Report that a streamed response is complete; by_close as for CompleteResponse."""
+    """Report the end of a streamed response; by_close as for CompleteResponse."""
 
     by_close: bool = False
 
--- a/bronzetiller/gateway/crashes.py
+++ b/bronzetiller/gateway/crashes.py
@@ -14,7 +14,7 @@
 from bronzetiller.gateway.targets import Target
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import TARGET_CRASHES
-from bronzetiller.net.http_client import HttpClient
+from bronzetiller.net.http_client import HttpClient, ProbeResult
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.requests.crash_evidence import (
     Crash,
@@ -52,6 +52,20 @@
     return f"segment:{segment_id}"
 
 
+@define
+class _Probe:
+    """Hold the requests whose connections a target closed, which one probe of it decides on."""
+
+    fingerprints: set[str] = field(factory=set)
+    listeners: list[Callable[[bool], None]] = field(factory=list)
+
+    def add(self, fingerprints: Collection[str], listener: Callable[[bool], None] | None) -> None:
+        """Add a request."""
+        self.fingerprints.update(fingerprints)
+        if listener is not None:
+            self.listeners.append(listener)
+
+
 @define(eq=False)
 class CrashTracker:
     """Hold the crashes that this node and its peers observed, and what was proven harmless."""
@@ -66,22 +80,36 @@
     evidence: CrashEvidence = field(factory=CrashEvidence)
     proofs: Proofs = field(factory=Proofs)
     _clearances: dict[str, set[str]] = field(factory=dict)
-    _probed: dict[str, set[str]] = field(factory=dict)
+    _running_probes: dict[str, _Probe] = field(factory=dict)
+    _next_probes: dict[str, _Probe] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self._scheduler.call_every(EXPIRY_INTERVAL_SECONDS, self._expire)
 
-    def report_loss(self, target: Target, fingerprints: Collection[str]) -> None:
-        """Probe a target that closed the connection during a request, to see if it crashed."""
-        target_instance = target.instance
-        if target_instance in self._probed:
-            self._probed[target_instance].update(fingerprints)
+    def report_loss(
+        self,
+        target: Target,
+        fingerprints: Collection[str],
+        on_checked: Callable[[bool], None] | None = None,
+    ) -> None:
+        """Probe a target that closed the connection during a request, to see if it crashed.
+
+        on_checked receives True if the target accepted a connection that was opened afterwards.
+        """
+        if target.instance in self._running_probes:
+            # The connection of the running probe may be older than this loss.
+            self._next_probes.setdefault(target.instance, _Probe()).add(fingerprints, on_checked)
             return
-        self._probed[target_instance] = set(fingerprints)
+        probe = _Probe()
+        probe.add(fingerprints, on_checked)
+        self._start_probe(target, probe)
+
+    def _start_probe(self, target: Target, probe: _Probe) -> None:
+        self._running_probes[target.instance] = probe
         self._http.probe(
             target.registration.address,
             PROBE_SECONDS,
-            lambda refused: self._handle_probe_result(target_instance, refused=refused),
+            lambda result: self._handle_probe_result(target, result),
         )
 
     def record_proof(self, fingerprints: Collection[str]) -> None:
@@ -119,15 +147,26 @@
                 self._clearances[fingerprint] -= targets
         self._clear_proven()
 
-    def _handle_probe_result(self, target_instance: str, *, refused: bool) -> None:
-        fingerprints = self._probed.pop(target_instance)
+    def _handle_probe_result(self, target: Target, result: ProbeResult) -> None:
+        probe = self._running_probes.pop(target.instance)
+        next_probe = self._next_probes.pop(target.instance, None)
+        if next_probe is not None and result is ProbeResult.ACCEPTED:
+            self._start_probe(target, next_probe)
+        elif next_probe is not None:
+            probe.fingerprints |= next_probe.fingerprints
+            probe.listeners += next_probe.listeners
         log_event(
-            "target_crashed" if refused else "target_alive",
-            target=target_instance,
-            suspects=",".join(sorted(fingerprints)[:LOGGED_FINGERPRINTS_MAX]),
+            "target_crashed" if result is ProbeResult.REFUSED else "target_alive",
+            target=target.instance,
+            probe=result.value,
+            suspects=",".join(sorted(probe.fingerprints)[:LOGGED_FINGERPRINTS_MAX]),
         )
-        if not refused:
-            return
+        if result is ProbeResult.REFUSED and probe.fingerprints:
+            self._record_crash(target.instance, probe.fingerprints)
+        for listener in probe.listeners:
+            listener(result is ProbeResult.ACCEPTED)
+
+    def _record_crash(self, target_instance: str, fingerprints: set[str]) -> None:
         known = self.report.crashes.get(target_instance)
         if known is None:
             TARGET_CRASHES.inc()
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -316,12 +316,11 @@
         elif isinstance(event, StreamStarted):
             self.may_have_run = True
             self._handle_stream_start(event)
-        elif isinstance(event, StreamEnd):
-            self._record_survival(by_close=event.by_close)
-            self._succeed()
-            self.exchange.finish()
-        elif isinstance(event, CompleteResponse):
-            self._handle_response(event)
+        elif isinstance(event, StreamEnd | CompleteResponse):
+            if event.by_close:
+                self._check_close(event)
+            else:
+                self._handle_end(event)
         elif isinstance(event, NotRun):
             self._handle_not_run(event)
         elif isinstance(event, ResponseLost):
@@ -357,10 +356,44 @@
         self.exchange.send(event.data)
         self._watch_silence(STREAM_SILENCE_FACTOR * self.route.event_gap_seconds)
 
+    def _check_close(self, event: StreamEnd | CompleteResponse) -> None:
+        """Check that the target outlived the response that its close ended; a crash looks alike."""
+        attempt = self.attempt
+        assert attempt is not None
+        self.may_have_run = True
+
+        def handle_check(alive: bool) -> None:
+            log_event(
+                "response_closed",
+                id=self.metadata.request_id,
+                target=attempt.target.target_id,
+                alive=alive,
+                events=self.events,
+                ms=round((self.context.scheduler.now() - self.sent_at) * 1000),
+            )
+            if self.finished:
+                return
+            if alive:
+                self._handle_end(event)
+            else:
+                self._handle_lost_response(ResponseLost("the target was lost at its close"))
+
+        self.context.crash_tracker.report_loss(
+            attempt.target, self._list_unproven_fingerprints(), handle_check
+        )
+
+    def _handle_end(self, event: StreamEnd | CompleteResponse) -> None:
+        if self.proof.complete():
+            self._record_proof()
+        if isinstance(event, CompleteResponse):
+            self._handle_response(event)
+        else:
+            self._succeed()
+            self.exchange.finish()
+
     def _handle_response(self, event: CompleteResponse) -> None:
         self.may_have_run = True
         self.attempts += 1
-        self._record_survival(by_close=event.by_close)
         if self.head_sent:
             # The caller already has the head of the stream; no other response can follow it.
             self._retry_or_fail(f"status {event.head.status}")
@@ -402,28 +435,18 @@
         self.may_have_run = True
         self.attempts += 1
         attempt.target.record_failure(event.cause, self.context.scheduler.now())
-        if event.disconnected:
-            self._report_loss()
+        fingerprints = self._list_unproven_fingerprints()
+        if event.disconnected and fingerprints:
+            self.context.crash_tracker.report_loss(attempt.target, fingerprints)
         self._retry_or_fail(event.cause)
 
-    def _record_survival(self, *, by_close: bool) -> None:
-        """Record that the target completed its response, unless its close may be a crash."""
-        if by_close:
-            self._log_close()
-            self._report_loss()
-        elif self.proof.complete():
-            self._record_proof()
-
     def _record_proof(self) -> None:
         tracker = self.context.crash_tracker
         fingerprints = self._make_segment_fingerprints()
         tracker.record_proof(self._make_fingerprints() if tracker.evidence else fingerprints)
 
-    def _report_loss(self) -> None:
-        """Report that the connection was lost before the request was proven harmless."""
-        assert self.attempt is not None
-        if not self.proof.proven:
-            self.context.crash_tracker.report_loss(self.attempt.target, self._make_fingerprints())
+    def _list_unproven_fingerprints(self) -> list[str]:
+        return [] if self.proof.proven else self._make_fingerprints()
 
     def _make_fingerprints(self) -> list[str]:
         if self._fingerprints is not None:
@@ -571,16 +594,6 @@
             shared=",".join(self._list_shared_segments()),
         )
 
-    def _log_close(self) -> None:
-        assert self.attempt is not None
-        log_event(
-            "response_closed",
-            id=self.metadata.request_id,
-            target=self.attempt.target.target_id,
-            events=self.events,
-            ms=round((self.context.scheduler.now() - self.sent_at) * 1000),
-        )
-
     def _list_shared_segments(self) -> list[str]:
         prompt = self.metadata.prompt
         return [] if prompt is None else [item.segment_id for item in prompt.shared_segments]
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -1,6 +1,7 @@
 """Send HTTP requests over pooled connections, with h11 as the parser."""
 
 from collections.abc import Callable
+from enum import Enum
 
 import h11
 from attrs import define, field, frozen
@@ -21,6 +22,16 @@
 TOO_LATE = "too late to send"
 TOO_LARGE = "the body is too large"
 TOO_LONG = "the response took too long"
+# A process that is ending may still accept a connection, and resets it right after.
+PROBE_OPEN_SECONDS = 0.05
+
+
+class ProbeResult(Enum):
+    """Describe what a connection attempt showed: a server, none, or nothing certain."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNCERTAIN = "uncertain"
 
 
 @frozen
@@ -339,18 +350,28 @@
         pooled.dial(self._dialer)
         return open_call
 
-    def probe(self, address: Address, seconds: float, on_result: Callable[[bool], None]) -> None:
-        """Connect once; on_result receives True if the connection is refused, else False."""
-        holder: list[Connection] = []
+    def probe(
+        self, address: Address, seconds: float, on_result: Callable[[ProbeResult], None]
+    ) -> None:
+        """Connect once, within the given seconds, and report whether the connection stays open."""
+        finished = False
+
+        def finish(result: ProbeResult) -> None:
+            nonlocal finished
+            if not finished:
+                finished = True
+                connection.close()
+                on_result(result)
+
+        def handle_close(cause: str) -> None:
+            refused = cause in REFUSED_CAUSES
+            finish(ProbeResult.REFUSED if refused else ProbeResult.UNCERTAIN)
 
-        def on_connected() -> None:
-            holder[0].close()
-            on_result(False)
+        def handle_connect() -> None:
+            self.scheduler.call_after(PROBE_OPEN_SECONDS, lambda: finish(ProbeResult.ACCEPTED))
 
-        handlers = ConnectionHandlers(
-            on_connected, lambda data: None, lambda cause: on_result(cause in REFUSED_CAUSES)
-        )
-        holder.append(self._dialer.dial(address, seconds, handlers))
+        handlers = ConnectionHandlers(handle_connect, lambda data: None, handle_close)
+        connection = self._dialer.dial(address, seconds, handlers)
 
     def _take_idle(self, address: Address) -> _PooledConnection | None:
         """Take an idle connection on which nothing has arrived since its last response."""
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -93,8 +93,8 @@
     assert isinstance(events[-1], ResponseLost) and events[-1].disconnected
 
 
-def test_a_stream_without_a_length_is_complete_after_an_event(stream):
+def test_the_end_of_a_stream_without_a_length_is_marked_as_a_close(stream):
     attempt, events, http = stream
     http.listener(BodyPart(b"id: 1\ndata: a\n\n"))
     http.listener(ResponseEnd(by_close=True))
-    assert isinstance(events[-1], StreamEnd)
+    assert events[-1] == StreamEnd(by_close=True)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -17,6 +17,7 @@
 from bronzetiller.gateway.crashes import CrashReport, CrashTracker
 from bronzetiller.gateway.targets import Registration, Target
 from bronzetiller.net.address import Address
+from bronzetiller.net.http_client import ProbeResult
 from bronzetiller.requests.crash_evidence import (
     CRASHES_MAX,
     QUARANTINE_SECONDS,
@@ -149,7 +150,8 @@
     def probe(self, address, seconds, on_result):
         number = address.port
         refused = self.up_at[number] > self.scheduler.now()
-        self.scheduler.call_after(0.01, lambda: on_result(refused))
+        result = ProbeResult.REFUSED if refused else ProbeResult.ACCEPTED
+        self.scheduler.call_after(0.01, lambda: on_result(result))
 
 
 @define(eq=False)
@@ -364,3 +366,68 @@
     second.start()
     world.scheduler.advance(0.1)
     assert second.tracker.find_quarantined(lambda: ["segment:bad"])
+
+
+@pytest.fixture
+def start_tracker():
+    """Return a tracker and its target; probes take 0.1 s and find whether the target is up."""
+
+    def start(*, result=None):
+        scheduler = FakeScheduler()
+        target = Target(Registration("e0", "llm", Address("10.0.0.1", 1), "d1", 8, False))
+        up = [True]
+        results = []
+
+        @define
+        class Prober:
+            probes: int = 0
+
+            def probe(self, address, seconds, on_result):
+                self.probes += 1
+                found = ProbeResult.ACCEPTED if up[0] else ProbeResult.REFUSED
+                scheduler.call_after(0.1, lambda: on_result(result or found))
+
+        prober = Prober()
+        tracker = CrashTracker(scheduler, prober, read_clock=lambda: NOW)
+
+        def report(*fingerprints):
+            tracker.report_loss(target, fingerprints, results.append)
+
+        return tracker, scheduler, prober, up, report, results
+
+    return start
+
+
+def test_a_close_is_not_confirmed_by_a_probe_that_began_before_it(start_tracker):
+    tracker, scheduler, prober, up, report, results = start_tracker()
+    report("a")
+    up[0] = False
+    report("b")
+    scheduler.advance(0.3)
+    assert results == [True, False] and prober.probes == 2
+    assert tracker.evidence.list_fingerprints("e0/0") == ["b"]
+
+
+def test_a_probe_that_finds_a_crash_decides_on_all_losses_before_its_result(start_tracker):
+    tracker, scheduler, prober, up, report, results = start_tracker()
+    up[0] = False
+    for fingerprint in ("a", "b", "c"):
+        report(fingerprint)
+    scheduler.advance(0.3)
+    assert results == [False] * 3 and prober.probes == 1
+    assert tracker.evidence.list_fingerprints("e0/0") == ["a", "b", "c"]
+
+
+def test_many_closes_of_a_living_target_share_two_probes(start_tracker):
+    _, scheduler, prober, _, report, results = start_tracker()
+    for number in range(64):
+        report(str(number))
+    scheduler.advance(0.3)
+    assert results == [True] * 64 and prober.probes == 2
+
+
+def test_an_unanswered_probe_confirms_neither_a_close_nor_a_crash(start_tracker):
+    tracker, scheduler, _, _, report, results = start_tracker(result=ProbeResult.UNCERTAIN)
+    report("a")
+    scheduler.advance(0.3)
+    assert results == [False] and not tracker.evidence
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -20,7 +20,13 @@
 from bronzetiller.gateway.target_limits import TargetLimits
 from bronzetiller.gateway.targets import Registration, TargetPool
 from bronzetiller.net.address import Address
-from bronzetiller.net.http_client import BodyPart, CallFailed, ResponseEnd, ResponseHead
+from bronzetiller.net.http_client import (
+    BodyPart,
+    CallFailed,
+    ProbeResult,
+    ResponseEnd,
+    ResponseHead,
+)
 from bronzetiller.net.scheduler import Timeout
 from bronzetiller.requests.crash_evidence import CRASHES_MAX, Crash
 from standins.fake_scheduler import FakeScheduler
@@ -60,7 +66,7 @@
     refuses: bool = False
 
     def probe(self, address, seconds, done):
-        done(self.refuses)
+        done(ProbeResult.REFUSED if self.refuses else ProbeResult.ACCEPTED)
 
     def send(self, call, on_event):
         self.calls.append(FakeCall(call, on_event))
@@ -322,6 +328,14 @@
     assert not evidence.list_targets("segment:own")
 
 
+@pytest.mark.parametrize(("refuses", "end"), [(False, "finished"), (True, "aborted")])
+def test_a_closed_stream_is_complete_only_if_its_target_is_alive(start_request, refuses, end):
+    handler, calls, _ = start_request(streamed=True, retryable=False, refuses=refuses)
+    calls[0].start_stream(make_event(1))
+    calls[0].on_event(ResponseEnd(by_close=True))
+    assert handler.exchange.end == end
+
+
 def test_a_stream_that_went_on_does_not_count_against_its_segments(start_request):
     prompt = make_prompt("first", "own")
     handler, calls, scheduler = start_request(
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -15,6 +15,7 @@
     CallFailed,
     HttpCall,
     HttpClient,
+    ProbeResult,
     ResponseEnd,
     ResponseHead,
 )
@@ -195,3 +196,42 @@
     events = call_sequentially(server, "a", "b")
     assert read_body(events["a"]) == b"first" and read_body(events["b"]) == b"second"
     assert server.connections == 2
+
+
+@pytest.fixture
+def probe():
+    """Return a function that probes an address and returns the result."""
+
+    def run(address):
+        loop = make_loop()
+        dialer = Dialer(loop, channel="outgoing").register(loop.root)
+        results = []
+
+        def finish(result):
+            results.append(result)
+            loop.root.stop()
+
+        loop.scheduler.call_after(
+            0, lambda: HttpClient(loop.scheduler, dialer).probe(address, 0.5, finish)
+        )
+        loop.root.run()
+        return results
+
+    return run
+
+
+def test_a_probe_finds_a_listening_server(probe):
+    assert probe(RawServer([(b"", False)]).address) == [ProbeResult.ACCEPTED]
+
+
+def test_a_probe_finds_that_no_server_listens(probe):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = Address("127.0.0.1", listener.getsockname()[1])
+    assert probe(address) == [ProbeResult.REFUSED]
+
+
+def test_a_probe_does_not_rely_on_a_server_that_closes_at_once(probe):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        threading.Thread(target=lambda: listener.accept()[0].close(), daemon=True).start()
+        address = Address("127.0.0.1", listener.getsockname()[1])
+        assert probe(address) == [ProbeResult.UNCERTAIN]
--- a/tests/test_own_answers.py
+++ b/tests/test_own_answers.py
@@ -26,6 +26,7 @@
     EngineAttempt,
     OpenAttempts,
 )
+from bronzetiller.routing.service import ServiceAttempt, ServiceFailed
 from standins.engine import make_words
 from standins.fleet import Fleet, call_json
 from tests.conftest import KEY, await_ready, await_true, read_records, send_chat
@@ -168,7 +169,7 @@
     return [*(make([part]) for part in parts), make([], usage=usage), b"[DONE]"]
 
 
-def _run_attempt(data, cuts):
+def _run_attempt(data, cuts, *, by_close=False):
     """Feed split bytes to an attempt; return the text if it accepts the response as complete."""
     events = []
     attempt = EngineAttempt("own", 100, events.append)
@@ -176,7 +177,7 @@
     bounds = [0, *sorted(cut % (len(data) + 1) for cut in cuts), len(data)]
     for begin, end in zip(bounds, bounds[1:], strict=False):
         attempt.handle_event(BodyPart(data[begin:end]))
-    attempt.handle_event(ResponseEnd())
+    attempt.handle_event(ResponseEnd(by_close))
     message = {"content": ""}
     for event in events:
         if isinstance(event, CompletionPart):
@@ -212,6 +213,19 @@
     assert _run_attempt(b"".join(map(format_event, OWN)), cuts) == "a b c "
 
 
+def test_a_chat_without_a_length_is_complete_only_after_its_last_event():
+    data = b"".join(map(format_event, OWN))
+    texts = [_run_attempt(data[:end], [], by_close=True) for end in range(len(data) + 1)]
+    assert texts == [None] * len(data) + ["a b c "]
+
+
+def test_a_service_response_without_a_length_is_never_complete():
+    outcomes = []
+    attempt = ServiceAttempt("own", "POST", outcomes.append)
+    attempt.handle_event(ResponseHead(200, {"x-request-id": "own"}))
+    assert isinstance(outcomes[0], ServiceFailed) and outcomes[0].sent
+
+
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(
     st.recursive(
