Count positions in the store by era and offset

What callers would see: a route that was added and confirmed gets 404 until the next change, and targets are missed, after the store came back from an older copy.

Cause: followers went by the offset alone. An offset that is given out again to another record counted as read, and a node behind a peer kept its offset, as these only rise.

Change: a position is an era and an offset, ordered as one number. platform/ reads the era from the answers; a read from a position of another era has expired, wherever it comes from, so that each reader starts over from the newest records: followers, nodes behind a peer, readers of holding records. Pages of two eras are not joined. A restoration counts as an outage, is logged and counted.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -92,8 +92,8 @@
     _holding_writer: RecordWriter = field(init=False)
     _use_writer: RecordWriter = field(init=False)
     _initialized: bool = False
-    _proposed_offset: int | None = None
-    _end_offset: int = -1
+    _proposed_position: int | None = None
+    _end: int = -1
     _proposed: HoldingRecord | None = None
     _proposed_order: int = 0
     _orders: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
@@ -267,7 +267,7 @@
         """Write this node's current record, unless a store call is in progress."""
         if self._call_in_progress:
             return
-        if self._end_offset < 0 or self._store_unreachable:
+        if self._end < 0 or self._store_unreachable:
             self._read()  # a proposal would limit the node, and the store could not accept it
             return
         now = self._scheduler.now()
@@ -380,12 +380,12 @@
         """Accept the proposal at once if all records before it are known, else read them first."""
         record = self._proposed
         match result:
-            case Ok(offset):
+            case Ok(position):
                 assert record is not None
                 self._record_store_success()
-                self._proposed_offset = offset
-                if offset == self._end_offset and self._holding_recorded:
-                    self._end_offset = offset + 1
+                self._proposed_position = position
+                if position == self._end and self._holding_recorded:
+                    self._end = position + 1
                     self._records[self._node_id] = record
                     self._accept_proposals()
                 else:
@@ -399,10 +399,10 @@
 
     def _read(self) -> None:
         self._call_in_progress = True
-        if self._end_offset < 0:
+        if self._end < 0:
             self._store.read_newest(HOLDINGS_PARTITION, self._handle_newest)
         else:
-            self._store.read_from(HOLDINGS_PARTITION, self._end_offset, 0.0, self._handle_records)
+            self._store.read_from(HOLDINGS_PARTITION, self._end, 0.0, self._handle_records)
 
     def _handle_newest(self, result: Result[RecordBatch, StoreUnreachable]) -> None:
         if isinstance(result, Err):
@@ -412,12 +412,12 @@
         self._record_store_success()
         for item in batch.records:
             self._apply_record(item)
-        self._end_offset = batch.end
+        self._end = batch.end
         if not self._initialized:
             self._reclaim()
-        elif self._proposed_offset is None:
+        elif self._proposed_position is None:
             self._finish_call()
-        elif self._proposed_offset >= batch.end:
+        elif self._proposed_position >= batch.end:
             self._read()
         else:
             # The records are in no order, so that all of them count as before the proposal.
@@ -426,7 +426,7 @@
     def _handle_records(self, result: Result[RecordBatch, ReadFailure]) -> None:
         match result:
             case Err(HistoryExpired()):
-                self._end_offset = -1
+                self._end = -1
                 self._read()
             case Err(failure):
                 self._retry_read(failure)
@@ -442,18 +442,18 @@
         """Apply records in log order; those before the proposal decide on it."""
         concluded = False
         for item in batch.records:
-            if item.offset == self._proposed_offset:
+            if item.position == self._proposed_position:
                 concluded = True
                 self._conclude_proposal(decode_holding_record(item.value or b""))
             self._apply_record(item)
-        self._end_offset = batch.end
+        self._end = batch.end
         if concluded:
             return
-        if self._proposed_offset is None:
+        if self._proposed_position is None:
             self._finish_call()
             return
-        if self._proposed_offset < batch.end:
-            self._end_offset = -1  # the response did not contain the proposal
+        if self._proposed_position < batch.end:
+            self._end = -1  # the response did not contain the proposal
         self._read()
 
     def _apply_record(self, item: KeyedRecord) -> None:
@@ -476,7 +476,7 @@
 
     def _accept_proposals(self) -> None:
         """Apply the proposals as far as the records read so far leave tokens free."""
-        self._proposed_offset = None
+        self._proposed_position = None
         self._proposed = None
         self._holding_recorded = True
         for allocation in self.allocations.values():
@@ -488,7 +488,7 @@
 
     def _drop_proposals(self) -> None:
         self._proposed = None
-        self._proposed_offset = None
+        self._proposed_position = None
         for allocation in self.allocations.values():
             allocation.drop_proposal(self._proposed_order)
 
@@ -589,7 +589,7 @@
 
     def _refuse_uncovered(self) -> None:
         """Refuse waiters that the budget cannot cover, or not until other nodes return tokens."""
-        if self._end_offset < 0:
+        if self._end < 0:
             return
         for allocation in self.allocations.values():
             if not allocation.waiting or self._compute_change(allocation) > 0:
--- a/bronzetiller/gateway/relay.py
+++ b/bronzetiller/gateway/relay.py
@@ -60,15 +60,15 @@
         )
 
     def read_from(
-        self, partition: Partition, offset: int, wait_seconds: float, done: ReadDone
+        self, partition: Partition, position: int, wait_seconds: float, done: ReadDone
     ) -> None:
-        """Read the records from an offset on; wait up to wait_seconds for the first one."""
+        """Read the records from a position on; wait up to wait_seconds for the first one."""
 
         def handle_result(result: Result[Records, str]) -> None:
             if isinstance(result, Err):
-                self._store.read_from(partition, offset, wait_seconds, handle_direct_result)
+                self._store.read_from(partition, position, wait_seconds, handle_direct_result)
             elif result.ok_value.whole:
-                done(Err(HistoryExpired(result.ok_value.end)))
+                done(Err(HistoryExpired("the peer has dropped changes")))
             else:
                 done(Ok(self._make_batch(result.ok_value)))
 
@@ -78,7 +78,7 @@
             self.is_direct = self.is_direct or isinstance(result, Ok)
             done(result)
 
-        message = FetchRecords(partition.topic, partition.number, offset, wait_seconds)
+        message = FetchRecords(partition.topic, partition.number, position, wait_seconds)
         self._request_from_reader(message, handle_result)
 
     def _request_from_reader(
@@ -208,8 +208,8 @@
 
     def _make_records(self, message: FetchRecords) -> Records:
         whole, changes = self._follower.changes.list_since(message.from_offset)
-        entries = [KeyedEntry(item.key, item.value, item.offset) for item in changes]
-        return Records(max(message.from_offset, self._follower.offset), whole, entries)
+        entries = [KeyedEntry(item.key, item.value, item.position) for item in changes]
+        return Records(max(message.from_offset, self._follower.position), whole, entries)
 
 
 def register_fetch_handler(peers: Peers, partitions: dict[str, RelayedPartition]) -> None:
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -113,6 +113,12 @@
     "Grants whose closing was requested because their holders are gone.",
     registry=REGISTRY,
 )
+STORE_RESTORATIONS = Counter(
+    "bronzetiller_store_restorations",
+    "Times that a topic of the store came back without its newest records.",
+    ["topic"],
+    registry=REGISTRY,
+)
 
 
 def render_metrics() -> bytes:
--- a/bronzetiller/platform/store.py
+++ b/bronzetiller/platform/store.py
@@ -1,4 +1,4 @@
-"""Access the platform's store of keyed topics: reads by offset and sequenced appends."""
+"""Access the platform's store of keyed topics: reads by position and sequenced appends."""
 
 import base64
 import json
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from urllib.parse import urlencode
 
-from attrs import define, field
+from attrs import define, field, frozen
 from result import Err, Ok, Result
 
 from bronzetiller.net.dialer import Address
@@ -30,6 +30,9 @@
     RecordBatch,
     StoreUnreachable,
     WriterSequence,
+    get_era,
+    get_offset,
+    make_position,
 )
 
 # Responses usually take 4 ms, about 0.3 s from a slow store, plus 60 ms on the network.
@@ -38,10 +41,21 @@
 READ_KILOBYTES_MAX = 1024
 RESPONSE_BYTES_MAX = 4 * 1024 * 1024  # a page of 1 MB in base64 and JSON
 TRANSFER_SECONDS_MAX = 5.0  # for a page over a link of 5 Mbit/s
+_ERA_HEADER = "store-era"  # counts the times that the store came back without its newest records
 _LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
 
-_Response = Result[tuple[int, bytes], StoreUnreachable]
+
+@frozen
+class StoreResponse:
+    """Hold the status and the complete body of a response, and the era in which it was made."""
+
+    status: int
+    body: bytes
+    era: int
+
+
+_Response = Result[StoreResponse, StoreUnreachable]
 
 
 @define(eq=False)
@@ -56,20 +70,23 @@
         _NewestRead(self, partition, done).read_page()
 
     def read_from(
-        self, partition: Partition, offset: int, wait_seconds: float, done: ReadDone
+        self, partition: Partition, position: int, wait_seconds: float, done: ReadDone
     ) -> None:
-        """Read the records from an offset on; wait up to wait_seconds for the first one."""
+        """Read the records from a position on; wait up to wait_seconds for the first one."""
+        offset = get_offset(position)
         query = _make_partition_query(partition) | {"from": offset, "max_kb": READ_KILOBYTES_MAX}
         if wait_seconds:
             query["wait_ms"] = int(wait_seconds * 1000)
 
         def handle_response(response: _Response) -> None:
             match response:
-                case Ok((200, body)):
-                    done(_decode_records(body, offset))
-                case Ok((410, body)):
-                    done(Err(HistoryExpired(_decode_number(body, "first"))))
-                case Ok((status, _)):
+                case Ok(StoreResponse(200 | 410, _, era)) if era != get_era(position):
+                    done(Err(HistoryExpired(f"the store is in era {era}")))
+                case Ok(StoreResponse(200, body, era)):
+                    done(_decode_records(body, offset, era))
+                case Ok(StoreResponse(410, body)):
+                    done(Err(HistoryExpired(body[:200].decode("utf-8", "replace"))))
+                case Ok(StoreResponse(status)):
                     done(Err(StoreUnreachable(f"status {status}", False)))
                 case Err(failure):
                     done(Err(failure))
@@ -102,11 +119,11 @@
 
         def handle_response(response: _Response) -> None:
             match response:
-                case Ok((200, body)):
-                    done(Ok(_decode_number(body, "offset")))
-                case Ok((409, body)):
+                case Ok(StoreResponse(200, body, era)):
+                    done(_decode_number(body, "offset").map(lambda at: make_position(era, at)))
+                case Ok(StoreResponse(409, body)):
                     done(Err(Fenced(body[:200].decode("utf-8", "replace"))))
-                case Ok((status, _)):
+                case Ok(StoreResponse(status)):
                     # Only 429 and 503 guarantee that nothing was appended.
                     done(Err(StoreUnreachable(f"status {status}", status not in (429, 503))))
                 case Err(failure):
@@ -138,16 +155,17 @@
             seconds_max=timeout_seconds + TRANSFER_SECONDS_MAX,
         )
         parts: list[bytes] = []
-        status = 0
+        status = era = 0
 
         def handle_event(event: CallEvent) -> None:
-            nonlocal status
+            nonlocal status, era
             if isinstance(event, ResponseHead):
                 status = event.status
+                era = _decode_era(event)
             elif isinstance(event, BodyPart):
                 parts.append(event.data)
             elif isinstance(event, ResponseEnd):
-                done(Ok((status, b"".join(parts))))
+                done(Ok(StoreResponse(status, b"".join(parts), era)))
             elif isinstance(event, CallFailed):
                 done(Err(StoreUnreachable(event.cause, event.sent)))
 
@@ -158,6 +176,8 @@
 class _NewestRead:
     """Collect the newest records page by page; subsequent reads start at the first page's end.
 
+    All pages must be of one era.
+
     The pages are not one consistent snapshot: reading again from the end of the first page yields
     the records that changed in the meantime.
     """
@@ -179,22 +199,29 @@
 
     def _handle_response(self, response: _Response) -> None:
         match response:
-            case Ok((200, body)):
-                self._handle_page(body)
-            case Ok((status, _)):
+            case Ok(StoreResponse(200, body, era)):
+                self._handle_page(body, era)
+            case Ok(StoreResponse(status)):
                 self._done(Err(StoreUnreachable(f"status {status}", False)))
             case Err(failure):
                 self._done(Err(failure))
 
-    def _handle_page(self, body: bytes) -> None:
+    def _handle_page(self, body: bytes, era: int) -> None:
+        if self._end is not None and get_era(self._end) != era:
+            self._done(Err(StoreUnreachable(f"restored between two pages, era {era}", False)))
+            return
         try:
             page = json.loads(body)
             self._records += [
-                KeyedRecord(item["key"], base64.b64decode(item["value"]), item["offset"])
+                KeyedRecord(
+                    item["key"],
+                    base64.b64decode(item["value"]),
+                    make_position(era, item["offset"]),
+                )
                 for item in page["items"]
             ]
             if self._end is None:
-                self._end = int(page["end"])
+                self._end = make_position(era, int(page["end"]))
         except (ValueError, KeyError, TypeError) as error:
             self._done(Err(StoreUnreachable(f"malformed page: {error!r}", False)))
             return
@@ -208,15 +235,20 @@
     return {"topic": partition.topic, "part": partition.number}
 
 
-def _decode_number(body: bytes, name: str) -> int:
-    """Return a number of a JSON body, or -1 if it is missing or malformed."""
+def _decode_era(head: ResponseHead) -> int:
+    text = head.headers.get(_ERA_HEADER, "").strip()
+    return int(text) if text.isdecimal() else 0
+
+
+def _decode_number(body: bytes, name: str) -> Result[int, StoreUnreachable]:
+    """Return a number of a JSON body."""
     try:
-        return int(json.loads(body)[name])
-    except (ValueError, KeyError, TypeError):
-        return -1
+        return Ok(int(json.loads(body)[name]))
+    except (ValueError, KeyError, TypeError) as error:
+        return Err(StoreUnreachable(f"malformed response: {error!r}", True))
 
 
-def _decode_records(body: bytes, offset: int) -> Result[RecordBatch, StoreUnreachable]:
+def _decode_records(body: bytes, offset: int, era: int) -> Result[RecordBatch, StoreUnreachable]:
     """Decode the binary format: end and first retained offset, then length-prefixed records."""
     if len(body) < _READ_HEADER.size:
         return Err(StoreUnreachable("malformed response: incomplete header", False))
@@ -231,16 +263,16 @@
         if len(data) < size:
             return Err(StoreUnreachable("malformed response: truncated record", False))
         position += size
-        record = _decode_keyed_record(data, number)
+        record = _decode_keyed_record(data, make_position(era, number))
         if record is not None:
             records.append(record)
         number += 1
     # A response is limited in size, so it may stop before the end.
-    return Ok(RecordBatch(records, number if number < end else end))
+    return Ok(RecordBatch(records, make_position(era, number if number < end else end)))
 
 
-def _decode_keyed_record(data: bytes, offset: int) -> KeyedRecord | None:
+def _decode_keyed_record(data: bytes, position: int) -> KeyedRecord | None:
     if not data or len(data) < 1 + data[0]:
         return None
     key = data[1 : 1 + data[0]].decode("utf-8", "replace")
-    return KeyedRecord(key, data[1 + data[0] :] or None, offset)
+    return KeyedRecord(key, data[1 + data[0] :] or None, position)
--- a/bronzetiller/storage/change_list.py
+++ b/bronzetiller/storage/change_list.py
@@ -20,7 +20,7 @@
 class ChangeList:
     """Hold the significant changes of a partition, including deletions.
 
-    A reader that requests changes from an offset before complete_from may have missed a deletion,
+    A reader that requests changes from a position before complete_from may have missed a deletion,
     so it gets all keys.
     """
 
@@ -28,10 +28,10 @@
     complete_from: int = 0
     _changes: dict[str, KeyedRecord] = field(factory=dict)
 
-    def restart(self, offset: int) -> None:
-        """Discard all changes; those before the offset are unknown."""
+    def restart(self, position: int) -> None:
+        """Discard all changes; those before the position are unknown."""
         self._changes.clear()
-        self.complete_from = offset
+        self.complete_from = position
 
     def add(self, record: KeyedRecord) -> None:
         """Add a record of the partition if its change is significant."""
@@ -43,14 +43,14 @@
         if record.value is None:
             self._discard_old_deletions()
 
-    def list_since(self, offset: int) -> tuple[bool, list[KeyedRecord]]:
-        """Return whether the list holds all keys, and the changes from the offset on."""
-        if offset < self.complete_from:
+    def list_since(self, position: int) -> tuple[bool, list[KeyedRecord]]:
+        """Return whether the list holds all keys, and the changes from the position on."""
+        if position < self.complete_from:
             return True, [item for item in self._changes.values() if item.value is not None]
-        return False, [item for item in self._changes.values() if item.offset >= offset]
+        return False, [item for item in self._changes.values() if item.position >= position]
 
     def _discard_old_deletions(self) -> None:
         deleted = [item for item in self._changes.values() if item.value is None]
         for item in deleted[: max(0, len(deleted) - DELETIONS_KEPT_MAX)]:
             del self._changes[item.key]
-            self.complete_from = max(self.complete_from, item.offset + 1)
+            self.complete_from = max(self.complete_from, item.position + 1)
--- a/bronzetiller/storage/keyed.py
+++ b/bronzetiller/storage/keyed.py
@@ -1,7 +1,11 @@
-"""Define the interface of a partitioned store of keyed records with offsets per partition.
+"""Define the interface of a partitioned store of keyed records with a position per record.
 
 The store keeps the newest record of each key indefinitely; older ones expire, so a reader that
 falls too far behind starts over from the newest records.
+
+The store may be restored from a copy that lacks its newest records. It then gives out their offsets
+again, to other records, in a new era. A position orders by era, then by offset, so that one of an
+earlier era equals no later one, and a reader that holds one starts over.
 """
 
 from collections.abc import Callable
@@ -10,6 +14,23 @@
 from attrs import frozen
 from result import Result
 
+_OFFSET_BITS = 40
+
+
+def make_position(era: int, offset: int) -> int:
+    """Return the position of an offset in an era of the store."""
+    return era << _OFFSET_BITS | offset
+
+
+def get_era(position: int) -> int:
+    """Return the era of a position."""
+    return position >> _OFFSET_BITS
+
+
+def get_offset(position: int) -> int:
+    """Return the offset of a position in its era."""
+    return position & ((1 << _OFFSET_BITS) - 1)
+
 
 @frozen
 class Partition:
@@ -24,16 +45,16 @@
 
 @frozen
 class KeyedRecord:
-    """Hold one record; a value of None deletes the key."""
+    """Hold one record and its position; a value of None deletes the key."""
 
     key: str
     value: bytes | None
-    offset: int
+    position: int
 
 
 @frozen
 class RecordBatch:
-    """Hold records in offset order; end is the offset after the last one."""
+    """Hold records in the order of their positions; end is the position after the last one."""
 
     records: list[KeyedRecord]
     end: int
@@ -49,9 +70,9 @@
 
 @frozen
 class HistoryExpired:
-    """Report that the requested records have expired; first_offset is the oldest one kept."""
+    """Report that the requested position has expired, by age or by a restoration of the store."""
 
-    first_offset: int
+    cause: str
 
 
 @frozen
@@ -87,9 +108,9 @@
         """Read the newest record of each key."""
 
     def read_from(
-        self, partition: Partition, offset: int, wait_seconds: float, done: ReadDone
+        self, partition: Partition, position: int, wait_seconds: float, done: ReadDone
     ) -> None:
-        """Read the records from an offset on; wait up to wait_seconds for the first one."""
+        """Read the records from a position on; wait up to wait_seconds for the first one."""
 
 
 class KeyedStore(KeyedReader, Protocol):
@@ -103,4 +124,7 @@
         writer_sequence: WriterSequence | None,
         done: AppendDone,
     ) -> None:
-        """Append one record, checked against its writer's sequence if one is given."""
+        """Append one record, checked against its writer's sequence if one is given.
+
+        done receives the record's position.
+        """
--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from bronzetiller.logs import log_event
+from bronzetiller.metrics import STORE_RESTORATIONS
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.storage.change_list import ChangeList
 from bronzetiller.storage.keyed import (
@@ -16,6 +17,8 @@
     ReadFailure,
     RecordBatch,
     StoreUnreachable,
+    get_era,
+    get_offset,
 )
 
 RETRY_SECONDS_MIN = 0.1
@@ -29,8 +32,9 @@
     """Read a partition until the process exits.
 
     Each read waits up to wait_seconds for the first new record; the next read starts pause_seconds
-    after it. lost_at is when reads began to fail (None while they succeed) and regained_at when
-    they last succeeded again (seconds, monotonic).
+    after it. lost_at is when reads began to fail (None while they succeed), regained_at when they
+    last succeeded again, restored_at when the store was last found in a later era (seconds,
+    monotonic). A restoration counts as an outage.
 
     With skips_versions, a follower that received several versions of a key at once reads only the
     newest ones until nothing changes: over a slow connection, each read of all versions would take
@@ -46,11 +50,13 @@
     skips_versions: bool = False
     changes: ChangeList = field(factory=ChangeList)
     values: dict[str, bytes] = field(factory=dict)
-    offset: int = -1
+    position: int = -1
     complete: bool = False
     read_at: float = 0.0
     lost_at: float | None = None
     regained_at: float | None = None
+    restored_at: float | None = None
+    _expired: bool = False
     _behind: bool = False
     _failures: int = 0
     _listeners: list[Callable[[], None]] = field(factory=list)
@@ -71,41 +77,61 @@
     def discard(self, key: str) -> None:
         """Treat a key as deleted until it is written again, also for the nodes that read from here.
 
-        The deletion has the offset of the next record, so that these nodes have not read past it.
+        The deletion has the position of the next record, so that these nodes have not read past it.
         """
         if self.values.pop(key, None) is not None:
-            self.changes.add(KeyedRecord(key, None, self.offset))
+            self.changes.add(KeyedRecord(key, None, self.position))
 
     def _read(self) -> None:
-        if self.offset < 0 or self._behind:
+        if self.position < 0 or self._expired or self._behind:
             self._reader.read_newest(self.partition, self._handle_newest)
         else:
             self._reader.read_from(
-                self.partition, self.offset, self.wait_seconds, self._handle_records
+                self.partition, self.position, self.wait_seconds, self._handle_records
             )
 
     def _handle_newest(self, result: Result[RecordBatch, StoreUnreachable]) -> None:
         match result:
             case Err(failure):
                 self._schedule_retry(failure)
+            case Ok(batch) if self.position > batch.end:  # of a peer that has read less
+                self._behind = False
+                self._apply_batch(RecordBatch([], self.position))
             case Ok(batch):
                 present = {record.key for record in batch.records}
                 deleted = [
                     KeyedRecord(key, None, batch.end) for key in self.values.keys() - present
                 ]
-                if self.offset < 0:
+                if self.position < 0 or self._expired:
                     self.changes.restart(batch.end)
-                self._behind = self._behind and self.offset < batch.end
-                if self.offset > batch.end:  # of a peer that has read less
-                    self._apply_batch(RecordBatch([], self.offset))
-                    return
+                self._behind = self._behind and self.position < batch.end
+                self._expired = False
+                self._detect_restoration(batch.end)
                 self._apply_batch(RecordBatch([*deleted, *batch.records], batch.end))
 
+    def _detect_restoration(self, end: int) -> None:
+        """Record that the store came back without records that this follower may have read.
+
+        A registration that expired meanwhile, or is missing in the copy, may be written again.
+        """
+        if self.position < 0 or get_era(end) == get_era(self.position):
+            return
+        STORE_RESTORATIONS.labels(self.partition.topic).inc()
+        log_event(
+            "store_restored",
+            level=30,
+            partition=self.partition,
+            era=get_era(end),
+            lost_from=get_offset(end),
+            read_to=get_offset(self.position),
+        )
+        self.restored_at = self.regained_at = self._scheduler.now()
+
     def _handle_records(self, result: Result[RecordBatch, ReadFailure]) -> None:
         match result:
-            case Err(HistoryExpired(first_offset)):
-                log_event("history_expired", partition=self.partition, first_offset=first_offset)
-                self.offset = -1
+            case Err(HistoryExpired(cause)):
+                log_event("history_expired", partition=self.partition, cause=cause)
+                self._expired = True
                 self._read()
             case Err(StoreUnreachable() as failure):
                 self._schedule_retry(failure)
@@ -125,7 +151,7 @@
         changed = [record for record in batch.records if self._apply(record)]
         for record in batch.records:
             self.changes.add(record)
-        self.offset = batch.end
+        self.position = batch.end
         self.complete = True
         if changed:
             self._on_change(changed)
--- a/exploration/budget_model.py
+++ b/exploration/budget_model.py
@@ -17,7 +17,6 @@
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.storage.keyed import (
     Fenced,
-    HistoryExpired,
     KeyedRecord,
     Partition,
     RecordBatch,
@@ -80,8 +79,10 @@
     def read_newest(self, partition: Partition, done: Done) -> None:
         self.calls.append(OpenCall("newest", partition, done))
 
-    def read_from(self, partition: Partition, offset: int, wait_seconds: float, done: Done) -> None:
-        self.calls.append(OpenCall("range", partition, done, (offset,)))
+    def read_from(
+        self, partition: Partition, position: int, wait_seconds: float, done: Done
+    ) -> None:
+        self.calls.append(OpenCall("range", partition, done, (position,)))
 
     def append(
         self,
@@ -107,7 +108,7 @@
         call = self.calls[index]
         if outcome == "page":
             newest = self.store.list_newest(call.partition)
-            call.page = newest[:1], len(self.store.records(call.partition))
+            call.page = newest[:1], self.store.find_end(call.partition)
             return
         del self.calls[index]
         if outcome == "reject":
@@ -123,16 +124,12 @@
         if call.kind == "append":
             offset = self.store.append(call.partition, *call.arguments)
             return Err(Fenced("out of sequence")) if offset is None else Ok(offset)
-        records = self.store.records(call.partition)
         if call.kind == "range":
-            (offset,) = call.arguments
-            first = self.store.first_offsets.get(str(call.partition), 0)
-            if offset < first:
-                return Err(HistoryExpired(first))
-            return Ok(RecordBatch(records[offset:], len(records)))
+            (position,) = call.arguments
+            return self.store.read_from(call.partition, position)
         newest = self.store.list_newest(call.partition)
         if call.page is None:
-            return Ok(RecordBatch(newest, len(records)))
+            return Ok(RecordBatch(newest, self.store.find_end(call.partition)))
         first_page, end = call.page
         return Ok(RecordBatch([*first_page, *newest[1:]], end))
 
@@ -339,7 +336,7 @@
             round(allocation.typical_size, 3),
             tuple(round(delay, 2) for delay in process.scheduler.list_delays()),
             repr([(item.kind, str(item.partition), item.page) for item in process.store.calls]),
-            (internal._end_offset, internal._proposed_offset, internal._store_unreachable),
+            (internal._end, internal._proposed_position, internal._store_unreachable),
             (internal._holding_writer.epoch, internal._use_writer.epoch),
             repr(sorted((key, record.number) for key, record in internal._records.items())),
         )
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -25,8 +25,10 @@
 FLEET_SECRET = "secret of the stand-in fleet"
 
 
-def make_configuration(version: int, *, prepaid: int = 100_000) -> dict[str, Any]:
-    """Return a configuration with two streaming and two plain routes.
+def make_configuration(
+    version: int, *, prepaid: int = 100_000, more_routes: tuple[str, ...] = ()
+) -> dict[str, Any]:
+    """Return a configuration with two streaming and two plain routes, and more idempotent ones.
 
     Streams of route draft can be resumed, those of score cannot; route status is idempotent,
     order is not.
@@ -53,7 +55,7 @@
             make_route("draft", "streaming", MODEL_SERVICE, resume_streams=True, gap_aim_ms=250),
             make_route("score", "streaming", MODEL_SERVICE, resume_streams=False, gap_aim_ms=250),
             make_route("order", "non_idempotent", PLAIN_SERVICE),
-            make_route("status", "idempotent", PLAIN_SERVICE),
+            *(make_route(name, "idempotent", PLAIN_SERVICE) for name in ("status", *more_routes)),
         ],
         "services": [
             {
@@ -205,6 +207,12 @@
         address = self.processes[name].ready["address"]
         send_request(address, "POST", "/control/faults", {}, json.dumps(faults).encode())
 
+    def restore_store(self, seconds: float) -> None:
+        """Restore the store from a copy that lacks its records of the last seconds."""
+        body = json.dumps({"seconds": seconds}).encode()
+        reply = send_request(self.store_address, "POST", "/control/restore", {}, body)
+        assert reply.status == 200, reply
+
     def list_runs(self, *target_ids: str) -> list[dict[str, Any]]:
         """Return the requests that the targets have executed."""
         runs = []
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -6,16 +6,18 @@
 import base64
 import json
 import struct
+import time
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.loop import Loop
-from standins.process import respond_json, run_record_store
+from standins.process import run_record_store
 
+ERA_HEADER = "Store-Era"
 OPERATOR_HEADER = "x-standin-operator"  # on writes of operators and targets; bypasses all faults
 PAGE_RECORDS_MAX = 500
 LENGTH = struct.Struct(">I")
@@ -38,6 +40,17 @@
     return record[1 : 1 + record[0]].decode(), record[1 + record[0] :]
 
 
+@frozen
+class Change:
+    """Hold what an append replaced, so that a restoration can undo it."""
+
+    made_at: float
+    key: str
+    latest: tuple[int, bytes] | None
+    writer: str | None
+    writer_state: tuple[int, int, dict[int, int]] | None
+
+
 @define
 class Partition:
     first_offset: int = 0
@@ -45,6 +58,7 @@
     latest: dict[str, tuple[int, bytes]] = field(factory=dict)
     waiting_reads: list[Callable[[], None]] = field(factory=list)
     writers: dict[str, tuple[int, int, dict[int, int]]] = field(factory=dict)
+    changes: list[Change] = field(factory=list)
 
     @property
     def end_offset(self) -> int:
@@ -65,14 +79,41 @@
         self.writers[writer] = (epoch, sequence, offsets | {sequence: self.end_offset})
         return None
 
-    def append(self, record: bytes) -> None:
+    def append(
+        self,
+        record: bytes,
+        writer: str | None = None,
+        writer_state: tuple[int, int, dict[int, int]] | None = None,
+    ) -> None:
+        """Append a record; writer_state is what accepting its writer's sequence replaced."""
         key, value = split_key(record)
+        replaced = self.latest.get(key)
+        self.changes.append(Change(time.monotonic(), key, replaced, writer, writer_state))
         if value:
             self.latest[key] = (self.end_offset, value)
         else:
             self.latest.pop(key, None)
         self.records.append(record)
 
+    def restore(self, copied_at: float) -> None:
+        """Undo all appends since a point in time (monotonic seconds)."""
+        while self.changes and self.changes[-1].made_at > copied_at:
+            change = self.changes.pop()
+            if self.records:
+                self.records.pop()
+            else:
+                self.first_offset -= 1
+            _set_or_remove(self.latest, change.key, change.latest)
+            if change.writer is not None:
+                _set_or_remove(self.writers, change.writer, change.writer_state)
+
+
+def _set_or_remove(values: dict[str, Any], name: str, value: Any) -> None:
+    if value is None:
+        values.pop(name, None)
+    else:
+        values[name] = value
+
 
 @define
 class Faults:
@@ -90,17 +131,25 @@
         self._keep_records = keep_records
         self._partitions: dict[tuple[str, str], Partition] = {}
         self._faults = Faults()
+        self._era = 1
 
     def serve(self, exchange: Exchange) -> None:
         if exchange.path == "/control/faults":
             self._faults = Faults(**json.loads(exchange.body))
-            respond_json(exchange, 200, {})
+            self._respond_json(exchange, 200, {})
+            return
+        if exchange.path == "/control/restore":
+            copied_at = time.monotonic() - json.loads(exchange.body)["seconds"]
+            for partition in self._partitions.values():
+                partition.restore(copied_at)
+            self._era += 1
+            self._respond_json(exchange, 200, {"era": self._era})
             return
         bypasses_faults = OPERATOR_HEADER in exchange.headers
         if self._faults.silent and not bypasses_faults:
             return
         if self._faults.down and not bypasses_faults:
-            respond_json(exchange, 503, {})
+            self._respond_json(exchange, 503, {})
             return
         query = {name: values[0] for name, values in parse_qs(exchange.query).items()}
         handle = {
@@ -109,7 +158,7 @@
             "/-/log-newest": self._list_latest,
         }.get(exchange.path)
         if handle is None:
-            respond_json(exchange, 404, {})
+            self._respond_json(exchange, 404, {})
             return
         name = (query["topic"], query["part"])
         partition = self._partitions.setdefault(name, Partition())
@@ -117,17 +166,19 @@
         self._loop.scheduler.call_after(delay, lambda: handle(exchange, partition, query))
 
     def _append(self, exchange: Exchange, partition: Partition, query: dict[str, Any]) -> None:
-        if "producer" in query:
+        writer = query.get("producer")
+        writer_state = None if writer is None else partition.writers.get(writer)
+        if writer is not None:
             earlier_offset = partition.accept_sequence(
-                query["producer"], int(query["epoch"]), int(query["sequence"])
+                writer, int(query["epoch"]), int(query["sequence"])
             )
             if earlier_offset is not None:
                 status = 409 if earlier_offset < 0 else 200
-                respond_json(exchange, status, {"offset": earlier_offset, "reason": "fenced"})
+                self._respond_json(exchange, status, {"offset": earlier_offset, "reason": "fenced"})
                 return
         offset = partition.end_offset
         for record in split_records(exchange.body):
-            partition.append(record)
+            partition.append(record, writer, writer_state)
         while len(partition.records) > self._keep_records:
             partition.records.pop(0)
             partition.first_offset += 1
@@ -138,12 +189,12 @@
             self._faults.drop_answers -= 1
             exchange.abort()
             return
-        respond_json(exchange, 200, {"offset": offset, "end": partition.end_offset})
+        self._respond_json(exchange, 200, {"offset": offset, "end": partition.end_offset})
 
     def _read(self, exchange: Exchange, partition: Partition, query: dict[str, Any]) -> None:
         start = int(query["from"])
-        if start < partition.first_offset:
-            respond_json(exchange, 410, {"first": partition.first_offset})
+        if not partition.first_offset <= start <= partition.end_offset:
+            self._respond_json(exchange, 410, {"first": partition.first_offset})
             return
         wait_ms = int(query.get("wait_ms", 0))
         if start < partition.end_offset or not wait_ms:
@@ -163,7 +214,12 @@
         body = struct.pack(">QQ", partition.end_offset, partition.first_offset)
         for record in partition.records[start - partition.first_offset :]:
             body += LENGTH.pack(len(record)) + record
-        exchange.respond(200, {"Content-Type": "application/octet-stream"}, body)
+        headers = {"Content-Type": "application/octet-stream", ERA_HEADER: str(self._era)}
+        exchange.respond(200, headers, body)
+
+    def _respond_json(self, exchange: Exchange, status: int, value: Any) -> None:
+        headers = {"Content-Type": "application/json", ERA_HEADER: str(self._era)}
+        exchange.respond(status, headers, json.dumps(value).encode())
 
     def _list_latest(self, exchange: Exchange, partition: Partition, query: dict[str, Any]) -> None:
         keys = sorted(key for key in partition.latest if key > query.get("after", ""))
@@ -177,7 +233,7 @@
             for key in page
         ]
         more = len(keys) > len(page)
-        respond_json(
+        self._respond_json(
             exchange, 200, {"items": items, "more_pages": more, "end": partition.end_offset}
         )
 
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -5,7 +5,6 @@
 
 from bronzetiller.storage.keyed import (
     Fenced,
-    HistoryExpired,
     RecordBatch,
     StoreUnreachable,
 )
@@ -35,20 +34,14 @@
         if self.mode == "down":
             self._respond(done, Err(StoreUnreachable("down", False)), 1.0)
             return
-        records = self.store.records(partition)
-        batch = RecordBatch(self.store.list_newest(partition), len(records))
+        batch = RecordBatch(self.store.list_newest(partition), self.store.find_end(partition))
         self._respond(done, Ok(batch))
 
-    def read_from(self, partition, offset, wait_seconds, done):
+    def read_from(self, partition, position, wait_seconds, done):
         if self.mode == "down":
             self._respond(done, Err(StoreUnreachable("down", False)), 1.0)
             return
-        first = self.store.first_offsets.get(str(partition), 0)
-        if offset < first:
-            self._respond(done, Err(HistoryExpired(first)))
-            return
-        records = self.store.records(partition)
-        self._respond(done, Ok(RecordBatch(records[offset:], len(records))))
+        self._respond(done, self.store.read_from(partition, position))
 
     def append(self, partition, key, value, writer_sequence, done):
         self.appends += 1
@@ -59,13 +52,13 @@
             self.store.delayed_appends.append((partition, key, value, writer_sequence))
             self._respond(done, Err(StoreUnreachable("silence", True)), 1.0)
             return
-        offset = self.store.append(partition, key, value, writer_sequence)
+        position = self.store.append(partition, key, value, writer_sequence)
         if self.mode == "lost":
             self._respond(done, Err(StoreUnreachable("silence", True)), 1.0)
-        elif offset is None:
+        elif position is None:
             self._respond(done, Err(Fenced("out of sequence")))
         else:
-            self._respond(done, Ok(offset))
+            self._respond(done, Ok(position))
 
 
 @define(eq=False)
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -116,11 +116,11 @@
     cluster.scheduler.advance(2.0)
     cluster.write("a", b"2")
     cluster.scheduler.advance(2.0)
-    offset = node.follower.offset
-    assert node.follower.values == {"a": b"2"} and offset > reader.follower.offset
+    offset = node.follower.position
+    assert node.follower.values == {"a": b"2"} and offset > reader.follower.position
     reader.client.mode = "up"
     cluster.scheduler.advance(3.0)
-    assert node.follower.values == {"a": b"2"} and node.follower.offset >= offset
+    assert node.follower.values == {"a": b"2"} and node.follower.position >= offset
 
 
 def test_keys_deleted_before_a_reader_started_are_removed(cluster):
@@ -156,7 +156,7 @@
 
     reader = cluster.start("reader", changes=ChangeList(has_registration_changed))
     cluster.write("e1", register(1))
-    offset = reader.follower.offset
+    offset = reader.follower.position
     cluster.write("e1", register(2))
     assert reader.follower.changes.list_since(offset) == (False, [])
     cluster.write("e1", register(3, state="draining"))
@@ -225,7 +225,7 @@
     reader = fleet.start("reader")
     follower = fleet.start("follower", reader="reader")
     fleet.scheduler.advance(5.0)
-    offset = reader.follower.offset
+    offset = reader.follower.position
     fleet.scheduler.advance(5.0)
     assert reader.follower.changes.list_since(offset) == (False, [])
     fleet.loads["reader"] = 100.0
@@ -280,3 +280,34 @@
     assert changes.list_since(2) == (True, [KeyedRecord("kept", b"1", 0)])
     whole, since = changes.list_since(3)
     assert not whole and len(since) == DELETIONS_KEPT_MAX
+
+
+@pytest.mark.parametrize("lost", [1, 2, 3])
+@pytest.mark.parametrize("written", [0, 1, 2, 3, 4])
+def test_a_node_behind_a_reader_notices_that_the_store_was_restored(cluster, lost, written):
+    cluster.start("reader")
+    node = cluster.start("node", reader="reader", mode="down")
+    for key in ("b", "c", "d"):
+        cluster.write(key, b"old")
+    cluster.store.restore({PARTITION: lost})
+    for number in range(written):
+        cluster.store.append(PARTITION, f"new-{number}", b"new", None)
+    cluster.scheduler.advance(2.0)
+    kept = dict.fromkeys(("b", "c", "d")[: 3 - lost], b"old")
+    assert node.follower.values == {"a": b"1"} | kept | {f"new-{n}": b"new" for n in range(written)}
+    assert node.follower.restored_at is not None
+
+
+def test_a_node_ahead_of_its_reader_does_not_return_to_the_era_before(cluster):
+    reader = cluster.start("reader")
+    node = cluster.start("node", reader="reader")
+    cluster.write("b", b"old")
+    reader.client.mode = "down"
+    cluster.store.restore({PARTITION: 1})
+    cluster.store.append(PARTITION, "c", b"new", None)
+    cluster.scheduler.advance(4.0)
+    assert node.follower.values == {"a": b"1", "c": b"new"}
+    reader.client.mode = "up"
+    for _ in range(20):
+        cluster.scheduler.advance(0.2)
+        assert node.follower.values == {"a": b"1", "c": b"new"}
--- a/tests/test_keyed_follower.py
+++ b/tests/test_keyed_follower.py
@@ -33,7 +33,7 @@
     store.append(PARTITION, "a", b"3", None)
     store.append(PARTITION, "b", None, None)
     scheduler.advance(1.0)
-    assert follower.values == {"a": b"3"} and follower.offset == 4
+    assert follower.values == {"a": b"3"} and follower.position == 4
 
 
 def test_an_expired_history_is_replaced_by_the_newest_records(followed_partition):
@@ -113,3 +113,53 @@
             ages.append(scheduler.now() - written_at[number + 1])
     assert (max(ages) < 3.0) is is_current
     assert int(follower.values["config"][:6]) == len(written_at) - 1 or not is_current
+
+
+def test_records_written_before_the_store_was_restored_are_read_again(followed_partition):
+    follower, store, _, scheduler = followed_partition
+    for value in (b"2", b"3", b"4"):
+        store.append(PARTITION, "a", value, None)
+    scheduler.advance(1.0)
+    assert follower.values == {"a": b"4"}
+    store.restore({PARTITION: 2})
+    scheduler.advance(1.0)
+    assert follower.values == {"a": b"2"}
+
+
+@pytest.mark.parametrize("lost", [1, 2, 3])
+@pytest.mark.parametrize("written", [1, 2, 3, 4])
+def test_an_offset_that_was_given_out_again_does_not_count_as_read(
+    followed_partition, lost, written
+):
+    """Lose records, and write others at their offsets before the follower reads again."""
+    follower, store, _, scheduler = followed_partition
+    for key in ("b", "c", "d"):
+        store.append(PARTITION, key, b"old", None)
+    scheduler.advance(1.0)
+    store.restore({PARTITION: lost})
+    for number in range(written):
+        store.append(PARTITION, f"new-{number}", b"new", None)
+    scheduler.advance(1.0)
+    kept = dict.fromkeys(("b", "c", "d")[: 3 - lost], b"old")
+    assert follower.values == {"a": b"1"} | kept | {f"new-{n}": b"new" for n in range(written)}
+
+
+def test_a_restoration_counts_as_an_outage_even_if_every_read_succeeds(followed_partition):
+    follower, store, _, scheduler = followed_partition
+    store.append(PARTITION, "b", b"2", None)
+    scheduler.advance(1.0)
+    store.restore({PARTITION: 1})
+    scheduler.advance(1.0)
+    assert follower.restored_at == follower.regained_at is not None
+    assert not follower.is_lost
+
+
+def test_two_restorations_in_a_row_are_both_noticed(followed_partition):
+    follower, store, _, scheduler = followed_partition
+    for number in range(2):
+        store.append(PARTITION, "b", b"%d" % number, None)
+        scheduler.advance(1.0)
+        store.restore({PARTITION: 1})
+        store.append(PARTITION, "c", b"%d" % number, None)
+        scheduler.advance(1.0)
+        assert follower.values["c"] == b"%d" % number
