Keep targets and nodes in the state from before a restoration of the store

What callers would see: requests to a target that had said it was leaving, and 503 where the copy lacks the registrations of targets that are alive.

Cause: the copy's records replaced newer ones. A restoration between two reads had no grace for missing registrations; a departure was undone.

Change: for four seconds a registration whose heartbeat count is not above the newest known of that start counts as older and is not applied; if it still stands then, it is. Missing records of nodes wait for their next heartbeat.

--- a/bronzetiller/gateway/followers.py
+++ b/bronzetiller/gateway/followers.py
@@ -1,12 +1,14 @@
 """Follow the configuration and the targets in the store."""
 
+import math
+from collections import OrderedDict
 from collections.abc import Callable
 
 from attrs import define, field
 from result import Err, Ok
 
 from bronzetiller.gateway.configuration import GatewayConfiguration
-from bronzetiller.gateway.targets import TargetPool
+from bronzetiller.gateway.targets import Registration, TargetPool
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import DECISIONS
 from bronzetiller.net.scheduler import Scheduler
@@ -20,6 +22,10 @@
 CONFIGURATION_PAUSE_SECONDS = 0.05
 TARGETS_PAUSE_SECONDS = 0.5  # targets write about once a second; changes may apply seconds late
 LAPSE_GRACE_SECONDS = 2.2  # after an outage, for targets to renew expired registrations
+# After a restoration of the store: for targets to replace registrations of an older state, or for
+# these to expire after three heartbeats.
+OUTDATED_SECONDS = 4.0
+HEARTBEATS_KEPT_MAX = 8_192
 
 
 @define(eq=False)
@@ -72,6 +78,7 @@
     _scheduler: Scheduler
     _reader: KeyedReader
     _pool: TargetPool
+    _heartbeats: OrderedDict[tuple[str, int], int] = field(factory=OrderedDict)
     follower: KeyedFollower = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -92,11 +99,34 @@
                 continue
             match decode_registration(record.key, record.value):
                 case Ok(registration):
-                    self._pool.register(registration)
+                    self._apply(registration)
                 case Err(reason):
                     log_event("registration_unread", level=30, target=record.key, cause=reason)
                     self._pool.remove(record.key, "registration is malformed")
 
+    def _apply(self, registration: Registration) -> None:
+        """Register a target, unless a copy of the store brought back an older state of it."""
+        target_id = registration.target_id
+        instance = (target_id, registration.started_ms)
+        restored_at = self.follower.restored_at
+        until = -math.inf if restored_at is None else restored_at + OUTDATED_SECONDS
+        is_older = registration.heartbeat <= self._heartbeats.get(instance, -1)
+        if is_older and self._scheduler.now() < until:
+            log_event("registration_outdated", target=target_id, heartbeat=registration.heartbeat)
+            self._scheduler.call_at(until, lambda: self._apply_unchanged(target_id))
+            return
+        self._heartbeats[instance] = registration.heartbeat
+        self._heartbeats.move_to_end(instance)
+        if len(self._heartbeats) > HEARTBEATS_KEPT_MAX:
+            self._heartbeats.popitem(last=False)
+        self._pool.register(registration)
+
+    def _apply_unchanged(self, target_id: str) -> None:
+        """Apply the registration that a target left as the copy of the store had it."""
+        value = self.follower.values.get(target_id)
+        if value is not None:
+            self._apply_records([KeyedRecord(target_id, value, self.follower.position)])
+
     def _remove(self, target_id: str) -> None:
         """Remove a target, or mark it lapsed if an outage may have expired its registration."""
         regained_at = self.follower.regained_at
--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -130,6 +130,7 @@
     _is_direct: Callable[[], bool] = lambda: True
     members: dict[str, Member] = field(factory=dict)
     _last_seen_at: dict[str, float] = field(factory=dict)
+    _newest_beats: dict[str, tuple[str, int]] = field(factory=dict)
     follower: KeyedFollower = field(init=False)
     _publishing: bool = False
     _heartbeat_number: int = 0
@@ -209,8 +210,13 @@
             member = None if record.value is None else decode_member(record.key, record.value)
             previous = self.members.get(record.key)
             if member is None:
-                self.members.pop(record.key, None)
+                if not self._is_lost_in_restoration():
+                    self.members.pop(record.key, None)
                 continue
+            if self._is_outdated(member):
+                log_event("member_outdated", member=member.node_id, beat=member.beat)
+                continue
+            self._newest_beats[record.key] = (member.incarnation, member.beat)
             self.members[record.key] = member
             self._last_seen_at[record.key] = self._scheduler.now()
             if (
@@ -225,3 +231,20 @@
                     incarnation=member.incarnation,
                     serving=member.serving,
                 )
+
+    def _is_lost_in_restoration(self) -> bool:
+        """Return whether a record is missing because the store was just restored from a copy.
+
+        Its node writes it again, or falls silent, which only a node that reads directly notices.
+        """
+        return self._is_direct() and self.follower.restored_at == self._scheduler.now()
+
+    def _is_outdated(self, member: Member) -> bool:
+        """Return whether a copy of the store brought back an older record of a node."""
+        restored_at = self.follower.restored_at
+        if restored_at is None or self._scheduler.now() > restored_at + HEARTBEAT_TIMEOUT_SECONDS:
+            return False
+        incarnation, beat = self._newest_beats.get(member.node_id, ("", -1))
+        if member.incarnation != incarnation or member.beat > beat:
+            return False
+        return member.beat < beat or member.node_id not in self.members
--- a/bronzetiller/gateway/targets.py
+++ b/bronzetiller/gateway/targets.py
@@ -33,6 +33,7 @@
     leaving: bool
     started_ms: int = 0
     warm_up_seconds: float = 0.0
+    heartbeat: int = field(default=0, eq=False)  # rises with each write of the registration
 
 
 @define(eq=False)
--- a/bronzetiller/platform/decoding.py
+++ b/bronzetiller/platform/decoding.py
@@ -109,6 +109,7 @@
         if type(slots) is not int or slots < 1:
             return Err("slots must be a positive integer")
         reported_start_ms = item.get("born", 0)
+        heartbeat = item.get("sequence", 0)
         return Ok(
             Registration(
                 target_id=target_id,
@@ -119,6 +120,7 @@
                 leaving=state == "draining",
                 started_ms=reported_start_ms if type(reported_start_ms) is int else 0,
                 warm_up_seconds=float(item.get("warmup_left_ms") or 0) / 1000,
+                heartbeat=heartbeat if type(heartbeat) is int else 0,
             )
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -311,3 +311,27 @@
     for _ in range(20):
         cluster.scheduler.advance(0.2)
         assert node.follower.values == {"a": b"1", "c": b"new"}
+
+
+def test_members_stay_known_while_the_store_lacks_their_records(fleet):
+    reader = fleet.start("reader")
+    fleet.scheduler.advance(5.0)
+    fleet.start("other", reader="reader")
+    fleet.scheduler.advance(3.0)
+    fleet.store.restore({reader.follower.partition: 8})
+    for _ in range(30):
+        fleet.scheduler.advance(0.2)
+        assert list_ids(reader) == {"reader", "other"}
+
+
+def test_a_node_that_is_gone_is_not_a_member_again_after_a_restoration(fleet):
+    reader = fleet.start("reader")
+    fleet.start("other")
+    fleet.scheduler.advance(3.0)
+    fleet.stop("other")
+    fleet.scheduler.advance(7.0)
+    assert list_ids(reader) == {"reader"}
+    fleet.store.restore({reader.follower.partition: 7})
+    for _ in range(30):
+        fleet.scheduler.advance(0.2)
+        assert list_ids(reader) == {"reader"}
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -61,3 +61,29 @@
     while time.monotonic() < end:
         assert list_statuses(fleet, "early") == [200, 200]
         time.sleep(0.05)
+
+
+def test_a_target_that_was_leaving_gets_no_request_after_a_restoration(fleet):
+    fleet.register_target("desk-1", PLAIN_SERVICE, "regina-a", state="draining", sequence=2)
+    time.sleep(COPY_SECONDS)
+    before = len(fleet.list_runs("desk-1"))
+    fleet.restore_store(2 * COPY_SECONDS)
+    end = time.monotonic() + APPLY_SECONDS
+    while time.monotonic() < end:
+        assert list_statuses(fleet, "status") == [200, 200]
+        time.sleep(0.05)
+    assert len(fleet.list_runs("desk-1")) == before
+
+
+def test_a_target_whose_registration_the_store_lost_stays_in_use(fleet):
+    fleet.append_record("keyed.servers", "desk-1", b"")
+    fleet.append_record("keyed.servers", "desk-2", b"")
+    await_statuses(fleet, "status", 503)
+    time.sleep(COPY_SECONDS)
+    fleet.register_target("desk-1", PLAIN_SERVICE, "regina-a", sequence=3)
+    await_statuses(fleet, "status", 200)
+    fleet.restore_store(COPY_SECONDS)
+    end = time.monotonic() + 2.0
+    while time.monotonic() < end:
+        assert list_statuses(fleet, "status") == [200, 200]
+        time.sleep(0.05)
--- a/tests/test_targets_follower.py
+++ b/tests/test_targets_follower.py
@@ -82,3 +82,61 @@
     client.mode = "up"
     scheduler.advance(4.5)
     assert "e1" not in pool.targets
+
+
+def beat(store, heartbeat, **fields):
+    value = make_registration("e1", "namegen", "10.0.0.1:8000", "a", sequence=heartbeat, **fields)
+    store.append(PARTITION, "e1", value, None)
+
+
+def test_a_registration_that_the_store_lost_is_kept_until_it_is_written_again(followed_target):
+    pool, store, _, scheduler = followed_target
+    store.restore({PARTITION: 1})
+    for _ in range(9):
+        scheduler.advance(0.2)
+        assert pool.list_targets("namegen")
+    beat(store, 3)
+    scheduler.advance(10.0)
+    assert pool.list_targets("namegen")
+
+
+def test_a_registration_that_stays_lost_is_removed(followed_target):
+    pool, store, _, scheduler = followed_target
+    store.restore({PARTITION: 1})
+    scheduler.advance(DRAIN_SECONDS)
+    assert not pool.list_targets("namegen")
+
+
+def test_a_target_that_was_leaving_is_not_used_again_after_a_restoration(followed_target):
+    pool, store, _, scheduler = followed_target
+    beat(store, 2, state="draining")
+    scheduler.advance(1.0)
+    store.restore({PARTITION: 1})
+    scheduler.advance(1.0)
+    assert not pool.list_targets("namegen")
+    beat(store, 3, state="draining")
+    scheduler.advance(10.0)
+    assert not pool.list_targets("namegen")
+
+
+def test_a_target_that_was_gone_is_not_used_again_after_a_restoration(followed_target):
+    pool, store, _, scheduler = followed_target
+    remove(store)
+    scheduler.advance(1.0)
+    store.restore({PARTITION: 1})
+    scheduler.advance(3.0)
+    assert not pool.list_targets("namegen")
+    remove(store)
+    scheduler.advance(10.0)
+    assert not pool.list_targets("namegen")
+
+
+def test_a_target_that_returns_after_a_restoration_is_used_at_its_next_heartbeat(followed_target):
+    pool, store, _, scheduler = followed_target
+    remove(store)
+    scheduler.advance(1.0)
+    store.restore({PARTITION: 1})
+    scheduler.advance(0.6)
+    beat(store, 2)
+    scheduler.advance(0.6)
+    assert pool.list_targets("namegen")
