Write a crash report again that the store has lost

Cause: a node compared its own report with what the store has only while there is one; a copy without it looked like nothing to do. A restart would then have forgotten the crashes of a prompt segment.

Result: test_a_report_that_the_store_lost_is_written_again fails before.

--- a/bronzetiller/gateway/crash_reports.py
+++ b/bronzetiller/gateway/crash_reports.py
@@ -92,6 +92,8 @@
     def _apply_records(self, records: list[KeyedRecord]) -> None:
         for record in {record.key: record for record in records}.values():
             if record.value is None:
+                if record.key == self._node_id and not self._writing and self._written is not None:
+                    self._publish()  # the store was restored from a copy that lacks the report
                 continue
             report = decode_report(record.value)
             if report is None:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -431,3 +431,13 @@
     report("a")
     scheduler.advance(0.3)
     assert results == [False] and not tracker.evidence
+
+
+def test_a_report_that_the_store_lost_is_written_again(make_world):
+    world = make_world(2)
+    world.play(4.0)
+    written = {record.key for record in world.store.list_newest(CRASHES_PARTITION)}
+    assert written
+    world.store.restore({CRASHES_PARTITION: 1_000})
+    world.scheduler.advance(5.0)
+    assert {record.key for record in world.store.list_newest(CRASHES_PARTITION)} >= written
