Keep budgets when the store comes back without its newest records

Cause: budgets went by what the store holds. The copy's older records replaced newer ones in memory, so that tokens which others had taken looked free; the records of killed nodes were gone for good; a restart counted what was spent by a record from before; a decrease that others had read was taken back.

Change: newest is by epoch and number. Every node writes its own record first in the new era, few others that of a node which is gone; until all are known, at most 3 s, nobody takes tokens, and requests beyond what is held get 503 with the time left. A restart counts all tokens as spent unless its record is of the current era. An increase that was under way is not used, a decrease holds. Epochs are made from milliseconds. An idle holder reads the store once a second.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -17,6 +17,7 @@
     compute_change,
     compute_slack_seconds,
     compute_target,
+    count_all_spent,
     decode_holding_record,
     reclaim_accounts,
 )
@@ -27,9 +28,15 @@
 )
 from bronzetiller.gateway.clock_monitor import ClockMonitor
 from bronzetiller.gateway.configuration import WorkspaceConfiguration
+from bronzetiller.gateway.holding_records import HoldingRecords
 from bronzetiller.gateway.record_writer import RETRY_DELAY_SECONDS, MakeRecord, RecordWriter
 from bronzetiller.logs import log_event
-from bronzetiller.metrics import GRANTS_REQUESTED, TOKENS_MOVED
+from bronzetiller.metrics import (
+    GRANTS_REQUESTED,
+    STORE_RESTORATIONS,
+    TOKENS_MOVED,
+    VOUCHED_RECORDS,
+)
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.topics import HOLDINGS_TOPIC, USE_TOPICS
 from bronzetiller.routing.queues import RateMeter
@@ -43,6 +50,7 @@
     ReadFailure,
     RecordBatch,
     StoreUnreachable,
+    get_era,
 )
 
 HOLDINGS_PARTITION = Partition(HOLDINGS_TOPIC)
@@ -55,6 +63,9 @@
 # Time for a few large requests per workspace and node; disconnections last about ten seconds.
 RATE_TIME_CONSTANT_SECONDS = 12.0
 CHECK_INTERVAL_SECONDS = 0.2
+# A node that holds tokens must notice soon that the store has lost records, its own among them.
+IDLE_READ_SECONDS = 1.0
+SETTLING_READ_SECONDS = 0.4  # between reads, until all records are known after a restoration
 # A late response is better than a refusal, as another node is as likely to be disconnected.
 DISCONNECTED_WAIT_SECONDS_MAX = 2.0
 WAIT_SECONDS_MAX = 1.2  # a few responses of the store to another region, about 70 ms each
@@ -85,7 +96,7 @@
     _clock: ClockMonitor = field(factory=ClockMonitor)
     _read_clock: Callable[[], float] = time.time
     _started_at: float = field(factory=time.time)
-    _records: dict[str, HoldingRecord] = field(factory=dict)
+    _records: HoldingRecords = field(init=False)
     _reclaimed: dict[str, Account] = field(factory=dict)
     _meters: dict[str, RateMeter] = field(factory=dict)
     _waiters: dict[str, list[_Waiter]] = field(factory=dict)
@@ -104,8 +115,12 @@
     _reported_at: float = float("-inf")
     _use_reported_at: float = float("-inf")
     _last_contact_at: float = float("-inf")
+    _known_at: float = float("-inf")
+    _settling_read_at: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
+        self._records = HoldingRecords(self._node_id)
+
         def make_writer(partition: Partition) -> RecordWriter:
             return RecordWriter(
                 self._scheduler, self._store, partition, self._node_id, self._record_store_failure
@@ -150,6 +165,9 @@
             return
         now = self._scheduler.now()
         wait_until = min(deadline, now + WAIT_SECONDS_MAX)
+        if tokens > allocation.held and now + self._records.count_seconds_left(now) > wait_until:
+            done(Err(self._refuse_settling()))
+            return
         if self._store_unreachable:
             available_at = allocation.predict_available(tokens, now)
             if available_at is None or available_at > min(
@@ -196,6 +214,10 @@
         """Return whether the last call to the store failed."""
         return self._store_unreachable
 
+    def is_settled_in(self, era: int) -> bool:
+        """Return whether this node knows the holdings of all nodes in an era of the store."""
+        return self._records.era == era and self._records.is_settled
+
     def record_demand(self, workspace: str, tokens: int) -> None:
         """Count tokens that another node reserved, so that this node prefetches some."""
         self._get_meter(workspace).record(tokens, self._scheduler.now())
@@ -241,12 +263,17 @@
             f" of which {allocation.count_available(now)} are available"
         )
 
+    def _refuse_settling(self) -> Refusal:
+        seconds = self._records.count_seconds_left(self._scheduler.now())
+        return refuse_unconfirmed("the store came back without its newest records", seconds)
+
     def _check(self) -> None:
         self._clock.check()
+        self._settle_records()
         for allocation in self.allocations.values():
             self._serve_waiters(allocation)
         now = self._scheduler.now()
-        writers = len(self._records)
+        writers = len(self._records.newest)
         interval = max(REPORT_INTERVAL_SECONDS_MIN, REPORT_SECONDS_PER_WRITER * writers)
         if now - self._reported_at >= interval:
             self._report()
@@ -254,11 +281,19 @@
         if now - max(self._reported_at, self._use_reported_at) >= interval:
             self._report_use()
         self._report_for_waiters()
+        if self._is_idle_read_due(now):
+            self._read()
+
+    def _is_idle_read_due(self, now: float) -> bool:
+        if self._call_in_progress or self._end < 0 or now - self._known_at < IDLE_READ_SECONDS:
+            return False
+        return any(allocation.held > 0 for allocation in self.allocations.values())
 
     def _report_for_waiters(self) -> None:
         """Write the records for which requests are queued."""
         allocations = self.allocations.values()
-        if any(item.shortage for item in allocations) or not self._holding_recorded:
+        lacking = self._records.is_settled and any(item.shortage for item in allocations)
+        if lacking or not self._holding_recorded:
             self._report()
         if any(item.awaits_use_record for item in allocations):
             self._report_use()
@@ -305,7 +340,16 @@
         reported_at, steady = self._read_clock(), self._clock.steady
 
         def make(epoch: int, number: int) -> HoldingRecord:
-            return HoldingRecord(self._holder, epoch, number, reported_at, steady, accounts, order)
+            return HoldingRecord(
+                self._holder,
+                epoch,
+                number,
+                reported_at,
+                steady,
+                accounts,
+                order,
+                self._records.era,
+            )
 
         return make
 
@@ -345,9 +389,11 @@
 
     def _is_report_redundant(self, accounts: dict[str, Account]) -> bool:
         """Return whether a record would not change what the other nodes know."""
-        recorded = self._records.get(self._node_id)
+        recorded = self._records.newest.get(self._node_id)
         if any(allocation.waiting for allocation in self.allocations.values()):
             return False
+        if self._records.is_outdated(self._node_id):
+            return False
         if any(item.handed_out != item.committed for item in accounts.values()):
             return False
         previous = {} if recorded is None else recorded.accounts
@@ -366,13 +412,16 @@
         rates_total = rate + sum(item.rate for item in others)
         share = blend_shares(self._find_share(allocation.workspace), rate, rates_total)
         target = compute_target(allocation, remaining=remaining, share=share)
-        return max(compute_change(allocation, target=target, free=free), -max(0, allocation.held))
+        change = compute_change(allocation, target=target, free=free)
+        if not self._records.is_settled:
+            change = min(0, change)
+        return max(change, -max(0, allocation.held))
 
     def _list_others(self, workspace: str) -> list[Account]:
         """Return the other nodes' accounts of a workspace, from their newest known records."""
         return [
             record.accounts[workspace]
-            for node_id, record in self._records.items()
+            for node_id, record in self._records.newest.items()
             if node_id != self._node_id and workspace in record.accounts
         ]
 
@@ -386,12 +435,13 @@
                 self._proposed_position = position
                 if position == self._end and self._holding_recorded:
                     self._end = position + 1
-                    self._records[self._node_id] = record
+                    self._known_at = self._scheduler.now()
+                    self._records.apply(self._node_id, record)
                     self._accept_proposals()
                 else:
                     self._read()
             case Err(Fenced()):
-                self._drop_proposals()
+                self._abandon_proposals()
                 self._read()
             case Err():
                 self._drop_proposals()
@@ -410,18 +460,29 @@
             return
         batch = result.ok_value
         self._record_store_success()
+        now = self._known_at = self._scheduler.now()
+        restored = self._records.begin_era(get_era(batch.end), now)
         for item in batch.records:
             self._apply_record(item)
+        self._records.end_read(now)
         self._end = batch.end
+        if restored:
+            self._log_restoration()
         if not self._initialized:
             self._reclaim()
+        elif restored:
+            # The records before a pending proposal may be gone, and so may the proposal.
+            self._abandon_proposals()
+            # The store may have forgotten appends, so that their numbers are out of sequence.
+            self._holding_writer.epoch += 1
+            self._finish_call()
         elif self._proposed_position is None:
             self._finish_call()
         elif self._proposed_position >= batch.end:
             self._read()
         else:
             # The records are in no order, so that all of them count as before the proposal.
-            self._conclude_proposal(self._records.get(self._node_id))
+            self._conclude_proposal(self._records.newest.get(self._node_id))
 
     def _handle_records(self, result: Result[RecordBatch, ReadFailure]) -> None:
         match result:
@@ -441,6 +502,7 @@
     def _apply_batch(self, batch: RecordBatch) -> None:
         """Apply records in log order; those before the proposal decide on it."""
         concluded = False
+        self._known_at = self._scheduler.now()
         for item in batch.records:
             if item.position == self._proposed_position:
                 concluded = True
@@ -461,7 +523,7 @@
         if record is None:
             log_event("holding_record_malformed", level=40, key=item.key)
         else:
-            self._records[item.key] = record
+            self._records.apply(item.key, record)
 
     def _conclude_proposal(self, written: HoldingRecord | None) -> None:
         """Accept the proposals if the record at their offset is this node's, else drop them."""
@@ -471,7 +533,7 @@
             return
         log_event("holding_record_replaced", level=40, epoch=self._holding_writer.epoch)
         self._holding_writer.epoch += 1
-        self._drop_proposals()
+        self._abandon_proposals()
         self._scheduler.call_after(0, self._finish_call)
 
     def _accept_proposals(self) -> None:
@@ -487,14 +549,28 @@
         self._scheduler.call_after(0, self._finish_call)
 
     def _drop_proposals(self) -> None:
+        """Forget proposals that were never recorded."""
         self._proposed = None
         self._proposed_position = None
         for allocation in self.allocations.values():
             allocation.drop_proposal(self._proposed_order)
 
+    def _abandon_proposals(self) -> None:
+        """Forget proposals that may have been recorded."""
+        self._proposed = None
+        self._proposed_position = None
+        for allocation in self.allocations.values():
+            allocation.abandon_proposal(self._proposed_order)
+
     def _reclaim(self) -> None:
         """Reclaim the tokens that the last incarnation of this node cannot have spent."""
-        record = self._records.get(self._node_id)
+        self._settle_records()
+        if not self._records.is_settled:
+            # Other nodes may know a newer record of this one than the copy of the store had.
+            self._end = -1
+            self._scheduler.call_after(SETTLING_READ_SECONDS, self._read)
+            return
+        record = self._records.newest.get(self._node_id)
         if record is None:
             self._initialize(None, None)
             return
@@ -505,6 +581,10 @@
                 self._scheduler.call_after(RETRY_DELAY_SECONDS, self._reclaim)
                 return
             self._record_store_success()
+            if get_era(result.ok_value.end) != self._records.era:
+                self._end = -1  # restored since the holding records were read
+                self._read()
+                return
             own = [item for item in result.ok_value.records if item.key == self._node_id]
             use_record = decode_holding_record(own[-1].value or b"") if own else None
             if own and use_record is None:
@@ -519,14 +599,18 @@
         """Continue from the records of the last incarnation, if there was one."""
         self._initialized = True
         epochs = [item.epoch + 1 for item in (record, use_record) if item is not None]
-        epoch = max([int(self._started_at), *epochs])
+        # The last incarnation's records may be lost, so that the time alone must tell them apart.
+        epoch = max([int(self._started_at * 1000), *epochs])
         self._holding_writer.epoch = self._use_writer.epoch = epoch
         if record is not None:
             self._apply_reclaimed(record, use_record)
         self._finish_call()
 
     def _apply_reclaimed(self, record: HoldingRecord, use_record: HoldingRecord | None) -> None:
-        self._reclaimed = reclaim_accounts(record, use_record, self._started_at)
+        if self._records.is_certain(record):
+            self._reclaimed = reclaim_accounts(record, use_record, self._started_at)
+        else:
+            self._reclaimed = count_all_spent(record)
         newest = record if use_record is None else use_record
         for name, account in self._reclaimed.items():
             log_event(
@@ -539,11 +623,53 @@
                 handed_out=record.accounts[name].handed_out,
                 committed=record.accounts[name].committed,
                 counted_as_spent=account.committed,
+                certain=self._records.is_certain(record),
             )
             allocation = self.allocations.get(name)
             if allocation is not None:
                 allocation.reclaim(account)
 
+    def _settle_records(self) -> None:
+        """Bring all nodes' records into the store's current era after a restoration."""
+        now = self._scheduler.now()
+        if self._records.is_settled:
+            return
+        if self._records.settle(now):
+            log_event(
+                "holdings_settled", era=self._records.era, missing=self._records.list_outdated()
+            )
+            return
+        vouched = self._records.take_vouched(now, is_starting=not self._initialized)
+        for node_id, record in vouched.items():
+            self._vouch(node_id, record)
+        if not self._initialized or self._call_in_progress:
+            return
+        if self._records.is_outdated(self._node_id):
+            self._report()
+        elif now >= self._settling_read_at:
+            self._settling_read_at = now + SETTLING_READ_SECONDS
+            self._read()
+
+    def _vouch(self, node_id: str, record: HoldingRecord) -> None:
+        """Write the record of a node that did not do so itself."""
+
+        def handle_result(result: Result[int, AppendFailure]) -> None:
+            written = isinstance(result, Ok)
+            VOUCHED_RECORDS.labels("written" if written else "failed").inc()
+            log_event("holding_vouched", peer=node_id, epoch=record.epoch, written=written)
+
+        self._store.append(HOLDINGS_PARTITION, node_id, record.encode(), None, handle_result)
+
+    def _log_restoration(self) -> None:
+        STORE_RESTORATIONS.labels(HOLDINGS_PARTITION.topic).inc()
+        log_event(
+            "store_restored",
+            level=30,
+            partition=HOLDINGS_PARTITION,
+            era=self._records.era,
+            outdated=len(self._records.list_outdated()),
+        )
+
     def _record_store_success(self) -> None:
         self._last_contact_at = self._scheduler.now()
         if self._store_unreachable:
@@ -566,6 +692,8 @@
         for allocation in self.allocations.values():
             self._serve_waiters(allocation)
         self._refuse_uncovered()
+        if not self._records.is_settled:
+            self._scheduler.call_after(0, self._settle_records)
         if any(allocation.waiting for allocation in self.allocations.values()):
             self._scheduler.call_after(0, self._report_for_waiters)
 
@@ -589,7 +717,7 @@
 
     def _refuse_uncovered(self) -> None:
         """Refuse waiters that the budget cannot cover, or not until other nodes return tokens."""
-        if self._end < 0:
+        if self._end < 0 or not self._records.is_settled:
             return
         for allocation in self.allocations.values():
             if not allocation.waiting or self._compute_change(allocation) > 0:
@@ -606,10 +734,12 @@
                 self._finish_waiter(waiter, Err(refusal))
 
     def _expire_waiter(self, waiter: _Waiter) -> None:
-        if id(waiter) in waiter.allocation.waiting:
-            self._finish_waiter(
-                waiter, Err(refuse_unconfirmed("the store did not respond in time"))
-            )
+        if id(waiter) not in waiter.allocation.waiting:
+            return
+        if not self._records.is_settled:
+            self._finish_waiter(waiter, Err(self._refuse_settling()))
+            return
+        self._finish_waiter(waiter, Err(refuse_unconfirmed("the store did not respond in time")))
 
     def _finish_waiter(self, waiter: _Waiter, result: Result[None, Refusal]) -> None:
         self._waiters[waiter.allocation.workspace].remove(waiter)
--- a/bronzetiller/gateway/allocations.py
+++ b/bronzetiller/gateway/allocations.py
@@ -120,6 +120,8 @@
     clock_steady: bool
     accounts: dict[str, Account]
     order: int = 0
+    era: int | None = None
+    vouched: bool = False
 
     def encode(self) -> bytes:
         """Encode the record as JSON for the store."""
@@ -130,6 +132,8 @@
             "order": self.order,
             "reported_at": round(self.reported_at, 3),
             "clock_steady": self.clock_steady,
+            "era": self.era,
+            "vouched": self.vouched,
             "accounts": {
                 name: [
                     item.handed_out,
@@ -161,6 +165,8 @@
             item["clock_steady"] is True,
             accounts,
             int(item.get("order", 0)),
+            None if item.get("era") is None else int(item["era"]),
+            item.get("vouched") is True,
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
@@ -172,6 +178,14 @@
     return Account(*(int(number) for number in numbers[:5]), *seconds)
 
 
+def count_all_spent(record: HoldingRecord) -> dict[str, Account]:
+    """Return a new incarnation's accounts if the last one's newest record may be lost."""
+    return {
+        name: Account(handed_out=account.handed_out, committed=account.handed_out)
+        for name, account in record.accounts.items()
+    }
+
+
 def reclaim_accounts(
     record: HoldingRecord, use_record: HoldingRecord | None, now: float
 ) -> dict[str, Account]:
@@ -387,6 +401,15 @@
         self.reports.drop(order)
         self.proposed_total = None
 
+    def abandon_proposal(self, order: int) -> None:
+        """Discard a holding record that may have been recorded, and be lost since.
+
+        Other nodes may have read it and taken what it returned.
+        """
+        if self.proposed_total is not None:
+            self.recorded_total = min(self.recorded_total, self.proposed_total)
+        self.drop_proposal(order)
+
 
 def compute_slack_seconds(latency: float) -> float:
     """Return the seconds of use that may be committed without waiting for a report.
--- a/bronzetiller/gateway/budget_refusals.py
+++ b/bronzetiller/gateway/budget_refusals.py
@@ -16,9 +16,8 @@
     return refuse_unconfirmed("other nodes hold the remaining tokens")
 
 
-def refuse_unconfirmed(cause: str) -> Refusal:
-    """Return the refusal for a budget whose state is not known now."""
+def refuse_unconfirmed(cause: str, seconds: float = 0.0) -> Refusal:
+    """Return the refusal for a budget whose state is not known for some seconds more."""
     detail = f"the budget cannot be confirmed: {cause}"
-    return Refusal(
-        503, Reason.BUDGET_UNCONFIRMED, detail, retry_after_seconds=UNCONFIRMED_RETRY_SECONDS
-    )
+    seconds = max(UNCONFIRMED_RETRY_SECONDS, round(seconds, 1))
+    return Refusal(503, Reason.BUDGET_UNCONFIRMED, detail, retry_after_seconds=seconds)
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -119,6 +119,12 @@
     ["topic"],
     registry=REGISTRY,
 )
+VOUCHED_RECORDS = Counter(
+    "bronzetiller_vouched_records",
+    "Records of other nodes that were written again after a restoration, by outcome.",
+    ["outcome"],
+    registry=REGISTRY,
+)
 
 
 def render_metrics() -> bytes:
--- a/exploration/mechanisms.py
+++ b/exploration/mechanisms.py
@@ -9,6 +9,7 @@
 
 from bronzetiller.gateway import allocation_manager, allocations
 from bronzetiller.gateway.allocations import Account, HoldingRecord, reclaim_accounts
+from bronzetiller.gateway.holding_records import HoldingRecords
 from standins.memory_store import MemoryStore
 
 AllocationManager = allocation_manager.AllocationManager
@@ -46,6 +47,10 @@
         _handle_newest(manager, result)
 
 
+def _replace_newest(records: HoldingRecords, node_id: str, record: HoldingRecord) -> None:
+    records._stored[node_id] = records.newest[node_id] = record
+
+
 _accept = allocations.Allocation.accept
 _append = MemoryStore.append
 _handle_newest: Callable[..., None] = AllocationManager._handle_newest
@@ -62,6 +67,15 @@
         "_handle_newest",
         _apply_newest_in_list_order,
     ),
+    "records outlast a restoration": (HoldingRecords, "apply", _replace_newest),
+    "lost records are written again": (HoldingRecords, "take_vouched", lambda *_, **__: {}),
+    "a lost last record counts all as spent": (HoldingRecords, "is_certain", lambda *_: True),
+    "no increase until records are known": (HoldingRecords, "_start_settling", lambda *_: None),
+    "a decrease that may be recorded holds": (
+        allocations.Allocation,
+        "abandon_proposal",
+        allocations.Allocation.drop_proposal,
+    ),
 }
 MECHANISMS = tuple(_REPLACEMENTS)
 
