Choose the nodes that write a lost record again without sorting all

Cause: each check sorted all nodes by a cryptographic digest for each node that is gone. Change: a checksum and the smallest few.

--- a/bronzetiller/gateway/holding_records.py
+++ b/bronzetiller/gateway/holding_records.py
@@ -9,7 +9,8 @@
 VOUCHERS_MAX appends, at any number of nodes.
 """
 
-import hashlib
+import heapq
+import zlib
 
 from attrs import define, evolve, field
 
@@ -117,24 +118,22 @@
             chosen = [
                 name
                 for name in outdated
-                if name != self._node_id and self._node_id in self._rank_vouchers(name)[:vouchers]
+                if name != self._node_id and self._node_id in self._choose_vouchers(name, vouchers)
             ]
         self._vouched.update(chosen)
         return {name: evolve(self.newest[name], era=self.era, vouched=True) for name in chosen}
 
-    def _rank_vouchers(self, node_id: str) -> list[str]:
-        """Return the nodes that wrote in this era, in an order that all nodes agree on."""
+    def _choose_vouchers(self, node_id: str, count: int) -> list[str]:
+        """Return some of the nodes that wrote in this era, in an order that all nodes agree on."""
         present = [
             name
             for name, record in self._stored.items()
             if record.era == self.era and not record.vouched
         ]
-        return sorted(present, key=lambda name: _rank(name, node_id))
+        return heapq.nsmallest(
+            count, present, lambda name: zlib.crc32(f"{name}/{node_id}".encode())
+        )
 
 
 def _get_order(record: HoldingRecord) -> tuple[int, int]:
     return record.epoch, record.number
-
-
-def _rank(voucher: str, node_id: str) -> bytes:
-    return hashlib.blake2b(f"{voucher}/{node_id}".encode(), digest_size=8).digest()
