Reset the connection of a broken response to a caller without chunks

What callers saw: a caller that speaks HTTP/1.0 gets the first half of a stream and a normal close, which for it is the end of the response.

Cause: the same as for targets, seen from the other side: the end of a response without framing was told by a close alone, and a broken one was closed too.

Change: from the head of such a response on, its connection is reset however it is closed, by the node or by the end of its process, unless it is finished.

Result: three new cases of test_broken_answer.py fail before (target crashed, target reset, node killed) and pass; a whole stream still ends with a close.

--- a/bronzetiller/net/exchange.py
+++ b/bronzetiller/net/exchange.py
@@ -22,11 +22,17 @@
     def close_now(self, sock: socket) -> None:
         """Close a connection immediately, discarding unsent bytes."""
 
+    def set_reset_on_close(self, sock: socket, *, enabled: bool) -> None:
+        """Reset a connection however it is closed."""
+
 
 @define(eq=False)
 class Exchange:
     """Hold one request, complete with its body, and send its response.
 
+    A streamed response to a caller that knows no chunks ends with its connection: a close completes
+    it, a reset breaks it off.
+
     on_flow_change is called with False when the caller reads more slowly than the response is
     produced, and with True once it has caught up. If the unsent bytes still grow, the
     connection is closed.
@@ -67,6 +73,8 @@
             self.done = True
             self._server.send_last(self._response, head)
         else:
+            if not self._response.chunked:
+                self._server.set_reset_on_close(self._response.request.sock, enabled=True)
             self._server.send_part(self._response, head)
 
     def send(self, data: bytes) -> None:
@@ -80,12 +88,17 @@
         """End a streamed response."""
         if not self.done:
             self.done = True
+            if not self._response.chunked:
+                self._server.set_reset_on_close(self._response.request.sock, enabled=False)
             self._server.send_last(self._response, LAST_CHUNK if self._response.chunked else b"")
 
     def fail(self, data: bytes) -> None:
         """Send a last part of a streamed response and close, so that it counts as incomplete."""
         if not self.done:
             self.send(data)
+            if not self._response.chunked:
+                self.abort()
+                return
             self.done = True
             self._response.close = True
             self._server.send_last(self._response, b"")
--- a/bronzetiller/net/http_server.py
+++ b/bronzetiller/net/http_server.py
@@ -252,6 +252,10 @@
         self.server.drop(sock)
         self.handle_close(sock)
 
+    def set_reset_on_close(self, sock: socket, *, enabled: bool) -> None:
+        """Reset a connection however it is closed, so that its response is not complete."""
+        self.server.set_reset_on_close(sock, enabled=enabled)
+
     def send_part(self, res: Response, data: bytes) -> None:
         """Send a part of a response; close the connection if too many bytes are unsent."""
         sock = res.request.sock
--- a/bronzetiller/net/sockets.py
+++ b/bronzetiller/net/sockets.py
@@ -6,9 +6,10 @@
 """
 
 import errno
+import struct
 from collections import deque
 from collections.abc import Callable
-from socket import SHUT_RDWR, SHUT_WR, socket
+from socket import SHUT_RDWR, SHUT_WR, SO_LINGER, SOL_SOCKET, socket
 from typing import Any
 
 from attrs import define, field
@@ -24,6 +25,8 @@
 _RETRY_ERRNOS = {errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS}
 _EXHAUSTED_ERRNOS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 
+_LINGER = struct.Struct("ii")  # whether to linger, and seconds; 0 seconds reset the connection
+
 
 @define(eq=False)
 class SocketState:
@@ -35,6 +38,7 @@
     sent_bytes: int = 0
     closing: bool = False
     reading: bool = True
+    reset_on_close: bool = False
     draining: bool = False
     drained_bytes: int = 0
 
@@ -134,16 +138,26 @@
 
     def drop(self, sock: socket) -> None:
         """Close immediately, without calling handle_close."""
-        if self._states.pop(sock, None) is None:
+        state = self._states.pop(sock, None)
+        if state is None:
             return
         self._poller.discard(sock)
         try:
-            sock.shutdown(SHUT_RDWR)
+            if not state.reset_on_close:
+                sock.shutdown(SHUT_RDWR)
         except OSError:
             pass
         finally:
             sock.close()
 
+    def set_reset_on_close(self, sock: socket, *, enabled: bool) -> None:
+        """Reset a connection however it is closed, also by the end of the process."""
+        state = self._states.get(sock)
+        if state is not None:
+            state.reset_on_close = enabled
+            linger = _LINGER.pack(1, 0) if enabled else _LINGER.pack(0, 0)
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, linger)
+
     def pause(self, sock: socket) -> None:
         """Stop reading, so that TCP flow control blocks the other end."""
         state = self._states.get(sock)
--- a/tests/test_broken_answer.py
+++ b/tests/test_broken_answer.py
@@ -1,13 +1,16 @@
 """Test with a real node that an answer which its target broke off is never complete to a caller."""
 
 import itertools
+import time
 import zlib
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
-from standins.gateway_fleet import MODEL_SERVICE, PLAIN_SERVICE, GatewayFleet
+from standins.gateway_fleet import HOST, KEY, MODEL_SERVICE, PLAIN_SERVICE, GatewayFleet
 from standins.path_engine import make_registration
 from tests.conftest import await_true
+from tests.raw_http import connect
 from tests.raw_target import EVENT_STREAM, RawAnswer, RawTarget
 
 EVENTS = 6
@@ -165,3 +168,79 @@
         answer = RawAnswer(parts, (*EVENT_STREAM, f"Content-Length: {size}"), end)
     target = start_raw(lambda request: answer)
     assert not send("score", [target]).complete
+
+
+def read_all_as_http_1_0(address, path, body):
+    """Send an HTTP/1.0 request; return what came until the end, and whether it was a reset."""
+    head = {
+        "Host": HOST,
+        "X-Request-Id": body.decode(),
+        "Api-Key": KEY,
+        "X-Deadline-Ms": "4000",
+        "X-Token-Usage": "40,10",
+        "X-Prompt-Prefix": f"{body.decode()}:40",
+        "X-Model": "m",
+        "Content-Length": str(len(body)),
+    }
+    lines = [f"POST {path} HTTP/1.0", *(f"{name}: {value}" for name, value in head.items())]
+    received = b""
+    with connect(address) as sock:
+        sock.sendall("\r\n".join((*lines, "", "")).encode() + body)
+        while True:
+            try:
+                data = sock.recv(65_536)
+            except ConnectionResetError:
+                return received, True
+            if not data:
+                return received, False
+            received += data
+
+
+@pytest.mark.parametrize(("end", "is_reset"), [("crash", True), ("reset", True), ("close", False)])
+def test_a_broken_stream_to_a_caller_without_chunks_ends_with_a_reset(
+    shared_fleet, start_raw, end, is_reset
+):
+    target = start_raw(lambda request: RawAnswer(make_events(1, 3), EVENT_STREAM, end))
+    replies = []
+
+    def is_answered():
+        name = f"old-{end}-{len(replies)}".encode()
+        address = shared_fleet.address("node-1")
+        replies.append(read_all_as_http_1_0(address, "/score/2f", name))
+        return bool(target.requests)
+
+    await_true(is_answered, what="a request at the target")
+    assert replies[-1][0].endswith(make_event(3)) or is_reset
+    assert replies[-1][1] is is_reset
+
+
+def test_a_stream_to_a_caller_without_chunks_ends_with_a_reset_if_the_node_is_killed():
+    fleet = GatewayFleet()
+    try:
+        fleet.start_store()
+        fleet.configure(1, prepaid=1_000_000)
+        target = RawTarget("raw", lambda request: RawAnswer(make_events(1, 3), EVENT_STREAM))
+        value = make_registration("raw", MODEL_SERVICE, target.address, "regina-a")
+        fleet.append_record("keyed.servers", "raw", value)
+        fleet.start_node("node-1")
+        fleet.await_ready("node-1")
+        address = fleet.address("node-1")
+        with ThreadPoolExecutor() as pool:
+
+            def read(number):
+                return read_all_as_http_1_0(address, "/score/2f", b"killed-%d" % number)
+
+            reads = []
+
+            def is_answered():
+                reads.append(pool.submit(read, len(reads)))
+                time.sleep(0.2)
+                return bool(target.requests)
+
+            await_true(is_answered, what="a request at the target")
+            time.sleep(0.3)
+            fleet.processes["node-1"].kill()
+            ends = [item.result() for item in reads]
+        assert any(b"part-3" in data for data, _ in ends) and all(reset for _, reset in ends[-1:])
+    finally:
+        fleet.close()
