Let a few nodes without tokens read all holdings

What callers saw: on further, with most processes killed 0.5 s after the store was back from a copy, two workspaces got 3 in 100 more than they had paid for.

Cause: all holders of the budget were killed, one before it had written its record again. The nodes left had never held tokens and so had read no records: nobody knew what it had taken.

Change: eight witnesses, chosen by hash among the members, read the holdings once a second whether they hold tokens or not.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -63,7 +63,8 @@
 # Time for a few large requests per workspace and node; disconnections last about ten seconds.
 RATE_TIME_CONSTANT_SECONDS = 12.0
 CHECK_INTERVAL_SECONDS = 0.2
-# A node that holds tokens must notice soon that the store has lost records, its own among them.
+# A node that holds tokens must notice soon that the store has lost records, its own among them; a
+# witness must have read those of the others.
 IDLE_READ_SECONDS = 1.0
 SETTLING_READ_SECONDS = 0.4  # between reads, until all records are known after a restoration
 # A late response is better than a refusal, as another node is as likely to be disconnected.
@@ -92,6 +93,7 @@
     _node_id: str
     _holder: str
     _find_share: Callable[[str], float]
+    _is_witness: Callable[[], bool] = lambda: False
     allocations: dict[str, Allocation] = field(factory=dict)
     _clock: ClockMonitor = field(factory=ClockMonitor)
     _read_clock: Callable[[], float] = time.time
@@ -287,7 +289,7 @@
     def _is_idle_read_due(self, now: float) -> bool:
         if self._call_in_progress or self._end < 0 or now - self._known_at < IDLE_READ_SECONDS:
             return False
-        return any(allocation.held > 0 for allocation in self.allocations.values())
+        return self._is_witness() or any(item.held > 0 for item in self.allocations.values())
 
     def _report_for_waiters(self) -> None:
         """Write the records for which requests are queued."""
--- a/bronzetiller/gateway/holder_map.py
+++ b/bronzetiller/gateway/holder_map.py
@@ -7,6 +7,7 @@
 from bronzetiller.gateway.holders import (
     HolderOrder,
     choose_holders,
+    choose_witnesses,
     estimate_share,
     order_holders,
 )
@@ -24,6 +25,7 @@
     members: list[Member] = field(factory=list)
     _holders: dict[str, dict[str, list[str]]] = field(factory=dict)
     _orders: dict[str, HolderOrder] = field(factory=dict)
+    _witnesses: set[str] = field(factory=set)
 
     def refresh(self) -> None:
         """Update the list of members; clear the cache if nodes joined or left."""
@@ -31,8 +33,13 @@
         if {item.node_id for item in members} != {item.node_id for item in self.members}:
             self._holders.clear()
             self._orders.clear()
+            self._witnesses = choose_witnesses(members)
         self.members = members
 
+    def is_witness(self) -> bool:
+        """Return whether this node reads all nodes' holdings though it may hold none."""
+        return self._node_id in self._witnesses
+
     def find_holders(self, workspace: str) -> dict[str, list[str]]:
         """Return the holders of a workspace by region."""
         holders = self._holders.get(workspace)
--- a/bronzetiller/gateway/holders.py
+++ b/bronzetiller/gateway/holders.py
@@ -16,6 +16,7 @@
 
 # Of one workspace at one node; requests to its holders then use a tenth of a slow link.
 HIGH_DEMAND_REQUESTS_PER_SECOND = 4.0
+WITNESSES = 8  # nodes that read all holdings though they may hold none
 HOLDERS_PER_REGION = 3  # a crash makes at most a third of the region's tokens unavailable
 
 
@@ -35,6 +36,15 @@
     may_wait: bool = False
 
 
+def choose_witnesses(members: Iterable[Member]) -> set[str]:
+    """Return the nodes that read all nodes' holdings, the same at all nodes with the same members.
+
+    Designed for budgets that few nodes hold: if all of these are lost right after the store came
+    back without its newest records, others must know what they held.
+    """
+    return set(rank_nodes("holdings", [item.node_id for item in members])[:WITNESSES])
+
+
 def choose_holders(
     workspace: str, members: Iterable[Member], regions: dict[str, str]
 ) -> dict[str, list[str]]:
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -182,7 +182,12 @@
         """Set up token allocations, and reservations on this node and its peers."""
         scheduler, node_id = self._scheduler, self.settings.node_id
         self.allocation_manager = AllocationManager(
-            scheduler, store, node_id, self.incarnation, self.holders.estimate_share
+            scheduler,
+            store,
+            node_id,
+            self.incarnation,
+            self.holders.estimate_share,
+            self.holders.is_witness,
         )
         ReservationServer(scheduler, self.allocation_manager).register_handlers(self.peers)
         self.reservation_client = ReservationClient(scheduler, self.peers)
--- a/tests/test_restored_budgets.py
+++ b/tests/test_restored_budgets.py
@@ -190,6 +190,32 @@
     assert records.settle(10.0 + REWRITE_SECONDS) and records.is_settled
 
 
+@pytest.mark.parametrize("is_witness", [False, True])
+def test_a_witness_without_tokens_knows_what_all_holders_held_when_they_are_lost(is_witness):
+    """Restore the store and kill the only holder before it has written again."""
+    machine = AllocationMachine()
+    machine.wait(2.0)
+    for index in (1, 2):
+        machine.live[index].manager._find_share = lambda workspace: 0.0
+        machine.live[index].manager._is_witness = lambda: is_witness
+    machine.wait(2.0)
+    spend_at_one(machine, 0)
+    machine.wait(1.2)
+    held = machine.live[0].manager.allocations[WORKSPACE].recorded_total
+    restore(machine, len(machine.store.records(HOLDINGS_PARTITION)) - NODES)
+    machine.kill(0, 0.05)
+    machine.wait(SETTLING_SECONDS + 1.0)
+    counted = machine.live[0].manager.allocations[WORKSPACE].spent
+    assert (counted >= held) is is_witness
+
+
+def spend_at_one(machine, index):
+    for _ in range(10):
+        machine.send(index, 20)
+        machine.wait(0.3)
+        machine.finish(index, 1.0)
+
+
 def test_an_older_record_that_the_store_brings_back_replaces_no_newer_one():
     old = make_records(1, era=1)["node-0"]
     newer = evolve(old, number=7)
