Read holdings while idle without delaying reports

Cause: the read of an idle node counted as the one call that may be under way, so that on a silent connection a report would wait for it, and its failure made the node treat the store as unreachable. Change: the read runs beside reports and is dropped if one has been made meanwhile or if it fails.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -284,7 +284,22 @@
             self._report_use()
         self._report_for_waiters()
         if self._is_idle_read_due(now):
-            self._read()
+            self._read_while_idle()
+
+    def _read_while_idle(self) -> None:
+        """Read once, without delaying a report; a report meanwhile makes the result useless."""
+        end = self._end
+
+        def handle_records(result: Result[RecordBatch, ReadFailure]) -> None:
+            if self._call_in_progress or self._end != end:
+                return
+            if isinstance(result, Err) and isinstance(result.err_value, StoreUnreachable):
+                return
+            self._call_in_progress = True
+            self._handle_records(result)
+
+        self._known_at = self._scheduler.now()
+        self._store.read_from(HOLDINGS_PARTITION, end, 0.0, handle_records)
 
     def _is_idle_read_due(self, now: float) -> bool:
         if self._call_in_progress or self._end < 0 or now - self._known_at < IDLE_READ_SECONDS:
