Only remember what is read while idle

Cause: a node that reads while idle sees the budget shrink and returns tokens at its next report, which it lacks when it is disconnected. Before, it went by what it had read at its last report.

Change: such a read is kept apart, and joins the newest records only if the store is restored. Nothing is decided by it otherwise.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -118,6 +118,7 @@
     _use_reported_at: float = float("-inf")
     _last_contact_at: float = float("-inf")
     _known_at: float = float("-inf")
+    _idle_end: int = -1
     _settling_read_at: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
@@ -287,19 +288,28 @@
             self._read_while_idle()
 
     def _read_while_idle(self) -> None:
-        """Read once, without delaying a report; a report meanwhile makes the result useless."""
-        end = self._end
+        """Read what others wrote, to remember it if the store loses it; reports read it again.
+
+        The share of a budget that this node holds is decided at its reports, as it may need more
+        than it uses now when it is disconnected.
+        """
 
         def handle_records(result: Result[RecordBatch, ReadFailure]) -> None:
-            if self._call_in_progress or self._end != end:
-                return
-            if isinstance(result, Err) and isinstance(result.err_value, StoreUnreachable):
-                return
-            self._call_in_progress = True
-            self._handle_records(result)
+            match result:
+                case Ok(batch):
+                    self._idle_end = batch.end
+                    for item in batch.records:
+                        record = decode_holding_record(item.value or b"")
+                        if record is not None:
+                            self._records.remember(item.key, record)
+                case Err(HistoryExpired()) if not self._call_in_progress:
+                    self._read()
+                case Err(failure):
+                    log_event("holdings_unread", cause=failure)
 
         self._known_at = self._scheduler.now()
-        self._store.read_from(HOLDINGS_PARTITION, end, 0.0, handle_records)
+        position = max(self._end, self._idle_end)
+        self._store.read_from(HOLDINGS_PARTITION, position, 0.0, handle_records)
 
     def _is_idle_read_due(self, now: float) -> bool:
         if self._call_in_progress or self._end < 0 or now - self._known_at < IDLE_READ_SECONDS:
--- a/bronzetiller/gateway/holding_records.py
+++ b/bronzetiller/gateway/holding_records.py
@@ -34,6 +34,7 @@
     newest: dict[str, HoldingRecord] = field(factory=dict)
     era: int = -1
     _stored: dict[str, HoldingRecord] = field(factory=dict)
+    _remembered: dict[str, HoldingRecord] = field(factory=dict)
     _settles_at: float | None = None
     _rewritten_at: float = 0.0
     _vouched: set[str] = field(factory=set)
@@ -42,6 +43,9 @@
         """Prepare for all newest records of an era; return whether the store was restored."""
         restored = era != self.era and self.era >= 0
         if restored:
+            for node_id, record in self._remembered.items():
+                self.apply(node_id, record)
+            self._remembered.clear()
             self._stored.clear()
             self._vouched.clear()
             self._start_settling(now)
@@ -64,6 +68,10 @@
         if known is None or _get_order(record) >= _get_order(known):
             self.newest[node_id] = record
 
+    def remember(self, node_id: str, record: HoldingRecord) -> None:
+        """Keep a record that the store has, for the case that the store loses it."""
+        self._remembered[node_id] = record
+
     @property
     def is_settled(self) -> bool:
         """Return whether all holdings are known, as far as any node can tell."""
