Show that answers which prove nothing release a crashing request

Callers saw targets of a plain service crash, again and again, under one request.

Cause: hypothesis 1, to be confirmed by the fix: any complete response counts as a proof that its request is harmless.

--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -222,9 +222,16 @@
         return runs
 
     def send(
-        self, node_id: str, route: str, request_id: str, body: bytes = b"body", **headers: str
+        self,
+        node_id: str,
+        route: str,
+        request_id: str,
+        body: bytes = b"body",
+        *,
+        item: str = "2f",
+        **headers: str,
     ) -> Reply:
-        """Send a request to a route; requests to model routes declare their token usage."""
+        """Send a request for an item of a route; those to model routes declare their usage."""
         usage = {"X-Token-Usage": "40,10", "X-Prompt-Prefix": "aa:30,bb:10", "X-Model": "m"}
         request_headers = {
             "Host": HOST,
@@ -235,7 +242,9 @@
         request_headers |= usage if route in ("draft", "score") else {}
         request_headers |= {name.replace("_", "-"): value for name, value in headers.items()}
         method = "GET" if route == "status" else "POST"
-        return send_request(self.address(node_id), method, f"/{route}/2f", request_headers, body)
+        return send_request(
+            self.address(node_id), method, f"/{route}/{item}", request_headers, body
+        )
 
     def close(self) -> None:
         """Kill all processes that are still running."""
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -1,13 +1,13 @@
 """Stand-in for a target of path routes: a model engine that streams events, or a plain service.
 
 python -m standins.path_engine --listen ip:port --id ID [--event-seconds S] [--slots N]
-    [--runs FILE] [--crash-segment ID]
+    [--runs FILE] [--crash-segment ID] [--crash-path PATH]
 
 The control interface sets faults and returns the requests that were executed; a request counts as
 executed as soon as the target has accepted it. With --runs, a record is also appended to FILE when
 an execution begins and another one, with the number of events sent, when its stream ends, so that
 they outlive the process. With --crash-segment, the process exits instead of sending the first event
-of a prompt that has this segment.
+of a prompt that has this segment; with --crash-path, it exits 50 ms after a request to this path.
 """
 
 import argparse
@@ -24,6 +24,7 @@
 from standins.process import respond_json, serve
 
 EVENTS_MAX = 64
+CRASH_SECONDS = 0.05
 
 
 @define
@@ -36,6 +37,8 @@
     reset: int = 0  # abort the connection without a response
     mute: int = 0  # never respond
     fail: int = 0  # respond with 500 and an invalid seal
+    reject: int = 0  # respond with 404, as to a request that was not read to its end
+    replay: int = 0  # respond with a response that does not name its request
     limit: float | None = None  # requests per second that the responses state, not enforced
     leaving: bool = False
 
@@ -63,12 +66,14 @@
         slots: int,
         runs_path: Path | None,
         crash_segment: str | None,
+        crash_path: str | None,
     ) -> None:
         self._loop = loop
         self._id = target_id
         self._event_seconds = event_seconds
         self._slots = slots
         self._crash_segment = crash_segment
+        self._crash_path = crash_path
         self._running = 0
         self._faults = Faults()
         self._runs: list[Run] = []
@@ -114,6 +119,16 @@
         elif self._faults.fail > 0:
             self._faults.fail -= 1
             exchange.respond(500, self._make_headers(exchange) | {"X-Response-Seal": "bad"}, b"no")
+        elif self._faults.reject > 0:
+            self._faults.reject -= 1
+            exchange.respond(404, self._make_headers(exchange) | {"X-Response-Seal": "no"}, b"no")
+        elif self._faults.replay > 0:
+            self._faults.replay -= 1
+            headers = self._make_headers(exchange) | {"X-Response-Seal": "old"}
+            del headers["X-Request-Id"]
+            exchange.respond(200, headers, b"an earlier answer")
+        elif exchange.path == self._crash_path:
+            self._loop.scheduler.call_after(CRASH_SECONDS, lambda: os._exit(1))
         elif "x-token-usage" in exchange.headers:
             self._stream(exchange, run)
         else:
@@ -214,6 +229,7 @@
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--runs", type=Path)
     parser.add_argument("--crash-segment")
+    parser.add_argument("--crash-path")
     arguments = parser.parse_args()
     loop = make_loop()
     target = Target(
@@ -223,6 +239,7 @@
         arguments.slots,
         arguments.runs,
         arguments.crash_segment,
+        arguments.crash_path,
     )
     serve(loop, "path_engine", arguments.listen, target.serve)
 
