Let only successes of its own version clear a request that crashes targets

Callers saw targets of a plain service crash one after another under one request, long after the third.

Cause: every complete response counted as a proof that its request is harmless, also a 500, an early rejection and one that names no request. It cleared all crashes of the five seconds around it, of whatever version. Beside it, two requests that were on the same crashed targets each excused the other, and a response to another call of the same path cleared both. Class: absence of evidence taken as evidence. Change: only a success that names its request is a proof, at the version of its target; a resumed one proves segments only. A second fingerprint covers the query and the prompt. Of two whole requests only the one with more crashes explains the other. A quarantined request is served by the versions proven to survive it; one node tries it at a version that has not been tested. At 6 and 330 nodes without a network requests that another version survives are served there and none is refused from four seconds after the third crash on; a version that arrives later is tried once. Two tests with real processes show both.

--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from bronzetiller.gateway.requests import ResponseClass
+from bronzetiller.gateway.requests import ResponseClass, proves_survival
 from bronzetiller.gateway.targets import MISDIRECTED_CAUSE, Target
 from bronzetiller.net.http_client import (
     BodyPart,
@@ -21,6 +21,7 @@
     decode_load_report,
     decode_request_limit,
     is_matching_response,
+    names_request,
 )
 
 CONNECT_SECONDS = 0.7  # ten round trips between regions; an unreachable target never responds
@@ -109,6 +110,14 @@
         """Return whether any byte may have been sent to the target."""
         return self.call is not None and self.call.sent
 
+    @property
+    def proves_survival(self) -> bool:
+        """Return whether the response, once it goes on or ends, proves its request harmless."""
+        if self._head is None or self._response_class is None:
+            return False
+        is_named = names_request(self._head, self.request_id)
+        return proves_survival(self._response_class, self._head.status, names_request=is_named)
+
     def start(self, http: HttpClient, call: HttpCall) -> None:
         """Send the request."""
         self.target.in_flight += 1
--- a/bronzetiller/gateway/crash_reports.py
+++ b/bronzetiller/gateway/crash_reports.py
@@ -28,18 +28,20 @@
 
 
 def encode_report(report: CrashReport) -> bytes:
-    """Encode a report as JSON, without its clearances and oldest crashes if it would be too large.
+    """Encode a report as JSON, without its proofs and oldest crashes if it would be too large.
 
-    Clearances that are lost are written again once a response proves the fingerprint harmless.
+    Proofs that are lost are written again once a response proves the fingerprint harmless.
     """
     crashes = sorted(report.crashes.values(), key=lambda item: item.at)
     cleared = {name: sorted(targets) for name, targets in report.cleared.items()}
+    survived = {name: sorted(versions) for name, versions in report.survived.items()}
     while True:
-        rows = [[item.target, item.at, sorted(item.fingerprints)] for item in crashes]
-        encoded = json.dumps({"crashes": rows, "cleared": cleared}).encode()
-        if len(encoded) <= REPORT_BYTES_MAX or not (crashes or cleared):
+        rows = [[item.target, item.at, sorted(item.fingerprints), item.version] for item in crashes]
+        document = {"crashes": rows, "cleared": cleared, "survived": survived}
+        encoded = json.dumps(document).encode()
+        if len(encoded) <= REPORT_BYTES_MAX or not (crashes or cleared or survived):
             return encoded
-        cleared = {}
+        cleared, survived = {}, {}
         del crashes[: len(crashes) // 2 + 1]
 
 
@@ -48,13 +50,18 @@
     try:
         item: Any = json.loads(value)
         crashes = [
-            Crash(str(target), float(at), frozenset(map(str, fingerprints)))
-            for target, at, fingerprints in item["crashes"]
+            Crash(str(target), float(at), frozenset(map(str, fingerprints)), *map(str, version))
+            for target, at, fingerprints, *version in item["crashes"]
         ]
-        cleared = {str(name): set(map(str, targets)) for name, targets in item["cleared"].items()}
+        cleared = _decode_sets(item["cleared"])
+        survived = _decode_sets(item.get("survived", {}))
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
-    return CrashReport({crash.target: crash for crash in crashes}, cleared)
+    return CrashReport({crash.target: crash for crash in crashes}, cleared, survived)
+
+
+def _decode_sets(item: dict[Any, Any]) -> dict[str, set[str]]:
+    return {str(name): set(map(str, values)) for name, values in item.items()}
 
 
 @define(eq=False)
@@ -117,7 +124,7 @@
             return
         self._changed = False
         report = self._tracker.report
-        value = encode_report(report) if report.crashes or report.cleared else None
+        value = encode_report(report) if report != CrashReport() else None
 
         def handle_result(result: Result[int, AppendFailure]) -> None:
             if isinstance(result, Err):
--- a/bronzetiller/gateway/crashes.py
+++ b/bronzetiller/gateway/crashes.py
@@ -11,12 +11,16 @@
 
 from attrs import define, evolve, field
 
+from bronzetiller.gateway.requests import Prompt
 from bronzetiller.gateway.targets import Target
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import TARGET_CRASHES
 from bronzetiller.net.http_client import HttpClient, ProbeResult
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.requests.crash_evidence import (
+    CALL_PREFIX,
+    CRASHES_MAX,
+    REQUEST_PREFIX,
     Crash,
     CrashEvidence,
     Proofs,
@@ -28,23 +32,40 @@
 # Nodes spread their clearances over this time for each node, so that one or a few write them.
 CLEARANCE_SECONDS_PER_NODE = 0.01
 CLEARANCE_SECONDS_MAX = 1.0
+TRIAL_SECONDS = 5.0  # for a trial at an untested version to crash its target or to survive
 LOGGED_FINGERPRINTS_MAX = 40
 
 
 @define
 class CrashReport:
-    """Hold what one node observed: crashes by target, and cleared targets by fingerprint."""
+    """Hold what one node observed: crashes by target; by fingerprint, the crashed targets that no
+    longer count and the versions that survived.
+    """
 
     crashes: dict[str, Crash] = field(factory=dict)
     cleared: dict[str, set[str]] = field(factory=dict)
+    survived: dict[str, set[str]] = field(factory=dict)
 
 
 def make_request_fingerprint(workspace: str, method: str, path: str, body: bytes) -> str:
     """Return a digest that identifies a request, the same at every node and for every retry."""
+    digest = _compute_digest(workspace.encode(), method.encode(), path.encode(), body)
+    return f"{REQUEST_PREFIX}{digest}"
+
+
+def make_call_fingerprint(request_fingerprint: str, query: str, prompt: Prompt | None) -> str:
+    """Return a digest that also distinguishes a request by its query and its prompt."""
+    parts = [request_fingerprint.encode(), query.encode()]
+    if prompt is not None:
+        parts += [f"{item.segment_id}:{item.tokens}".encode() for item in prompt.segments]
+    return f"{CALL_PREFIX}{_compute_digest(*parts)}"
+
+
+def _compute_digest(*parts: bytes) -> str:
     digest = hashlib.blake2b(digest_size=8)
-    for part in (workspace.encode(), method.encode(), path.encode(), body):
+    for part in parts:
         digest.update(len(part).to_bytes(8, "big") + part)
-    return f"request:{digest.hexdigest()}"
+    return digest.hexdigest()
 
 
 def make_segment_fingerprint(segment_id: str) -> str:
@@ -75,11 +96,15 @@
     _count_nodes: Callable[[], int] = lambda: 1
     _draw_uniform: Callable[[], float] = lambda: 0.5
     _read_clock: Callable[[], float] = time.time
+    _is_trial_node: Callable[[str], bool] = lambda fingerprint: True
     on_report_change: Callable[[], None] = lambda: None
     report: CrashReport = field(factory=CrashReport)
     evidence: CrashEvidence = field(factory=CrashEvidence)
     proofs: Proofs = field(factory=Proofs)
     _clearances: dict[str, set[str]] = field(factory=dict)
+    _survivals: set[tuple[str, str]] = field(factory=set)
+    _proof_report_due: bool = False
+    _trials_until: dict[tuple[str, str], float] = field(factory=dict)
     _running_probes: dict[str, _Probe] = field(factory=dict)
     _next_probes: dict[str, _Probe] = field(factory=dict)
 
@@ -112,12 +137,45 @@
             lambda result: self._handle_probe_result(target, result),
         )
 
-    def record_proof(self, fingerprints: Collection[str]) -> None:
-        """Record that a target survived a request: it went on with its response or completed it."""
-        self.proofs.record(fingerprints, self._scheduler.now())
+    def record_proof(self, fingerprints: Collection[str], version: str) -> None:
+        """Record that a target of a version survived a request with these fingerprints."""
+        self.proofs.record(fingerprints, self._scheduler.now(), version)
         if self.evidence:
             self._clear_proven()
 
+    def may_run(self, quarantined: QuarantinedFingerprint, version: str) -> bool:
+        """Return whether a quarantined request may run at a version.
+
+        It may at one that is proven to survive it. One node at a time may try it once at a version
+        that is in service and has not been tested.
+        """
+        if version in quarantined.survivors:
+            return True
+        crashed = quarantined.crashed & {version, ""}  # a crash without a version may be of any
+        if crashed or not self._is_trial_node(quarantined.fingerprint):
+            return False
+        trial = (quarantined.fingerprint, version)
+        return self._trials_until.get(trial, 0.0) <= self._scheduler.now()
+
+    def record_trial(self, quarantined: QuarantinedFingerprint, version: str) -> None:
+        """Record that a quarantined request was sent to a target of a version."""
+        if version in quarantined.survivors:
+            return
+        log_event("crash_suspect_tried", fingerprint=quarantined.fingerprint, version=version)
+        trial = (quarantined.fingerprint, version)
+        self._trials_until[trial] = self._scheduler.now() + TRIAL_SECONDS
+
+    def list_suspected_versions(self, get_fingerprints: Callable[[], Collection[str]]) -> set[str]:
+        """Return the versions at which one more crash would quarantine a request."""
+        if not self.evidence:
+            return set()
+        return {
+            version
+            for fingerprint in get_fingerprints()
+            if len(self.evidence.list_targets(fingerprint)) >= CRASHES_MAX - 1
+            for version in self.evidence.list_crashed_versions(fingerprint)
+        }
+
     def find_quarantined(
         self, get_fingerprints: Callable[[], Collection[str]]
     ) -> QuarantinedFingerprint | None:
@@ -145,6 +203,12 @@
                 self.report.cleared.setdefault(fingerprint, set()).update(targets)
             elif fingerprint in self._clearances:
                 self._clearances[fingerprint] -= targets
+        for fingerprint, versions in report.survived.items():
+            for version in versions:
+                self.evidence.add_survivor(fingerprint, version)
+                self._survivals.discard((fingerprint, version))
+            if own:
+                self.report.survived.setdefault(fingerprint, set()).update(versions)
         self._clear_proven()
 
     def _handle_probe_result(self, target: Target, result: ProbeResult) -> None:
@@ -162,18 +226,17 @@
             suspects=",".join(sorted(probe.fingerprints)[:LOGGED_FINGERPRINTS_MAX]),
         )
         if result is ProbeResult.REFUSED and probe.fingerprints:
-            self._record_crash(target.instance, probe.fingerprints)
+            self._record_crash(target, probe.fingerprints)
         for listener in probe.listeners:
             listener(result is ProbeResult.ACCEPTED)
 
-    def _record_crash(self, target_instance: str, fingerprints: set[str]) -> None:
-        known = self.report.crashes.get(target_instance)
+    def _record_crash(self, target: Target, fingerprints: set[str]) -> None:
+        known = self.report.crashes.get(target.instance)
         if known is None:
             TARGET_CRASHES.inc()
-            crash = Crash(target_instance, self._read_clock(), frozenset(fingerprints))
-        else:
-            crash = Crash(target_instance, known.at, known.fingerprints | fingerprints)
-        self.report.crashes[target_instance] = crash
+            known = Crash(target.instance, self._read_clock(), frozenset(), target.version)
+        crash = evolve(known, fingerprints=known.fingerprints | fingerprints)
+        self.report.crashes[target.instance] = crash
         self._add_crash(crash)
         self._clear_proven()
         self.on_report_change()
@@ -185,23 +248,30 @@
             log_event("crash_suspect", level=30, fingerprint=fingerprint, targets=targets)
 
     def _clear_proven(self) -> None:
-        """Clear the suspects that a response of this node proved harmless."""
+        """Apply what responses of this node proved to the suspects, and report it later."""
         for fingerprint, targets in self.proofs.clear(self.evidence).items():
             log_event("crash_suspect_cleared", fingerprint=fingerprint, crashes=len(targets))
-            if not self._clearances:
-                seconds = min(
-                    CLEARANCE_SECONDS_MAX, CLEARANCE_SECONDS_PER_NODE * self._count_nodes()
-                )
-                self._scheduler.call_after(seconds * self._draw_uniform(), self._report_clearances)
             self._clearances.setdefault(fingerprint, set()).update(targets)
-
-    def _report_clearances(self) -> None:
-        """Report the clearances that no peer has reported meanwhile."""
+        for fingerprint, version in self.proofs.find_survivors(self.evidence):
+            log_event("crash_suspect_survived", fingerprint=fingerprint, version=version)
+            self.evidence.add_survivor(fingerprint, version)
+            self._survivals.add((fingerprint, version))
+        if (self._clearances or self._survivals) and not self._proof_report_due:
+            self._proof_report_due = True
+            seconds = min(CLEARANCE_SECONDS_MAX, CLEARANCE_SECONDS_PER_NODE * self._count_nodes())
+            self._scheduler.call_after(seconds * self._draw_uniform(), self._report_proofs)
+
+    def _report_proofs(self) -> None:
+        """Report what was proven and no peer has reported meanwhile."""
+        self._proof_report_due = False
         clearances, self._clearances = self._clearances, {}
+        survivals, self._survivals = self._survivals, set()
         missing = {fingerprint: targets for fingerprint, targets in clearances.items() if targets}
         for fingerprint, targets in missing.items():
             self.report.cleared.setdefault(fingerprint, set()).update(targets)
-        if missing:
+        for fingerprint, version in survivals:
+            self.report.survived.setdefault(fingerprint, set()).add(version)
+        if missing or survivals:
             self.on_report_change()
 
     def _expire(self) -> None:
@@ -215,7 +285,16 @@
                 for fingerprint, targets in self.report.cleared.items()
                 if (kept := targets & known)
             },
+            {
+                fingerprint: versions
+                for fingerprint, versions in self.report.survived.items()
+                if self.evidence.list_targets(fingerprint)
+            },
         )
+        now = self._scheduler.now()
+        self._trials_until = {
+            trial: until for trial, until in self._trials_until.items() if until > now
+        }
         if report != self.report:
             self.report = report
             self.on_report_change()
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -13,6 +13,7 @@
 from bronzetiller.documents import Problem
 from bronzetiller.fleet.drain import Drain
 from bronzetiller.fleet.incarnations import make_incarnation
+from bronzetiller.fleet.neighbours import rank_nodes
 from bronzetiller.fleet.peers import Peers
 from bronzetiller.gateway.allocation_manager import AllocationManager
 from bronzetiller.gateway.application import Application
@@ -149,7 +150,11 @@
         )
         crashes_reader = self._make_reader(store, CRASHES_TOPIC)
         self.crash_tracker = CrashTracker(
-            scheduler, http, self.members.count_nodes, self._draw_uniform
+            scheduler,
+            http,
+            self.members.count_nodes,
+            self._draw_uniform,
+            is_trial_node=self._is_trial_node,
         )
         self.crash_reports = CrashReports(
             scheduler, store, crashes_reader, self.settings.node_id, self.crash_tracker
@@ -208,6 +213,11 @@
 
         return PeerReader(self._scheduler, self.peers, store, find_reader, self._list_seeds)
 
+    def _is_trial_node(self, fingerprint: str) -> bool:
+        """Return whether this node tries a quarantined request at a version not tested yet."""
+        node_ids = {item.node_id for item in self.members.list_serving()} | {self.settings.node_id}
+        return rank_nodes(fingerprint, node_ids)[0] == self.settings.node_id
+
     def _list_seeds(self) -> list[str]:
         return self.links.list_seeds()
 
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -32,6 +32,7 @@
 )
 from bronzetiller.gateway.crashes import (
     CrashTracker,
+    make_call_fingerprint,
     make_request_fingerprint,
     make_segment_fingerprint,
 )
@@ -54,7 +55,7 @@
 from bronzetiller.net.http_client import HttpCall, HttpClient
 from bronzetiller.net.scheduler import Scheduler, Timeout, Timer
 from bronzetiller.platform.headers import make_response_headers, make_target_headers
-from bronzetiller.requests.crash_evidence import StreamProof
+from bronzetiller.requests.crash_evidence import QuarantinedFingerprint, StreamProof
 from bronzetiller.routing.queues import RateMeter
 
 CONNECT_FAILURES_MAX = 4  # failed connections to targets before a request is refused
@@ -113,6 +114,7 @@
     pending_prefill_tokens: int = 0
     sent_at: float = 0.0
     proof: StreamProof = field(factory=StreamProof)
+    resumed: bool = False
     caller_disconnected: bool = False
     finished: bool = False
     _fingerprints: list[str] | None = None
@@ -158,33 +160,63 @@
         if self.deadline - now < PLACEMENT_SECONDS_MIN:
             self._on_deadline()
             return
-        if self._refuse_if_quarantined():
-            return
         if not self.service:
             route_draw = context.draw_uniform()
             chosen = choose_service(self.route, route_draw, context.pool.list_services())
             self.service = chosen or ""
             context.find_retry_window(self.service).record_request(now)
-        targets = self._list_usable_targets()
+        quarantined = self._find_quarantined()
+        targets = self._select_safe_targets(self._list_usable_targets(), quarantined)
+        if quarantined is not None and not targets:
+            self._refuse_quarantined(quarantined)
+            return
         request = make_placement_request(self.metadata.prompt)
         target = choose_target(targets, request, context.distances, now, context.draw_uniform)
         if target is None:
             self._refuse_without_target()
             return
+        if quarantined is not None:
+            context.crash_tracker.record_trial(quarantined, target.version)
         self._send(target, request)
 
+    def _find_quarantined(self) -> QuarantinedFingerprint | None:
+        return self.context.crash_tracker.find_quarantined(self._make_fingerprints)
+
     def _refuse_if_quarantined(self) -> bool:
-        """Refuse the request if it, or a segment of its prompt, crashes targets."""
-        quarantined = self.context.crash_tracker.find_quarantined(self._make_fingerprints)
+        """Refuse the request if it crashes the targets of all versions in service."""
+        quarantined = self._find_quarantined()
         if quarantined is None:
             return False
+        tracker, pool = self.context.crash_tracker, self.context.pool
+        services = {backend.service for backend in self.route.backends}
+        versions = {item.version for name in services for item in pool.list_targets(name)}
+        if any(tracker.may_run(quarantined, version) for version in versions):
+            return False
+        self._refuse_quarantined(quarantined)
+        return True
+
+    def _refuse_quarantined(self, quarantined: QuarantinedFingerprint) -> None:
         detail = f"targets crashed under requests with {quarantined.fingerprint}"
         if self.may_have_run:
             self._refuse(Refusal(502, Reason.QUARANTINED, detail, Ran.UNKNOWN))
-            return True
+            return
         seconds = max(1, round(quarantined.until - self.context.scheduler.now()))
         self._refuse(Refusal(503, Reason.QUARANTINED, detail, retry_after_seconds=seconds))
-        return True
+
+    def _select_safe_targets(
+        self, targets: list[Target], quarantined: QuarantinedFingerprint | None
+    ) -> list[Target]:
+        """Return the targets at which the request may run.
+
+        One crash before its quarantine, those of other versions than the crashed ones are enough:
+        one of them may prove that it survives.
+        """
+        tracker = self.context.crash_tracker
+        if quarantined is not None:
+            return [item for item in targets if tracker.may_run(quarantined, item.version)]
+        suspected = tracker.list_suspected_versions(self._make_fingerprints)
+        others = [item for item in targets if item.version not in suspected]
+        return others or targets
 
     def _list_untried_targets(self) -> list[Target]:
         return [
@@ -226,7 +258,10 @@
     def _send(self, target: Target, request: PlacementRequest) -> None:
         context = self.context
         now = context.scheduler.now()
+        if self.attempt is None or self.attempt.target.version != target.version:
+            self.proof = StreamProof()
         self.proof.restart()
+        self.resumed = self.last_event_id is not None
         self.tried_target_ids.append(target.target_id)
         prompt = self.metadata.prompt
         self.pending_prefill_tokens = estimate_prefill(target, request, is_preferred=False).tokens
@@ -348,7 +383,8 @@
     def _handle_stream_data(self, event: StreamData) -> None:
         if self.pending_prefill_tokens:
             self._record_queue_delay()
-        if self.proof.advance(self.context.scheduler.now()):
+        assert self.attempt is not None
+        if self.attempt.proves_survival and self.proof.advance(self.context.scheduler.now()):
             self._record_proof()
         self.events += event.events
         if event.last_event_id is not None:
@@ -383,7 +419,8 @@
         )
 
     def _handle_end(self, event: StreamEnd | CompleteResponse) -> None:
-        if self.proof.complete():
+        assert self.attempt is not None
+        if self.attempt.proves_survival and self.proof.complete():
             self._record_proof()
         if isinstance(event, CompleteResponse):
             self._handle_response(event)
@@ -441,9 +478,15 @@
         self._retry_or_fail(event.cause)
 
     def _record_proof(self) -> None:
-        tracker = self.context.crash_tracker
-        fingerprints = self._make_segment_fingerprints()
-        tracker.record_proof(self._make_fingerprints() if tracker.evidence else fingerprints)
+        """Record that the target survived the request.
+
+        A response resumed at an event did not run the whole request again, but read its prompt.
+        """
+        attempt, tracker = self.attempt, self.context.crash_tracker
+        assert attempt is not None
+        is_whole = bool(tracker.evidence) and not self.resumed
+        fingerprints = self._make_fingerprints() if is_whole else self._make_segment_fingerprints()
+        tracker.record_proof(fingerprints, attempt.target.version)
 
     def _list_unproven_fingerprints(self) -> list[str]:
         return [] if self.proof.proven else self._make_fingerprints()
@@ -454,7 +497,8 @@
         workspace = "" if self.workspace is None else self.workspace.name
         exchange = self.exchange
         request = make_request_fingerprint(workspace, exchange.method, exchange.path, exchange.body)
-        self._fingerprints = [request, *self._make_segment_fingerprints()]
+        call = make_call_fingerprint(request, exchange.query, self.metadata.prompt)
+        self._fingerprints = [request, call, *self._make_segment_fingerprints()]
         return self._fingerprints
 
     def _make_segment_fingerprints(self) -> list[str]:
--- a/bronzetiller/gateway/requests.py
+++ b/bronzetiller/gateway/requests.py
@@ -53,6 +53,16 @@
     MISDIRECTED = "other_target"
 
 
+def proves_survival(response_class: ResponseClass, status: int, *, names_request: bool) -> bool:
+    """Return whether a response shows that its target ran the request and outlived it.
+
+    A failure or an early rejection may come from a target that never began on the request, and a
+    response that does not name its request may be a late one to another request.
+    """
+    is_success = response_class is ResponseClass.ANSWERED and 200 <= status < 300
+    return is_success and names_request
+
+
 @frozen
 class LoadReport:
     """Count the running and waiting requests of a target and its slots."""
--- a/bronzetiller/gateway/targets.py
+++ b/bronzetiller/gateway/targets.py
@@ -33,6 +33,7 @@
     leaving: bool
     started_ms: int = 0
     warm_up_seconds: float = 0.0
+    software: str = ""  # its version; those of one service may serve side by side
     heartbeat: int = field(default=0, eq=False)  # rises with each write of the registration
 
 
@@ -65,6 +66,11 @@
         """Return an id that differs between the starts of a target under the same id."""
         return f"{self.registration.target_id}/{self.registration.started_ms}"
 
+    @property
+    def version(self) -> str:
+        """Return the target's service and the version of its software."""
+        return f"{self.registration.service}/{self.registration.software}"
+
     def estimate_load(self, now: float) -> int:
         """Estimate the requests at the target: those reported and those sent since the report."""
         if self.load_report is None or now - self.load_reported_at > LOAD_REPORT_AGE_SECONDS_MAX:
@@ -150,6 +156,7 @@
                 target=registration.target_id,
                 service=registration.service,
                 address=registration.address,
+                version=registration.software,
                 restarted=existing is not None,
             )
         self._rebuild_index()
--- a/bronzetiller/platform/decoding.py
+++ b/bronzetiller/platform/decoding.py
@@ -110,6 +110,7 @@
             return Err("slots must be a positive integer")
         reported_start_ms = item.get("born", 0)
         heartbeat = item.get("sequence", 0)
+        software = item.get("version", "")
         return Ok(
             Registration(
                 target_id=target_id,
@@ -120,6 +121,7 @@
                 leaving=state == "draining",
                 started_ms=reported_start_ms if type(reported_start_ms) is int else 0,
                 warm_up_seconds=float(item.get("warmup_left_ms") or 0) / 1000,
+                software=software if isinstance(software, str) else "",
                 heartbeat=heartbeat if type(heartbeat) is int else 0,
             )
         )
--- a/bronzetiller/platform/headers.py
+++ b/bronzetiller/platform/headers.py
@@ -105,6 +105,11 @@
     return head.headers.get(_REQUEST_ID, request_id) == request_id
 
 
+def names_request(head: ResponseHead, request_id: str) -> bool:
+    """Return whether a response names the request that it belongs to."""
+    return head.headers.get(_REQUEST_ID) == request_id
+
+
 def classify_response(head: ResponseHead) -> ResponseClass:
     """Classify a response; only an explicit header shows that the request was not run."""
     if head.status == 421:
--- a/bronzetiller/requests/crash_evidence.py
+++ b/bronzetiller/requests/crash_evidence.py
@@ -5,8 +5,12 @@
 fingerprint that crashes targets is on each of them; others are there by chance, or because they
 share requests with it.
 
-Designed for single requests or parts that crash every target, among many harmless requests that
-share their other parts. This module reads no clock; times are Unix seconds.
+Targets of one software version crash alike, those of another one may survive. So a response proves
+a fingerprint harmless at its own version only, and a request whose fingerprint is quarantined may
+run at the versions that survived it.
+
+Designed for single requests or parts that crash every target of a version, among many harmless
+requests that share their other parts. This module reads no clock; times are Unix seconds.
 """
 
 from collections import OrderedDict
@@ -22,23 +26,34 @@
 # A response this long before a crash proves a segment harmless: it would have crashed its target.
 PROOF_SECONDS = 5.0
 PROVEN_MAX = 10_000
+REQUEST_PREFIX = "request:"  # of the fingerprint of a request's workspace, path and body
+CALL_PREFIX = "call:"  # of the fingerprint that also covers its query and prompt
 
 
 @frozen
 class Crash:
-    """Hold the incarnation of a target that crashed, when, and the fingerprints on it."""
+    """Hold the incarnation of a target that crashed, when, and the fingerprints on it.
+
+    version is that of the target's software; it is empty if the target states none.
+    """
 
     target: str
     at: float
     fingerprints: frozenset[str]
+    version: str = ""
 
 
 @frozen
 class QuarantinedFingerprint:
-    """Hold the fingerprint for which a request must not run, and until when."""
+    """Hold the fingerprint for which a request must not run, and until when.
+
+    It may run at the versions in survivors; those in crashed are known to crash.
+    """
 
     fingerprint: str
     until: float
+    survivors: frozenset[str] = frozenset()
+    crashed: frozenset[str] = frozenset()
 
 
 @define(eq=False)
@@ -53,6 +68,7 @@
     _cleared: dict[str, set[str]] = field(factory=dict)
     _counting: dict[str, dict[str, float]] = field(factory=dict)
     _suspects: set[str] = field(factory=set)
+    _survivors: dict[str, set[str]] = field(factory=dict)
 
     def __bool__(self) -> bool:
         return bool(self._crashes)
@@ -66,6 +82,7 @@
                 known,
                 at=min(known.at, crash.at),
                 fingerprints=known.fingerprints | crash.fingerprints,
+                version=max(known.version, crash.version),
             )
         self._crashes[crash.target] = crash
         for fingerprint in crash.fingerprints:
@@ -83,6 +100,10 @@
             cleared.add(target)
             self._stop_counting(fingerprint, target)
 
+    def add_survivor(self, fingerprint: str, version: str) -> None:
+        """Record that targets of a version survive requests with a fingerprint."""
+        self._survivors.setdefault(fingerprint, set()).add(version)
+
     def expire(self, now: float) -> None:
         """Forget the crashes that are too old to count."""
         expiry = now - RETENTION_SECONDS
@@ -92,6 +113,8 @@
             targets &= self._crashes.keys()
             if not targets:
                 del self._cleared[fingerprint]
+        for fingerprint in self._survivors.keys() - self._counting.keys():
+            del self._survivors[fingerprint]
 
     def list_crashes(self) -> set[str]:
         """Return the targets whose crashes are known."""
@@ -105,30 +128,73 @@
         """Return the crashed targets that count against a fingerprint."""
         return set(self._counting.get(fingerprint, ()))
 
+    def list_targets_by_version(self, fingerprint: str) -> list[tuple[str, str]]:
+        """Return the crashed targets that count against a fingerprint, with their versions."""
+        return [
+            (target, self._crashes[target].version)
+            for target in self._counting.get(fingerprint, ())
+        ]
+
     def list_fingerprints(self, target: str) -> list[str]:
         """Return the fingerprints against which the crash of a target counts."""
         crash = self._crashes.get(target)
         names = () if crash is None else crash.fingerprints
         return sorted(name for name in names if target in self._counting.get(name, ()))
 
+    def list_crashed_versions(self, fingerprint: str) -> set[str]:
+        """Return the versions whose crashes count against a fingerprint."""
+        return {self._crashes[target].version for target in self._counting.get(fingerprint, ())}
+
+    def list_survivors(self, fingerprint: str) -> set[str]:
+        """Return the versions that are proven to survive a fingerprint."""
+        return self._survivors.get(fingerprint, set()) - self.list_crashed_versions(fingerprint)
+
     def find_quarantined(
         self, fingerprints: Collection[str], now: float
     ) -> QuarantinedFingerprint | None:
         """Return why a request with these fingerprints must not run, or None if it may."""
+        found: QuarantinedFingerprint | None = None
         for fingerprint in fingerprints:
             if fingerprint not in self._suspects:
                 continue
             crashed_at = self._counting[fingerprint]
             doublings = len(crashed_at) - CRASHES_MAX
             until = max(crashed_at.values()) + QUARANTINE_SECONDS * 2.0**doublings
-            if now < until and not self._is_explained(set(crashed_at), fingerprints):
-                return QuarantinedFingerprint(fingerprint, until)
-        return None
-
-    def _is_explained(self, targets: set[str], fingerprints: Collection[str]) -> bool:
+            if now >= until or self._is_explained(fingerprint, fingerprints):
+                continue
+            survivors = frozenset(self.list_survivors(fingerprint))
+            crashed = frozenset(self.list_crashed_versions(fingerprint))
+            if found is None:
+                found = QuarantinedFingerprint(fingerprint, until, survivors, crashed)
+            else:
+                found = evolve(
+                    found,
+                    until=max(found.until, until),
+                    survivors=found.survivors & survivors,
+                    crashed=found.crashed | crashed,
+                )
+        return found
+
+    def _is_explained(self, fingerprint: str, fingerprints: Collection[str]) -> bool:
         """Return whether a suspect that the request lacks accounts for nearly all the crashes."""
+        targets = self._counting[fingerprint].keys()
         others = self._suspects.difference(fingerprints)
-        return any(len(targets - self._counting[other].keys()) < CRASHES_MAX for other in others)
+        return any(
+            len(targets - self._counting[other].keys()) < CRASHES_MAX
+            and not self._outranks(fingerprint, other)
+            for other in others
+        )
+
+    def _outranks(self, fingerprint: str, other: str) -> bool:
+        """Return whether a whole request is suspected more than another whole request.
+
+        Without this order, two requests that crashed the same targets would excuse each other.
+        """
+        pair = (fingerprint, other)
+        if not all(name.startswith((REQUEST_PREFIX, CALL_PREFIX)) for name in pair):
+            return False
+        ranks = [(len(self._counting[name]), name.startswith(CALL_PREFIX), name) for name in pair]
+        return ranks[0] > ranks[1]
 
     def _remove(self, target: str) -> None:
         for fingerprint in self._crashes.pop(target).fingerprints:
@@ -179,18 +245,18 @@
 
 @define(eq=False)
 class Proofs:
-    """Hold when responses proved fingerprints harmless, and when crashes were heard of.
+    """Hold when responses proved fingerprints harmless, by version, and when crashes were heard of.
 
     Times are monotonic seconds of this node.
     """
 
-    _proven_at: OrderedDict[str, float] = field(factory=OrderedDict)
+    _proven_at: OrderedDict[str, dict[str, float]] = field(factory=OrderedDict)
     _heard_at: dict[str, float] = field(factory=dict)
 
-    def record(self, fingerprints: Iterable[str], now: float) -> None:
-        """Record that a target survived a request with these fingerprints."""
+    def record(self, fingerprints: Iterable[str], now: float, version: str = "") -> None:
+        """Record that a target of a version survived a request with these fingerprints."""
         for fingerprint in fingerprints:
-            self._proven_at[fingerprint] = now
+            self._proven_at.setdefault(fingerprint, {})[version] = now
             self._proven_at.move_to_end(fingerprint)
         while len(self._proven_at) > PROVEN_MAX:
             self._proven_at.popitem(last=False)
@@ -209,16 +275,24 @@
         """Clear the suspects that are proven harmless; return the cleared crashes of each."""
         cleared: dict[str, set[str]] = {}
         for fingerprint in evidence.list_suspects():
-            proven_at = self._proven_at.get(fingerprint)
-            if proven_at is None:
-                continue
-            until = proven_at + PROOF_SECONDS
+            proven_at = self._proven_at.get(fingerprint, {})
             targets = {
                 target
-                for target in evidence.list_targets(fingerprint)
-                if self._heard_at[target] <= until
+                for target, version in evidence.list_targets_by_version(fingerprint)
+                if version in proven_at
+                and self._heard_at[target] <= proven_at[version] + PROOF_SECONDS
             }
             if targets:
                 evidence.clear(fingerprint, targets)
                 cleared[fingerprint] = targets
         return cleared
+
+    def find_survivors(self, evidence: CrashEvidence) -> list[tuple[str, str]]:
+        """Return suspects and versions proven to survive them that the evidence lacks."""
+        return [
+            (fingerprint, version)
+            for fingerprint in evidence.list_suspects()
+            for version in self._proven_at.get(fingerprint, {})
+            if version not in evidence.list_crashed_versions(fingerprint)
+            and version not in evidence.list_survivors(fingerprint)
+        ]
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -121,11 +121,16 @@
         self._start("store", ["standins.keyed_store", *extra])
 
     def start_target(
-        self, target_id: str, service: str, data_centre: str = "regina-a", *extra: str
+        self,
+        target_id: str,
+        service: str,
+        data_centre: str = "regina-a",
+        *extra: str,
+        version: str = "v1",
     ) -> None:
         """Start a target and register it in the store."""
         self._start(target_id, ["standins.path_engine", "--id", target_id, *extra])
-        self.register_target(target_id, service, data_centre)
+        self.register_target(target_id, service, data_centre, version=version)
 
     def register_target(
         self, target_id: str, service: str, data_centre: str, **fields: Any
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -15,6 +15,7 @@
     encode_report,
 )
 from bronzetiller.gateway.crashes import CrashReport, CrashTracker
+from bronzetiller.gateway.requests import ResponseClass, proves_survival
 from bronzetiller.gateway.targets import Registration, Target
 from bronzetiller.net.address import Address
 from bronzetiller.net.http_client import ProbeResult
@@ -23,6 +24,7 @@
     QUARANTINE_SECONDS,
     Crash,
     CrashEvidence,
+    Proofs,
 )
 from standins.fake_scheduler import FakeScheduler
 from standins.memory_store import MemoryStore
@@ -31,12 +33,13 @@
 NOW = 1_000.0
 CONTACT_SECONDS = 4.0  # after the fifth crash, until all nodes must hold such requests back
 LATER_REQUESTS_MAX = 3
+V1, V2 = "s/v1", "s/v2"
 
 
-def make_evidence(*crashes):
+def make_evidence(*crashes, version=V1):
     evidence = CrashEvidence()
     for number, fingerprints in enumerate(crashes):
-        evidence.add(Crash(f"e{number}", NOW, frozenset(fingerprints)))
+        evidence.add(Crash(f"e{number}", NOW, frozenset(fingerprints), version))
     return evidence
 
 
@@ -83,6 +86,60 @@
     assert is_quarantined(evidence, "bad", now=later + 2 * QUARANTINE_SECONDS - 1)
 
 
+def test_two_requests_on_the_same_crashed_targets_do_not_excuse_each_other():
+    evidence = make_evidence(*[{"request:a", "call:a", "request:b", "call:b"}] * CRASHES_MAX)
+    judged = [is_quarantined(evidence, f"request:{name}", f"call:{name}") for name in "ab"]
+    assert sorted(judged) == [False, True]
+    (running,) = [name for name, held in zip("ab", judged, strict=True) if not held]
+    evidence.add(Crash("another", NOW, frozenset({f"request:{running}", f"call:{running}"}), V1))
+    assert is_quarantined(evidence, f"request:{running}", f"call:{running}")
+
+
+def test_calls_of_one_path_and_another_query_run_beside_the_one_that_crashes_targets():
+    evidence = make_evidence(*[{"request:a", "call:bad"}] * CRASHES_MAX)
+    assert is_quarantined(evidence, "request:a", "call:bad")
+    assert not is_quarantined(evidence, "request:a", "call:sound")
+    proofs = Proofs()
+    for target in evidence.list_crashes():
+        proofs.hear(target, 0.0)
+    proofs.record(["request:a", "call:sound"], 1.0, V1)
+    proofs.clear(evidence)
+    assert is_quarantined(evidence, "request:a", "call:bad")
+
+
+def test_a_response_of_another_version_clears_no_crash_but_shows_where_a_request_may_run():
+    evidence, proofs = make_evidence(*[{"request:a"}] * CRASHES_MAX), Proofs()
+    for target in evidence.list_crashes():
+        proofs.hear(target, 0.0)
+    proofs.record(["request:a"], 1.0, V2)
+    assert proofs.clear(evidence) == {}
+    assert proofs.find_survivors(evidence) == [("request:a", V2)]
+    evidence.add_survivor("request:a", V2)
+    quarantined = evidence.find_quarantined(["request:a"], NOW)
+    assert quarantined.survivors == {V2} and quarantined.crashed == {V1}
+    evidence.add(Crash("newer", NOW, frozenset({"request:a"}), V2))
+    assert not evidence.find_quarantined(["request:a"], NOW).survivors
+
+
+@pytest.mark.parametrize(
+    ("response_class", "status", "names_request", "proves"),
+    [
+        (ResponseClass.ANSWERED, 200, True, True),
+        (ResponseClass.ANSWERED, 200, False, False),
+        (ResponseClass.ANSWERED, 304, True, False),
+        (ResponseClass.ANSWERED, 404, True, False),
+        (ResponseClass.FAILED, 500, True, False),
+        (ResponseClass.NOT_RUN, 503, True, False),
+        (ResponseClass.NOT_RUN, 200, True, False),
+        (ResponseClass.MISDIRECTED, 421, True, False),
+    ],
+)
+def test_only_a_success_that_names_its_request_proves_it_harmless(
+    response_class, status, names_request, proves
+):
+    assert proves_survival(response_class, status, names_request=names_request) is proves
+
+
 FINGERPRINTS = ("a", "b", "c")
 REPORTS = st.lists(
     st.one_of(
@@ -115,8 +172,9 @@
 
 
 def test_a_report_is_decoded_as_it_was_encoded_and_a_malformed_one_is_rejected():
-    crash = Crash("e1/5", NOW, frozenset({"segment:a", "request:b"}))
-    report = CrashReport({"e1/5": crash}, {"segment:c": {"e1/5", "e2/7"}})
+    crash = Crash("e1/5", NOW, frozenset({"segment:a", "request:b"}), V1)
+    cleared = {"segment:c": {"e1/5", "e2/7"}}
+    report = CrashReport({"e1/5": crash}, cleared, {"segment:a": {V1, V2}})
     assert decode_report(encode_report(report)) == report
     for value in (
         b"",
@@ -138,15 +196,27 @@
     assert len(value) <= 64 * 1024 and "e199" in decoded.crashes
 
 
+def make_registration(target_id, address, version=V1):
+    service, _, software = version.partition("/")
+    return Registration(target_id, service, address, "a", 8, False, software=software)
+
+
 @define(eq=False)
 class FakeTargets:
-    """Hold targets that crash under prompts with segment bad and start again some seconds later."""
+    """Hold targets that crash under prompts with segment bad and start again some seconds later.
+
+    Those of the newer version, the last ones, survive them.
+    """
 
     scheduler: FakeScheduler
+    newer: int = 0
     up_at: list = field(factory=lambda: [0.0] * 8)
     starts: int = 0
     crashes: list = field(factory=list)
 
+    def find_version(self, number):
+        return V2 if number >= len(self.up_at) - self.newer else V1
+
     def probe(self, address, seconds, on_result):
         number = address.port
         refused = self.up_at[number] > self.scheduler.now()
@@ -172,6 +242,7 @@
             lambda: len(self.world.nodes),
             self.world.random.random,
             scheduler.now,
+            lambda fingerprint: self is self.world.nodes[0],
         )
         self.reports = CrashReports(scheduler, client, client, self.node_id, self.tracker)
         self.reports.start()
@@ -190,33 +261,43 @@
     bad_sent_at: list = field(factory=list)
     sound_refused_at: list = field(factory=list)
     sound_sent_at: list = field(factory=list)
+    bad_served_at: list = field(factory=list)
+    bad_refused_at: list = field(factory=list)
 
     def send(self, *segments):
         node = self.random.choice(self.nodes)
         bad = "bad" in segments
         fingerprints = [f"segment:{segment}" for segment in segments]
         now = self.scheduler.now()
-        if node.tracker.find_quarantined(lambda: fingerprints) is not None:
-            if not bad:
-                self.sound_refused_at.append(now)
-            return
+        tracker, find_version = node.tracker, self.targets.find_version
         up = [number for number, up_at in enumerate(self.targets.up_at) if up_at <= now]
         if not up:
             return
+        quarantined = tracker.find_quarantined(lambda: fingerprints)
+        if quarantined is not None:
+            up = [number for number in up if tracker.may_run(quarantined, find_version(number))]
+            if not up:
+                (self.bad_refused_at if bad else self.sound_refused_at).append(now)
+                return
         number = self.random.choice(up)
+        if quarantined is not None:
+            tracker.record_trial(quarantined, find_version(number))
         (self.bad_sent_at if bad else self.sound_sent_at).append(now)
-        request = [node, fingerprints, True]
+        request = [node, fingerprints, True, find_version(number)]
         self.running.setdefault(number, []).append(request)
-        if bad:
+        if bad and find_version(number) == V2:
+            self.scheduler.call_after(0.6, lambda: self.finish(request))
+            self.bad_served_at.append(now)
+        elif bad:
             self.scheduler.call_after(0.1, lambda: self.crash(number))
         else:
             self.scheduler.call_after(0.6, lambda: self.finish(request))
 
     def finish(self, request):
-        node, fingerprints, running = request
+        node, fingerprints, running, version = request
         if running:
             request[2] = False
-            node.tracker.record_proof(fingerprints)
+            node.tracker.record_proof(fingerprints, version)
 
     def crash(self, number):
         now = self.scheduler.now()
@@ -226,9 +307,11 @@
         self.targets.crashes.append(now)
         self.targets.starts += 1
         address = Address("10.0.0.1", number)
-        registration = Registration(f"e{self.targets.starts}", "s", address, "a", 8, False)
+        registration = make_registration(
+            f"e{self.targets.starts}", address, self.targets.find_version(number)
+        )
         for request in self.running.pop(number, []):
-            node, fingerprints, running = request
+            node, fingerprints, running, _ = request
             request[2] = False
             if running:
                 node.tracker.report_loss(Target(registration), fingerprints)
@@ -250,9 +333,9 @@
 def make_world():
     """Return a function that starts a fleet of the given size and serves sound requests."""
 
-    def make(nodes):
+    def make(nodes, newer=0):
         world = World()
-        world.targets = FakeTargets(world.scheduler)
+        world.targets = FakeTargets(world.scheduler, newer)
         world.nodes = [FakeNode(world, f"node-{number}") for number in range(nodes)]
         for node in world.nodes:
             node.start()
@@ -279,6 +362,45 @@
     assert served > 100 and refused == 0
 
 
+@pytest.mark.parametrize("nodes", [6, 330])
+def test_a_segment_that_another_version_survives_is_served_there(make_world, nodes):
+    world = make_world(nodes, newer=2)
+    world.play(12.0)
+    crashes = world.targets.crashes
+    since = crashes[min(CRASHES_MAX, len(crashes)) - 1] + CONTACT_SECONDS
+    assert count_later(crashes, since) <= LATER_REQUESTS_MAX
+    assert count_later(world.bad_served_at, since) > 5
+    assert count_later(world.bad_refused_at, since) == 0
+    assert count_later(world.sound_refused_at, since) == 0
+
+
+def test_a_version_that_comes_later_is_tried_once_and_then_serves(make_world):
+    world = make_world(6)
+    world.play(8.0)
+    tried_at = world.scheduler.now()
+    world.targets.newer = 2
+    world.play(12.0)
+    assert count_later(world.targets.crashes, tried_at) == 0
+    assert count_later(world.bad_served_at, tried_at) > 5
+
+
+def test_an_untested_version_that_crashes_too_gets_one_trial(make_world):
+    world = make_world(6)
+    crash_targets(world, world.nodes[0], "segment:rare")
+    first, second = world.nodes[:2]
+    quarantined = first.tracker.find_quarantined(lambda: ["segment:rare"])
+    assert not second.tracker.may_run(quarantined, V2)
+    assert first.tracker.may_run(quarantined, V2) and not first.tracker.may_run(quarantined, V1)
+    first.tracker.record_trial(quarantined, V2)
+    assert not first.tracker.may_run(quarantined, V2)
+    registration = make_registration("newer", Address("10.0.0.1", 7), V2)
+    world.targets.up_at[7] = world.scheduler.now() + 9.0
+    first.tracker.report_loss(Target(registration), ["segment:rare"])
+    world.scheduler.advance(6.0)
+    quarantined = first.tracker.find_quarantined(lambda: ["segment:rare"])
+    assert not first.tracker.may_run(quarantined, V2)
+
+
 def test_a_crashing_segment_stays_contained_when_all_nodes_are_killed(make_world):
     world = make_world(6)
     world.play(6.0)
@@ -318,7 +440,7 @@
     for number in range(CRASHES_MAX):
         world.targets.up_at[number] = world.scheduler.now() + 1.0
         address = Address("10.0.0.1", number)
-        registration = Registration(f"e{number}", "s", address, "a", 8, False)
+        registration = make_registration(f"e{number}", address)
         node.tracker.report_loss(Target(registration), fingerprints)
     world.scheduler.advance(0.5)
 
@@ -329,7 +451,7 @@
     crash_targets(world, first, "segment:rare")
     for node in world.nodes:
         assert node.tracker.find_quarantined(lambda: ["segment:rare"])
-    second.tracker.record_proof(["segment:rare"])
+    second.tracker.record_proof(["segment:rare"], V1)
     world.scheduler.advance(0.5)
     for node in world.nodes:
         assert not node.tracker.find_quarantined(lambda: ["segment:rare"])
@@ -361,7 +483,7 @@
     crash_targets(world, first, "segment:bad")
     first.start()
     world.scheduler.advance(0.1)
-    first.tracker.record_proof(["segment:other"])
+    first.tracker.record_proof(["segment:other"], V1)
     crash_targets(world, first, "segment:other")
     second.start()
     world.scheduler.advance(0.1)
--- a/tests/test_crashing_call.py
+++ b/tests/test_crashing_call.py
@@ -111,3 +111,28 @@
     since = service.crashes[min(CRASHES_BEFORE_CONTAINMENT, len(service.crashes)) - 1]
     later = sum(at > since + CONTACT_SECONDS for at in service.crashes)
     assert later <= LATER_REQUESTS_MAX and len(service.crashes) <= 2 * CRASHES_BEFORE_CONTAINMENT
+
+
+def test_a_request_that_another_version_survives_is_served_there(service):
+    for _ in range(CRASHING_TARGETS - 1):
+        service.start_target()
+    service.fleet.start_target("newer", PLAIN_SERVICE, version="v2")
+    time.sleep(REGISTRATION_SECONDS)
+    service.play(4.0)
+    crashes = len(service.crashes)
+    replies = service.play(3.0)
+    assert crashes <= 2 * CRASHES_BEFORE_CONTAINMENT and len(service.crashes) == crashes
+    assert {reply.status for reply in replies} == {200}
+
+
+def test_a_request_is_served_by_a_version_that_arrives_after_its_quarantine(service):
+    for _ in range(CRASHING_TARGETS - 1):
+        service.start_target()
+    time.sleep(REGISTRATION_SECONDS)
+    assert {reply.status for reply in service.play(3.0)} == {502, 503}
+    service.fleet.start_target("newer", PLAIN_SERVICE, version="v2")
+    time.sleep(REGISTRATION_SECONDS)
+    service.play(2.0)
+    crashes = len(service.crashes)
+    replies = service.play(2.0)
+    assert {reply.status for reply in replies} == {200} and len(service.crashes) == crashes
