Keep the crashes of a plain call that fails at another target

Callers of bronzetiller node saw targets crash one after another under one call.

Cause: as in the gateway, any complete response forgot the crashes of its call, also a 500. Change: only a success does. The stand-in service crashes under a marker or fails all calls.

--- a/bronzetiller/callers/service_calls.py
+++ b/bronzetiller/callers/service_calls.py
@@ -222,7 +222,8 @@
             RETRIES.labels("target_refused").inc()
             self._dispatch()
         else:
-            self.assignment.mark_completed()
+            if 200 <= outcome.status < 300:
+                self.assignment.mark_completed()
             self._bill(outcome)
 
     def _try_spend_retry(self) -> bool:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -7,7 +7,9 @@
 import pytest
 
 from bronzetiller.budgets.records import Bill, dump_ledger_record
+from bronzetiller.requests.quarantine import CRASHES_MAX
 from standins.fleet import Fleet, call_json
+from standins.service import CRASH_MARKER
 from tests.conftest import KEY, await_ready, await_true, read_records, send
 
 QUICK = {"claim_seconds": 1.0, "dispatch_seconds": 1.5, "claim_wait_seconds": 4.0}
@@ -225,3 +227,32 @@
     status, body = call(address, "place", "a liner", "order-6")
     assert (status, body["reason"], body["ran"]) == (409, "answer_not_kept", "yes")
     assert _count_runs(fleet, "order-6") == 0
+
+
+@pytest.fixture
+def own_fleet():
+    """Yield a fleet without processes."""
+    fleet = Fleet()
+    try:
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def test_a_failure_does_not_release_a_call_that_crashes_targets(own_fleet):
+    fleet = _start(own_fleet)
+    address = fleet.caller_address("node-1")
+    call_json(fleet.processes["orders-0"].ready["address"], "/control/settings", {"status": 500})
+    crashed = []
+    for number in range(2 * CRASHES_MAX):
+        name = f"crashing-{number}"
+        fleet.add_target(name, "orders", "west", "west-1", "standins.service")
+        process = fleet.processes[name].popen
+        await_true(lambda: call(address, "status")[0] == 200, what="the target is in use")
+        for _ in range(8):
+            call(address, "status", f"{CRASH_MARKER} it")
+        if process.poll() is not None:
+            crashed.append(name)
+        else:
+            fleet.processes[name].kill()
+    assert len(crashed) <= CRASHES_MAX
