Let a stream go on only at the software version that began it

Callers got streams joined from two versions of a service, within one response and over their own tries, with nothing to show it.

Cause: nothing compared versions. A node resumed a stream at any target of the service, and a take-up went to any target, since no node kept where another one began a stream. Class: an identity that two things share (the service) taken for one that they must share. Change: one version of each service is its base, in the store. Streams of others are recorded there before their first event is delivered; one without a record began at the base. Resumes names the stream that a request takes up. A version without targets or one that cannot be known is refused with 503, not run. One version in service costs no append.

--- a/bronzetiller/errors.py
+++ b/bronzetiller/errors.py
@@ -30,6 +30,7 @@
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     NO_TARGET = "no_target"
+    STREAM_UNKNOWN = "stream_unknown"
     TARGET_FAILED = "target_failed"
     ANSWER_INCOMPLETE = "answer_incomplete"
     BILL_UNCONFIRMED = "bill_unconfirmed"
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -35,6 +35,7 @@
 from bronzetiller.gateway.reservation_server import ReservationServer
 from bronzetiller.gateway.retry_window import RetryWindow
 from bronzetiller.gateway.settings import GatewaySettings, load_gateway_settings
+from bronzetiller.gateway.stream_records import StreamRecords
 from bronzetiller.gateway.target_limits import LimitedNode, TargetLimits
 from bronzetiller.gateway.targets import TargetPool
 from bronzetiller.logs import configure_bounded_logging, log_event
@@ -58,6 +59,7 @@
 
 PREALLOCATION_DELAY_SECONDS = 0.6  # until nodes that start together have discovered each other
 STOP_MARGIN_SECONDS = 0.7  # of the grace period, for the process to exit
+VERSION_PROPOSERS = 3  # so that some of them reach the store
 LEAVE_SECONDS = 3.0  # after a stop begins, new requests are still served: 1.5 lookup lifetimes
 BODY_SECONDS_MAX = 10.0  # for 4 MB over a slow link; the operator's limits cover heads only
 
@@ -108,6 +110,7 @@
             draw_uniform=self._draw_uniform,
             crash_tracker=self.crash_tracker,
             limits=self.limits,
+            streams=self.streams,
         )
         application = Application(
             self.request_context,
@@ -159,6 +162,14 @@
         self.crash_reports = CrashReports(
             scheduler, store, crashes_reader, self.settings.node_id, self.crash_tracker
         )
+        self.streams = StreamRecords(
+            scheduler,
+            store,
+            self.incarnation,
+            self.pool,
+            self.members.count_nodes,
+            self._is_proposer,
+        )
         self.holders = HolderMap(self.settings.node_id, self.distances, self.members.list_serving)
         followed_readers = (
             (self.configuration_follower.follower, configuration_reader),
@@ -213,6 +224,11 @@
 
         return PeerReader(self._scheduler, self.peers, store, find_reader, self._list_seeds)
 
+    def _is_proposer(self) -> bool:
+        """Return whether this node keeps the base versions of the services up to date."""
+        node_ids = {item.node_id for item in self.members.list_serving()} | {self.settings.node_id}
+        return self.settings.node_id in rank_nodes("versions", node_ids)[:VERSION_PROPOSERS]
+
     def _is_trial_node(self, fingerprint: str) -> bool:
         """Return whether this node tries a quarantined request at a version not tested yet."""
         node_ids = {item.node_id for item in self.members.list_serving()} | {self.settings.node_id}
@@ -238,6 +254,7 @@
         self.targets_follower.follower.start()
         self.members.start()
         self.crash_reports.start()
+        self.streams.start()
         self._scheduler.call_every(HEARTBEAT_SECONDS, self._refresh_limits)
         self.links.start()
         names = " ".join(f"{name}={address}" for name, address in self._addresses.items())
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -47,6 +47,8 @@
 from bronzetiller.gateway.requests import RequestMetadata
 from bronzetiller.gateway.reservation_client import Reservation
 from bronzetiller.gateway.retry_window import RetryWindow
+from bronzetiller.gateway.stream_records import StreamRecord, StreamRecords
+from bronzetiller.gateway.stream_versions import find_service
 from bronzetiller.gateway.target_limits import TargetLimits
 from bronzetiller.gateway.targets import Target, TargetPool
 from bronzetiller.logs import log_event
@@ -67,6 +69,7 @@
 SILENCE_SECONDS_MIN = 0.7
 UNDELIVERED_EVENTS_MAX = 2  # charged for a broken stream: generated but not delivered
 OVERLOADED_RETRY_SECONDS = 0.4
+HOLD_SECONDS_MAX = 1.0  # of a first event whose stream's version is not recorded yet
 FINGERPRINTED_SEGMENTS_MAX = 32
 
 
@@ -84,6 +87,7 @@
     draw_uniform: Callable[[], float]
     crash_tracker: CrashTracker
     limits: TargetLimits
+    streams: StreamRecords
     open_requests: int = 0
     arrival_rate: RateMeter = field(factory=RateMeter)
 
@@ -115,6 +119,9 @@
     sent_at: float = 0.0
     proof: StreamProof = field(factory=StreamProof)
     resumed: bool = False
+    version: str | None = None
+    record: StreamRecord | None = None
+    held_events: list[AttemptEvent] = field(factory=list)
     caller_disconnected: bool = False
     finished: bool = False
     _fingerprints: list[str] | None = None
@@ -130,6 +137,44 @@
         self.exchange.on_disconnect = self._on_disconnect
         self._deadline_timer = self.context.scheduler.call_at(self.deadline, self._on_deadline)
         self.last_event_id = self.metadata.last_event_id
+        if self._is_take_up:
+            self.context.streams.find(self.metadata.resumes, self._services, self._on_version)
+            return
+        self._reserve()
+
+    @property
+    def _is_resumable(self) -> bool:
+        return self.route.streamed and self.route.retryable
+
+    @property
+    def _is_take_up(self) -> bool:
+        """Return whether the request goes on with a stream of which the caller has events."""
+        has_events = self.last_event_id is not None or self.metadata.resumes is not None
+        return self._is_resumable and has_events
+
+    @property
+    def _services(self) -> set[str]:
+        return {backend.service for backend in self.route.backends}
+
+    def _on_version(self, result: Result[str | None, str]) -> None:
+        """Go on with a stream at the version that began it, or refuse."""
+        if self.finished:
+            return
+        if isinstance(result, Err):
+            detail = f"the version that began the stream cannot be read: {result.err_value}"
+            self._refuse_with_retry_after(Reason.STREAM_UNKNOWN, detail)
+            return
+        version = result.ok_value
+        if version is None or find_service(version) not in self._services:
+            detail = f"the version that began the stream is {version or 'unknown'}"
+            self._refuse(Refusal(503, Reason.STREAM_UNKNOWN, detail))
+            return
+        self.version, self.service = version, find_service(version)
+        window = self.context.find_retry_window(self.service)
+        window.record_request(self.context.scheduler.now())
+        self._reserve()
+
+    def _reserve(self) -> None:
         if self._refuse_if_quarantined():
             return
         if self.workspace is None or self.metadata.prompt is None:
@@ -188,8 +233,9 @@
         if quarantined is None:
             return False
         tracker, pool = self.context.crash_tracker, self.context.pool
-        services = {backend.service for backend in self.route.backends}
-        versions = {item.version for name in services for item in pool.list_targets(name)}
+        versions = {item.version for name in self._services for item in pool.list_targets(name)}
+        if self.version is not None:
+            versions &= {self.version}
         if any(tracker.may_run(quarantined, version) for version in versions):
             return False
         self._refuse_quarantined(quarantined)
@@ -223,16 +269,25 @@
             target
             for target in self.context.pool.list_targets(self.service)
             if target.target_id not in self.tried_target_ids
+            and self.version in (None, target.version)
         ]
 
     def _list_usable_targets(self) -> list[Target]:
-        """Return the untried targets whose limit leaves this node a request now."""
+        """Return the untried targets whose limit leaves this node a request now.
+
+        A stream that cannot be recorded begins at a target whose streams need no record.
+        """
         limits, now = self.context.limits, self.context.scheduler.now()
-        return [
+        targets = [
             target
             for target in self._list_untried_targets()
             if limits.find_free_at(target, now) <= now
         ]
+        streams = self.context.streams
+        if not self._is_resumable or streams.is_writable or self.version is not None:
+            return targets
+        base_targets = streams.list_base_targets(self.service)
+        return [target for target in targets if target in base_targets] or targets
 
     def _refuse_without_target(self) -> None:
         if self.may_have_run:
@@ -241,7 +296,10 @@
         limits, now = self.context.limits, self.context.scheduler.now()
         free_at = [limits.find_free_at(target, now) for target in self._list_untried_targets()]
         if not free_at:
-            self._refuse_with_retry_after(Reason.NO_TARGET, "the service has no available target")
+            detail = "the service has no available target"
+            if self.version is not None:
+                detail = f"no target of {self.version}, which began the stream, is available"
+            self._refuse_with_retry_after(Reason.NO_TARGET, detail)
             return
         wait = min(free_at) - now
         detail = "the targets of the service limit the requests of the fleet"
@@ -277,6 +335,7 @@
             self._on_event,
             lambda limit: self._record_limit(target, limit),
         )
+        self._record_version(attempt)
         context.limits.take(target, now)
         path = self.exchange.path
         request_target = f"{path}?{self.exchange.query}" if self.exchange.query else path
@@ -303,6 +362,52 @@
         attempt.start(context.http, call)
         self._watch_silence(HEAD_SILENCE_FACTOR * self.route.latency_target_seconds)
 
+    def _record_version(self, attempt: Attempt) -> None:
+        """Record at which version the stream begins, before its first event arrives."""
+        self.held_events = []
+        self.record = None
+        if not self._is_resumable:
+            return
+        stream_id = self.metadata.resumes or self.metadata.request_id
+        several_services = len(self._services) > 1
+        streams = self.context.streams
+        self.record = streams.record(stream_id, attempt.target.version, always=several_services)
+        if self.record is not None:
+            self.record.on_written = lambda: self._release_events(attempt)
+
+    def _hold_event(self, event: AttemptEvent) -> bool:
+        """Hold an event until the version of its stream is recorded; return whether it is held."""
+        if self.held_events:
+            self.held_events.append(event)
+            return True
+        record, streams = self.record, self.context.streams
+        if record is None or record.written or not isinstance(event, StreamData | StreamEnd):
+            return False
+        if streams.may_deliver_unrecorded(self.service):
+            return False
+        self.held_events.append(event)
+        attempt = self.attempt
+        self.context.scheduler.call_after(HOLD_SECONDS_MAX, lambda: self._on_hold_expired(attempt))
+        return True
+
+    def _release_events(self, attempt: Attempt) -> None:
+        events, self.held_events = self.held_events, []
+        for event in events:
+            if self.finished or self.attempt is not attempt:
+                return
+            self._on_event(event)
+
+    def _on_hold_expired(self, attempt: Attempt | None) -> None:
+        """Try another target if the version of a stream could not be recorded in time."""
+        if self.finished or attempt is None or attempt is not self.attempt or not self.held_events:
+            return
+        attempt.cancel()
+        self.held_events = []
+        self._clear_pending_prefill()
+        self.may_have_run = True
+        self.attempts += 1
+        self._retry_or_fail("the version of the stream could not be recorded")
+
     def _record_limit(self, target: Target, limit: float | None) -> None:
         target.record_request_limit(limit)
         self.context.limits.record_response(target, limit, self.context.scheduler.now())
@@ -344,6 +449,8 @@
         self._place()
 
     def _on_event(self, event: AttemptEvent) -> None:
+        if self._hold_event(event):
+            return
         if not isinstance(event, StreamStarted | StreamData):
             self._clear_pending_prefill()
         if isinstance(event, StreamData):
@@ -386,6 +493,7 @@
         assert self.attempt is not None
         if self.attempt.proves_survival and self.proof.advance(self.context.scheduler.now()):
             self._record_proof()
+        self.version = self.attempt.target.version
         self.events += event.events
         if event.last_event_id is not None:
             self.last_event_id = event.last_event_id
@@ -597,6 +705,8 @@
             version=self.configuration.version,
             workspace="" if self.workspace is None else self.workspace.name,
             targets=",".join(self.tried_target_ids),
+            resumes=self.metadata.resumes or "",
+            stream_version=self.version or "",
             attempts=self.attempts,
             events=self.events,
             tokens=used,
--- a/bronzetiller/gateway/requests.py
+++ b/bronzetiller/gateway/requests.py
@@ -34,7 +34,10 @@
 
 @frozen
 class RequestMetadata:
-    """Hold the decoded request headers; seconds_left counts from the arrival."""
+    """Hold the decoded request headers; seconds_left counts from the arrival.
+
+    resumes is the id of the request that brought the first event of a stream taken up again.
+    """
 
     request_id: str
     key: str
@@ -42,6 +45,7 @@
     prompt: Prompt | None
     last_event_id: int | None
     forwarded_headers: dict[str, str]
+    resumes: str | None = None
 
 
 class ResponseClass(Enum):
--- /dev/null
+++ b/bronzetiller/gateway/stream_records.py
@@ -0,0 +1,350 @@
+"""Record in the store at which version streams began, and look it up for those taken up again.
+
+A node writes the streams of a few seconds into one record, again and again as more begin, and
+deletes it once none of them can be taken up any more. A lookup reads what changed since the last
+one; nobody follows the records.
+"""
+
+import json
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+from result import Err, Ok, Result
+
+from bronzetiller.gateway.stream_versions import (
+    TAKE_UP_SECONDS,
+    BaseVersion,
+    StreamVersions,
+    decode_base_version,
+)
+from bronzetiller.gateway.targets import Target, TargetPool
+from bronzetiller.logs import log_event
+from bronzetiller.metrics import STREAM_RECORD_CALLS
+from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.platform.topics import STREAMS_TOPIC, VERSIONS_TOPIC
+from bronzetiller.storage.keyed import (
+    AppendFailure,
+    HistoryExpired,
+    KeyedRecord,
+    KeyedStore,
+    Partition,
+    ReadFailure,
+    RecordBatch,
+    StoreUnreachable,
+    WriterSequence,
+    get_era,
+)
+from bronzetiller.storage.keyed_follower import KeyedFollower
+
+VERSIONS_PARTITION = Partition(VERSIONS_TOPIC)
+STREAMS_PARTITION = Partition(STREAMS_TOPIC)
+VERSIONS_WAIT_SECONDS = 10.0
+VERSIONS_PAUSE_SECONDS = 0.05
+REVIEW_SECONDS = 1.0
+SLOT_SECONDS = 2.5  # streams that begin within it share a record
+KEPT_SECONDS = 2 * TAKE_UP_SECONDS  # streams that go on are recorded again
+DISCARD_SECONDS = 4 * TAKE_UP_SECONDS  # records of nodes that are gone; clocks differ
+FLUSH_SECONDS_MIN = 0.02
+FLUSH_SECONDS_PER_NODE = 0.003  # all nodes together stay under 350 appends a second
+RETRY_SECONDS = 0.25
+REMEMBERED_STREAMS_MAX = 20_000
+DISCARDED_MAX = 20  # keys that one lookup deletes
+
+
+@define
+class StreamRecord:
+    """Hold the version at which a stream begins; written once the store has it."""
+
+    stream_id: str
+    version: str
+    written: bool = False
+    on_written: Callable[[], None] = lambda: None
+
+
+@define
+class _Slot:
+    """Hold the streams of one record of this node."""
+
+    key: str
+    ends_at: float
+    streams: dict[str, str] = field(factory=dict)
+
+
+FindDone = Callable[[Result[str | None, str]], None]
+
+
+@define(eq=False)
+class StreamRecords:
+    """Record streams and look them up on one node."""
+
+    _scheduler: Scheduler
+    _store: KeyedStore
+    _incarnation: str
+    _pool: TargetPool
+    _count_nodes: Callable[[], int]
+    _is_proposer: Callable[[], bool]
+    _read_clock: Callable[[], float] = time.time
+    versions: StreamVersions = field(factory=StreamVersions)
+    follower: KeyedFollower = field(init=False)
+    is_writable: bool = True
+    _own: "OrderedDict[str, str]" = field(factory=OrderedDict)
+    _slots: int = 0
+    _slot: _Slot | None = None
+    _unwritten: list[StreamRecord] = field(factory=list)
+    _flush_due: bool = False
+    _position: int = -1
+    _found: dict[str, dict[str, str]] = field(factory=dict)
+    _lookups: list[Callable[[str | None], None]] = field(factory=list)
+    _waiting_lookups: list[Callable[[str | None], None]] = field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        self.follower = KeyedFollower(
+            self._scheduler,
+            self._store,
+            VERSIONS_PARTITION,
+            self._apply_versions,
+            wait_seconds=VERSIONS_WAIT_SECONDS,
+            pause_seconds=VERSIONS_PAUSE_SECONDS,
+        )
+
+    def start(self) -> None:
+        """Start following the base versions and reviewing them."""
+        self.follower.start()
+        self._scheduler.call_every(REVIEW_SECONDS, self.review)
+
+    def review(self) -> None:
+        """Observe the versions in service, and propose a base for a service that needs one."""
+        now = self._scheduler.now()
+        if not self._pool.targets or not self.follower.complete:
+            return
+        self.versions.observe((target.version for target in self._pool.targets.values()), now)
+        self.versions.set_era(get_era(self.follower.position), now)
+        if not self._is_proposer() or self.follower.is_lost:
+            return
+        for service in self.versions.list_services():
+            proposed = self.versions.propose(service, now)
+            if proposed is not None:
+                self._propose(proposed)
+
+    def _propose(self, base: BaseVersion) -> None:
+        """Append a base; of several nodes' proposals with one number the store accepts the first.
+
+        It is in force once it is read, as the accepted one may be another node's.
+        """
+        log_event("base_version_proposed", service=base.service, version=base.version)
+        sequence = WriterSequence(f"base/{base.service}", base.era + 1, base.number)
+        STREAM_RECORD_CALLS.labels("propose").inc()
+        self._store.append(
+            VERSIONS_PARTITION, base.service, base.encode(), sequence, lambda result: None
+        )
+
+    def _apply_versions(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            base = None if record.value is None else decode_base_version(record.key, record.value)
+            if base is None:
+                log_event("base_version_unread", level=30, service=record.key)
+                continue
+            self.versions.apply(base)
+            log_event("base_version", service=base.service, version=base.version, era=base.era)
+        self.versions.set_era(get_era(self.follower.position), self._scheduler.now())
+
+    def record(self, stream_id: str, version: str, *, always: bool = False) -> StreamRecord | None:
+        """Record that a stream begins at a version; return None if it needs no record.
+
+        No event of it may be delivered before the record is written.
+        """
+        known = self._own.get(stream_id)
+        self._remember(stream_id, version)
+        if not always and known in (None, version) and not self.versions.needs_record(version):
+            return None
+        record = StreamRecord(stream_id, version)
+        self._unwritten.append(record)
+        self._schedule_flush()
+        return record
+
+    def may_deliver_unrecorded(self, service: str) -> bool:
+        """Return whether a stream may go on though its record cannot be written.
+
+        Without a record it counts as one of the base, which has no target that would go on with it.
+        """
+        return not self.is_writable and not self.list_base_targets(service)
+
+    def list_base_targets(self, service: str) -> list[Target]:
+        """Return the targets of a service whose streams need no record and that did not fail."""
+        base = self.versions.find_base(service)
+        return [
+            target
+            for target in self._pool.list_targets(service)
+            if target.version == base and not target.consecutive_failures
+        ]
+
+    def _remember(self, stream_id: str, version: str) -> None:
+        self._own[stream_id] = version
+        self._own.move_to_end(stream_id)
+        while len(self._own) > REMEMBERED_STREAMS_MAX:
+            self._own.popitem(last=False)
+
+    def _schedule_flush(self) -> None:
+        if self._flush_due:
+            return
+        self._flush_due = True
+        seconds = max(FLUSH_SECONDS_MIN, FLUSH_SECONDS_PER_NODE * self._count_nodes())
+        self._scheduler.call_after(seconds, self._flush)
+
+    def _flush(self) -> None:
+        """Append the record of the current slot with all streams that began in it."""
+        records, self._unwritten = self._unwritten, []
+        slot = self._open_slot()
+        slot.streams |= {record.stream_id: record.version for record in records}
+        value = {"at": self._read_clock(), "streams": _group_by_version(slot.streams)}
+        STREAM_RECORD_CALLS.labels("append").inc()
+
+        def handle_result(result: Result[int, AppendFailure]) -> None:
+            self._flush_due = False
+            if isinstance(result, Err):
+                if self.is_writable:
+                    log_event("stream_records_unwritten", level=30, cause=result.err_value)
+                self.is_writable = False
+                self._unwritten = records + self._unwritten
+                self._scheduler.call_after(RETRY_SECONDS, self._schedule_flush)
+                return
+            self.is_writable = True
+            for record in records:
+                record.written = True
+                record.on_written()
+            if self._unwritten:
+                self._schedule_flush()
+
+        self._store.append(
+            STREAMS_PARTITION, slot.key, json.dumps(value).encode(), None, handle_result
+        )
+
+    def _open_slot(self) -> _Slot:
+        now = self._scheduler.now()
+        if self._slot is None or now >= self._slot.ends_at:
+            self._slots += 1
+            self._slot = _Slot(f"{self._incarnation}/{self._slots}", now + SLOT_SECONDS)
+            key = self._slot.key
+            self._scheduler.call_after(KEPT_SECONDS, lambda: self._delete(key))
+        return self._slot
+
+    def _delete(self, key: str) -> None:
+        STREAM_RECORD_CALLS.labels("delete").inc()
+        self._store.append(STREAMS_PARTITION, key, None, None, lambda result: None)
+
+    def find(self, stream_id: str | None, services: set[str], done: FindDone) -> None:
+        """Find the version at which a stream began.
+
+        done receives None if it is unknown, or the cause if the store cannot be read.
+        """
+        if stream_id is not None and stream_id in self._own:
+            done(Ok(self._own[stream_id]))
+            return
+        now = self._scheduler.now()
+        recorded = [name for name in services if self.versions.may_be_recorded(name, now)]
+        if not recorded and len(services) == 1:
+            done(Ok(self.versions.find_base(*services)))
+            return
+        if stream_id is None:
+            done(Ok(None))
+            return
+        if not self.follower.complete:
+            done(Err("the base versions are not read yet"))
+            return
+
+        def finish(failure: str | None) -> None:
+            if failure is not None:
+                done(Err(failure))
+                return
+            found = self._find_record(stream_id)
+            if found is None and len(services) == 1:
+                found = self.versions.find_base(*services)
+            done(Ok(found))
+
+        self._waiting_lookups.append(finish)
+        if not self._lookups:
+            self._look_up()
+
+    def _look_up(self) -> None:
+        self._lookups, self._waiting_lookups = self._waiting_lookups, []
+        STREAM_RECORD_CALLS.labels("lookup").inc()
+        if self._position < 0:
+            self._store.read_newest(STREAMS_PARTITION, self._handle_newest)
+        else:
+            self._store.read_from(STREAMS_PARTITION, self._position, 0.0, self._handle_changes)
+
+    def _handle_newest(self, result: Result[RecordBatch, StoreUnreachable]) -> None:
+        if isinstance(result, Ok):
+            self._found.clear()
+            result.ok_value.records.sort(key=lambda record: record.position)
+        self._handle_batch(result)
+
+    def _handle_changes(self, result: Result[RecordBatch, ReadFailure]) -> None:
+        match result:
+            case Err(HistoryExpired()):
+                self._position = -1
+                self._store.read_newest(STREAMS_PARTITION, self._handle_newest)
+            case Ok(batch):
+                self._handle_batch(Ok(batch))
+            case Err(StoreUnreachable() as failure):
+                self._handle_batch(Err(failure))
+
+    def _handle_batch(self, result: Result[RecordBatch, StoreUnreachable]) -> None:
+        failure: str | None = None
+        match result:
+            case Ok(batch):
+                self._position = batch.end
+                self._apply_streams(batch.records)
+                self.versions.set_era(get_era(batch.end), self._scheduler.now())
+            case Err(error):
+                failure = error.cause
+        lookups, self._lookups = self._lookups, []
+        for finish in lookups:
+            finish(failure)
+        if self._waiting_lookups and not self._lookups:
+            self._look_up()
+
+    def _apply_streams(self, records: list[KeyedRecord]) -> None:
+        expired = []
+        for record in records:
+            self._found.pop(record.key, None)
+            streams, at = _decode_streams(record.value)
+            if self._read_clock() - at > DISCARD_SECONDS:
+                expired.append(record.key)
+            elif streams:
+                self._found[record.key] = streams
+        if self._is_proposer():
+            for key in expired[:DISCARDED_MAX]:
+                self._delete(key)
+
+    def _find_record(self, stream_id: str) -> str | None:
+        """Return the version of the newest record of a stream."""
+        found = [streams[stream_id] for streams in self._found.values() if stream_id in streams]
+        return found[-1] if found else None
+
+
+def _group_by_version(streams: dict[str, str]) -> dict[str, list[str]]:
+    grouped: dict[str, list[str]] = {}
+    for stream_id, version in streams.items():
+        grouped.setdefault(version, []).append(stream_id)
+    return grouped
+
+
+def _decode_streams(value: bytes | None) -> tuple[dict[str, str], float]:
+    """Return the versions by stream and the time of a record; a malformed one holds no streams."""
+    if value is None:
+        return {}, float("inf")
+    try:
+        item: Any = json.loads(value)
+        streams = {
+            str(stream_id): str(version)
+            for version, stream_ids in item["streams"].items()
+            for stream_id in stream_ids
+        }
+        return streams, float(item["at"])
+    except (ValueError, KeyError, TypeError, AttributeError):
+        log_event("stream_record_unread", level=30)
+        return {}, float("inf")
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -113,6 +113,12 @@
     "Grants whose closing was requested because their holders are gone.",
     registry=REGISTRY,
 )
+STREAM_RECORD_CALLS = Counter(
+    "bronzetiller_stream_record_calls",
+    "Calls to the store that record or look up the versions of streams, by kind.",
+    ["kind"],
+    registry=REGISTRY,
+)
 STORE_RESTORATIONS = Counter(
     "bronzetiller_store_restorations",
     "Times that a topic of the store came back without its newest records.",
--- a/bronzetiller/platform/headers.py
+++ b/bronzetiller/platform/headers.py
@@ -21,6 +21,7 @@
     "x-token-usage"  # prompt tokens and maximum completion tokens of the request, before it runs
 )
 _LAST_EVENT = "last-event-id"
+_RESUMES = "resumes"  # the id of the attempt that brought a stream's first event
 _NOT_RUN = "x-not-executed"
 _EXPECTED_TARGET = "x-expect-instance"
 _WORKSPACE = "x-tenant"
@@ -70,6 +71,7 @@
         seconds_left=None if deadline_ms is None else max(0, deadline_ms) / 1000,
         prompt=_decode_prompt(headers),
         last_event_id=_parse_int(headers.get(_LAST_EVENT)),
+        resumes=headers.get(_RESUMES) or None,
         forwarded_headers={name: value for name, value in headers.items() if name not in dropped},
     )
 
--- a/bronzetiller/platform/topics.py
+++ b/bronzetiller/platform/topics.py
@@ -8,6 +8,8 @@
 REGISTRATIONS_TOPIC = "keyed.servers"
 NODES_TOPIC = "keyed.nodes"
 CRASHES_TOPIC = "keyed.crashes"
+VERSIONS_TOPIC = "keyed.versions"
+STREAMS_TOPIC = "keyed.streams"
 HOLDINGS_TOPIC = "keyed.holdings"
 # Only its writer's next incarnation reads a use record; several topics keep that read short.
 USE_TOPICS = tuple(f"keyed.use-{number}" for number in range(8))
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -17,6 +17,7 @@
 from bronzetiller.gateway.requests import Prompt, PromptSegment, RequestMetadata
 from bronzetiller.gateway.reservation_client import Reservation
 from bronzetiller.gateway.retry_window import RetryWindow
+from bronzetiller.gateway.stream_records import REVIEW_SECONDS, StreamRecords
 from bronzetiller.gateway.target_limits import TargetLimits
 from bronzetiller.gateway.targets import Registration, TargetPool
 from bronzetiller.net.address import Address
@@ -30,6 +31,8 @@
 from bronzetiller.net.scheduler import Timeout
 from bronzetiller.requests.crash_evidence import CRASHES_MAX, Crash
 from standins.fake_scheduler import FakeScheduler
+from standins.memory_store import MemoryStore
+from tests.gateway_fakes import FakeStoreClient
 
 WORKSPACE = WorkspaceConfiguration("studio", None, 1_000)
 
@@ -124,6 +127,15 @@
         tracker.evidence.add(crash)
 
 
+def make_streams(scheduler, pool):
+    """Return the records of streams of a node whose base versions are those of the pool."""
+    store = FakeStoreClient(scheduler, MemoryStore())
+    streams = StreamRecords(scheduler, store, "node-1/1", pool, lambda: 1, lambda: True)
+    streams.start()
+    scheduler.advance(REVIEW_SECONDS + 0.2)
+    return streams
+
+
 @pytest.fixture
 def start_request():
     """Return a function that starts a request handler with three targets."""
@@ -173,6 +185,7 @@
                 scheduler, FakeHttp(refuses=refuses), read_clock=scheduler.now
             ),
             limits=TargetLimits("node-1", {"a": "west"}),
+            streams=make_streams(scheduler, pool),
         )
         add_crashes(context.crash_tracker, *crashed)
         if like is not None:
--- /dev/null
+++ b/tests/test_stream_records.py
@@ -0,0 +1,217 @@
+"""Test without a network where streams taken up again may go on, and what that costs."""
+
+from random import Random
+
+import pytest
+from attrs import define, field
+
+from bronzetiller.gateway.stream_records import (
+    REVIEW_SECONDS,
+    STREAMS_PARTITION,
+    VERSIONS_PARTITION,
+    StreamRecords,
+)
+from bronzetiller.gateway.stream_versions import TAKE_UP_SECONDS
+from bronzetiller.gateway.targets import Registration, TargetPool
+from bronzetiller.net.address import Address
+from standins.fake_scheduler import FakeScheduler
+from standins.memory_store import MemoryStore
+from tests.gateway_fakes import FakeStoreClient
+
+V1, V2, V3 = "s/v1", "s/v2", "s/v3"
+SERVICES = {"s"}
+NODES = [6, 330]
+
+
+@define(eq=False)
+class Fleet:
+    """Hold nodes that see the same targets, and the version at which each stream really began."""
+
+    scheduler: FakeScheduler = field(factory=FakeScheduler)
+    store: MemoryStore = field(factory=MemoryStore)
+    random: Random = field(factory=lambda: Random(5))
+    pool: TargetPool = field(factory=TargetPool)
+    nodes: list = field(factory=list)
+    clients: list = field(factory=list)
+    began: dict = field(factory=dict)
+    starts: int = 0
+
+    def start(self, count):
+        for client in self.clients:
+            client.stopped = True
+        self.nodes, self.clients = [], []
+        for number in range(count):
+            self.starts += 1
+            client = FakeStoreClient(self.scheduler, self.store)
+            node = StreamRecords(
+                self.scheduler,
+                client,
+                f"n{number}/{self.starts}",
+                self.pool,
+                lambda: len(self.nodes),
+                lambda number=number: number < 3,
+                self.scheduler.now,
+            )
+            self.clients.append(client)
+            self.nodes.append(node)
+            node.follower.wait_seconds = node.follower.pause_seconds = 1.0
+            node.start()
+        self.scheduler.advance(REVIEW_SECONDS + 1.5)
+
+    def kill_all(self):
+        self.scheduler.clear()
+        self.start(len(self.nodes))
+
+    def serve(self, *versions):
+        self.pool.targets.clear()
+        for version in versions:
+            for number in range(2):
+                name = f"{version}-{number}"
+                service, _, software = version.partition("/")
+                self.pool.register(
+                    Registration(
+                        name, service, Address("10.0.0.1", 1), "a", 8, False, software=software
+                    )
+                )
+
+    def begin(self, count, *versions):
+        """Begin streams; return the ids of those that may deliver events."""
+        records = []
+        for _ in range(count):
+            stream_id, version = f"r{len(self.began)}", self.random.choice(versions)
+            node = self.random.choice(self.nodes)
+            records.append((stream_id, node.record(stream_id, version)))
+            self.began[stream_id] = version
+        self.scheduler.advance(1.2)
+        return [stream_id for stream_id, record in records if record is None or record.written]
+
+    def find(self, stream_id):
+        found = []
+        self.random.choice(self.nodes).find(stream_id, SERVICES, found.append)
+        self.scheduler.advance(0.1)
+        return found[0].ok_value if found and found[0].is_ok() else None
+
+    def judge(self, stream_ids):
+        """Return how many streams are found at their version; fail if one is found elsewhere."""
+        found = [(stream_id, self.find(stream_id)) for stream_id in stream_ids]
+        wrong = [item for item in found if item[1] not in (None, self.began[item[0]])]
+        assert wrong == []
+        return sum(version is not None for _, version in found)
+
+    def count_appends(self):
+        return sum(client.appends for client in self.clients)
+
+
+@pytest.fixture
+def make_fleet():
+    """Return a function that starts a fleet with version v1 in service."""
+
+    def make(count):
+        fleet = Fleet()
+        fleet.serve(V1)
+        fleet.start(count)
+        return fleet
+
+    return make
+
+
+@pytest.mark.parametrize("nodes", NODES)
+def test_streams_of_the_only_version_cost_no_append(make_fleet, nodes):
+    fleet = make_fleet(nodes)
+    appends = fleet.count_appends()
+    assert len(fleet.begin(200, V1)) == 200 and fleet.count_appends() == appends
+    assert fleet.judge(list(fleet.began)[:40]) == 40
+
+
+@pytest.mark.parametrize("nodes", NODES)
+def test_streams_go_on_at_their_version_through_a_release_and_losses_of_all_nodes(
+    make_fleet, nodes
+):
+    fleet = make_fleet(nodes)
+    for versions in ((V1, V2), (V1, V2), (V2,), (V2, V3), (V3,)):
+        fleet.serve(*versions)
+        begun = fleet.begin(60, *versions)
+        fleet.kill_all()
+        assert fleet.judge(begun) >= 0.9 * len(begun) and len(begun) >= 55
+
+
+@pytest.mark.parametrize("nodes", NODES)
+def test_records_of_a_release_stay_under_the_store_s_rate(make_fleet, nodes):
+    fleet = make_fleet(nodes)
+    fleet.serve(V1, V2)
+    appends, seconds = fleet.count_appends(), 0.0
+    while seconds < 5.0:
+        for node in fleet.nodes:
+            node.record(f"{node._incarnation}-{seconds}", V2)
+        fleet.scheduler.advance(0.05)
+        seconds += 0.05
+    assert fleet.count_appends() - appends <= 350 * 5
+
+
+def test_the_base_follows_once_no_stream_of_the_former_one_can_be_taken_up(make_fleet):
+    fleet = make_fleet(6)
+    fleet.scheduler.advance(TAKE_UP_SECONDS)
+    fleet.serve(V2)
+    fleet.scheduler.advance(TAKE_UP_SECONDS - 3.0)
+    assert fleet.nodes[0].versions.find_base("s") == V1
+    fleet.scheduler.advance(6.0)
+    assert {node.versions.find_base("s") for node in fleet.nodes} == {V2}
+    appends = fleet.count_appends()
+    assert len(fleet.begin(50, V2)) == 50 and fleet.count_appends() == appends
+
+
+def test_no_event_is_delivered_before_its_version_is_recorded(make_fleet):
+    fleet = make_fleet(6)
+    fleet.serve(V1, V2)
+    for client in fleet.clients:
+        client.mode = "down"
+    begun = fleet.begin(40, V1, V2)
+    assert {fleet.began[stream_id] for stream_id in begun} == {V1}
+    assert any(not node.is_writable for node in fleet.nodes)
+    assert not any(node.may_deliver_unrecorded("s") for node in fleet.nodes)
+    fleet.serve(V2)
+    assert any(node.may_deliver_unrecorded("s") for node in fleet.nodes)
+
+
+def test_a_stream_whose_record_a_restoration_may_have_lost_is_not_joined(make_fleet):
+    fleet = make_fleet(6)
+    fleet.serve(V1, V2)
+    begun = fleet.begin(60, V1, V2)
+    fleet.store.restore({STREAMS_PARTITION: 1_000})
+    fleet.kill_all()
+    fleet.judge(begun)
+    fleet.scheduler.advance(TAKE_UP_SECONDS + 4.0)
+    later = fleet.begin(40, V1, V2)
+    fleet.kill_all()
+    assert fleet.judge(later) == len(later)
+
+
+def test_a_restoration_in_steady_state_refuses_streams_for_seconds_only(make_fleet):
+    fleet = make_fleet(6)
+    fleet.scheduler.advance(TAKE_UP_SECONDS)
+    fleet.store.restore({VERSIONS_PARTITION: 1_000, STREAMS_PARTITION: 1_000})
+    fleet.scheduler.advance(4.0)
+    begun = fleet.begin(40, V1)
+    assert fleet.judge(begun) == 40
+    assert {node.versions.find_base("s") for node in fleet.nodes} == {V1}
+
+
+def test_of_proposals_of_several_nodes_one_is_in_force_at_all(make_fleet):
+    fleet = Fleet()
+    fleet.serve(V1, V2)
+    fleet.start(6)
+    assert {node.versions.find_base("s") for node in fleet.nodes} == {None}
+    fleet.scheduler.advance(TAKE_UP_SECONDS + 4.0)
+    assert len({node.versions.find_base("s") for node in fleet.nodes} - {None}) == 1
+    begun = fleet.begin(40, V1, V2)
+    fleet.kill_all()
+    assert fleet.judge(begun) == len(begun)
+
+
+def test_the_records_of_ended_streams_are_deleted(make_fleet):
+    fleet = make_fleet(6)
+    fleet.serve(V1, V2)
+    fleet.begin(60, V2)
+    assert fleet.store.list_newest(STREAMS_PARTITION)
+    fleet.scheduler.advance(3 * TAKE_UP_SECONDS)
+    assert not fleet.store.list_newest(STREAMS_PARTITION)
