Take a refusal for the request's own only if it names it

Callers could be told that a request was not run though its target ran it, or a second target ran it as well.

Cause: a refusal without a request id was accepted as the response to whatever request was on the connection, so that a faulty target's earlier refusal, written once more, denied a run. In bronzetiller node a 503 counted as "not run" whatever id it bore. Change: a refusal that does not name its request counts as a lost response; the request may have run. A 503 of an engine means "not run" only with the attempt's id; the stand-ins echo it.

--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from bronzetiller.gateway.requests import ResponseClass, proves_survival
+from bronzetiller.gateway.requests import ResponseClass, may_have_run, proves_survival
 from bronzetiller.gateway.targets import MISDIRECTED_CAUSE, Target
 from bronzetiller.net.http_client import (
     BodyPart,
@@ -153,13 +153,16 @@
             self._handle_failure(event)
 
     def _handle_head(self, head: ResponseHead) -> None:
-        self._head = head
-        self._response_class = classify_response(head)
+        response_class = classify_response(head)
+        if not may_have_run(response_class) and not names_request(head, self.request_id):
+            self._fail("a refusal that does not name the request may be an earlier one")
+            return
+        self._head, self._response_class = head, response_class
         load = decode_load_report(head)
         if load is not None:
             self.target.record_load(load, self.now())
         limit = decode_request_limit(head)
-        ran = self._response_class in (ResponseClass.ANSWERED, ResponseClass.FAILED)
+        ran = may_have_run(response_class)
         if ran or (limit is not None and self._response_class is ResponseClass.NOT_RUN):
             self.record_limit(limit)
         if self._is_stream:
@@ -229,7 +232,7 @@
         self._finish()
         if not failure.sent:
             self._listener(NotRun(failure.cause, reached=False))
-        elif self._response_class in (ResponseClass.NOT_RUN, ResponseClass.MISDIRECTED):
+        elif self._response_class is not None and not may_have_run(self._response_class):
             self._listener(NotRun(failure.cause, reached=True))
         else:
             self._listener(ResponseLost(failure.cause, failure.disconnected))
--- a/bronzetiller/gateway/requests.py
+++ b/bronzetiller/gateway/requests.py
@@ -57,6 +57,11 @@
     MISDIRECTED = "other_target"
 
 
+def may_have_run(response_class: ResponseClass) -> bool:
+    """Return whether the target may have executed the request that it responded to so."""
+    return response_class in (ResponseClass.ANSWERED, ResponseClass.FAILED)
+
+
 def proves_survival(response_class: ResponseClass, status: int, *, names_request: bool) -> bool:
     """Return whether a response shows that its target ran the request and outlived it.
 
--- a/bronzetiller/platform/headers.py
+++ b/bronzetiller/platform/headers.py
@@ -109,7 +109,7 @@
 
 def names_request(head: ResponseHead, request_id: str) -> bool:
     """Return whether a response names the request that it belongs to."""
-    return head.headers.get(_REQUEST_ID) == request_id
+    return head.headers.get(_REQUEST_ID, "") == request_id
 
 
 def classify_response(head: ResponseHead) -> ResponseClass:
--- a/bronzetiller/routing/engine.py
+++ b/bronzetiller/routing/engine.py
@@ -24,6 +24,7 @@
 from bronzetiller.routing.chunks import Chunk, Usage, decode_chunk
 
 ATTEMPT_HEADER = "X-Request-Id"
+REFUSED_STATUS = 503  # of an engine that did not run the request
 
 
 @frozen
@@ -142,7 +143,8 @@
 
     def _handle_head(self, head: ResponseHead) -> None:
         self.status = head.status
-        if head.status == 200 and head.headers.get(ATTEMPT_HEADER.lower()) != self.attempt_id:
+        is_own = head.headers.get(ATTEMPT_HEADER.lower()) == self.attempt_id
+        if not is_own and head.status in (200, REFUSED_STATUS):
             self._reject("the response belongs to another attempt")
 
     def _handle_body(self, data: bytes) -> None:
@@ -206,7 +208,7 @@
     def _handle_end(self, end: ResponseEnd) -> None:
         if self.status != 200:
             detail = self._error_body[:500].decode("utf-8", "replace")
-            may_have_run = self.status >= 500 and self.status != 503
+            may_have_run = self.status >= 500 and self.status != REFUSED_STATUS
             lost = self.status >= 500
             self._listener(
                 AttemptFailed(f"status {self.status}", may_have_run, lost, self.status, detail)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -113,7 +113,7 @@
         if CRASH_MARKER in prompt:
             os._exit(1)
         if "refuse" in self._settings.faults:
-            respond_json(exchange, 503, {"error": "leaving"})
+            exchange.respond(503, {"X-Request-Id": attempt_id}, b'{"error": "leaving"}')
             return
         count = min(int(body.get("max_tokens", 16)), self._settings.answer_tokens)
         if "ignore-cap" in self._settings.faults:
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -95,7 +95,7 @@
     def _serve_request(self, exchange: Exchange) -> None:
         expected = exchange.headers.get("x-expect-instance")
         if expected not in (None, self._id):
-            exchange.respond(421, {"X-Instance-Id": self._id}, b"")
+            exchange.respond(421, self._make_headers(exchange), b"")
             return
         if self._faults.refuse > 0 or self._running >= self._slots:
             self._faults.refuse -= 1
--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -16,12 +16,15 @@
     """Hold the bytes of an answer, and how the target ends it.
 
     The target leaves the connection open unless it closes, resets or crashes; a crash closes the
-    listening socket too.
+    listening socket too. With end "keep" it reads the next request. The bytes of earlier precede
+    the answer.
     """
 
     parts: list[bytes]
     headers: tuple[str, ...] = ()
     end: str = "open"
+    status: str = "200 OK"
+    earlier: bytes = b""
 
 
 @define
@@ -69,22 +72,25 @@
     def _serve(self, connection: socket.socket) -> None:
         with connection:
             connection.settimeout(10)
-            request = _read_request(connection)
-            if request is None:
-                return
-            self.requests.append(request)
-            answer = self.make_answer(request)
-            names = (f"X-Request-Id: {request.request_id}", f"X-Response-Seal: {self.target_id}")
-            lines = ("HTTP/1.1 200 OK", *names, *answer.headers)
-            connection.sendall("\r\n".join((*lines, "", "")).encode())
-            for part in answer.parts:
-                connection.sendall(part)
-            if answer.end == "crash":
-                self.close()
-            if answer.end == "reset":
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            if answer.end == "open":
-                connection.recv(1)  # until the other end closes
+            while (request := _read_request(connection)) is not None:
+                self.requests.append(request)
+                answer = self.make_answer(request)
+                self._send(connection, request, answer)
+                if answer.end != "keep":
+                    return
+
+    def _send(self, connection: socket.socket, request: RawRequest, answer: RawAnswer) -> None:
+        names = (f"X-Request-Id: {request.request_id}", f"X-Response-Seal: {self.target_id}")
+        lines = (f"HTTP/1.1 {answer.status}", *names, *answer.headers)
+        connection.sendall(answer.earlier + "\r\n".join((*lines, "", "")).encode())
+        for part in answer.parts:
+            connection.sendall(part)
+        if answer.end == "crash":
+            self.close()
+        if answer.end == "reset":
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        if answer.end == "open":
+            connection.recv(1)  # until the other end closes
 
 
 def _read_request(connection: socket.socket) -> RawRequest | None:
@@ -94,6 +100,9 @@
         if not received:
             return None
         data += received
-    head = data.partition(b"\r\n\r\n")[0].decode().split("\r\n")[1:]
+    first, _, body = data.partition(b"\r\n\r\n")
+    head = first.decode().split("\r\n")[1:]
     headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in head)}
+    while len(body) < int(headers.get("content-length", 0)):
+        body += connection.recv(65_536)
     return RawRequest(headers.get("x-request-id", ""), int(headers.get("last-event-id", 0)))
--- a/tests/test_broken_answer.py
+++ b/tests/test_broken_answer.py
@@ -80,6 +80,8 @@
         )
 
     def send_until_served(route, targets):
+        if not targets:
+            return send_once(route)
         replies = []
 
         def is_answered():
@@ -244,3 +246,35 @@
         assert any(b"part-3" in data for data, _ in ends) and all(reset for _, reset in ends[-1:])
     finally:
         fleet.close()
+
+
+def make_refusal(request_id):
+    """Return the bytes of a refusal, of the request with an id or of none."""
+    names = [] if request_id is None else [f"X-Request-Id: {request_id}"]
+    lines = ["HTTP/1.1 503 Full", *names, "X-Not-Executed: 1", "Content-Length: 4", "", "full"]
+    return "\r\n".join(lines).encode()
+
+
+@pytest.mark.parametrize("named", [True, False])
+@pytest.mark.parametrize("route", ["order", "score"])
+def test_an_earlier_refusal_on_a_kept_connection_does_not_deny_a_run(start_raw, send, route, named):
+    """The target refuses one request, then writes that refusal again before it answers others."""
+    refused = []
+    headers = ("Content-Length: 4",)
+
+    def make_answer(request):
+        if not refused:
+            refused.append(request.request_id)
+            full = ("X-Not-Executed: 1", *headers)
+            return RawAnswer([b"full"], full, "keep", "503 Full")
+        again = make_refusal(refused[0] if named else None)
+        return RawAnswer([b"done"], headers, "keep", earlier=again)
+
+    service = PLAIN_SERVICE if route == "order" else MODEL_SERVICE
+    targets = [start_raw(make_answer, service)]
+    assert send(route, targets).status == 503
+    targets.append(start_raw(lambda request: RawAnswer([b"done"], headers, "keep"), service))
+    replies = [send(route, []) for _ in range(8)]
+    ids = [request.request_id for target in targets for request in target.requests]
+    ran = [reply for reply in replies if reply.status != 503]
+    assert len(ids) == len(set(ids)) and len(ran) == len(ids) - len(refused)
--- a/tests/test_own_answers.py
+++ b/tests/test_own_answers.py
@@ -282,3 +282,16 @@
     arguments = [call.get("function", {}).get("arguments") for call in message["tool_calls"]]
     assert arguments == ['{"a": 1}', None]
     assert first["function"]["arguments"] == '{"a"'
+
+
+@pytest.mark.parametrize(
+    ("attempt_id", "may_have_run"), [("a1", False), ("a0", True), (None, True)]
+)
+def test_an_earlier_refusal_of_an_engine_does_not_deny_a_run(attempt_id, may_have_run):
+    events = []
+    attempt = EngineAttempt("a1", 8, events.append)
+    names = {} if attempt_id is None else {"x-request-id": attempt_id}
+    attempt.handle_event(ResponseHead(503, names))
+    if not events:
+        attempt.handle_event(ResponseEnd())
+    assert [event.may_have_run for event in events] == [may_have_run]
