Let a stream go on only with a response of its content type

Callers could find a text of another kind in the middle of a stream, which then ended as complete.

Cause: after a stream broke off, any response with status 200 of the next target was taken for its rest. Errors with another status were kept out before. Change: the rest must have the content type of the stream's head; any other response is a failed attempt. Result: of five responses after a broken stream (500, 404, a refusal, 200 with plain text, 204) the fourth entered the stream before; none does now, and none completes it. bronzetiller node sends nothing after the first part of a stream from another attempt.

--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -87,6 +87,8 @@
 class Attempt:
     """Send a request once; NotRun, ResponseLost, CompleteResponse or StreamEnd ends it.
 
+    A stream that goes on with another one must have its content type, if one is given.
+
     record_limit receives the requests per second to which the target limits the fleet, if any.
     """
 
@@ -96,6 +98,7 @@
     now: Callable[[], float]
     _listener: AttemptListener
     record_limit: Callable[[float | None], None] = lambda limit: None
+    content_type: str | None = None
     call: OpenCall | None = None
     finished: bool = False
     _head: ResponseHead | None = None
@@ -175,6 +178,7 @@
             and self._response_class is ResponseClass.ANSWERED
             and self._head is not None
             and self._head.status == 200
+            and self.content_type in (None, self._head.headers.get("content-type", ""))
         )
 
     def _handle_body(self, data: bytes) -> None:
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -115,6 +115,7 @@
     last_event_id: int | None = None
     events: int = 0
     head_sent: bool = False
+    content_type: str | None = None
     pending_prefill_tokens: int = 0
     sent_at: float = 0.0
     proof: StreamProof = field(factory=StreamProof)
@@ -334,6 +335,7 @@
             context.scheduler.now,
             self._on_event,
             lambda limit: self._record_limit(target, limit),
+            self.content_type,
         )
         self._record_version(attempt)
         context.limits.take(target, now)
@@ -471,6 +473,7 @@
     def _handle_stream_start(self, event: StreamStarted) -> None:
         if not self.head_sent:
             self.head_sent = True
+            self.content_type = event.head.headers.get("content-type", "")
             self.exchange.start(event.head.status, make_response_headers(event.head))
 
     def _clear_pending_prefill(self) -> None:
--- a/tests/test_broken_answer.py
+++ b/tests/test_broken_answer.py
@@ -278,3 +278,30 @@
     ids = [request.request_id for target in targets for request in target.requests]
     ran = [reply for reply in replies if reply.status != 503]
     assert len(ids) == len(set(ids)) and len(ran) == len(ids) - len(refused)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "body"),
+    [
+        ("500 Failed", (), b"error: it failed\n\n"),
+        ("404 Missing", (), b"id: 5\ndata: missing\n\n"),
+        ("503 Full", ("X-Not-Executed: 1",), b"full\n\n"),
+        ("200 OK", ("Content-Type: text/plain",), b"HTTP/1.1 500 Failed\n\n"),
+        ("204 Empty", (), b""),
+    ],
+)
+def test_an_error_after_a_stream_broke_off_neither_enters_nor_completes_it(
+    start_raw, send, status, headers, body
+):
+    broken = []
+
+    def make_answer(request):
+        if not broken:
+            broken.append(request)
+            return RawAnswer(make_events(1, 3), EVENT_STREAM, "reset")
+        length = () if status.startswith("204") else (f"Content-Length: {len(body)}",)
+        return RawAnswer([body], (*headers, *length), "keep", status)
+
+    reply = send("draft", [start_raw(make_answer), start_raw(make_answer)])
+    assert reply.status == 200 and not reply.complete
+    assert reply.body == b"".join(make_events(1, 3))
