Let one node try a request after its quarantine, not all nodes

Callers saw four more targets crash at once a minute after a request had been quarantined.

Cause: a quarantine ends at the same moment at all nodes, and each of them sent the request before the first crash was known; a retry went out before the probe of the first target ended. Class: a bound of one node taken for a bound of the fleet. Change: after its quarantine a suspect stays one. One node, by hash, tries it, one request at a time; one node more each 20 s. Result: the test fails before and passes at both sizes.

--- a/bronzetiller/gateway/crashes.py
+++ b/bronzetiller/gateway/crashes.py
@@ -32,6 +32,7 @@
 # Nodes spread their clearances over this time for each node, so that one or a few write them.
 CLEARANCE_SECONDS_PER_NODE = 0.01
 CLEARANCE_SECONDS_MAX = 1.0
+TRIAL_SPREAD_SECONDS = 20.0  # after which one node more may try a suspect
 TRIAL_SECONDS = 5.0  # for a trial at an untested version to crash its target or to survive
 LOGGED_FINGERPRINTS_MAX = 40
 
@@ -96,7 +97,7 @@
     _count_nodes: Callable[[], int] = lambda: 1
     _draw_uniform: Callable[[], float] = lambda: 0.5
     _read_clock: Callable[[], float] = time.time
-    _is_trial_node: Callable[[str], bool] = lambda fingerprint: True
+    _rank_node: Callable[[str], int] = lambda fingerprint: 0
     on_report_change: Callable[[], None] = lambda: None
     report: CrashReport = field(factory=CrashReport)
     evidence: CrashEvidence = field(factory=CrashEvidence)
@@ -144,18 +145,20 @@
             self._clear_proven()
 
     def may_run(self, quarantined: QuarantinedFingerprint, version: str) -> bool:
-        """Return whether a quarantined request may run at a version.
+        """Return whether a suspected request may run at a version.
 
-        It may at one that is proven to survive it. One node at a time may try it once at a version
-        that is in service and has not been tested.
+        It may at one that is proven to survive it. At one that has not been tested, or once its
+        quarantine has ended, a few nodes may try it, one request at a time.
         """
         if version in quarantined.survivors:
             return True
-        crashed = quarantined.crashed & {version, ""}  # a crash without a version may be of any
-        if crashed or not self._is_trial_node(quarantined.fingerprint):
+        now = self._scheduler.now()
+        if self._trials_until.get((quarantined.fingerprint, version), 0.0) > now:
             return False
-        trial = (quarantined.fingerprint, version)
-        return self._trials_until.get(trial, 0.0) <= self._scheduler.now()
+        has_crashed = bool(quarantined.crashed & {version, ""})  # a crash without one may be of any
+        begins_at = quarantined.until if has_crashed else quarantined.last_crash_at
+        nodes = 1 + (now - begins_at) // TRIAL_SPREAD_SECONDS
+        return now >= begins_at and self._rank_node(quarantined.fingerprint) < nodes
 
     def record_trial(self, quarantined: QuarantinedFingerprint, version: str) -> None:
         """Record that a quarantined request was sent to a target of a version."""
@@ -179,17 +182,21 @@
     def find_quarantined(
         self, get_fingerprints: Callable[[], Collection[str]]
     ) -> QuarantinedFingerprint | None:
-        """Return why a request must not run and until when (monotonic seconds), or None.
+        """Return why a request may run only where may_run says so, or None; times are monotonic.
 
         Its fingerprints are computed only if there were crashes.
         """
         if not self.evidence:
             return None
-        now = self._read_clock()
-        quarantined = self.evidence.find_quarantined(get_fingerprints(), now)
-        if quarantined is None:
+        suspected = self.evidence.find_suspected(get_fingerprints())
+        if suspected is None:
             return None
-        return evolve(quarantined, until=self._scheduler.now() + quarantined.until - now)
+        offset = self._scheduler.now() - self._read_clock()
+        return evolve(
+            suspected,
+            until=suspected.until + offset,
+            last_crash_at=suspected.last_crash_at + offset,
+        )
 
     def merge_report(self, report: CrashReport, *, own: bool) -> None:
         """Add the report of a node, or of this node's last incarnation."""
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -157,7 +157,7 @@
             http,
             self.members.count_nodes,
             self._draw_uniform,
-            is_trial_node=self._is_trial_node,
+            rank_node=self._rank_node,
         )
         self.crash_reports = CrashReports(
             scheduler, store, crashes_reader, self.settings.node_id, self.crash_tracker
@@ -229,10 +229,10 @@
         node_ids = {item.node_id for item in self.members.list_serving()} | {self.settings.node_id}
         return self.settings.node_id in rank_nodes("versions", node_ids)[:VERSION_PROPOSERS]
 
-    def _is_trial_node(self, fingerprint: str) -> bool:
-        """Return whether this node tries a quarantined request at a version not tested yet."""
+    def _rank_node(self, fingerprint: str) -> int:
+        """Return the rank of this node among those that try a suspected request."""
         node_ids = {item.node_id for item in self.members.list_serving()} | {self.settings.node_id}
-        return rank_nodes(fingerprint, node_ids)[0] == self.settings.node_id
+        return rank_nodes(fingerprint, node_ids).index(self.settings.node_id)
 
     def _list_seeds(self) -> list[str]:
         return self.links.list_seeds()
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -69,6 +69,7 @@
 SILENCE_SECONDS_MIN = 0.7
 UNDELIVERED_EVENTS_MAX = 2  # charged for a broken stream: generated but not delivered
 OVERLOADED_RETRY_SECONDS = 0.4
+SUSPECT_RETRY_SECONDS_MIN = 5  # while another node tries the request
 HOLD_SECONDS_MAX = 1.0  # of a first event whose stream's version is not recorded yet
 FINGERPRINTED_SEGMENTS_MAX = 32
 
@@ -247,7 +248,8 @@
         if self.may_have_run:
             self._refuse(Refusal(502, Reason.QUARANTINED, detail, Ran.UNKNOWN))
             return
-        seconds = max(1, round(quarantined.until - self.context.scheduler.now()))
+        left = round(quarantined.until - self.context.scheduler.now())
+        seconds = max(SUSPECT_RETRY_SECONDS_MIN, left)
         self._refuse(Refusal(503, Reason.QUARANTINED, detail, retry_after_seconds=seconds))
 
     def _select_safe_targets(
--- a/bronzetiller/requests/crash_evidence.py
+++ b/bronzetiller/requests/crash_evidence.py
@@ -52,6 +52,7 @@
 
     fingerprint: str
     until: float
+    last_crash_at: float
     survivors: frozenset[str] = frozenset()
     crashed: frozenset[str] = frozenset()
 
@@ -152,24 +153,34 @@
     def find_quarantined(
         self, fingerprints: Collection[str], now: float
     ) -> QuarantinedFingerprint | None:
-        """Return why a request with these fingerprints must not run, or None if it may."""
+        """Return why a request with these fingerprints must not run now, or None if it may."""
+        suspected = self.find_suspected(fingerprints)
+        return suspected if suspected is not None and now < suspected.until else None
+
+    def find_suspected(self, fingerprints: Collection[str]) -> QuarantinedFingerprint | None:
+        """Return why a request with these fingerprints is suspected, or None.
+
+        Once its quarantine has ended, a suspect should run on one target before it runs on more.
+        """
         found: QuarantinedFingerprint | None = None
         for fingerprint in fingerprints:
-            if fingerprint not in self._suspects:
+            if fingerprint not in self._suspects or self._is_explained(fingerprint, fingerprints):
                 continue
             crashed_at = self._counting[fingerprint]
+            last_crash_at = max(crashed_at.values())
             doublings = len(crashed_at) - CRASHES_MAX
-            until = max(crashed_at.values()) + QUARANTINE_SECONDS * 2.0**doublings
-            if now >= until or self._is_explained(fingerprint, fingerprints):
-                continue
+            until = last_crash_at + QUARANTINE_SECONDS * 2.0**doublings
             survivors = frozenset(self.list_survivors(fingerprint))
             crashed = frozenset(self.list_crashed_versions(fingerprint))
             if found is None:
-                found = QuarantinedFingerprint(fingerprint, until, survivors, crashed)
+                found = QuarantinedFingerprint(
+                    fingerprint, until, last_crash_at, survivors, crashed
+                )
             else:
                 found = evolve(
                     found,
                     until=max(found.until, until),
+                    last_crash_at=max(found.last_crash_at, last_crash_at),
                     survivors=found.survivors & survivors,
                     crashed=found.crashed | crashed,
                 )
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -242,7 +242,7 @@
             lambda: len(self.world.nodes),
             self.world.random.random,
             scheduler.now,
-            lambda fingerprint: self is self.world.nodes[0],
+            lambda fingerprint: self.world.nodes.index(self),
         )
         self.reports = CrashReports(scheduler, client, client, self.node_id, self.tracker)
         self.reports.start()
@@ -374,6 +374,17 @@
     assert count_later(world.sound_refused_at, since) == 0
 
 
+@pytest.mark.parametrize("nodes", [6, 330])
+def test_a_quarantine_that_ends_lets_one_request_run_and_not_one_of_each_node(make_world, nodes):
+    world = make_world(nodes)
+    world.play(3.0)
+    crashes = world.targets.crashes
+    since = crashes[CRASHES_MAX - 1] + CONTACT_SECONDS
+    world.scheduler.advance(QUARANTINE_SECONDS - 5.0)
+    world.play(30.0, bad_per_second=20.0)
+    assert count_later(crashes, since) <= LATER_REQUESTS_MAX
+
+
 def test_a_version_that_comes_later_is_tried_once_and_then_serves(make_world):
     world = make_world(6)
     world.play(8.0)
