Keep the events of an attempt when the record of the one before is written

Callers could get a stream without its first event.

Cause: the record of a failed attempt's version, written while the next attempt's first event was held for its own record, took the held events and dropped them. Change: a record releases only the events of its own attempt. Result: the test fails before (events 2 and on, without 1) and passes; a second one shows that a stream whose version cannot be recorded is sent to another target.

--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -395,6 +395,8 @@
         return True
 
     def _release_events(self, attempt: Attempt) -> None:
+        if self.attempt is not attempt:
+            return
         events, self.held_events = self.held_events, []
         for event in events:
             if self.finished or self.attempt is not attempt:
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -151,6 +151,7 @@
         refuses=False,
         crashed=(),
         like=None,
+        versions=("v1",),
     ):
         route = PathRoute(
             name="x",
@@ -170,7 +171,10 @@
         pool = TargetPool()
         for number in range(targets):
             address = Address("10.0.0.1", 8000 + number)
-            pool.register(Registration(f"e{number}", "s", address, "a", 8, False))
+            software = versions[number % len(versions)]
+            pool.register(
+                Registration(f"e{number}", "s", address, "a", 8, False, software=software)
+            )
         window = RetryWindow(0.0, allowance, 10)
         context = RequestContext(
             scheduler=scheduler,
@@ -399,3 +403,27 @@
     assert len(calls) == 2 and third.exchange.status == 503
     assert b'"ran": "no"' in third.exchange.sent
     assert 0.5 < float(third.exchange.headers["Retry-After"]) < 2.0
+
+
+def slow_down_store(handler, seconds):
+    handler.context.streams._store.delay = seconds
+
+
+def test_the_record_of_a_failed_attempt_does_not_drop_the_events_of_the_next_one(start_request):
+    handler, calls, scheduler = start_request(streamed=True, versions=("v1", "v2"))
+    slow_down_store(handler, 0.3)
+    scheduler.advance(0.1)
+    calls[0].send_response(500)
+    calls[1].start_stream(make_event(1))
+    assert handler.exchange.sent == b""
+    scheduler.advance(0.9)
+    calls[1].on_event(BodyPart(make_event(2)))
+    assert handler.exchange.sent == make_event(1) + make_event(2)
+
+
+def test_a_stream_whose_version_cannot_be_recorded_is_sent_to_another_target(start_request):
+    handler, calls, scheduler = start_request(streamed=True, versions=("v1", "v2"))
+    handler.context.streams._store.mode = "down"
+    calls[0].start_stream(make_event(1))
+    scheduler.advance(2.1)
+    assert calls[0].cancelled and len(calls) == 2 and handler.exchange.sent == b""
