Soak targets of two versions and streams that callers take up again

Cause: the soak had one version, and its callers never took a stream up, so that it could not find a joined stream. Change: three targets are of v1 and two of v2, a target that crashed comes back as the other one under its id; a caller whose stream broke off takes it up at another node. A run that goes on at a version without an earlier run of that stream is a violation.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -21,6 +21,8 @@
     "desk-1": PLAIN_SERVICE,
     "desk-2": PLAIN_SERVICE,
 }
+VERSIONS = ("v1", "v2")  # of the targets' software; a restart takes the other one
+NEWER_TARGETS = ("engine-3", "desk-2")
 
 
 @define(eq=False)
@@ -36,6 +38,9 @@
     _links: dict[str, str] = field(factory=dict)
     _control: Any = None
     _sequence: int = 1
+    _versions: dict[str, str] = field(
+        factory=lambda: {name: VERSIONS[name in NEWER_TARGETS] for name in TARGET_SERVICES}
+    )
 
     def start(self) -> None:
         """Start all processes and write the first configuration."""
@@ -114,9 +119,10 @@
             process.kill()
 
     def restart_target(self, target: str) -> None:
-        """Start a killed target again with the same id and address, and register it."""
+        """Start a killed target again, as the other version under its id and address."""
         process = self.fleet.processes[target]
         if process.popen.poll() is not None:
+            self._versions[target] = VERSIONS[self._versions[target] == VERSIONS[0]]
             self._start_target(target, process.ready["address"])
             self.set_state(target, "ready", born=self._next_sequence())
 
@@ -130,6 +136,7 @@
             "regina-a",
             state=state,
             sequence=sequence,
+            version=self._versions[target],
             **fields,
         )
         self.fleet.append_record("keyed.servers", target, value)
@@ -173,6 +180,7 @@
     def _start_target(self, target: str, address: str) -> Process:
         arguments = ["standins.path_engine", "--id", target, "--listen", address]
         arguments += ["--runs", str(self._get_runs_path(target))]
+        arguments += ["--version", self._versions[target]]
         log_path = self.fleet.folder / f"{target}.log"
         self.fleet.processes[target] = start_process(target, arguments, log_path)
         return self.fleet.processes[target]
--- a/soak/history.py
+++ b/soak/history.py
@@ -12,7 +12,10 @@
 
 @frozen
 class Sent:
-    """Hold a request and the response its caller received; status 0 is a failed connection."""
+    """Hold a request and the response its caller received; status 0 is a failed connection.
+
+    A stream taken up again begins at first_event.
+    """
 
     request_id: str
     route: str
@@ -21,11 +24,15 @@
     status: int
     body: bytes
     whole: bool
+    first_event: int = 1
 
 
 @frozen
 class RunRecord:
-    """Hold the record that a target wrote when an execution began or when its stream ended."""
+    """Hold the record that a target wrote when an execution began or when its stream ended.
+
+    stream is the request that began the stream, of whatever attempt; first is its first event.
+    """
 
     request_id: str
     target: str
@@ -34,6 +41,9 @@
     prompt: int
     workspace: str
     has_key: bool
+    version: str = ""
+    stream: str = ""
+    first: int = 1
 
 
 @define
@@ -63,15 +73,18 @@
                     int(item["prompt"]),
                     item["workspace"],
                     item["has_key"],
+                    item["version"],
+                    item["stream"],
+                    item["first"],
                 )
             )
     return runs
 
 
-def make_body(request_id: str, route: str, events: int) -> bytes:
+def make_body(request_id: str, route: str, events: int, first_event: int = 1) -> bytes:
     """Return the complete response body of a request."""
     if route in ("draft", "score"):
-        lines = (f"id: {n}\ndata: {request_id}-{n}\n\n" for n in range(1, events + 1))
+        lines = (f"id: {n}\ndata: {request_id}-{n}\n\n" for n in range(first_event, events + 1))
         return "".join(lines).encode()
     return f"answer to {request_id}".encode()
 
@@ -89,12 +102,29 @@
     for run in runs:
         if run.workspace != "studio" or run.has_key:
             violations.append(f"{run.request_id} reached {run.target} with the wrong headers")
+    violations += _find_joined_streams(runs)
     spent = count_spent(runs)
     if spent > prepaid:
         violations.append(f"{spent} tokens were spent of a prepaid budget of {prepaid}")
     return violations
 
 
+def _find_joined_streams(runs: list[RunRecord]) -> list[str]:
+    """Return a violation for each run that goes on with a stream of another version.
+
+    The caller has the events before it, of a run that began earlier in the stream.
+    """
+    earlier: dict[tuple[str, str], int] = {}
+    for run in runs:
+        key = (run.stream, run.version)
+        earlier[key] = min(run.first, earlier.get(key, run.first))
+    return [
+        f"the stream {run.stream} goes on at {run.version} from event {run.first}"
+        for run in runs
+        if run.begun and run.first > 1 and earlier[run.stream, run.version] >= run.first
+    ]
+
+
 def _check_request(sent: Sent, executions: int) -> list[str]:
     violations = []
     if not sent.repeatable and executions > 1:
@@ -105,7 +135,7 @@
         )
     if sent.status != 200:
         return violations
-    expected = make_body(sent.request_id, sent.route, sent.events)
+    expected = make_body(sent.request_id, sent.route, sent.events, sent.first_event)
     if sent.whole and sent.body != expected:
         violations.append(
             f"{sent.request_id} ({sent.route}) received {sent.body[:60]!r} as a complete response"
--- a/soak/load.py
+++ b/soak/load.py
@@ -2,9 +2,12 @@
 
 import http.client
 import itertools
+import re
 import threading
 import time
+from collections.abc import Mapping
 from random import Random
+from types import MappingProxyType
 
 from attrs import define, field
 
@@ -35,14 +38,31 @@
     def run(self) -> None:
         """Send one request after another until stopped, and record each result."""
         while not self.stop.is_set():
-            self.sent.append(self._send())
+            sent = self._send()
+            self.sent.append(sent)
+            if sent.route == "draft" and sent.status == 200 and not sent.whole:
+                self._take_up(sent)
             time.sleep(self.random.uniform(0, 2 * PAUSE_MEAN_SECONDS))
 
-    def _send(self) -> Sent:
-        route = self.random.choice(list(RETRYABLE_BY_ROUTE))
+    def _take_up(self, broken: Sent) -> None:
+        """Take up a stream that broke off, once."""
+        events = re.findall(rb"id: (\d+)\ndata: [^\n]*\n\n", broken.body)
+        if events:
+            headers = {"Last-Event-Id": events[-1].decode(), "Resumes": broken.request_id}
+            first_event = int(events[-1]) + 1
+            self.sent.append(self._send("draft", broken.events, headers, first_event))
+
+    def _send(
+        self,
+        route: str | None = None,
+        events: int | None = None,
+        more_headers: Mapping[str, str] = MappingProxyType({}),
+        first_event: int = 1,
+    ) -> Sent:
+        route = route or self.random.choice(list(RETRYABLE_BY_ROUTE))
         request_id = f"{self.name}-{next(self._numbers)}"
-        events = self.random.randint(1, EVENTS_MAX)
-        headers = {"Host": HOST, "X-Request-Id": request_id, "Api-Key": KEY}
+        events = events or self.random.randint(1, EVENTS_MAX)
+        headers = {"Host": HOST, "X-Request-Id": request_id, "Api-Key": KEY, **more_headers}
         headers["X-Deadline-Ms"] = str(self.random.choice([800, 2000, 4000]))
         if route in ("draft", "score"):
             headers["X-Token-Usage"] = f"{PROMPT_TOKENS},{events}"
@@ -66,7 +86,8 @@
             self._close()
         except (OSError, http.client.HTTPException):
             self._close()
-        return Sent(request_id, route, RETRYABLE_BY_ROUTE[route], events, status, body, complete)
+        repeatable = RETRYABLE_BY_ROUTE[route]
+        return Sent(request_id, route, repeatable, events, status, body, complete, first_event)
 
     def _connect(self) -> http.client.HTTPConnection:
         if self._connection is None:
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -1,7 +1,7 @@
 """Stand-in for a target of path routes: a model engine that streams events, or a plain service.
 
 python -m standins.path_engine --listen ip:port --id ID [--event-seconds S] [--slots N]
-    [--runs FILE] [--crash-segment ID] [--crash-path PATH]
+    [--runs FILE] [--version V] [--crash-segment ID] [--crash-path PATH]
 
 The control interface sets faults and returns the requests that were executed; a request counts as
 executed as soon as the target has accepted it. With --runs, a record is also appended to FILE when
@@ -67,6 +67,7 @@
         runs_path: Path | None,
         crash_segment: str | None,
         crash_path: str | None,
+        version: str,
     ) -> None:
         self._loop = loop
         self._id = target_id
@@ -74,6 +75,7 @@
         self._slots = slots
         self._crash_segment = crash_segment
         self._crash_path = crash_path
+        self._version = version
         self._running = 0
         self._faults = Faults()
         self._runs: list[Run] = []
@@ -139,6 +141,9 @@
         if self._runs_file is not None:
             value = {"id": run.request_id, "begun": begun, "events": run.events} | {
                 "target": self._id,
+                "version": self._version,
+                "stream": run.headers.get("resumes", run.request_id),
+                "first": int(run.headers.get("last-event-id", 0)) + 1,
                 "prompt": run.headers.get("x-token-usage", "0,0").partition(",")[0],
                 "workspace": run.headers.get("x-tenant", ""),
                 "has_key": "api-key" in run.headers,
@@ -230,6 +235,7 @@
     parser.add_argument("--runs", type=Path)
     parser.add_argument("--crash-segment")
     parser.add_argument("--crash-path")
+    parser.add_argument("--version", default="v1")
     arguments = parser.parse_args()
     loop = make_loop()
     target = Target(
@@ -240,6 +246,7 @@
         arguments.runs,
         arguments.crash_segment,
         arguments.crash_path,
+        arguments.version,
     )
     serve(loop, "path_engine", arguments.listen, target.serve)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -56,3 +56,14 @@
 @pytest.mark.timeout(180)
 def test_a_short_run_has_no_violations():
     assert run_seed(11, seconds=8, nodes=2, callers=4) == []
+
+
+@pytest.mark.parametrize(("version", "found"), [("v1", 0), ("v2", 1)])
+def test_a_stream_that_goes_on_at_another_version_is_a_violation(version, found):
+    runs = [
+        RunRecord("r2", "engine-1", True, 0, 20, "studio", False, "v1", "r2"),
+        RunRecord("r3", "engine-2", True, 0, 20, "studio", False, version, "r2", 3),
+    ]
+    taken_up = Sent("r3", "draft", True, 3, 200, make_body("r3", "draft", 3, 3), True, 3)
+    broken = replace(STREAM, whole=False, body=make_body("r2", "draft", 2))
+    assert len(check_history([broken, taken_up], runs)) == found
