Keep crash reports readable for nodes of the release before

Cause: the version of a crashed target stood as a fourth value in its row, which older nodes reject; beside them a rolling change of release would share no crashes. Change: versions are a field of their own, which older nodes ignore. Result: a report of the former form decodes, with an empty version; the old build itself was not run beside the new one.

--- a/bronzetiller/gateway/crash_reports.py
+++ b/bronzetiller/gateway/crash_reports.py
@@ -36,8 +36,12 @@
     cleared = {name: sorted(targets) for name, targets in report.cleared.items()}
     survived = {name: sorted(versions) for name, versions in report.survived.items()}
     while True:
-        rows = [[item.target, item.at, sorted(item.fingerprints), item.version] for item in crashes]
-        document = {"crashes": rows, "cleared": cleared, "survived": survived}
+        document = {
+            "crashes": [[item.target, item.at, sorted(item.fingerprints)] for item in crashes],
+            "versions": {item.target: item.version for item in crashes},
+            "cleared": cleared,
+            "survived": survived,
+        }
         encoded = json.dumps(document).encode()
         if len(encoded) <= REPORT_BYTES_MAX or not (crashes or cleared or survived):
             return encoded
@@ -49,9 +53,15 @@
     """Decode a report; return None if it is malformed."""
     try:
         item: Any = json.loads(value)
+        versions = item.get("versions", {})  # older nodes report none
         crashes = [
-            Crash(str(target), float(at), frozenset(map(str, fingerprints)), *map(str, version))
-            for target, at, fingerprints, *version in item["crashes"]
+            Crash(
+                str(target),
+                float(at),
+                frozenset(map(str, fingerprints)),
+                str(versions.get(target, "")),
+            )
+            for target, at, fingerprints in item["crashes"]
         ]
         cleared = _decode_sets(item["cleared"])
         survived = _decode_sets(item.get("survived", {}))
--- a/bronzetiller/gateway/crashes.py
+++ b/bronzetiller/gateway/crashes.py
@@ -39,8 +39,9 @@
 
 @define
 class CrashReport:
-    """Hold what one node observed: crashes by target; by fingerprint, the crashed targets that no
-    longer count and the versions that survived.
+    """Hold what one node observed: crashes by target, and what responses proved by fingerprint.
+
+    Crashes of the cleared targets do not count against a fingerprint; survived lists versions.
     """
 
     crashes: dict[str, Crash] = field(factory=dict)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -176,6 +176,8 @@
     cleared = {"segment:c": {"e1/5", "e2/7"}}
     report = CrashReport({"e1/5": crash}, cleared, {"segment:a": {V1, V2}})
     assert decode_report(encode_report(report)) == report
+    older = b'{"crashes": [["e1/5", 1000.0, ["segment:a"]]], "cleared": {}}'
+    assert decode_report(older).crashes["e1/5"].version == ""
     for value in (
         b"",
         b"[]",
