Refuse a stream whose version has left before its tokens are reserved

Cause: the check for targets came after the reservation, which may wait for the store. Change: a take-up without a target of its version is refused at once.

--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -174,6 +174,9 @@
         self.version, self.service = version, find_service(version)
         window = self.context.find_retry_window(self.service)
         window.record_request(self.context.scheduler.now())
+        if not self._list_untried_targets():
+            self._refuse_without_target()
+            return
         self._reserve()
 
     def _reserve(self) -> None:
