Reject a late append of stream records

Callers could get a stream joined from two versions after the loss of a node.

Cause: an append without a response may be executed seconds later, over a newer record of the same slot; the streams recorded in between then count as begun at the base. Change: each append has a later epoch of its writer, so that the store rejects a late one. Result: test_a_late_append_does_not_take_streams_out_of_a_record finds s/v1 for s/v2 before and passes.

--- a/bronzetiller/gateway/stream_records.py
+++ b/bronzetiller/gateway/stream_records.py
@@ -92,6 +92,7 @@
     is_writable: bool = True
     _own: "OrderedDict[str, str]" = field(factory=OrderedDict)
     _slots: int = 0
+    _appends: int = 0
     _slot: _Slot | None = None
     _unwritten: list[StreamRecord] = field(factory=list)
     _flush_due: bool = False
@@ -201,6 +202,9 @@
         slot.streams |= {record.stream_id: record.version for record in records}
         value = {"at": self._read_clock(), "streams": _group_by_version(slot.streams)}
         STREAM_RECORD_CALLS.labels("append").inc()
+        # Each append has a later epoch, so that one that is executed late is rejected.
+        self._appends += 1
+        sequence = WriterSequence(f"streams/{self._incarnation}", self._appends, 1)
 
         def handle_result(result: Result[int, AppendFailure]) -> None:
             self._flush_due = False
@@ -219,7 +223,7 @@
                 self._schedule_flush()
 
         self._store.append(
-            STREAMS_PARTITION, slot.key, json.dumps(value).encode(), None, handle_result
+            STREAMS_PARTITION, slot.key, json.dumps(value).encode(), sequence, handle_result
         )
 
     def _open_slot(self) -> _Slot:
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -215,3 +215,20 @@
     assert fleet.store.list_newest(STREAMS_PARTITION)
     fleet.scheduler.advance(3 * TAKE_UP_SECONDS)
     assert not fleet.store.list_newest(STREAMS_PARTITION)
+
+
+def test_a_late_append_does_not_take_streams_out_of_a_record(make_fleet):
+    fleet = make_fleet(6)
+    fleet.serve(V1, V2)
+    node, client = fleet.nodes[0], fleet.clients[0]
+    client.mode = "late"
+    node.record("r-first", V2)
+    fleet.scheduler.advance(0.5)
+    client.mode = "up"
+    later = node.record("r-later", V2)
+    fleet.scheduler.advance(2.0)
+    assert later.written
+    fleet.store.run_delayed_appends()
+    fleet.began |= {"r-first": V2, "r-later": V2}
+    fleet.kill_all()
+    assert fleet.judge(["r-first", "r-later"]) == 2
