Deliver no stream without a record before its service has a base

Callers could get a stream joined from two versions after the loss of all nodes.

Cause: while no base was known and an append had failed, a stream was delivered unrecorded; the version left in service then became the base, and the stream counted as begun there. Change: without a base, events are held until their version is recorded.

--- a/bronzetiller/gateway/stream_records.py
+++ b/bronzetiller/gateway/stream_records.py
@@ -171,7 +171,8 @@
 
         Without a record it counts as one of the base, which has no target that would go on with it.
         """
-        return not self.is_writable and not self.list_base_targets(service)
+        has_base = self.versions.find_base(service) is not None
+        return has_base and not self.is_writable and not self.list_base_targets(service)
 
     def list_base_targets(self, service: str) -> list[Target]:
         """Return the targets of a service whose streams need no record and that did not fail."""
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -232,3 +232,14 @@
     fleet.began |= {"r-first": V2, "r-later": V2}
     fleet.kill_all()
     assert fleet.judge(["r-first", "r-later"]) == 2
+
+
+def test_no_stream_is_delivered_unrecorded_before_its_service_has_a_base(make_fleet):
+    fleet = Fleet()
+    fleet.serve(V1, V2)
+    fleet.start(6)
+    for client in fleet.clients:
+        client.mode = "down"
+    fleet.begin(40, V1, V2)
+    assert any(not node.is_writable for node in fleet.nodes)
+    assert not any(node.may_deliver_unrecorded("s") for node in fleet.nodes)
