--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Show faults that an independent review found, each by a case of its own."""
--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and callers that several cases share."""
