Review: show that a node serves by an older configuration through a peer

The case runs three of the project's nodes. One is partitioned from all engines, by resets, and has its requests served through its peers; another one is partitioned from the store for 5.5 s while a version moves a route to another service. Requests to the first node run at the new service and, seconds later, at the old one again, through the peer that does not know the version.

--- a/review/common/nodes.py
+++ b/review/common/nodes.py
@@ -41,8 +41,8 @@
     fleet: GatewayFleet
     _listens: dict[str, dict[str, str]] = field(factory=dict)
 
-    def start(self, node: str, zone: str) -> None:
-        """Start a node with the command of the deploy file."""
+    def start(self, node: str, zone: str, store: str | None = None) -> None:
+        """Start a node with the command of the deploy file; store is an address in front of it."""
         listen = self._listens[node] = choose_addresses(len(self._listens) + 1)
         seeds = [item["peers"] for item in self._listens.values()][:SEEDS_MAX]
         path = self.fleet.folder / f"{node}.yaml"
@@ -53,7 +53,7 @@
             zones=json.dumps(REGIONS),
             listen=json.dumps(listen),
             seeds=json.dumps(seeds),
-            store=json.dumps(self.fleet.store_address),
+            store=json.dumps(store or self.fleet.store_address),
         )
         Path(path).write_text(text)
         self.fleet.start_helper(node, ["bronzetiller.gateway", str(path)])
