--- a/review/common/desk.py
+++ b/review/common/desk.py
@@ -139,7 +139,7 @@
         for number in range(CALLERS):
             node = NODES[number % len(NODES)]
             callers.append(Caller(self.fleet.address(node), node, f"c{number}"))
-            threading.Thread(target=callers[-1].run, args=(until,)).start()
+            threading.Thread(target=callers[-1].run, args=(until,), daemon=True).start()
         return callers
 
     def read_events(self, event: str) -> list[dict[str, str]]:
--- a/review/common/metered.py
+++ b/review/common/metered.py
@@ -96,7 +96,7 @@
     def start_callers(self) -> None:
         """Start sending requests to all nodes at a constant rate."""
         for number in range(CALLERS):
-            thread = threading.Thread(target=self._run_caller, args=(number,))
+            thread = threading.Thread(target=self._run_caller, args=(number,), daemon=True)
             thread.start()
             self._threads.append(thread)
 
