--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -18,7 +18,8 @@
 
     The target leaves the connection open unless it closes, resets or crashes; a crash closes the
     listening socket too. With end "keep" it reads the next request. The bytes of earlier precede
-    the answer. With head_portion the head is cut there, and nothing follows.
+    the answer. With head_portion the head is cut there, and nothing follows. The head names the
+    request and has a seal unless it says otherwise.
     """
 
     parts: list[bytes]
@@ -27,6 +28,8 @@
     status: str = "200 OK"
     earlier: bytes = b""
     head_portion: float = 1.0
+    named: bool = True
+    sealed: bool = True
 
 
 @define
@@ -86,7 +89,8 @@
                     return
 
     def _send(self, connection: socket.socket, request: RawRequest, answer: RawAnswer) -> None:
-        names = (f"X-Request-Id: {request.request_id}", f"X-Response-Seal: {self.target_id}")
+        names = [f"X-Request-Id: {request.request_id}"] if answer.named else []
+        names += [f"X-Response-Seal: {self.target_id}"] if answer.sealed else []
         lines = (f"HTTP/1.1 {answer.status}", *names, *answer.headers)
         head = "\r\n".join((*lines, "", "")).encode()
         connection.sendall(answer.earlier + head[: round(answer.head_portion * len(head))])
--- /dev/null
+++ b/tests/test_unproved_refusals.py
@@ -0,0 +1,80 @@
+"""Test with a real node that no request which a target ran is refused as not run."""
+
+import itertools
+
+import pytest
+
+from standins.gateway_fleet import MODEL_SERVICE, PLAIN_SERVICE, GatewayFleet
+from standins.path_engine import make_registration
+from tests.conftest import await_true
+from tests.raw_target import RawAnswer, RawTarget
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+BODY = b"no"
+LENGTH = f"Content-Length: {len(BODY)}"
+VARIANTS = list(itertools.product((True, False), (True, False), (True, False), (True, False)))
+STATUSES = ("408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable")
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    fleet = GatewayFleet()
+    try:
+        fleet.start_store()
+        fleet.configure(1, prepaid=1_000_000)
+        fleet.start_target("warm", MODEL_SERVICE)
+        fleet.start_node("node-1")
+        fleet.await_ready("node-1")
+        await_true(lambda: fleet.send("node-1", "score", "warm").status == 200, what="tokens")
+        fleet.append_record("keyed.servers", "warm", b"")
+        yield fleet
+    finally:
+        fleet.close()
+
+
+@pytest.fixture
+def start_raw(fleet):
+    targets = []
+
+    def start(make_answer, service):
+        target = RawTarget(f"raw-{id(targets)}-{len(targets)}", make_answer)
+        value = make_registration(target.target_id, service, target.address, "regina-a")
+        fleet.append_record("keyed.servers", target.target_id, value)
+        targets.append(target)
+        return target
+
+    yield start
+    for target in targets:
+        fleet.append_record("keyed.servers", target.target_id, b"")
+        target.close()
+
+
+@pytest.mark.parametrize("route", ["order", "score"])
+@pytest.mark.parametrize("status", STATUSES)
+def test_a_refusal_without_a_proof_is_not_passed_on_as_one(fleet, start_raw, route, status):
+    """Each combination of id, seal, length and Retry-After."""
+    variants = iter(())
+
+    def make_answer(request):
+        named, sealed, has_length, has_retry = next(variants, VARIANTS[0])
+        headers = [LENGTH] if has_length else []
+        headers += ["Retry-After: 1"] if has_retry else []
+        end = "keep" if has_length else "close"
+        return RawAnswer([BODY], tuple(headers), end, status, named=named, sealed=sealed)
+
+    target = start_raw(make_answer, PLAIN_SERVICE if route == "order" else MODEL_SERVICE)
+    await_true(
+        lambda: fleet.send("node-1", route, f"first-{status}") and target.requests, what="a run"
+    )
+    ran = {request.request_id for request in target.requests}
+    variants = iter(VARIANTS)
+    untrue = []
+    for number, variant in enumerate(VARIANTS):
+        request_id = f"{route}-{status[:3]}-{number}"
+        prefix = f"{request_id}:40"
+        reply = fleet.send("node-1", route, request_id, item=request_id, X_Prompt_Prefix=prefix)
+        ran = {request.request_id for request in target.requests}
+        if request_id in ran and reply.status in NOT_RUN_STATUSES:
+            untrue.append((variant, reply.status))
+    assert len(ran) > len(VARIANTS) / 2
+    assert not untrue
