Say "not run" only by one table of what responses prove

What callers saw: an order that a target had run was answered 408, 429 or 503, each of which tells the caller that it was not run; callers sent it again and it ran twice.

Cause: each status below 500 counted as an answer and a 503 as a failure that is passed on, so a target's status made a promise for which there was no proof. The same class elsewhere: a flag that was set when an event was handled decided whether a request may have run, so a held event, a second peer or a deadline could miss it; a peer's refusal was passed on without a proof, also after an attempt of the node's own; bronzetiller node counted each status below 500 of an engine as not run, and passed the refusal of a service that had run an order on.

Change: requests/execution.py holds the table and the state. A request may have run from the first byte of an attempt on until a proof; a second attempt beside an open one is a broken invariant; the events held of an ended attempt are dropped before the next one; each refusal passes the same correction. A peer marks its refusals of forwarded requests, and a forwarded request names the peer, so that a target at a peer's old address does not run it.

The table, the peers' answers and the orders of bronzetiller node have tests of their own.

--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -5,7 +5,7 @@
 from typing import Any
 from uuid import uuid4
 
-from attrs import define, evolve, field
+from attrs import define, field
 from result import Err, Ok, Result
 
 from bronzetiller.budgets.grants import GrantManager
@@ -23,6 +23,7 @@
 from bronzetiller.requests.admission import Admission, RequestKey, refuse_quarantined
 from bronzetiller.requests.billing import Biller
 from bronzetiller.requests.crash_monitor import CrashMonitor
+from bronzetiller.requests.execution import correct_ran
 from bronzetiller.requests.retries import RetryBudget
 from bronzetiller.routing.chunks import merge_delta
 from bronzetiller.routing.dispatcher import Dispatcher, DispatchJob, QueuePosition
@@ -294,9 +295,7 @@
 
     def _refuse(self, refusal: Refusal) -> None:
         self._finish()
-        if refusal.ran is Ran.NO and self.may_have_run:
-            refusal = evolve(refusal, ran=Ran.UNKNOWN)
-        refuse(self.exchange, refusal)
+        refuse(self.exchange, correct_ran(refusal, may_have_run=self.may_have_run))
 
     def _on_flow_change(self, flowing: bool) -> None:
         if self.attempt is not None:
--- a/bronzetiller/callers/problems.py
+++ b/bronzetiller/callers/problems.py
@@ -1,6 +1,8 @@
 """Respond to refused requests with problem+json (RFC 9457)."""
 
 import json
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any
 
 from bronzetiller.errors import Ran, Reason, Refusal
@@ -21,14 +23,19 @@
 OVERLOAD_RETRY_SECONDS = 1
 
 
-def refuse(exchange: Exchange, refusal: Refusal, **fields: Any) -> None:
+def refuse(
+    exchange: Exchange,
+    refusal: Refusal,
+    more_headers: Mapping[str, str] = MappingProxyType({}),
+    **fields: Any,
+) -> None:
     """Respond with a refusal, or send it as the last event of a started stream, left unterminated.
 
     The fields identify the request in the log.
     """
     record_refusal(refusal, **fields)
     if not exchange.started:
-        headers = make_refusal_headers(refusal)
+        headers = make_refusal_headers(refusal) | dict(more_headers)
         exchange.respond(refusal.status, headers, make_refusal_body(refusal))
         return
     exchange.fail(format_event(make_refusal_body(refusal)))
--- a/bronzetiller/callers/service_calls.py
+++ b/bronzetiller/callers/service_calls.py
@@ -31,6 +31,12 @@
     PendingClaim,
 )
 from bronzetiller.requests.crash_monitor import CrashMonitor
+from bronzetiller.requests.execution import (
+    ResponseFacts,
+    Verdict,
+    correct_ran,
+    judge_response,
+)
 from bronzetiller.requests.retries import RetryBudget
 from bronzetiller.routing.service import (
     CallOutcome,
@@ -221,6 +227,8 @@
         ):
             RETRIES.labels("target_refused").inc()
             self._dispatch()
+        elif not self.route.idempotent and _is_unproved(outcome.status):
+            self._refuse_unknown(ServiceFailed(f"status {outcome.status}", sent=True))
         else:
             if 200 <= outcome.status < 300:
                 self.assignment.mark_completed()
@@ -321,11 +329,10 @@
 
     def _correct_ran(self, refusal: Refusal) -> Refusal:
         """Return a refusal that does not deny an execution that did or may have taken place."""
-        if refusal.ran is not Ran.NO:
-            return refusal
-        if self.settled_outcome is not None:
-            return evolve(refusal, ran=self.settled_outcome.ran)
-        return evolve(refusal, ran=Ran.UNKNOWN) if self.may_have_run else refusal
+        settled = self.settled_outcome
+        if settled is not None and refusal.ran is Ran.NO:
+            return evolve(refusal, ran=settled.ran)
+        return correct_ran(refusal, may_have_run=self.may_have_run)
 
     def _on_disconnect(self) -> None:
         """Cancel the call; if it must run at most once and may have begun, finish it instead."""
@@ -355,6 +362,11 @@
             self.claim = None
 
 
+def _is_unproved(status: int) -> bool:
+    facts = ResponseFacts(status, names_request=True, states_not_run=False)
+    return judge_response(facts) is Verdict.UNPROVED
+
+
 def _make_not_kept_refusal() -> Refusal:
     detail = "the request was run; its response is not stored"
     return Refusal(409, Reason.ANSWER_NOT_KEPT, detail, Ran.YES)
--- a/bronzetiller/gateway/application.py
+++ b/bronzetiller/gateway/application.py
@@ -10,8 +10,10 @@
 from bronzetiller.gateway.configuration import GatewayConfiguration
 from bronzetiller.gateway.request_context import RequestContext
 from bronzetiller.gateway.request_handler import DEADLINE_MARGIN_SECONDS, RequestHandler
+from bronzetiller.gateway.requests import RequestMetadata
 from bronzetiller.net.exchange import Exchange
-from bronzetiller.platform.headers import decode_request_metadata
+from bronzetiller.platform.headers import decode_request_metadata, make_not_run_headers
+from bronzetiller.requests.execution import is_promise
 
 STOPPING_RETRY_SECONDS = 0.05  # other nodes can serve the retry at once
 STARTING_RETRY_SECONDS = 0.5
@@ -37,7 +39,7 @@
             refusal = Refusal(
                 503, Reason.STOPPING, detail, retry_after_seconds=STOPPING_RETRY_SECONDS
             )
-            refuse(exchange, refusal, id=metadata.request_id, path=exchange.path)
+            self._refuse(exchange, metadata, refusal)
             return
         configuration = self.get_configuration()
         if configuration is None:
@@ -45,17 +47,17 @@
             refusal = Refusal(
                 503, Reason.NOT_READY, detail, retry_after_seconds=STARTING_RETRY_SECONDS
             )
-            refuse(exchange, refusal, id=metadata.request_id, path=exchange.path)
+            self._refuse(exchange, metadata, refusal)
             return
         route = configuration.find_route(exchange.headers.get("host", ""), exchange.path)
         if route is None:
             refusal = Refusal(404, Reason.UNKNOWN_ROUTE, "no route matches this host and path")
-            refuse(exchange, refusal, id=metadata.request_id, path=exchange.path)
+            self._refuse(exchange, metadata, refusal)
             return
         workspace = configuration.keys.get(metadata.key)
         if workspace is None and configuration.has_keys and not route.public:
             refusal = Refusal(401, Reason.BAD_CREDENTIALS, "the API key is unknown")
-            refuse(exchange, refusal, id=metadata.request_id, path=exchange.path)
+            self._refuse(exchange, metadata, refusal)
             return
         seconds = route.timeout_seconds
         if metadata.seconds_left is not None:
@@ -70,3 +72,7 @@
             started_at=now,
             deadline=now + seconds - DEADLINE_MARGIN_SECONDS,
         ).start()
+
+    def _refuse(self, exchange: Exchange, metadata: RequestMetadata, refusal: Refusal) -> None:
+        headers = make_not_run_headers(metadata) if is_promise(refusal) else {}
+        refuse(exchange, refusal, headers, id=metadata.request_id, path=exchange.path)
--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -4,12 +4,7 @@
 
 from attrs import define, field, frozen
 
-from bronzetiller.gateway.requests import (
-    ResponseClass,
-    StatedBounds,
-    may_have_run,
-    proves_survival,
-)
+from bronzetiller.gateway.requests import StatedBounds, proves_survival
 from bronzetiller.gateway.targets import MISDIRECTED_CAUSE, Target
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.http_client import (
@@ -24,12 +19,13 @@
     ResponseMatcher,
 )
 from bronzetiller.platform.headers import (
-    classify_response,
     decode_load_report,
+    decode_response_facts,
     decode_stated_bounds,
     is_matching_response,
     names_request,
 )
+from bronzetiller.requests.execution import Verdict, judge_response
 
 CONNECT_SECONDS = 0.7  # ten round trips between regions; an unreachable target never responds
 BUFFERED_BYTES_MAX = 1024 * 1024  # of a response that is not streamed
@@ -60,7 +56,7 @@
 
     head: ResponseHead
     body: bytes
-    failed: bool
+    verdict: Verdict
     by_close: bool = False
 
 
@@ -111,7 +107,7 @@
     call: OpenCall | None = None
     finished: bool = False
     _head: ResponseHead | None = None
-    _response_class: ResponseClass | None = None
+    _verdict: Verdict | None = None
     _body_parts: list[bytes] = field(factory=list)
     _body_size: int = 0
     _partial_event: bytearray = field(factory=bytearray)
@@ -122,13 +118,18 @@
         """Return whether any byte may have been sent to the target."""
         return self.call is not None and self.call.sent
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the request may have been sent, without a proof that it was not run."""
+        return self.sent and not (self._verdict is not None and self._verdict.proves_not_run)
+
     @property
     def proves_survival(self) -> bool:
         """Return whether the response, once it goes on or ends, proves its request harmless."""
-        if self._head is None or self._response_class is None:
+        if self._head is None or self._verdict is None:
             return False
         is_named = names_request(self._head, self.request_id)
-        return proves_survival(self._response_class, self._head.status, names_request=is_named)
+        return proves_survival(self._verdict, self._head.status, names_request=is_named)
 
     def start(self, http: HttpClient, call: HttpCall) -> None:
         """Send the request."""
@@ -169,16 +170,16 @@
             self._handle_failure(event)
 
     def _handle_head(self, head: ResponseHead) -> None:
-        response_class = classify_response(head)
-        if not may_have_run(response_class) and not names_request(head, self.request_id):
+        verdict = judge_response(decode_response_facts(head, self.request_id))
+        if verdict is Verdict.UNRELATED:
             self._fail("a refusal that does not name the request may be an earlier one")
             return
-        self._head, self._response_class = head, response_class
+        self._head, self._verdict = head, verdict
         load = decode_load_report(head)
         if load is not None:
             self.target.record_load(load, self.now())
-        if response_class is not ResponseClass.MISDIRECTED:
-            self.record_bounds(decode_stated_bounds(head), may_have_run(response_class))
+        if verdict is not Verdict.MISDIRECTED:
+            self.record_bounds(decode_stated_bounds(head), not verdict.proves_not_run)
         if self._is_stream:
             self._listener(StreamStarted(head))
 
@@ -186,7 +187,7 @@
     def _is_stream(self) -> bool:
         return (
             self.streamed
-            and self._response_class is ResponseClass.ANSWERED
+            and self._verdict is Verdict.ANSWERED
             and self._head is not None
             and self._head.status == 200
             and self.content_type in (None, self._head.headers.get("content-type", ""))
@@ -227,14 +228,14 @@
         if self._is_stream:
             self._listener(self._make_stream_end(end))
             return
-        if self._response_class is ResponseClass.NOT_RUN:
+        if self._verdict is Verdict.NOT_RUN:
             self._listener(NotRun(f"status {head.status}", reached=True))
-        elif self._response_class is ResponseClass.MISDIRECTED:
+        elif self._verdict is Verdict.MISDIRECTED:
             self._listener(NotRun(MISDIRECTED_CAUSE, reached=True))
         else:
-            failed = self._response_class is ResponseClass.FAILED
+            assert self._verdict is not None
             body = b"".join(self._body_parts)
-            self._listener(CompleteResponse(head, body, failed, end.by_close))
+            self._listener(CompleteResponse(head, body, self._verdict, end.by_close))
 
     def _make_stream_end(self, end: ResponseEnd) -> StreamEnd | ResponseLost:
         if self._partial_event.strip():
@@ -247,7 +248,7 @@
         self._finish()
         if not failure.sent:
             self._listener(NotRun(failure.cause, reached=False))
-        elif self._response_class is not None and not may_have_run(self._response_class):
+        elif not self.may_have_run:
             self._listener(NotRun(failure.cause, reached=True))
         else:
             self._listener(ResponseLost(failure.cause, failure.disconnected))
--- a/bronzetiller/gateway/forwarded_request.py
+++ b/bronzetiller/gateway/forwarded_request.py
@@ -32,6 +32,7 @@
 from bronzetiller.net.http_client import HttpCall, HttpClient
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.headers import make_forwarded_headers, make_response_headers
+from bronzetiller.requests.execution import Execution, Verdict
 
 CONNECT_SECONDS = 0.5
 PEERS_MAX = 3
@@ -58,7 +59,7 @@
     _attempts: int
     _on_attempt: Callable[[Attempt], None]
     _on_end: Callable[[int, Refusal | None], None]
-    _may_have_run: bool = False
+    _execution: Execution
     _peers: int = 0
     _events: int = 0
 
@@ -76,6 +77,7 @@
             self._scheduler.now,
             lambda event: self._handle_event(peer, event),
         )
+        self._execution.begin(attempt)
         self._on_attempt(attempt)
         attempt.start(self._http, self._make_call(attempt, now))
         return True
@@ -84,7 +86,10 @@
         """Make a call on a new connection, as an idle one may have been closed meanwhile."""
         seconds_left = self._deadline - now
         headers = make_forwarded_headers(
-            self._metadata, seconds_left=seconds_left, attempts=self._attempts
+            self._metadata,
+            peer_id=attempt.target.target_id,
+            seconds_left=seconds_left,
+            attempts=self._attempts,
         )
         target, is_own_response = attempt.target, attempt.is_own_response
         call = make_call(self._exchange, target, headers, seconds_left, is_own_response)
@@ -101,6 +106,8 @@
             case StreamEnd(by_close=False):
                 self._end("answered", None)
                 exchange.finish()
+            case CompleteResponse(head, verdict=Verdict.UNPROVED):
+                self._handle_loss(peer, f"status {head.status} without a proof")
             case CompleteResponse(head, body, by_close=False):
                 self._end("answered", None)
                 exchange.respond(head.status, make_response_headers(head), body)
@@ -114,7 +121,6 @@
                 self._handle_loss(peer, "the response ended with a close")
 
     def _handle_loss(self, peer: Member, cause: str) -> None:
-        self._may_have_run = True
         if self._may_repeat and not self._exchange.started:
             self._try_next(peer, cause)
         else:
@@ -129,7 +135,7 @@
 
     def _refuse(self, peer: Member, cause: str) -> None:
         detail = f"{peer.node_id}, which was to serve the request: {cause}"
-        if self._may_have_run:
+        if self._execution.may_have_run:
             self._end("lost", Refusal(502, Reason.TARGET_FAILED, detail, Ran.UNKNOWN))
             return
         refusal = Refusal(503, Reason.OVERLOADED, detail, retry_after_seconds=RETRY_SECONDS)
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -51,8 +51,13 @@
 from bronzetiller.metrics import OPEN_REQUESTS, REQUESTS, RESPONSES, RETRIES
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.scheduler import Timeout, Timer
-from bronzetiller.platform.headers import make_response_headers, make_target_headers
+from bronzetiller.platform.headers import (
+    make_not_run_headers,
+    make_response_headers,
+    make_target_headers,
+)
 from bronzetiller.requests.crash_evidence import QuarantinedFingerprint, StreamProof
+from bronzetiller.requests.execution import Execution, Verdict, correct_refusal, is_promise
 
 CONNECT_FAILURES_MAX = 4  # failed connections to targets before a request is refused
 TARGET_REFUSALS_MAX = 2  # refusals by targets that are retried before the caller gets a 503
@@ -86,7 +91,7 @@
     target_refusals: int = 0
     connect_failures: int = 0
     tried_target_ids: list[str] = field(factory=list)
-    may_have_run: bool = False
+    execution: Execution = field(factory=Execution)
     last_event_id: int | None = None
     events: int = 0
     head_sent: bool = False
@@ -189,6 +194,7 @@
 
     def _place(self) -> None:
         """Choose a target and send the request to it."""
+        self._held_events.discard()
         context = self.context
         now = context.scheduler.now()
         if self.deadline - now < PLACEMENT_SECONDS_MIN:
@@ -228,7 +234,7 @@
         peers = context.forwarder.list_peers(services, now)
         if self.metadata.forwarded_attempts is not None or not peers:
             return self._refuse_if_cut_off(services)
-        if self.head_sent or (self.may_have_run and not may_repeat):
+        if self.head_sent or (self.execution.may_have_run and not may_repeat):
             self._fail("this node reaches no target")
             return True
         if self._silence_timeout is not None:
@@ -249,27 +255,22 @@
             self.attempts,
             self._on_forwarded_attempt,
             self._on_forwarded_end,
-            may_have_run=self.may_have_run,
+            self.execution,
         )
         if not forwarded.start():
             detail = "this node reaches no target, and its peers can serve no more requests"
-            self._refuse_or_fail(Reason.OVERLOADED, detail)
+            self._refuse_with_retry_after(Reason.OVERLOADED, detail)
         return True
 
-    def _refuse_or_fail(self, reason: Reason, detail: str) -> None:
-        """Refuse the request as not run, unless it may have run."""
-        if self.may_have_run:
-            self._fail(detail)
-        else:
-            self._refuse_with_retry_after(reason, detail)
-
     def _refuse_if_cut_off(self, services: set[str]) -> bool:
         """Refuse the request if there is no open connection either."""
         context = self.context
         targets = [item for name in services for item in context.pool.list_targets(name)]
         if any(context.http.has_idle(item.registration.address) for item in targets):
             return False
-        self._refuse_or_fail(Reason.NO_TARGET, "neither this node nor a peer reaches a target")
+        self._refuse_with_retry_after(
+            Reason.NO_TARGET, "neither this node nor a peer reaches a target"
+        )
         return True
 
     def _on_forwarded_attempt(self, attempt: Attempt) -> None:
@@ -314,9 +315,6 @@
 
     def _refuse_quarantined(self, quarantined: QuarantinedFingerprint) -> None:
         detail = f"targets crashed under requests with {quarantined.fingerprint}"
-        if self.may_have_run:
-            self._refuse(Refusal(502, Reason.QUARANTINED, detail, Ran.UNKNOWN))
-            return
         left = round(quarantined.until - self.context.scheduler.now())
         seconds = max(SUSPECT_RETRY_SECONDS_MIN, left)
         self._refuse(Refusal(503, Reason.QUARANTINED, detail, retry_after_seconds=seconds))
@@ -347,9 +345,6 @@
         return [target for target in targets if target in base_targets] or targets
 
     def _refuse_without_target(self) -> None:
-        if self.may_have_run:
-            self._fail("the service has no other target")
-            return
         admission, now = self.context.admission, self.context.scheduler.now()
         free_at = [admission.find_free_at(target, now) for target in self._list_untried_targets()]
         if not free_at:
@@ -395,6 +390,7 @@
             ),
             self.content_type,
         )
+        self.execution.begin(attempt)
         self._record_version(target.version)
         context.admission.take(target, now)
         seconds_left = self.deadline - now
@@ -421,7 +417,6 @@
         assert self.attempt is not None
         self.attempt.cancel()
         self._clear_pending_prefill()
-        self.may_have_run = True
         self.attempts += 1
         self._retry_or_fail("the version of the stream could not be recorded")
 
@@ -455,7 +450,6 @@
             return
         attempt.cancel()
         self._clear_pending_prefill()
-        self.may_have_run = True
         self.attempts += 1
         attempt.target.record_failure("silent", self.context.scheduler.now())
         self._log_failed_attempt("silent")
@@ -469,7 +463,6 @@
         if isinstance(event, StreamData):
             self._handle_stream_data(event)
         elif isinstance(event, StreamStarted):
-            self.may_have_run = True
             self._handle_stream_start(event)
         elif isinstance(event, StreamEnd | CompleteResponse):
             if event.by_close:
@@ -518,7 +511,6 @@
         """Check that the target outlived the response that its close ended; a crash looks alike."""
         attempt = self.attempt
         assert attempt is not None
-        self.may_have_run = True
 
         def handle_check(alive: bool) -> None:
             log_event(
@@ -551,16 +543,20 @@
             self.exchange.finish()
 
     def _handle_response(self, event: CompleteResponse) -> None:
-        self.may_have_run = True
         self.attempts += 1
         if self.head_sent:
             # The caller already has the head of the stream; no other response can follow it.
             self._retry_or_fail(f"status {event.head.status}")
             return
-        if event.failed and self._acquire_retry_if_allowed("target_failed"):
+        failed = event.verdict is not Verdict.ANSWERED
+        if failed and self._acquire_retry_if_allowed("target_failed"):
             self._log_failed_attempt(f"status {event.head.status}")
             self._place()
             return
+        if event.verdict is Verdict.UNPROVED:
+            self._log_failed_attempt(f"status {event.head.status} without a proof")
+            self._fail(f"the target answered {event.head.status}, and may have run the request")
+            return
         self._succeed()
         self.exchange.respond(event.head.status, make_response_headers(event.head), event.body)
 
@@ -585,12 +581,11 @@
             ):
                 self._place()
                 return
-        self._refuse_or_fail(Reason.OVERLOADED, event.cause)
+        self._refuse_with_retry_after(Reason.OVERLOADED, event.cause)
 
     def _handle_lost_response(self, event: ResponseLost) -> None:
         attempt = self.attempt
         assert attempt is not None
-        self.may_have_run = True
         self.attempts += 1
         attempt.target.record_failure(event.cause, self.context.scheduler.now())
         self.context.reachability.suspect(attempt.target)
@@ -646,9 +641,8 @@
         if self.finished:
             return
         if self.attempt is not None and not self.attempt.finished:
-            self.may_have_run = self.may_have_run or self.attempt.sent
             self.attempt.cancel()
-        if self.may_have_run:
+        if self.execution.may_have_run:
             self._fail("deadline")
             return
         self._refuse_with_retry_after(
@@ -663,7 +657,6 @@
         if attempt is not None and not attempt.finished and attempt.sent and at_most_once:
             return
         if attempt is not None and not attempt.finished:
-            self.may_have_run = self.may_have_run or attempt.sent
             attempt.cancel()
         self._finish("caller_gone")
 
@@ -682,6 +675,7 @@
     def _refuse(self, refusal: Refusal) -> None:
         if self.finished:
             return
+        refusal = correct_refusal(refusal, may_have_run=self.execution.may_have_run)
         record_refusal(refusal, id=self.metadata.request_id, route=self.route.name)
         self._finish(refusal.reason.value)
         if self.caller_disconnected:
@@ -690,6 +684,8 @@
             self.exchange.abort()
             return
         headers, body = make_refusal_headers(refusal), make_refusal_body(refusal)
+        if is_promise(refusal):
+            headers |= make_not_run_headers(self.metadata)
         self.exchange.respond(refusal.status, headers, body)
 
     def _finish(self, outcome: str) -> None:
@@ -729,7 +725,7 @@
         if reservation is None or self.metadata.prompt is None:
             return 0
         used = 0
-        if self.may_have_run:
+        if self.execution.may_have_run:
             events = self.events if complete else self.events + UNDELIVERED_EVENTS_MAX
             used = self.configuration.count_tokens(self.service, self.metadata.prompt, events)
         self.context.budgets.settle(reservation, used)
--- a/bronzetiller/gateway/requests.py
+++ b/bronzetiller/gateway/requests.py
@@ -1,9 +1,9 @@
 """Define caller requests and how targets respond to them; no I/O."""
 
-from enum import Enum
-
 from attrs import frozen
 
+from bronzetiller.requests.execution import Verdict
+
 
 @frozen
 class PromptSegment:
@@ -50,27 +50,13 @@
     forwarded_attempts: int | None = None
 
 
-class ResponseClass(Enum):
-    """Classify a response by what the target did with the request."""
-
-    ANSWERED = "answered"
-    FAILED = "failed"
-    NOT_RUN = "not_run"
-    MISDIRECTED = "other_target"
-
-
-def may_have_run(response_class: ResponseClass) -> bool:
-    """Return whether the target may have executed the request that it responded to so."""
-    return response_class in (ResponseClass.ANSWERED, ResponseClass.FAILED)
-
-
-def proves_survival(response_class: ResponseClass, status: int, *, names_request: bool) -> bool:
+def proves_survival(verdict: Verdict, status: int, *, names_request: bool) -> bool:
     """Return whether a response shows that its target ran the request and outlived it.
 
     A failure or an early rejection may come from a target that never began on the request, and a
     response that does not name its request may be a late one to another request.
     """
-    is_success = response_class is ResponseClass.ANSWERED and 200 <= status < 300
+    is_success = verdict is Verdict.ANSWERED and 200 <= status < 300
     return is_success and names_request
 
 
--- a/bronzetiller/platform/headers.py
+++ b/bronzetiller/platform/headers.py
@@ -9,10 +9,10 @@
     Prompt,
     PromptSegment,
     RequestMetadata,
-    ResponseClass,
     StatedBounds,
 )
 from bronzetiller.net.http_client import ResponseHead
+from bronzetiller.requests.execution import MISDIRECTED_STATUS, ResponseFacts
 
 _REQUEST_ID = "x-request-id"
 _KEY = "api-key"
@@ -103,12 +103,16 @@
 
 
 def make_forwarded_headers(
-    metadata: RequestMetadata, *, seconds_left: float, attempts: int
+    metadata: RequestMetadata, *, peer_id: str, seconds_left: float, attempts: int
 ) -> dict[str, str]:
-    """Return the headers of a request that a peer is to serve for its caller."""
+    """Return the headers of a request that a peer is to serve for its caller.
+
+    A target that has taken over the peer's address refuses a request that expects another one.
+    """
     headers = dict(metadata.forwarded_headers)
     headers[_DEADLINE] = str(max(1, int(seconds_left * 1000)))
     headers[_FORWARDED] = str(attempts)
+    headers[_EXPECTED_TARGET] = peer_id
     if metadata.key:
         headers[_KEY] = metadata.key
     return headers
@@ -129,13 +133,17 @@
     return head.headers.get(_REQUEST_ID, "") == request_id
 
 
-def classify_response(head: ResponseHead) -> ResponseClass:
-    """Classify a response; only an explicit header shows that the request was not run."""
-    if head.status == 421:
-        return ResponseClass.MISDIRECTED
-    if _NOT_RUN in head.headers:
-        return ResponseClass.NOT_RUN
-    return ResponseClass.ANSWERED if head.status < 500 else ResponseClass.FAILED
+def decode_response_facts(head: ResponseHead, request_id: str) -> ResponseFacts:
+    """Decode what a response says of a request; each request names the target that it expects."""
+    states_not_run = _NOT_RUN in head.headers or head.status == MISDIRECTED_STATUS
+    return ResponseFacts(head.status, names_request(head, request_id), states_not_run)
+
+
+def make_not_run_headers(metadata: RequestMetadata) -> dict[str, str]:
+    """Return the headers by which a peer learns that its forwarded request was not run."""
+    if metadata.forwarded_attempts is None:
+        return {}
+    return {_REQUEST_ID: metadata.request_id, _NOT_RUN: "1"}
 
 
 def decode_load_report(head: ResponseHead) -> LoadReport | None:
--- a/bronzetiller/routing/engine.py
+++ b/bronzetiller/routing/engine.py
@@ -21,6 +21,7 @@
     ResponseEnd,
     ResponseHead,
 )
+from bronzetiller.requests.execution import ResponseFacts, judge_response
 from bronzetiller.routing.chunks import Chunk, Usage, decode_chunk
 
 ATTEMPT_HEADER = "X-Request-Id"
@@ -208,7 +209,10 @@
     def _handle_end(self, end: ResponseEnd) -> None:
         if self.status != 200:
             detail = self._error_body[:500].decode("utf-8", "replace")
-            may_have_run = self.status >= 500 and self.status != REFUSED_STATUS
+            # An unnamed refusal was rejected with its head.
+            states_not_run = self.status == REFUSED_STATUS
+            verdict = judge_response(ResponseFacts(self.status, True, states_not_run))
+            may_have_run = not verdict.proves_not_run
             lost = self.status >= 500
             self._listener(
                 AttemptFailed(f"status {self.status}", may_have_run, lost, self.status, detail)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -15,7 +15,7 @@
     encode_report,
 )
 from bronzetiller.gateway.crashes import CrashReport, CrashTracker
-from bronzetiller.gateway.requests import ResponseClass, proves_survival
+from bronzetiller.gateway.requests import proves_survival
 from bronzetiller.gateway.targets import Registration, Target
 from bronzetiller.net.address import Address
 from bronzetiller.net.http_client import ProbeResult
@@ -26,6 +26,7 @@
     CrashEvidence,
     Proofs,
 )
+from bronzetiller.requests.execution import Verdict
 from standins.fake_scheduler import FakeScheduler
 from standins.memory_store import MemoryStore
 from tests.gateway_fakes import FakeStoreClient
@@ -122,22 +123,22 @@
 
 
 @pytest.mark.parametrize(
-    ("response_class", "status", "names_request", "proves"),
+    ("verdict", "status", "names_request", "proves"),
     [
-        (ResponseClass.ANSWERED, 200, True, True),
-        (ResponseClass.ANSWERED, 200, False, False),
-        (ResponseClass.ANSWERED, 304, True, False),
-        (ResponseClass.ANSWERED, 404, True, False),
-        (ResponseClass.FAILED, 500, True, False),
-        (ResponseClass.NOT_RUN, 503, True, False),
-        (ResponseClass.NOT_RUN, 200, True, False),
-        (ResponseClass.MISDIRECTED, 421, True, False),
+        (Verdict.ANSWERED, 200, True, True),
+        (Verdict.ANSWERED, 200, False, False),
+        (Verdict.ANSWERED, 304, True, False),
+        (Verdict.ANSWERED, 404, True, False),
+        (Verdict.FAILED, 500, True, False),
+        (Verdict.NOT_RUN, 503, True, False),
+        (Verdict.NOT_RUN, 200, True, False),
+        (Verdict.MISDIRECTED, 421, True, False),
     ],
 )
 def test_only_a_success_that_names_its_request_proves_it_harmless(
-    response_class, status, names_request, proves
+    verdict, status, names_request, proves
 ):
-    assert proves_survival(response_class, status, names_request=names_request) is proves
+    assert proves_survival(verdict, status, names_request=names_request) is proves
 
 
 FINGERPRINTS = ("a", "b", "c")
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -19,7 +19,8 @@
 from bronzetiller.gateway.requests import RequestMetadata
 from bronzetiller.gateway.targets import Registration, TargetPool
 from bronzetiller.net.address import Address
-from bronzetiller.net.http_client import CallFailed, ResponseHead
+from bronzetiller.net.http_client import CallFailed, ResponseEnd, ResponseHead
+from bronzetiller.requests.execution import Execution
 from standins.fake_scheduler import FakeScheduler
 
 REGIONS = {"a": "west", "b": "west", "c": "east"}
@@ -46,10 +47,17 @@
     def send(self, call, on_event):
         self.probed.append(call.address.port)
         is_reached = call.address.port in self.reached
-        self.scheduler.call_after(
-            0.01, lambda: on_event(ResponseHead(404, {}) if is_reached else self.answer)
-        )
-        return FakeOpenCall()
+        open_call = FakeOpenCall()
+
+        def respond():
+            answer = ResponseHead(404, {}) if is_reached else self.answer
+            open_call.sent = getattr(answer, "sent", True)
+            on_event(answer)
+            if isinstance(answer, ResponseHead):
+                on_event(ResponseEnd())
+
+        self.scheduler.call_after(0.01, respond)
+        return open_call
 
 
 @define(eq=False)
@@ -207,6 +215,45 @@
     started: bool = False
 
 
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [
+        ({}, 502),  # an older node, or one that passes on a target's refusal
+        ({"retry-after": "1"}, 502),
+        ({"x-not-executed": "1"}, 502),
+        ({"x-request-id": "r0", "x-not-executed": "1"}, 502),
+        ({"x-request-id": "r1", "x-not-executed": "1"}, 503),
+    ],
+)
+@pytest.mark.parametrize("peer_status", [408, 429, 503])
+def test_a_refusal_of_a_peer_is_passed_on_only_with_its_proof(headers, status, peer_status):
+    scheduler, ends = FakeScheduler(), []
+    members = make_members(3, [0])
+    forwarder = PeerForwarder(
+        "node-0", Distances("a", "west", REGIONS), lambda: members, Random(1).random
+    )
+    http = FakeHttp(scheduler, answer=ResponseHead(peer_status, headers))
+    request = ForwardedRequest(
+        scheduler,
+        http,
+        forwarder,
+        FakeExchange(),
+        RequestMetadata("r1", "", None, None, None, {}),
+        {SERVICE},
+        110.0,
+        False,
+        False,
+        0,
+        lambda attempt: None,
+        lambda events, refusal: ends.append(refusal),
+        Execution(),
+    )
+    assert request.start()
+    scheduler.advance(1.0)
+    assert [item.status for item in ends] == [status]
+    assert len(http.probed) == 1
+
+
 @pytest.mark.parametrize(("may_have_run", "status"), [(False, 503), (True, 502)])
 @pytest.mark.parametrize("lost", [False, True])
 def test_a_request_that_may_have_run_is_never_refused_as_not_run(may_have_run, status, lost):
@@ -230,7 +277,7 @@
         0,
         lambda attempt: None,
         lambda events, refusal: ends.append(refusal),
-        may_have_run=may_have_run,
+        Execution(earlier_may_have_run=may_have_run),
     )
     assert request.start()
     if lost:  # the first of two peers may have received it
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -32,7 +32,6 @@
     LoadReport,
     Prompt,
     PromptSegment,
-    ResponseClass,
     StatedBounds,
 )
 from bronzetiller.gateway.retry_window import RetryWindow
@@ -43,13 +42,14 @@
 from bronzetiller.net.http_client import ResponseHead
 from bronzetiller.platform.decoding import decode_configuration, decode_registration
 from bronzetiller.platform.headers import (
-    classify_response,
     decode_load_report,
     decode_request_metadata,
+    decode_response_facts,
     decode_stated_bounds,
     is_matching_response,
     make_target_headers,
 )
+from bronzetiller.requests.execution import Verdict, judge_response
 from standins.fake_scheduler import FakeScheduler
 from standins.gateway_fleet import make_configuration
 from standins.memory_store import MemoryStore
@@ -461,18 +461,27 @@
 
 
 @pytest.mark.parametrize(
-    ("status", "headers", "response_class"),
+    ("status", "headers", "verdict"),
     [
-        (200, {}, ResponseClass.ANSWERED),
-        (404, {}, ResponseClass.ANSWERED),
-        (500, {}, ResponseClass.FAILED),
-        (503, {}, ResponseClass.FAILED),
-        (503, {"x-not-executed": "1"}, ResponseClass.NOT_RUN),
-        (421, {}, ResponseClass.MISDIRECTED),
+        (200, {}, Verdict.ANSWERED),
+        (404, {}, Verdict.ANSWERED),
+        (500, {}, Verdict.FAILED),
+        (408, {}, Verdict.UNPROVED),
+        (429, {"x-request-id": "r1"}, Verdict.UNPROVED),
+        (503, {}, Verdict.UNPROVED),
+        (503, {"x-request-id": "r1", "retry-after": "1"}, Verdict.UNPROVED),
+        (503, {"x-request-id": "r1", "x-not-executed": "1"}, Verdict.NOT_RUN),
+        (400, {"x-request-id": "r1", "x-not-executed": "1"}, Verdict.NOT_RUN),
+        (503, {"x-request-id": "r0", "x-not-executed": "1"}, Verdict.UNRELATED),
+        (503, {"x-not-executed": "1"}, Verdict.UNRELATED),
+        (200, {"x-request-id": "r1", "x-not-executed": "1"}, Verdict.UNRELATED),
+        (421, {"x-request-id": "r1"}, Verdict.MISDIRECTED),
+        (421, {}, Verdict.UNRELATED),
     ],
 )
-def test_only_a_marked_refusal_means_that_a_request_was_not_run(status, headers, response_class):
-    assert classify_response(ResponseHead(status, headers)) is response_class
+def test_only_a_marked_refusal_means_that_a_request_was_not_run(status, headers, verdict):
+    facts = decode_response_facts(ResponseHead(status, headers), "r1")
+    assert judge_response(facts) is verdict
 
 
 def test_responses_are_matched_to_requests_and_loads_are_decoded():
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -135,6 +135,30 @@
     assert _count_runs(fleet, "order-3") == 1
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+@pytest.mark.parametrize("key", ["caller", None])
+def test_an_order_that_a_service_ran_is_never_refused_by_its_status(fleet, status, key):
+    request_id = key and f"order-{status}"
+    names = [name for name in fleet.processes if name.startswith("orders-")]
+    addresses = [fleet.processes[name].ready["address"] for name in names]
+    for address in addresses:
+        call_json(address, "/control/settings", {"status": status})
+    replies = []
+
+    def is_answered():
+        replies.append(call(fleet.caller_address("node-1"), "place", "a liner", request_id))
+        return replies[-1][1]["reason"] != "no_target"
+
+    try:
+        await_true(is_answered)
+    finally:
+        for address in addresses:
+            call_json(address, "/control/settings", {})
+    reply, body = replies[-1]
+    assert (reply, body["reason"], body["ran"]) == (502, "outcome_unknown", "unknown")
+    assert request_id is None or _count_runs(fleet, request_id) == 1
+
+
 MOMENTS = ("claim in flight", "running", "outcome in flight")
 
 
