Bound what responses without end cost a node, for all requests together

What callers saw: 300 requests to a target that sends without end took the node from 39 to 330 MB, over what a VM has; a body of one-byte chunks on 40 requests stopped the node for 6 to 8 s. Bodies of callers in one-byte chunks did the same.

Cause: each response had a bound of its own (1 MB, 256 KB an event, 16 MB a call of a service), the process had none; one read was parsed to its end, 11,000 chunks at a time; bodies were lists of parts, kept until the end of the request also after they had failed.

Change: a quota over all buffers of a process drops the largest ones first, for responses, unsent bytes and bodies being received; parsing takes turns of 16 parts, with a bound on tiny ones; the body of a proved refusal is discarded; a target is read as fast as its caller reads; a stream ends once it has more events than its request allows.

--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -17,6 +17,7 @@
 from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.fleet.vm_list import Vm
 from bronzetiller.metrics import OPEN_REQUESTS, REQUESTS, RESPONSES, RETRIES
+from bronzetiller.net.buffer_quota import BufferQuota
 from bronzetiller.net.event_stream import format_event
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.http_client import SILENCE, HttpClient
@@ -60,6 +61,7 @@
     retries: RetryBudget
     open_attempts: OpenAttempts = field(factory=OpenAttempts)
     open_requests: int = 0
+    response_quota: BufferQuota = field(factory=BufferQuota)
 
 
 def make_message() -> dict[str, Any]:
@@ -170,6 +172,7 @@
             first_byte_seconds=self.context.first_byte_seconds,
             listener=observe_attempt(self.context.chooser, vm, self._on_attempt_event),
             open_attempts=self.context.open_attempts,
+            quota=self.context.response_quota,
         )
 
     def _on_attempt_event(self, event: AttemptEvent) -> None:
--- a/bronzetiller/callers/service_calls.py
+++ b/bronzetiller/callers/service_calls.py
@@ -17,6 +17,7 @@
 from bronzetiller.errors import Ran, Reason, Refusal
 from bronzetiller.fleet.vm_list import Vm
 from bronzetiller.metrics import OPEN_REQUESTS, REPLAYS, REQUESTS, RESPONSES, RETRIES
+from bronzetiller.net.buffer_quota import BufferQuota
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.http_client import HttpClient
 from bronzetiller.net.scheduler import Scheduler
@@ -71,6 +72,7 @@
     crash_monitor: CrashMonitor
     retries: RetryBudget
     open_requests: int = 0
+    response_quota: BufferQuota = field(factory=BufferQuota)
 
 
 def split_route_path(path: str) -> tuple[str, str]:
@@ -208,6 +210,7 @@
             silence_seconds=self.route.silence_seconds,
             may_send=None if self.route.idempotent else self._may_send,
             listener=observe_call(self.context.chooser, vm, self._on_outcome),
+            quota=self.context.response_quota,
         )
 
     def _may_send(self) -> bool:
--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -6,6 +6,7 @@
 
 from bronzetiller.gateway.requests import StatedBounds, proves_survival
 from bronzetiller.gateway.targets import MISDIRECTED_CAUSE, Target
+from bronzetiller.net.buffer_quota import Buffer, BufferQuota
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.http_client import (
     BodyPart,
@@ -28,7 +29,8 @@
 from bronzetiller.requests.execution import Verdict, judge_response
 
 CONNECT_SECONDS = 0.7  # ten round trips between regions; an unreachable target never responds
-BUFFERED_BYTES_MAX = 1024 * 1024  # of a response that is not streamed
+BODY_BYTES_MAX = 1024 * 1024  # of a response that is not streamed
+REFUSAL_BYTES_MAX = 64 * 1024  # of the body of a refusal, which is discarded
 EVENT_BYTES_MAX = 256 * 1024  # of an event that is not complete yet
 UNLIMITED_SECONDS = 1.0  # beyond the deadline, at which the request ends the call
 ABANDONED_SECONDS = 0.3  # in which a target may not have noticed that its connection was closed
@@ -108,10 +110,15 @@
     finished: bool = False
     _head: ResponseHead | None = None
     _verdict: Verdict | None = None
-    _body_parts: list[bytes] = field(factory=list)
-    _body_size: int = 0
+    quota: BufferQuota = field(factory=BufferQuota)
+    _body: bytearray = field(factory=bytearray)
+    _discarded_bytes: int = 0
     _partial_event: bytearray = field(factory=bytearray)
     _has_events: bool = False
+    _buffer: Buffer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._buffer = Buffer(lambda: self._fail("the responses of all requests are too large"))
 
     @property
     def sent(self) -> bool:
@@ -144,6 +151,7 @@
         if self.finished:
             return
         self._finish(self.now() + ABANDONED_SECONDS if self.sent else None)
+        self._discard_received()
         if self.call is not None:
             self.call.cancel()
 
@@ -153,8 +161,13 @@
 
     def _finish(self, abandoned_until: float | None = None) -> None:
         self.finished = True
+        self.quota.resize(self._buffer, 0)
         self.target.release(abandoned_until)
 
+    def _discard_received(self) -> None:
+        self._body.clear()
+        self._partial_event.clear()
+
     def _listen(self, event: CallEvent) -> None:
         if self.finished:
             return
@@ -194,13 +207,20 @@
         )
 
     def _handle_body(self, data: bytes) -> None:
-        if not self._is_stream:
-            self._body_size += len(data)
-            if self._body_size > BUFFERED_BYTES_MAX:
+        if not self.may_have_run:
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes > REFUSAL_BYTES_MAX:
+                self._fail("the body of a refusal is too large")
+        elif not self._is_stream:
+            self._body += data
+            if len(self._body) > BODY_BYTES_MAX:
                 self._fail("the response is too large")
             else:
-                self._body_parts.append(data)
-            return
+                self.quota.resize(self._buffer, len(self._body))
+        else:
+            self._handle_events(data)
+
+    def _handle_events(self, data: bytes) -> None:
         buffer = self._partial_event
         searched = max(0, len(buffer) - len(EVENT_SEPARATOR) + 1)
         buffer += data
@@ -208,10 +228,15 @@
         if found < 0:
             if len(buffer) > EVENT_BYTES_MAX:
                 self._fail("an event of the stream is too large")
+            else:
+                self.quota.resize(self._buffer, len(buffer))
             return
         end = found + len(EVENT_SEPARATOR)
         complete_events = bytes(buffer[:end])
         del buffer[:end]
+        self.quota.resize(self._buffer, len(buffer))
+        if self.finished:
+            return
         self._has_events = True
         self._listener(
             StreamData(
@@ -234,8 +259,7 @@
             self._listener(NotRun(MISDIRECTED_CAUSE, reached=True))
         else:
             assert self._verdict is not None
-            body = b"".join(self._body_parts)
-            self._listener(CompleteResponse(head, body, self._verdict, end.by_close))
+            self._listener(CompleteResponse(head, bytes(self._body), self._verdict, end.by_close))
 
     def _make_stream_end(self, end: ResponseEnd) -> StreamEnd | ResponseLost:
         if self._partial_event.strip():
@@ -246,6 +270,7 @@
 
     def _handle_failure(self, failure: CallFailed) -> None:
         self._finish()
+        self._discard_received()
         if not failure.sent:
             self._listener(NotRun(failure.cause, reached=False))
         elif not self.may_have_run:
@@ -255,7 +280,8 @@
 
     def _fail(self, cause: str) -> None:
         self.cancel()
-        self._listener(ResponseLost(cause))
+        may_have_run = self.may_have_run
+        self._listener(ResponseLost(cause) if may_have_run else NotRun(cause, reached=True))
 
 
 def make_call(
--- a/bronzetiller/gateway/configuration.py
+++ b/bronzetiller/gateway/configuration.py
@@ -1,5 +1,7 @@
 """Define the operator's configuration: routes, services, workspaces and limits; no I/O."""
 
+import math
+
 from attrs import field, frozen
 
 from bronzetiller.gateway.requests import Prompt
@@ -92,10 +94,19 @@
 
         A service without a configuration entry is assumed to send one token per event.
         """
-        configuration = self.services.get(service)
-        per_event = 1 if configuration is None else configuration.tokens_per_event
+        per_event = self._find_tokens_per_event(service)
         return prompt.tokens + min(prompt.answer_tokens_max, events * per_event)
 
+    def is_too_long(self, service: str, prompt: Prompt, events: int) -> bool:
+        """Return whether a stream has more events than its request allows, and one for the end."""
+        per_event = max(1, self._find_tokens_per_event(service))
+        events_max = math.ceil(prompt.answer_tokens_max / per_event)
+        return events > events_max + 1
+
+    def _find_tokens_per_event(self, service: str) -> int:
+        configuration = self.services.get(service)
+        return 1 if configuration is None else configuration.tokens_per_event
+
 
 def sort_routes(routes: list[PathRoute]) -> dict[str, tuple[PathRoute, ...]]:
     """Group routes by host, the longest prefix first."""
--- a/bronzetiller/gateway/forwarded_request.py
+++ b/bronzetiller/gateway/forwarded_request.py
@@ -28,6 +28,7 @@
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import FORWARDED_REQUESTS
 from bronzetiller.net.address import parse_address
+from bronzetiller.net.buffer_quota import BufferQuota
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.http_client import HttpCall, HttpClient
 from bronzetiller.net.scheduler import Scheduler
@@ -60,6 +61,7 @@
     _on_attempt: Callable[[Attempt], None]
     _on_end: Callable[[int, Refusal | None], None]
     _execution: Execution
+    _quota: BufferQuota
     _peers: int = 0
     _events: int = 0
 
@@ -76,6 +78,7 @@
             self._streamed,
             self._scheduler.now,
             lambda event: self._handle_event(peer, event),
+            quota=self._quota,
         )
         self._execution.begin(attempt)
         self._on_attempt(attempt)
--- a/bronzetiller/gateway/request_context.py
+++ b/bronzetiller/gateway/request_context.py
@@ -13,6 +13,7 @@
 from bronzetiller.gateway.stream_records import StreamRecords
 from bronzetiller.gateway.target_admission import TargetAdmission
 from bronzetiller.gateway.targets import TargetPool
+from bronzetiller.net.buffer_quota import BufferQuota
 from bronzetiller.net.http_client import HttpClient
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.routing.queues import RateMeter
@@ -38,3 +39,4 @@
     open_requests: int = 0
     arrival_rate: RateMeter = field(factory=RateMeter)
     forwarded_rate: RateMeter = field(factory=RateMeter)
+    response_quota: BufferQuota = field(factory=BufferQuota)
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -121,6 +121,7 @@
         self.context.open_requests += 1
         self.context.arrival_rate.record(1.0, self.started_at)
         self.exchange.on_disconnect = self._on_disconnect
+        self.exchange.on_flow_change = self._on_flow_change
         self._deadline_timer = self.context.scheduler.call_at(self.deadline, self._on_deadline)
         self.last_event_id = self.metadata.last_event_id
         if self.metadata.forwarded_attempts is not None:
@@ -256,6 +257,7 @@
             self._on_forwarded_attempt,
             self._on_forwarded_end,
             self.execution,
+            context.response_quota,
         )
         if not forwarded.start():
             detail = "this node reaches no target, and its peers can serve no more requests"
@@ -389,6 +391,7 @@
                 target, bounds, context.scheduler.now(), ran=ran
             ),
             self.content_type,
+            quota=context.response_quota,
         )
         self.execution.begin(attempt)
         self._record_version(target.version)
@@ -440,6 +443,19 @@
     def _allows_another_attempt(self) -> bool:
         return self.route.retryable and self.attempts + 1 < self.route.attempts_max
 
+    def _on_flow_change(self, flowing: bool) -> None:
+        """Read from the target only as fast as the caller reads."""
+        call = None if self.attempt is None else self.attempt.call
+        if call is None:
+            return
+        if flowing:
+            call.resume()
+            self._watch_silence(STREAM_SILENCE_FACTOR * self.route.event_gap_seconds)
+        else:
+            call.pause()
+            if self._silence_timeout is not None:
+                self._silence_timeout.clear()
+
     def _on_silence(self) -> None:
         attempt = self.attempt
         if self.finished or attempt is None or attempt.finished or not attempt.sent:
@@ -502,6 +518,12 @@
             self._record_proof()
         self.version = self.attempt.target.version
         self.events += event.events
+        prompt = self.metadata.prompt
+        if prompt and self.configuration.is_too_long(self.service, prompt, self.events):
+            self.events -= event.events
+            self.attempt.cancel()
+            self._fail("the stream has more events than the request allows")
+            return
         if event.last_event_id is not None:
             self.last_event_id = event.last_event_id
         self.exchange.send(event.data)
--- a/bronzetiller/net/event_stream.py
+++ b/bronzetiller/net/event_stream.py
@@ -1,15 +1,16 @@
 """Parse and format server-sent events."""
 
-from attrs import define
+from attrs import define, field
 
 EVENT_BYTES_MAX = 1024 * 1024
+EVENT_ENDS = (b"\n\n", b"\n\r\n")  # each line may end with LF or CRLF
 
 
 @define
 class EventSplitter:
     """Split received bytes into events, buffering an incomplete one."""
 
-    _buffer: bytes = b""
+    _buffer: bytearray = field(factory=bytearray)
 
     @property
     def buffered_bytes(self) -> int:
@@ -18,10 +19,15 @@
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add received bytes; return the data of each event that they complete."""
-        data = self._buffer + data if self._buffer else data
-        if b"\r" in data:
-            data = data.replace(b"\r\n", b"\n")
-        *events, self._buffer = data.split(b"\n\n")
+        searched = max(0, len(self._buffer) - len(b"\n\r"))
+        self._buffer += data
+        if all(self._buffer.find(end, searched) < 0 for end in EVENT_ENDS):
+            return []
+        received = bytes(self._buffer)
+        if b"\r" in received:
+            received = received.replace(b"\r\n", b"\n")
+        *events, rest = received.split(b"\n\n")
+        self._buffer = bytearray(rest)
         return [found for event in events if (found := _extract_data(event)) is not None]
 
 
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -1,5 +1,6 @@
 """Send HTTP requests over pooled connections, with h11 as the parser."""
 
+from collections import deque
 from collections.abc import Callable
 from enum import Enum
 
@@ -17,11 +18,16 @@
 MISMATCHED_RESPONSES_MAX = 3  # responses to other requests before a connection is closed
 MISMATCHED_BYTES_MAX = 1024 * 1024  # of the bodies of such responses
 INFORMATIONAL_RESPONSES_MAX = 8  # before a connection is closed
+PARTS_PER_TURN_MAX = 16  # parsed for one connection before others have their turn
+CONNECTIONS_PER_TURN_MAX = 8  # whose parsing goes on in one turn of the loop
+DEFERRED_PARTS_MAX = 4096  # of a response whose parts are small
+SMALL_PART_BYTES = 8
 REFUSED_CAUSES = ("connect: refused", "connect: errno 111")
 SILENCE = "silence"
 TOO_LATE = "too late to send"
 TOO_LARGE = "the body is too large"
 TOO_LONG = "the response took too long"
+TOO_MANY_PARTS = "the body has too many small parts"
 # A process that is ending may still accept a connection, and resets it right after.
 PROBE_OPEN_SECONDS = 0.05
 
@@ -156,6 +162,9 @@
     informational_responses: int = 0
     body_bytes: int = 0
     closed: bool = False
+    deferred: bool = False
+    deferred_parts: int = 0
+    close_cause: str | None = None
     end_timeout: Timeout = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -177,6 +186,7 @@
         self.connection.write(self.encode(call))
         self.silence_timeout.expire_after(call.first_byte_seconds or call.silence_seconds)
         self.body_bytes = self.mismatched_bytes = self.informational_responses = 0
+        self.deferred_parts = 0
         if call.seconds_max is not None:
             self.end_timeout.expire_after(call.seconds_max)
 
@@ -202,7 +212,8 @@
             return
         self.paused = False
         self.silence_timeout.expire_after(self.open_call.call.silence_seconds)
-        self.connection.resume()
+        if not self.deferred:
+            self.connection.resume()
 
     def receive(self, data: bytes) -> None:
         if self.open_call is None:
@@ -219,19 +230,53 @@
         self.parser.receive_data(data)
         self.deliver_events(open_call)
 
+    def defer(self) -> None:
+        """Let other connections have their turn before the parsing of this one goes on."""
+        self.deferred_parts += PARTS_PER_TURN_MAX
+        received_bytes = self.body_bytes + self.mismatched_bytes
+        has_small_parts = received_bytes < SMALL_PART_BYTES * self.deferred_parts
+        if self.deferred_parts > DEFERRED_PARTS_MAX and has_small_parts:
+            self.fail(TOO_MANY_PARTS)
+            return
+        self.deferred = True
+        if self.connection is not None:
+            self.connection.pause()
+        self.client.defer(self)
+
+    def continue_parsing(self) -> None:
+        self.deferred = False
+        if self.open_call is not None:
+            try:
+                self.deliver_events(self.open_call)
+            except h11.RemoteProtocolError as error:
+                self.fail(f"protocol: {error}")
+        if self.deferred:
+            return
+        if self.close_cause is not None:
+            self.handle_close(self.close_cause)
+        elif self.connection is not None and not self.paused:
+            self.connection.resume()
+
     def handle_close(self, cause: str) -> None:
         self.connection = None
+        self.close_cause = cause
+        if self.deferred:
+            return
         self.closed = True
         if cause == CLOSED and self.open_call is not None and self.open_call.sent:
             try:  # a response without a length ends with a close, but not with a reset
                 self.parse(b"", self.open_call)
             except h11.RemoteProtocolError as error:
                 cause = f"{cause}: {error}"
+        if self.deferred:
+            return
         self.fail(cause, disconnected=True)
 
     def deliver_events(self, open_call: OpenCall) -> None:
         parts: list[bytes] = []
-        while not open_call.done:
+        for _ in range(PARTS_PER_TURN_MAX):
+            if open_call.done:
+                return
             event = self.parser.next_event()
             if isinstance(event, h11.Data):
                 if not self.count_body(open_call.call, len(event.data)):
@@ -268,6 +313,10 @@
                     return
             else:
                 return
+        if parts:
+            open_call.listener(BodyPart(b"".join(parts)))
+        if not open_call.done:
+            self.defer()
 
     def count_body(self, call: HttpCall, size: int) -> bool:
         """Count bytes of a body; return whether it stays within its limit."""
@@ -335,6 +384,24 @@
         self.scheduler = scheduler
         self._dialer = dialer
         self._idle: dict[Address, list[_PooledConnection]] = {}
+        self._deferred: deque[_PooledConnection] = deque()
+        self._parsing_scheduled = False
+
+    def defer(self, pooled: _PooledConnection) -> None:
+        """Continue to parse what a connection received in a later turn of the loop."""
+        self._deferred.append(pooled)
+        if not self._parsing_scheduled:
+            self._parsing_scheduled = True
+            self.scheduler.call_after(0, self._parse_deferred)
+
+    def _parse_deferred(self) -> None:
+        try:
+            for _ in range(min(len(self._deferred), CONNECTIONS_PER_TURN_MAX)):
+                self._deferred.popleft().continue_parsing()
+        finally:
+            self._parsing_scheduled = bool(self._deferred)
+            if self._deferred:
+                self.scheduler.call_after(0, self._parse_deferred)
 
     def send(self, call: HttpCall, listener: CallListener) -> OpenCall:
         """Start a call; its events are passed to the listener in order."""
--- a/bronzetiller/net/http_server.py
+++ b/bronzetiller/net/http_server.py
@@ -18,6 +18,7 @@
 from result import Err, Ok
 
 from bronzetiller.logs import log_event
+from bronzetiller.net.buffer_quota import Buffer, BufferQuota
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.loop import Loop
 from bronzetiller.net.request_target import parse_request_target
@@ -29,6 +30,9 @@
 ACCEPT_RETRY_SECONDS = 0.2
 PIPELINED_BYTES_MAX = 64 * 1024
 OVERSHOOT_BYTES_MAX = 1024 * 1024
+UNSENT_BYTES_MAX = 32 * 1024 * 1024  # of the responses of all callers
+RECEIVED_BYTES_MAX = 32 * 1024 * 1024  # of the bodies of all requests that are not complete yet
+PARTS_PER_TURN_MAX = 16  # parsed for one connection before others have their turn
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _HOST = re.compile(rb"([\w.~!$&'()*+,;=%-]*|\[[0-9A-Fa-f:.]+\])(:[0-9]*)?")
 
@@ -86,8 +90,7 @@
     stall_timeout: Timeout
     exchange_timeout: Timeout
     request: h11.Request | None = None
-    body: list[bytes] = field(factory=list)
-    body_bytes: int = 0
+    body: bytearray = field(factory=bytearray)
     exchange: Exchange | None = None
     unparsed: list[bytes] = field(factory=list)
     unparsed_bytes: int = 0
@@ -95,7 +98,10 @@
     half_closed: bool = False
     closing: bool = False
     parsing: bool = False
+    deferred: bool = False
     congested: bool = False
+    unsent: Buffer = field(init=False)
+    received: Buffer = field(init=False)
 
 
 class _CallerSockets(StreamSockets):
@@ -153,6 +159,8 @@
         self._make_rejection = make_rejection
         self._limits = limits
         self._connections: dict[socket, _Connection] = {}
+        self._unsent_quota = BufferQuota(UNSENT_BYTES_MAX)
+        self._received_quota = BufferQuota(RECEIVED_BYTES_MAX)
 
     @property
     def open_exchanges(self) -> int:
@@ -185,6 +193,10 @@
             self._scheduler.create_timeout(lambda: self._close_stalled(connection)),
             self._scheduler.create_timeout(lambda: self._expire_exchange(connection)),
         )
+        connection.unsent = Buffer(lambda: self._cut_slow_caller(connection))
+        connection.received = Buffer(
+            lambda: self._refuse(connection, 503, "too many bytes of requests are being received")
+        )
         self._connections[sock] = connection
         connection.phase_timeout.expire_after(self._limits.idle_seconds)
         if len(self._connections) > self._limits.connections_max:
@@ -222,6 +234,8 @@
         connection.phase_timeout.cancel()
         connection.stall_timeout.cancel()
         connection.exchange_timeout.cancel()
+        self._unsent_quota.resize(connection.unsent, 0)
+        self._received_quota.resize(connection.received, 0)
         exchange = connection.exchange
         connection.exchange = None
         if exchange is not None and not exchange.done:
@@ -234,7 +248,7 @@
         connection = self._connections.get(sock)
         if connection is None:
             return
-        unsent = self.server.count_unsent_bytes(sock)
+        unsent = self._count_unsent_bytes(connection)
         if unsent:
             connection.stall_timeout.expire_after(self._limits.stall_seconds)
         else:
@@ -263,14 +277,13 @@
         if connection is None:
             return
         self.server.write(sock, data)
-        unsent = self.server.count_unsent_bytes(sock)
-        if not unsent:
+        unsent = self._count_unsent_bytes(connection)
+        if not unsent or sock not in self._connections:
             return
         if connection.stall_timeout.deadline is None:
             connection.stall_timeout.expire_after(self._limits.stall_seconds)
         if unsent > self._limits.unsent_bytes_max + OVERSHOOT_BYTES_MAX:
-            log_event("slow_caller_cut", level=30, unsent_bytes=unsent)
-            self.close_now(sock)
+            self._cut_slow_caller(connection)
         elif unsent > self._limits.unsent_bytes_max and not connection.congested:
             connection.congested = True
             self._report_flow(connection, flowing=False)
@@ -282,7 +295,10 @@
         if connection is None:
             return
         self.server.write(sock, data)
-        if self.server.count_unsent_bytes(sock) and connection.stall_timeout.deadline is None:
+        unsent = self._count_unsent_bytes(connection)
+        if sock not in self._connections:
+            return
+        if unsent and connection.stall_timeout.deadline is None:
             connection.stall_timeout.expire_after(self._limits.stall_seconds)
         connection.exchange = None
         connection.exchange_timeout.clear()
@@ -295,13 +311,22 @@
             connection.unparsed.insert(0, trailing)
         connection.parser = self._make_parser()
         connection.request = None
-        connection.body = []
-        connection.body_bytes = 0
         connection.receiving = False
         connection.phase_timeout.expire_after(self._limits.idle_seconds)
         self.server.resume(sock)
         self._process_unparsed(connection)
 
+    def _count_unsent_bytes(self, connection: _Connection) -> int:
+        """Return the unsent bytes of a connection; those with most may be cut to free memory."""
+        unsent = self.server.count_unsent_bytes(connection.sock)
+        self._unsent_quota.resize(connection.unsent, unsent)
+        return unsent
+
+    def _cut_slow_caller(self, connection: _Connection) -> None:
+        unsent = self.server.count_unsent_bytes(connection.sock)
+        log_event("slow_caller_cut", level=30, unsent_bytes=unsent)
+        self.close_now(connection.sock)
+
     def _is_open(self, connection: _Connection) -> bool:
         return (
             connection.exchange is not None or self.server.count_unsent_bytes(connection.sock) > 0
@@ -324,7 +349,9 @@
             return
         connection.parsing = True
         try:
-            while connection.unparsed and connection.exchange is None and not connection.closing:
+            while connection.unparsed and not (
+                connection.exchange or connection.closing or connection.deferred
+            ):
                 data = b"".join(connection.unparsed)
                 connection.unparsed = []
                 connection.unparsed_bytes = 0
@@ -338,10 +365,30 @@
             connection.phase_timeout.expire_after(self._limits.request_seconds)
         try:
             connection.parser.receive_data(data)
-            while self._handle_event(connection, connection.parser.next_event()):
-                pass
+            self._handle_events(connection)
+        except h11.RemoteProtocolError as error:
+            self._refuse(connection, error.error_status_hint, str(error))
+
+    def _handle_events(self, connection: _Connection) -> None:
+        for _ in range(PARTS_PER_TURN_MAX):
+            if not self._handle_event(connection, connection.parser.next_event()):
+                return
+        connection.deferred = True
+        self.server.pause(connection.sock)
+        self._scheduler.call_after(0, lambda: self._continue_parsing(connection))
+
+    def _continue_parsing(self, connection: _Connection) -> None:
+        """Parse more of what a connection received, after others had their turn."""
+        connection.deferred = False
+        if connection.closing or connection.sock not in self._connections:
+            return
+        try:
+            self._handle_events(connection)
         except h11.RemoteProtocolError as error:
             self._refuse(connection, error.error_status_hint, str(error))
+        if not connection.deferred and not connection.half_closed:
+            self.server.resume(connection.sock)
+            self._process_unparsed(connection)
 
     def _handle_event(self, connection: _Connection, event: Any) -> bool:
         """Handle one event of the parser; return whether to fetch the next one."""
@@ -349,12 +396,12 @@
             connection.request = event
             return self._accept_head(connection, event)
         if isinstance(event, h11.Data):
-            connection.body.append(bytes(event.data))
-            connection.body_bytes += len(event.data)
-            if connection.body_bytes > self._limits.body_bytes_max:
+            connection.body += event.data
+            if len(connection.body) > self._limits.body_bytes_max:
                 self._refuse(connection, 413, "the body is too large")
                 return False
-            return True
+            self._received_quota.resize(connection.received, len(connection.body))
+            return not connection.closing
         if isinstance(event, h11.EndOfMessage):
             self._dispatch(connection)
         return False
@@ -403,13 +450,14 @@
             path=target.path,
             query=target.query,
             headers={k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers},
-            body=b"".join(connection.body),
+            body=bytes(connection.body),
             response=res,
             server=self,
         )
         connection.exchange = exchange
         connection.exchange_timeout.expire_after(self._limits.exchange_seconds)
-        connection.body = []
+        connection.body = bytearray()
+        self._received_quota.resize(connection.received, 0)
         try:
             self._application(exchange)
         except Exception as error:  # a request must get a response even if the application fails
@@ -433,6 +481,8 @@
         """Close once all is sent and the caller has closed, or after a timeout."""
         connection.closing = True
         connection.unparsed = []
+        connection.body = bytearray()
+        self._received_quota.resize(connection.received, 0)
         unsent = self.server.count_unsent_bytes(connection.sock)
         linger = self._limits.stall_seconds if unsent else LINGER_SECONDS
         connection.phase_timeout.expire_after(linger)
--- a/bronzetiller/routing/engine.py
+++ b/bronzetiller/routing/engine.py
@@ -9,6 +9,7 @@
 
 from bronzetiller.fleet.vm_list import Vm
 from bronzetiller.metrics import LATE_BYTES
+from bronzetiller.net.buffer_quota import Buffer, BufferQuota
 from bronzetiller.net.event_stream import EVENT_BYTES_MAX, EventSplitter
 from bronzetiller.net.http_client import (
     SILENCE,
@@ -107,14 +108,24 @@
     last_chunks: list[bytes] = field(factory=list)
     _chunk_id: str | None = None
     _splitter: EventSplitter = field(factory=EventSplitter)
-    _error_body: bytes = b""
+    _error_body: bytearray = field(factory=bytearray)
+    quota: BufferQuota = field(factory=BufferQuota)
+    _buffer: Buffer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._buffer = Buffer(lambda: self.fail("the responses of all requests are too large"))
 
     def cancel(self) -> None:
         """Cancel the attempt; no event follows."""
-        self._open_attempts.remove(self)
+        self._release()
+        self._error_body.clear()
         if self.call is not None:
             self.call.cancel()
 
+    def _release(self) -> None:
+        self._open_attempts.remove(self)
+        self.quota.resize(self._buffer, 0)
+
     def fail(self, cause: str) -> None:
         """Cancel the attempt and report it as failed."""
         self.cancel()
@@ -132,7 +143,7 @@
     def handle_event(self, event: CallEvent) -> None:
         """Handle one event of the HTTP call."""
         if isinstance(event, ResponseEnd | CallFailed):
-            self._open_attempts.remove(self)
+            self._release()
         if isinstance(event, BodyPart):
             self._handle_body(event.data)
         elif isinstance(event, ResponseHead):
@@ -151,6 +162,7 @@
     def _handle_body(self, data: bytes) -> None:
         if self.status != 200:
             self._error_body += data
+            self.quota.resize(self._buffer, len(self._error_body))
             if len(self._error_body) > EVENT_BYTES_MAX:
                 self._reject("the body of an error response is too large")
             return
@@ -163,6 +175,8 @@
                 return
         if self._splitter.buffered_bytes > EVENT_BYTES_MAX:
             self._reject("an event is too large")
+        else:
+            self.quota.resize(self._buffer, self._splitter.buffered_bytes)
 
     def _discard_late_event(self, event: bytes) -> None:
         LATE_BYTES.inc(len(event))
@@ -245,9 +259,10 @@
     first_byte_seconds: float | None = None,
     listener: AttemptListener,
     open_attempts: OpenAttempts,
+    quota: BufferQuota,
 ) -> EngineAttempt:
     """Send a chat request to an engine; the engine always streams."""
-    attempt = EngineAttempt(attempt_id, answer_tokens_max, listener, open_attempts)
+    attempt = EngineAttempt(attempt_id, answer_tokens_max, listener, open_attempts, quota=quota)
     open_attempts.add(attempt)
     value = body | {
         "stream": True,
--- a/bronzetiller/routing/service.py
+++ b/bronzetiller/routing/service.py
@@ -5,6 +5,7 @@
 from attrs import define, field, frozen
 
 from bronzetiller.fleet.vm_list import Vm
+from bronzetiller.net.buffer_quota import Buffer, BufferQuota
 from bronzetiller.net.http_client import (
     BodyPart,
     CallEvent,
@@ -62,11 +63,17 @@
     call: OpenCall | None = None
     status: int = 0
     content_type: str = ""
-    body_bytes: int = 0
-    _body: list[bytes] = field(factory=list)
+    quota: BufferQuota = field(factory=BufferQuota)
+    _body: bytearray = field(factory=bytearray)
+    _buffer: Buffer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._buffer = Buffer(lambda: self._reject("the responses of all calls are too large"))
 
     def cancel(self) -> None:
         """Cancel the call; no outcome follows."""
+        self.quota.resize(self._buffer, 0)
+        self._body.clear()
         if self.call is not None:
             self.call.cancel()
 
@@ -77,8 +84,11 @@
         elif isinstance(event, BodyPart):
             self._handle_body(event.data)
         elif isinstance(event, ResponseEnd):
-            self._listener(ServiceResponse(self.status, self.content_type, b"".join(self._body)))
+            self.quota.resize(self._buffer, 0)
+            self._listener(ServiceResponse(self.status, self.content_type, bytes(self._body)))
         elif isinstance(event, CallFailed):
+            self.quota.resize(self._buffer, 0)
+            self._body.clear()
             self._listener(ServiceFailed(event.cause, event.sent))
 
     def _handle_head(self, head: ResponseHead) -> None:
@@ -95,10 +105,11 @@
         return "content-length" in head.headers or "transfer-encoding" in head.headers
 
     def _handle_body(self, data: bytes) -> None:
-        self._body.append(data)
-        self.body_bytes += len(data)
-        if self.body_bytes > RESPONSE_BYTES_MAX:
+        self._body += data
+        if len(self._body) > RESPONSE_BYTES_MAX:
             self._reject("the response is too large")
+        else:
+            self.quota.resize(self._buffer, len(self._body))
 
     def _reject(self, cause: str) -> None:
         self.cancel()
@@ -114,9 +125,10 @@
     silence_seconds: float,
     may_send: Callable[[], bool] | None,
     listener: OutcomeListener,
+    quota: BufferQuota,
 ) -> ServiceAttempt:
     """Send a request to a service; may_send is called right before the first byte is sent."""
-    attempt = ServiceAttempt(attempt_id, request.method, listener)
+    attempt = ServiceAttempt(attempt_id, request.method, listener, quota=quota)
     call = HttpCall(
         vm.address,
         request.method,
--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -1,9 +1,10 @@
 """Answer requests with given bytes over raw sockets, and end as a crashed or a living target."""
 
+import contextlib
 import socket
 import struct
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field
 
@@ -22,7 +23,7 @@
     request and has a seal unless it says otherwise.
     """
 
-    parts: list[bytes]
+    parts: Iterable[bytes]
     headers: tuple[str, ...] = ()
     end: str = "open"
     status: str = "200 OK"
@@ -94,8 +95,9 @@
         lines = (f"HTTP/1.1 {answer.status}", *names, *answer.headers)
         head = "\r\n".join((*lines, "", "")).encode()
         connection.sendall(answer.earlier + head[: round(answer.head_portion * len(head))])
-        for part in answer.parts:
-            connection.sendall(part)
+        with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+            for part in answer.parts:
+                connection.sendall(part)
         if answer.end == "crash":
             self.close()
         if answer.end == "reset":
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -19,6 +19,7 @@
 from bronzetiller.gateway.requests import RequestMetadata
 from bronzetiller.gateway.targets import Registration, TargetPool
 from bronzetiller.net.address import Address
+from bronzetiller.net.buffer_quota import BufferQuota
 from bronzetiller.net.http_client import CallFailed, ResponseEnd, ResponseHead
 from bronzetiller.requests.execution import Execution
 from standins.fake_scheduler import FakeScheduler
@@ -247,6 +248,7 @@
         lambda attempt: None,
         lambda events, refusal: ends.append(refusal),
         Execution(),
+        BufferQuota(),
     )
     assert request.start()
     scheduler.advance(1.0)
@@ -278,6 +280,7 @@
         lambda attempt: None,
         lambda events, refusal: ends.append(refusal),
         Execution(earlier_may_have_run=may_have_run),
+        BufferQuota(),
     )
     assert request.start()
     if lost:  # the first of two peers may have received it
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -235,3 +235,29 @@
         threading.Thread(target=lambda: listener.accept()[0].close(), daemon=True).start()
         address = Address("127.0.0.1", listener.getsockname()[1])
         assert probe(address) == [ProbeResult.UNCERTAIN]
+
+
+@pytest.mark.parametrize("close", [False, True])
+def test_a_response_in_many_chunks_is_whole_however_it_ends(call_sequentially, close):
+    chunks = [b"part %05d of the body." % number for number in range(2_000)]
+    body = b"".join(b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks) + b"0\r\n\r\n"
+    response = HEAD % b"one" + b"Transfer-Encoding: chunked\r\n\r\n" + body
+    server = RawServer([(response, close), (make_response(b"two", b"next"), False)])
+    events = call_sequentially(server, "one", "two")
+    assert read_body(events["one"]) == b"".join(chunks)
+    assert events["one"][-1] == ResponseEnd()
+    assert read_body(events["two"]) == b"next"
+
+
+def test_a_response_in_many_chunks_that_lacks_its_end_is_incomplete(call_sequentially):
+    body = b"14\r\npart 0 of the body...\r\n" * 2_000
+    response = HEAD % b"one" + b"Transfer-Encoding: chunked\r\n\r\n" + body
+    events = call_sequentially(RawServer([(response, True)]), "one")["one"]
+    assert isinstance(events[-1], CallFailed) and events[-1].sent
+
+
+def test_a_response_in_tiny_chunks_ends_its_call(call_sequentially):
+    head = HEAD % b"one" + b"Transfer-Encoding: chunked\r\n\r\n"
+    server = RawServer([((head, b"1\r\nx\r\n" * 1_000, 0.0), False)])
+    events = call_sequentially(server, "one")["one"]
+    assert events[-1].cause == "the body has too many small parts"
