Answer each request that a planned stop does not wait for

A caller may take a kept connection that closes before any response for one on which nothing was read, and send the order again.

Cause: two faults. A request was taken whatever its deadline, and refusing began with the next check, up to 50 ms late. What was open at the end was closed with the process. Same in bronzetiller node. With a grace of less than 0.7 s the process ended at once, with all that was open.

Change: a request that may not run twice is taken only if its deadline comes before the end; refusing begins at its time; a quarter of a second before the end, also if the loop is late, all requests without a response are answered, 504 if they may have run, and requests that are still arriving 503.

--- a/bronzetiller/fleet/drain.py
+++ b/bronzetiller/fleet/drain.py
@@ -3,7 +3,7 @@
 Every node removes the stopping node from its entry lookup at once. Callers may use an address until
 the deadline that the lookup gave them, so the node serves requests until the last of these
 deadlines has passed and refuses them afterwards. The process exits once nothing is open, or at its
-own deadline at the latest.
+own deadline at the latest; what is still open shortly before is answered.
 """
 
 from collections.abc import Callable
@@ -15,6 +15,9 @@
 from bronzetiller.net.scheduler import Scheduler
 
 CHECK_INTERVAL_SECONDS = 0.05
+ANSWER_SECONDS = 0.25  # before the end, to send the last responses
+ANSWER_PORTION_MAX = 0.25  # of the time to stop
+FLUSH_SECONDS = 0.1  # after the last responses, also if the loop was late
 
 
 class Phase(Enum):
@@ -43,10 +46,13 @@
     _announce: Callable[[], None]
     _release: Callable[[], None]
     _is_idle: Callable[[], bool]
+    _answer: Callable[[], None]
     _end: Callable[[], None]
     phase: Phase = Phase.SERVING
     _refuse_at: float = 0.0
+    _answer_at: float = 0.0
     _end_at: float = 0.0
+    _answered: bool = False
 
     @property
     def stopping(self) -> bool:
@@ -56,7 +62,11 @@
     @property
     def refusing(self) -> bool:
         """Return whether new requests are refused."""
-        return self.phase in (Phase.REFUSING, Phase.OVER)
+        return self.stopping and self._scheduler.now() >= self._refuse_at
+
+    def can_finish(self, deadline: float) -> bool:
+        """Return whether a request with a deadline (seconds, monotonic) ends before the process."""
+        return not self.stopping or deadline <= self._answer_at
 
     def begin(self, cause: str, *, leave_seconds: float, stop_seconds_max: float) -> None:
         """Begin the shutdown; do nothing if it has already begun."""
@@ -64,7 +74,9 @@
             return
         now = self._scheduler.now()
         self._refuse_at = now + leave_seconds
-        self._end_at = now + max(leave_seconds, stop_seconds_max)
+        seconds = max(leave_seconds, stop_seconds_max)
+        self._end_at = now + seconds
+        self._answer_at = self._end_at - min(ANSWER_SECONDS, ANSWER_PORTION_MAX * seconds)
         self.phase = Phase.LEAVING
         log_event("stopping", cause=cause, leave_seconds=leave_seconds)
         self._announce()
@@ -74,6 +86,10 @@
         now = self._scheduler.now()
         if now >= self._refuse_at:
             self._release()
+        if now >= self._answer_at and not self._answered:
+            self._answered = True
+            self._answer()
+            self._end_at = max(self._end_at, now + FLUSH_SECONDS)
         idle = self._is_idle()
         phase = compute_phase(now, self._refuse_at, self._end_at, idle=idle)
         if phase is not self.phase:
@@ -83,4 +99,7 @@
             log_event("stopped", idle=idle, level=20 if idle else 30)
             self._end()
             return
-        self._scheduler.call_after(CHECK_INTERVAL_SECONDS, self._check)
+        next_at = now + CHECK_INTERVAL_SECONDS
+        if not self._answered:
+            next_at = min(next_at, self._answer_at)
+        self._scheduler.call_at(next_at, self._check)
--- a/bronzetiller/gateway/application.py
+++ b/bronzetiller/gateway/application.py
@@ -35,11 +35,7 @@
         if drain.stopping:
             exchange.close_after_response()
         if drain.refusing:
-            detail = "the node is stopping; look up another node"
-            refusal = Refusal(
-                503, Reason.STOPPING, detail, retry_after_seconds=STOPPING_RETRY_SECONDS
-            )
-            self._refuse(exchange, metadata, refusal)
+            self._refuse_stopping(exchange, metadata, "the node is stopping; look up another node")
             return
         configuration = self.get_configuration()
         if configuration is None:
@@ -62,6 +58,11 @@
         seconds = route.timeout_seconds
         if metadata.seconds_left is not None:
             seconds = min(seconds, metadata.seconds_left)
+        deadline = now + seconds - DEADLINE_MARGIN_SECONDS
+        if not route.retryable and not drain.can_finish(deadline):
+            detail = "the node may stop before the request ends; look up another node"
+            self._refuse_stopping(exchange, metadata, detail)
+            return
         RequestHandler(
             context=self.context,
             exchange=exchange,
@@ -70,9 +71,13 @@
             metadata=metadata,
             workspace=workspace,
             started_at=now,
-            deadline=now + seconds - DEADLINE_MARGIN_SECONDS,
+            deadline=deadline,
         ).start()
 
+    def _refuse_stopping(self, exchange: Exchange, metadata: RequestMetadata, detail: str) -> None:
+        refusal = Refusal(503, Reason.STOPPING, detail, retry_after_seconds=STOPPING_RETRY_SECONDS)
+        self._refuse(exchange, metadata, refusal)
+
     def _refuse(self, exchange: Exchange, metadata: RequestMetadata, refusal: Refusal) -> None:
         headers = make_not_run_headers(metadata) if is_promise(refusal) else {}
         refuse(exchange, refusal, headers, id=metadata.request_id, path=exchange.path)
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -63,6 +63,7 @@
 
 PREALLOCATION_DELAY_SECONDS = 0.6  # until nodes that start together have discovered each other
 STOP_MARGIN_SECONDS = 0.7  # of the grace period, for the process to exit
+STOP_MARGIN_PORTION_MAX = 0.25
 TARGETS_AGE_SECONDS_MAX = 1.5  # of a read that shows which versions are in service now
 VERSION_PROPOSERS = 3  # so that some of them reach the store
 LEAVE_SECONDS = 3.0  # after a stop begins, new requests are still served: 1.5 lookup lifetimes
@@ -135,6 +136,7 @@
             announce=self.members.publish,
             release=self.allocation_manager.return_all,
             is_idle=self._is_idle,
+            answer=lambda: self.server.answer_open_requests(),
             end=self.loop.root.stop,
         )
         self._preallocation_scheduled = False
@@ -298,7 +300,8 @@
     def stop(self, cause: str) -> None:
         """Finish the open requests, then end the process."""
         stop = self.settings.stop
-        seconds = stop.grace_seconds - STOP_MARGIN_SECONDS
+        margin = min(STOP_MARGIN_SECONDS, STOP_MARGIN_PORTION_MAX * stop.grace_seconds)
+        seconds = stop.grace_seconds - margin
         leave_seconds = min(seconds, LEAVE_SECONDS)
         self.drain.begin(cause, leave_seconds=leave_seconds, stop_seconds_max=seconds)
 
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -121,6 +121,7 @@
         self.context.open_requests += 1
         self.context.arrival_rate.record(1.0, self.started_at)
         self.exchange.on_disconnect = self._on_disconnect
+        self.exchange.on_expire = self._on_deadline
         self.exchange.on_flow_change = self._on_flow_change
         self._deadline_timer = self.context.scheduler.call_at(self.deadline, self._on_deadline)
         self.last_event_id = self.metadata.last_event_id
--- a/bronzetiller/net/exchange.py
+++ b/bronzetiller/net/exchange.py
@@ -33,6 +33,7 @@
     A streamed response to a caller that knows no chunks ends with its connection: a close completes
     it, a reset breaks it off.
 
+    on_expire is called once no time is left for the response; it may still respond.
     on_flow_change is called with False when the caller reads more slowly than the response is
     produced, and with True once it has caught up. If the unsent bytes still grow, the
     connection is closed.
@@ -48,6 +49,7 @@
     started: bool = False
     done: bool = False
     on_disconnect: Callable[[], None] | None = None
+    on_expire: Callable[[], None] | None = None
     on_flow_change: Callable[[bool], None] | None = None
 
     def respond(self, status: int, headers: dict[str, str], body: bytes) -> None:
--- a/bronzetiller/net/http_server.py
+++ b/bronzetiller/net/http_server.py
@@ -266,6 +266,16 @@
         self.server.drop(sock)
         self.handle_close(sock)
 
+    def answer_open_requests(self) -> None:
+        """Answer all requests now, as the process is about to end; responses that began go on."""
+        for connection in list(self._connections.values()):
+            exchange = connection.exchange
+            if exchange is not None and not exchange.started:
+                exchange.close_after_response()
+                self._expire_exchange(connection)
+            elif exchange is None and connection.receiving and not connection.closing:
+                self._refuse(connection, 503, "the node is stopping")
+
     def set_reset_on_close(self, sock: socket, *, enabled: bool) -> None:
         """Reset a connection however it is closed, so that its response is not complete."""
         self.server.set_reset_on_close(sock, enabled=enabled)
@@ -521,6 +531,9 @@
         if exchange.started:
             self.close_now(connection.sock)
             return
+        if exchange.on_expire is not None:
+            exchange.on_expire()
+            return
         if exchange.on_disconnect is not None:
             exchange.on_disconnect()
         exchange.respond(504, *self._make_rejection(504, "the request took too long"))
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -195,6 +195,7 @@
             announce=self.membership.announce,
             release=self.grant_manager.return_all,
             is_idle=self._is_idle,
+            answer=lambda: self.server.answer_open_requests(),
             end=self.loop.root.stop,
         )
         self._random = Random()
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -152,6 +152,7 @@
         data_centre: str = "regina-a",
         store_address: str | None = None,
         seeds: tuple[str, ...] = (),
+        grace_seconds: float = 4.0,
     ) -> None:
         """Start a gateway node, which connects to the store at store_address if one is given.
 
@@ -170,7 +171,7 @@
             "fleet_secret": FLEET_SECRET,
             "capacity": {"cores": 1.0, "speed": 1.0, "link_mbps": 1_000.0},
             "retries": {"ratio": 0.2, "allowance": 50, "window_seconds": 10},
-            "stop": {"grace_seconds": 4.0, "entry_seconds": 0.5},
+            "stop": {"grace_seconds": grace_seconds, "entry_seconds": 0.5},
         }
         path = self.folder / f"{node_id}.yaml"
         path.write_text(yaml.safe_dump(settings))
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -3,6 +3,7 @@
 import contextlib
 import hashlib
 import threading
+import time
 
 import pytest
 
@@ -16,12 +17,13 @@
 FLEET = {"gone_grace_seconds": 1.0}
 
 
-def _start(fleet, nodes=2, services=1, **settings):
+def _start(fleet, nodes=2, services=1, limits=None, **settings):
     fleet.start_platform()
     for index in range(services):
         fleet.add_target(f"orders-{index}", "orders", "west", "west-1", "standins.service")
     for index in range(1, nodes + 1):
-        fleet.add_node(f"node-{index}", "west", "west-1", requests=QUICK | settings, fleet=FLEET)
+        sections = {"requests": QUICK | settings, "fleet": FLEET, "limits": limits or {}}
+        fleet.add_node(f"node-{index}", "west", "west-1", **sections)
     fleet.publish_workspace("studio", KEY, 100_000)
     fleet.publish("route", "place", {"service": "orders", "protocol": "plain", "idempotent": False})
     fleet.publish("route", "status", {"service": "orders", "protocol": "plain"})
@@ -159,6 +161,22 @@
     assert request_id is None or _count_runs(fleet, request_id) == 1
 
 
+def test_an_order_that_outlasts_a_stop_is_answered_before_the_node_ends(make_fleet):
+    fleet = _start(make_fleet(), nodes=1, limits={"request_seconds_max": 3.0, "entry_seconds": 0.5})
+    _set_service_seconds(fleet, 60.0)
+    replies = []
+    address = fleet.caller_address("node-1")
+    sender = threading.Thread(target=lambda: replies.append(call(address, "place", "a liner", "o")))
+    node = fleet.processes["node-1"].popen
+    node.terminate()
+    time.sleep(0.4)
+    sender.start()
+    await_true(lambda: _count_runs(fleet, "o") == 1)
+    assert node.wait(timeout=10.0) == 0
+    sender.join(timeout=5.0)
+    assert [(status, body["ran"]) for status, body in replies] == [(504, "unknown")]
+
+
 MOMENTS = ("claim in flight", "running", "outcome in flight")
 
 
