Send no request to a target that says that it leaves or pauses

What targets saw: 179 to 188 requests later than 3.2 s after a target had first said Server-Leaving, none allowed; 270 between 0.5 and 4 s after a 503 with Retry-After: 4, two allowed.

Cause: nothing read either header.

Change: TargetAdmission holds all that a target says of itself: limits, brittleness, departures and pauses; gateway/selection.py answers for a request which targets accept it now and when one does. A departure is reported in heartbeats by three nodes and holds for one start of the target; a pause binds the node that was told. Only a response that names its request states either. If all targets pause, the request is refused at once, with the time of the first one and callers spread after it.

--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -192,7 +192,9 @@
         if load is not None:
             self.target.record_load(load, self.now())
         if verdict is not Verdict.MISDIRECTED:
-            self.record_bounds(decode_stated_bounds(head), not verdict.proves_not_run)
+            self.record_bounds(
+                decode_stated_bounds(head, self.request_id), not verdict.proves_not_run
+            )
         if self._is_stream:
             self._listener(StreamStarted(head))
 
--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -46,8 +46,8 @@
     load is the requests per second that the node receives, capacity those that it can handle, and
     forwarded_load those that it receives from peers.
     limits holds the requests per second that targets state to accept from the fleet, brittle the
-    refusals per second that the targets of a service state to survive, and cut_off the services of
-    which the node reaches no target.
+    refusals per second that the targets of a service state to survive, cut_off the services of
+    which the node reaches no target, and leaving the targets that say that they are leaving.
     """
 
     node_id: str
@@ -63,6 +63,7 @@
     brittle: dict[str, Statement] = field(factory=dict)
     cut_off: tuple[str, ...] = ()
     forwarded_load: float = 0.0
+    leaving: dict[str, Statement] = field(factory=dict)
 
     @property
     def expected_load(self) -> float:
@@ -84,6 +85,7 @@
             **encode_statements("brittle", self.brittle),
             "cut_off": self.cut_off,
             "forwarded_load": round(self.forwarded_load, 2),
+            **(encode_statements("leaving", self.leaving) if self.leaving else {}),
         }
         return json.dumps(value).encode()
 
@@ -119,6 +121,7 @@
             decode_statements("brittle", item),
             tuple(map(str, item.get("cut_off", ()))),
             float(item.get("forwarded_load", 0.0)),
+            decode_statements("leaving", item),
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -23,6 +23,7 @@
 from bronzetiller.gateway.configuration import GatewayConfiguration
 from bronzetiller.gateway.crash_reports import CrashReports
 from bronzetiller.gateway.crashes import CrashTracker
+from bronzetiller.gateway.departures import DepartureNode, Departures
 from bronzetiller.gateway.entries import choose_entries
 from bronzetiller.gateway.followers import ConfigurationFollower, TargetsFollower
 from bronzetiller.gateway.forwarding import PeerForwarder
@@ -108,6 +109,7 @@
         self.admission = TargetAdmission(
             TargetLimits(settings.node_id, regions),
             BrittleTargets(scheduler, settings.node_id, regions),
+            Departures(settings.node_id, regions, self.pool),
         )
         self.request_context = RequestContext(
             scheduler=scheduler,
@@ -288,6 +290,8 @@
         self.admission.limits.refresh(limited, targets, now)
         brittle = [BrittleNode(item.node_id, item.data_centre, item.brittle) for item in members]
         self.admission.brittle.refresh(brittle, targets, now)
+        leaving = [DepartureNode(item.node_id, item.data_centre, item.leaving) for item in members]
+        self.admission.departures.refresh(leaving, targets, now)
 
     def is_ready(self) -> bool:
         """Return whether the node has its configuration and targets and is not stopping."""
@@ -340,6 +344,7 @@
             brittle=self.admission.brittle.list_stated(),
             cut_off=tuple(self.reachability.list_cut_off()),
             forwarded_load=self.request_context.forwarded_rate.estimate(now) or 0.0,
+            leaving=self.admission.departures.list_stated(now),
         )
 
     def _on_configuration(self, configuration: GatewayConfiguration) -> None:
--- a/bronzetiller/gateway/request_context.py
+++ b/bronzetiller/gateway/request_context.py
@@ -10,6 +10,7 @@
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.reachability import Reachability
 from bronzetiller.gateway.retry_window import RetryWindow
+from bronzetiller.gateway.selection import TargetSelection
 from bronzetiller.gateway.stream_records import StreamRecords
 from bronzetiller.gateway.target_admission import TargetAdmission
 from bronzetiller.gateway.targets import TargetPool
@@ -40,3 +41,7 @@
     arrival_rate: RateMeter = field(factory=RateMeter)
     forwarded_rate: RateMeter = field(factory=RateMeter)
     response_quota: BufferQuota = field(factory=BufferQuota)
+    selection: TargetSelection = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.selection = TargetSelection(self.pool, self.admission, self.reachability, self.streams)
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -45,6 +45,7 @@
 from bronzetiller.gateway.request_context import RequestContext
 from bronzetiller.gateway.requests import RequestMetadata
 from bronzetiller.gateway.reservation_client import Reservation
+from bronzetiller.gateway.selection import TargetCriteria, compute_retry_after
 from bronzetiller.gateway.stream_versions import find_service
 from bronzetiller.gateway.targets import Target
 from bronzetiller.logs import log_event
@@ -68,7 +69,6 @@
 STREAM_SILENCE_FACTOR = 5.0  # times the event gap, before another target is tried
 SILENCE_SECONDS_MIN = 0.7
 UNDELIVERED_EVENTS_MAX = 2  # charged for a broken stream: generated but not delivered
-OVERLOADED_RETRY_SECONDS = 0.4
 SUSPECT_RETRY_SECONDS_MIN = 5  # while another node tries the request
 
 
@@ -165,7 +165,7 @@
         self.version, self.service = version, find_service(version)
         window = self.context.find_retry_window(self.service)
         window.record_request(self.context.scheduler.now())
-        if not self._list_untried_targets():
+        if not self.context.selection.list_untried(self._criteria):
             self._refuse_without_target()
             return
         self._reserve()
@@ -211,7 +211,7 @@
             context.find_retry_window(self.service).record_request(now)
         quarantined = self._find_quarantined()
         targets = context.crash_tracker.select_targets(
-            self._list_usable_targets(), quarantined, self._make_fingerprints
+            context.selection.list_usable(self._criteria, now), quarantined, self._make_fingerprints
         )
         if quarantined is not None and not targets:
             self._refuse_quarantined(quarantined)
@@ -322,50 +322,29 @@
         seconds = max(SUSPECT_RETRY_SECONDS_MIN, left)
         self._refuse(Refusal(503, Reason.QUARANTINED, detail, retry_after_seconds=seconds))
 
-    def _list_untried_targets(self) -> list[Target]:
-        return [
-            target
-            for target in self.context.pool.list_targets(self.service)
-            if target.target_id not in self.tried_target_ids
-            and self.version in (None, target.version)
-        ]
-
-    def _list_usable_targets(self) -> list[Target]:
-        """Return the untried targets whose limit leaves this node a request now.
-
-        A stream that cannot be recorded begins at a target whose streams need no record.
-        """
-        admission, now = self.context.admission, self.context.scheduler.now()
-        targets = [
-            target
-            for target in self.context.reachability.select(self._list_untried_targets())
-            if admission.find_free_at(target, now) <= now
-        ]
-        streams = self.context.streams
-        if not self._is_resumable or streams.is_writable or self.version is not None:
-            return targets
-        base_targets = streams.list_base_targets(self.service)
-        return [target for target in targets if target in base_targets] or targets
+    @property
+    def _criteria(self) -> TargetCriteria:
+        tried = self.tried_target_ids
+        return TargetCriteria(self.service, tried, self.version, self._is_resumable)
 
     def _refuse_without_target(self) -> None:
-        admission, now = self.context.admission, self.context.scheduler.now()
-        free_at = [admission.find_free_at(target, now) for target in self._list_untried_targets()]
-        if not free_at:
+        now = self.context.scheduler.now()
+        free_at = self.context.selection.find_free_at(self._criteria, now)
+        if free_at is None:
             detail = "the service has no available target"
             if self.version is not None:
                 detail = f"no target of {self.version}, which began the stream, is available"
             self._refuse_with_retry_after(Reason.NO_TARGET, detail)
             return
-        wait = min(free_at) - now
-        detail = "the targets of the service limit the requests of the fleet or are full"
-        seconds = wait if math.isfinite(wait) else OVERLOADED_RETRY_SECONDS
-        self._refuse_with_retry_after(Reason.OVERLOADED, detail, seconds)
+        detail = "the targets of the service limit the requests of the fleet, pause or are full"
+        earliest = free_at - now if math.isfinite(free_at) else None
+        self._refuse_with_retry_after(Reason.OVERLOADED, detail, earliest)
 
     def _refuse_with_retry_after(
-        self, reason: Reason, detail: str, mean_seconds: float = OVERLOADED_RETRY_SECONDS
+        self, reason: Reason, detail: str, earliest_seconds: float | None = None
     ) -> None:
-        """Refuse with a Retry-After that is jittered, so that callers do not retry all at once."""
-        seconds = round(mean_seconds * (0.6 + 0.8 * self.context.draw_uniform()), 3)
+        """Refuse with a Retry-After that spreads the callers, none before the earliest time."""
+        seconds = compute_retry_after(earliest_seconds, self.context.draw_uniform())
         self._refuse(Refusal(503, reason, detail, retry_after_seconds=seconds))
 
     def _send(self, target: Target, request: PlacementRequest) -> None:
@@ -461,7 +440,7 @@
         attempt = self.attempt
         if self.finished or attempt is None or attempt.finished or not attempt.sent:
             return
-        if not self._list_usable_targets():
+        if not self.context.selection.list_usable(self._criteria, self.context.scheduler.now()):
             return  # the silent target may still respond before the deadline
         if not self._acquire_retry("silent"):
             return
--- a/bronzetiller/gateway/requests.py
+++ b/bronzetiller/gateway/requests.py
@@ -73,8 +73,11 @@
 class StatedBounds:
     """Hold what a target in need states: the requests that it accepts, the refusals it survives.
 
-    Both are per second and over all nodes; None is no bound.
+    Both are per second and over all nodes; None is no bound. With pause_seconds it wants no other
+    request of this node for that long, and with is_leaving none at all.
     """
 
     requests_per_second: float | None = None
     refusals_per_second: float | None = None
+    pause_seconds: float | None = None
+    is_leaving: bool = False
--- /dev/null
+++ b/bronzetiller/gateway/selection.py
@@ -0,0 +1,75 @@
+"""Select the targets to which a request may be sent now, or tell when it may be; no I/O."""
+
+from collections.abc import Collection
+
+from attrs import define, frozen
+
+from bronzetiller.gateway.reachability import Reachability
+from bronzetiller.gateway.stream_records import StreamRecords
+from bronzetiller.gateway.target_admission import TargetAdmission
+from bronzetiller.gateway.targets import Target, TargetPool
+
+OVERLOADED_RETRY_SECONDS = 0.4  # on average, if no target says when it accepts a request
+SPREAD_SECONDS_MIN = 0.4
+SPREAD_PORTION = 0.25
+
+
+@frozen
+class TargetCriteria:
+    """Describe what a request needs: a service, a version if it goes on with a stream of one."""
+
+    service: str
+    tried_target_ids: Collection[str]
+    version: str | None
+    is_resumable: bool
+
+
+@define(eq=False)
+class TargetSelection:
+    """Combine what the targets of a service say of themselves with what this node observed."""
+
+    _pool: TargetPool
+    _admission: TargetAdmission
+    _reachability: Reachability
+    _streams: StreamRecords
+
+    def list_untried(self, criteria: TargetCriteria) -> list[Target]:
+        """Return the targets that are not leaving and that the request was not sent to yet."""
+        return [
+            target
+            for target in self._pool.list_targets(criteria.service)
+            if target.target_id not in criteria.tried_target_ids
+            and criteria.version in (None, target.version)
+        ]
+
+    def list_usable(self, criteria: TargetCriteria, now: float) -> list[Target]:
+        """Return the untried targets that accept a request of this node now.
+
+        A stream that cannot be recorded begins at a target whose streams need no record.
+        """
+        targets = [
+            target
+            for target in self._reachability.select(self.list_untried(criteria))
+            if self._admission.find_free_at(target, now) <= now
+        ]
+        streams = self._streams
+        if not criteria.is_resumable or streams.is_writable or criteria.version is not None:
+            return targets
+        base_targets = streams.list_base_targets(criteria.service)
+        return [target for target in targets if target in base_targets] or targets
+
+    def find_free_at(self, criteria: TargetCriteria, now: float) -> float | None:
+        """Return when a target accepts a request, None without any, infinite if not known."""
+        untried = self.list_untried(criteria)
+        return min((self._admission.find_free_at(item, now) for item in untried), default=None)
+
+
+def compute_retry_after(earliest_seconds: float | None, draw: float) -> float:
+    """Return after how many seconds a caller should retry, by a uniform draw from [0, 1).
+
+    The callers come back spread over a time, and none of them before the earliest one.
+    """
+    if earliest_seconds is None:
+        return round(OVERLOADED_RETRY_SECONDS * (0.6 + 0.8 * draw), 3)
+    spread = max(SPREAD_SECONDS_MIN, SPREAD_PORTION * earliest_seconds)
+    return round(earliest_seconds + draw * spread, 3)
--- a/bronzetiller/gateway/targets.py
+++ b/bronzetiller/gateway/targets.py
@@ -141,6 +141,7 @@
 
     targets: dict[str, Target] = field(factory=dict)
     _by_service: dict[str, list[Target]] = field(factory=dict)
+    _leaving_instances: set[str] = field(factory=set)
 
     def list_targets(self, service: str) -> list[Target]:
         """Return the targets of a service that accept new requests."""
@@ -205,8 +206,19 @@
             log_event("target_replaced", target=target.target_id)
             self._rebuild_index()
 
+    def mark_leaving(self, instance: str) -> None:
+        """Stop using a target that says that it is leaving, also once it registers again."""
+        if instance not in self._leaving_instances:
+            self._leaving_instances.add(instance)
+            self._rebuild_index()
+
+    def forget_leaving(self, instance: str) -> None:
+        """Forget that a target was leaving, as it has been gone for long."""
+        self._leaving_instances.discard(instance)
+
     def _rebuild_index(self) -> None:
         self._by_service = {}
         for target in self.targets.values():
-            if not target.registration.leaving:
+            is_leaving = target.instance in self._leaving_instances
+            if not target.registration.leaving and not is_leaving:
                 self._by_service.setdefault(target.registration.service, []).append(target)
--- a/bronzetiller/platform/headers.py
+++ b/bronzetiller/platform/headers.py
@@ -31,6 +31,8 @@
 _LOAD = "x-server-load"
 _REQUEST_LIMIT = "server-limit"  # requests per second from all nodes together
 _REFUSALS_SURVIVED = "server-brittle"  # refusals per second; one more ends the target
+_RETRY_AFTER = "retry-after"
+_LEAVING = "server-leaving"
 
 # Only the router sets these headers; those that a caller sends are dropped.
 _ROUTER_HEADERS = {
@@ -155,20 +157,28 @@
     return LoadReport(running, waiting, slots)  # type: ignore[arg-type]
 
 
-def decode_stated_bounds(head: ResponseHead) -> StatedBounds:
-    """Decode the bounds that a target states; a malformed one counts as none."""
+def decode_stated_bounds(head: ResponseHead, request_id: str) -> StatedBounds:
+    """Decode the bounds that a target states; a malformed one counts as none.
+
+    A response that does not name its request may be an old one, which says nothing of a departure
+    or a pause.
+    """
+    is_named = names_request(head, request_id)
+    pauses = is_named and head.status == 503
     return StatedBounds(
-        _parse_rate(head.headers.get(_REQUEST_LIMIT)),
-        _parse_rate(head.headers.get(_REFUSALS_SURVIVED)),
+        _parse_number(head.headers.get(_REQUEST_LIMIT)),
+        _parse_number(head.headers.get(_REFUSALS_SURVIVED)),
+        _parse_number(head.headers.get(_RETRY_AFTER)) if pauses else None,
+        is_named and head.headers.get(_LEAVING, "").strip() == "1",
     )
 
 
-def _parse_rate(text: str | None) -> float | None:
+def _parse_number(text: str | None) -> float | None:
     try:
-        rate = float(text or "")
+        number = float(text or "")
     except ValueError:
         return None
-    return rate if math.isfinite(rate) and rate >= 0 else None
+    return number if math.isfinite(number) and number >= 0 else None
 
 
 def _decode_prompt(headers: dict[str, str]) -> Prompt | None:
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -43,7 +43,7 @@
     reject: int = 0  # respond with 404, as to a request that was not read to its end
     replay: int = 0  # respond with a response that does not name its request
     limit: float | None = None  # requests per second that the responses state, not enforced
-    leaving: bool = False
+    leaving: bool = False  # say so in each response
 
 
 @define
@@ -179,6 +179,8 @@
         }
         if self._faults.limit is not None:
             headers["Server-Limit"] = str(self._faults.limit)
+        if self._faults.leaving:
+            headers["Server-Leaving"] = "1"
         if self._brittle is not None:
             headers["Server-Brittle"] = str(self._brittle)
         return headers
--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Callable, Iterable
 
 from attrs import define, field
@@ -38,6 +39,7 @@
     request_id: str
     last_event_id: int
     path: str = ""
+    received_at: float = field(factory=time.monotonic)
 
 
 @define(eq=False)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -496,8 +496,10 @@
     [("1.9", 1.9), ("2", 2.0), ("0", 0.0), ("", None), ("-1", None), ("nan", None), ("inf", None)],
 )
 def test_stated_bounds_are_decoded(text, limit):
-    assert decode_stated_bounds(ResponseHead(200, {"server-limit": text})) == StatedBounds(limit)
-    brittle = decode_stated_bounds(ResponseHead(200, {"server-brittle": text}))
+    assert decode_stated_bounds(ResponseHead(200, {"server-limit": text}), "r1") == StatedBounds(
+        limit
+    )
+    brittle = decode_stated_bounds(ResponseHead(200, {"server-brittle": text}), "r1")
     assert brittle == StatedBounds(None, limit)
 
 
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -13,6 +13,7 @@
     WorkspaceConfiguration,
 )
 from bronzetiller.gateway.crashes import CrashTracker
+from bronzetiller.gateway.departures import Departures
 from bronzetiller.gateway.forwarding import PeerForwarder
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.reachability import Reachability
@@ -96,6 +97,8 @@
     sent: bytes = b""
     end: str = ""
     on_disconnect: object = None
+    on_expire: object = None
+    on_flow_change: object = None
 
     def respond(self, status, headers, body):
         self.status, self.headers, self.sent, self.end = status, headers, body, "finished"
@@ -200,6 +203,7 @@
             admission=TargetAdmission(
                 TargetLimits("node-1", {"a": "west"}),
                 BrittleTargets(scheduler, "node-1", {"a": "west"}),
+                Departures("node-1", {"a": "west"}, pool),
             ),
             streams=make_streams(scheduler, pool),
             reachability=Reachability(scheduler, FakeHttp(), pool),
