Upgrade fleets from earlier landings in the soak, and draw what targets say of themselves

Change: a stream of steps of its own draws departures, pauses with Retry-After and 503 after a run, so that earlier seeds keep their other steps.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,5 @@
-"""Soak the gateway: python -m soak [--seeds A-B] [--seconds S] [--nodes N] [--callers N].
+"""Soak the gateway: python -m soak [--seeds A-B] [--seconds S] [--nodes N] [--callers N]
+    [--old COMMIT].
 
 Each seed is one run. The same seed generates the same faults and requests, but not the same
 timing. The exit code is 1 if any run found a violation; the requests, faults and logs of such a run
@@ -7,23 +8,33 @@
 
 import argparse
 import sys
+import tempfile
 import threading
 import time
 from collections import Counter
+from pathlib import Path
 from random import Random
 
 from soak.environment import TARGET_SERVICES, Environment
-from soak.faults import generate_steps
+from soak.faults import Step, generate_statements, generate_steps, generate_upgrade
 from soak.history import History, Sent, find_violations, read_runs
 from soak.load import Caller
+from standins.builds import extract_build
 
 READY_SECONDS = 15.0
 SETTLE_SECONDS = 3.0  # lets outstanding responses and executions finish
 
 
-def run_seed(seed: int, seconds: float, nodes: int, callers: int) -> list[str]:
-    """Run one seed and return the violations."""
+def run_seed(
+    seed: int, seconds: float, nodes: int, callers: int, old_build: Path | None = None
+) -> list[str]:
+    """Run one seed and return the violations.
+
+    With an old build the nodes begin with it and are upgraded and taken back, beside faults.
+    """
     environment = Environment([f"node-{index + 1}" for index in range(nodes)])
+    if old_build is not None:
+        environment.fleet.builds = dict.fromkeys(environment.nodes, old_build)
     history = History()
     stop = threading.Event()
     try:
@@ -39,7 +50,14 @@
         ]
         for thread in threads:
             thread.start()
-        _run_steps(environment, history, seed, seconds)
+        targets = list(TARGET_SERVICES)
+        # An older build passes on what a target sheds.
+        steps = generate_statements(seed, seconds, targets, with_sheds=old_build is None)
+        if old_build is None:
+            steps += generate_steps(seed, seconds, environment.nodes, targets)
+        else:
+            steps += generate_upgrade(environment.nodes, targets, old_build)
+        _run_steps(environment, history, steps)
         environment.heal()
         violations = _check_recovery(environment, sent)
         stop.set()
@@ -58,9 +76,9 @@
         environment.close()
 
 
-def _run_steps(environment: Environment, history: History, seed: int, seconds: float) -> None:
+def _run_steps(environment: Environment, history: History, steps: list[Step]) -> None:
     started_at = time.monotonic()
-    for step in generate_steps(seed, seconds, environment.nodes, list(TARGET_SERVICES)):
+    for step in sorted(steps, key=lambda item: item.at):
         time.sleep(max(0.0, started_at + step.at - time.monotonic()))
         environment.record_unexpected_exits()
         history.faults.append(f"{time.monotonic() - started_at:7.2f} {step.name}")
@@ -127,13 +145,19 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--nodes", type=int, default=3)
     parser.add_argument("--callers", type=int, default=8)
+    parser.add_argument("--old", help="a commit; the fleet is upgraded from it and taken back")
     arguments = parser.parse_args()
+    old_build = None
+    if arguments.old is not None:
+        old_build = extract_build(arguments.old, Path(tempfile.mkdtemp(prefix="build-")))
+        if old_build is None:
+            parser.error(f"the history has no commit {arguments.old!r}")
     first, _, last = arguments.seeds.partition("-")
     seeds = range(int(first), int(last or first) + 1)
     failed_seeds = [
         seed
         for seed in seeds
-        if run_seed(seed, arguments.seconds, arguments.nodes, arguments.callers)
+        if run_seed(seed, arguments.seconds, arguments.nodes, arguments.callers, old_build)
     ]
     print(f"{len(seeds) - len(failed_seeds)} passed, {len(failed_seeds)} failed")
     sys.exit(1 if failed_seeds else 0)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -34,6 +34,7 @@
     prepaid: int = PREPAID_START_TOKENS
     expected_exits: set[str] = field(factory=set)
     unexpected_exits: list[str] = field(factory=list)
+    _started: dict[str, int] = field(factory=lambda: dict.fromkeys(TARGET_SERVICES, 1))
     _version: int = 1
     _links: dict[str, str] = field(factory=dict)
     _control: Any = None
@@ -90,6 +91,17 @@
         self.expected_exits.discard(node)
         self.fleet.restart(node)
 
+    def restart_as(self, node: str, build: Path | None) -> None:
+        """Stop a node, if it runs, and start it from another build."""
+        self.signal(node, signal.SIGTERM)
+        self._set_build(node, build)
+        self.restart(node)
+
+    def _set_build(self, node: str, build: Path | None) -> None:
+        self.fleet.builds.pop(node, None)
+        if build is not None:
+            self.fleet.builds[node] = build
+
     def record_unexpected_exits(self) -> None:
         """Record and restart the nodes that exited without being killed or terminated."""
         for node in self.nodes:
@@ -124,9 +136,16 @@
         if process.popen.poll() is not None:
             self._versions[target] = VERSIONS[self._versions[target] == VERSIONS[0]]
             self._start_target(target, process.ready["address"])
-            self.set_state(target, "ready", born=self._next_sequence())
+            self._started[target] = self._next_sequence()
+            self.set_state(target, "ready")
+
+    def replace_leaving_target(self, target: str) -> None:
+        """Register a target that said that it leaves as started again."""
+        self.set_faults(target, {})
+        self._started[target] = self._next_sequence()
+        self.set_state(target, "ready")
 
-    def set_state(self, target: str, state: str, **fields: Any) -> None:
+    def set_state(self, target: str, state: str) -> None:
         """Register a target in the store with a state."""
         sequence = self._next_sequence()
         value = make_registration(
@@ -137,7 +156,7 @@
             state=state,
             sequence=sequence,
             version=self._versions[target],
-            **fields,
+            born=self._started[target],
         )
         self.fleet.append_record("keyed.servers", target, value)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,6 +2,7 @@
 
 import signal
 from collections.abc import Callable
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -12,6 +13,8 @@
 START_INTERVAL_SECONDS = (0.1, 1.2)
 # From less than the interval between reports to more than the time a node may be disconnected.
 DURATION_SECONDS = (0.3, 6.0)
+STATEMENT_INTERVAL_SECONDS = (1.0, 4.0)
+UPGRADE_INTERVAL_SECONDS = 1.5
 LINK_FAULTS: tuple[dict[str, Any], ...] = (
     {"cut": True},
     {"silent": True},
@@ -55,6 +58,77 @@
     return sorted(steps, key=lambda step: step.at)
 
 
+def generate_statements(
+    seed: int, seconds: float, targets: list[str], *, with_sheds: bool = True
+) -> list[Step]:
+    """Return steps in which targets say that they leave or pause, or shed what they have run.
+
+    They have a random sequence of their own, so that earlier seeds keep their other steps.
+    """
+    random = Random(f"{seed}/statements")
+    steps: list[Step] = []
+    at = 1.0
+    while at < seconds:
+        end = min(at + random.uniform(*DURATION_SECONDS), max(seconds, at + 0.2))
+        target = random.choice(targets)
+        kind = random.choice(["leaving", "pause", "shed"])
+        if kind == "leaving":
+            steps += [
+                Step(at, f"{target} says that it leaves", _set_faults(target, {"leaving": True})),
+                Step(end, f"{target} starts again", _replace(target)),
+            ]
+        elif kind == "pause":
+            fault = {"refuse": 3, "pause": round(random.uniform(0.3, 2.0), 2)}
+            steps.append(Step(at, f"{target}: {fault}", _set_faults(target, fault)))
+        elif with_sheds:
+            steps.append(Step(at, f"{target}: shed", _set_faults(target, {"shed": 3})))
+        at += random.uniform(*STATEMENT_INTERVAL_SECONDS)
+    return sorted(steps, key=lambda step: step.at)
+
+
+def generate_upgrade(nodes: list[str], targets: list[str], old_build: Path) -> list[Step]:
+    """Return the steps of an upgrade of all nodes, one after the other, and of the way back.
+
+    A node is killed and a target leaves in the middle of each.
+    """
+    steps = []
+    at = 1.0
+    for number, build in enumerate([None, old_build]):
+        name = "new" if build is None else "old"
+        for index, node in enumerate(nodes):
+            steps.append(Step(at, f"{node}: {name} build", _restart_as(node, build)))
+            if index == len(nodes) // 2:
+                victim, target = nodes[number], targets[number]
+                steps += [
+                    Step(at + 0.2, f"kill {victim}", _kill(victim)),
+                    Step(at + 0.7, f"restart {victim}", _restart(victim)),
+                    Step(at + 0.3, f"{target} leaves", _set_faults(target, {"leaving": True})),
+                    Step(at + 2.0, f"{target} starts again", _replace(target)),
+                ]
+            at += UPGRADE_INTERVAL_SECONDS
+    return sorted(steps, key=lambda step: step.at)
+
+
+def _set_faults(name: str, fault: dict[str, Any]) -> Callable[[Environment], None]:
+    return lambda environment: environment.set_faults(name, fault)
+
+
+def _replace(target: str) -> Callable[[Environment], None]:
+    return lambda environment: environment.replace_leaving_target(target)
+
+
+def _restart_as(node: str, build: Path | None) -> Callable[[Environment], None]:
+    return lambda environment: environment.restart_as(node, build)
+
+
+def _kill(node: str) -> Callable[[Environment], None]:
+    return lambda environment: environment.kill(node)
+
+
+def _restart(node: str) -> Callable[[Environment], None]:
+    return lambda environment: environment.restart(node)
+
+
 def _generate_fault(
     random: Random, begin: float, end: float, nodes: list[str], targets: list[str]
 ) -> list[Step]:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -53,12 +53,21 @@
         self.popen.send_signal(signal.SIGCONT)
 
 
-def start_process(name: str, arguments: list[str], log_path: Path) -> Process:
-    """Start a process, which writes all its output to a file, and wait for its ready line."""
+def start_process(
+    name: str, arguments: list[str], log_path: Path, build: Path | None = None
+) -> Process:
+    """Start a process, which writes all its output to a file, and wait for its ready line.
+
+    It runs the code in the folder of an earlier build, if one is given.
+    """
     with log_path.open("a") as log:
         start = log.tell()
         popen = subprocess.Popen(
-            [sys.executable, "-m", *arguments], stdout=log, stderr=subprocess.STDOUT, text=True
+            [sys.executable, "-m", *arguments],
+            stdout=log,
+            stderr=subprocess.STDOUT,
+            text=True,
+            cwd=build,
         )
     while True:
         is_running = popen.poll() is None
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -115,6 +115,7 @@
     folder: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="gateway-")))
     processes: dict[str, Process] = field(factory=dict)
     arguments: dict[str, list[str]] = field(factory=dict)
+    builds: dict[str, Path] = field(factory=dict)  # folders of the nodes that run earlier code
 
     def start_store(self, *extra: str) -> None:
         """Start the keyed store."""
@@ -265,4 +266,6 @@
 
     def _start(self, name: str, arguments: list[str]) -> None:
         self.arguments[name] = arguments
-        self.processes[name] = start_process(name, arguments, self.folder / f"{name}.log")
+        self.processes[name] = start_process(
+            name, arguments, self.folder / f"{name}.log", self.builds.get(name)
+        )
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -35,6 +35,8 @@
     """Hold the faults of the next requests; each affected request decrements its fault's count."""
 
     refuse: int = 0  # respond with 503 and X-Not-Executed
+    shed: int = 0  # run the request and respond with 503, without a word on the run
+    pause: float | None = None  # seconds in Retry-After of these two responses
     break_after: int = 0  # events that a stream sends before break_count aborts it
     break_count: int = 0  # abort the stream in the middle of an event
     reset: int = 0  # abort the connection without a response
@@ -112,7 +114,8 @@
         if self._faults.refuse > 0 or self._running >= self._slots:
             self._faults.refuse -= 1
             self._count_refusal()
-            exchange.respond(503, self._make_headers(exchange) | {"X-Not-Executed": "1"}, b"full")
+            headers = self._make_headers(exchange) | self._make_pause()
+            exchange.respond(503, headers | {"X-Not-Executed": "1"}, b"full")
             return
         run = Run(
             exchange.headers.get("x-request-id", ""),
@@ -127,6 +130,9 @@
         if self._faults.reset > 0:
             self._faults.reset -= 1
             exchange.abort()
+        elif self._faults.shed > 0:
+            self._faults.shed -= 1
+            exchange.respond(503, self._make_headers(exchange) | self._make_pause(), b"busy")
         elif self._faults.mute > 0:
             self._faults.mute -= 1
         elif self._faults.fail > 0:
@@ -148,6 +154,10 @@
             headers = self._make_headers(exchange) | {"X-Response-Seal": f"seal-{self._id}"}
             exchange.respond(200, headers, f"answer to {run.request_id}".encode())
 
+    def _make_pause(self) -> dict[str, str]:
+        seconds = self._faults.pause
+        return {} if seconds is None else {"Retry-After": str(seconds)}
+
     def _count_refusal(self) -> None:
         """Exit if the target has to refuse more requests within a second than it survives."""
         now = self._loop.scheduler.now()
