Pass a success on only if it names its request and has its seal

Cause: a response without a request id counted as the own one, and nothing asked for the seal.

Change: a row of the table: a success that lacks either is no response to the request; 502, or another attempt where the request may run again.

--- a/bronzetiller/platform/headers.py
+++ b/bronzetiller/platform/headers.py
@@ -31,6 +31,7 @@
 _LOAD = "x-server-load"
 _REQUEST_LIMIT = "server-limit"  # requests per second from all nodes together
 _REFUSALS_SURVIVED = "server-brittle"  # refusals per second; one more ends the target
+_SEAL = "x-response-seal"
 _RETRY_AFTER = "retry-after"
 _LEAVING = "server-leaving"
 
@@ -138,7 +139,9 @@
 def decode_response_facts(head: ResponseHead, request_id: str) -> ResponseFacts:
     """Decode what a response says of a request; each request names the target that it expects."""
     states_not_run = _NOT_RUN in head.headers or head.status == MISDIRECTED_STATUS
-    return ResponseFacts(head.status, names_request(head, request_id), states_not_run)
+    return ResponseFacts(
+        head.status, names_request(head, request_id), states_not_run, _SEAL in head.headers
+    )
 
 
 def make_not_run_headers(metadata: RequestMetadata) -> dict[str, str]:
--- a/bronzetiller/requests/execution.py
+++ b/bronzetiller/requests/execution.py
@@ -37,12 +37,14 @@
     """Describe the head of a response.
 
     names_request tells whether it carries the id of the request, states_not_run whether its sender
-    states in the protocol, beyond the status, that it did not run the request.
+    states in the protocol, beyond the status, that it did not run the request, and is_sealed
+    whether it has the signature that the protocol asks of a success.
     """
 
     status: int
     names_request: bool
     states_not_run: bool
+    is_sealed: bool = True
 
 
 def judge_response(facts: ResponseFacts) -> Verdict:
@@ -54,18 +56,22 @@
     | below 400          | yes            | yes           | UNRELATED   | 502, or another attempt |
     | 421                | yes            | yes           | MISDIRECTED | another attempt, or 503 |
     | any                | yes            | yes           | NOT_RUN     | another attempt, or 503 |
+    | 200 to 299         | no             | no, or unsealed | UNRELATED | 502, or another attempt |
     | 408, 421, 429, 503 | no             | any           | UNPROVED    | 502, or another attempt |
     | 500 and above      | no             | any           | FAILED      | the response            |
     | any                | no             | any           | ANSWERED    | the response            |
 
     "Another attempt" after a verdict that proves nothing is for requests that may run again. An
-    UNRELATED response may be a copy of an earlier one, and its own request may have run.
+    UNRELATED response may be a copy of an earlier one or bytes of no request, and the request
+    itself may have run.
     """
     if facts.states_not_run:
         if not facts.names_request or facts.status < 400:
             return Verdict.UNRELATED
         is_misdirected = facts.status == MISDIRECTED_STATUS
         return Verdict.MISDIRECTED if is_misdirected else Verdict.NOT_RUN
+    if 200 <= facts.status < 300 and not (facts.names_request and facts.is_sealed):
+        return Verdict.UNRELATED
     if facts.status in NOT_RUN_STATUSES:
         return Verdict.UNPROVED
     return Verdict.ANSWERED if facts.status < 500 else Verdict.FAILED
