--- a/tests/test_target_statements.py
+++ b/tests/test_target_statements.py
@@ -102,6 +102,20 @@
     )
 
 
+def test_a_release_in_which_each_target_says_that_it_leaves_refuses_nobody(fleet):
+    send_load(fleet, 3.0)  # until the nodes hold tokens in proportion to their requests
+    with ThreadPoolExecutor(1) as pool:
+        load = pool.submit(send_load, fleet, 8.0)
+        for number in (1, 2):
+            fleet.start_target(f"new-{number}", MODEL_SERVICE, "regina-a", "--slots", "64")
+            time.sleep(1.5)
+            fleet.set_faults(f"engine-{number}", leaving=True)
+            time.sleep(1.5)
+        statuses = load.result()
+    assert statuses == [200] * len(statuses)
+    assert all(fleet.list_runs(f"new-{number}") for number in (1, 2))
+
+
 @pytest.mark.parametrize("proved", [True, False])
 def test_a_target_that_pauses_gets_at_most_two_requests(fleet, proved):
     headers = (f"Retry-After: {PAUSE_SECONDS}", "Content-Length: 2")
