Refuse a forwarded request until the peer knows the forwarding node's configuration

Cause: the peer decides all, by its own configuration, and could not know that there is a newer one.

Change: a forwarded request carries the version that its node knows; a peer that knows only an older one refuses it with a proof. A request that a peer proves not to have run goes to another peer.

The test fails without the change: the peer answers 200.

--- a/bronzetiller/gateway/application.py
+++ b/bronzetiller/gateway/application.py
@@ -45,6 +45,13 @@
             )
             self._refuse(exchange, metadata, refusal)
             return
+        if configuration.version < (metadata.forwarded_version or 0):
+            detail = f"version {metadata.forwarded_version} of the configuration is not known yet"
+            refusal = Refusal(
+                503, Reason.NOT_READY, detail, retry_after_seconds=STARTING_RETRY_SECONDS
+            )
+            self._refuse(exchange, metadata, refusal)
+            return
         route = configuration.find_route(exchange.headers.get("host", ""), exchange.path)
         if route is None:
             refusal = Refusal(404, Reason.UNKNOWN_ROUTE, "no route matches this host and path")
--- a/bronzetiller/gateway/forwarded_request.py
+++ b/bronzetiller/gateway/forwarded_request.py
@@ -1,8 +1,8 @@
 """Have a request served through a peer, and pass its response on.
 
 The peer decides all: it reserves the tokens, bills them, chooses the targets and refuses. A request
-that may have arrived at a peer is not sent to another one, unless it may run more than once and
-uses no tokens.
+that may have arrived at a peer is not sent to another one without that peer's proof that it was not
+run, unless it may run more than once and uses no tokens.
 """
 
 from collections.abc import Callable, Collection
@@ -58,6 +58,7 @@
     _streamed: bool
     _may_repeat: bool
     _attempts: int
+    _version: int
     _on_attempt: Callable[[Attempt], None]
     _on_end: Callable[[int, Refusal | None], None]
     _execution: Execution
@@ -93,6 +94,7 @@
             peer_id=attempt.target.target_id,
             seconds_left=seconds_left,
             attempts=self._attempts,
+            version=self._version,
         )
         target, is_own_response = attempt.target, attempt.is_own_response
         call = make_call(self._exchange, target, headers, seconds_left, is_own_response)
@@ -114,10 +116,8 @@
             case CompleteResponse(head, body, by_close=False):
                 self._end("answered", None)
                 exchange.respond(head.status, make_response_headers(head), body)
-            case NotRun(cause, reached=False):
-                self._try_next(peer, cause)
             case NotRun(cause):
-                self._refuse(peer, cause)
+                self._try_next(peer, cause)
             case ResponseLost(cause):
                 self._handle_loss(peer, cause)
             case StreamEnd() | CompleteResponse():
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -255,6 +255,7 @@
             self.route.streamed,
             may_repeat,
             self.attempts,
+            self.configuration.version,
             self._on_forwarded_attempt,
             self._on_forwarded_end,
             self.execution,
--- a/bronzetiller/gateway/requests.py
+++ b/bronzetiller/gateway/requests.py
@@ -37,7 +37,8 @@
     """Hold the decoded request headers; seconds_left counts from the arrival.
 
     resumes is the id of the request that brought the first event of a stream taken up again. A
-    request that a peer forwards has the number of attempts that the peer has made.
+    request that a peer forwards has the number of attempts that the peer has made, and the version
+    of the configuration that the peer knows.
     """
 
     request_id: str
@@ -48,6 +49,7 @@
     forwarded_headers: dict[str, str]
     resumes: str | None = None
     forwarded_attempts: int | None = None
+    forwarded_version: int | None = None
 
 
 def proves_survival(verdict: Verdict, status: int, *, names_request: bool) -> bool:
--- a/bronzetiller/platform/headers.py
+++ b/bronzetiller/platform/headers.py
@@ -23,6 +23,7 @@
 )
 _LAST_EVENT = "last-event-id"
 _FORWARDED = "bronzetiller-forwarded"  # by a peer that reaches no target, after some attempts
+_VERSION = "bronzetiller-version"  # of the configuration that the forwarding peer knows
 _RESUMES = "resumes"  # the id of the attempt that brought a stream's first event
 _NOT_RUN = "x-not-executed"
 _EXPECTED_TARGET = "x-expect-instance"
@@ -43,6 +44,7 @@
     _WORKSPACE,
     _PRIORITY,
     _FORWARDED,
+    _VERSION,
     "x-hold",
     "x-pin-ms",
     "x-kv-backup",
@@ -80,6 +82,7 @@
         last_event_id=_parse_int(headers.get(_LAST_EVENT)),
         resumes=headers.get(_RESUMES) or None,
         forwarded_attempts=_parse_int(headers.get(_FORWARDED)),
+        forwarded_version=_parse_int(headers.get(_VERSION)),
         forwarded_headers={name: value for name, value in headers.items() if name not in dropped},
     )
 
@@ -106,7 +109,7 @@
 
 
 def make_forwarded_headers(
-    metadata: RequestMetadata, *, peer_id: str, seconds_left: float, attempts: int
+    metadata: RequestMetadata, *, peer_id: str, seconds_left: float, attempts: int, version: int
 ) -> dict[str, str]:
     """Return the headers of a request that a peer is to serve for its caller.
 
@@ -115,6 +118,7 @@
     headers = dict(metadata.forwarded_headers)
     headers[_DEADLINE] = str(max(1, int(seconds_left * 1000)))
     headers[_FORWARDED] = str(attempts)
+    headers[_VERSION] = str(version)
     headers[_EXPECTED_TARGET] = peer_id
     if metadata.key:
         headers[_KEY] = metadata.key
--- a/tests/test_unproved_refusals.py
+++ b/tests/test_unproved_refusals.py
@@ -79,3 +79,18 @@
     for variant in VARIANTS:  # noqa: B007, used by make_answer
         await_true(is_run, what="a run")
     assert statuses == [502] * len(VARIANTS)
+
+
+def test_a_forwarded_request_is_refused_with_a_proof_until_its_configuration_is_known(
+    fleet, start_raw
+):
+    headers = (LENGTH,)
+    target = start_raw(lambda request: RawAnswer([BODY], headers, "keep"), PLAIN_SERVICE)
+    await_true(lambda: fleet.send("node-1", "order", "known").status == 200, what="a response")
+    versions = {"Bronzetiller_Forwarded": "0", "Bronzetiller_Version": "2"}
+    reply = fleet.send("node-1", "order", "newer", **versions)
+    assert reply.status == 503 and reply.headers["x-request-id"] == "newer"
+    assert "x-not-executed" in reply.headers
+    versions["Bronzetiller_Version"] = "1"
+    assert fleet.send("node-1", "order", "same", **versions).status == 200
+    assert "newer" not in {request.request_id for request in target.requests}
