--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -28,7 +28,7 @@
         def answer(request):
             if request.path != "/order/warm":
                 time.sleep(work_seconds)
-            return RawAnswer([BODY], (f"Content-Length: {len(BODY)}",), "close")
+            return RawAnswer([BODY], (f"Content-Length: {len(BODY)}", "Connection: close"), "close")
 
         fleet.start_store()
         fleet.configure(1)
