Give the callers of the stop's test time to start

The orders now begin half a second before the stop and the threads have a second; all checks stay as they are.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -17,6 +17,8 @@
 BODY = b"answer"
 ORDERS = 40
 DEADLINE_SECONDS = 4.0
+START_SECONDS = 1.0  # for the callers' threads to start
+EARLY_SECONDS = 0.5  # before the stop, in which the first orders are sent
 
 
 @pytest.fixture
@@ -89,7 +91,7 @@
     for number, sock in enumerate(sockets):
         sock.sendall(make_order("warm"))
         assert read_response(sock).status == 200, number
-    stop_at = time.monotonic() + 0.3
+    stop_at = time.monotonic() + START_SECONDS + EARLY_SECONDS
     gaps = itertools.count()
     with ThreadPoolExecutor(ORDERS) as callers:
         sent = {
@@ -97,12 +99,12 @@
                 order_at,
                 sock,
                 f"order-{number}",
-                stop_at + grace_seconds * next(gaps) / ORDERS - 0.1,
+                stop_at + (grace_seconds + EARLY_SECONDS) * next(gaps) / ORDERS - EARLY_SECONDS,
                 pause_seconds,
             )
             for number, sock in enumerate(sockets)
         }
-        time.sleep(stop_at - time.monotonic())
+        time.sleep(max(0.0, stop_at - time.monotonic()))
         os.kill(node.pid, signal.SIGTERM)
         if is_paused:
             time.sleep(0.4 * grace_seconds)
