--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -25,6 +25,7 @@
 from bronzetiller.settings import ListenSettings, PlatformSettings, Settings
 from bronzetiller.storage.follower import StreamFollower
 from bronzetiller.storage.log_client import LogClient
+from bronzetiller.sync.log_reading import ReadOrder
 from bronzetiller.wire.messages import Entries, Heartbeat, Ping, Pong
 from standins.fake_scheduler import FakeScheduler
 
@@ -405,6 +406,11 @@
     def start(self):
         self.started = True
         self.relay.add(self.follower)
+        draw_uniform = random.Random(self.vm.vm_id).random
+        self.relay._read_order = ReadOrder(draw_uniform)
+        stream = self.relay._streams[STREAM]
+        for backoff in (self.follower._backoff, stream.check_backoff):
+            backoff._draw_uniform = draw_uniform
         self.membership.start()
         for subscriber in self.vm_list.subscribers:
             subscriber()
