Acknowledge appends that a slow log confirms late

An append through a peer was given up after 3 s, while the peer waited up to 10 s for the log: with a log that takes 4 s each batch was appended again and again and never acknowledged.

--- a/bronzetiller/storage/log_client.py
+++ b/bronzetiller/storage/log_client.py
@@ -114,16 +114,24 @@
         stream: str,
         records: list[Record],
         done: Callable[[Result[int, LogFailure]], None],
+        *,
+        on_late_append: Callable[[int], None] | None = None,
     ) -> OpenCall:
-        """Append records in one call; pass the offset of the first to the callback."""
+        """Append records in one call; pass the offset of the first to the callback.
+
+        An offset that arrives after done was called with a failure is passed to on_late_append.
+        """
         body = json.dumps({"records": records}, separators=(",", ":")).encode()
         LOG_BYTES.labels("append").inc(len(body))
         path = f"/v1/streams/{quote(stream, safe='')}/records"
         call = HttpCall(self._address, "POST", path, _JSON_HEADERS, body, APPEND_SILENCE_SECONDS)
 
         def finish(result: Result[Any, LogFailure], log_call: _LogCall) -> None:
+            first_offset = result.map(lambda value: int(value["first_offset"]))
             if not log_call.late:
-                done(result.map(lambda value: int(value["first_offset"])))
+                done(first_offset)
+            elif isinstance(first_offset, Ok) and on_late_append is not None:
+                on_late_append(first_offset.ok_value)
 
         return self._call(f"append {stream}", call, 0.0, finish)
 
