--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -236,7 +236,7 @@
         self.idle_connections = 0
 
 
-@define(eq=False)
+@define(eq=False, slots=False)
 class SimulatedPeers:
     """Replace the connections of one node to its peers; messages of a connection keep order."""
 
@@ -331,7 +331,8 @@
             link.carry(size, lambda: receive(last))
 
         def receive(last):
-            receiver.last_received_at[self.node_id] = self.now()
+            if number is not None:  # responses arrive on the connection that the receiver dialled
+                receiver.last_received_at[self.node_id] = self.now()
             if last:
                 deliver()
             else:
