--- a/bronzetiller/storage/follower.py
+++ b/bronzetiller/storage/follower.py
@@ -21,6 +21,7 @@
 RETRY_SECONDS_MIN = 0.1
 RETRY_SECONDS_MAX = 2.0
 CONTACT_SECONDS_MAX = 5.0  # after which the log is checked before it is read
+UNCOORDINATED_RECORDS_MAX = 100  # so few are read without waiting for another reader
 RECENT_ENTRIES_MAX = 4_000
 
 Subscriber = Callable[[Entry], None]
@@ -191,7 +192,9 @@
                 return
             self._lost = False
             self._backoff.reset()
-            self._scheduler.call_after(self.choose_election_seconds(), self._read)
+            is_far_behind = self.end_offset - self.next_offset > UNCOORDINATED_RECORDS_MAX
+            delay = self.choose_election_seconds() if is_far_behind else 0.0
+            self._scheduler.call_after(delay, self._read)
 
         if self._checking:
             self._scheduler.call_after(self._backoff.next_seconds(), self._read)
