--- a/bronzetiller/platform/store.py
+++ b/bronzetiller/platform/store.py
@@ -156,6 +156,7 @@
         )
         parts: list[bytes] = []
         status = era = 0
+        started_at = self._http.scheduler.now()
 
         def handle_event(event: CallEvent) -> None:
             nonlocal status, era
@@ -167,7 +168,9 @@
             elif isinstance(event, ResponseEnd):
                 done(Ok(StoreResponse(status, b"".join(parts), era)))
             elif isinstance(event, CallFailed):
-                done(Err(StoreUnreachable(event.cause, event.sent)))
+                seconds = self._http.scheduler.now() - started_at
+                received_bytes = sum(map(len, parts))
+                done(Err(StoreUnreachable(event.cause, event.sent, seconds, received_bytes)))
 
         self._http.send(call, handle_event)
 
--- a/bronzetiller/storage/keyed.py
+++ b/bronzetiller/storage/keyed.py
@@ -62,10 +62,15 @@
 
 @frozen
 class StoreUnreachable:
-    """Report the cause of a failed call; one that may have run may still take effect later."""
+    """Report the cause of a failed call; one that may have run may still take effect later.
+
+    seconds is how long the call took, received_bytes how much of its response arrived.
+    """
 
     cause: str
     may_have_run: bool
+    seconds: float = 0.0
+    received_bytes: int = 0
 
 
 @frozen
--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -198,6 +198,15 @@
         if self.lost_at is None:
             self.lost_at = self._scheduler.now()
             log_event("store_lost", level=30, partition=self.partition, cause=failure.cause)
+        log_event(
+            "store_read_failed",
+            partition=self.partition,
+            cause=failure.cause,
+            seconds=round(failure.seconds, 3),
+            bytes=failure.received_bytes,
+            failures=self._failures + 1,
+            lost_seconds=round(self._scheduler.now() - self.lost_at, 3),
+        )
         delay = min(RETRY_SECONDS_MAX, RETRY_SECONDS_MIN * 2**self._failures)
         self._failures = min(self._failures + 1, 8)
         self._scheduler.call_after(delay, self._read)
