--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -32,7 +32,7 @@
 from bronzetiller.gateway.peer_links import PeerLinks
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.reachability import Reachability
-from bronzetiller.gateway.readers import choose_reader
+from bronzetiller.gateway.readers import SourceMap
 from bronzetiller.gateway.relay import PeerReader, RelayedPartition, register_fetch_handler
 from bronzetiller.gateway.request_context import RequestContext
 from bronzetiller.gateway.reservation_client import ReservationClient
@@ -67,6 +67,7 @@
 STOP_MARGIN_PORTION_MAX = 0.25
 TARGETS_AGE_SECONDS_MAX = 1.5  # of a read that shows which versions are in service now
 VERSION_PROPOSERS = 3  # so that some of them reach the store
+RELAYED_TOPICS = (OPERATOR_TOPIC, REGISTRATIONS_TOPIC, NODES_TOPIC, CRASHES_TOPIC)
 LEAVE_SECONDS = 3.0  # after a stop begins, new requests are still served: 1.5 lookup lifetimes
 BODY_SECONDS_MAX = 10.0  # for 4 MB over a slow link; the operator's limits cover heads only
 
@@ -154,7 +155,7 @@
         self._addresses["peers"] = f"{listen.peers.ip}:{peers_port}"
         _Signals(self).register(self.loop.root)
 
-    def _set_up_followers(self, store: KeyedStore, http: HttpClient) -> None:
+    def _set_up_followers(self, store: PlatformStore, http: HttpClient) -> None:
         """Set up the followers of the store, which read it directly or through a peer."""
         scheduler = self._scheduler
         self.pool = TargetPool()
@@ -190,6 +191,9 @@
             lambda: self.targets_follower.follower.is_current(TARGETS_AGE_SECONDS_MAX),
         )
         self.holders = HolderMap(self.settings.node_id, self.distances, self.members.list_serving)
+        self.sources = SourceMap(
+            self.settings.node_id, self.settings.data_centre, self.distances.regions
+        )
         followed_readers = (
             (self.configuration_follower.follower, configuration_reader),
             (self.targets_follower.follower, registration_reader),
@@ -199,7 +203,7 @@
         register_fetch_handler(
             self.peers,
             {
-                follower.partition.topic: RelayedPartition(scheduler, follower, reader)
+                follower.partition.topic: RelayedPartition(scheduler, follower, reader, self.peers)
                 for follower, reader in followed_readers
             },
         )
@@ -235,13 +239,16 @@
             self.incarnation,
         )
 
-    def _make_reader(self, store: KeyedStore, topic: str) -> PeerReader:
-        def find_reader() -> str | None:
-            return choose_reader(
-                self.settings.node_id, topic, self.settings.data_centre, self.holders.members
-            )
-
-        return PeerReader(self._scheduler, self.peers, store, find_reader, self._list_seeds)
+    def _make_reader(self, store: PlatformStore, topic: str) -> PeerReader:
+        return PeerReader(
+            self._scheduler,
+            self.peers,
+            store,
+            self.settings.node_id,
+            lambda: self.sources.find(topic),
+            self._list_seeds,
+            self._draw_uniform,
+        )
 
     def _is_proposer(self) -> bool:
         """Return whether this node keeps the base versions of the services up to date."""
@@ -258,13 +265,9 @@
 
     def _list_wanted_peers(self) -> set[str]:
         self.holders.refresh()
-        own_id, data_centre = self.settings.node_id, self.settings.data_centre
-        readers = {
-            choose_reader(own_id, topic, data_centre, self.holders.members)
-            for topic in (OPERATOR_TOPIC, REGISTRATIONS_TOPIC, NODES_TOPIC, CRASHES_TOPIC)
-        }
-        holders = self.holders.list_holders(self.allocation_manager.allocations)
-        return holders | {reader for reader in readers if reader is not None}
+        self.sources.refresh(self.holders.members)
+        readers = {peer for topic in RELAYED_TOPICS for peer in self.sources.find(topic).peers}
+        return readers | self.holders.list_holders(self.allocation_manager.allocations)
 
     def run(self) -> None:
         """Serve until a stop is requested and all open requests are finished."""
--- a/bronzetiller/gateway/readers.py
+++ b/bronzetiller/gateway/readers.py
@@ -1,25 +1,49 @@
-"""Choose the node of a data centre that reads the store for the other nodes there; no I/O.
+"""Choose the nodes that a node reads a topic of the store from; no I/O."""
 
-Designed for about 15 nodes per data centre, which would otherwise each read every registration
-and configuration over a link between regions that all traffic shares.
-"""
+from collections.abc import Iterable, Mapping
 
-from collections.abc import Iterable
+from attrs import define, field
 
-from bronzetiller.fleet.neighbours import rank_readers
 from bronzetiller.gateway.capacity import select_high_capacity
 from bronzetiller.gateway.members import Member
+from bronzetiller.sync.sources import SourceNode, Sources, choose_sources
 
-RELAYED_NODES_MIN = 6  # in smaller data centres each node reads the store itself
 
+@define(eq=False)
+class SourceMap:
+    """Cache the sources of one node by topic until the members change."""
 
-def choose_reader(
-    own_id: str, topic: str, data_centre: str, members: Iterable[Member]
-) -> str | None:
-    """Return the node to read a topic from, or None if this node reads the store itself."""
-    near = [item for item in members if item.data_centre == data_centre]
-    if len(near) < RELAYED_NODES_MIN:
-        return None
-    high_capacity = [item.node_id for item in select_high_capacity(near)]
-    reader = rank_readers(topic, data_centre, high_capacity)[0]
-    return None if reader == own_id else reader
+    _own_id: str
+    _data_centre: str
+    _regions: Mapping[str, str]
+    _nodes: list[SourceNode] = field(factory=list)
+    _sources: dict[str, Sources] = field(factory=dict)
+
+    def refresh(self, members: Iterable[Member]) -> None:
+        """Update the nodes of the fleet."""
+        nodes = list_source_nodes(members)
+        if nodes != self._nodes:
+            self._nodes = nodes
+            self._sources.clear()
+
+    def find(self, topic: str) -> Sources:
+        """Return the sources of a topic."""
+        sources = self._sources.get(topic)
+        if sources is None:
+            sources = choose_sources(
+                self._own_id, topic, self._data_centre, self._regions, self._nodes
+            )
+            self._sources[topic] = sources
+        return sources
+
+
+def list_source_nodes(members: Iterable[Member]) -> list[SourceNode]:
+    """Return the members as sources; those near the highest capacity of their data centre first."""
+    by_data_centre: dict[str, list[Member]] = {}
+    for member in members:
+        by_data_centre.setdefault(member.data_centre, []).append(member)
+    nodes = []
+    for near in by_data_centre.values():
+        high = {item.node_id for item in select_high_capacity(near)}
+        nodes += [SourceNode(item.node_id, item.data_centre, item.node_id in high) for item in near]
+    return sorted(nodes, key=lambda item: item.node_id)
--- a/bronzetiller/gateway/relay.py
+++ b/bronzetiller/gateway/relay.py
@@ -1,6 +1,8 @@
-"""Read partitions of the store through a peer, and relay them to peers."""
+"""Read partitions of the store through peers, and relay them to peers."""
 
+import zlib
 from collections.abc import Callable
+from random import Random
 
 from attrs import define, field
 from result import Err, Ok, Result
@@ -10,146 +12,270 @@
 from bronzetiller.metrics import RELAYED_ENTRIES
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.storage.keyed import (
-    HistoryExpired,
-    KeyedReader,
     KeyedRecord,
+    KeyedStoreReader,
+    LateDone,
     NewestDone,
     Partition,
     ReadDone,
+    ReadFailure,
     RecordBatch,
     StoreUnreachable,
 )
 from bronzetiller.storage.keyed_follower import KeyedFollower
-from bronzetiller.wire.messages import FetchRecords, KeyedEntry, Message, Records, RecordsAway
+from bronzetiller.sync.read_plan import ReadPlan
+from bronzetiller.sync.sources import Role, Sources
+from bronzetiller.wire.messages import (
+    FetchRecords,
+    KeyedEntry,
+    Message,
+    OfferRecords,
+    Records,
+    RecordsAway,
+)
 
-# Added to the wait that was requested; a configuration of 250 KB takes 0.4 s over 5 Mbit/s.
-RESPONSE_TIMEOUT_SECONDS = 0.5
-AVOID_SECONDS = 1.0  # after a reader did not respond or could not reach the store
-# A read of 1 s, 1.2 s for its response, and the pause between reads; older data is not relayed.
-STALE_AFTER_SECONDS = 2.5
+RESPONSE_TIMEOUT_SECONDS = 0.5  # without any byte from the peer, in addition to the requested wait
+TRANSFER_SECONDS_MAX = 6.0
+COMPRESSED_BYTES_MIN = 2_048
+RECORD_BYTES_MAX = 16 * 1024 * 1024
+NO_SOURCE = "no peer has current data"
+# Records are relayed until they are older than two read intervals of this node and its source.
+AGE_SECONDS_MARGIN = 1.5
 
 
 @define(eq=False)
 class PeerReader:
-    """Read one partition from the data centre's reader node, or else from the store itself.
+    """Read one partition from the sources among the peers, or from the store itself.
 
-    is_direct is true if the last read came from the store. Only such data is relayed, so that no
-    two nodes use each other as the source.
+    source_path holds the nodes that the last records came through; it is empty if they came from
+    the store, and None before the first read. Records that came through this node are rejected, so
+    that no two nodes use each other as the source.
     """
 
     _scheduler: Scheduler
     _peers: Peers
-    _store: KeyedReader
-    _find_reader: Callable[[], str | None]
+    _store: KeyedStoreReader
+    own_id: str
+    _find_sources: Callable[[], Sources]
     _find_seeds: Callable[[], list[str]]
-    is_direct: bool = False
-    _avoid_until: float = 0.0
-    _has_read: bool = False
+    _draw_uniform: Callable[[], float] = field(factory=lambda: Random().random)
+    source_path: tuple[str, ...] | None = None
+    plan: ReadPlan = field(init=False)
+    after_store_read: Callable[[], None] = lambda: None
+    _position: int = -1
 
-    def read_newest(self, partition: Partition, done: NewestDone) -> None:
-        """Read the newest record of each key."""
+    def __attrs_post_init__(self) -> None:
+        self.plan = ReadPlan(self._draw_uniform)
 
-        def handle_result(result: Result[Records, str]) -> None:
-            if isinstance(result, Ok):
-                done(Ok(self._make_batch(result.ok_value)))
-            else:
-                self._read_newest_directly(partition, done)
+    @property
+    def is_direct(self) -> bool:
+        """Return whether the last records came from the store itself."""
+        return self.source_path == ()
+
+    def read_newest(
+        self, partition: Partition, done: NewestDone, late: LateDone | None = None
+    ) -> None:
+        """Read the newest record of each key; a peer may return the changes since the last read."""
+
+        def read_store(handle_result: ReadDone, handle_late: LateDone) -> None:
+            self._store.read_newest(partition, handle_result, handle_late)
 
-        self._request_from_reader(
-            FetchRecords(partition.topic, partition.number, -1), handle_result
+        def finish(result: Result[RecordBatch, ReadFailure]) -> None:
+            match result:
+                case Ok(batch):
+                    done(Ok(batch))
+                case Err(failure) if self._position >= 0:
+                    done(Err(StoreUnreachable(failure.cause, False)))
+                case Err(failure):
+                    seeds = self._find_seeds()
+                    self._read_from_seeds(partition, seeds, failure.cause, done)
+
+        message = FetchRecords(
+            partition.topic, partition.number, self._position, accepts_compressed=True
         )
+        self._read(message, read_store, finish, late)
 
     def read_from(
-        self, partition: Partition, position: int, wait_seconds: float, done: ReadDone
+        self,
+        partition: Partition,
+        position: int,
+        wait_seconds: float,
+        done: ReadDone,
+        late: LateDone | None = None,
     ) -> None:
         """Read the records from a position on; wait up to wait_seconds for the first one."""
 
-        def handle_result(result: Result[Records, str]) -> None:
-            if isinstance(result, Err):
-                self._store.read_from(partition, position, wait_seconds, handle_direct_result)
-            elif result.ok_value.whole:
-                done(Err(HistoryExpired("the peer has dropped changes")))
-            else:
-                done(Ok(self._make_batch(result.ok_value)))
+        def read_store(handle_result: ReadDone, handle_late: LateDone) -> None:
+            self._store.read_from(partition, position, wait_seconds, handle_result, handle_late)
 
-        def handle_direct_result(
-            result: Result[RecordBatch, StoreUnreachable | HistoryExpired],
-        ) -> None:
-            self.is_direct = self.is_direct or isinstance(result, Ok)
-            done(result)
-
-        message = FetchRecords(partition.topic, partition.number, position, wait_seconds)
-        self._request_from_reader(message, handle_result)
+        message = FetchRecords(
+            partition.topic, partition.number, position, wait_seconds, accepts_compressed=True
+        )
+        self._read(message, read_store, done, late)
 
-    def _request_from_reader(
-        self, message: FetchRecords, handle_result: Callable[[Result[Records, str]], None]
+    def _read(
+        self,
+        message: FetchRecords,
+        read_store: Callable[[ReadDone, LateDone], None],
+        done: ReadDone,
+        late: LateDone | None,
     ) -> None:
+        """Try the store first at the region's reader, else the peers first."""
+        sources = self._find_sources()
         now = self._scheduler.now()
-        reader = self._find_reader() if now >= self._avoid_until else None
-        if reader is None:
-            handle_result(Err("no reader is available"))
-            return
+        steps: list[Callable[[], None]] = [
+            lambda peer=peer: self._fetch(peer, message, handle_fetch)  # type: ignore[misc]
+            for peer in self.plan.list_peers(sources, now)
+        ]
+        if self.plan.may_read_store(sources, now, self._store.answered_at):
+            at = 0 if sources.role is Role.READER else len(steps)
+            steps.insert(at, lambda: read_store(handle_store, handle_late))
+        failure: ReadFailure = StoreUnreachable(NO_SOURCE, False)
+
+        def try_next() -> None:
+            if steps:
+                steps.pop(0)()
+            else:
+                self._scheduler.call_after(0, lambda: done(Err(failure)))
+
+        def handle_fetch(result: Result[RecordBatch, str]) -> None:
+            if isinstance(result, Ok):
+                self._accept(result.ok_value)
+                done(result)
+            else:
+                try_next()
+
+        def handle_store(result: Result[RecordBatch, ReadFailure]) -> None:
+            nonlocal failure
+            match result:
+                case Ok(batch):
+                    finish_store_read(batch, lambda: done(Ok(batch)))
+                case Err(StoreUnreachable() as cause):
+                    failure = cause
+                    self.plan.record_store_lost()
+                    try_next()
+                case Err():
+                    done(result)
+
+        def handle_late(batch: RecordBatch) -> None:
+            if late is not None:
+                finish_store_read(batch, lambda: late(batch))
+
+        def finish_store_read(batch: RecordBatch, deliver: Callable[[], None]) -> None:
+            self._accept(batch)
+            deliver()
+            self.after_store_read()
+
+        try_next()
+
+    def _accept(self, batch: RecordBatch) -> None:
+        self.source_path = batch.source_path
+        self._position = max(self._position, batch.end)
+
+    def accept_offer(self, records: Records) -> RecordBatch | None:
+        """Return the batch that a peer offers, or None if it came through this node."""
+        if self.own_id in records.source_path:
+            return None
+        batch = self._make_batch(records)
+        self._accept(batch)
+        return batch
+
+    def _fetch(
+        self,
+        peer: str,
+        message: FetchRecords,
+        done: Callable[[Result[RecordBatch, str]], None],
+    ) -> None:
+        """Fetch from a peer; give up once it has sent nothing for RESPONSE_TIMEOUT_SECONDS."""
+        started_at = self._scheduler.now()
+        finished = False
+
+        def finish(result: Result[RecordBatch, str]) -> None:
+            nonlocal finished
+            if not finished:
+                finished = True
+                done(result)
+
+        def fail(cause: str) -> None:
+            if finished:
+                return
+            seconds = round(self._scheduler.now() - started_at, 3)
+            log_event(
+                "source_avoided", peer=peer, topic=message.topic, cause=cause, seconds=seconds
+            )
+            finish(Err(cause))
 
         def handle_response(result: Result[Message, str]) -> None:
+            now = self._scheduler.now()
             match result:
+                case Ok(Records() as records) if self.own_id in records.source_path:
+                    self.plan.record_peer_away(peer, None, now)
+                    fail("the peer reads from this node")
                 case Ok(Records() as records):
-                    self.is_direct = False
-                    handle_result(Ok(records))
-                case Ok(RecordsAway(cause)) | Err(cause):
-                    self._avoid(reader, message.topic, cause)
-                    handle_result(Err(cause))
+                    batch = self._make_batch(records, peer)
+                    self.plan.record_peer_read()
+                    finish(Ok(batch))
+                case Ok(RecordsAway(cause, end)):
+                    self.plan.record_peer_away(peer, end, now)
+                    fail(cause)
                 case Ok(other):
-                    self._avoid(reader, message.topic, f"unexpected {type(other).__name__}")
-                    handle_result(Err("unexpected response"))
+                    self.plan.record_peer_silent(peer, now)
+                    fail(f"unexpected {type(other).__name__}")
+                case Err(cause):
+                    self.plan.record_peer_silent(peer, now)
+                    fail(cause)
+
+        def check_progress() -> None:
+            if finished:
+                return
+            now = self._scheduler.now()
+            if self._peers.is_silent(peer, now - RESPONSE_TIMEOUT_SECONDS):
+                self.plan.record_peer_silent(peer, now)
+                fail("silence")
+            else:
+                self._scheduler.call_after(RESPONSE_TIMEOUT_SECONDS, check_progress)
 
+        seconds = message.wait_seconds + RESPONSE_TIMEOUT_SECONDS
+        self._scheduler.call_after(seconds, check_progress)
         self._peers.request(
-            reader, message, message.wait_seconds + RESPONSE_TIMEOUT_SECONDS, handle_response
+            peer, message, message.wait_seconds + TRANSFER_SECONDS_MAX, handle_response
         )
 
-    def _avoid(self, reader: str, topic: str, cause: str) -> None:
-        self._avoid_until = self._scheduler.now() + AVOID_SECONDS
-        log_event("reader_avoided", peer=reader, topic=topic, cause=cause)
-
-    def _read_newest_directly(self, partition: Partition, done: NewestDone) -> None:
-        def handle_result(result: Result[RecordBatch, StoreUnreachable]) -> None:
-            if isinstance(result, Ok):
-                self.is_direct = self._has_read = True
-                done(result)
-            elif self._has_read:
-                done(result)
-            else:
-                self._read_from_seeds(partition, self._find_seeds(), result, done)
-
-        self._store.read_newest(partition, handle_result)
-
     def _read_from_seeds(
-        self,
-        partition: Partition,
-        seeds: list[str],
-        failure: Err[StoreUnreachable],
-        done: NewestDone,
+        self, partition: Partition, seeds: list[str], cause: str, done: NewestDone
     ) -> None:
         """Start with the data of a seed while the store is unreachable."""
         if not seeds:
-            done(failure)
+            done(Err(StoreUnreachable(cause, False)))
             return
-        message = FetchRecords(partition.topic, partition.number, -1, may_be_old=True)
+        message = FetchRecords(
+            partition.topic, partition.number, -1, may_be_old=True, accepts_compressed=True
+        )
 
-        def handle_response(result: Result[Message, str]) -> None:
+        def handle_batch(result: Result[RecordBatch, str]) -> None:
             match result:
-                case Ok(Records() as records):
+                case Ok(batch):
                     log_event("started_from_peer", peer=seeds[0], partition=partition)
-                    done(Ok(self._make_batch(records)))
-                case _:
-                    self._read_from_seeds(partition, seeds[1:], failure, done)
+                    self._accept(batch)
+                    done(Ok(batch))
+                case Err():
+                    self._read_from_seeds(partition, seeds[1:], cause, done)
 
-        self._peers.request(seeds[0], message, RESPONSE_TIMEOUT_SECONDS, handle_response)
+        self._fetch(seeds[0], message, handle_batch)
 
-    def _make_batch(self, records: Records) -> RecordBatch:
-        self._has_read = True
+    def _make_batch(self, records: Records, peer: str = "") -> RecordBatch:
         RELAYED_ENTRIES.inc(len(records.entries))
-        keyed_records = [KeyedRecord(item.key, item.value, item.offset) for item in records.entries]
-        return RecordBatch(keyed_records, records.end)
+        keyed_records = [
+            KeyedRecord(item.key, _unpack_value(item), item.offset) for item in records.entries
+        ]
+        path = tuple(records.source_path) or (peer,)
+        return RecordBatch(keyed_records, records.end, records.whole, records.age_seconds, path)
+
+
+def _unpack_value(entry: KeyedEntry) -> bytes | None:
+    if entry.value is None or not entry.compressed:
+        return entry.value
+    return zlib.decompressobj().decompress(entry.value, RECORD_BYTES_MAX)
 
 
 @define(eq=False)
@@ -167,20 +293,22 @@
     _scheduler: Scheduler
     _follower: KeyedFollower
     _source: PeerReader
+    _peers: Peers
     _pending: list[_PendingFetch] = field(factory=list)
+    _compressed: dict[str, tuple[int, bytes]] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self._follower.subscribe(self._reply_to_pending)
+        self._follower.subscribe_to_loss(self._reject_pending)
+        self._source.after_store_read = self._offer_to_sources
 
     def fetch(self, message: FetchRecords, reply: Reply) -> None:
         """Reply at once, or as soon as there are new records within the requested wait."""
-        follower = self._follower
-        if message.may_be_old and follower.complete:
+        if message.may_be_old and self._follower.complete:
             reply(self._make_records(message))
             return
-        stale = self._scheduler.now() - follower.read_at > STALE_AFTER_SECONDS
-        if not follower.complete or follower.is_lost or stale or not self._source.is_direct:
-            reply(RecordsAway("store unreachable" if follower.is_lost else "no current store data"))
+        if not self._is_current():
+            reply(self._make_away())
             return
         records = self._make_records(message)
         if records.entries or not message.wait_seconds:
@@ -190,6 +318,31 @@
         self._pending.append(pending)
         self._scheduler.call_after(message.wait_seconds, lambda: self._time_out(pending))
 
+    def accept(self, offer: OfferRecords) -> None:
+        """Apply what a peer offers, unless this node has a current source itself."""
+        follower = self._follower
+        if self._is_current() and follower.position >= offer.records.end:
+            return
+        batch = self._source.accept_offer(offer.records)
+        if batch is not None:
+            log_event(
+                "records_offered",
+                partition=follower.partition,
+                path=",".join(batch.source_path),
+                records=len(batch.records),
+                advances=batch.end > follower.position,
+            )
+            follower.accept(batch, offer.from_offset)
+
+    def _is_current(self) -> bool:
+        follower = self._follower
+        interval = follower.wait_seconds + follower.pause_seconds
+        return not follower.is_lost and follower.is_current(2 * interval + AGE_SECONDS_MARGIN)
+
+    def _make_away(self) -> RecordsAway:
+        cause = "store unreachable" if self._follower.is_lost else "no current store data"
+        return RecordsAway(cause, self._follower.position)
+
     def _reply_to_pending(self) -> None:
         for pending in list(self._pending):
             records = self._make_records(pending.message)
@@ -197,23 +350,52 @@
                 self._pending.remove(pending)
                 pending.reply(records)
 
+    def _reject_pending(self) -> None:
+        pending_fetches, self._pending = self._pending, []
+        for pending in pending_fetches:
+            pending.reply(self._make_away())
+
     def _time_out(self, pending: _PendingFetch) -> None:
         if pending not in self._pending:
             return
         self._pending.remove(pending)
-        if self._follower.is_lost:
-            pending.reply(RecordsAway("store unreachable"))
-        else:
-            pending.reply(self._make_records(pending.message))
+        current = self._is_current()
+        pending.reply(self._make_records(pending.message) if current else self._make_away())
 
     def _make_records(self, message: FetchRecords) -> Records:
-        whole, changes = self._follower.changes.list_since(message.from_offset)
-        entries = [KeyedEntry(item.key, item.value, item.position) for item in changes]
-        return Records(max(message.from_offset, self._follower.position), whole, entries)
+        follower = self._follower
+        whole, changes = follower.changes.list_since(message.from_offset)
+        entries = [self._make_entry(item, message.accepts_compressed) for item in changes]
+        return Records(
+            max(message.from_offset, follower.position),
+            whole,
+            entries,
+            max(0.0, self._scheduler.now() - follower.read_at),
+            [self._source.own_id, *(self._source.source_path or ())],
+        )
+
+    def _make_entry(self, record: KeyedRecord, may_compress: bool) -> KeyedEntry:
+        value = record.value
+        if value is None or not may_compress or len(value) < COMPRESSED_BYTES_MIN:
+            return KeyedEntry(record.key, value, record.position)
+        position, compressed = self._compressed.get(record.key, (-1, b""))
+        if position != record.position:
+            compressed = zlib.compress(value)
+            self._compressed[record.key] = (record.position, compressed)
+        return KeyedEntry(record.key, compressed, record.position, compressed=True)
+
+    def _offer_to_sources(self) -> None:
+        """Offer what this node read from the store to its sources that have no current data."""
+        topic, number = self._follower.partition.topic, self._follower.partition.number
+        for peer, end in self._source.plan.take_behind().items():
+            records = self._make_records(FetchRecords(topic, number, end, accepts_compressed=True))
+            if records.end < end:
+                continue
+            self._peers.send(peer, OfferRecords(topic, number, end, records))
 
 
 def register_fetch_handler(peers: Peers, partitions: dict[str, RelayedPartition]) -> None:
-    """Start serving the peers' fetches of these partitions, given by topic."""
+    """Start serving the peers' fetches and offers of these partitions, given by topic."""
 
     def fetch(message: FetchRecords, reply: Reply) -> None:
         partition = partitions.get(message.topic)
@@ -222,4 +404,10 @@
         else:
             partition.fetch(message, reply)
 
+    def accept(offer: OfferRecords, reply: Reply) -> None:
+        partition = partitions.get(offer.topic)
+        if partition is not None:
+            partition.accept(offer)
+
     peers.on(FetchRecords, fetch)
+    peers.on(OfferRecords, accept)
--- a/bronzetiller/platform/store.py
+++ b/bronzetiller/platform/store.py
@@ -1,6 +1,7 @@
 """Access the platform's store of keyed topics: reads by position and sequenced appends."""
 
 import base64
+import math
 import struct
 from collections.abc import Callable
 from urllib.parse import urlencode
@@ -24,9 +25,11 @@
     Fenced,
     HistoryExpired,
     KeyedRecord,
+    LateDone,
     NewestDone,
     Partition,
     ReadDone,
+    ReadFailure,
     RecordBatch,
     StoreUnreachable,
     WriterSequence,
@@ -34,13 +37,16 @@
     get_offset,
     make_position,
 )
+from bronzetiller.sync.late_calls import PATIENT_SECONDS, LateCalls
 
-# Responses usually take 4 ms, about 0.3 s from a slow store, plus 60 ms on the network.
+# Responses usually take 4 ms, plus 60 ms on the network; the timeout follows slower ones.
 RESPONSE_TIMEOUT_SECONDS = 1.2
-CONNECT_TIMEOUT_SECONDS = 1.0
 READ_KILOBYTES_MAX = 1024
 RESPONSE_BYTES_MAX = 4 * 1024 * 1024  # a page of 1 MB in base64 and JSON
-TRANSFER_SECONDS_MAX = 5.0  # for a page over a link of 5 Mbit/s
+TRANSFER_SECONDS_MAX = 20.0  # for a page over a link of 1 Mbit/s; a stalled one ends earlier
+PAGE_ATTEMPTS_MAX = 3  # of each page but the first, before all are read again
+LATE = "no response in time"
+EXECUTED_STATUSES = (200, 409, 410, 412)
 _ERA_HEADER = "store-era"  # counts the times that the store came back without its newest records
 _LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
@@ -64,13 +70,22 @@
 
     _http: HttpClient
     _address: Address
+    answered_at: float = -math.inf
+    _late_calls: LateCalls = field(factory=LateCalls)
 
-    def read_newest(self, partition: Partition, done: NewestDone) -> None:
+    def read_newest(
+        self, partition: Partition, done: NewestDone, late: LateDone | None = None
+    ) -> None:
         """Read the newest record of each key, page by page."""
-        _NewestRead(self, partition, done).read_page()
+        _NewestRead(self, partition, done, late).read_page()
 
     def read_from(
-        self, partition: Partition, position: int, wait_seconds: float, done: ReadDone
+        self,
+        partition: Partition,
+        position: int,
+        wait_seconds: float,
+        done: ReadDone,
+        late: LateDone | None = None,
     ) -> None:
         """Read the records from a position on; wait up to wait_seconds for the first one."""
         offset = get_offset(position)
@@ -78,26 +93,32 @@
         if wait_seconds:
             query["wait_ms"] = int(wait_seconds * 1000)
 
-        def handle_response(response: _Response) -> None:
+        def decode(response: _Response) -> Result[RecordBatch, ReadFailure]:
             match response:
                 case Ok(StoreResponse(200 | 410, _, era)) if era != get_era(position):
-                    done(Err(HistoryExpired(f"the store is in era {era}")))
+                    return Err(HistoryExpired(f"the store is in era {era}"))
                 case Ok(StoreResponse(200, body, era)):
-                    done(_decode_records(body, offset, era))
+                    return _decode_records(body, offset, era)
                 case Ok(StoreResponse(410, body)):
-                    done(Err(HistoryExpired(body[:200].decode("utf-8", "replace"))))
+                    return Err(HistoryExpired(body[:200].decode("utf-8", "replace")))
                 case Ok(StoreResponse(status)):
-                    done(Err(StoreUnreachable(f"status {status}", False)))
+                    return Err(StoreUnreachable(f"status {status}", False))
                 case Err(failure):
-                    done(Err(failure))
+                    return Err(failure)
+
+        def handle_late(response: _Response) -> None:
+            result = decode(response)
+            if isinstance(result, Ok) and late is not None:
+                late(result.ok_value)
 
         self.call(
             "GET",
             "/-/log-read",
             query,
             b"",
-            handle_response,
-            RESPONSE_TIMEOUT_SECONDS + wait_seconds,
+            lambda response: done(decode(response)),
+            wait_seconds,
+            handle_late,
         )
 
     def append(
@@ -130,7 +151,7 @@
                     done(Err(failure))
 
         body = _LENGTH.pack(len(record)) + record
-        self.call("POST", "/-/log-append", query, body, handle_response, RESPONSE_TIMEOUT_SECONDS)
+        self.call("POST", "/-/log-append", query, body, handle_response)
 
     def call(
         self,
@@ -139,40 +160,75 @@
         query: dict[str, str | int],
         body: bytes,
         done: Callable[[_Response], None],
-        timeout_seconds: float,
+        wait_seconds: float = 0.0,
+        late: Callable[[_Response], None] = lambda response: None,
     ) -> None:
-        """Make one HTTP call and pass its status and complete body to done."""
-        target = f"{path}?{urlencode(query)}"
+        """Make one HTTP call and pass its status and complete body to done.
+
+        A call without a response after the timeout and wait_seconds has failed for done; its
+        response is then passed to late.
+        """
+        scheduler = self._http.scheduler
+        started_at = scheduler.now()
+        timeout_seconds = self._late_calls.extend(RESPONSE_TIMEOUT_SECONDS) + wait_seconds
+        patient_seconds = max(timeout_seconds, PATIENT_SECONDS + wait_seconds)
         call = HttpCall(
             self._address,
             method,
-            target,
+            f"{path}?{urlencode(query)}",
             {},
             body,
-            timeout_seconds,
-            CONNECT_TIMEOUT_SECONDS,
+            silence_seconds=timeout_seconds,
+            connect_seconds=patient_seconds,
+            first_byte_seconds=patient_seconds,
             body_bytes_max=RESPONSE_BYTES_MAX,
-            seconds_max=timeout_seconds + TRANSFER_SECONDS_MAX,
+            seconds_max=patient_seconds + TRANSFER_SECONDS_MAX,
         )
+        kind = (method, path, query["topic"])
         parts: list[bytes] = []
         status = era = 0
-        started_at = self._http.scheduler.now()
+        is_late = False
 
         def handle_event(event: CallEvent) -> None:
             nonlocal status, era
             if isinstance(event, ResponseHead):
+                timer.cancel()
                 status = event.status
                 era = _decode_era(event)
+                self._late_calls.record_response(scheduler.now() - started_at - wait_seconds)
+                if status in EXECUTED_STATUSES:
+                    self.answered_at = scheduler.now()
             elif isinstance(event, BodyPart):
                 parts.append(event.data)
             elif isinstance(event, ResponseEnd):
-                done(Ok(StoreResponse(status, b"".join(parts), era)))
+                finish(Ok(StoreResponse(status, b"".join(parts), era)))
             elif isinstance(event, CallFailed):
-                seconds = self._http.scheduler.now() - started_at
-                received_bytes = sum(map(len, parts))
-                done(Err(StoreUnreachable(event.cause, event.sent, seconds, received_bytes)))
-
-        self._http.send(call, handle_event)
+                timer.cancel()
+                finish(Err(describe_failure(event.cause, event.sent)))
+
+        def describe_failure(cause: str, sent: bool) -> StoreUnreachable:
+            seconds = scheduler.now() - started_at
+            return StoreUnreachable(cause, sent, seconds, sum(map(len, parts)))
+
+        def finish(response: _Response) -> None:
+            if is_late:
+                self._late_calls.end(kind)
+                late(response)
+            else:
+                done(response)
+
+        def report_late() -> None:
+            nonlocal is_late
+            self._http.close_idle(self._address)
+            # An append that has not been sent must not run after it was reported as not run.
+            may_go_on = method == "GET" or open_call.sent
+            is_late = may_go_on and self._late_calls.begin(kind)
+            if not is_late:
+                open_call.cancel()
+            done(Err(describe_failure(LATE, open_call.sent)))
+
+        timer = scheduler.call_after(timeout_seconds, report_late)
+        open_call = self._http.send(call, handle_event)
 
 
 @define(eq=False)
@@ -188,30 +244,56 @@
     _store: PlatformStore
     _partition: Partition
     _done: NewestDone
+    _late: LateDone | None = None
     _records: list[KeyedRecord] = field(factory=list)
     _end: int | None = None
+    _is_late: bool = False
+    _page_failures: int = 0
 
     def read_page(self, after: str | None = None) -> None:
         """Request the page that follows a key, or the first page."""
         query = _make_partition_query(self._partition)
         if after is not None:
             query["after"] = after
-        self._store.call(
-            "GET", "/-/log-newest", query, b"", self._handle_response, RESPONSE_TIMEOUT_SECONDS
-        )
 
-    def _handle_response(self, response: _Response) -> None:
-        match response:
-            case Ok(StoreResponse(200, body, era)):
-                self._handle_page(body, era)
-            case Ok(StoreResponse(status)):
-                self._done(Err(StoreUnreachable(f"status {status}", False)))
-            case Err(failure):
-                self._done(Err(failure))
+        def handle_response(response: _Response) -> None:
+            match response:
+                case Ok(StoreResponse(200, body, era)):
+                    self._page_failures = 0
+                    self._handle_page(body, era)
+                case Ok(StoreResponse(status)):
+                    self._fail(StoreUnreachable(f"status {status}", False))
+                case Err(failure) if after is not None and self._may_retry_page():
+                    self.read_page(after)
+                case Err(failure):
+                    self._fail(failure)
+
+        def handle_late(response: _Response) -> None:
+            if self._late is not None:
+                self._is_late = True
+                handle_response(response)
+
+        # A page that is read again needs no late response.
+        late = handle_late if after is None else lambda response: None
+        self._store.call("GET", "/-/log-newest", query, b"", handle_response, late=late)
+
+    def _may_retry_page(self) -> bool:
+        self._page_failures += 1
+        return self._page_failures < PAGE_ATTEMPTS_MAX
+
+    def _fail(self, failure: StoreUnreachable) -> None:
+        if not self._is_late:
+            self._done(Err(failure))
+
+    def _finish(self, batch: RecordBatch) -> None:
+        if not self._is_late:
+            self._done(Ok(batch))
+        elif self._late is not None:
+            self._late(batch)
 
     def _handle_page(self, body: bytes, era: int) -> None:
         if self._end is not None and get_era(self._end) != era:
-            self._done(Err(StoreUnreachable(f"restored between two pages, era {era}", False)))
+            self._fail(StoreUnreachable(f"restored between two pages, era {era}", False))
             return
         try:
             page = decode_json(body)
@@ -226,12 +308,12 @@
             if self._end is None:
                 self._end = make_position(era, int(page["end"]))
         except (ValueError, KeyError, TypeError) as error:
-            self._done(Err(StoreUnreachable(f"malformed page: {error!r}", False)))
+            self._fail(StoreUnreachable(f"malformed page: {error!r}", False))
             return
         if page.get("more_pages") and page["items"]:
             self.read_page(page["items"][-1]["key"])
         else:
-            self._done(Ok(RecordBatch(self._records, self._end)))
+            self._finish(RecordBatch(self._records, self._end))
 
 
 def _make_partition_query(partition: Partition) -> dict[str, str | int]:
--- a/bronzetiller/storage/keyed.py
+++ b/bronzetiller/storage/keyed.py
@@ -54,10 +54,18 @@
 
 @frozen
 class RecordBatch:
-    """Hold records in the order of their positions; end is the position after the last one."""
+    """Hold records in the order of their positions; end is the position after the last one.
+
+    whole tells whether these are all keys or only changes, if that differs from what was requested.
+    age_seconds is the time since a peer confirmed them at the store, source_path the nodes that
+    they came through, the nearest first; it is empty for a read of the store.
+    """
 
     records: list[KeyedRecord]
     end: int
+    whole: bool | None = None
+    age_seconds: float = 0.0
+    source_path: tuple[str, ...] = ()
 
 
 @frozen
@@ -104,20 +112,37 @@
 NewestDone = Callable[[Result[RecordBatch, StoreUnreachable]], None]
 ReadDone = Callable[[Result[RecordBatch, ReadFailure]], None]
 AppendDone = Callable[[Result[int, AppendFailure]], None]
+LateDone = Callable[[RecordBatch], None]
 
 
 class KeyedReader(Protocol):
-    """Read keyed records; callbacks run asynchronously, never within the call itself."""
+    """Read keyed records; callbacks run asynchronously, never within the call itself.
 
-    def read_newest(self, partition: Partition, done: NewestDone) -> None:
+    A read that fails because its response is late may still pass it to late, if that is given.
+    """
+
+    def read_newest(
+        self, partition: Partition, done: NewestDone, late: LateDone | None = None
+    ) -> None:
         """Read the newest record of each key."""
 
     def read_from(
-        self, partition: Partition, position: int, wait_seconds: float, done: ReadDone
+        self,
+        partition: Partition,
+        position: int,
+        wait_seconds: float,
+        done: ReadDone,
+        late: LateDone | None = None,
     ) -> None:
         """Read the records from a position on; wait up to wait_seconds for the first one."""
 
 
+class KeyedStoreReader(KeyedReader, Protocol):
+    """Read the store itself; answered_at is when it last executed a call (seconds, monotonic)."""
+
+    answered_at: float
+
+
 class KeyedStore(KeyedReader, Protocol):
     """Read and append keyed records."""
 
--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Err, Ok, Result
 
 from bronzetiller.logs import log_event
@@ -21,9 +21,11 @@
     get_era,
     get_offset,
 )
+from bronzetiller.sync.backoff import Backoff
 
 RETRY_SECONDS_MIN = 0.1
 RETRY_SECONDS_MAX = 0.8  # changes must be in force within a few seconds
+HISTORY_SECONDS_MAX = 2.0  # missed for longer, the newest records are fewer than all that came
 
 LOGGED_KEYS_MAX = 20
 LOGGED_CAUSE_MAX = 200  # characters
@@ -36,13 +38,14 @@
     """Read a partition until the process exits.
 
     Each read waits up to wait_seconds for the first new record; the next read starts pause_seconds
-    after it. lost_at is when reads began to fail (None while they succeed), regained_at when they
-    last succeeded again, restored_at when the store was last found in a later era (seconds,
-    monotonic). A restoration counts as an outage.
+    after it. read_at is when the values were last known to be current at the store, lost_at when
+    reads began to fail (None while they succeed), regained_at when they last succeeded again,
+    restored_at when the store was last found in a later era (seconds, monotonic). A restoration
+    counts as an outage.
 
     With skips_versions, a follower that received several versions of a key at once reads only the
     newest ones until nothing changes: over a slow connection, each read of all versions would take
-    longer than the one before.
+    longer than the one before. After reads have failed for some time, every follower does so.
     """
 
     _scheduler: Scheduler
@@ -62,8 +65,10 @@
     restored_at: float | None = None
     _expired: bool = False
     _behind: bool = False
-    _failures: int = 0
+    _backoff: Backoff = field(factory=lambda: Backoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX))
+    _contact_at: float = float("-inf")
     _listeners: list[Callable[[], None]] = field(factory=list)
+    _loss_listeners: list[Callable[[], None]] = field(factory=list)
 
     def start(self) -> None:
         """Start reading."""
@@ -82,6 +87,10 @@
         """Call the action after each read that changed a value."""
         self._listeners.append(action)
 
+    def subscribe_to_loss(self, action: Callable[[], None]) -> None:
+        """Call the action when reads begin to fail."""
+        self._loss_listeners.append(action)
+
     def discard(self, key: str) -> None:
         """Treat a key as deleted until it is written again, also for the nodes that read from here.
 
@@ -90,32 +99,91 @@
         if self.values.pop(key, None) is not None:
             self.changes.add(KeyedRecord(key, None, self.position))
 
+    def accept(self, batch: RecordBatch, from_position: int) -> None:
+        """Apply records that a read did not wait for: a late response, or what a peer offers.
+
+        Without all keys, the batch holds the changes since from_position.
+        """
+        if batch.end < self.position or (not batch.whole and from_position > self.position):
+            return
+        if batch.whole:
+            self._apply_whole(batch)
+        else:
+            self._apply_changes(batch)
+
     def _read(self) -> None:
-        if self.position < 0 or self._expired or self._behind:
-            self._reader.read_newest(self.partition, self._handle_newest)
+        position = self.position
+        now = self._scheduler.now()
+        if (
+            position < 0
+            or self._expired
+            or self._behind
+            or now - self._contact_at > HISTORY_SECONDS_MAX
+        ):
+            self._reader.read_newest(
+                self.partition, self._handle_newest, lambda batch: self._accept_late(batch, True)
+            )
         else:
             self._reader.read_from(
-                self.partition, self.position, self.wait_seconds, self._handle_records
+                self.partition,
+                position,
+                self.wait_seconds,
+                self._handle_records,
+                lambda batch: self._accept_late(batch, False, position),
             )
 
+    def _accept_late(self, batch: RecordBatch, whole: bool, position: int = -1) -> None:
+        self.accept(batch if batch.whole is not None else evolve(batch, whole=whole), position)
+
     def _handle_newest(self, result: Result[RecordBatch, StoreUnreachable]) -> None:
         match result:
             case Err(failure):
                 self._schedule_retry(failure)
-            case Ok(batch) if self.position > batch.end:  # of a peer that has read less
-                self._behind = False
-                self._apply_batch(RecordBatch([], self.position))
+            case Ok(batch) if batch.whole is False:
+                self._behind = self._expired = False
+                self._apply_changes(batch)
+                self._schedule_read()
+            case Ok(batch):
+                self._apply_whole(batch)
+                self._schedule_read()
+
+    def _handle_records(self, result: Result[RecordBatch, ReadFailure]) -> None:
+        match result:
+            case Err(HistoryExpired(cause)):
+                log_event("history_expired", partition=self.partition, cause=cause)
+                self._expired = True
+                self._read()
+            case Err(StoreUnreachable() as failure):
+                self._schedule_retry(failure)
+            case Ok(batch) if batch.whole:
+                self._apply_whole(batch)
+                self._schedule_read()
             case Ok(batch):
-                present = {record.key for record in batch.records}
-                deleted = [
-                    KeyedRecord(key, None, batch.end) for key in self.values.keys() - present
-                ]
-                if self.position < 0 or self._expired:
-                    self.changes.restart(batch.end)
-                self._behind = self._behind and self.position < batch.end
-                self._expired = False
-                self._detect_restoration(batch.end)
-                self._apply_batch(RecordBatch([*deleted, *batch.records], batch.end))
+                keys = [record.key for record in batch.records]
+                self._behind = self.skips_versions and len(keys) > len(set(keys))
+                self._apply_changes(batch)
+                self._schedule_read()
+
+    def _apply_whole(self, batch: RecordBatch) -> None:
+        """Replace the values by those of a batch that holds all keys."""
+        if self.position > batch.end:  # of a peer that has read less
+            self._behind = False
+            self._apply_batch(evolve(batch, records=[], end=self.position))
+            return
+        present = {record.key for record in batch.records}
+        deleted = [KeyedRecord(key, None, batch.end) for key in self.values.keys() - present]
+        if self.position < 0 or self._expired:
+            self.changes.restart(batch.end)
+        self._behind = self._behind and self.position < batch.end
+        self._expired = False
+        self._detect_restoration(batch.end)
+        self._apply_batch(evolve(batch, records=[*deleted, *batch.records]))
+
+    def _apply_changes(self, batch: RecordBatch) -> None:
+        """Apply the changes of a batch that were not read meanwhile."""
+        records = [record for record in batch.records if record.position >= self.position]
+        end = max(batch.end, self.position)
+        self._apply_batch(evolve(batch, records=records, end=end))
 
     def _detect_restoration(self, end: int) -> None:
         """Record that the store came back without records that this follower may have read.
@@ -135,27 +203,14 @@
         )
         self.restored_at = self.regained_at = self._scheduler.now()
 
-    def _handle_records(self, result: Result[RecordBatch, ReadFailure]) -> None:
-        match result:
-            case Err(HistoryExpired(cause)):
-                log_event("history_expired", partition=self.partition, cause=cause)
-                self._expired = True
-                self._read()
-            case Err(StoreUnreachable() as failure):
-                self._schedule_retry(failure)
-            case Ok(batch):
-                keys = [record.key for record in batch.records]
-                self._behind = self.skips_versions and len(keys) > len(set(keys))
-                self._apply_batch(batch)
-
     def _apply_batch(self, batch: RecordBatch) -> None:
-        now = self._scheduler.now()
-        self.read_at = now
+        now = self._contact_at = self._scheduler.now()
+        self.read_at = max(self.read_at, now - batch.age_seconds)
         if self.lost_at is not None:
             seconds = round(now - self.lost_at, 3)
             log_event("store_regained", partition=self.partition, lost_seconds=seconds)
             self.regained_at, self.lost_at = now, None
-        self._failures = 0
+        self._backoff.reset()
         changed = [record for record in batch.records if self._apply(record)]
         for record in batch.records:
             self._run_guarded(record.key, partial(self.changes.add, record))
@@ -165,6 +220,8 @@
             self._deliver(changed)
             for action in self._listeners:
                 action()
+
+    def _schedule_read(self) -> None:
         self._scheduler.call_after(self.pause_seconds, self._read)
 
     def _deliver(self, records: list[KeyedRecord]) -> None:
@@ -195,18 +252,20 @@
         return True
 
     def _schedule_retry(self, failure: StoreUnreachable) -> None:
+        now = self._scheduler.now()
         if self.lost_at is None:
-            self.lost_at = self._scheduler.now()
+            self.lost_at = now
             log_event("store_lost", level=30, partition=self.partition, cause=failure.cause)
+            for action in self._loss_listeners:
+                action()
+        delay = self._backoff.next_seconds()
         log_event(
             "store_read_failed",
             partition=self.partition,
             cause=failure.cause,
             seconds=round(failure.seconds, 3),
             bytes=failure.received_bytes,
-            failures=self._failures + 1,
-            lost_seconds=round(self._scheduler.now() - self.lost_at, 3),
+            failures=self._backoff.failures,
+            lost_seconds=round(now - self.lost_at, 3),
         )
-        delay = min(RETRY_SECONDS_MAX, RETRY_SECONDS_MIN * 2**self._failures)
-        self._failures = min(self._failures + 1, 8)
         self._scheduler.call_after(delay, self._read)
--- /dev/null
+++ b/bronzetiller/sync/read_plan.py
@@ -0,0 +1,73 @@
+"""Decide where the next read of a partition goes: to which peers, and whether to the store; no I/O.
+
+The load it is made for: all nodes of a region lose the store at once, and regain it at once over a
+link that they share. Only readers and deputies go on asking the store; a member does so if the
+store has just answered it and its sources still have nothing after a random delay, within which
+the first nodes of the region that read offer their data to the sources.
+"""
+
+import math
+from collections.abc import Callable
+
+from attrs import define, field
+
+from bronzetiller.sync.sources import Role, Sources
+
+AWAY_AVOID_SECONDS = 0.3  # after a peer said that it has no current data
+SILENT_AVOID_SECONDS = 1.0  # after a peer did not respond
+MEMBER_DELAY_SECONDS_PER_NODE = 0.03
+MEMBER_DELAY_SECONDS_MAX = 3.0
+ANSWERED_SECONDS_MAX = 3.0  # the store counts as reachable for so long after it answered
+
+
+@define
+class ReadPlan:
+    """Hold what is known of the sources of one partition (times in monotonic seconds).
+
+    _behind holds, by peer, the position that a peer without current data has read to.
+    """
+
+    _draw_uniform: Callable[[], float]
+    _avoided_until: dict[str, float] = field(factory=dict)
+    _behind: dict[str, int] = field(factory=dict)
+    _direct_from: float | None = None
+
+    def list_peers(self, sources: Sources, now: float) -> list[str]:
+        """Return the peers to ask now, the best first."""
+        return [peer for peer in sources.peers if self._avoided_until.get(peer, -math.inf) <= now]
+
+    def may_read_store(self, sources: Sources, now: float, answered_at: float) -> bool:
+        """Return whether to ask the store, which last answered any call at answered_at."""
+        if sources.role is not Role.MEMBER:
+            return True
+        if self._direct_from is None:
+            delay = min(
+                MEMBER_DELAY_SECONDS_MAX, MEMBER_DELAY_SECONDS_PER_NODE * sources.region_nodes
+            )
+            self._direct_from = now + delay * self._draw_uniform()
+        return now >= self._direct_from and now - answered_at <= ANSWERED_SECONDS_MAX
+
+    def record_peer_read(self) -> None:
+        """Record that a peer had current data."""
+        self._direct_from = None
+        self._behind.clear()
+
+    def record_store_lost(self) -> None:
+        """Record that the store did not answer; a member delays its next read again."""
+        self._direct_from = None
+
+    def record_peer_away(self, peer: str, end: int | None, now: float) -> None:
+        """Record that a peer has no current data; end is the position that it has read to."""
+        self._avoided_until[peer] = now + AWAY_AVOID_SECONDS
+        if end is not None:
+            self._behind[peer] = end
+
+    def record_peer_silent(self, peer: str, now: float) -> None:
+        """Record that a peer did not respond."""
+        self._avoided_until[peer] = now + SILENT_AVOID_SECONDS
+        self._behind.pop(peer, None)
+
+    def take_behind(self) -> dict[str, int]:
+        """Return and forget the peers without current data and the positions they have read to."""
+        behind, self._behind = self._behind, {}
+        return behind
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -306,6 +306,7 @@
     from_offset: int
     wait_seconds: float = 0.0
     may_be_old: bool = False
+    accepts_compressed: bool = False
 
 
 @frozen
@@ -315,6 +316,7 @@
     key: str
     value: bytes | None
     offset: int
+    compressed: bool = False
 
 
 @frozen
@@ -322,18 +324,36 @@
     """Respond to FetchRecords; end is the offset of the next record.
 
     whole is true if the entries are all keys, because the changes in between are no longer known.
+    age_seconds is the time since they were current at the store, source_path the nodes that they
+    came through, the sender first.
     """
 
     end: int
     whole: bool
     entries: list[KeyedEntry]
+    age_seconds: float = 0.0
+    source_path: list[str] = field(factory=list)
 
 
 @frozen
 class RecordsAway:
-    """Report that the peer does not know the current content of the partition."""
+    """Report that the peer does not know the current content of the partition.
+
+    end is the offset that it has read to; a sender that states it accepts OfferRecords.
+    """
 
     cause: str
+    end: int | None = None
+
+
+@frozen
+class OfferRecords:
+    """Offer current records, changed since an offset, to a peer without a current source."""
+
+    topic: str
+    number: int
+    from_offset: int
+    records: Records
 
 
 Message = (
@@ -367,6 +387,7 @@
     | FetchRecords
     | Records
     | RecordsAway
+    | OfferRecords
 )
 
 
--- a/exploration/budget_model.py
+++ b/exploration/budget_model.py
@@ -19,6 +19,7 @@
 from bronzetiller.storage.keyed import (
     Fenced,
     KeyedRecord,
+    LateDone,
     Partition,
     RecordBatch,
     StoreUnreachable,
@@ -81,11 +82,16 @@
     store: MemoryStore
     calls: list[OpenCall] = field(factory=list)
 
-    def read_newest(self, partition: Partition, done: Done) -> None:
+    def read_newest(self, partition: Partition, done: Done, late: LateDone | None = None) -> None:
         self.calls.append(OpenCall("newest", partition, done))
 
     def read_from(
-        self, partition: Partition, position: int, wait_seconds: float, done: Done
+        self,
+        partition: Partition,
+        position: int,
+        wait_seconds: float,
+        done: Done,
+        late: LateDone | None = None,
     ) -> None:
         self.calls.append(OpenCall("range", partition, done, (position,)))
 
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -22,22 +22,25 @@
     delay: float = 0.01
     stopped: bool = False
     appends: int = 0
+    answered_at: float = float("-inf")
 
     def _respond(self, done, result, delay=None):
         def deliver():
             if not self.stopped:
+                if isinstance(result, Ok):
+                    self.answered_at = self.scheduler.now()
                 done(result)
 
         self.scheduler.call_after(self.delay if delay is None else delay, deliver)
 
-    def read_newest(self, partition, done):
+    def read_newest(self, partition, done, late=None):
         if self.mode == "down":
             self._respond(done, Err(StoreUnreachable("down", False)), 1.0)
             return
         batch = RecordBatch(self.store.list_newest(partition), self.store.find_end(partition))
         self._respond(done, Ok(batch))
 
-    def read_from(self, partition, position, wait_seconds, done):
+    def read_from(self, partition, position, wait_seconds, done, late=None):
         if self.mode == "down":
             self._respond(done, Err(StoreUnreachable("down", False)), 1.0)
             return
@@ -71,6 +74,7 @@
     handlers: dict = field(factory=dict)
     silent: bool = False
     lost_responses: int = 0
+    loses_offers: bool = False
 
     def on(self, message_class, handle):
         self.handlers[message_class] = handle
@@ -81,6 +85,14 @@
     def drop_link(self, node_id):
         pass
 
+    def send(self, node_id, message):
+        peer = self.network.get(node_id)
+        if peer is None or peer.silent or self.loses_offers:
+            return False
+        handle = peer.handlers[type(message)]
+        self.scheduler.call_after(0.001, lambda: handle(message, lambda response: None))
+        return True
+
     def request(self, node_id, message, seconds, on_response):
         peer = self.network.get(node_id)
         if peer is None:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -7,11 +7,12 @@
 
 from bronzetiller.gateway.followers import has_registration_changed
 from bronzetiller.gateway.members import Member, Members
-from bronzetiller.gateway.readers import RELAYED_NODES_MIN, choose_reader
+from bronzetiller.gateway.readers import list_source_nodes
 from bronzetiller.gateway.relay import PeerReader, RelayedPartition, register_fetch_handler
 from bronzetiller.storage.change_list import DELETIONS_KEPT_MAX, ChangeList
 from bronzetiller.storage.keyed import KeyedRecord, Partition
 from bronzetiller.storage.keyed_follower import KeyedFollower
+from bronzetiller.sync.sources import RELAYED_NODES_MIN, Role, Sources, choose_sources
 from standins.fake_scheduler import FakeScheduler
 from standins.memory_store import MemoryStore
 from standins.path_engine import make_registration
@@ -20,6 +21,11 @@
 PARTITION = Partition("keyed.test")
 
 
+def make_sources(reader):
+    """Return the sources of a node that reads from a reader, or of one that reads the store."""
+    return Sources(Role.DEPUTY, (reader,)) if reader else Sources(Role.READER)
+
+
 @define(eq=False)
 class Node:
     follower: KeyedFollower
@@ -41,7 +47,8 @@
         scheduler = self.scheduler
         client = FakeStoreClient(scheduler, self.store, mode=mode)
         peers = self.network[node_id] = FakePeers(self.network, scheduler, node_id)
-        source = PeerReader(scheduler, peers, client, lambda: reader, lambda: list(seeds))
+        sources = make_sources(reader)
+        source = PeerReader(scheduler, peers, client, node_id, lambda: sources, lambda: list(seeds))
         follower = KeyedFollower(
             scheduler,
             source,
@@ -51,7 +58,7 @@
             pause_seconds=0.1,
             **options,
         )
-        relayed = RelayedPartition(scheduler, follower, source)
+        relayed = RelayedPartition(scheduler, follower, source, peers)
         register_fetch_handler(peers, {PARTITION.topic: relayed})
         follower.start()
         scheduler.advance(1.0)
@@ -112,6 +119,7 @@
 def test_a_stale_reader_does_not_revert_a_node(cluster):
     reader = cluster.start("reader")
     node = cluster.start("node", reader="reader")
+    node.peers.loses_offers = True
     reader.client.mode = "down"
     cluster.scheduler.advance(2.0)
     cluster.write("a", b"2")
@@ -181,13 +189,14 @@
         scheduler = self.scheduler
         client = self.clients[node_id] = FakeStoreClient(scheduler, self.store)
         peers = self.network[node_id] = FakePeers(self.network, scheduler, node_id)
-        source = PeerReader(scheduler, peers, client, lambda: reader, lambda: [])
+        sources = make_sources(reader)
+        source = PeerReader(scheduler, peers, client, node_id, lambda: sources, lambda: [])
 
         def describe():
             return Member(node_id, "10.0.0.1:1", "a", "x", True, load=self.loads.get(node_id, 1.0))
 
         members = Members(scheduler, client, source, describe, lambda: source.is_direct)
-        relayed = RelayedPartition(scheduler, members.follower, source)
+        relayed = RelayedPartition(scheduler, members.follower, source, peers)
         register_fetch_handler(peers, {members.follower.partition.topic: relayed})
         members.start()
         return members
@@ -262,13 +271,20 @@
         assert all(len(list_ids(node)) == 3 for node in nodes)
 
 
+def find_sources(own_id, members, data_centre="a", regions=None):
+    nodes = list_source_nodes(members)
+    return choose_sources(own_id, "t", data_centre, regions or {"a": "r"}, nodes)
+
+
 def test_one_node_of_a_large_data_centre_reads_the_store():
     members = make_members(RELAYED_NODES_MIN)
-    readers = {choose_reader(item.node_id, "t", "a", members) for item in members}
-    assert len(readers - {None}) == 1
-    reader = (readers - {None}).pop()
-    assert choose_reader(reader, "t", "a", members) is None
-    assert choose_reader("n0", "t", "a", make_members(RELAYED_NODES_MIN - 1)) is None
+    sources = {item.node_id: find_sources(item.node_id, members) for item in members}
+    reader = next(name for name, item in sources.items() if item.role is Role.READER)
+    assert all(item.peers[0] == reader for name, item in sources.items() if name != reader)
+    assert [item.role for item in sources.values()].count(Role.READER) == 1
+    assert find_sources("n0", make_members(RELAYED_NODES_MIN - 1)) == Sources(
+        Role.READER, region_nodes=RELAYED_NODES_MIN - 1
+    )
 
 
 def test_readers_that_may_have_missed_dropped_deletions_get_all_keys():
--- a/tests/test_keyed_follower.py
+++ b/tests/test_keyed_follower.py
@@ -68,10 +68,10 @@
         delay = 0.064 + size / self.bytes_per_second
         self._respond(done, Ok(RecordBatch(records, end)), delay)
 
-    def read_newest(self, partition, done):
+    def read_newest(self, partition, done, late=None):
         self._transfer(self.store.list_newest(partition), len(self.store.records(partition)), done)
 
-    def read_from(self, partition, offset, wait_seconds, done):
+    def read_from(self, partition, offset, wait_seconds, done, late=None):
         records = self.store.records(partition)
         if not records[offset:] and wait_seconds > 0.05:
             self.scheduler.call_after(
