--- a/bronzetiller/gateway/relay.py
+++ b/bronzetiller/gateway/relay.py
@@ -34,6 +34,7 @@
     RecordsAway,
 )
 
+PEER_WAIT_SECONDS_MAX = 0.5  # the age of relayed data is the sum of the waits
 RESPONSE_TIMEOUT_SECONDS = 0.5  # without any byte from the peer, in addition to the requested wait
 TRANSFER_SECONDS_MAX = 6.0
 COMPRESSED_BYTES_MIN = 2_048
@@ -109,7 +110,11 @@
             self._store.read_from(partition, position, wait_seconds, handle_result, handle_late)
 
         message = FetchRecords(
-            partition.topic, partition.number, position, wait_seconds, accepts_compressed=True
+            partition.topic,
+            partition.number,
+            position,
+            min(wait_seconds, PEER_WAIT_SECONDS_MAX),
+            accepts_compressed=True,
         )
         self._read(message, read_store, done, late)
 
