--- a/standins/shared_link.py
+++ b/standins/shared_link.py
@@ -70,6 +70,10 @@
     incarnation: int = 0
     backlog: list[Action] = field(factory=list)
 
+    @property
+    def is_running(self) -> bool:
+        return self.alive and not self.frozen
+
     def run(self, incarnation: int, action: Action) -> None:
         """Run an action of the process with this incarnation, once it is not frozen."""
         if not self.alive or incarnation != self.incarnation:
--- a/standins/simulated_fleet.py
+++ b/standins/simulated_fleet.py
@@ -2,15 +2,16 @@
 
 import json
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
-from functools import lru_cache
+from contextlib import ExitStack, contextmanager
+from functools import lru_cache, partial
 from random import Random
 from typing import Any
 from unittest import mock
 
 from attrs import define, field, frozen
 
-from bronzetiller.gateway import followers
+from bronzetiller.fleet import neighbours
+from bronzetiller.gateway import followers, members
 from bronzetiller.gateway.capacity import estimate_capacity
 from bronzetiller.gateway.configuration import GatewayConfiguration
 from bronzetiller.gateway.crash_reports import CrashReports
@@ -132,8 +133,7 @@
 
     def describe_self() -> Member:
         ready = (
-            configuration_follower.configuration is not None
-            and targets_follower.follower.complete
+            configuration_follower.configuration is not None and targets_follower.follower.complete
         )
         return Member(
             node_id,
@@ -147,7 +147,7 @@
         )
 
     def list_wanted_peers() -> set[str]:
-        known_members[:] = members.list_serving()
+        known_members[:] = member_follower.list_serving()
         readers = {
             choose_reader(node_id, topic, data_centre, known_members)
             for topic in (OPERATOR_TOPIC, REGISTRATIONS_TOPIC, NODES_TOPIC, CRASHES_TOPIC)
@@ -158,22 +158,20 @@
         fleet.applied_at.setdefault(configuration.version, {})[node_id] = scheduler.now()
 
     configuration_reader = make_reader(OPERATOR_TOPIC)
-    configuration_follower = ConfigurationFollower(
-        timed, configuration_reader, apply_configuration
-    )
+    configuration_follower = ConfigurationFollower(timed, configuration_reader, apply_configuration)
     registration_reader = make_reader(REGISTRATIONS_TOPIC)
-    targets_follower = TargetsFollower(timed, registration_reader, TargetPool())
+    targets_follower = TargetsFollower(timed, registration_reader, UnindexedPool())
     member_reader = make_reader(NODES_TOPIC)
-    members = Members(
+    member_follower = Members(
         timed, store, member_reader, describe_self, lambda: member_reader.is_direct
     )
     crashes_reader = make_reader(CRASHES_TOPIC)
-    tracker = CrashTracker(timed, http, members.count_nodes, random.random)  # type: ignore[arg-type]
+    tracker = CrashTracker(timed, http, member_follower.count_nodes, random.random)  # type: ignore[arg-type]
     crash_reports = CrashReports(timed, store, crashes_reader, node_id, tracker)
     followed_readers = (
         (configuration_follower.follower, configuration_reader),
         (targets_follower.follower, registration_reader),
-        (members.follower, member_reader),
+        (member_follower.follower, member_reader),
         (crash_reports.follower, crashes_reader),
     )
     register_fetch_handler(
@@ -188,7 +186,7 @@
         connections,
         distances,
         fleet.list_seeds(node_id),
-        members.list_serving,
+        member_follower.list_serving,
         list_wanted_peers,
         lambda: all(follower.complete for follower, _ in followed_readers),
     )
@@ -198,7 +196,7 @@
         peers,
         configuration_follower,
         targets_follower,
-        members,
+        member_follower,
         crash_reports,
         links,
     )
@@ -231,18 +229,29 @@
 
 @contextmanager
 def cache_decoding() -> Iterator[None]:
-    """Decode each value once for all nodes of the process."""
-    with (
-        mock.patch.object(
-            followers, "decode_configuration", lru_cache(8)(followers.decode_configuration)
-        ),
-        mock.patch.object(
-            followers, "decode_registration", lru_cache(4096)(followers.decode_registration)
-        ),
-    ):
+    """Decode and compare each value once for all nodes of the process."""
+    functions = (
+        (followers, "decode_configuration", 8),
+        (followers, "decode_registration", 4096),
+        (followers, "has_registration_changed", 4096),
+        (members, "decode_member", 4096),
+        (members, "has_member_changed", 4096),
+        (neighbours, "_score", 65_536),
+    )
+    with ExitStack() as stack:
+        for module, name, size in functions:
+            cached = lru_cache(size)(getattr(module, name))
+            stack.enter_context(mock.patch.object(module, name, cached))
         yield
 
 
+class UnindexedPool(TargetPool):
+    """Hold targets without the index by service, which no simulated node reads."""
+
+    def _rebuild_index(self) -> None:
+        pass
+
+
 @define(eq=False)
 class SimulatedFleet:
     """Run the nodes of a layout on one clock; applied_at holds when nodes applied each version."""
@@ -303,7 +312,7 @@
         """Start all nodes and let them find each other."""
         for node_id in self.places:
             delay = self.random.random() * spread_seconds
-            self.scheduler.call_after(delay, lambda node_id=node_id: self.start(node_id))
+            self.scheduler.call_after(delay, partial(self.start, node_id))
         self.advance(spread_seconds + warm_up_seconds)
 
     def start(self, node_id: str) -> None:
@@ -348,6 +357,12 @@
         for node_id in node_ids:
             self.network.cut(node_id, STORE)
 
+    def isolate(self, node_id: str) -> None:
+        """Lose all packets of a node."""
+        for other in (STORE, *self.places):
+            if other != node_id:
+                self.network.cut(node_id, other)
+
     def write_configuration(self, kilobytes: float) -> int:
         """Write the next version of the configuration; return its number."""
         self.version += 1
@@ -381,9 +396,24 @@
         return [
             node_id
             for node_id in chosen
-            if node_id in self.parts and self.parts[node_id].version < self.version
+            if self.network.hosts[node_id].is_running and self.parts[node_id].version < self.version
         ]
 
+    def find_region_reader(self, region: str) -> str:
+        """Return the node of a region that made most reads of the configuration at the store."""
+        reads = self.store.reads
+        return max(self.list_region(region), key=lambda item: reads[item, OPERATOR_TOPIC])
+
+    def find_data_centre_reader(self, data_centre: str) -> str:
+        """Return the node of a data centre that sent most responses with the configuration."""
+        near = [item.node_id for item in self.places.values() if item.data_centre == data_centre]
+
+        def count_responses(node_id: str) -> int:
+            sent = self.parts[node_id].peers.sent_responses
+            return sum(sent[OPERATOR_TOPIC, receiver] for receiver in near)
+
+        return max(near, key=count_responses)
+
     def await_version(self, seconds_max: float, node_ids: list[str] | None = None) -> float | None:
         """Let time pass until nodes have the newest version; return the seconds, None if never."""
         start = self.scheduler.time
@@ -407,15 +437,15 @@
             value = make_registration(
                 target_id, f"service-{index % 20}", address, data_centre, sequence=sequence
             )
-            if region == self.regions[0]:
+
+            def append() -> None:
                 self.store.write(REGISTRATIONS_TOPIC, target_id, value)
+
+            if region == self.regions[0]:
+                append()
                 return
             link = self.network.find_shared_link(region, self.regions[0])
-            link.send(
-                HEAD_BYTES + len(value),
-                "append by targets",
-                lambda: self.store.write(REGISTRATIONS_TOPIC, target_id, value) and None,
-            )
+            link.send(HEAD_BYTES + len(value), "append by targets", append)
 
         def repeat() -> None:
             write()
--- a/standins/simulated_peers.py
+++ b/standins/simulated_peers.py
@@ -1,6 +1,7 @@
 """Simulate the connections between nodes: messages cross the links with their encoded size."""
 
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -54,6 +55,7 @@
     run: Callable[[Callable[[], None]], None]  # runs an action in the node's process
     is_running: Callable[[], bool]
     handlers: dict[type, Callable[[Any, Reply], None]] = field(factory=dict)
+    sent_responses: Counter[tuple[str, str]] = field(factory=Counter)  # by topic and receiver
     _links: dict[str, _PeerLink] = field(factory=dict)
     _wanted: set[str] = field(factory=set)
     _pending: dict[int, _Pending] = field(factory=dict)
@@ -110,9 +112,10 @@
         """Close all connections, as the end of the process does."""
         for node_id in list(self._links):
             self.drop_link(node_id)
-        for peer in self.directory.values():
-            if peer is not self:
-                peer.drop_link(self.node_id)
+        own_names = [name for name, peers in self.directory.items() if peers is self]
+        for peer in set(self.directory.values()) - {self}:
+            for name in own_names:
+                peer.drop_link(name)
 
     def _open(self, node_id: str) -> _PeerLink | None:
         link = self._links.setdefault(node_id, _PeerLink())
@@ -121,9 +124,9 @@
         peer = self.directory.get(node_id)
         if peer is None or not peer.is_running() or self.now() < link.dial_at:
             return None
-        if (self.node_id, node_id) in self.network.cuts:
+        if (self.node_id, peer.node_id) in self.network.cuts:
             return None
-        link.connection = FakeConnection(self.network, self.node_id, node_id)
+        link.connection = FakeConnection(self.network, self.node_id, peer.node_id)
         return link
 
     def _lose(self, node_id: str) -> None:
@@ -162,6 +165,7 @@
 
         def reply(message: Message) -> None:
             name = f"{describe_message(message)} to {kind}"
+            self.sent_responses[kind, sender.node_id] += 1
 
             def receive(size: int, last: bool) -> None:
                 sender.run(lambda: deliver(size, last))
--- a/standins/simulated_store.py
+++ b/standins/simulated_store.py
@@ -6,7 +6,7 @@
 import base64
 import json
 import struct
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -56,6 +56,7 @@
     answer_seconds: float = ANSWER_SECONDS
     down: bool = False
     refused_nodes: set[str] = field(factory=set)
+    reads: Counter[tuple[str, str]] = field(factory=Counter)  # by node and topic
     partitions: dict[str, Partition] = field(factory=dict)
     _times: dict[str, deque[float]] = field(factory=dict)
     _bodies: dict[tuple[str, int, Any], bytes] = field(factory=dict)
@@ -85,9 +86,11 @@
             if url.path == "/-/log-append":
                 offset = self._append(query, call.body)
                 respond_unless_forgotten(200 if offset >= 0 else 409, _dump({"offset": offset}))
-            elif forgotten:
                 return
-            elif url.path == "/-/log-read":
+            if forgotten:
+                return
+            self.reads[node_id, query["topic"]] += 1
+            if url.path == "/-/log-read":
                 forget_read.append(self._read(query, respond_unless_forgotten))
             else:
                 self._list_newest(query, respond_unless_forgotten)
@@ -193,9 +196,7 @@
             if size and size + len(value) > PAGE_BYTES_MAX:
                 break
             size += len(value)
-            items.append(
-                {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
-            )
+            items.append({"key": key, "value": base64.b64encode(value).decode(), "offset": offset})
         more = len(items) < len(keys)
         return _dump({"items": items, "more_pages": more, "end": partition.end_offset})
 
