--- a/standins/simulated_fleet.py
+++ b/standins/simulated_fleet.py
@@ -20,7 +20,7 @@
 from bronzetiller.gateway.members import Member, Members
 from bronzetiller.gateway.peer_links import PeerLinks, make_seed_id
 from bronzetiller.gateway.placement import Distances
-from bronzetiller.gateway.readers import choose_reader
+from bronzetiller.gateway.readers import SourceMap
 from bronzetiller.gateway.relay import PeerReader, RelayedPartition, register_fetch_handler
 from bronzetiller.gateway.settings import GatewayCapacity
 from bronzetiller.gateway.targets import TargetPool
@@ -43,6 +43,7 @@
 SLOW_LINK_MBPS = 10.0
 FAST_NODES = 2  # of each data centre
 STEP_SECONDS = 0.05
+RELAYED_TOPICS = (OPERATOR_TOPIC, REGISTRATIONS_TOPIC, NODES_TOPIC, CRASHES_TOPIC)
 
 
 @frozen
@@ -123,13 +124,18 @@
     connections: Any = peers
     store = PlatformStore(http, STORE_ADDRESS)  # type: ignore[arg-type]
     distances = Distances(data_centre, place.region, fleet.region_by_data_centre)
-    known_members: list[Member] = []
+    sources = SourceMap(node_id, data_centre, fleet.region_by_data_centre)
 
     def make_reader(topic: str) -> PeerReader:
-        def find_reader() -> str | None:
-            return choose_reader(node_id, topic, data_centre, known_members)
-
-        return PeerReader(timed, connections, store, find_reader, lambda: links.list_seeds())
+        return PeerReader(
+            timed,
+            connections,
+            store,
+            node_id,
+            lambda: sources.find(topic),
+            lambda: links.list_seeds(),
+            random.random,
+        )
 
     def describe_self() -> Member:
         ready = (
@@ -147,12 +153,8 @@
         )
 
     def list_wanted_peers() -> set[str]:
-        known_members[:] = member_follower.list_serving()
-        readers = {
-            choose_reader(node_id, topic, data_centre, known_members)
-            for topic in (OPERATOR_TOPIC, REGISTRATIONS_TOPIC, NODES_TOPIC, CRASHES_TOPIC)
-        }
-        return {reader for reader in readers if reader is not None}
+        sources.refresh(member_follower.list_serving())
+        return {peer for topic in RELAYED_TOPICS for peer in sources.find(topic).peers}
 
     def apply_configuration(configuration: GatewayConfiguration) -> None:
         fleet.applied_at.setdefault(configuration.version, {})[node_id] = scheduler.now()
@@ -177,7 +179,7 @@
     register_fetch_handler(
         connections,
         {
-            follower.partition.topic: RelayedPartition(timed, follower, reader)
+            follower.partition.topic: RelayedPartition(timed, follower, reader, connections)
             for follower, reader in followed_readers
         },
     )
--- a/standins/simulated_store.py
+++ b/standins/simulated_store.py
@@ -323,7 +323,7 @@
 
     def _expire(self) -> None:
         self.fail(SILENCE)
-        self.client.close_idle()
+        self.client.close_idle(STORE_ADDRESS)
 
     def fail(self, cause: str) -> None:
         """Close the connection and report the failure."""
@@ -374,7 +374,7 @@
     def add_idle(self, connection: FakeConnection) -> None:
         self._idle.append((self.scheduler.now() + IDLE_SECONDS_MAX, connection))
 
-    def close_idle(self) -> None:
+    def close_idle(self, address: Address) -> None:
         """Close the idle connections, since another one has timed out."""
         for _, connection in self._idle:
             self.discard(connection)
