--- a/bronzetiller/gateway/followers.py
+++ b/bronzetiller/gateway/followers.py
@@ -10,7 +10,7 @@
 from bronzetiller.gateway.configuration import GatewayConfiguration
 from bronzetiller.gateway.targets import Registration, TargetPool
 from bronzetiller.logs import log_event
-from bronzetiller.metrics import DECISIONS
+from bronzetiller.metrics import CONFIGURATION_VERSION, DECISIONS
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.decoding import decode_configuration, decode_registration
 from bronzetiller.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC, REGISTRATIONS_TOPIC
@@ -36,6 +36,8 @@
     _reader: KeyedReader
     _on_change: Callable[[GatewayConfiguration], None]
     configuration: GatewayConfiguration | None = None
+    _activated_at: float | None = None
+    _unread_from: float | None = None
     follower: KeyedFollower = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -49,6 +51,13 @@
             skips_versions=True,
         )
 
+    def compute_confirmation_age(self) -> float:
+        """Return the seconds since the configuration was last known to be current at the store."""
+        if not self.follower.complete:
+            return math.inf
+        confirmed_at = self.follower.read_at if self._unread_from is None else self._unread_from
+        return max(0.0, self._scheduler.now() - confirmed_at)
+
     def _apply_records(self, records: list[KeyedRecord]) -> None:
         values = [item.value for item in records if item.key == CONFIGURATION_KEY and item.value]
         if not values:
@@ -57,17 +66,29 @@
             case Err(reason):
                 DECISIONS.labels("rejected").inc()
                 log_event("configuration_unread", level=40, cause=reason)
+                if self._unread_from is None:
+                    self._unread_from = self._scheduler.now()
             case Ok(configuration):
-                self._activate(configuration)
+                self._unread_from = None
+                self._activate(configuration, len(values[-1]))
 
-    def _activate(self, configuration: GatewayConfiguration) -> None:
+    def _activate(self, configuration: GatewayConfiguration, size: int) -> None:
         known = -1 if self.configuration is None else self.configuration.version
         if configuration.version <= known:
             log_event("configuration_older", level=30, version=configuration.version, known=known)
             return
-        self.configuration = configuration
+        now, activated_at = self._scheduler.now(), self._activated_at
+        self.configuration, self._activated_at = configuration, now
         DECISIONS.labels("accepted").inc()
-        log_event("configuration_in_force", version=configuration.version, before=known)
+        CONFIGURATION_VERSION.set(configuration.version)
+        log_event(
+            "configuration_in_force",
+            version=configuration.version,
+            before=known,
+            bytes=size,
+            confirmation_age=round(self.compute_confirmation_age(), 3),
+            after_seconds=None if activated_at is None else round(now - activated_at, 3),
+        )
         self._on_change(configuration)
 
 
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -44,7 +44,7 @@
 from bronzetiller.gateway.target_limits import LimitedNode, TargetLimits
 from bronzetiller.gateway.targets import TargetPool
 from bronzetiller.logs import configure_bounded_logging, log_event
-from bronzetiller.metrics import render_metrics
+from bronzetiller.metrics import CONFIGURATION_CONFIRMATION_AGE, render_metrics
 from bronzetiller.net.address import Address
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.exchange import Exchange
@@ -163,6 +163,9 @@
         self.configuration_follower = ConfigurationFollower(
             scheduler, configuration_reader, self._on_configuration
         )
+        CONFIGURATION_CONFIRMATION_AGE.set_function(
+            self.configuration_follower.compute_confirmation_age
+        )
         registration_reader = self._make_reader(store, REGISTRATIONS_TOPIC)
         self.targets_follower = TargetsFollower(scheduler, registration_reader, self.pool)
         member_reader = self._make_reader(store, NODES_TOPIC)
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -25,6 +25,16 @@
 DECISIONS = Counter(
     "bronzetiller_decisions", "Operator records by verdict.", ["verdict"], registry=REGISTRY
 )
+CONFIGURATION_VERSION = Gauge(
+    "bronzetiller_configuration_version",
+    "Version of the configuration in force on a gateway node.",
+    registry=REGISTRY,
+)
+CONFIGURATION_CONFIRMATION_AGE = Gauge(
+    "bronzetiller_configuration_confirmation_age_seconds",
+    "Seconds since a gateway node's configuration was confirmed as current at the store.",
+    registry=REGISTRY,
+)
 UNREAD_ITEMS = Gauge(
     "bronzetiller_unread_items",
     "Items whose newest record cannot be read, so that an older one stays in force.",
