Refuse unknown routes and keys only for now while the configuration is outdated

Cause: a node that has not confirmed its configuration cannot know that a route or a key does not exist, and refused as if it did. The class: a final refusal made from data whose age nobody checked.

Change: such a request is refused with 503 configuration_outdated, not run, with Retry-After, once the configuration was last confirmed at the store more than 2.5 s ago; a version is in force 3 s after the store took it. Retry-After is a quarter of that time, from 0.5 to 5 s, and up to 40 % more or less, so that callers do not return together. Known routes and keys are served as before; a peer that forwards a request learns that it was not run. The refused lines of the three reasons have the version and the age of its confirmation.

No existing test expected 404 or 401 while the store is away.

Not covered: the store's answer counts as current when it arrives, however long it was on its way.

--- a/bronzetiller/errors.py
+++ b/bronzetiller/errors.py
@@ -42,6 +42,7 @@
     RERUNS_SPENT = "reruns_spent"
     QUARANTINED = "quarantined"
     NOT_READY = "not_ready"
+    CONFIGURATION_OUTDATED = "configuration_outdated"
     STOPPING = "stopping"
     INTERNAL = "internal"
 
--- a/bronzetiller/gateway/application.py
+++ b/bronzetiller/gateway/application.py
@@ -1,6 +1,10 @@
-"""Start a handler for each request of a path route; refuse what the configuration forbids."""
+"""Start a handler for each request of a path route; refuse what the configuration forbids.
+
+What a newer configuration may allow is refused as not run, so that callers return.
+"""
 
 from collections.abc import Callable
+from typing import Any
 
 from attrs import define
 
@@ -14,6 +18,7 @@
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.platform.headers import decode_request_metadata, make_not_run_headers
 from bronzetiller.requests.execution import is_promise
+from bronzetiller.sync.confirmation import choose_retry_seconds, is_outdated
 
 STOPPING_RETRY_SECONDS = 0.05  # other nodes can serve the retry at once
 STARTING_RETRY_SECONDS = 0.5
@@ -26,6 +31,7 @@
     context: RequestContext
     get_configuration: Callable[[], GatewayConfiguration | None]
     get_drain: Callable[[], Drain]
+    get_confirmation_age: Callable[[], float]  # seconds
 
     def serve(self, exchange: Exchange) -> None:
         """Serve one request of a caller."""
@@ -55,12 +61,12 @@
         route = configuration.find_route(exchange.headers.get("host", ""), exchange.path)
         if route is None:
             refusal = Refusal(404, Reason.UNKNOWN_ROUTE, "no route matches this host and path")
-            self._refuse(exchange, metadata, refusal)
+            self._refuse_unknown(exchange, metadata, refusal, configuration.version)
             return
         workspace = configuration.keys.get(metadata.key)
         if workspace is None and configuration.has_keys and not route.public:
             refusal = Refusal(401, Reason.BAD_CREDENTIALS, "the API key is unknown")
-            self._refuse(exchange, metadata, refusal)
+            self._refuse_unknown(exchange, metadata, refusal, configuration.version)
             return
         seconds = route.timeout_seconds
         if metadata.seconds_left is not None:
@@ -85,6 +91,24 @@
         refusal = Refusal(503, Reason.STOPPING, detail, retry_after_seconds=STOPPING_RETRY_SECONDS)
         self._refuse(exchange, metadata, refusal)
 
-    def _refuse(self, exchange: Exchange, metadata: RequestMetadata, refusal: Refusal) -> None:
+    def _refuse_unknown(
+        self, exchange: Exchange, metadata: RequestMetadata, refusal: Refusal, version: int
+    ) -> None:
+        """Refuse what the configuration lacks; for now only, if a newer one may have it."""
+        age = self.get_confirmation_age()
+        if is_outdated(age):
+            refusal = refuse_outdated(refusal.detail, version, age, self.context.draw_uniform())
+        self._refuse(exchange, metadata, refusal, version=version, confirmation_age=round(age, 3))
+
+    def _refuse(
+        self, exchange: Exchange, metadata: RequestMetadata, refusal: Refusal, **fields: Any
+    ) -> None:
         headers = make_not_run_headers(metadata) if is_promise(refusal) else {}
-        refuse(exchange, refusal, headers, id=metadata.request_id, path=exchange.path)
+        refuse(exchange, refusal, headers, id=metadata.request_id, path=exchange.path, **fields)
+
+
+def refuse_outdated(cause: str, version: int, age_seconds: float, draw: float) -> Refusal:
+    """Return the refusal of what a newer version of the configuration may allow."""
+    detail = f"{cause} in version {version}, last confirmed {age_seconds:.1f} s ago"
+    seconds = choose_retry_seconds(age_seconds, draw)
+    return Refusal(503, Reason.CONFIGURATION_OUTDATED, detail, retry_after_seconds=seconds)
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -132,6 +132,7 @@
             self.request_context,
             lambda: self.configuration_follower.configuration,
             lambda: self.drain,
+            self.configuration_follower.compute_confirmation_age,
         )
         self.drain = Drain(
             scheduler,
