Refuse a used-up budget only for now while the configuration is outdated

A holder whose small reads of the holdings succeed, but whose reads of the configuration do not, refused with 402 budget_exhausted a budget that an acknowledged version had topped up; callers never return after 402.

Left: the limits of heads and bodies (431, 413) are those of an outdated configuration as well; the HTTP server refuses these before a configuration is looked up.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -94,6 +94,7 @@
     _holder: str
     _find_share: Callable[[str], float]
     _is_witness: Callable[[], bool] = lambda: False
+    _refuse_uncovered: Callable[[], Refusal] = refuse_exhausted
     allocations: dict[str, Allocation] = field(factory=dict)
     _clock: ClockMonitor = field(factory=ClockMonitor)
     _read_clock: Callable[[], float] = time.time
@@ -718,7 +719,7 @@
         self._call_in_progress = False
         for allocation in self.allocations.values():
             self._serve_waiters(allocation)
-        self._refuse_uncovered()
+        self._refuse_uncovered_waiters()
         if not self._records.is_settled:
             self._scheduler.call_after(0, self._settle_records)
         if any(allocation.waiting for allocation in self.allocations.values()):
@@ -742,7 +743,7 @@
                 self._get_meter(allocation.workspace).record(waiter.tokens, now)
                 self._finish_waiter(waiter, Ok(None))
 
-    def _refuse_uncovered(self) -> None:
+    def _refuse_uncovered_waiters(self) -> None:
         """Refuse waiters that the budget cannot cover, or not until other nodes return tokens."""
         if self._end < 0 or not self._records.is_settled:
             return
@@ -757,7 +758,7 @@
                 if waiter.tokens <= allocation.held:
                     continue
                 covered = waiter.tokens <= allocation.prepaid - committed
-                refusal = refuse_held_elsewhere() if covered else refuse_exhausted()
+                refusal = refuse_held_elsewhere() if covered else self._refuse_uncovered()
                 self._finish_waiter(waiter, Err(refusal))
 
     def _expire_waiter(self, waiter: _Waiter) -> None:
--- a/bronzetiller/gateway/budget_refusals.py
+++ b/bronzetiller/gateway/budget_refusals.py
@@ -1,6 +1,7 @@
 """Create the refusals of requests whose tokens cannot be reserved."""
 
 from bronzetiller.errors import Reason, Refusal
+from bronzetiller.sync.confirmation import choose_retry_seconds, is_outdated
 
 UNCONFIRMED_RETRY_SECONDS = 0.6  # nodes have reported again by then, and tokens may be free
 
@@ -11,6 +12,17 @@
     return Refusal(402, Reason.BUDGET_EXHAUSTED, detail)
 
 
+def refuse_uncovered(confirmation_age: float, draw: float) -> Refusal:
+    """Return the refusal for a budget that was too small when the configuration was confirmed.
+
+    The age of the confirmation is in seconds; draw is uniform from [0, 1).
+    """
+    if not is_outdated(confirmation_age):
+        return refuse_exhausted()
+    cause = f"the configuration was last confirmed {confirmation_age:.1f} s ago"
+    return refuse_unconfirmed(cause, choose_retry_seconds(confirmation_age, draw))
+
+
 def refuse_held_elsewhere() -> Refusal:
     """Return the refusal for a budget that would suffice, but is held by other nodes."""
     return refuse_unconfirmed("other nodes hold the remaining tokens")
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -18,6 +18,7 @@
 from bronzetiller.gateway.allocation_manager import AllocationManager
 from bronzetiller.gateway.application import Application
 from bronzetiller.gateway.brittle_targets import BrittleNode, BrittleTargets
+from bronzetiller.gateway.budget_refusals import refuse_uncovered
 from bronzetiller.gateway.budgets import Budgets
 from bronzetiller.gateway.capacity import estimate_capacity
 from bronzetiller.gateway.configuration import GatewayConfiguration
@@ -227,6 +228,9 @@
             self.incarnation,
             self.holders.estimate_share,
             self.holders.is_witness,
+            lambda: refuse_uncovered(
+                self.configuration_follower.compute_confirmation_age(), self._draw_uniform()
+            ),
         )
         ReservationServer(scheduler, self.allocation_manager).register_handlers(self.peers)
         self.reservation_client = ReservationClient(scheduler, self.peers)
--- a/tests/test_outdated_refusals.py
+++ b/tests/test_outdated_refusals.py
@@ -8,7 +8,11 @@
 
 from bronzetiller.errors import Reason
 from bronzetiller.fleet.drain import Drain
+from bronzetiller.gateway.allocation_manager import AllocationManager
 from bronzetiller.gateway.application import Application
+from bronzetiller.gateway.budget_refusals import refuse_uncovered
+from bronzetiller.gateway.clock_monitor import ClockMonitor
+from bronzetiller.gateway.configuration import WorkspaceConfiguration
 from bronzetiller.gateway.followers import ConfigurationFollower
 from bronzetiller.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
 from bronzetiller.storage.keyed import Partition
@@ -24,6 +28,7 @@
     HOST,
     KEY,
     PLAIN_SERVICE,
+    WORKSPACE,
     GatewayFleet,
     make_configuration,
     send_request,
@@ -160,6 +165,38 @@
     assert exchange.answer["reason"] == Reason.NOT_READY
 
 
+def test_a_budget_that_a_newer_version_may_have_topped_up_is_not_refused_for_good():
+    scheduler, age = FakeScheduler(), 0.0
+    manager = AllocationManager(
+        scheduler,
+        FakeStoreClient(scheduler, MemoryStore()),
+        "node-1",
+        "node-1/1",
+        lambda workspace: 1.0,
+        refuse_uncovered=lambda: refuse_uncovered(age, 0.5),
+        clock=ClockMonitor(read_offset=lambda: 0.0),
+        read_clock=scheduler.now,
+        started_at=scheduler.now(),
+    )
+    manager.set_workspaces({WORKSPACE: WorkspaceConfiguration(WORKSPACE, None, 100)})
+    manager.start()
+    scheduler.advance(2.0)
+    results = []
+
+    def reserve():
+        manager.reserve_when_available(WORKSPACE, 101, scheduler.now() + 3.0, results.append)
+        scheduler.advance(3.0)
+        return results.pop().err_value
+
+    assert reserve().reason is Reason.BUDGET_EXHAUSTED
+    age = CONFIRMATION_SECONDS_MAX + 0.1
+    refusal = reserve()
+    assert (refusal.status, refusal.reason) == (503, Reason.BUDGET_UNCONFIRMED)
+    assert refusal.retry_after_seconds > 0
+    age = 0.0
+    assert reserve().reason is Reason.BUDGET_EXHAUSTED
+
+
 def test_no_refusal_for_good_by_a_version_older_than_the_bound_while_the_store_comes_and_goes(
     node,
 ):
