Test that a version which was long on its way is not taken for current

Over a full link an answer takes seconds, so that a node still refuses with 404 by a version that was replaced longer ago than the bound.

The loop that writes versions is shared with the test of a store that comes and goes, whose checks are the same.

--- a/tests/test_outdated_refusals.py
+++ b/tests/test_outdated_refusals.py
@@ -197,28 +197,37 @@
     assert reserve().reason is Reason.BUDGET_EXHAUSTED
 
 
-def test_no_refusal_for_good_by_a_version_older_than_the_bound_while_the_store_comes_and_goes(
-    node,
-):
+def play_versions(node, seconds, is_store_down):
+    """Write versions for some seconds; yield the status of a refusal and whether one is overdue."""
     acknowledged_at = {1: node.scheduler.now()}
-    refused = set()
-    for step in range(600):
+    for step in range(int(10 * seconds)):
         if step % 7 == 0:
             version = len(acknowledged_at) + 1
             node.write(version, f"added{version}")
             acknowledged_at[version] = node.scheduler.now()
-        node.client.mode = "down" if step % 150 > 80 else "up"
+        node.client.mode = "down" if is_store_down(step / 10) else "up"
         node.scheduler.advance(0.1)
-        exchange = node.refuse("/never/2f")
-        refused.add(exchange.status)
-        known = node.follower.configuration.version
-        now = node.scheduler.now()
-        is_due = any(
+        known, now = node.follower.configuration.version, node.scheduler.now()
+        is_overdue = any(
             version > known and now - at > IN_FORCE_SECONDS
             for version, at in acknowledged_at.items()
         )
-        assert exchange.status == 503 or not is_due
-    assert refused == {404, 503}
+        yield node.refuse("/never/2f").status, is_overdue
+
+
+def test_no_refusal_for_good_by_a_version_older_than_the_bound_while_the_store_comes_and_goes(
+    node,
+):
+    plays = list(play_versions(node, 60.0, lambda second: second % 15.0 > 8.0))
+    assert {status for status, _ in plays} == {404, 503}
+    assert (404, True) not in plays
+
+
+@pytest.mark.parametrize("seconds", [2.0, 4.0, 8.0])
+def test_no_refusal_for_good_by_a_version_that_was_long_on_its_way(node, seconds):
+    node.client.delay = seconds
+    plays = list(play_versions(node, 60.0, lambda second: False))
+    assert plays.count((404, True)) == 0
 
 
 def test_a_node_that_reaches_the_store_never_takes_its_configuration_for_outdated(node):
