--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -18,6 +18,7 @@
 from bronzetiller.gateway.allocation_manager import AllocationManager
 from bronzetiller.gateway.application import Application
 from bronzetiller.gateway.brittle_targets import BrittleNode, BrittleTargets
+from bronzetiller.gateway.budget_refusals import refuse_uncovered
 from bronzetiller.gateway.budgets import Budgets
 from bronzetiller.gateway.capacity import estimate_capacity
 from bronzetiller.gateway.configuration import GatewayConfiguration
@@ -44,7 +45,7 @@
 from bronzetiller.gateway.target_limits import LimitedNode, TargetLimits
 from bronzetiller.gateway.targets import TargetPool
 from bronzetiller.logs import configure_bounded_logging, log_event
-from bronzetiller.metrics import render_metrics
+from bronzetiller.metrics import CONFIGURATION_CONFIRMATION_AGE, render_metrics
 from bronzetiller.net.address import Address
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.exchange import Exchange
@@ -133,6 +134,7 @@
             self.request_context,
             lambda: self.configuration_follower.configuration,
             lambda: self.drain,
+            self.configuration_follower.compute_confirmation_age,
         )
         self.drain = Drain(
             scheduler,
@@ -164,6 +166,9 @@
         self.configuration_follower = ConfigurationFollower(
             scheduler, configuration_reader, self._on_configuration
         )
+        CONFIGURATION_CONFIRMATION_AGE.set_function(
+            self.configuration_follower.compute_confirmation_age
+        )
         registration_reader = self._make_reader(store, REGISTRATIONS_TOPIC)
         self.targets_follower = TargetsFollower(scheduler, registration_reader, self.pool)
         member_reader = self._make_reader(store, NODES_TOPIC)
@@ -227,6 +232,9 @@
             self.incarnation,
             self.holders.estimate_share,
             self.holders.is_witness,
+            lambda: refuse_uncovered(
+                self.configuration_follower.compute_confirmation_age(), self._draw_uniform()
+            ),
         )
         ReservationServer(scheduler, self.allocation_manager).register_handlers(self.peers)
         self.reservation_client = ReservationClient(scheduler, self.peers)
