--- a/bronzetiller/gateway/followers.py
+++ b/bronzetiller/gateway/followers.py
@@ -55,7 +55,9 @@
         """Return the seconds since the configuration was last known to be current at the store."""
         if not self.follower.complete:
             return math.inf
-        confirmed_at = self.follower.read_at if self._unread_from is None else self._unread_from
+        confirmed_at = (
+            self.follower.confirmed_at if self._unread_from is None else self._unread_from
+        )
         return max(0.0, self._scheduler.now() - confirmed_at)
 
     def _apply_records(self, records: list[KeyedRecord]) -> None:
@@ -86,6 +88,7 @@
             version=configuration.version,
             before=known,
             bytes=size,
+            source=",".join(self.follower.source_path) or "store",
             confirmation_age=round(self.compute_confirmation_age(), 3),
             after_seconds=None if activated_at is None else round(now - activated_at, 3),
         )
--- a/bronzetiller/gateway/relay.py
+++ b/bronzetiller/gateway/relay.py
@@ -23,8 +23,8 @@
     StoreUnreachable,
 )
 from bronzetiller.storage.keyed_follower import KeyedFollower
-from bronzetiller.sync.read_plan import ReadPlan
-from bronzetiller.sync.sources import Role, Sources
+from bronzetiller.sync.read_plan import ANSWERED_SECONDS_MAX, ReadPlan
+from bronzetiller.sync.sources import Sources
 from bronzetiller.wire.messages import (
     FetchRecords,
     KeyedEntry,
@@ -73,6 +73,12 @@
         """Return whether the last records came from the store itself."""
         return self.source_path == ()
 
+    def reaches_store(self) -> bool:
+        """Return whether the store has just answered this node or one of its sources."""
+        now = self._scheduler.now()
+        answered = now - self._store.answered_at <= ANSWERED_SECONDS_MAX
+        return answered or self.plan.expects_data(now)
+
     def read_newest(
         self, partition: Partition, done: NewestDone, late: LateDone | None = None
     ) -> None:
@@ -125,7 +131,7 @@
         done: ReadDone,
         late: LateDone | None,
     ) -> None:
-        """Try the store first at the region's reader, else the peers first."""
+        """Try the store and the peers in the order of the plan."""
         sources = self._find_sources()
         now = self._scheduler.now()
         steps: list[Callable[[], None]] = [
@@ -133,7 +139,7 @@
             for peer in self.plan.list_peers(sources, now)
         ]
         if self.plan.may_read_store(sources, now, self._store.answered_at):
-            at = 0 if sources.role is Role.READER else len(steps)
+            at = 0 if self.plan.prefers_store(sources, now) else len(steps)
             steps.insert(at, lambda: read_store(handle_store, handle_late))
         failure: ReadFailure = StoreUnreachable(NO_SOURCE, False)
 
@@ -157,7 +163,7 @@
                     finish_store_read(batch, lambda: done(Ok(batch)))
                 case Err(StoreUnreachable() as cause):
                     failure = cause
-                    self.plan.record_store_lost()
+                    self.plan.record_store_lost(self._scheduler.now())
                     try_next()
                 case Err():
                     done(result)
@@ -167,6 +173,7 @@
                 finish_store_read(batch, lambda: late(batch))
 
         def finish_store_read(batch: RecordBatch, deliver: Callable[[], None]) -> None:
+            self.plan.record_store_read()
             self._accept(batch)
             deliver()
             self.after_store_read()
@@ -181,7 +188,7 @@
         """Return the batch that a peer offers, or None if it came through this node."""
         if self.own_id in records.source_path:
             return None
-        batch = self._make_batch(records)
+        batch = self._make_batch(records, self._scheduler.now())
         self._accept(batch)
         return batch
 
@@ -217,11 +224,13 @@
                     self.plan.record_peer_away(peer, None, now)
                     fail("the peer reads from this node")
                 case Ok(Records() as records):
-                    batch = self._make_batch(records, peer)
+                    # A response without records was made when the requested wait ended.
+                    waited = 0.0 if records.entries else min(now - started_at, message.wait_seconds)
+                    batch = self._make_batch(records, started_at + waited, peer)
                     self.plan.record_peer_read()
                     finish(Ok(batch))
-                case Ok(RecordsAway(cause, end)):
-                    self.plan.record_peer_away(peer, end, now)
+                case Ok(RecordsAway(cause, end, reaches_store)):
+                    self.plan.record_peer_away(peer, end, now, reaches_store=reaches_store)
                     fail(cause)
                 case Ok(other):
                     self.plan.record_peer_silent(peer, now)
@@ -268,13 +277,19 @@
 
         self._fetch(seeds[0], message, handle_batch)
 
-    def _make_batch(self, records: Records, peer: str = "") -> RecordBatch:
+    def _make_batch(self, records: Records, asked_at: float, peer: str = "") -> RecordBatch:
         RELAYED_ENTRIES.inc(len(records.entries))
         keyed_records = [
             KeyedRecord(item.key, _unpack_value(item), item.offset) for item in records.entries
         ]
-        path = tuple(records.source_path) or (peer,)
-        return RecordBatch(keyed_records, records.end, records.whole, records.age_seconds, path)
+        return RecordBatch(
+            keyed_records,
+            records.end,
+            whole=records.whole,
+            age_seconds=records.age_seconds,
+            confirmed_at=asked_at - records.confirmed_seconds,
+            source_path=tuple(records.source_path) or (peer,),
+        )
 
 
 def _unpack_value(entry: KeyedEntry) -> bytes | None:
@@ -337,7 +352,7 @@
                 records=len(batch.records),
                 advances=batch.end > follower.position,
             )
-            follower.accept(batch, offer.from_offset)
+            follower.accept(batch, offer.from_offset, self._scheduler.now())
 
     def _is_current(self) -> bool:
         follower = self._follower
@@ -346,7 +361,7 @@
 
     def _make_away(self) -> RecordsAway:
         cause = "store unreachable" if self._follower.is_lost else "no current store data"
-        return RecordsAway(cause, self._follower.position)
+        return RecordsAway(cause, self._follower.position, self._source.reaches_store())
 
     def _reply_to_pending(self) -> None:
         for pending in list(self._pending):
@@ -369,14 +384,16 @@
 
     def _make_records(self, message: FetchRecords) -> Records:
         follower = self._follower
+        now = self._scheduler.now()
         whole, changes = follower.changes.list_since(message.from_offset)
         entries = [self._make_entry(item, message.accepts_compressed) for item in changes]
         return Records(
             max(message.from_offset, follower.position),
             whole,
             entries,
-            max(0.0, self._scheduler.now() - follower.read_at),
-            [self._source.own_id, *(self._source.source_path or ())],
+            age_seconds=max(0.0, now - follower.read_at),
+            confirmed_seconds=max(0.0, now - follower.confirmed_at),
+            source_path=[self._source.own_id, *(self._source.source_path or ())],
         )
 
     def _make_entry(self, record: KeyedRecord, may_compress: bool) -> KeyedEntry:
--- a/bronzetiller/platform/store.py
+++ b/bronzetiller/platform/store.py
@@ -338,22 +338,24 @@
     if len(body) < _READ_HEADER.size:
         return Err(StoreUnreachable("malformed response: incomplete header", False))
     end, first = _READ_HEADER.unpack_from(body)
-    position = _READ_HEADER.size
+    start = _READ_HEADER.size
     number = max(offset, first)
     records = []
-    while position + _LENGTH.size <= len(body):
-        (size,) = _LENGTH.unpack_from(body, position)
-        position += _LENGTH.size
-        data = body[position : position + size]
+    while start + _LENGTH.size <= len(body):
+        (size,) = _LENGTH.unpack_from(body, start)
+        start += _LENGTH.size
+        data = body[start : start + size]
         if len(data) < size:
             return Err(StoreUnreachable("malformed response: truncated record", False))
-        position += size
+        start += size
         record = _decode_keyed_record(data, make_position(era, number))
         if record is not None:
             records.append(record)
         number += 1
     # A response is limited in size, so it may stop before the end.
-    return Ok(RecordBatch(records, make_position(era, number if number < end else end)))
+    has_more = number < end
+    position = make_position(era, number if has_more else end)
+    return Ok(RecordBatch(records, position, has_more=has_more))
 
 
 def _decode_keyed_record(data: bytes, position: int) -> KeyedRecord | None:
--- a/bronzetiller/storage/keyed.py
+++ b/bronzetiller/storage/keyed.py
@@ -57,14 +57,18 @@
     """Hold records in the order of their positions; end is the position after the last one.
 
     whole tells whether these are all keys or only changes, if that differs from what was requested.
-    age_seconds is the time since a peer confirmed them at the store, source_path the nodes that
-    they came through, the nearest first; it is empty for a read of the store.
+    has_more tells that there are records after the end. age_seconds is the time since the store
+    sent them, confirmed_at when it was asked (seconds, monotonic; None for the time of the read).
+    source_path holds the nodes that they came through, the nearest first; it is empty for a read
+    of the store.
     """
 
     records: list[KeyedRecord]
     end: int
     whole: bool | None = None
+    has_more: bool = False
     age_seconds: float = 0.0
+    confirmed_at: float | None = None
     source_path: tuple[str, ...] = ()
 
 
--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -38,7 +38,8 @@
     """Read a partition until the process exits.
 
     Each read waits up to wait_seconds for the first new record; the next read starts pause_seconds
-    after it. read_at is when the values were last known to be current at the store, lost_at when
+    after it. read_at is when the store last sent the values or that they have not changed,
+    confirmed_at when it was asked for them, so that no newer ones existed then; lost_at is when
     reads began to fail (None while they succeed), regained_at when they last succeeded again,
     restored_at when the store was last found in a later era (seconds, monotonic). A restoration
     counts as an outage.
@@ -59,7 +60,9 @@
     values: dict[str, bytes] = field(factory=dict)
     position: int = -1
     complete: bool = False
+    source_path: tuple[str, ...] = ()
     read_at: float = 0.0
+    confirmed_at: float = float("-inf")
     lost_at: float | None = None
     regained_at: float | None = None
     restored_at: float | None = None
@@ -99,7 +102,7 @@
         if self.values.pop(key, None) is not None:
             self.changes.add(KeyedRecord(key, None, self.position))
 
-    def accept(self, batch: RecordBatch, from_position: int) -> None:
+    def accept(self, batch: RecordBatch, from_position: int, asked_at: float) -> None:
         """Apply records that a read did not wait for: a late response, or what a peer offers.
 
         Without all keys, the batch holds the changes since from_position.
@@ -107,9 +110,9 @@
         if batch.end < self.position or (not batch.whole and from_position > self.position):
             return
         if batch.whole:
-            self._apply_whole(batch)
+            self._apply_whole(batch, asked_at)
         else:
-            self._apply_changes(batch)
+            self._apply_changes(batch, asked_at)
 
     def _read(self) -> None:
         position = self.position
@@ -121,33 +124,38 @@
             or now - self._contact_at > HISTORY_SECONDS_MAX
         ):
             self._reader.read_newest(
-                self.partition, self._handle_newest, lambda batch: self._accept_late(batch, True)
+                self.partition,
+                lambda result: self._handle_newest(result, now),
+                lambda batch: self._accept_late(batch, True, position, now),
             )
         else:
             self._reader.read_from(
                 self.partition,
                 position,
                 self.wait_seconds,
-                self._handle_records,
-                lambda batch: self._accept_late(batch, False, position),
+                lambda result: self._handle_records(result, now),
+                lambda batch: self._accept_late(batch, False, position, now),
             )
 
-    def _accept_late(self, batch: RecordBatch, whole: bool, position: int = -1) -> None:
-        self.accept(batch if batch.whole is not None else evolve(batch, whole=whole), position)
+    def _accept_late(self, batch: RecordBatch, whole: bool, position: int, asked_at: float) -> None:
+        batch = batch if batch.whole is not None else evolve(batch, whole=whole)
+        self.accept(batch, position, asked_at)
 
-    def _handle_newest(self, result: Result[RecordBatch, StoreUnreachable]) -> None:
+    def _handle_newest(
+        self, result: Result[RecordBatch, StoreUnreachable], asked_at: float
+    ) -> None:
         match result:
             case Err(failure):
                 self._schedule_retry(failure)
             case Ok(batch) if batch.whole is False:
                 self._behind = self._expired = False
-                self._apply_changes(batch)
+                self._apply_changes(batch, asked_at)
                 self._schedule_read()
             case Ok(batch):
-                self._apply_whole(batch)
+                self._apply_whole(batch, asked_at)
                 self._schedule_read()
 
-    def _handle_records(self, result: Result[RecordBatch, ReadFailure]) -> None:
+    def _handle_records(self, result: Result[RecordBatch, ReadFailure], asked_at: float) -> None:
         match result:
             case Err(HistoryExpired(cause)):
                 log_event("history_expired", partition=self.partition, cause=cause)
@@ -156,19 +164,20 @@
             case Err(StoreUnreachable() as failure):
                 self._schedule_retry(failure)
             case Ok(batch) if batch.whole:
-                self._apply_whole(batch)
+                self._apply_whole(batch, asked_at)
                 self._schedule_read()
             case Ok(batch):
                 keys = [record.key for record in batch.records]
-                self._behind = self.skips_versions and len(keys) > len(set(keys))
-                self._apply_changes(batch)
+                has_newer = batch.has_more or len(keys) > len(set(keys))
+                self._behind = self.skips_versions and has_newer
+                self._apply_changes(batch, asked_at)
                 self._schedule_read()
 
-    def _apply_whole(self, batch: RecordBatch) -> None:
+    def _apply_whole(self, batch: RecordBatch, asked_at: float) -> None:
         """Replace the values by those of a batch that holds all keys."""
         if self.position > batch.end:  # of a peer that has read less
             self._behind = False
-            self._apply_batch(evolve(batch, records=[], end=self.position))
+            self._apply_batch(evolve(batch, records=[], end=self.position), asked_at)
             return
         present = {record.key for record in batch.records}
         deleted = [KeyedRecord(key, None, batch.end) for key in self.values.keys() - present]
@@ -177,13 +186,13 @@
         self._behind = self._behind and self.position < batch.end
         self._expired = False
         self._detect_restoration(batch.end)
-        self._apply_batch(evolve(batch, records=[*deleted, *batch.records]))
+        self._apply_batch(evolve(batch, records=[*deleted, *batch.records]), asked_at)
 
-    def _apply_changes(self, batch: RecordBatch) -> None:
+    def _apply_changes(self, batch: RecordBatch, asked_at: float) -> None:
         """Apply the changes of a batch that were not read meanwhile."""
         records = [record for record in batch.records if record.position >= self.position]
         end = max(batch.end, self.position)
-        self._apply_batch(evolve(batch, records=records, end=end))
+        self._apply_batch(evolve(batch, records=records, end=end), asked_at)
 
     def _detect_restoration(self, end: int) -> None:
         """Record that the store came back without records that this follower may have read.
@@ -203,9 +212,17 @@
         )
         self.restored_at = self.regained_at = self._scheduler.now()
 
-    def _apply_batch(self, batch: RecordBatch) -> None:
+    def _apply_batch(self, batch: RecordBatch, asked_at: float) -> None:
         now = self._contact_at = self._scheduler.now()
+        self.source_path = batch.source_path
         self.read_at = max(self.read_at, now - batch.age_seconds)
+        if not batch.has_more:
+            # A response without records was made when the requested wait ended.
+            waited = 0.0 if batch.records else min(now - asked_at, self.wait_seconds)
+            confirmed_at = batch.confirmed_at
+            self.confirmed_at = max(
+                self.confirmed_at, asked_at + waited if confirmed_at is None else confirmed_at
+            )
         if self.lost_at is not None:
             seconds = round(now - self.lost_at, 3)
             log_event("store_regained", partition=self.partition, lost_seconds=seconds)
--- a/bronzetiller/sync/sources.py
+++ b/bronzetiller/sync/sources.py
@@ -2,6 +2,7 @@
 
 Designed for regions of up to some hundred nodes that share a link to the store: one node of a
 region reads the store, one of each data centre reads from that node, and the others from these.
+Nodes that read the store have peers as well, also in other regions, for when they lose it.
 """
 
 from collections.abc import Iterable, Mapping
@@ -14,6 +15,7 @@
 RELAYED_NODES_MIN = 6  # in smaller regions each node reads the store itself
 DEPUTIES = 1
 SOURCES_MAX = 3
+FAR_SOURCES_MAX = 2
 
 
 class Role(Enum):
@@ -55,25 +57,49 @@
 ) -> Sources:
     """Return the sources of a node; regions holds the region of each data centre."""
     region = regions.get(data_centre)
-    near = [item for item in nodes if regions.get(item.data_centre) == region]
+    by_region: dict[str | None, list[SourceNode]] = {}
+    for item in nodes:
+        by_region.setdefault(regions.get(item.data_centre), []).append(item)
+    near = by_region.pop(region, [])
     if len(near) < RELAYED_NODES_MIN:
-        return Sources(Role.READER, region_nodes=len(near))
-    ranked = {
-        name: rank_data_centre(topic, name, near)
-        for name in {item.data_centre for item in near} | {data_centre}
-    }
-    readers = rank_nodes(f"{region}/{topic}", [ids[0] for ids in ranked.values() if ids])
-    own_ranked = ranked[data_centre]
-    if own_id in readers:
-        role = Role.READER if own_id == readers[0] else Role.DEPUTY
-        candidates = readers
+        near_ids = rank_nodes(own_id, (item.node_id for item in near))
+        peers = [item for item in near_ids if item != own_id][:SOURCES_MAX]
+        far = _choose_far(own_id, topic, by_region)
+        return Sources(Role.READER, (*peers, *far), len(near))
+    readers = rank_region(topic, region, near)
+    own_ranked = rank_data_centre(topic, data_centre, near)
+    if own_id == readers[0]:
+        far = _choose_far(own_id, topic, by_region)
+        return Sources(Role.READER, (*readers[1 : 1 + SOURCES_MAX], *far), len(near))
+    if own_id in readers or not own_ranked:
+        candidates, role = readers, Role.DEPUTY
     else:
+        candidates = own_ranked
         role = Role.DEPUTY if own_id in own_ranked[: 1 + DEPUTIES] else Role.MEMBER
-        candidates = own_ranked or readers
-    peers = [node_id for node_id in candidates if node_id != own_id]
+    peers = [item for item in candidates if item != own_id]
     return Sources(role, tuple(peers[:SOURCES_MAX]), len(near))
 
 
+def _choose_far(
+    own_id: str, topic: str, by_region: Mapping[str | None, list[SourceNode]]
+) -> list[str]:
+    """Return the nodes of other regions that are likely to read the store."""
+    found = []
+    for region, nodes in by_region.items():
+        if len(nodes) < RELAYED_NODES_MIN:
+            found += rank_nodes(own_id, (item.node_id for item in nodes))[:1]
+        else:
+            found += rank_region(topic, region, nodes)[:1]
+    return rank_nodes(own_id, found)[:FAR_SOURCES_MAX]
+
+
+def rank_region(topic: str, region: str | None, nodes: list[SourceNode]) -> list[str]:
+    """Rank the readers of a region's data centres by their priority as its reader."""
+    data_centres = {item.data_centre for item in nodes}
+    readers = [rank_data_centre(topic, name, nodes)[0] for name in data_centres]
+    return rank_nodes(f"{region}/{topic}", readers)
+
+
 def rank_data_centre(topic: str, data_centre: str, nodes: Iterable[SourceNode]) -> list[str]:
     """Rank the nodes of a data centre by their priority as its reader."""
     near = [item for item in nodes if item.data_centre == data_centre]
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -324,14 +324,16 @@
     """Respond to FetchRecords; end is the offset of the next record.
 
     whole is true if the entries are all keys, because the changes in between are no longer known.
-    age_seconds is the time since they were current at the store, source_path the nodes that they
-    came through, the sender first.
+    age_seconds is the time since the store sent them, confirmed_seconds that since it was asked,
+    so that no newer record existed then. source_path holds the nodes that they came through, the
+    sender first.
     """
 
     end: int
     whole: bool
     entries: list[KeyedEntry]
     age_seconds: float = 0.0
+    confirmed_seconds: float = 0.0
     source_path: list[str] = field(factory=list)
 
 
@@ -340,10 +342,12 @@
     """Report that the peer does not know the current content of the partition.
 
     end is the offset that it has read to; a sender that states it accepts OfferRecords.
+    reaches_store tells that the store answers it or its source, so that it has data soon.
     """
 
     cause: str
     end: int | None = None
+    reaches_store: bool = False
 
 
 @frozen
