Let nodes that start together know each other before they read the configuration

A node that knew no other read all from the store. Nodes that do not serve callers yet count as sources. Heartbeats are read within the region alone, as its nodes would otherwise see each other fall silent while the region has lost the store.

--- a/bronzetiller/fleet/peers.py
+++ b/bronzetiller/fleet/peers.py
@@ -28,6 +28,7 @@
 ACCEPTED_SILENCE_SECONDS = 30.0
 REDIAL_SECONDS = 0.5
 READ_BYTES = 64 * 1024
+NOT_CONNECTED = "not connected"
 
 M = TypeVar("M", bound=Message)
 Reply = Callable[[Message], None]
@@ -168,7 +169,7 @@
         self._pending_requests[number] = _PendingRequest(node_id, on_response, timer)
         if not self._transmit(node_id, Packet(number, 0, message)):
             timer.cancel()
-            self._scheduler.call_after(0, lambda: self._fail_request(number, "not connected"))
+            self._scheduler.call_after(0, lambda: self._fail_request(number, NOT_CONNECTED))
 
     def is_silent(self, node_id: str, since: float) -> bool:
         """Return whether nothing was received from a peer since a time (seconds, monotonic)."""
--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -201,12 +201,17 @@
     def list_serving(self) -> list[Member]:
         """Return the nodes that serve callers; this node's own state is read directly."""
         own = self._describe_self()
-        others = [
+        others = [item for item in self.list_others_alive() if item.serving]
+        return [*others, own] if own.serving else others
+
+    def list_others_alive(self) -> list[Member]:
+        """Return the other nodes that send heartbeats, also those that do not serve callers."""
+        own_id = self._describe_self().node_id
+        return [
             item
             for item in self.members.values()
-            if item.node_id != own.node_id and item.serving and not self._is_silent(item.node_id)
+            if item.node_id != own_id and not self._is_silent(item.node_id)
         ]
-        return [*others, own] if own.serving else others
 
     def _is_silent(self, node_id: str) -> bool:
         """Return whether a node sent no heartbeat for too long, as of the last read.
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -62,6 +62,7 @@
     REGISTRATIONS_TOPIC,
 )
 from bronzetiller.storage.keyed import KeyedStore
+from bronzetiller.sync.start import start_in_order
 
 PREALLOCATION_DELAY_SECONDS = 0.6  # until nodes that start together have discovered each other
 STOP_MARGIN_SECONDS = 0.7  # of the grace period, for the process to exit
@@ -217,7 +218,7 @@
             self.peers,
             self.distances,
             self.settings.seeds,
-            self.members.list_serving,
+            self.members.list_others_alive,
             self._list_wanted_peers,
             lambda: all(follower.complete for follower, _ in followed_readers),
         )
@@ -273,18 +274,32 @@
 
     def _list_wanted_peers(self) -> set[str]:
         self.holders.refresh()
-        self.sources.refresh(self.holders.members)
+        self.sources.refresh([*self.members.list_others_alive(), self._make_member()])
         readers = {peer for topic in RELAYED_TOPICS for peer in self.sources.find(topic).peers}
         return readers | self.holders.list_holders(self.allocation_manager.allocations)
 
+    def _find_sources(self) -> bool:
+        """Update the sources and the links to them; return whether other nodes are known."""
+        self.sources.refresh([*self.members.list_others_alive(), self._make_member()])
+        if not self.members.members:
+            return False
+        self.links.refresh()
+        return bool(self.members.list_others_alive())
+
     def run(self) -> None:
         """Serve until a stop is requested and all open requests are finished."""
         signal.signal(signal.SIGHUP, lambda number, frame: self._reload())
-        self.configuration_follower.follower.start()
-        self.targets_follower.follower.start()
         self.members.start()
-        self.crash_reports.start()
-        self.streams.start()
+        start_in_order(
+            self._scheduler,
+            self._find_sources,
+            (
+                self.configuration_follower.follower.start,
+                self.targets_follower.follower.start,
+                self.crash_reports.start,
+                self.streams.start,
+            ),
+        )
         self.reachability.on_change = self.members.publish
         self.reachability.start()
         self._scheduler.call_every(HEARTBEAT_SECONDS, self._refresh_admission)
--- a/bronzetiller/gateway/readers.py
+++ b/bronzetiller/gateway/readers.py
@@ -6,6 +6,7 @@
 
 from bronzetiller.gateway.capacity import select_high_capacity
 from bronzetiller.gateway.members import Member
+from bronzetiller.platform.topics import NODES_TOPIC
 from bronzetiller.sync.sources import SourceNode, Sources, choose_sources
 
 
@@ -30,8 +31,14 @@
         """Return the sources of a topic."""
         sources = self._sources.get(topic)
         if sources is None:
+            # Through another region a region without the store would see its own nodes fall silent.
             sources = choose_sources(
-                self._own_id, topic, self._data_centre, self._regions, self._nodes
+                self._own_id,
+                topic,
+                self._data_centre,
+                self._regions,
+                self._nodes,
+                uses_far=topic != NODES_TOPIC,
             )
             self._sources[topic] = sources
         return sources
--- a/bronzetiller/gateway/relay.py
+++ b/bronzetiller/gateway/relay.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 from result import Err, Ok, Result
 
-from bronzetiller.fleet.peers import Peers, Reply
+from bronzetiller.fleet.peers import NOT_CONNECTED, Peers, Reply
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import RELAYED_ENTRIES
 from bronzetiller.net.scheduler import Scheduler
@@ -24,7 +24,7 @@
 )
 from bronzetiller.storage.keyed_follower import KeyedFollower
 from bronzetiller.sync.read_plan import ANSWERED_SECONDS_MAX, ReadPlan
-from bronzetiller.sync.sources import Sources
+from bronzetiller.sync.sources import Role, Sources
 from bronzetiller.wire.messages import (
     FetchRecords,
     KeyedEntry,
@@ -39,6 +39,7 @@
 TRANSFER_SECONDS_MAX = 6.0
 COMPRESSED_BYTES_MIN = 2_048
 RECORD_BYTES_MAX = 16 * 1024 * 1024
+OVERDUE_SECONDS = 1.4  # since the confirmation at a peer that reads the store
 NO_SOURCE = "no peer has current data"
 # Records are relayed until they are older than two read intervals of this node and its source.
 AGE_SECONDS_MARGIN = 1.5
@@ -142,19 +143,29 @@
             at = 0 if self.plan.prefers_store(sources, now) else len(steps)
             steps.insert(at, lambda: read_store(handle_store, handle_late))
         failure: ReadFailure = StoreUnreachable(NO_SOURCE, False)
+        overdue: RecordBatch | None = None
 
         def try_next() -> None:
             if steps:
                 steps.pop(0)()
+            elif overdue is not None:
+                finish_fetch(overdue)
             else:
                 self._scheduler.call_after(0, lambda: done(Err(failure)))
 
+        def finish_fetch(batch: RecordBatch) -> None:
+            self._accept(batch)
+            done(Ok(batch))
+
         def handle_fetch(result: Result[RecordBatch, str]) -> None:
-            if isinstance(result, Ok):
-                self._accept(result.ok_value)
-                done(result)
-            else:
+            nonlocal overdue
+            if isinstance(result, Err):
                 try_next()
+            elif sources.role is Role.READER and self._is_overdue(result.ok_value):
+                overdue = result.ok_value
+                try_next()
+            else:
+                finish_fetch(result.ok_value)
 
         def handle_store(result: Result[RecordBatch, ReadFailure]) -> None:
             nonlocal failure
@@ -180,6 +191,12 @@
 
         try_next()
 
+    def _is_overdue(self, batch: RecordBatch) -> bool:
+        """Return whether a peer may have lost the store without knowing it yet."""
+        if batch.records or batch.confirmed_at is None:
+            return False
+        return self._scheduler.now() - batch.confirmed_at > OVERDUE_SECONDS
+
     def _accept(self, batch: RecordBatch) -> None:
         self.source_path = batch.source_path
         self._position = max(self._position, batch.end)
@@ -236,7 +253,10 @@
                     self.plan.record_peer_silent(peer, now)
                     fail(f"unexpected {type(other).__name__}")
                 case Err(cause):
-                    self.plan.record_peer_silent(peer, now)
+                    if cause == NOT_CONNECTED:  # yet
+                        self.plan.record_peer_away(peer, None, now)
+                    else:
+                        self.plan.record_peer_silent(peer, now)
                     fail(cause)
 
         def check_progress() -> None:
--- a/bronzetiller/sync/sources.py
+++ b/bronzetiller/sync/sources.py
@@ -54,22 +54,26 @@
     data_centre: str,
     regions: Mapping[str, str],
     nodes: Iterable[SourceNode],
+    *,
+    uses_far: bool = True,
 ) -> Sources:
-    """Return the sources of a node; regions holds the region of each data centre."""
+    """Return the sources of a node; regions holds the region of each data centre.
+
+    Without uses_far, all of them are in the node's own region.
+    """
     region = regions.get(data_centre)
     by_region: dict[str | None, list[SourceNode]] = {}
     for item in nodes:
         by_region.setdefault(regions.get(item.data_centre), []).append(item)
     near = by_region.pop(region, [])
+    far = _choose_far(own_id, topic, by_region) if uses_far else []
     if len(near) < RELAYED_NODES_MIN:
         near_ids = rank_nodes(own_id, (item.node_id for item in near))
         peers = [item for item in near_ids if item != own_id][:SOURCES_MAX]
-        far = _choose_far(own_id, topic, by_region)
         return Sources(Role.READER, (*peers, *far), len(near))
     readers = rank_region(topic, region, near)
     own_ranked = rank_data_centre(topic, data_centre, near)
     if own_id == readers[0]:
-        far = _choose_far(own_id, topic, by_region)
         return Sources(Role.READER, (*readers[1 : 1 + SOURCES_MAX], *far), len(near))
     if own_id in readers or not own_ranked:
         candidates, role = readers, Role.DEPUTY
--- a/standins/simulated_fleet.py
+++ b/standins/simulated_fleet.py
@@ -33,6 +33,7 @@
     OPERATOR_TOPIC,
     REGISTRATIONS_TOPIC,
 )
+from bronzetiller.sync.start import start_in_order
 from standins.fake_scheduler import FakeScheduler
 from standins.path_engine import make_registration
 from standins.shared_link import STORE, Host, HostScheduler, Network, Place
@@ -94,13 +95,20 @@
     members: Members
     crash_reports: CrashReports
     links: PeerLinks
+    find_sources: Callable[[], bool]
 
     def start(self) -> None:
         """Start following, as GatewayNode.run does."""
-        self.configuration_follower.follower.start()
-        self.targets_follower.follower.start()
         self.members.start()
-        self.crash_reports.start()
+        start_in_order(
+            self.scheduler,  # type: ignore[arg-type]
+            self.find_sources,
+            (
+                self.configuration_follower.follower.start,
+                self.targets_follower.follower.start,
+                self.crash_reports.start,
+            ),
+        )
         self.links.start()
 
     @property
@@ -153,9 +161,16 @@
         )
 
     def list_wanted_peers() -> set[str]:
-        sources.refresh(member_follower.list_serving())
+        sources.refresh([*member_follower.list_others_alive(), describe_self()])
         return {peer for topic in RELAYED_TOPICS for peer in sources.find(topic).peers}
 
+    def find_sources() -> bool:
+        sources.refresh([*member_follower.list_others_alive(), describe_self()])
+        if not member_follower.members:
+            return False
+        links.refresh()
+        return bool(member_follower.list_others_alive())
+
     def apply_configuration(configuration: GatewayConfiguration) -> None:
         fleet.applied_at.setdefault(configuration.version, {})[node_id] = scheduler.now()
 
@@ -188,7 +203,7 @@
         connections,
         distances,
         fleet.list_seeds(node_id),
-        member_follower.list_serving,
+        member_follower.list_others_alive,
         list_wanted_peers,
         lambda: all(follower.complete for follower, _ in followed_readers),
     )
@@ -201,6 +216,7 @@
         member_follower,
         crash_reports,
         links,
+        find_sources,
     )
 
 
