--- a/bronzetiller/gateway/followers.py
+++ b/bronzetiller/gateway/followers.py
@@ -20,6 +20,7 @@
 
 CONFIGURATION_WAIT_SECONDS = 1.0  # plus the response time: how late a silent connection is detected
 CONFIGURATION_PAUSE_SECONDS = 0.05
+CONFIGURATION_PEER_WAIT_SECONDS = 0.5
 TARGETS_PAUSE_SECONDS = 0.5  # targets write about once a second; changes may apply seconds late
 LAPSE_GRACE_SECONDS = 2.2  # after an outage, for targets to renew expired registrations
 # After a restoration of the store: for targets to replace registrations of an older state, or for
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -26,7 +26,11 @@
 from bronzetiller.gateway.crashes import CrashTracker
 from bronzetiller.gateway.departures import DepartureNode, Departures
 from bronzetiller.gateway.entries import choose_entries
-from bronzetiller.gateway.followers import ConfigurationFollower, TargetsFollower
+from bronzetiller.gateway.followers import (
+    CONFIGURATION_PEER_WAIT_SECONDS,
+    ConfigurationFollower,
+    TargetsFollower,
+)
 from bronzetiller.gateway.forwarding import PeerForwarder
 from bronzetiller.gateway.holder_map import HolderMap
 from bronzetiller.gateway.members import HEARTBEAT_SECONDS, Member, Members
@@ -164,6 +168,7 @@
         self.pool = TargetPool()
         self.reachability = Reachability(scheduler, http, self.pool)
         configuration_reader = self._make_reader(store, OPERATOR_TOPIC)
+        configuration_reader.peer_wait_seconds_max = CONFIGURATION_PEER_WAIT_SECONDS
         self.configuration_follower = ConfigurationFollower(
             scheduler, configuration_reader, self._on_configuration
         )
--- a/bronzetiller/gateway/relay.py
+++ b/bronzetiller/gateway/relay.py
@@ -1,5 +1,6 @@
 """Read partitions of the store through peers, and relay them to peers."""
 
+import math
 import zlib
 from collections.abc import Callable
 from random import Random
@@ -34,7 +35,6 @@
     RecordsAway,
 )
 
-PEER_WAIT_SECONDS_MAX = 0.5  # the age of relayed data is the sum of the waits
 RESPONSE_TIMEOUT_SECONDS = 0.5  # without any byte from the peer, in addition to the requested wait
 TRANSFER_SECONDS_MAX = 6.0
 COMPRESSED_BYTES_MIN = 2_048
@@ -51,7 +51,8 @@
 
     source_path holds the nodes that the last records came through; it is empty if they came from
     the store, and None before the first read. Records that came through this node are rejected, so
-    that no two nodes use each other as the source.
+    that no two nodes use each other as the source. peer_wait_seconds_max limits the wait at a peer,
+    as the age of relayed data is the sum of the waits.
     """
 
     _scheduler: Scheduler
@@ -61,6 +62,7 @@
     _find_sources: Callable[[], Sources]
     _find_seeds: Callable[[], list[str]]
     _draw_uniform: Callable[[], float] = field(factory=lambda: Random().random)
+    peer_wait_seconds_max: float = math.inf
     source_path: tuple[str, ...] | None = None
     plan: ReadPlan = field(init=False)
     after_store_read: Callable[[], None] = lambda: None
@@ -120,7 +122,7 @@
             partition.topic,
             partition.number,
             position,
-            min(wait_seconds, PEER_WAIT_SECONDS_MAX),
+            min(wait_seconds, self.peer_wait_seconds_max),
             accepts_compressed=True,
         )
         self._read(message, read_store, done, late)
--- a/standins/simulated_fleet.py
+++ b/standins/simulated_fleet.py
@@ -16,7 +16,11 @@
 from bronzetiller.gateway.configuration import GatewayConfiguration
 from bronzetiller.gateway.crash_reports import CrashReports
 from bronzetiller.gateway.crashes import CrashTracker
-from bronzetiller.gateway.followers import ConfigurationFollower, TargetsFollower
+from bronzetiller.gateway.followers import (
+    CONFIGURATION_PEER_WAIT_SECONDS,
+    ConfigurationFollower,
+    TargetsFollower,
+)
 from bronzetiller.gateway.members import Member, Members
 from bronzetiller.gateway.peer_links import PeerLinks, make_seed_id
 from bronzetiller.gateway.placement import Distances
@@ -175,6 +179,7 @@
         fleet.applied_at.setdefault(configuration.version, {})[node_id] = scheduler.now()
 
     configuration_reader = make_reader(OPERATOR_TOPIC)
+    configuration_reader.peer_wait_seconds_max = CONFIGURATION_PEER_WAIT_SECONDS
     configuration_follower = ConfigurationFollower(timed, configuration_reader, apply_configuration)
     registration_reader = make_reader(REGISTRATIONS_TOPIC)
     targets_follower = TargetsFollower(timed, registration_reader, UnindexedPool())
