--- a/tests/test_outdated_configuration.py
+++ b/tests/test_outdated_configuration.py
@@ -6,6 +6,8 @@
 
 from standins.configuration_scenarios import run_scenario
 
+pytestmark = pytest.mark.timeout(400)  # a large simulation takes a minute of processor time
+
 SMALL, LARGE, LARGEST = 6, 195, 330
 
 
