--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -29,14 +29,14 @@
 from bronzetiller.gateway.clock_monitor import ClockMonitor
 from bronzetiller.gateway.configuration import WorkspaceConfiguration
 from bronzetiller.gateway.holding_records import HoldingRecords
-from bronzetiller.gateway.record_writer import RETRY_DELAY_SECONDS, MakeRecord, RecordWriter
-from bronzetiller.logs import log_event
-from bronzetiller.metrics import (
-    GRANTS_REQUESTED,
-    STORE_RESTORATIONS,
-    TOKENS_MOVED,
-    VOUCHED_RECORDS,
+from bronzetiller.gateway.record_writer import (
+    RETRY_DELAY_SECONDS,
+    MakeRecord,
+    RecordWriter,
+    vouch,
 )
+from bronzetiller.logs import log_event
+from bronzetiller.metrics import GRANTS_REQUESTED, STORE_RESTORATIONS, TOKENS_MOVED
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.topics import HOLDINGS_TOPIC, USE_TOPICS
 from bronzetiller.routing.queues import RateMeter
@@ -668,7 +668,7 @@
             return
         vouched = self._records.take_vouched(now, is_starting=not self._initialized)
         for node_id, record in vouched.items():
-            self._vouch(node_id, record)
+            vouch(self._store, HOLDINGS_PARTITION, node_id, record)
         if not self._initialized or self._call_in_progress:
             return
         if self._records.is_outdated(self._node_id):
@@ -677,16 +677,6 @@
             self._settling_read_at = now + SETTLING_READ_SECONDS
             self._read()
 
-    def _vouch(self, node_id: str, record: HoldingRecord) -> None:
-        """Write the record of a node that did not do so itself."""
-
-        def handle_result(result: Result[int, AppendFailure]) -> None:
-            written = isinstance(result, Ok)
-            VOUCHED_RECORDS.labels("written" if written else "failed").inc()
-            log_event("holding_vouched", peer=node_id, epoch=record.epoch, written=written)
-
-        self._store.append(HOLDINGS_PARTITION, node_id, record.encode(), None, handle_result)
-
     def _log_restoration(self) -> None:
         STORE_RESTORATIONS.labels(HOLDINGS_PARTITION.topic).inc()
         log_event(
--- a/bronzetiller/gateway/record_writer.py
+++ b/bronzetiller/gateway/record_writer.py
@@ -7,6 +7,7 @@
 
 from bronzetiller.gateway.allocations import HoldingRecord
 from bronzetiller.logs import log_event
+from bronzetiller.metrics import VOUCHED_RECORDS
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.storage.keyed import (
     AppendFailure,
@@ -89,3 +90,14 @@
         self._store.append(
             self.partition, self._node_id, record.encode(), writer_sequence, handle_result
         )
+
+
+def vouch(store: KeyedStore, partition: Partition, node_id: str, record: HoldingRecord) -> None:
+    """Write the record of a node that did not do so itself."""
+
+    def handle_result(result: Result[int, AppendFailure]) -> None:
+        written = isinstance(result, Ok)
+        VOUCHED_RECORDS.labels("written" if written else "failed").inc()
+        log_event("holding_vouched", peer=node_id, epoch=record.epoch, written=written)
+
+    store.append(partition, node_id, record.encode(), None, handle_result)
