Read other nodes' records one read at a time while idle

A node that holds tokens, or is a witness, reads the holdings each second, and began the next read while the last one was still open. A store that takes D seconds got ceil(D) reads from the same position from every such node, the more the longer its timeout: the load that slows it grows with its slowness. A failed read was repeated after the same second by all nodes.

The reads move into IdleReads: one at a time, and after a failure a delay with jitter of 0.25 to 1 s, so that a lost record is noticed as soon as before.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -4,6 +4,7 @@
 import time
 import zlib
 from collections.abc import Callable
+from random import Random
 
 from attrs import define, evolve, field
 from result import Err, Ok, Result
@@ -29,6 +30,7 @@
 from bronzetiller.gateway.clock_monitor import ClockMonitor
 from bronzetiller.gateway.configuration import WorkspaceConfiguration
 from bronzetiller.gateway.holding_records import HoldingRecords
+from bronzetiller.gateway.idle_reads import IdleReads
 from bronzetiller.gateway.record_writer import (
     RETRY_DELAY_SECONDS,
     MakeRecord,
@@ -63,9 +65,6 @@
 # Time for a few large requests per workspace and node; disconnections last about ten seconds.
 RATE_TIME_CONSTANT_SECONDS = 12.0
 CHECK_INTERVAL_SECONDS = 0.2
-# A node that holds tokens must notice soon that the store has lost records, its own among them; a
-# witness must have read those of the others.
-IDLE_READ_SECONDS = 1.0
 SETTLING_READ_SECONDS = 0.4  # between reads, until all records are known after a restoration
 # A late response is better than a refusal, as another node is as likely to be disconnected.
 DISCONNECTED_WAIT_SECONDS_MAX = 2.0
@@ -98,6 +97,7 @@
     _clock: ClockMonitor = field(factory=ClockMonitor)
     _read_clock: Callable[[], float] = time.time
     _started_at: float = field(factory=time.time)
+    _draw_uniform: Callable[[], float] = field(factory=lambda: Random().random)
     _records: HoldingRecords = field(init=False)
     _reclaimed: dict[str, Account] = field(factory=dict)
     _meters: dict[str, RateMeter] = field(factory=dict)
@@ -118,7 +118,7 @@
     _use_reported_at: float = float("-inf")
     _last_contact_at: float = float("-inf")
     _known_at: float = float("-inf")
-    _idle_end: int = -1
+    _idle_reads: IdleReads = field(init=False)
     _settling_read_at: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
@@ -131,6 +131,14 @@
 
         self._holding_writer = make_writer(HOLDINGS_PARTITION)
         self._use_writer = make_writer(choose_use_partition(self._node_id))
+        self._idle_reads = IdleReads(
+            self._scheduler,
+            self._store,
+            HOLDINGS_PARTITION,
+            self._records,
+            self._handle_idle_read,
+            self._draw_uniform,
+        )
 
     def start(self) -> None:
         """Start reporting and prefetching tokens."""
@@ -284,38 +292,24 @@
         if now - max(self._reported_at, self._use_reported_at) >= interval:
             self._report_use()
         self._report_for_waiters()
-        if self._is_idle_read_due(now):
-            self._read_while_idle()
+        if self._is_idle_read_due():
+            self._idle_reads.read(self._end)
 
-    def _read_while_idle(self) -> None:
-        """Read what others wrote, to remember it if the store loses it; reports read it again.
+    def _is_idle_read_due(self) -> bool:
+        """Return whether to read what reports will read again, as the store may lose it.
 
         The share of a budget that this node holds is decided at its reports, as it may need more
         than it uses now when it is disconnected.
         """
-
-        def handle_records(result: Result[RecordBatch, ReadFailure]) -> None:
-            match result:
-                case Ok(batch):
-                    self._idle_end = batch.end
-                    for item in batch.records:
-                        record = decode_holding_record(item.value or b"")
-                        if record is not None:
-                            self._records.remember(item.key, record)
-                case Err(HistoryExpired()) if not self._call_in_progress:
-                    self._read()
-                case Err(failure):
-                    log_event("holdings_unread", cause=failure)
-
-        self._known_at = self._scheduler.now()
-        position = max(self._end, self._idle_end)
-        self._store.read_from(HOLDINGS_PARTITION, position, 0.0, handle_records)
-
-    def _is_idle_read_due(self, now: float) -> bool:
-        if self._call_in_progress or self._end < 0 or now - self._known_at < IDLE_READ_SECONDS:
+        if self._call_in_progress or self._end < 0 or not self._idle_reads.is_due(self._known_at):
             return False
         return self._is_witness() or any(item.held > 0 for item in self.allocations.values())
 
+    def _handle_idle_read(self, result: Result[RecordBatch, ReadFailure]) -> None:
+        match result:
+            case Err(HistoryExpired()) if not self._call_in_progress:
+                self._read()
+
     def _report_for_waiters(self) -> None:
         """Write the records for which requests are queued."""
         allocations = self.allocations.values()
--- a/exploration/budget_model.py
+++ b/exploration/budget_model.py
@@ -399,6 +399,7 @@
             repr([(item.kind, str(item.partition), item.page) for item in process.store.calls]),
             (internal._end, internal._proposed_position, internal._store_unreachable),
             (internal._holding_writer.epoch, internal._use_writer.epoch),
+            internal._idle_reads._backoff.failures,
             repr(sorted((key, record.number) for key, record in internal._records.newest.items())),
             internal._records.era,
             round(internal._records.count_seconds_left(now), 2),
@@ -417,6 +418,7 @@
             started_at=self.now + clock_offset,
             clock=ClockMonitor(read_offset=lambda: 0.0),
             read_clock=lambda: scheduler.now() + process.clock_lead,
+            draw_uniform=lambda: 1.0,
         )
         process.manager.set_workspaces(self._make_workspaces())
         self.processes[index] = process
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 from result import Err, Ok
 
+from bronzetiller.storage.adaptive_timeout import AdaptiveTimeout
 from bronzetiller.storage.keyed import (
     Fenced,
     RecordBatch,
@@ -102,3 +103,127 @@
         if not peer.silent:
             self.scheduler.call_after(0.001, lambda: peer.handlers[type(message)](message, reply))
         self.scheduler.call_after(seconds, lambda: finish(Err("timeout")))
+
+
+@define(eq=False)
+class SharedLink:
+    """Carry the store's traffic of many nodes, in the order in which it was sent.
+
+    What is sent for a caller that has given up takes its time on the link all the same.
+    """
+
+    scheduler: FakeScheduler
+    bytes_per_second: float = 3_750_000.0  # 30 Mbit/s
+    cut_until: float = float("-inf")
+    sent_bytes: int = 0
+    _free_at: float = 0.0
+
+    @property
+    def is_cut(self):
+        return self.scheduler.now() < self.cut_until
+
+    def send(self, size):
+        """Return the seconds until the first and the last byte arrive."""
+        now = self.scheduler.now()
+        self.sent_bytes += size
+        starts_at = max(now, self._free_at)
+        self._free_at = starts_at + size / self.bytes_per_second
+        return starts_at - now, self._free_at - now
+
+
+RESPONSE_TIMEOUT_SECONDS = 1.2
+CONNECT_TIMEOUT_SECONDS = 1.0
+CALL_BYTES = 300  # of the heads of a request and its response
+
+
+@define(eq=False)
+class SlowStoreClient:
+    """Access the store as one node over a link; timeouts follow what the store takes.
+
+    An append is executed whether or not its caller still waits. calls holds the time, the topic
+    and the size of each call.
+    """
+
+    scheduler: FakeScheduler
+    store: MemoryStore
+    delay_seconds: float = 0.0
+    link: SharedLink = field(default=None)
+    timeout: AdaptiveTimeout = field(factory=AdaptiveTimeout)
+    calls: list = field(factory=list)
+    open_calls: list = field(factory=list)
+    open_calls_max: dict = field(factory=dict)
+
+    def __attrs_post_init__(self):
+        self.link = self.link or SharedLink(self.scheduler, float("inf"))
+
+    def read_newest(self, partition, done):
+        def execute():
+            batch = RecordBatch(self.store.list_newest(partition), self.store.find_end(partition))
+            return Ok(batch), 4 * _count_bytes(batch) // 3
+
+        self._call("newest", partition, execute, done)
+
+    def read_from(self, partition, position, wait_seconds, done):
+        def execute():
+            result = self.store.read_from(partition, position)
+            return result, _count_bytes(result.ok_value) if result.is_ok() else 0
+
+        self._call("read", partition, execute, done)
+
+    def append(self, partition, key, value, writer_sequence, done):
+        def execute():
+            position = self.store.append(partition, key, value, writer_sequence)
+            result = Err(Fenced("out of sequence")) if position is None else Ok(position)
+            return result, len(value or b"")
+
+        self._call("append", partition, execute, done)
+
+    def list_calls(self, kind, partition):
+        """Return the times and sizes of the calls of a kind that were sent."""
+        return [item[2:] for item in self.calls if item[:2] == (kind, partition)]
+
+    def _call(self, kind, partition, execute, done):
+        sent_at = self.scheduler.now()
+        timeout_seconds = self.timeout.extend(RESPONSE_TIMEOUT_SECONDS)
+        name = (kind, partition)
+        self.open_calls.append(name)
+        self.open_calls_max[name] = max(
+            self.open_calls_max.get(name, 0), self.open_calls.count(name)
+        )
+        finished = []
+
+        def finish(result):
+            if not finished:
+                finished.append(True)
+                self.open_calls.remove(name)
+                done(result)
+
+        def respond():
+            result, size = execute()
+            self.calls.append((*name, sent_at, size))
+            first, last = self.link.send(CALL_BYTES + size)
+            now = self.scheduler.now()
+            if now + first - sent_at > timeout_seconds:
+                return
+            timer.cancel()
+            self.scheduler.call_after(last, lambda: accept(result))
+
+        def accept(result):
+            self.timeout.record_response(self.scheduler.now() - sent_at)
+            finish(result)
+
+        def give_up():
+            self.timeout.record_timeout()
+            finish(Err(StoreUnreachable("silence", True)))
+
+        if self.link.is_cut:
+            self.calls.append((*name, sent_at, 0))
+            failure = Err(StoreUnreachable("connect: timeout", False))
+            self.scheduler.call_after(CONNECT_TIMEOUT_SECONDS, lambda: finish(failure))
+            return
+        timer = self.scheduler.call_after(timeout_seconds, give_up)
+        self.scheduler.call_after(self.delay_seconds, respond)
+
+
+def _count_bytes(batch):
+    return sum(len(item.key) + len(item.value or b"") + 5 for item in batch.records)
--- a/tests/test_allocation_machine.py
+++ b/tests/test_allocation_machine.py
@@ -62,6 +62,7 @@
             started_at=self.now,
             clock=ClockMonitor(read_offset=lambda: 0.0),
             read_clock=lambda: self.now,
+            draw_uniform=lambda: 1.0,
         )
         manager.set_workspaces({WORKSPACE: WorkspaceConfiguration(WORKSPACE, None, self.prepaid)})
         self.live[index] = Incarnation(manager, client, scheduler)
--- a/tests/test_allocation_manager.py
+++ b/tests/test_allocation_manager.py
@@ -42,6 +42,7 @@
             clock=ClockMonitor(read_offset=lambda: 0.0),
             read_clock=lambda: scheduler.time,
             started_at=scheduler.time,
+            draw_uniform=lambda: 1.0,
         )
         manager.set_workspaces({WORKSPACE: WorkspaceConfiguration(WORKSPACE, None, prepaid)})
         manager.start()
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -77,6 +77,7 @@
             clock=ClockMonitor(read_offset=lambda: 0.0),
             read_clock=lambda: scheduler.time,
             started_at=scheduler.time,
+            draw_uniform=lambda: 1.0,
         )
         manager.set_workspaces({WORKSPACE: WorkspaceConfiguration(WORKSPACE, None, self.prepaid)})
         ReservationServer(scheduler, manager).register_handlers(peers)
--- /dev/null
+++ b/tests/test_store_recovery.py
@@ -0,0 +1,108 @@
+"""Test without a network how nodes call a store that is slow, or that many regain at once."""
+
+import logging
+from random import Random
+
+import pytest
+from attrs import define
+
+from bronzetiller.gateway.allocation_manager import HOLDINGS_PARTITION, AllocationManager
+from bronzetiller.gateway.clock_monitor import ClockMonitor
+from bronzetiller.gateway.configuration import WorkspaceConfiguration
+from standins.fake_scheduler import FakeScheduler
+from standins.memory_store import MemoryStore
+from tests.gateway_fakes import SharedLink, SlowStoreClient
+
+WORKSPACE = "studio"
+SLOW_SECONDS = [1.3, 1.6, 2.5, 4.0]
+REGIONS = 3
+FLEETS = [6, 195, 330]
+OUTAGE_SECONDS = 9.0
+SHORT_LOSS_SECONDS = 4.0
+BACKLOG_BYTES = 7_500_000  # what waits on the link when the outage ends: two seconds of it
+REGAINED_SECONDS_MAX = 3.0  # a connection that is not established, and a retry
+BURST_SECONDS = 0.1
+BURST_SHARE_MAX = 0.2  # of the nodes that call the store within a tenth of a second
+
+
+@pytest.fixture(autouse=True)
+def quiet_logs():
+    """Silence the logs of hundreds of nodes."""
+    logging.disable()
+    yield
+    logging.disable(logging.NOTSET)
+
+
+@pytest.fixture
+def scheduler():
+    """Return a scheduler whose clock the test advances."""
+    return FakeScheduler()
+
+
+@pytest.fixture
+def store():
+    """Return an empty store."""
+    return MemoryStore()
+
+
+@pytest.fixture
+def link(scheduler):
+    """Return the link between a region and the store."""
+    return SharedLink(scheduler)
+
+
+@pytest.fixture
+def near_link(scheduler):
+    """Return the link of the other regions, which is never full."""
+    return SharedLink(scheduler, float("inf"))
+
+
+@define(eq=False)
+class HoldingNode:
+    """Hold a node's allocations and its access to the store."""
+
+    manager: AllocationManager
+    client: SlowStoreClient
+
+
+@pytest.fixture
+def start_holders(scheduler, store, link, near_link):
+    """Return a function that starts nodes at once, which hold tokens unless they are witnesses.
+
+    Those of one region share the link; all the others reach the store without it.
+    """
+
+    def start(count, *, are_witnesses=False):
+        nodes = []
+        for number in range(count):
+            is_remote = number % REGIONS == 0
+            client = SlowStoreClient(scheduler, store, link=link if is_remote else near_link)
+            manager = AllocationManager(
+                scheduler,
+                client,
+                f"node-{number}",
+                f"node-{number}/1",
+                lambda workspace: 0.0 if are_witnesses else 1 / count,
+                lambda: are_witnesses,
+                clock=ClockMonitor(read_offset=lambda: 0.0),
+                read_clock=lambda: scheduler.time,
+                started_at=scheduler.time,
+                draw_uniform=Random(number).random,
+            )
+            manager.set_workspaces({WORKSPACE: WorkspaceConfiguration(WORKSPACE, None, 100_000)})
+            manager.start()
+            nodes.append(HoldingNode(manager, client))
+        scheduler.advance(15.0)
+        return nodes
+
+    return start
+
+
+@pytest.mark.parametrize("delay_seconds", SLOW_SECONDS)
+def test_a_slow_store_is_not_read_again_before_it_has_responded(
+    scheduler, start_holders, delay_seconds
+):
+    (node,) = start_holders(1, are_witnesses=True)
+    node.client.delay_seconds = delay_seconds
+    scheduler.advance(40.0)
+    assert node.client.open_calls_max["read", HOLDINGS_PARTITION] == 1
