Count the store as reachable again once an idle read succeeds

Callers of a node that was cut off for a moment were refused with 503 for up to ten seconds more. A use record that could not be sent marks the store as unreachable; only the node's next report, due after 0.03 s for each node that writes (5.9 s at 195 nodes, 9.9 s at 330), read the store and cleared that, although the idle reads in between, one a second, succeeded.

An idle read that succeeds now clears it. No record and no order of appends changes.

The new test fails without this at 330 nodes (still unreachable three seconds after the store was back); it passes at 6 and 195, whose use and holding records are more frequent.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -307,6 +307,9 @@
 
     def _handle_idle_read(self, result: Result[RecordBatch, ReadFailure]) -> None:
         match result:
+            case Ok():
+                # Otherwise the store would count as unreachable until the next report is due.
+                self._record_store_success()
             case Err(HistoryExpired()) if not self._call_in_progress:
                 self._read()
 
--- a/tests/test_store_recovery.py
+++ b/tests/test_store_recovery.py
@@ -7,6 +7,7 @@
 from attrs import define
 
 from bronzetiller.gateway.allocation_manager import HOLDINGS_PARTITION, AllocationManager
+from bronzetiller.gateway.allocations import HoldingRecord
 from bronzetiller.gateway.clock_monitor import ClockMonitor
 from bronzetiller.gateway.configuration import WorkspaceConfiguration
 from standins.fake_scheduler import FakeScheduler
@@ -98,6 +99,18 @@
     return start
 
 
+@pytest.fixture
+def lose_store(scheduler, link, near_link):
+    """Return a function that cuts all nodes off for a while; then one region's link is full."""
+
+    def lose(seconds, backlog_bytes=0):
+        link.cut_until = near_link.cut_until = scheduler.time + seconds
+        scheduler.advance(seconds)
+        link.send(backlog_bytes)
+
+    return lose
+
+
 @pytest.mark.parametrize("delay_seconds", SLOW_SECONDS)
 def test_a_slow_store_is_not_read_again_before_it_has_responded(
     scheduler, start_holders, delay_seconds
@@ -106,3 +119,17 @@
     node.client.delay_seconds = delay_seconds
     scheduler.advance(40.0)
     assert node.client.open_calls_max["read", HOLDINGS_PARTITION] == 1
+
+
+@pytest.mark.parametrize("count", FLEETS)
+def test_a_store_that_responds_does_not_count_as_unreachable_until_the_next_report(
+    scheduler, store, lose_store, start_holders, count
+):
+    for number in range(1, count):  # the more nodes write, the rarer are the reports of each
+        record = HoldingRecord(f"node-{number}/1", 1, 1, scheduler.time, True, {})
+        store.append(HOLDINGS_PARTITION, f"node-{number}", record.encode(), None)
+    (node,) = start_holders(1)
+    for _ in range(10):
+        lose_store(SHORT_LOSS_SECONDS)
+        scheduler.advance(REGAINED_SECONDS_MAX)
+        assert not node.manager.is_store_unreachable
