Space out the calls of holders that lost the store, with jitter

All holders that lost the store at once repeated their reads and appends every 0.25 s after each failure, at intervals without jitter, and nodes that were started at once checked their holdings at the same instants: with the store back, they all called it at once, over a link that is full already.

What is written, its numbers and its order stay as they are.

tests/test_store_recovery.py: all nodes cut off for 9 s, a third of them behind a link of 30 Mbit/s with two seconds of backlog. Both times all have the store again within five seconds. Before this, the test fails at 195 and 330 nodes.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -31,12 +31,7 @@
 from bronzetiller.gateway.configuration import WorkspaceConfiguration
 from bronzetiller.gateway.holding_records import HoldingRecords
 from bronzetiller.gateway.idle_reads import IdleReads
-from bronzetiller.gateway.record_writer import (
-    RETRY_DELAY_SECONDS,
-    MakeRecord,
-    RecordWriter,
-    vouch,
-)
+from bronzetiller.gateway.record_writer import MakeRecord, RecordWriter, make_backoff, vouch
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import GRANTS_REQUESTED, STORE_RESTORATIONS, TOKENS_MOVED
 from bronzetiller.net.scheduler import Scheduler
@@ -54,6 +49,7 @@
     StoreUnreachable,
     get_era,
 )
+from bronzetiller.sync.backoff import Backoff
 
 HOLDINGS_PARTITION = Partition(HOLDINGS_TOPIC)
 REPORT_INTERVAL_SECONDS_MIN = 0.5  # the store takes hundreds of writes a second
@@ -119,6 +115,7 @@
     _last_contact_at: float = float("-inf")
     _known_at: float = float("-inf")
     _idle_reads: IdleReads = field(init=False)
+    _backoff: Backoff = field(init=False)
     _settling_read_at: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
@@ -126,11 +123,17 @@
 
         def make_writer(partition: Partition) -> RecordWriter:
             return RecordWriter(
-                self._scheduler, self._store, partition, self._node_id, self._record_store_failure
+                self._scheduler,
+                self._store,
+                partition,
+                self._node_id,
+                self._record_store_failure,
+                self._draw_uniform,
             )
 
         self._holding_writer = make_writer(HOLDINGS_PARTITION)
         self._use_writer = make_writer(choose_use_partition(self._node_id))
+        self._backoff = make_backoff(self._draw_uniform)
         self._idle_reads = IdleReads(
             self._scheduler,
             self._store,
@@ -142,7 +145,13 @@
 
     def start(self) -> None:
         """Start reporting and prefetching tokens."""
-        self._scheduler.call_every(CHECK_INTERVAL_SECONDS, self._check)
+
+        def check_regularly() -> None:
+            self._scheduler.call_every(CHECK_INTERVAL_SECONDS, self._check)
+            self._check()
+
+        # Nodes that were started at once must not call the store at once from then on.
+        self._scheduler.call_after(CHECK_INTERVAL_SECONDS * self._draw_uniform(), check_regularly)
         self._check()
 
     def set_workspaces(self, workspaces: dict[str, WorkspaceConfiguration]) -> None:
@@ -521,7 +530,7 @@
 
     def _retry_read(self, failure: ReadFailure) -> None:
         self._record_store_failure(str(failure))
-        self._scheduler.call_after(RETRY_DELAY_SECONDS, self._read)
+        self._scheduler.call_after(self._backoff.next_seconds(), self._read)
 
     def _apply_batch(self, batch: RecordBatch) -> None:
         """Apply records in log order; those before the proposal decide on it."""
@@ -602,7 +611,7 @@
         def handle_use_records(result: Result[RecordBatch, StoreUnreachable]) -> None:
             if isinstance(result, Err):
                 self._record_store_failure(str(result.err_value))
-                self._scheduler.call_after(RETRY_DELAY_SECONDS, self._reclaim)
+                self._scheduler.call_after(self._backoff.next_seconds(), self._reclaim)
                 return
             self._record_store_success()
             if get_era(result.ok_value.end) != self._records.era:
@@ -685,6 +694,7 @@
         )
 
     def _record_store_success(self) -> None:
+        self._backoff.reset()
         self._last_contact_at = self._scheduler.now()
         if self._store_unreachable:
             self._store_unreachable = False
--- a/bronzetiller/gateway/record_writer.py
+++ b/bronzetiller/gateway/record_writer.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from attrs import define
+from attrs import define, field
 from result import Err, Ok, Result
 
 from bronzetiller.gateway.allocations import HoldingRecord
@@ -17,8 +17,11 @@
     StoreUnreachable,
     WriterSequence,
 )
+from bronzetiller.sync.backoff import Backoff
 
-RETRY_DELAY_SECONDS = 0.25
+# Holdings decide whether requests are refused, so that calls must resume soon after an outage.
+RETRY_SECONDS_MIN = 0.25
+RETRY_SECONDS_MAX = 1.5
 LATENCY_WEIGHT = 0.2  # of the newest append in the mean latency
 
 MakeRecord = Callable[[int, int], HoldingRecord]
@@ -38,11 +41,16 @@
     partition: Partition
     _node_id: str
     _on_store_failure: Callable[[str], None]
+    _draw_uniform: Callable[[], float]
     epoch: int = 0
     latency: float = 0.0
     in_progress: bool = False
     _number: int = 0
     _outcome_unknown: bool = False
+    _backoff: Backoff = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._backoff = make_backoff(self._draw_uniform)
 
     def append(self, make_record: MakeRecord, done: AppendCallback) -> HoldingRecord:
         """Append the record made from an epoch and a number; done gets its offset.
@@ -78,10 +86,11 @@
                     self._outcome_unknown = self._outcome_unknown or may_have_run
                     if self._outcome_unknown:
                         self._scheduler.call_after(
-                            RETRY_DELAY_SECONDS, lambda: self._send(record, done)
+                            self._backoff.next_seconds(), lambda: self._send(record, done)
                         )
                         return
                     self._number -= 1
+            self._backoff.reset()
             self._outcome_unknown = False
             self.in_progress = False
             done(result)
@@ -92,6 +101,11 @@
         )
 
 
+def make_backoff(draw_uniform: Callable[[], float]) -> Backoff:
+    """Return the delays between calls of a store that does not respond."""
+    return Backoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX, draw_uniform)
+
+
 def vouch(store: KeyedStore, partition: Partition, node_id: str, record: HoldingRecord) -> None:
     """Write the record of a node that did not do so itself."""
 
--- a/tests/test_store_recovery.py
+++ b/tests/test_store_recovery.py
@@ -1,6 +1,7 @@
 """Test without a network how nodes call a store that is slow, or that many regain at once."""
 
 import logging
+from collections import Counter
 from random import Random
 
 import pytest
@@ -111,6 +112,11 @@
     return lose
 
 
+def find_largest_burst(times):
+    """Return how many calls were made within a tenth of a second, at most."""
+    return max(Counter(int(at / BURST_SECONDS) for at in times).values())
+
+
 @pytest.mark.parametrize("delay_seconds", SLOW_SECONDS)
 def test_a_slow_store_is_not_read_again_before_it_has_responded(
     scheduler, start_holders, delay_seconds
@@ -121,6 +127,24 @@
     assert node.client.open_calls_max["read", HOLDINGS_PARTITION] == 1
 
 
+@pytest.mark.parametrize("count", FLEETS)
+def test_holders_that_regain_the_store_do_not_call_it_all_at_once(
+    scheduler, link, lose_store, start_holders, count
+):
+    nodes = start_holders(count)
+    lose_store(OUTAGE_SECONDS, BACKLOG_BYTES)
+    regained_at = link.cut_until
+    scheduler.advance(REGAINED_SECONDS_MAX + BACKLOG_BYTES / link.bytes_per_second)
+    lost = sum(node.manager.is_store_unreachable for node in nodes)
+    first = [
+        min(at for _, _, at, _ in node.client.calls if at >= regained_at) - regained_at
+        for node in nodes
+    ]
+    assert lost == 0
+    if count > 10:
+        assert find_largest_burst(first) <= BURST_SHARE_MAX * count
+
+
 @pytest.mark.parametrize("count", FLEETS)
 def test_a_store_that_responds_does_not_count_as_unreachable_until_the_next_report(
     scheduler, store, lose_store, start_holders, count
