Let nodes settle that all start after a restoration of the store

Nodes that were all started after the store came back from a copy held no tokens for ever, so that prepaid requests were refused until a node of before was back. Each read all newest records again every 0.4 s; a read that came after the settling time had passed found the same old records, with nobody there to write them again, and began a new settling time.

A node that settles at its start now reads on from where it was: what was written since, which is all it lacks. An era that ends meanwhile expires the position, and it starts over, as before. What it reclaims is unchanged: a record of an earlier era counts as spent in full.

The two new tests fail before, for all parameters, and pass now; one read of all records each.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -544,6 +544,9 @@
         self._end = batch.end
         if concluded:
             return
+        if not self._initialized:
+            self._reclaim()
+            return
         if self._proposed_position is None:
             self._finish_call()
             return
@@ -600,7 +603,6 @@
         self._settle_records()
         if not self._records.is_settled:
             # Other nodes may know a newer record of this one than the copy of the store had.
-            self._end = -1
             self._scheduler.call_after(SETTLING_READ_SECONDS, self._read)
             return
         record = self._records.newest.get(self._node_id)
--- a/tests/test_store_recovery.py
+++ b/tests/test_store_recovery.py
@@ -74,11 +74,13 @@
     Those of one region share the link; all the others reach the store without it.
     """
 
-    def start(count, *, are_witnesses=False):
+    def start(count, *, are_witnesses=False, delay_seconds=0.0):
         nodes = []
         for number in range(count):
             is_remote = number % REGIONS == 0
-            client = SlowStoreClient(scheduler, store, link=link if is_remote else near_link)
+            client = SlowStoreClient(
+                scheduler, store, delay_seconds, link if is_remote else near_link
+            )
             manager = AllocationManager(
                 scheduler,
                 client,
@@ -112,6 +114,13 @@
     return lose
 
 
+def write_holding_records(store, count):
+    """Write a record of each node, without tokens, as of the current era of the store."""
+    for number in range(count):
+        record = HoldingRecord(f"node-{number}/0", 1, 1, 0.0, True, {}, era=store.era)
+        store.append(HOLDINGS_PARTITION, f"node-{number}", record.encode(), None)
+
+
 def find_largest_burst(times):
     """Return how many calls were made within a tenth of a second, at most."""
     return max(Counter(int(at / BURST_SECONDS) for at in times).values())
@@ -149,11 +158,28 @@
 def test_a_store_that_responds_does_not_count_as_unreachable_until_the_next_report(
     scheduler, store, lose_store, start_holders, count
 ):
-    for number in range(1, count):  # the more nodes write, the rarer are the reports of each
-        record = HoldingRecord(f"node-{number}/1", 1, 1, scheduler.time, True, {})
-        store.append(HOLDINGS_PARTITION, f"node-{number}", record.encode(), None)
+    write_holding_records(store, count)  # the more nodes write, the rarer are the reports of each
     (node,) = start_holders(1)
     for _ in range(10):
         lose_store(SHORT_LOSS_SECONDS)
         scheduler.advance(REGAINED_SECONDS_MAX)
         assert not node.manager.is_store_unreachable
+
+
+@pytest.mark.parametrize("count", FLEETS)
+def test_a_node_that_starts_after_a_restoration_reads_all_holdings_only_once(
+    scheduler, store, start_holders, count
+):
+    write_holding_records(store, count)
+    store.restore({})
+    (node,) = start_holders(1)
+    assert node.manager.is_settled_in(store.era)
+    assert len(node.client.list_calls("newest", HOLDINGS_PARTITION)) == 1
+
+
+@pytest.mark.parametrize("delay_seconds", [0.01, 0.07, 0.15, 0.3])
+def test_nodes_that_all_start_after_a_restoration_get_tokens(store, start_holders, delay_seconds):
+    write_holding_records(store, 6)
+    store.restore({})
+    nodes = start_holders(6, delay_seconds=delay_seconds)
+    assert all(node.manager.allocations[WORKSPACE].held > 0 for node in nodes)
