Let heartbeats go on through a slow store, and spread them over the nodes

A heartbeat was written only once the last one had ended. With timeouts that follow the store, one takes as long as the store does: at D = 2.5 and 4 s they came every 3 and 5 s, so that nodes counted others as silent (3.5 s, with a second between reads), dropped them and took them up again. Nodes that were started at once wrote all at the same instant, each second, and again when they regained the store: at a full link or at the store's limit of calls.

tests/test_store_recovery.py, before and after: longest time between two heartbeats at D = 2.5 s 3 and below 2.5 s, at D = 4 s 5 and below 2.5 s; largest number within a tenth of a second at 6, 195 and 330 nodes: all of them, at most a fifth (5 of 6); after an outage of 9 s the first heartbeat of each node within 2 s. 8 of the 10 new tests fail before.

The fake client of a node that was stopped wrote on as long as the node called it; it does not any more, as a stopped process.

--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -7,6 +7,7 @@
 import json
 from collections.abc import Callable
 from functools import lru_cache
+from random import Random
 from typing import Any
 
 from attrs import define, evolve, field, frozen
@@ -27,10 +28,17 @@
     Partition,
 )
 from bronzetiller.storage.keyed_follower import KeyedFollower
+from bronzetiller.sync.backoff import Backoff
 
 NODES_PARTITION = Partition(NODES_TOPIC)
 HEARTBEAT_SECONDS = 1.0
 HEARTBEAT_TIMEOUT_SECONDS = 3.5  # three heartbeat intervals and the pause between two reads
+# From a heartbeat without a response to the next one, so that a slow store does not make this node
+# look silent.
+RESPONSE_SECONDS_MAX = 1.25
+# From a heartbeat that failed to the next one.
+RETRY_SECONDS_MIN = 1.0
+RETRY_SECONDS_MAX = 1.5
 # Changes of a node's load that are relayed: as a share of it, and at least in requests per second.
 LOAD_CHANGE_SHARE_MIN = 0.25
 LOAD_CHANGE_MIN = 2.0
@@ -158,14 +166,17 @@
     _reader: KeyedReader
     _describe_self: Callable[[], Member]
     _is_direct: Callable[[], bool] = lambda: True
+    _draw_uniform: Callable[[], float] = field(factory=lambda: Random().random)
     members: dict[str, Member] = field(factory=dict)
     _last_seen_at: dict[str, float] = field(factory=dict)
     _newest_beats: dict[str, tuple[str, int]] = field(factory=dict)
     follower: KeyedFollower = field(init=False)
-    _publishing: bool = False
+    _publish_from: float = float("-inf")
     _heartbeat_number: int = 0
+    _backoff: Backoff = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._backoff = Backoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX, self._draw_uniform)
         self.follower = KeyedFollower(
             self._scheduler,
             self._reader,
@@ -179,22 +190,36 @@
     def start(self) -> None:
         """Start publishing and following."""
         self.follower.start()
-        self._scheduler.call_every(HEARTBEAT_SECONDS, self.publish)
         self._scheduler.call_every(HEARTBEAT_SECONDS, self._discard_silent)
         self.publish()
+        # Nodes that were started at once must not write at once from then on.
+        phase_seconds = HEARTBEAT_SECONDS * self._draw_uniform()
+        self._scheduler.call_after(phase_seconds, self._publish_regularly)
+
+    def _publish_regularly(self) -> None:
+        self._scheduler.call_every(HEARTBEAT_SECONDS, self.publish)
+        self.publish()
 
     def publish(self) -> None:
-        """Write this node's record, unless the last write is still in progress."""
-        if self._publishing:
+        """Write this node's record, unless the last write just began or failed."""
+        now = self._scheduler.now()
+        if now < self._publish_from:
             return
-        self._publishing = True
+        self._publish_from = now + RESPONSE_SECONDS_MAX
         self._heartbeat_number += 1
         own = evolve(self._describe_self(), beat=self._heartbeat_number)
 
         def handle_result(result: Result[int, AppendFailure]) -> None:
-            self._publishing = False
             if isinstance(result, Err):
                 log_event("heartbeat_unwritten", level=30, beat=own.beat, cause=result.err_value)
+            else:
+                self._backoff.reset()
+            if own.beat != self._heartbeat_number:
+                return
+            self._publish_from = self._scheduler.now()
+            if isinstance(result, Err):
+                self._publish_from = max(self._publish_from, now + self._backoff.next_seconds())
+                self._scheduler.call_at(self._publish_from, self.publish)
 
         self._store.append(NODES_PARTITION, own.node_id, own.encode(), None, handle_result)
 
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -45,6 +45,8 @@
         self._respond(done, self.store.read_from(partition, position))
 
     def append(self, partition, key, value, writer_sequence, done):
+        if self.stopped:
+            return
         self.appends += 1
         if self.mode == "down":
             self._respond(done, Err(StoreUnreachable("down", False)), 1.0)
@@ -156,14 +158,14 @@
     def __attrs_post_init__(self):
         self.link = self.link or SharedLink(self.scheduler, float("inf"))
 
-    def read_newest(self, partition, done):
+    def read_newest(self, partition, done, late=None):
         def execute():
             batch = RecordBatch(self.store.list_newest(partition), self.store.find_end(partition))
             return Ok(batch), 4 * _count_bytes(batch) // 3
 
         self._call("newest", partition, execute, done)
 
-    def read_from(self, partition, position, wait_seconds, done):
+    def read_from(self, partition, position, wait_seconds, done, late=None):
         def execute():
             result = self.store.read_from(partition, position)
             return result, _count_bytes(result.ok_value) if result.is_ok() else 0
--- a/tests/test_store_recovery.py
+++ b/tests/test_store_recovery.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections import Counter
+from itertools import pairwise
 from random import Random
 
 import pytest
@@ -11,9 +12,16 @@
 from bronzetiller.gateway.allocations import HoldingRecord
 from bronzetiller.gateway.clock_monitor import ClockMonitor
 from bronzetiller.gateway.configuration import WorkspaceConfiguration
+from bronzetiller.gateway.members import (
+    HEARTBEAT_SECONDS,
+    HEARTBEAT_TIMEOUT_SECONDS,
+    NODES_PARTITION,
+    Member,
+    Members,
+)
 from standins.fake_scheduler import FakeScheduler
 from standins.memory_store import MemoryStore
-from tests.gateway_fakes import SharedLink, SlowStoreClient
+from tests.gateway_fakes import FakeStoreClient, SharedLink, SlowStoreClient
 
 WORKSPACE = "studio"
 SLOW_SECONDS = [1.3, 1.6, 2.5, 4.0]
@@ -23,6 +31,7 @@
 SHORT_LOSS_SECONDS = 4.0
 BACKLOG_BYTES = 7_500_000  # what waits on the link when the outage ends: two seconds of it
 REGAINED_SECONDS_MAX = 3.0  # a connection that is not established, and a retry
+HEARTBEATS_BACK_SECONDS_MAX = 2.0
 BURST_SECONDS = 0.1
 BURST_SHARE_MAX = 0.2  # of the nodes that call the store within a tenth of a second
 
@@ -114,6 +123,40 @@
     return lose
 
 
+@define(eq=False)
+class PublishingNode:
+    """Hold what a node publishes and its access to the store."""
+
+    members: Members
+    client: SlowStoreClient
+
+
+@pytest.fixture
+def start_publishers(scheduler, store, link, near_link):
+    """Return a function that starts nodes at once, which publish their heartbeats."""
+
+    def start(count):
+        nodes = []
+        for number in range(count):
+            client = SlowStoreClient(scheduler, store, link=near_link if number % REGIONS else link)
+            own = Member(f"node-{number}", "10.0.0.1:1", "a", f"node-{number}/1", True)
+            reader = FakeStoreClient(scheduler, store, mode="down")
+            members = Members(
+                scheduler, client, reader, lambda own=own: own, draw_uniform=Random(number).random
+            )
+            members.start()
+            nodes.append(PublishingNode(members, client))
+        scheduler.advance(5.0)
+        return nodes
+
+    return start
+
+
+def list_heartbeats(node, since):
+    """Return when a node sent its heartbeats."""
+    return [at for at, _ in node.client.list_calls("append", NODES_PARTITION) if at >= since]
+
+
 def write_holding_records(store, count):
     """Write a record of each node, without tokens, as of the current era of the store."""
     for number in range(count):
@@ -183,3 +226,37 @@
     store.restore({})
     nodes = start_holders(6, delay_seconds=delay_seconds)
     assert all(node.manager.allocations[WORKSPACE].held > 0 for node in nodes)
+
+
+@pytest.mark.parametrize("delay_seconds", SLOW_SECONDS)
+def test_heartbeats_through_a_slow_store_come_before_the_node_counts_as_silent(
+    scheduler, start_publishers, delay_seconds
+):
+    (node,) = start_publishers(1)
+    node.client.delay_seconds = delay_seconds
+    scheduler.advance(40.0)
+    times = list_heartbeats(node, scheduler.time - 40.0)
+    longest = max(later - earlier for earlier, later in pairwise(times))
+    assert longest + HEARTBEAT_SECONDS < HEARTBEAT_TIMEOUT_SECONDS
+
+
+@pytest.mark.parametrize("count", FLEETS)
+def test_nodes_that_started_at_once_do_not_send_their_heartbeats_at_once(
+    scheduler, start_publishers, count
+):
+    nodes = start_publishers(count)
+    times = [at for node in nodes for at in list_heartbeats(node, scheduler.time - 1.0)]
+    assert find_largest_burst(times) <= max(5, BURST_SHARE_MAX * count)
+
+
+@pytest.mark.parametrize("count", FLEETS)
+def test_heartbeats_are_back_soon_after_an_outage_and_not_all_at_once(
+    scheduler, link, lose_store, start_publishers, count
+):
+    nodes = start_publishers(count)
+    lose_store(OUTAGE_SECONDS, BACKLOG_BYTES)
+    regained_at = link.cut_until
+    scheduler.advance(REGAINED_SECONDS_MAX)
+    first = [min(list_heartbeats(node, regained_at)) - regained_at for node in nodes]
+    assert max(first) <= HEARTBEATS_BACK_SECONDS_MAX
+    assert find_largest_burst(first) <= max(5, BURST_SHARE_MAX * count)
