Space out the crash reports of nodes that lost the store

A crash report of up to 64 KB that could not be written was sent again 0.25 s after each failure, for as long as the store was away, at all nodes alike; once it was back, all sent theirs at once, and again if the full link was slower than the timeout.

--- a/bronzetiller/gateway/crash_reports.py
+++ b/bronzetiller/gateway/crash_reports.py
@@ -1,6 +1,8 @@
 """Share the nodes' crash reports through the store, where they outlast every node."""
 
 import json
+from collections.abc import Callable
+from random import Random
 from typing import Any
 
 from attrs import define, field
@@ -20,11 +22,14 @@
     Partition,
 )
 from bronzetiller.storage.keyed_follower import KeyedFollower
+from bronzetiller.sync.backoff import Backoff
 
 CRASHES_PARTITION = Partition(CRASHES_TOPIC)
 READ_WAIT_SECONDS = 1.5  # plus the response time: how late a silent connection is detected
 READ_PAUSE_SECONDS = 0.05
-RETRY_SECONDS = 0.25
+FIRST_READ_CHECK_SECONDS = 0.25
+RETRY_SECONDS_MIN = 0.5
+RETRY_SECONDS_MAX = 3.0
 REPORT_BYTES_MAX = 64 * 1024
 
 
@@ -87,13 +92,16 @@
     _reader: KeyedReader
     _node_id: str
     _tracker: CrashTracker
+    _draw_uniform: Callable[[], float] = field(factory=lambda: Random().random)
     follower: KeyedFollower = field(init=False)
+    _backoff: Backoff = field(init=False)
     _written: bytes | None = None
     _changed: bool = False
     _writing: bool = False
 
     def __attrs_post_init__(self) -> None:
         self._tracker.on_report_change = self._publish
+        self._backoff = Backoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX, self._draw_uniform)
         self.follower = KeyedFollower(
             self._scheduler,
             self._reader,
@@ -131,7 +139,7 @@
             return
         self._writing = True
         if not self.follower.complete:
-            self._scheduler.call_after(RETRY_SECONDS, self._retry)
+            self._scheduler.call_after(FIRST_READ_CHECK_SECONDS, self._retry)
             return
         self._changed = False
         report = self._tracker.report
@@ -141,8 +149,9 @@
             if isinstance(result, Err):
                 log_event("crash_report_unwritten", level=30, cause=result.err_value)
                 self._changed = True
-                self._scheduler.call_after(RETRY_SECONDS, self._retry)
+                self._scheduler.call_after(self._backoff.next_seconds(), self._retry)
                 return
+            self._backoff.reset()
             self._written = value
             self._writing = False
             self._write()
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -247,7 +247,9 @@
             scheduler.now,
             lambda fingerprint: self.world.nodes.index(self),
         )
-        self.reports = CrashReports(scheduler, client, client, self.node_id, self.tracker)
+        self.reports = CrashReports(
+            scheduler, client, client, self.node_id, self.tracker, self.world.random.random
+        )
         self.reports.start()
 
 
--- a/tests/test_store_recovery.py
+++ b/tests/test_store_recovery.py
@@ -12,6 +12,8 @@
 from bronzetiller.gateway.allocations import HoldingRecord
 from bronzetiller.gateway.clock_monitor import ClockMonitor
 from bronzetiller.gateway.configuration import WorkspaceConfiguration
+from bronzetiller.gateway.crash_reports import CRASHES_PARTITION, CrashReports
+from bronzetiller.gateway.crashes import CrashReport, CrashTracker
 from bronzetiller.gateway.members import (
     HEARTBEAT_SECONDS,
     HEARTBEAT_TIMEOUT_SECONDS,
@@ -19,6 +21,7 @@
     Member,
     Members,
 )
+from bronzetiller.requests.crash_evidence import Crash
 from standins.fake_scheduler import FakeScheduler
 from standins.memory_store import MemoryStore
 from tests.gateway_fakes import FakeStoreClient, SharedLink, SlowStoreClient
@@ -32,6 +35,8 @@
 BACKLOG_BYTES = 7_500_000  # what waits on the link when the outage ends: two seconds of it
 REGAINED_SECONDS_MAX = 3.0  # a connection that is not established, and a retry
 HEARTBEATS_BACK_SECONDS_MAX = 2.0
+CRASH_FINGERPRINTS = 600  # 20 KB
+CRASH_REPORTS_BACK_SECONDS_MAX = 4.0
 BURST_SECONDS = 0.1
 BURST_SHARE_MAX = 0.2  # of the nodes that call the store within a tenth of a second
 
@@ -157,6 +162,45 @@
     return [at for at, _ in node.client.list_calls("append", NODES_PARTITION) if at >= since]
 
 
+@define(eq=False)
+class ReportingNode:
+    """Hold a node's crash reports and its access to the store."""
+
+    reports: CrashReports
+    client: SlowStoreClient
+
+    def report_crash(self):
+        """Report a crash with as many fingerprints as a large report has."""
+        fingerprints = frozenset(f"{number:032x}" for number in range(CRASH_FINGERPRINTS))
+        self.reports._tracker.report = CrashReport({"t": Crash("t", 0.0, fingerprints)})
+        self.reports._tracker.on_report_change()
+
+
+@pytest.fixture
+def start_reporters(scheduler, store, link, near_link):
+    """Return a function that starts nodes at once, which report crashes."""
+
+    def start(count):
+        nodes = []
+        for number in range(count):
+            client = SlowStoreClient(scheduler, store, link=near_link if number % REGIONS else link)
+            tracker = CrashTracker(scheduler, None, read_clock=scheduler.now)
+            reports = CrashReports(
+                scheduler,
+                client,
+                FakeStoreClient(scheduler, MemoryStore()),
+                f"node-{number}",
+                tracker,
+                draw_uniform=Random(number).random,
+            )
+            reports.start()
+            nodes.append(ReportingNode(reports, client))
+        scheduler.advance(1.0)
+        return nodes
+
+    return start
+
+
 def write_holding_records(store, count):
     """Write a record of each node, without tokens, as of the current era of the store."""
     for number in range(count):
@@ -260,3 +304,20 @@
     first = [min(list_heartbeats(node, regained_at)) - regained_at for node in nodes]
     assert max(first) <= HEARTBEATS_BACK_SECONDS_MAX
     assert find_largest_burst(first) <= max(5, BURST_SHARE_MAX * count)
+
+
+@pytest.mark.parametrize("count", FLEETS)
+def test_crash_reports_of_an_outage_do_not_fill_the_link_that_is_regained(
+    scheduler, link, lose_store, start_reporters, count
+):
+    nodes = start_reporters(count)
+    for node in nodes:
+        scheduler.call_after(1.0, node.report_crash)
+    lose_store(OUTAGE_SECONDS, BACKLOG_BYTES)
+    regained_at = link.cut_until
+    scheduler.advance(20.0)
+    calls = [node.client.list_calls("append", CRASHES_PARTITION) for node in nodes]
+    first = [min(at for at, _ in item if at >= regained_at) - regained_at for item in calls]
+    assert all(node.reports._written is not None for node in nodes)
+    assert max(first) <= CRASH_REPORTS_BACK_SECONDS_MAX
+    assert find_largest_burst(first) <= max(5, BURST_SHARE_MAX * count)
