Space out the stream records of nodes that lost the store

The record of the streams that began was sent again as soon as the last attempt had failed, as each further stream scheduled the next one (the retry delay of 0.25 s had no effect); all nodes that had lost the store together sent theirs together when it was back.

The next attempt comes 0.125 to 1 s after a failure, growing with jitter. Streams wait for their records, so that the delays stay short.

All streams of the outage are recorded five seconds later at the latest.

--- a/bronzetiller/gateway/stream_records.py
+++ b/bronzetiller/gateway/stream_records.py
@@ -9,6 +9,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 from attrs import define, field
@@ -39,6 +40,7 @@
     get_era,
 )
 from bronzetiller.storage.keyed_follower import KeyedFollower
+from bronzetiller.sync.backoff import Backoff
 
 VERSIONS_PARTITION = Partition(VERSIONS_TOPIC)
 STREAMS_PARTITION = Partition(STREAMS_TOPIC)
@@ -50,7 +52,8 @@
 DISCARD_SECONDS = 4 * TAKE_UP_SECONDS  # records of nodes that are gone; clocks differ
 FLUSH_SECONDS_MIN = 0.02
 FLUSH_SECONDS_PER_NODE = 0.003  # all nodes together stay under 350 appends a second
-RETRY_SECONDS = 0.25
+RETRY_SECONDS_MIN = 0.25
+RETRY_SECONDS_MAX = 1.0  # streams wait for their records
 REMEMBERED_STREAMS_MAX = 20_000
 DISCARDED_MAX = 20  # keys that one lookup deletes
 
@@ -89,6 +92,7 @@
     _is_proposer: Callable[[], bool]
     _sees_targets: Callable[[], bool] = lambda: True
     _read_clock: Callable[[], float] = time.time
+    _draw_uniform: Callable[[], float] = field(factory=lambda: Random().random)
     versions: StreamVersions = field(factory=StreamVersions)
     follower: KeyedFollower = field(init=False)
     is_writable: bool = True
@@ -98,12 +102,14 @@
     _slot: _Slot | None = None
     _unwritten: list[StreamRecord] = field(factory=list)
     _flush_due: bool = False
+    _backoff: Backoff = field(init=False)
     _position: int = -1
     _found: dict[str, dict[str, str]] = field(factory=dict)
     _lookups: list[Callable[[str | None], None]] = field(factory=list)
     _waiting_lookups: list[Callable[[str | None], None]] = field(factory=list)
 
     def __attrs_post_init__(self) -> None:
+        self._backoff = Backoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX, self._draw_uniform)
         self.follower = KeyedFollower(
             self._scheduler,
             self._store,
@@ -210,14 +216,15 @@
         sequence = WriterSequence(f"streams/{self._incarnation}", self._appends, 1)
 
         def handle_result(result: Result[int, AppendFailure]) -> None:
-            self._flush_due = False
             if isinstance(result, Err):
                 if self.is_writable:
                     log_event("stream_records_unwritten", level=30, cause=result.err_value)
                 self.is_writable = False
                 self._unwritten = records + self._unwritten
-                self._scheduler.call_after(RETRY_SECONDS, self._schedule_flush)
+                self._scheduler.call_after(self._backoff.next_seconds(), self._flush)
                 return
+            self._flush_due = False
+            self._backoff.reset()
             self.is_writable = True
             for record in records:
                 record.written = True
--- a/tests/test_store_recovery.py
+++ b/tests/test_store_recovery.py
@@ -1,12 +1,13 @@
 """Test without a network how nodes call a store that is slow, or that many regain at once."""
 
 import logging
+import math
 from collections import Counter
 from itertools import pairwise
 from random import Random
 
 import pytest
-from attrs import define
+from attrs import define, field
 
 from bronzetiller.gateway.allocation_manager import HOLDINGS_PARTITION, AllocationManager
 from bronzetiller.gateway.allocations import HoldingRecord
@@ -21,6 +22,11 @@
     Member,
     Members,
 )
+from bronzetiller.gateway.stream_records import (
+    STREAMS_PARTITION,
+    StreamRecords,
+)
+from bronzetiller.gateway.targets import TargetPool
 from bronzetiller.requests.crash_evidence import Crash
 from standins.fake_scheduler import FakeScheduler
 from standins.memory_store import MemoryStore
@@ -37,6 +43,7 @@
 HEARTBEATS_BACK_SECONDS_MAX = 2.0
 CRASH_FINGERPRINTS = 600  # 20 KB
 CRASH_REPORTS_BACK_SECONDS_MAX = 4.0
+STREAMS_BACK_SECONDS_MAX = 2.0
 BURST_SECONDS = 0.1
 BURST_SHARE_MAX = 0.2  # of the nodes that call the store within a tenth of a second
 
@@ -201,6 +208,47 @@
     return start
 
 
+@define(eq=False)
+class StreamingNode:
+    """Hold a node's stream records and its access to the store."""
+
+    records: StreamRecords
+    client: SlowStoreClient
+    begun: list = field(factory=list)
+
+    def begin_stream(self):
+        """Begin a stream whose events must wait for its record."""
+        name = f"{self.records._incarnation}/{len(self.begun)}"
+        self.begun.append(self.records.record(name, "s/v1", always=True))
+
+
+@pytest.fixture
+def start_streaming(scheduler, store, link, near_link):
+    """Return a function that starts nodes at once, at which a stream begins ten times a second."""
+
+    def start(count):
+        nodes = []
+        for number in range(count):
+            client = SlowStoreClient(scheduler, store, link=near_link if number % REGIONS else link)
+            records = StreamRecords(
+                scheduler,
+                client,
+                f"node-{number}/1",
+                TargetPool(),
+                lambda: count,
+                lambda: False,
+                read_clock=scheduler.now,
+                draw_uniform=Random(number).random,
+            )
+            node = StreamingNode(records, client)
+            scheduler.call_every(0.1, node.begin_stream)
+            nodes.append(node)
+        scheduler.advance(3.0)
+        return nodes
+
+    return start
+
+
 def write_holding_records(store, count):
     """Write a record of each node, without tokens, as of the current era of the store."""
     for number in range(count):
@@ -321,3 +369,23 @@
     assert all(node.reports._written is not None for node in nodes)
     assert max(first) <= CRASH_REPORTS_BACK_SECONDS_MAX
     assert find_largest_burst(first) <= max(5, BURST_SHARE_MAX * count)
+
+
+@pytest.mark.parametrize("count", FLEETS)
+def test_stream_records_are_written_soon_after_an_outage_and_not_all_at_once(
+    scheduler, link, lose_store, start_streaming, count
+):
+    nodes = start_streaming(count)
+    lose_store(OUTAGE_SECONDS, BACKLOG_BYTES)
+    regained_at = link.cut_until
+    begun = [list(node.begun) for node in nodes]
+    scheduler.advance(STREAMS_BACK_SECONDS_MAX)
+    calls = [
+        [at - regained_at for at, _ in node.client.list_calls("append", STREAMS_PARTITION)]
+        for node in nodes
+    ]
+    first = [min((at for at in times if at >= 0), default=math.inf) for times in calls]
+    assert max(first) <= STREAMS_BACK_SECONDS_MAX
+    assert find_largest_burst(first) <= max(5, BURST_SHARE_MAX * count)
+    scheduler.advance(REGAINED_SECONDS_MAX + BACKLOG_BYTES / link.bytes_per_second)
+    assert all(record.written for records in begun for record in records)
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -51,6 +51,7 @@
                 lambda: len(self.nodes),
                 lambda number=number: number < 3,
                 self.scheduler.now,
+                Random(number).random,
             )
             self.clients.append(client)
             self.nodes.append(node)
