Propose a base version to a slow store one at a time

Each of the three proposers proposed a service's base again every second until it had read it: with a store that takes 1.3, 1.6, 2.5 and 4 s, 2, 2, 3 and 5 proposals of one node were open at once. They change nothing, as the store executes the first one only, but add to what makes it slow.

The new test fails before at all four delays; one is open at a time now.

--- a/bronzetiller/gateway/stream_records.py
+++ b/bronzetiller/gateway/stream_records.py
@@ -103,6 +103,7 @@
     _unwritten: list[StreamRecord] = field(factory=list)
     _flush_due: bool = False
     _backoff: Backoff = field(init=False)
+    _proposing: set[str] = field(factory=set)
     _position: int = -1
     _found: dict[str, dict[str, str]] = field(factory=dict)
     _lookups: list[Callable[[str | None], None]] = field(factory=list)
@@ -135,7 +136,7 @@
             return
         for service in self.versions.list_services():
             proposed = self.versions.propose(service, now)
-            if proposed is not None:
+            if proposed is not None and service not in self._proposing:
                 self._propose(proposed)
 
     def _propose(self, base: BaseVersion) -> None:
@@ -144,10 +145,15 @@
         It is in force once it is read, as the accepted one may be another node's.
         """
         log_event("base_version_proposed", service=base.service, version=base.version)
+        self._proposing.add(base.service)
         sequence = WriterSequence(f"base/{base.service}", base.era + 1, base.number)
         STREAM_RECORD_CALLS.labels("propose").inc()
         self._store.append(
-            VERSIONS_PARTITION, base.service, base.encode(), sequence, lambda result: None
+            VERSIONS_PARTITION,
+            base.service,
+            base.encode(),
+            sequence,
+            lambda result: self._proposing.discard(base.service),
         )
 
     def _apply_versions(self, records: list[KeyedRecord]) -> None:
--- a/tests/test_store_recovery.py
+++ b/tests/test_store_recovery.py
@@ -24,9 +24,11 @@
 )
 from bronzetiller.gateway.stream_records import (
     STREAMS_PARTITION,
+    VERSIONS_PARTITION,
     StreamRecords,
 )
-from bronzetiller.gateway.targets import TargetPool
+from bronzetiller.gateway.targets import Registration, TargetPool
+from bronzetiller.net.address import Address
 from bronzetiller.requests.crash_evidence import Crash
 from standins.fake_scheduler import FakeScheduler
 from standins.memory_store import MemoryStore
@@ -389,3 +391,17 @@
     assert find_largest_burst(first) <= max(5, BURST_SHARE_MAX * count)
     scheduler.advance(REGAINED_SECONDS_MAX + BACKLOG_BYTES / link.bytes_per_second)
     assert all(record.written for records in begun for record in records)
+
+
+@pytest.mark.parametrize("delay_seconds", SLOW_SECONDS)
+def test_a_slow_store_gets_one_proposal_of_a_base_version_at_a_time(
+    scheduler, store, delay_seconds
+):
+    client = SlowStoreClient(scheduler, store, delay_seconds)
+    pool = TargetPool()
+    pool.register(Registration("t", "s", Address("10.0.0.1", 1), "a", 8, False, software="v1"))
+    records = StreamRecords(scheduler, client, "node-1/1", pool, lambda: 1, lambda: True)
+    records.start()
+    scheduler.advance(60.0)
+    assert records.versions.find_base("s") == "s/v1"
+    assert client.open_calls_max["append", VERSIONS_PARTITION] == 1
