--- a/tests/test_slow_store.py
+++ b/tests/test_slow_store.py
@@ -13,7 +13,7 @@
 from tests.conftest import await_true
 
 NODES = ("node-1", "node-2")
-DELAYS_SECONDS = [float(item) for item in os.getenv("SLOW_STORE_SECONDS", "1.3,2.5").split(",")]
+DELAYS_SECONDS = [float(item) for item in os.getenv("SLOW_STORE_SECONDS", "1.3,4").split(",")]
 APPLY_SECONDS_MAX = 20.0
 VERSIONS = itertools.count(2)
 VERSIONS_AT_ONCE = 4
