--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -3,7 +3,7 @@
 import json
 
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 
 from bronzetiller.gateway.followers import has_registration_changed
 from bronzetiller.gateway.members import Member, Members
@@ -243,6 +243,19 @@
     assert loads["reader"] == 100.0
 
 
+def test_a_late_heartbeat_does_not_replace_a_newer_one(fleet):
+    reader = fleet.start("reader")
+    fleet.scheduler.advance(5.0)
+    partition = reader.follower.partition
+    old = Member("other", "10.0.0.2:1", "a", "x", True, beat=3, load=1.0)
+    new = evolve(old, beat=4, load=9.0)
+    fleet.store.append(partition, "other", new.encode(), None)
+    fleet.scheduler.advance(2.0)
+    fleet.store.append(partition, "other", old.encode(), None)
+    fleet.scheduler.advance(2.0)
+    assert {item.load for item in reader.list_serving() if item.node_id == "other"} == {9.0}
+
+
 def test_members_stay_known_after_the_reader_is_lost(fleet):
     fleet.start("reader")
     follower = fleet.start("follower", reader="reader")
