Give a restarted node of a test a new incarnation

The commit before was red in one test: its nodes kept one incarnation over restarts, which real ones never do, so that their new heartbeats counted as older. The checks are unchanged.

--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -184,6 +184,7 @@
     network: dict = field(factory=dict)
     clients: dict = field(factory=dict)
     loads: dict = field(factory=dict)
+    starts: int = 0
 
     def start(self, node_id, reader=None):
         scheduler = self.scheduler
@@ -192,8 +193,12 @@
         sources = make_sources(reader)
         source = PeerReader(scheduler, peers, client, node_id, lambda: sources, lambda: [])
 
+        self.starts += 1
+        incarnation = f"{node_id}/{self.starts}"
+
         def describe():
-            return Member(node_id, "10.0.0.1:1", "a", "x", True, load=self.loads.get(node_id, 1.0))
+            load = self.loads.get(node_id, 1.0)
+            return Member(node_id, "10.0.0.1:1", "a", incarnation, True, load=load)
 
         members = Members(scheduler, client, source, describe, lambda: source.is_direct)
         relayed = RelayedPartition(scheduler, members.follower, source, peers)
