Test that an offer to an earlier process of a node loses no records

RelayedPartition.accept moves PeerReader._position to the end of the offer before KeyedFollower.accept rejects it. The next fetch starts there, gets no entries, and the follower counts as complete without any value. Fails on: no values of two after 3 s.

--- /dev/null
+++ b/tests/test_source_changes.py
@@ -0,0 +1,66 @@
+"""Test what nodes miss when their sources change, restart, lag or come back."""
+
+import contextlib
+import zlib
+
+import pytest
+
+from bronzetiller.gateway.relay import PeerReader, RelayedPartition, register_fetch_handler
+from bronzetiller.storage.keyed import Partition
+from bronzetiller.storage.keyed_follower import KeyedFollower
+from bronzetiller.sync.sources import Role, Sources
+from bronzetiller.wire.messages import FetchRecords, KeyedEntry, OfferRecords, Records
+from standins.fake_scheduler import FakeScheduler
+from standins.memory_store import MemoryStore
+from tests.gateway_fakes import FakePeers, FakeStoreClient
+
+PARTITION = Partition("keyed.test")
+ALONE = Sources(Role.READER)
+
+
+class Node:
+    """Follow a partition from the given sources, which a test may replace."""
+
+    def __init__(self, scheduler, store, network, node_id, sources, mode="up"):
+        self.sources = sources
+        self.peers = network[node_id] = FakePeers(network, scheduler, node_id)
+        self.client = FakeStoreClient(scheduler, store, mode=mode)
+        self.source = PeerReader(
+            scheduler, self.peers, self.client, node_id, lambda: self.sources, lambda: []
+        )
+        self.follower = KeyedFollower(
+            scheduler, self.source, PARTITION, lambda changed: None, 0.5, 0.1
+        )
+        self.relayed = RelayedPartition(scheduler, self.follower, self.source, self.peers)
+        register_fetch_handler(self.peers, {PARTITION.topic: self.relayed})
+
+
+@pytest.fixture
+def make_node():
+    """Return a function that makes nodes of one network; its store holds one record."""
+    scheduler, store, network = FakeScheduler(), MemoryStore(), {}
+    store.append(PARTITION, "a", b"1", None)
+
+    def make(node_id, sources=ALONE, mode="up"):
+        return Node(scheduler, store, network, node_id, sources, mode)
+
+    make.scheduler, make.store = scheduler, store
+    return make
+
+
+def read_through(*peers):
+    return Sources(Role.DEPUTY, peers)
+
+
+def test_a_node_that_restarted_misses_no_records_after_an_offer_to_its_earlier_process(make_node):
+    scheduler, store = make_node.scheduler, make_node.store
+    store.append(PARTITION, "b", b"2", None)
+    make_node("reader").follower.start()
+    scheduler.advance(1.0)
+    node = make_node("node", read_through("reader"), mode="down")
+    # The offer answers a message of the process before this one, which had read to position 1.
+    entries = [KeyedEntry("b", b"2", 1)]
+    node.relayed.accept(OfferRecords("keyed.test", 0, 1, Records(2, False, entries)))
+    node.follower.start()
+    scheduler.advance(3.0)
+    assert node.follower.values == {"a": b"1", "b": b"2"}
