Test that a restoration of the store is detected through a reader that was cut off

After HISTORY_SECONDS_MAX a follower reads the newest records at once, without HistoryExpired, so that _apply_whole does not restart the list of changes. Nodes behind it get changes across the eras and never call _detect_restoration: older registrations and heartbeats count, and missing ones are removed at once.

--- a/tests/test_source_changes.py
+++ b/tests/test_source_changes.py
@@ -64,3 +64,21 @@
     node.follower.start()
     scheduler.advance(3.0)
     assert node.follower.values == {"a": b"1", "b": b"2"}
+
+
+def test_a_restoration_of_the_store_is_detected_through_a_reader_that_was_cut_off(make_node):
+    scheduler, store = make_node.scheduler, make_node.store
+    reader, node = make_node("reader"), make_node("node", read_through("reader"), mode="down")
+    reader.follower.start()
+    node.follower.start()
+    scheduler.advance(1.0)
+    store.append(PARTITION, "a", b"2", None)
+    scheduler.advance(1.0)
+    reader.client.mode = "down"
+    scheduler.advance(5.0)
+    store.restore({PARTITION: 1})
+    reader.client.mode = "up"
+    scheduler.advance(5.0)
+    assert node.follower.values == reader.follower.values == {"a": b"1"}
+    assert reader.follower.restored_at is not None
+    assert node.follower.restored_at is not None
