Test that a discarded member does not stay at a node ahead of its reader

KeyedFollower.discard gives the deletion the position of its own next record. A node that read further, from the store or another source, never gets it, and discards no member itself while it reads through a peer. Fails on: the member is still there after 10 s.

--- a/tests/test_source_changes.py
+++ b/tests/test_source_changes.py
@@ -82,3 +82,19 @@
     assert node.follower.values == reader.follower.values == {"a": b"1"}
     assert reader.follower.restored_at is not None
     assert node.follower.restored_at is not None
+
+
+def test_a_member_discarded_by_a_reader_that_is_behind_does_not_stay_at_a_node_ahead(make_node):
+    scheduler, store = make_node.scheduler, make_node.store
+    reader, node = make_node("reader"), make_node("node")
+    reader.follower.start()
+    scheduler.advance(1.0)
+    store.append(PARTITION, "b", b"2", None)
+    node.follower.start()
+    scheduler.advance(0.02)
+    assert node.follower.position > reader.follower.position
+    reader.follower.discard("a")
+    node.sources = read_through("reader")
+    scheduler.advance(10.0)
+    assert not node.source.is_direct and reader.follower.values == {"b": b"2"}
+    assert node.follower.values == {"b": b"2"}
