Test that an offer that was long on its way does not confirm the present

PeerReader.accept_offer counts the age of an offer from its arrival. Five seconds in the buffers of a link or a suspended process, and a configuration counts as confirmed 0 s ago: 404 by an outdated version, and relayed as current.

--- a/tests/test_source_changes.py
+++ b/tests/test_source_changes.py
@@ -98,3 +98,21 @@
     scheduler.advance(10.0)
     assert not node.source.is_direct and reader.follower.values == {"b": b"2"}
     assert node.follower.values == {"b": b"2"}
+
+
+def test_an_offer_that_was_long_on_its_way_does_not_confirm_the_present(make_node):
+    scheduler = make_node.scheduler
+    node, offering = make_node("node", mode="down"), make_node("offering", read_through("node"))
+    node.follower.start()
+    scheduler.advance(2.0)
+    sent = []
+    node.peers.handlers[OfferRecords] = lambda offer, reply: sent.append((scheduler.now(), offer))
+    offering.follower.start()
+    scheduler.advance(1.0)
+    sent_at, offer = sent[0]
+    offering.peers.silent = True
+    scheduler.advance(5.0)  # in the buffers of a full link, or of a node that was suspended
+    node.relayed.accept(offer)
+    assert node.follower.values == {"a": b"1"}
+    assert node.follower.confirmed_at <= sent_at
+    assert node.follower.read_at <= sent_at
