Test that a late read confirms no later than it was asked

KeyedFollower._apply_batch takes a batch whose records were all known for one that the store sent at the end of the requested wait, also for the newest records, which have no wait.

--- a/tests/test_source_changes.py
+++ b/tests/test_source_changes.py
@@ -116,3 +116,22 @@
     assert node.follower.values == {"a": b"1"}
     assert node.follower.confirmed_at <= sent_at
     assert node.follower.read_at <= sent_at
+
+
+def test_a_late_read_of_records_known_meanwhile_confirms_no_later_than_it_was_asked(make_node):
+    scheduler, store = make_node.scheduler, make_node.store
+    follower = make_node("node").follower
+    follower.wait_seconds = 1.0
+    follower.start()
+    scheduler.advance(0.5)
+    asked_at = scheduler.now()
+    before = follower.position
+    store.append(PARTITION, "a", b"2", None)
+    early = store.read_from(PARTITION, before).ok_value  # made when the read was asked
+    follower.confirmed_at = float("-inf")
+    scheduler.clear()  # no other read confirms anything
+    follower.position = early.end
+    follower.values["a"] = b"2"
+    scheduler.advance(3.0)
+    follower.accept(early, before, asked_at)
+    assert follower.confirmed_at <= asked_at
