Test that late reads do not fill the link

A read that was reported as late goes on even if nobody takes its response (holdings, stream lookups, pages but the first), and beside the next read of the same records: up to three at once for each kind, where one that failed was cancelled before. This is load that an overloaded link does not have room for. Both fail on.

--- /dev/null
+++ b/tests/test_late_reads.py
@@ -0,0 +1,65 @@
+"""Test what the store's client goes on receiving after it reported a read as failed."""
+
+from attrs import define, field
+
+from bronzetiller.net.address import Address
+from bronzetiller.net.http_client import BodyPart, ResponseHead
+from bronzetiller.platform.store import PlatformStore
+from bronzetiller.storage.keyed import Partition
+from standins.fake_scheduler import FakeScheduler
+
+PARTITION = Partition("keyed.test")
+
+
+@define(eq=False)
+class FakeCall:
+    """Hold a call whose response the test sends."""
+
+    path: str
+    listener: object
+    sent: bool = True
+    cancelled: bool = False
+
+    def cancel(self):
+        self.cancelled = True
+
+
+@define(eq=False)
+class FakeHttp:
+    """Keep the calls that are sent."""
+
+    scheduler: FakeScheduler = field(factory=FakeScheduler)
+    calls: list = field(factory=list)
+
+    def send(self, call, listener):
+        self.calls.append(FakeCall(call.path, listener))
+        return self.calls[-1]
+
+    def close_idle(self, address):
+        pass
+
+
+def test_a_read_whose_late_response_nobody_takes_does_not_go_on_filling_the_link():
+    http, failures = FakeHttp(), []
+    store = PlatformStore(http, Address("10.0.0.1", 80))
+    store.read_from(PARTITION, 0, 0.0, failures.append)
+    http.scheduler.advance(2.0)
+    assert len(failures) == 1
+    call = http.calls[0]
+    if not call.cancelled:
+        call.listener(ResponseHead(200, {}))
+        call.listener(BodyPart(bytes(100_000)))
+    assert call.cancelled
+
+
+def test_a_read_that_failed_is_not_received_twice_at_once():
+    http, done, late = FakeHttp(), [], []
+    store = PlatformStore(http, Address("10.0.0.1", 80))
+    for _ in range(2):
+        store.read_newest(PARTITION, done.append, late.append)
+        http.scheduler.advance(2.0)
+    for call in http.calls:
+        if not call.cancelled:
+            call.listener(ResponseHead(200, {}))
+            call.listener(BodyPart(b'{"items": ['))
+    assert sum(not call.cancelled for call in http.calls) <= 1
