Test that nodes that start together do not each send all records to a seed

A seed without data counts among the peers that are behind, so each node offers it all records once it has read the store. Fails on: 5 offers from 5 nodes.

--- a/tests/test_source_changes.py
+++ b/tests/test_source_changes.py
@@ -135,3 +135,20 @@
     scheduler.advance(3.0)
     follower.accept(early, before, asked_at)
     assert follower.confirmed_at <= asked_at
+
+
+def test_nodes_that_start_together_do_not_each_send_all_records_to_a_seed(make_node):
+    scheduler = make_node.scheduler
+    seed = make_node("seed", mode="down")
+    offers = []
+    seed.peers.handlers[OfferRecords] = lambda offer, reply: offers.append(offer)
+    nodes = [make_node(f"node-{number}", mode="down") for number in range(5)]
+    for node in nodes:
+        node.source._find_seeds = lambda: ["seed"]
+        node.follower.start()
+    scheduler.advance(2.0)
+    for node in nodes:
+        node.client.mode = "up"
+    scheduler.advance(5.0)
+    assert all(node.follower.values == {"a": b"1"} for node in nodes)
+    assert len(offers) <= 1
