Test that a malformed response of a peer does not end the reading

A compressed value that cannot be decompressed raises in the handler of the response, so done is never called, and check_progress goes on for as long as the link receives anything. Fails on: nothing was read in 20 s.

--- a/tests/test_source_changes.py
+++ b/tests/test_source_changes.py
@@ -152,3 +152,20 @@
     scheduler.advance(5.0)
     assert all(node.follower.values == {"a": b"1"} for node in nodes)
     assert len(offers) <= 1
+
+
+def test_a_malformed_response_of_a_peer_does_not_end_the_reading(make_node):
+    scheduler, store = make_node.scheduler, make_node.store
+    reader, node = make_node("reader"), make_node("node", read_through("reader"))
+    reader.follower.start()
+    scheduler.advance(1.0)
+    malformed = Records(1, True, [KeyedEntry("a", b"no zlib", 0, compressed=True)])
+    fetch = reader.peers.handlers[FetchRecords]
+    reader.peers.handlers[FetchRecords] = lambda message, reply: reply(malformed)
+    node.follower.start()
+    with contextlib.suppress(zlib.error):  # the event loop logs it and goes on
+        scheduler.advance(1.0)
+    reader.peers.handlers[FetchRecords] = fetch
+    store.append(PARTITION, "a", b"3", None)
+    scheduler.advance(20.0)
+    assert node.follower.values == {"a": b"3"}
