Notice a restoration of the store through peers and after an outage

A follower that was cut off for more than 2 s reads the newest records, so that no expired position showed the new era: its change list went on over both eras, and nodes behind it never noticed the restoration. Confirmations are computed from what was received, not from what is left after known records are dropped (up to 1 s too young).

--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -102,17 +102,29 @@
         if self.values.pop(key, None) is not None:
             self.changes.add(KeyedRecord(key, None, self.position))
 
+    def may_accept(self, batch: RecordBatch, from_position: int) -> bool:
+        """Return whether a batch that no read waits for continues what this follower has."""
+        return batch.end >= self.position and (
+            batch.whole is True or 0 <= from_position <= self.position
+        )
+
     def accept(self, batch: RecordBatch, from_position: int, asked_at: float) -> None:
         """Apply records that a read did not wait for: a late response, or what a peer offers.
 
         Without all keys, the batch holds the changes since from_position.
         """
-        if batch.end < self.position or (not batch.whole and from_position > self.position):
+        if not self.may_accept(batch, from_position):
             return
         if batch.whole:
-            self._apply_whole(batch, asked_at)
+            self._apply_whole(_confirm(batch, asked_at))
         else:
-            self._apply_changes(batch, asked_at)
+            self._apply_changes(self._confirm_wait(batch, asked_at))
+
+    def _confirm_wait(self, batch: RecordBatch, asked_at: float) -> RecordBatch:
+        """Confirm the response to a read that waits, if there are no records, for wait_seconds."""
+        elapsed = self._scheduler.now() - asked_at
+        waited = 0.0 if batch.records else min(elapsed, self.wait_seconds)
+        return _confirm(batch, asked_at + waited)
 
     def _read(self) -> None:
         position = self.position
@@ -149,10 +161,10 @@
                 self._schedule_retry(failure)
             case Ok(batch) if batch.whole is False:
                 self._behind = self._expired = False
-                self._apply_changes(batch, asked_at)
+                self._apply_changes(_confirm(batch, asked_at))
                 self._schedule_read()
             case Ok(batch):
-                self._apply_whole(batch, asked_at)
+                self._apply_whole(_confirm(batch, asked_at))
                 self._schedule_read()
 
     def _handle_records(self, result: Result[RecordBatch, ReadFailure], asked_at: float) -> None:
@@ -164,35 +176,37 @@
             case Err(StoreUnreachable() as failure):
                 self._schedule_retry(failure)
             case Ok(batch) if batch.whole:
-                self._apply_whole(batch, asked_at)
+                self._apply_whole(_confirm(batch, asked_at))
                 self._schedule_read()
             case Ok(batch):
                 keys = [record.key for record in batch.records]
                 has_newer = batch.has_more or len(keys) > len(set(keys))
                 self._behind = self.skips_versions and has_newer
-                self._apply_changes(batch, asked_at)
+                self._apply_changes(self._confirm_wait(batch, asked_at))
                 self._schedule_read()
 
-    def _apply_whole(self, batch: RecordBatch, asked_at: float) -> None:
+    def _apply_whole(self, batch: RecordBatch) -> None:
         """Replace the values by those of a batch that holds all keys."""
         if self.position > batch.end:  # of a peer that has read less
             self._behind = False
-            self._apply_batch(evolve(batch, records=[], end=self.position), asked_at)
+            self._apply_batch(evolve(batch, records=[], end=self.position))
             return
         present = {record.key for record in batch.records}
         deleted = [KeyedRecord(key, None, batch.end) for key in self.values.keys() - present]
-        if self.position < 0 or self._expired:
+        is_new_era = get_era(batch.end) != get_era(self.position)
+        if self.position < 0 or self._expired or is_new_era:
             self.changes.restart(batch.end)
         self._behind = self._behind and self.position < batch.end
         self._expired = False
         self._detect_restoration(batch.end)
-        self._apply_batch(evolve(batch, records=[*deleted, *batch.records]), asked_at)
+        self._apply_batch(evolve(batch, records=[*deleted, *batch.records]))
 
-    def _apply_changes(self, batch: RecordBatch, asked_at: float) -> None:
+    def _apply_changes(self, batch: RecordBatch) -> None:
         """Apply the changes of a batch that were not read meanwhile."""
         records = [record for record in batch.records if record.position >= self.position]
         end = max(batch.end, self.position)
-        self._apply_batch(evolve(batch, records=records, end=end), asked_at)
+        self._detect_restoration(end)
+        self._apply_batch(evolve(batch, records=records, end=end))
 
     def _detect_restoration(self, end: int) -> None:
         """Record that the store came back without records that this follower may have read.
@@ -212,17 +226,12 @@
         )
         self.restored_at = self.regained_at = self._scheduler.now()
 
-    def _apply_batch(self, batch: RecordBatch, asked_at: float) -> None:
+    def _apply_batch(self, batch: RecordBatch) -> None:
         now = self._contact_at = self._scheduler.now()
         self.source_path = batch.source_path
         self.read_at = max(self.read_at, now - batch.age_seconds)
-        if not batch.has_more:
-            # A response without records was made when the requested wait ended.
-            waited = 0.0 if batch.records else min(now - asked_at, self.wait_seconds)
-            confirmed_at = batch.confirmed_at
-            self.confirmed_at = max(
-                self.confirmed_at, asked_at + waited if confirmed_at is None else confirmed_at
-            )
+        if not batch.has_more and batch.confirmed_at is not None:
+            self.confirmed_at = max(self.confirmed_at, batch.confirmed_at)
         if self.lost_at is not None:
             seconds = round(now - self.lost_at, 3)
             log_event("store_regained", partition=self.partition, lost_seconds=seconds)
@@ -286,3 +295,8 @@
             lost_seconds=round(now - self.lost_at, 3),
         )
         self._scheduler.call_after(delay, self._read)
+
+
+def _confirm(batch: RecordBatch, confirmed_at: float) -> RecordBatch:
+    """Return a batch with the time of its confirmation, unless it has one."""
+    return batch if batch.confirmed_at is not None else evolve(batch, confirmed_at=confirmed_at)
