Do not bring back members by their last heartbeat

Reading all newest records after an outage listed nodes that fell silent long before, for up to 8 s.

--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -300,16 +300,12 @@
         return self._is_direct() and self.follower.restored_at == self._scheduler.now()
 
     def _is_outdated(self, member: Member) -> bool:
-        """Return whether a record is older than one that was read.
+        """Return whether a record is older than one that was read, or of a node that fell silent.
 
-        A late append was executed after a newer one, or a copy of the store brought it back.
+        A late append was executed after a newer one, a copy of the store brought the record back,
+        or all newest records were read again.
         """
         incarnation, beat = self._newest_beats.get(member.node_id, ("", -1))
         if member.incarnation != incarnation or member.beat > beat:
             return False
-        if member.beat < beat:
-            return True
-        restored_at = self.follower.restored_at
-        if restored_at is None or self._scheduler.now() > restored_at + HEARTBEAT_TIMEOUT_SECONDS:
-            return False
-        return member.node_id not in self.members
+        return member.beat < beat or member.node_id not in self.members
