Receive a late response once, and only if somebody takes it

Late calls of holdings and lookups were received to their end for nobody, and up to three copies of one read arrived at once.

--- a/bronzetiller/platform/store.py
+++ b/bronzetiller/platform/store.py
@@ -118,7 +118,7 @@
             b"",
             lambda response: done(decode(response)),
             wait_seconds,
-            handle_late,
+            None if late is None else handle_late,
         )
 
     def append(
@@ -161,12 +161,12 @@
         body: bytes,
         done: Callable[[_Response], None],
         wait_seconds: float = 0.0,
-        late: Callable[[_Response], None] = lambda response: None,
+        late: Callable[[_Response], None] | None = None,
     ) -> None:
         """Make one HTTP call and pass its status and complete body to done.
 
         A call without a response after the timeout and wait_seconds has failed for done; its
-        response is then passed to late.
+        response is then passed to late, and not received without it.
         """
         scheduler = self._http.scheduler
         started_at = scheduler.now()
@@ -198,6 +198,11 @@
                 self._late_calls.record_response(scheduler.now() - started_at - wait_seconds)
                 if status in EXECUTED_STATUSES:
                     self.answered_at = scheduler.now()
+                self._late_calls.end(kind, open_call.cancel)
+                if late is not None:
+                    self._late_calls.cancel_others(kind)
+                elif is_late:
+                    open_call.cancel()
             elif isinstance(event, BodyPart):
                 parts.append(event.data)
             elif isinstance(event, ResponseEnd):
@@ -211,18 +216,18 @@
             return StoreUnreachable(cause, sent, seconds, sum(map(len, parts)))
 
         def finish(response: _Response) -> None:
-            if is_late:
-                self._late_calls.end(kind)
-                late(response)
-            else:
+            self._late_calls.end(kind, open_call.cancel)
+            if not is_late:
                 done(response)
+            elif late is not None:
+                late(response)
 
         def report_late() -> None:
             nonlocal is_late
             self._http.close_idle(self._address)
             # An append that has not been sent must not run after it was reported as not run.
             may_go_on = method == "GET" or open_call.sent
-            is_late = may_go_on and self._late_calls.begin(kind)
+            is_late = may_go_on and self._late_calls.begin(kind, open_call.cancel)
             if not is_late:
                 open_call.cancel()
             done(Err(describe_failure(LATE, open_call.sent)))
@@ -269,12 +274,11 @@
                     self._fail(failure)
 
         def handle_late(response: _Response) -> None:
-            if self._late is not None:
-                self._is_late = True
-                handle_response(response)
+            self._is_late = True
+            handle_response(response)
 
         # A page that is read again needs no late response.
-        late = handle_late if after is None else lambda response: None
+        late = handle_late if after is None and self._late is not None else None
         self._store.call("GET", "/-/log-newest", query, b"", handle_response, late=late)
 
     def _may_retry_page(self) -> bool:
--- a/bronzetiller/sync/late_calls.py
+++ b/bronzetiller/sync/late_calls.py
@@ -4,40 +4,46 @@
 not given up each time. A call on a connection that leads nowhere ends after PATIENT_SECONDS.
 """
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 
 from attrs import define, field
 
 from bronzetiller.storage.adaptive_timeout import AdaptiveTimeout
 
-PATIENT_SECONDS = 6.0
+PATIENT_SECONDS = 12.0
 LATE_CALLS_MAX = 2  # of one kind, so that a silent connection does not keep out a slow one
 
+Cancel = Callable[[], None]
+
 
 @define
 class LateCalls:
-    """Hold the timeout of calls to one server and the number of late ones by kind."""
+    """Hold the timeout of calls to one server, and the late ones by kind."""
 
     _timeout: AdaptiveTimeout = field(factory=AdaptiveTimeout)
-    _late: dict[Hashable, int] = field(factory=dict)
+    _late: dict[Hashable, list[Cancel]] = field(factory=dict)
 
     def extend(self, seconds: float) -> float:
         """Return how long to wait for a response that usually takes less than the given seconds."""
         return self._timeout.extend(seconds)
 
-    def begin(self, kind: Hashable) -> bool:
-        """Count a late call; return False if it must be cancelled."""
-        count = self._late.get(kind, 0)
-        if count >= LATE_CALLS_MAX:
+    def begin(self, kind: Hashable, cancel: Cancel) -> bool:
+        """Add a late call; return False if there are too many, so that it must be cancelled."""
+        calls = self._late.setdefault(kind, [])
+        if len(calls) >= LATE_CALLS_MAX:
             return False
-        self._late[kind] = count + 1
+        calls.append(cancel)
         return True
 
-    def end(self, kind: Hashable) -> None:
-        """Record the end of a late call."""
-        self._late[kind] -= 1
-        if not self._late[kind]:
-            del self._late[kind]
+    def end(self, kind: Hashable, cancel: Cancel) -> None:
+        """Remove a late call that has ended or receives its response."""
+        if cancel in self._late.get(kind, ()):
+            self._late[kind].remove(cancel)
+
+    def cancel_others(self, kind: Hashable) -> None:
+        """Cancel the late calls of a kind, as the response to another one has begun to arrive."""
+        for cancel in self._late.pop(kind, ()):
+            cancel()
 
     def record_response(self, seconds: float) -> None:
         """Record how long a response took, excluding any wait that its call requested."""
