Restart together without a herd, and offer only to sources that miss records

- starting nodes offered all records to the seeds, and asked seeds before the store had failed.
- an offer that was rejected moved the position of the next fetch: records were missed.
- an offer was confirmed by its arrival; it echoes the message that it answers now.
- a malformed value of a peer ended the reading.

--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -35,10 +35,11 @@
 from bronzetiller.gateway.holder_map import HolderMap
 from bronzetiller.gateway.members import HEARTBEAT_SECONDS, Member, Members
 from bronzetiller.gateway.peer_links import PeerLinks
+from bronzetiller.gateway.peer_reader import PeerReader
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.reachability import Reachability
 from bronzetiller.gateway.readers import SourceMap
-from bronzetiller.gateway.relay import PeerReader, RelayedPartition, register_fetch_handler
+from bronzetiller.gateway.relay import RelayedPartition, register_fetch_handler
 from bronzetiller.gateway.request_context import RequestContext
 from bronzetiller.gateway.reservation_client import ReservationClient
 from bronzetiller.gateway.reservation_server import ReservationServer
@@ -297,7 +298,9 @@
         self.members.start()
         start_in_order(
             self._scheduler,
+            lambda: self.members.follower.complete,
             self._find_sources,
+            self._draw_uniform,
             (
                 self.configuration_follower.follower.start,
                 self.targets_follower.follower.start,
--- a/bronzetiller/sync/read_plan.py
+++ b/bronzetiller/sync/read_plan.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from bronzetiller.sync.backoff import Backoff
 from bronzetiller.sync.sources import Role, Sources
@@ -27,16 +27,24 @@
 STORE_RETRY_SECONDS_MAX = 2.0
 
 
+@frozen
+class BehindPeer:
+    """Hold the position that a peer has read to, and its own time when it said so."""
+
+    end: int
+    stated_at: float | None = None
+
+
 @define
 class ReadPlan:
     """Hold what is known of the sources of one partition (times in monotonic seconds).
 
-    _behind holds, by peer, the position that a peer without current data has read to.
+    _behind holds the peers without current data.
     """
 
     _draw_uniform: Callable[[], float]
     _avoided_until: dict[str, float] = field(factory=dict)
-    _behind: dict[str, int] = field(factory=dict)
+    _behind: dict[str, BehindPeer] = field(factory=dict)
     _direct_from: float | None = None
     _expected_from: float | None = None
     _expected_until: float = -math.inf
@@ -85,12 +93,13 @@
         self._store_avoided_until = now + self._store_backoff.next_seconds()
 
     def record_peer_away(
-        self, peer: str, end: int | None, now: float, *, reaches_store: bool = False
+        self, peer: str, behind: BehindPeer | None, now: float, *, reaches_store: bool = False
     ) -> None:
-        """Record that a peer has no current data; end is the position that it has read to."""
+        """Record that a peer has no current data, and what it has read, if it accepts offers."""
         self._avoided_until[peer] = now + AWAY_AVOID_SECONDS
-        if end is not None:
-            self._behind[peer] = end
+        self._behind.pop(peer, None)
+        if behind is not None:
+            self._behind[peer] = behind
         if not reaches_store:
             return
         if self._expected_from is None:
@@ -108,7 +117,7 @@
         self._avoided_until[peer] = now + SILENT_AVOID_SECONDS
         self._behind.pop(peer, None)
 
-    def take_behind(self) -> dict[str, int]:
-        """Return and forget the peers without current data and the positions they have read to."""
+    def take_behind(self) -> dict[str, BehindPeer]:
+        """Return and forget the peers without current data."""
         behind, self._behind = self._behind, {}
         return behind
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -326,7 +326,7 @@
     whole is true if the entries are all keys, because the changes in between are no longer known.
     age_seconds is the time since the store sent them, confirmed_seconds that since it was asked,
     so that no newer record existed then. source_path holds the nodes that they came through, the
-    sender first.
+    sender first. sent_at is the sender's monotonic time, for an offer in response.
     """
 
     end: int
@@ -335,6 +335,7 @@
     age_seconds: float = 0.0
     confirmed_seconds: float = 0.0
     source_path: list[str] = field(factory=list)
+    sent_at: float | None = None
 
 
 @frozen
@@ -342,22 +343,29 @@
     """Report that the peer does not know the current content of the partition.
 
     end is the offset that it has read to; a sender that states it accepts OfferRecords.
-    reaches_store tells that the store answers it or its source, so that it has data soon.
+    reaches_store tells that the store answers it or its source, so that it has data soon. sent_at
+    is the sender's monotonic time, for an offer in response.
     """
 
     cause: str
     end: int | None = None
     reaches_store: bool = False
+    sent_at: float | None = None
 
 
 @frozen
 class OfferRecords:
-    """Offer current records, changed since an offset, to a peer without a current source."""
+    """Offer current records, changed since an offset, to a peer without a current source.
+
+    answers_at is the sent_at of the message that the offer responds to, so that the peer knows how
+    long the offer has been on its way at most.
+    """
 
     topic: str
     number: int
     from_offset: int
     records: Records
+    answers_at: float | None = None
 
 
 Message = (
--- a/standins/simulated_fleet.py
+++ b/standins/simulated_fleet.py
@@ -23,9 +23,10 @@
 )
 from bronzetiller.gateway.members import Member, Members
 from bronzetiller.gateway.peer_links import PeerLinks, make_seed_id
+from bronzetiller.gateway.peer_reader import PeerReader
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.readers import SourceMap
-from bronzetiller.gateway.relay import PeerReader, RelayedPartition, register_fetch_handler
+from bronzetiller.gateway.relay import RelayedPartition, register_fetch_handler
 from bronzetiller.gateway.settings import GatewayCapacity
 from bronzetiller.gateway.targets import TargetPool
 from bronzetiller.net.address import Address
@@ -100,13 +101,16 @@
     crash_reports: CrashReports
     links: PeerLinks
     find_sources: Callable[[], bool]
+    draw_uniform: Callable[[], float]
 
     def start(self) -> None:
         """Start following, as GatewayNode.run does."""
         self.members.start()
         start_in_order(
             self.scheduler,  # type: ignore[arg-type]
+            lambda: self.members.follower.complete,
             self.find_sources,
+            self.draw_uniform,
             (
                 self.configuration_follower.follower.start,
                 self.targets_follower.follower.start,
@@ -222,6 +226,7 @@
         crash_reports,
         links,
         find_sources,
+        random.random,
     )
 
 
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -7,8 +7,9 @@
 
 from bronzetiller.gateway.followers import has_registration_changed
 from bronzetiller.gateway.members import Member, Members
+from bronzetiller.gateway.peer_reader import PeerReader
 from bronzetiller.gateway.readers import list_source_nodes
-from bronzetiller.gateway.relay import PeerReader, RelayedPartition, register_fetch_handler
+from bronzetiller.gateway.relay import RelayedPartition, register_fetch_handler
 from bronzetiller.storage.change_list import DELETIONS_KEPT_MAX, ChangeList
 from bronzetiller.storage.keyed import KeyedRecord, Partition
 from bronzetiller.storage.keyed_follower import KeyedFollower
--- a/tests/test_source_changes.py
+++ b/tests/test_source_changes.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from bronzetiller.gateway.relay import PeerReader, RelayedPartition, register_fetch_handler
+from bronzetiller.gateway.peer_reader import PeerReader
+from bronzetiller.gateway.relay import RelayedPartition, register_fetch_handler
 from bronzetiller.storage.keyed import Partition
 from bronzetiller.storage.keyed_follower import KeyedFollower
 from bronzetiller.sync.sources import Role, Sources
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -9,6 +9,7 @@
     MEMBER_DELAY_SECONDS_PER_NODE,
     STORE_RETRY_SECONDS_MAX,
     STORE_RETRY_SECONDS_MIN,
+    BehindPeer,
     ReadPlan,
 )
 from bronzetiller.sync.sources import (
@@ -132,16 +133,16 @@
 
 def test_a_peer_without_data_is_left_out_for_a_short_time_and_offered_what_was_read():
     plan = ReadPlan(lambda: 0.5)
-    plan.record_peer_away("reader", 7, 100.0)
+    plan.record_peer_away("reader", BehindPeer(7), 100.0)
     assert plan.list_peers(MEMBER, 100.0) == ["deputy"]
     assert plan.list_peers(MEMBER, 101.0) == ["reader", "deputy"]
-    assert plan.take_behind() == {"reader": 7}
+    assert plan.take_behind() == {"reader": BehindPeer(7)}
     assert plan.take_behind() == {}
 
 
 def test_a_silent_peer_is_not_offered_anything():
     plan = ReadPlan(lambda: 0.5)
-    plan.record_peer_away("reader", 7, 100.0)
+    plan.record_peer_away("reader", BehindPeer(7), 100.0)
     plan.record_peer_silent("reader", 100.5)
     assert plan.take_behind() == {}
 
@@ -150,11 +151,11 @@
     plan = ReadPlan(lambda: 0.0)
     now = 100.0
     while now < 100.0 + EXPECTED_SECONDS_MAX:
-        plan.record_peer_away("reader", 7, now, reaches_store=True)
+        plan.record_peer_away("reader", BehindPeer(7), now, reaches_store=True)
         assert not plan.may_read_store(MEMBER, now, now)
         now += 0.5
     for _ in range(4):
-        plan.record_peer_away("reader", 7, now, reaches_store=True)
+        plan.record_peer_away("reader", BehindPeer(7), now, reaches_store=True)
         now += 0.5
     assert plan.may_read_store(MEMBER, now, now)
 
