Read all pages of stream records before answering a lookup

StreamRecords took a page of at most 1 MB for all that changed and answered its lookups though has_more was set, so that a stream recorded at another version on a later page was given out as one of the base. It now goes on reading while there are more records.

--- a/bronzetiller/gateway/stream_records.py
+++ b/bronzetiller/gateway/stream_records.py
@@ -297,6 +297,9 @@
     def _look_up(self) -> None:
         self._lookups, self._waiting_lookups = self._waiting_lookups, []
         STREAM_RECORD_CALLS.labels("lookup").inc()
+        self._read()
+
+    def _read(self) -> None:
         if self._position < 0:
             self._store.read_newest(STREAMS_PARTITION, self._handle_newest)
         else:
@@ -325,6 +328,9 @@
                 self._position = batch.end
                 self._apply_streams(batch.records)
                 self.versions.set_era(get_era(batch.end), self._scheduler.now())
+                if batch.has_more:
+                    self._read()
+                    return
             case Err(error):
                 failure = error.cause
         lookups, self._lookups = self._lookups, []
