Read all pages of holding records before a decision without a proposal

A page of at most 1 MB ended a read for which no proposal was pending, though has_more was set. A node that restarts after a restoration of the store went by its old record although another node had written a newer one again on a later page: 100 of 500 tokens counted as spent, so that 400 could be spent twice. A request was refused for tokens that others had returned on a later page. The node now goes on reading while there are more records; a proposal was decided only after all records before it, as now.

--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -545,15 +545,14 @@
         self._end = batch.end
         if concluded:
             return
-        if not self._initialized:
+        if self._proposed_position is not None and self._proposed_position < batch.end:
+            self._end = -1  # the response did not contain the proposal
+        if self._proposed_position is not None or batch.has_more:
+            self._read()
+        elif not self._initialized:
             self._reclaim()
-            return
-        if self._proposed_position is None:
+        else:
             self._finish_call()
-            return
-        if self._proposed_position < batch.end:
-            self._end = -1  # the response did not contain the proposal
-        self._read()
 
     def _apply_record(self, item: KeyedRecord) -> None:
         record = decode_holding_record(item.value or b"")
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -67,6 +67,20 @@
             self._respond(done, Ok(position))
 
 
+PAGE_RECORDS = 2
+
+
+class PagedClient(FakeStoreClient):
+    """Read at most PAGE_RECORDS records at once, as a store does with pages of limited size."""
+
+    def read_from(self, partition, position, wait_seconds, done, late=None):
+        result = self.store.read_from(partition, position)
+        if isinstance(result, Ok) and len(result.ok_value.records) > PAGE_RECORDS:
+            records = result.ok_value.records[:PAGE_RECORDS]
+            result = Ok(RecordBatch(records, records[-1].position + 1, has_more=True))
+        self._respond(done, result)
+
+
 @define(eq=False)
 class FakePeers:
     """Deliver messages between nodes of one process; silent nodes never respond."""
--- a/tests/test_stream_pages.py
+++ b/tests/test_stream_pages.py
@@ -2,23 +2,9 @@
 
 from result import Ok
 
-from bronzetiller.storage.keyed import RecordBatch
-from tests.gateway_fakes import FakeStoreClient
+from tests.gateway_fakes import PagedClient
 from tests.test_stream_records import V1, V2, Fleet
 
-PAGE_RECORDS = 2
-
-
-class PagedClient(FakeStoreClient):
-    """Read at most PAGE_RECORDS records at once, as a store does with pages of limited size."""
-
-    def read_from(self, partition, position, wait_seconds, done, late=None):
-        result = self.store.read_from(partition, position)
-        if isinstance(result, Ok) and len(result.ok_value.records) > PAGE_RECORDS:
-            records = result.ok_value.records[:PAGE_RECORDS]
-            result = Ok(RecordBatch(records, records[-1].position + 1, has_more=True))
-        self._respond(done, result)
-
 
 def test_a_stream_recorded_behind_the_first_page_does_not_go_on_at_another_version():
     fleet = Fleet()
