Read on at once while idle if there are more records

A node that only remembers what others wrote read one page of at most 1 MB a second, so that it fell behind after a disconnection, and a restoration of the store lost what it had not read yet. It now reads the next page at its next check.

--- a/bronzetiller/gateway/idle_reads.py
+++ b/bronzetiller/gateway/idle_reads.py
@@ -60,6 +60,8 @@
                 case Ok(batch):
                     self._backoff.reset()
                     self._end = batch.end
+                    if batch.has_more:
+                        self._next_at = self._scheduler.now()
                     for item in batch.records:
                         record = decode_holding_record(item.value or b"")
                         if record is not None:
--- a/tests/test_holding_pages.py
+++ b/tests/test_holding_pages.py
@@ -4,17 +4,19 @@
 from result import Ok
 
 from bronzetiller.gateway.allocation_manager import (
+    CHECK_INTERVAL_SECONDS,
     HOLDINGS_PARTITION,
     AllocationManager,
 )
 from bronzetiller.gateway.allocations import Account, HoldingRecord
 from bronzetiller.gateway.clock_monitor import ClockMonitor
 from bronzetiller.gateway.configuration import WorkspaceConfiguration
-from bronzetiller.gateway.holding_records import SETTLING_SECONDS
+from bronzetiller.gateway.holding_records import SETTLING_SECONDS, HoldingRecords
+from bronzetiller.gateway.idle_reads import IdleReads
 from bronzetiller.storage.keyed import WriterSequence
 from standins.fake_scheduler import FakeScheduler
 from standins.memory_store import MemoryStore
-from tests.gateway_fakes import PagedClient
+from tests.gateway_fakes import PAGE_RECORDS, PagedClient
 
 WORKSPACE = "studio"
 PREPAID = 1_000
@@ -87,3 +89,25 @@
     manager.reserve_when_available(WORKSPACE, 700, float("inf"), results.append)
     scheduler.advance(1.2)
     assert results == [Ok(None)]
+
+
+def test_idle_reads_do_not_fall_behind_because_the_records_fill_several_pages(store):
+    scheduler = FakeScheduler(100.0)
+    records = HoldingRecords("node-1")
+    records.begin_era(0, scheduler.now())
+    reads = IdleReads(
+        scheduler,
+        PagedClient(scheduler, store),
+        HOLDINGS_PARTITION,
+        records,
+        lambda result: None,
+        lambda: 1.0,
+    )
+    for number in range(5 * PAGE_RECORDS):
+        write(store, f"node-{number + 2}", 1, Account())
+    for _ in range(7):
+        if reads.is_due(float("-inf")):
+            reads.read(0)
+        scheduler.advance(CHECK_INTERVAL_SECONDS)
+    records.begin_era(1, scheduler.now())
+    assert len(records.newest) == 5 * PAGE_RECORDS
