--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -1,5 +1,6 @@
 """Follow a partition of a keyed store and keep the newest value of each key."""
 
+import math
 from collections.abc import Callable
 from functools import partial
 
@@ -229,9 +230,10 @@
     def _apply_batch(self, batch: RecordBatch) -> None:
         now = self._contact_at = self._scheduler.now()
         self.source_path = batch.source_path
-        self.read_at = max(self.read_at, now - batch.age_seconds)
-        if not batch.has_more and batch.confirmed_at is not None:
-            self.confirmed_at = max(self.confirmed_at, batch.confirmed_at)
+        if not batch.has_more:
+            self.read_at = max(self.read_at, now - batch.age_seconds)
+            confirmed_at = -math.inf if batch.confirmed_at is None else batch.confirmed_at
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
         if self.lost_at is not None:
             seconds = round(now - self.lost_at, 3)
             log_event("store_regained", partition=self.partition, lost_seconds=seconds)
