--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -4,6 +4,7 @@
 import time
 import zlib
 from collections.abc import Callable
+from random import Random
 
 from attrs import define, evolve, field
 from result import Err, Ok, Result
@@ -29,14 +30,10 @@
 from bronzetiller.gateway.clock_monitor import ClockMonitor
 from bronzetiller.gateway.configuration import WorkspaceConfiguration
 from bronzetiller.gateway.holding_records import HoldingRecords
-from bronzetiller.gateway.record_writer import RETRY_DELAY_SECONDS, MakeRecord, RecordWriter
+from bronzetiller.gateway.idle_reads import IdleReads
+from bronzetiller.gateway.record_writer import MakeRecord, RecordWriter, make_backoff, vouch
 from bronzetiller.logs import log_event
-from bronzetiller.metrics import (
-    GRANTS_REQUESTED,
-    STORE_RESTORATIONS,
-    TOKENS_MOVED,
-    VOUCHED_RECORDS,
-)
+from bronzetiller.metrics import GRANTS_REQUESTED, STORE_RESTORATIONS, TOKENS_MOVED
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.topics import HOLDINGS_TOPIC, USE_TOPICS
 from bronzetiller.routing.queues import RateMeter
@@ -52,6 +49,7 @@
     StoreUnreachable,
     get_era,
 )
+from bronzetiller.sync.backoff import Backoff
 
 HOLDINGS_PARTITION = Partition(HOLDINGS_TOPIC)
 REPORT_INTERVAL_SECONDS_MIN = 0.5  # the store takes hundreds of writes a second
@@ -63,9 +61,6 @@
 # Time for a few large requests per workspace and node; disconnections last about ten seconds.
 RATE_TIME_CONSTANT_SECONDS = 12.0
 CHECK_INTERVAL_SECONDS = 0.2
-# A node that holds tokens must notice soon that the store has lost records, its own among them; a
-# witness must have read those of the others.
-IDLE_READ_SECONDS = 1.0
 SETTLING_READ_SECONDS = 0.4  # between reads, until all records are known after a restoration
 # A late response is better than a refusal, as another node is as likely to be disconnected.
 DISCONNECTED_WAIT_SECONDS_MAX = 2.0
@@ -94,10 +89,12 @@
     _holder: str
     _find_share: Callable[[str], float]
     _is_witness: Callable[[], bool] = lambda: False
+    _refuse_uncovered: Callable[[], Refusal] = refuse_exhausted
     allocations: dict[str, Allocation] = field(factory=dict)
     _clock: ClockMonitor = field(factory=ClockMonitor)
     _read_clock: Callable[[], float] = time.time
     _started_at: float = field(factory=time.time)
+    _draw_uniform: Callable[[], float] = field(factory=lambda: Random().random)
     _records: HoldingRecords = field(init=False)
     _reclaimed: dict[str, Account] = field(factory=dict)
     _meters: dict[str, RateMeter] = field(factory=dict)
@@ -118,7 +115,8 @@
     _use_reported_at: float = float("-inf")
     _last_contact_at: float = float("-inf")
     _known_at: float = float("-inf")
-    _idle_end: int = -1
+    _idle_reads: IdleReads = field(init=False)
+    _backoff: Backoff = field(init=False)
     _settling_read_at: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
@@ -126,15 +124,35 @@
 
         def make_writer(partition: Partition) -> RecordWriter:
             return RecordWriter(
-                self._scheduler, self._store, partition, self._node_id, self._record_store_failure
+                self._scheduler,
+                self._store,
+                partition,
+                self._node_id,
+                self._record_store_failure,
+                self._draw_uniform,
             )
 
         self._holding_writer = make_writer(HOLDINGS_PARTITION)
         self._use_writer = make_writer(choose_use_partition(self._node_id))
+        self._backoff = make_backoff(self._draw_uniform)
+        self._idle_reads = IdleReads(
+            self._scheduler,
+            self._store,
+            HOLDINGS_PARTITION,
+            self._records,
+            self._handle_idle_read,
+            self._draw_uniform,
+        )
 
     def start(self) -> None:
         """Start reporting and prefetching tokens."""
-        self._scheduler.call_every(CHECK_INTERVAL_SECONDS, self._check)
+
+        def check_regularly() -> None:
+            self._scheduler.call_every(CHECK_INTERVAL_SECONDS, self._check)
+            self._check()
+
+        # Nodes that were started at once must not call the store at once from then on.
+        self._scheduler.call_after(CHECK_INTERVAL_SECONDS * self._draw_uniform(), check_regularly)
         self._check()
 
     def set_workspaces(self, workspaces: dict[str, WorkspaceConfiguration]) -> None:
@@ -284,38 +302,27 @@
         if now - max(self._reported_at, self._use_reported_at) >= interval:
             self._report_use()
         self._report_for_waiters()
-        if self._is_idle_read_due(now):
-            self._read_while_idle()
+        if self._is_idle_read_due():
+            self._idle_reads.read(self._end)
 
-    def _read_while_idle(self) -> None:
-        """Read what others wrote, to remember it if the store loses it; reports read it again.
+    def _is_idle_read_due(self) -> bool:
+        """Return whether to read what reports will read again, as the store may lose it.
 
         The share of a budget that this node holds is decided at its reports, as it may need more
         than it uses now when it is disconnected.
         """
-
-        def handle_records(result: Result[RecordBatch, ReadFailure]) -> None:
-            match result:
-                case Ok(batch):
-                    self._idle_end = batch.end
-                    for item in batch.records:
-                        record = decode_holding_record(item.value or b"")
-                        if record is not None:
-                            self._records.remember(item.key, record)
-                case Err(HistoryExpired()) if not self._call_in_progress:
-                    self._read()
-                case Err(failure):
-                    log_event("holdings_unread", cause=failure)
-
-        self._known_at = self._scheduler.now()
-        position = max(self._end, self._idle_end)
-        self._store.read_from(HOLDINGS_PARTITION, position, 0.0, handle_records)
-
-    def _is_idle_read_due(self, now: float) -> bool:
-        if self._call_in_progress or self._end < 0 or now - self._known_at < IDLE_READ_SECONDS:
+        if self._call_in_progress or self._end < 0 or not self._idle_reads.is_due(self._known_at):
             return False
         return self._is_witness() or any(item.held > 0 for item in self.allocations.values())
 
+    def _handle_idle_read(self, result: Result[RecordBatch, ReadFailure]) -> None:
+        match result:
+            case Ok():
+                # Otherwise the store would count as unreachable until the next report is due.
+                self._record_store_success()
+            case Err(HistoryExpired()) if not self._call_in_progress:
+                self._read()
+
     def _report_for_waiters(self) -> None:
         """Write the records for which requests are queued."""
         allocations = self.allocations.values()
@@ -524,7 +531,7 @@
 
     def _retry_read(self, failure: ReadFailure) -> None:
         self._record_store_failure(str(failure))
-        self._scheduler.call_after(RETRY_DELAY_SECONDS, self._read)
+        self._scheduler.call_after(self._backoff.next_seconds(), self._read)
 
     def _apply_batch(self, batch: RecordBatch) -> None:
         """Apply records in log order; those before the proposal decide on it."""
@@ -538,12 +545,14 @@
         self._end = batch.end
         if concluded:
             return
-        if self._proposed_position is None:
-            self._finish_call()
-            return
-        if self._proposed_position < batch.end:
+        if self._proposed_position is not None and self._proposed_position < batch.end:
             self._end = -1  # the response did not contain the proposal
-        self._read()
+        if self._proposed_position is not None or batch.has_more:
+            self._read()
+        elif not self._initialized:
+            self._reclaim()
+        else:
+            self._finish_call()
 
     def _apply_record(self, item: KeyedRecord) -> None:
         record = decode_holding_record(item.value or b"")
@@ -594,7 +603,6 @@
         self._settle_records()
         if not self._records.is_settled:
             # Other nodes may know a newer record of this one than the copy of the store had.
-            self._end = -1
             self._scheduler.call_after(SETTLING_READ_SECONDS, self._read)
             return
         record = self._records.newest.get(self._node_id)
@@ -605,7 +613,7 @@
         def handle_use_records(result: Result[RecordBatch, StoreUnreachable]) -> None:
             if isinstance(result, Err):
                 self._record_store_failure(str(result.err_value))
-                self._scheduler.call_after(RETRY_DELAY_SECONDS, self._reclaim)
+                self._scheduler.call_after(self._backoff.next_seconds(), self._reclaim)
                 return
             self._record_store_success()
             if get_era(result.ok_value.end) != self._records.era:
@@ -668,7 +676,7 @@
             return
         vouched = self._records.take_vouched(now, is_starting=not self._initialized)
         for node_id, record in vouched.items():
-            self._vouch(node_id, record)
+            vouch(self._store, HOLDINGS_PARTITION, node_id, record)
         if not self._initialized or self._call_in_progress:
             return
         if self._records.is_outdated(self._node_id):
@@ -677,16 +685,6 @@
             self._settling_read_at = now + SETTLING_READ_SECONDS
             self._read()
 
-    def _vouch(self, node_id: str, record: HoldingRecord) -> None:
-        """Write the record of a node that did not do so itself."""
-
-        def handle_result(result: Result[int, AppendFailure]) -> None:
-            written = isinstance(result, Ok)
-            VOUCHED_RECORDS.labels("written" if written else "failed").inc()
-            log_event("holding_vouched", peer=node_id, epoch=record.epoch, written=written)
-
-        self._store.append(HOLDINGS_PARTITION, node_id, record.encode(), None, handle_result)
-
     def _log_restoration(self) -> None:
         STORE_RESTORATIONS.labels(HOLDINGS_PARTITION.topic).inc()
         log_event(
@@ -698,6 +696,7 @@
         )
 
     def _record_store_success(self) -> None:
+        self._backoff.reset()
         self._last_contact_at = self._scheduler.now()
         if self._store_unreachable:
             self._store_unreachable = False
@@ -718,7 +717,7 @@
         self._call_in_progress = False
         for allocation in self.allocations.values():
             self._serve_waiters(allocation)
-        self._refuse_uncovered()
+        self._refuse_uncovered_waiters()
         if not self._records.is_settled:
             self._scheduler.call_after(0, self._settle_records)
         if any(allocation.waiting for allocation in self.allocations.values()):
@@ -742,7 +741,7 @@
                 self._get_meter(allocation.workspace).record(waiter.tokens, now)
                 self._finish_waiter(waiter, Ok(None))
 
-    def _refuse_uncovered(self) -> None:
+    def _refuse_uncovered_waiters(self) -> None:
         """Refuse waiters that the budget cannot cover, or not until other nodes return tokens."""
         if self._end < 0 or not self._records.is_settled:
             return
@@ -757,7 +756,7 @@
                 if waiter.tokens <= allocation.held:
                     continue
                 covered = waiter.tokens <= allocation.prepaid - committed
-                refusal = refuse_held_elsewhere() if covered else refuse_exhausted()
+                refusal = refuse_held_elsewhere() if covered else self._refuse_uncovered()
                 self._finish_waiter(waiter, Err(refusal))
 
     def _expire_waiter(self, waiter: _Waiter) -> None:
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -18,6 +18,7 @@
 from bronzetiller.gateway.allocation_manager import AllocationManager
 from bronzetiller.gateway.application import Application
 from bronzetiller.gateway.brittle_targets import BrittleNode, BrittleTargets
+from bronzetiller.gateway.budget_refusals import refuse_uncovered
 from bronzetiller.gateway.budgets import Budgets
 from bronzetiller.gateway.capacity import estimate_capacity
 from bronzetiller.gateway.configuration import GatewayConfiguration
@@ -25,15 +26,20 @@
 from bronzetiller.gateway.crashes import CrashTracker
 from bronzetiller.gateway.departures import DepartureNode, Departures
 from bronzetiller.gateway.entries import choose_entries
-from bronzetiller.gateway.followers import ConfigurationFollower, TargetsFollower
+from bronzetiller.gateway.followers import (
+    CONFIGURATION_PEER_WAIT_SECONDS,
+    ConfigurationFollower,
+    TargetsFollower,
+)
 from bronzetiller.gateway.forwarding import PeerForwarder
 from bronzetiller.gateway.holder_map import HolderMap
 from bronzetiller.gateway.members import HEARTBEAT_SECONDS, Member, Members
 from bronzetiller.gateway.peer_links import PeerLinks
+from bronzetiller.gateway.peer_reader import PeerReader
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.reachability import Reachability
-from bronzetiller.gateway.readers import choose_reader
-from bronzetiller.gateway.relay import PeerReader, RelayedPartition, register_fetch_handler
+from bronzetiller.gateway.readers import SourceMap
+from bronzetiller.gateway.relay import RelayedPartition, register_fetch_handler
 from bronzetiller.gateway.request_context import RequestContext
 from bronzetiller.gateway.reservation_client import ReservationClient
 from bronzetiller.gateway.reservation_server import ReservationServer
@@ -44,7 +50,7 @@
 from bronzetiller.gateway.target_limits import LimitedNode, TargetLimits
 from bronzetiller.gateway.targets import TargetPool
 from bronzetiller.logs import configure_bounded_logging, log_event
-from bronzetiller.metrics import render_metrics
+from bronzetiller.metrics import CONFIGURATION_CONFIRMATION_AGE, render_metrics
 from bronzetiller.net.address import Address
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.exchange import Exchange
@@ -61,12 +67,14 @@
     REGISTRATIONS_TOPIC,
 )
 from bronzetiller.storage.keyed import KeyedStore
+from bronzetiller.sync.start import start_in_order
 
 PREALLOCATION_DELAY_SECONDS = 0.6  # until nodes that start together have discovered each other
 STOP_MARGIN_SECONDS = 0.7  # of the grace period, for the process to exit
 STOP_MARGIN_PORTION_MAX = 0.25
 TARGETS_AGE_SECONDS_MAX = 1.5  # of a read that shows which versions are in service now
 VERSION_PROPOSERS = 3  # so that some of them reach the store
+RELAYED_TOPICS = (OPERATOR_TOPIC, REGISTRATIONS_TOPIC, NODES_TOPIC, CRASHES_TOPIC)
 LEAVE_SECONDS = 3.0  # after a stop begins, new requests are still served: 1.5 lookup lifetimes
 BODY_SECONDS_MAX = 10.0  # for 4 MB over a slow link; the operator's limits cover heads only
 
@@ -132,6 +140,7 @@
             self.request_context,
             lambda: self.configuration_follower.configuration,
             lambda: self.drain,
+            self.configuration_follower.compute_confirmation_age,
         )
         self.drain = Drain(
             scheduler,
@@ -154,15 +163,19 @@
         self._addresses["peers"] = f"{listen.peers.ip}:{peers_port}"
         _Signals(self).register(self.loop.root)
 
-    def _set_up_followers(self, store: KeyedStore, http: HttpClient) -> None:
+    def _set_up_followers(self, store: PlatformStore, http: HttpClient) -> None:
         """Set up the followers of the store, which read it directly or through a peer."""
         scheduler = self._scheduler
         self.pool = TargetPool()
         self.reachability = Reachability(scheduler, http, self.pool)
         configuration_reader = self._make_reader(store, OPERATOR_TOPIC)
+        configuration_reader.peer_wait_seconds_max = CONFIGURATION_PEER_WAIT_SECONDS
         self.configuration_follower = ConfigurationFollower(
             scheduler, configuration_reader, self._on_configuration
         )
+        CONFIGURATION_CONFIRMATION_AGE.set_function(
+            self.configuration_follower.compute_confirmation_age
+        )
         registration_reader = self._make_reader(store, REGISTRATIONS_TOPIC)
         self.targets_follower = TargetsFollower(scheduler, registration_reader, self.pool)
         member_reader = self._make_reader(store, NODES_TOPIC)
@@ -190,6 +203,9 @@
             lambda: self.targets_follower.follower.is_current(TARGETS_AGE_SECONDS_MAX),
         )
         self.holders = HolderMap(self.settings.node_id, self.distances, self.members.list_serving)
+        self.sources = SourceMap(
+            self.settings.node_id, self.settings.data_centre, self.distances.regions
+        )
         followed_readers = (
             (self.configuration_follower.follower, configuration_reader),
             (self.targets_follower.follower, registration_reader),
@@ -199,7 +215,7 @@
         register_fetch_handler(
             self.peers,
             {
-                follower.partition.topic: RelayedPartition(scheduler, follower, reader)
+                follower.partition.topic: RelayedPartition(scheduler, follower, reader, self.peers)
                 for follower, reader in followed_readers
             },
         )
@@ -208,7 +224,7 @@
             self.peers,
             self.distances,
             self.settings.seeds,
-            self.members.list_serving,
+            self.members.list_others_alive,
             self._list_wanted_peers,
             lambda: all(follower.complete for follower, _ in followed_readers),
         )
@@ -223,6 +239,9 @@
             self.incarnation,
             self.holders.estimate_share,
             self.holders.is_witness,
+            lambda: refuse_uncovered(
+                self.configuration_follower.compute_confirmation_age(), self._draw_uniform()
+            ),
         )
         ReservationServer(scheduler, self.allocation_manager).register_handlers(self.peers)
         self.reservation_client = ReservationClient(scheduler, self.peers)
@@ -235,13 +254,16 @@
             self.incarnation,
         )
 
-    def _make_reader(self, store: KeyedStore, topic: str) -> PeerReader:
-        def find_reader() -> str | None:
-            return choose_reader(
-                self.settings.node_id, topic, self.settings.data_centre, self.holders.members
-            )
-
-        return PeerReader(self._scheduler, self.peers, store, find_reader, self._list_seeds)
+    def _make_reader(self, store: PlatformStore, topic: str) -> PeerReader:
+        return PeerReader(
+            self._scheduler,
+            self.peers,
+            store,
+            self.settings.node_id,
+            lambda: self.sources.find(topic),
+            self._list_seeds,
+            self._draw_uniform,
+        )
 
     def _is_proposer(self) -> bool:
         """Return whether this node keeps the base versions of the services up to date."""
@@ -258,22 +280,34 @@
 
     def _list_wanted_peers(self) -> set[str]:
         self.holders.refresh()
-        own_id, data_centre = self.settings.node_id, self.settings.data_centre
-        readers = {
-            choose_reader(own_id, topic, data_centre, self.holders.members)
-            for topic in (OPERATOR_TOPIC, REGISTRATIONS_TOPIC, NODES_TOPIC, CRASHES_TOPIC)
-        }
-        holders = self.holders.list_holders(self.allocation_manager.allocations)
-        return holders | {reader for reader in readers if reader is not None}
+        self.sources.refresh([*self.members.list_others_alive(), self._make_member()])
+        readers = {peer for topic in RELAYED_TOPICS for peer in self.sources.find(topic).peers}
+        return readers | self.holders.list_holders(self.allocation_manager.allocations)
+
+    def _find_sources(self) -> bool:
+        """Update the sources and the links to them; return whether other nodes are known."""
+        self.sources.refresh([*self.members.list_others_alive(), self._make_member()])
+        if not self.members.members:
+            return False
+        self.links.refresh()
+        return bool(self.members.list_others_alive())
 
     def run(self) -> None:
         """Serve until a stop is requested and all open requests are finished."""
         signal.signal(signal.SIGHUP, lambda number, frame: self._reload())
-        self.configuration_follower.follower.start()
-        self.targets_follower.follower.start()
         self.members.start()
-        self.crash_reports.start()
-        self.streams.start()
+        start_in_order(
+            self._scheduler,
+            lambda: self.members.follower.complete,
+            self._find_sources,
+            self._draw_uniform,
+            (
+                self.configuration_follower.follower.start,
+                self.targets_follower.follower.start,
+                self.crash_reports.start,
+                self.streams.start,
+            ),
+        )
         self.reachability.on_change = self.members.publish
         self.reachability.start()
         self._scheduler.call_every(HEARTBEAT_SECONDS, self._refresh_admission)
--- a/bronzetiller/storage/keyed.py
+++ b/bronzetiller/storage/keyed.py
@@ -54,18 +54,35 @@
 
 @frozen
 class RecordBatch:
-    """Hold records in the order of their positions; end is the position after the last one."""
+    """Hold records in the order of their positions; end is the position after the last one.
+
+    whole tells whether these are all keys or only changes, if that differs from what was requested.
+    has_more tells that there are records after the end. age_seconds is the time since the store
+    sent them, confirmed_at when it was asked (seconds, monotonic; None for the time of the read).
+    source_path holds the nodes that they came through, the nearest first; it is empty for a read
+    of the store.
+    """
 
     records: list[KeyedRecord]
     end: int
+    whole: bool | None = None
+    has_more: bool = False
+    age_seconds: float = 0.0
+    confirmed_at: float | None = None
+    source_path: tuple[str, ...] = ()
 
 
 @frozen
 class StoreUnreachable:
-    """Report the cause of a failed call; one that may have run may still take effect later."""
+    """Report the cause of a failed call; one that may have run may still take effect later.
+
+    seconds is how long the call took, received_bytes how much of its response arrived.
+    """
 
     cause: str
     may_have_run: bool
+    seconds: float = 0.0
+    received_bytes: int = 0
 
 
 @frozen
@@ -99,20 +116,37 @@
 NewestDone = Callable[[Result[RecordBatch, StoreUnreachable]], None]
 ReadDone = Callable[[Result[RecordBatch, ReadFailure]], None]
 AppendDone = Callable[[Result[int, AppendFailure]], None]
+LateDone = Callable[[RecordBatch], None]
 
 
 class KeyedReader(Protocol):
-    """Read keyed records; callbacks run asynchronously, never within the call itself."""
+    """Read keyed records; callbacks run asynchronously, never within the call itself.
+
+    A read that fails because its response is late may still pass it to late, if that is given.
+    """
 
-    def read_newest(self, partition: Partition, done: NewestDone) -> None:
+    def read_newest(
+        self, partition: Partition, done: NewestDone, late: LateDone | None = None
+    ) -> None:
         """Read the newest record of each key."""
 
     def read_from(
-        self, partition: Partition, position: int, wait_seconds: float, done: ReadDone
+        self,
+        partition: Partition,
+        position: int,
+        wait_seconds: float,
+        done: ReadDone,
+        late: LateDone | None = None,
     ) -> None:
         """Read the records from a position on; wait up to wait_seconds for the first one."""
 
 
+class KeyedStoreReader(KeyedReader, Protocol):
+    """Read the store itself; answered_at is when it last executed a call (seconds, monotonic)."""
+
+    answered_at: float
+
+
 class KeyedStore(KeyedReader, Protocol):
     """Read and append keyed records."""
 
--- a/exploration/budget_model.py
+++ b/exploration/budget_model.py
@@ -19,6 +19,7 @@
 from bronzetiller.storage.keyed import (
     Fenced,
     KeyedRecord,
+    LateDone,
     Partition,
     RecordBatch,
     StoreUnreachable,
@@ -81,11 +82,16 @@
     store: MemoryStore
     calls: list[OpenCall] = field(factory=list)
 
-    def read_newest(self, partition: Partition, done: Done) -> None:
+    def read_newest(self, partition: Partition, done: Done, late: LateDone | None = None) -> None:
         self.calls.append(OpenCall("newest", partition, done))
 
     def read_from(
-        self, partition: Partition, position: int, wait_seconds: float, done: Done
+        self,
+        partition: Partition,
+        position: int,
+        wait_seconds: float,
+        done: Done,
+        late: LateDone | None = None,
     ) -> None:
         self.calls.append(OpenCall("range", partition, done, (position,)))
 
@@ -399,6 +405,8 @@
             repr([(item.kind, str(item.partition), item.page) for item in process.store.calls]),
             (internal._end, internal._proposed_position, internal._store_unreachable),
             (internal._holding_writer.epoch, internal._use_writer.epoch),
+            (internal._backoff.failures, internal._idle_reads._backoff.failures),
+            (internal._holding_writer._backoff.failures, internal._use_writer._backoff.failures),
             repr(sorted((key, record.number) for key, record in internal._records.newest.items())),
             internal._records.era,
             round(internal._records.count_seconds_left(now), 2),
@@ -417,6 +425,7 @@
             started_at=self.now + clock_offset,
             clock=ClockMonitor(read_offset=lambda: 0.0),
             read_clock=lambda: scheduler.now() + process.clock_lead,
+            draw_uniform=lambda: 1.0,
         )
         process.manager.set_workspaces(self._make_workspaces())
         self.processes[index] = process
