--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -113,9 +113,7 @@
             scheduler, self.peers, self.membership, settings, self._make_heartbeat
         )
         self.archive = Archive()
-        self.snapshots = SnapshotManager(
-            scheduler, self.log, self.peers, self.membership, settings, self._make_heartbeat
-        )
+        self.snapshots = SnapshotManager(scheduler, self.log, self.peers, self.membership, settings)
         self.vm_list_relay = VmListRelay(
             scheduler, self.peers, self.membership, self.vm_list, settings
         )
