Refresh the sources once at a start

_find_sources refreshed the sources and then the links, which refresh them again through _list_wanted_peers. The first refresh is gone, also in the simulated node; a node without members has none to find. The 36 cases of test_outdated_configuration.py pass.

--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -286,7 +286,6 @@
 
     def _find_sources(self) -> bool:
         """Update the sources and the links to them; return whether other nodes are known."""
-        self.sources.refresh([*self.members.list_others_alive(), self._make_member()])
         if not self.members.members:
             return False
         self.links.refresh()
--- a/standins/simulated_fleet.py
+++ b/standins/simulated_fleet.py
@@ -173,7 +173,6 @@
         return {peer for topic in RELAYED_TOPICS for peer in sources.find(topic).peers}
 
     def find_sources() -> bool:
-        sources.refresh([*member_follower.list_others_alive(), describe_self()])
         if not member_follower.members:
             return False
         links.refresh()
