End reads at pages that bring no progress

A response that names an end but holds no record before it, or a page of newest records that repeats its last key, was read again for ever; lookups of streams do so without a pause.

Change: both count as malformed and as a failed read, so that the callers' backoff applies.

--- a/bronzetiller/platform/store.py
+++ b/bronzetiller/platform/store.py
@@ -265,7 +265,7 @@
             match response:
                 case Ok(StoreResponse(200, body, era)):
                     self._page_failures = 0
-                    self._handle_page(body, era)
+                    self._handle_page(body, era, after)
                 case Ok(StoreResponse(status)):
                     self._fail(StoreUnreachable(f"status {status}", False))
                 case Err(failure) if after is not None and self._may_retry_page():
@@ -295,7 +295,7 @@
         elif self._late is not None:
             self._late(batch)
 
-    def _handle_page(self, body: bytes, era: int) -> None:
+    def _handle_page(self, body: bytes, era: int, after: str | None) -> None:
         if self._end is not None and get_era(self._end) != era:
             self._fail(StoreUnreachable(f"restored between two pages, era {era}", False))
             return
@@ -314,10 +314,14 @@
         except (ValueError, KeyError, TypeError) as error:
             self._fail(StoreUnreachable(f"malformed page: {error!r}", False))
             return
-        if page.get("more_pages") and page["items"]:
-            self.read_page(page["items"][-1]["key"])
-        else:
+        if not page.get("more_pages") or not page["items"]:
             self._finish(RecordBatch(self._records, self._end))
+            return
+        last_key = page["items"][-1]["key"]
+        if last_key == after:
+            self._fail(StoreUnreachable(f"malformed page: no key after {after!r}", False))
+        else:
+            self.read_page(last_key)
 
 
 def _make_partition_query(partition: Partition) -> dict[str, str | int]:
@@ -358,6 +362,9 @@
         number += 1
     # A response is limited in size, so it may stop before the end.
     has_more = number < end
+    if has_more and number == offset:
+        cause = f"malformed response: no record from {offset} on, though the end is {end}"
+        return Err(StoreUnreachable(cause, False))
     position = make_position(era, number if has_more else end)
     return Ok(RecordBatch(records, position, has_more=has_more))
 
