Keep where records came from in one place

The reader and the follower both held the path that the last records came through. The reader's was set before the follower accepted a late response, so a node could take itself for one that reads the store, and decide which members are silent, by a response that was rejected. Only the follower holds it now, and only for what it applied.

--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -165,7 +165,6 @@
     _store: KeyedStore
     _reader: KeyedReader
     _describe_self: Callable[[], Member]
-    _is_direct: Callable[[], bool] = lambda: True
     _draw_uniform: Callable[[], float] = field(factory=lambda: Random().random)
     members: dict[str, Member] = field(factory=dict)
     _last_seen_at: dict[str, float] = field(factory=dict)
@@ -243,7 +242,7 @@
 
         Nobody could write heartbeats before the store was regained.
         """
-        if not self._is_direct():
+        if not self.follower.is_direct:
             return False
         follower = self.follower
         seen_at = max(self._last_seen_at[node_id], follower.regained_at or 0.0)
@@ -251,7 +250,7 @@
 
     def _discard_silent(self) -> None:
         """Discard the members without heartbeats; those relayed by a peer count as seen now."""
-        if not self._is_direct():
+        if not self.follower.is_direct:
             self._last_seen_at = dict.fromkeys(self.members, self._scheduler.now())
             return
         own_id = self._describe_self().node_id
@@ -297,7 +296,7 @@
 
         Its node writes it again, or falls silent, which only a node that reads directly notices.
         """
-        return self._is_direct() and self.follower.restored_at == self._scheduler.now()
+        return self.follower.is_direct and self.follower.restored_at == self._scheduler.now()
 
     def _is_outdated(self, member: Member) -> bool:
         """Return whether a record is older than one that was read, or of a node that fell silent.
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -179,9 +179,7 @@
         registration_reader = self._make_reader(store, REGISTRATIONS_TOPIC)
         self.targets_follower = TargetsFollower(scheduler, registration_reader, self.pool)
         member_reader = self._make_reader(store, NODES_TOPIC)
-        self.members = Members(
-            scheduler, store, member_reader, self._make_member, lambda: member_reader.is_direct
-        )
+        self.members = Members(scheduler, store, member_reader, self._make_member)
         crashes_reader = self._make_reader(store, CRASHES_TOPIC)
         self.crash_tracker = CrashTracker(
             scheduler,
--- a/bronzetiller/gateway/peer_reader.py
+++ b/bronzetiller/gateway/peer_reader.py
@@ -49,10 +49,9 @@
 class PeerReader:
     """Read one partition from the sources among the peers, or from the store itself.
 
-    source_path holds the nodes that the last records came through; it is empty if they came from
-    the store, and None before the first read. Records that came through this node are rejected, so
-    that no two nodes use each other as the source. peer_wait_seconds_max limits the wait at a peer,
-    as the age of relayed data is the sum of the waits.
+    Records that came through this node are rejected, so that no two nodes use each other as the
+    source. peer_wait_seconds_max limits the wait at a peer, as the age of relayed data is the sum
+    of the waits.
     """
 
     scheduler: Scheduler
@@ -63,7 +62,6 @@
     _find_seeds: Callable[[], list[str]]
     _draw_uniform: Callable[[], float] = field(factory=lambda: Random().random)
     peer_wait_seconds_max: float = math.inf
-    source_path: tuple[str, ...] | None = None
     plan: ReadPlan = field(init=False)
     after_store_read: Callable[[], None] = lambda: None
     _position: int = -1
@@ -71,11 +69,6 @@
     def __attrs_post_init__(self) -> None:
         self.plan = ReadPlan(self._draw_uniform)
 
-    @property
-    def is_direct(self) -> bool:
-        """Return whether the last records came from the store itself."""
-        return self.source_path == ()
-
     def reaches_store(self) -> bool:
         """Return whether the store has just answered this node or one of its sources."""
         now = self.scheduler.now()
@@ -161,7 +154,6 @@
 
     def record(self, batch: RecordBatch) -> None:
         """Record what the follower gets, before it does."""
-        self.source_path = batch.source_path
         self._position = max(self._position, batch.end)
 
     def decode_offer(self, offer: OfferRecords) -> RecordBatch | None:
--- a/bronzetiller/gateway/relay.py
+++ b/bronzetiller/gateway/relay.py
@@ -122,7 +122,7 @@
             entries,
             age_seconds=max(0.0, now - follower.read_at),
             confirmed_seconds=max(0.0, now - follower.confirmed_at),
-            source_path=[self._source.own_id, *(self._source.source_path or ())],
+            source_path=[self._source.own_id, *follower.source_path],
             sent_at=now,
         )
 
--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -78,6 +78,11 @@
         """Start reading."""
         self._read()
 
+    @property
+    def is_direct(self) -> bool:
+        """Return whether the last records came from the store itself."""
+        return self.complete and not self.source_path
+
     @property
     def is_lost(self) -> bool:
         """Return whether the last read failed."""
--- a/standins/simulated_fleet.py
+++ b/standins/simulated_fleet.py
@@ -187,9 +187,7 @@
     registration_reader = make_reader(REGISTRATIONS_TOPIC)
     targets_follower = TargetsFollower(timed, registration_reader, UnindexedPool())
     member_reader = make_reader(NODES_TOPIC)
-    member_follower = Members(
-        timed, store, member_reader, describe_self, lambda: member_reader.is_direct
-    )
+    member_follower = Members(timed, store, member_reader, describe_self)
     crashes_reader = make_reader(CRASHES_TOPIC)
     tracker = CrashTracker(timed, http, member_follower.count_nodes, random.random)  # type: ignore[arg-type]
     crash_reports = CrashReports(timed, store, crashes_reader, node_id, tracker)
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -100,7 +100,7 @@
     reader.peers.silent = True
     cluster.write("a", b"2")
     cluster.scheduler.advance(1.0)
-    assert node.follower.values == {"a": b"2"} and node.source.is_direct
+    assert node.follower.values == {"a": b"2"} and node.follower.is_direct
     reader.peers.silent = False
     reader.client.mode = "down"
     cluster.scheduler.advance(3.0)
@@ -201,7 +201,7 @@
             load = self.loads.get(node_id, 1.0)
             return Member(node_id, "10.0.0.1:1", "a", incarnation, True, load=load)
 
-        members = Members(scheduler, client, source, describe, lambda: source.is_direct)
+        members = Members(scheduler, client, source, describe)
         relayed = RelayedPartition(scheduler, members.follower, source, peers)
         register_fetch_handler(peers, {members.follower.partition.topic: relayed})
         members.start()
--- a/tests/test_source_changes.py
+++ b/tests/test_source_changes.py
@@ -97,7 +97,7 @@
     reader.follower.discard("a")
     node.sources = read_through("reader")
     scheduler.advance(10.0)
-    assert not node.source.is_direct and reader.follower.values == {"b": b"2"}
+    assert not node.follower.is_direct and reader.follower.values == {"b": b"2"}
     assert node.follower.values == {"b": b"2"}
 
 
