Let a discarded member go also at nodes ahead of their reader

A node that had read further than its reader kept a member for good that the reader then discarded as silent: the deletion has the position that the reader had read to, and the node asks for the changes from its own, later position. Nodes so go on counting a node that is gone, and may ask it for reservations.

Change: the deletion moves on with the reader's next read, which reaches what the others had read. A member that came back meanwhile is no deletion any more and stays.

--- a/bronzetiller/storage/change_list.py
+++ b/bronzetiller/storage/change_list.py
@@ -43,6 +43,13 @@
         if record.value is None:
             self._discard_old_deletions()
 
+    def move_deletion(self, key: str, position: int) -> None:
+        """Give a deletion, if it is the last change of its key, a later position."""
+        known = self._changes.get(key)
+        if known is not None and known.value is None:
+            del self._changes[key]
+            self._changes[key] = KeyedRecord(key, None, position)
+
     def list_since(self, position: int) -> tuple[bool, list[KeyedRecord]]:
         """Return whether the list holds all keys, and the changes from the position on."""
         if position < self.complete_from:
--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -67,6 +67,7 @@
     lost_at: float | None = None
     regained_at: float | None = None
     restored_at: float | None = None
+    _discarded: list[str] = field(factory=list)
     _expired: bool = False
     _behind: bool = False
     _backoff: Backoff = field(factory=lambda: Backoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX))
@@ -104,9 +105,11 @@
         """Treat a key as deleted until it is written again, also for the nodes that read from here.
 
         The deletion has the position of the next record, so that these nodes have not read past it.
+        It moves on with the next read, for those that had read further than this node.
         """
         if self.values.pop(key, None) is not None:
             self.changes.add(KeyedRecord(key, None, self.position))
+            self._discarded.append(key)
 
     def may_accept(self, batch: RecordBatch, from_position: int) -> bool:
         """Return whether a batch that no read waits for continues what this follower has."""
@@ -248,6 +251,9 @@
         for record in batch.records:
             self._run_guarded(record.key, partial(self.changes.add, record))
         self.position = batch.end
+        discarded, self._discarded = self._discarded, []
+        for key in discarded:
+            self.changes.move_deletion(key, self.position)
         self.complete = True
         if changed:
             self._deliver(changed)
