Take nothing as confirmed by records of an earlier release

During a release a node that reads through a node of the earlier one got records without the time at which the store was asked, and took them for confirmed at the present: it would refuse a route with 404 by a configuration whose age nobody stated. Records without a path are of an earlier release and confirm nothing now; such a node says 503 with Retry-After instead until it reads through the new release or the store.

test_records_of_an_earlier_release_confirm_nothing failed before.

--- a/bronzetiller/gateway/peer_reader.py
+++ b/bronzetiller/gateway/peer_reader.py
@@ -269,6 +269,8 @@
 
     def _make_batch(self, records: Records, asked_at: float, peer: str = "") -> RecordBatch:
         RELAYED_ENTRIES.inc(len(records.entries))
+        # Earlier releases state neither a path nor when the store was asked.
+        confirmed_at = asked_at - records.confirmed_seconds if records.source_path else -math.inf
         keyed_records = [
             KeyedRecord(item.key, _unpack_value(item), item.offset) for item in records.entries
         ]
@@ -277,7 +279,7 @@
             records.end,
             whole=records.whole,
             age_seconds=records.age_seconds,
-            confirmed_at=asked_at - records.confirmed_seconds,
+            confirmed_at=confirmed_at,
             source_path=tuple(records.source_path) or (peer,),
         )
 
--- a/tests/test_source_changes.py
+++ b/tests/test_source_changes.py
@@ -170,3 +170,17 @@
     store.append(PARTITION, "a", b"3", None)
     scheduler.advance(20.0)
     assert node.follower.values == {"a": b"3"}
+
+
+def test_records_of_an_earlier_release_confirm_nothing(make_node):
+    scheduler = make_node.scheduler
+    node = make_node("node", read_through("reader"), mode="down")
+    earlier = make_node("reader")
+
+    def reply_as_before(message, reply):
+        reply(Records(1, True, [KeyedEntry("a", b"1", 0)]))
+
+    earlier.peers.handlers[FetchRecords] = reply_as_before
+    node.follower.start()
+    scheduler.advance(3.0)
+    assert node.follower.values == {"a": b"1"} and node.follower.confirmed_at == float("-inf")
