Wait as long for the holders of tokens as they take to respond

Callers got 503 for each request whose tokens are held by peers that take longer than 0.3 s to respond, for as long as the connection is slow: the timeout of a reservation was fixed, and the late response was thrown away. A settlement was given up after a fixed 1.0 s likewise, retried for 10 s and logged as lost, though it had been executed each time.

Change: the timeout of each holder follows the durations of its responses, settlements included, which go out after a failed reservation too; a missing response extends it only if something else came from the peer meanwhile, so a peer that is gone is given up as early as before, and at usual durations the timeouts are those of before.

test_a_node_whose_holders_respond_late_is_served_after_the_first_requests failed before at all three delays (0.2, 0.4 and 0.8 s each way); no request was served.

--- a/bronzetiller/fleet/peers.py
+++ b/bronzetiller/fleet/peers.py
@@ -29,6 +29,7 @@
 REDIAL_SECONDS = 0.5
 READ_BYTES = 64 * 1024
 NOT_CONNECTED = "not connected"
+TIMEOUT = "timeout"
 
 M = TypeVar("M", bound=Message)
 Reply = Callable[[Message], None]
@@ -165,7 +166,7 @@
     ) -> None:
         """Send a request; call on_response with the response, or with an error after a timeout."""
         number = next(self._packet_numbers)
-        timer = self._scheduler.call_after(seconds, lambda: self._fail_request(number, "timeout"))
+        timer = self._scheduler.call_after(seconds, lambda: self._fail_request(number, TIMEOUT))
         self._pending_requests[number] = _PendingRequest(node_id, on_response, timer)
         if not self._transmit(node_id, Packet(number, 0, message)):
             timer.cancel()
--- a/bronzetiller/gateway/reservation_client.py
+++ b/bronzetiller/gateway/reservation_client.py
@@ -6,12 +6,13 @@
 from result import Err, Ok, Result
 
 from bronzetiller.errors import Reason, Refusal
-from bronzetiller.fleet.peers import Peers
+from bronzetiller.fleet.peers import NOT_CONNECTED, TIMEOUT, Peers
 from bronzetiller.gateway.budget_refusals import refuse_exhausted, refuse_unconfirmed
 from bronzetiller.gateway.reservation_server import SETTLEMENT_RETRY_SECONDS_MAX
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import TOKEN_REQUESTS
 from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.storage.adaptive_timeout import AdaptiveTimeout
 from bronzetiller.wire.messages import (
     Message,
     ReserveTokens,
@@ -20,7 +21,8 @@
     TokensReserved,
 )
 
-# A peer in another region responds within 60 ms, a busy one about 100 ms later.
+# A peer in another region responds within 60 ms, a busy one about 100 ms later. The timeouts grow
+# with the responses of a holder, so that a slow connection is not given up each time.
 RESPONSE_TIMEOUT_SECONDS = 0.3
 # A holder that is disconnected from the store waits up to 2.4 s for its slack to grow.
 WAITING_RESPONSE_TIMEOUT_SECONDS = 2.6
@@ -52,11 +54,15 @@
 
 @define(eq=False)
 class ReservationClient:
-    """Request reservations from peers and settle them."""
+    """Request reservations from peers and settle them.
+
+    _timeouts holds the timeout of each holder by its node id.
+    """
 
     _scheduler: Scheduler
     _peers: Peers
     _avoid_until: dict[str, float] = field(factory=dict)
+    _timeouts: dict[str, AdaptiveTimeout] = field(factory=dict)
     _unsettled_count: int = 0
 
     def is_avoided(self, node_id: str) -> bool:
@@ -88,6 +94,8 @@
         )
 
         def handle_response(result: Result[Message, str]) -> None:
+            if not may_wait:
+                self._record_duration(reservation.holder, sent_at, result)
             match result:
                 case Ok(TokensReserved()):
                     TOKEN_REQUESTS.labels("reserved").inc()
@@ -106,7 +114,8 @@
                 case Err(cause):
                     done(Err(self._record_failure(reservation, sent_at, cause)))
 
-        timeout_seconds = WAITING_RESPONSE_TIMEOUT_SECONDS if may_wait else RESPONSE_TIMEOUT_SECONDS
+        seconds_min = WAITING_RESPONSE_TIMEOUT_SECONDS if may_wait else RESPONSE_TIMEOUT_SECONDS
+        timeout_seconds = self._choose_timeout_seconds(reservation.holder, seconds_min)
         self._peers.request(
             reservation.holder, message, min(timeout_seconds, seconds_left), handle_response
         )
@@ -118,6 +127,18 @@
             reservation, used, self._scheduler.now() + SETTLEMENT_RETRY_SECONDS_MAX
         )
 
+    def _choose_timeout_seconds(self, holder: str, seconds_min: float) -> float:
+        timeout = self._timeouts.get(holder)
+        return seconds_min if timeout is None else max(seconds_min, timeout.extend(0.0))
+
+    def _record_duration(self, holder: str, sent_at: float, result: Result[Message, str]) -> None:
+        """Adapt the timeout to a response; one that is missing counts if the holder is alive."""
+        timeout = self._timeouts.setdefault(holder, AdaptiveTimeout())
+        if isinstance(result, Ok):
+            timeout.record_response(self._scheduler.now() - sent_at)
+        elif result.err_value == TIMEOUT and not self._peers.is_silent(holder, sent_at):
+            timeout.record_timeout()
+
     def _record_failure(
         self, reservation: Reservation, sent_at: float, cause: str
     ) -> ReservationFailure:
@@ -125,14 +146,17 @@
         holder = reservation.holder
         self._avoid_until[holder] = self._scheduler.now() + AVOID_SECONDS
         log_event("holder_avoided", level=30, peer=holder, cause=cause, seconds=AVOID_SECONDS)
-        if cause == "timeout" and self._peers.is_silent(holder, sent_at):
+        if cause == TIMEOUT and self._peers.is_silent(holder, sent_at):
             self._peers.drop_link(holder)
-        if cause != "not connected":
+        if cause != NOT_CONNECTED:
             self.settle(reservation, 0)
         return ReservationFailure(refuse_unconfirmed(f"a holder does not respond: {cause}"))
 
     def _send_settlement(self, reservation: Reservation, used: int, retry_until: float) -> None:
+        sent_at = self._scheduler.now()
+
         def handle_response(result: Result[Message, str]) -> None:
+            self._record_duration(reservation.holder, sent_at, result)
             if isinstance(result, Ok):
                 self._unsettled_count -= 1
                 return
@@ -153,7 +177,8 @@
             )
 
         message = SettleTokens(reservation.reservation_id, used)
-        self._peers.request(reservation.holder, message, SETTLE_TIMEOUT_SECONDS, handle_response)
+        seconds = self._choose_timeout_seconds(reservation.holder, SETTLE_TIMEOUT_SECONDS)
+        self._peers.request(reservation.holder, message, seconds, handle_response)
 
 
 def _make_refusal(response: TokensLacking) -> Refusal:
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -83,7 +83,10 @@
 
 @define(eq=False)
 class FakePeers:
-    """Deliver messages between nodes of one process; silent nodes never respond."""
+    """Deliver messages between nodes of one process; silent nodes never respond.
+
+    Messages of this node, and the responses to it, take delay_seconds each.
+    """
 
     network: dict
     scheduler: FakeScheduler
@@ -92,6 +95,7 @@
     silent: bool = False
     lost_responses: int = 0
     loses_offers: bool = False
+    delay_seconds: float = 0.001
 
     def on(self, message_class, handle):
         self.handlers[message_class] = handle
@@ -126,10 +130,11 @@
             if self.lost_responses:
                 self.lost_responses -= 1
                 return
-            self.scheduler.call_after(0.001, lambda: finish(Ok(response)))
+            self.scheduler.call_after(self.delay_seconds, lambda: finish(Ok(response)))
 
         if not peer.silent:
-            self.scheduler.call_after(0.001, lambda: peer.handlers[type(message)](message, reply))
+            handle = peer.handlers[type(message)]
+            self.scheduler.call_after(self.delay_seconds, lambda: handle(message, reply))
         self.scheduler.call_after(seconds, lambda: finish(Err("timeout")))
 
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -199,6 +199,22 @@
     assert (fleet.reserved, fleet.spent) == (0, 300)
 
 
+@pytest.mark.parametrize("delay_seconds", [0.2, 0.4, 0.8])
+def test_a_node_whose_holders_respond_late_is_served_after_the_first_requests(
+    start_fleet, delay_seconds
+):
+    fleet = start_fleet(regina_a=8)
+    requester = find_node_without_tokens(fleet)
+    fleet.nodes[requester].peers.delay_seconds = delay_seconds
+    results = [send_and_wait(fleet, requester, 100) for _ in range(7)]
+    assert all(isinstance(result, Ok) for result in results[2:])
+    for result in results:
+        if isinstance(result, Ok):
+            fleet.nodes[requester].budgets.settle(result.ok_value, 100)
+    fleet.scheduler.advance(SETTLEMENT_RETRY_SECONDS_MAX)
+    assert fleet.reserved == 0 and fleet.nodes[requester].reservation_client.is_settled
+
+
 def test_an_unresponsive_holder_is_skipped(start_fleet):
     fleet = start_fleet(regina_a=8)
     requester = find_node_without_tokens(fleet)
