Let a source without the store pass on what is newer than its peer has

A source that has no current data answered so even if it had read further than the node that asked.

Change: such a source sends its newer records with their true ages, so the node applies them but does not take them for current.

--- a/bronzetiller/gateway/relay.py
+++ b/bronzetiller/gateway/relay.py
@@ -53,7 +53,9 @@
             reply(self._make_records(message))
             return
         if not self._is_current():
-            reply(self._make_away())
+            # Older data than the store's may still be newer than the peer's.
+            is_newer = 0 <= message.from_offset < self._follower.position
+            reply(self._make_records(message) if is_newer else self._make_away())
             return
         records = self._make_records(message)
         if records.entries or not message.wait_seconds:
