Bound the reason that a log line gives for a malformed message or ledger record

Operators saw, for a message whose parts lack a field, a line of `packet_malformed` as long as the message: 250,331 characters for one of 2,000 records. A pipe takes 64 KB of it, without the end of the line. The same held for `ledger_record_malformed`, 282,226 characters for a bill of 2,000 charges. Both logged the text of the whole error, in which each invalid part has its own.

The reason is cut after 500 characters now, which hold the first invalid part. Both tests failed before with these lengths.

--- a/bronzetiller/budgets/records.py
+++ b/bronzetiller/budgets/records.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from bronzetiller.errors import Ran
+from bronzetiller.structure import summarize_error
 
 UNKNOWN_COUNT = -1
 
@@ -136,5 +137,5 @@
     try:
         record: LedgerRecord = _CONVERTER.structure(value, LedgerRecord)  # type: ignore[arg-type]
     except Exception as error:  # cattrs raises many types of exception for malformed input
-        return Err(repr(error))
+        return Err(summarize_error(error))
     return Ok(record)
--- a/bronzetiller/structure.py
+++ b/bronzetiller/structure.py
@@ -14,6 +14,8 @@
 
 FieldPath = tuple[str | int, ...]
 
+SUMMARY_CHARACTERS_MAX = 500
+
 _VALIDATOR_MESSAGE = re.compile(r"'(?P<field>\w+)' (?P<rest>must .*)", re.DOTALL)
 
 
@@ -71,6 +73,11 @@
     return [FieldError(path, message)]
 
 
+def summarize_error(error: BaseException) -> str:
+    """Return a bounded text of a failed conversion, however many fields are invalid."""
+    return repr(error)[:SUMMARY_CHARACTERS_MAX]
+
+
 def _get_note_key(note: Any) -> str | int:
     return note.index if isinstance(note, IterableValidationNote) else note.name
 
--- a/bronzetiller/wire/codec.py
+++ b/bronzetiller/wire/codec.py
@@ -5,6 +5,7 @@
 from cattrs.strategies import configure_tagged_union
 from result import Err, Ok, Result
 
+from bronzetiller.structure import summarize_error
 from bronzetiller.wire.messages import Message, Packet
 
 PACKET_BYTES_MAX = 4 * 1024 * 1024
@@ -25,4 +26,4 @@
     try:
         return Ok(_CONVERTER.structure(cbor2.loads(data), Packet))
     except Exception as error:  # cbor2 and cattrs raise many types for malformed input
-        return Err(repr(error))
+        return Err(summarize_error(error))
--- a/tests/test_record_fields.py
+++ b/tests/test_record_fields.py
@@ -460,3 +460,24 @@
     assert not closed and client.open and server.open
     assert [line["event"] for line in log] == ["packet_malformed"]
     assert len(log[0]["reason"]) <= REASON_CHARACTERS_MAX
+
+
+def test_a_message_of_many_malformed_parts_costs_a_short_log_line(sessions_pair, monkeypatch):
+    client, _, exchange, received, closed, log = sessions_pair
+    records = make_message("Records")
+    records = attrs.evolve(records, entries=records.entries * 2_000)
+    encode = sessions.encode_packet
+    monkeypatch.setattr(
+        sessions, "encode_packet", lambda packet: encode(packet).replace(b"foffset", b"fOffset")
+    )
+    client.send(Packet(1, 0, records))
+    exchange()
+    assert received == [] and not closed
+    assert [line["event"] for line in log] == ["packet_malformed"]
+    assert len(log[0]["reason"]) <= REASON_CHARACTERS_MAX
+
+
+def test_a_ledger_record_of_many_malformed_parts_has_a_short_reason():
+    (plain,) = (item for item in RELEASED["ledger_records"] if item["kind"] == "bill")
+    result = load_ledger_record(plain | {"charges": [{}] * 2_000})
+    assert len(result.unwrap_err()) <= REASON_CHARACTERS_MAX
