--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -5,7 +5,7 @@
 from soak.__main__ import run_seed
 from standins.builds import extract_build
 
-LANDINGS = ("1706d4b", "96f7d0b", "c4371f7")
+LANDINGS = ("3a107de", "1706d4b", "96f7d0b", "c4371f7")
 
 
 @pytest.mark.timeout(180)
