--- a/bench/snapshots.py
+++ b/bench/snapshots.py
@@ -36,7 +36,7 @@
 def measure(count: int) -> list[str]:
     """Write and load a snapshot of a ledger with this many bills; return the cells of a row."""
     ledger = make_ledger(count)
-    fold = Fold("ledger", lambda: dump_ledger(ledger), lambda value: None)
+    fold = Fold("ledger", lambda: dump_ledger(ledger), lambda value: lambda: None)
     started_at = time.perf_counter()
     pieces = split_snapshot("ledger-0", 1, [fold])
     written_at = time.perf_counter()
--- a/bronzetiller/budgets/shards.py
+++ b/bronzetiller/budgets/shards.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 from collections.abc import Callable
+from functools import partial
 
 from attrs import frozen
 from result import Err, Ok
@@ -74,12 +75,12 @@
             Fold(
                 "ledger",
                 lambda: dump_ledger(self.ledger),
-                lambda value: replace_state(self.ledger, load_ledger(value)),
+                lambda value: partial(replace_state, self.ledger, load_ledger(value)),
             ),
             Fold(
                 "claims",
                 lambda: dump_claims(self.claims),
-                lambda value: replace_state(self.claims, load_claims(value)),
+                lambda value: partial(replace_state, self.claims, load_claims(value)),
             ),
         ]
 
--- a/bronzetiller/configuration/archive.py
+++ b/bronzetiller/configuration/archive.py
@@ -4,6 +4,7 @@
 version that starts from an older node's snapshot loses no field.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, field, frozen
@@ -70,15 +71,19 @@
     return value
 
 
-def load_configuration(
+def decode_configuration(
     value: dict[str, Any], configuration: Configuration, archive: Archive
-) -> None:
-    """Replace the state with the output of dump_configuration."""
+) -> Callable[[], None]:
+    """Return a function that replaces the state with the output of dump_configuration."""
     dump = _CONVERTER.structure(value, _Snapshot)
-    configuration.clear()
-    archive.records.clear()
-    for item in dump.records:
-        decision = configuration.restore(item.offset, item.record)
-        if decision is not None:
-            archive.add_record(decision, item.record)
-    configuration.restore_decisions(dump.decisions)
+
+    def restore() -> None:
+        configuration.clear()
+        archive.records.clear()
+        for item in dump.records:
+            decision = configuration.restore(item.offset, item.record)
+            if decision is not None:
+                archive.add_record(decision, item.record)
+        configuration.restore_decisions(dump.decisions)
+
+    return restore
--- a/bronzetiller/fleet/snapshot_manager.py
+++ b/bronzetiller/fleet/snapshot_manager.py
@@ -26,6 +26,7 @@
     name_snapshot_stream,
     split_snapshot,
 )
+from bronzetiller.structure import summarize_error
 from bronzetiller.wire.messages import FetchSnapshot, NoSnapshot, SnapshotMark, SnapshotPiece
 
 CHECK_INTERVAL_SECONDS = 0.5
@@ -149,14 +150,21 @@
             stream.follower.start()
 
     def _apply(self, stream: _SnapshottedStream, snapshot: Snapshot) -> bool:
-        """Load a snapshot unless it is incomplete or not newer; return whether it was loaded."""
+        """Load a snapshot that is complete, newer and readable; return whether it was loaded."""
         follower = stream.follower
         missing = [fold.name for fold in stream.folds if fold.name not in snapshot.states]
         if missing or snapshot.offset <= follower.next_offset:
             SNAPSHOTS.labels("skipped").inc()
             return False
-        for fold in stream.folds:
-            fold.load(snapshot.states[fold.name])
+        try:
+            restorers = [fold.decode(snapshot.states[fold.name]) for fold in stream.folds]
+        except Exception as error:  # cattrs raises many types of exception for malformed input
+            SNAPSHOTS.labels("skipped").inc()
+            reason = summarize_error(error)
+            log_event("snapshot_unread", level=30, stream=follower.stream, reason=reason)
+            return False
+        for restore in restorers:
+            restore()
         follower.restart_at(snapshot.offset)
         SNAPSHOTS.labels("loaded").inc()
         log_event("snapshot_loaded", stream=follower.stream, offset=snapshot.offset)
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -21,7 +21,7 @@
 from bronzetiller.callers.chat import ChatContext
 from bronzetiller.callers.problems import make_rejection
 from bronzetiller.callers.service_calls import ServiceCallContext
-from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
+from bronzetiller.configuration.archive import Archive, decode_configuration, dump_configuration
 from bronzetiller.configuration.events import record_decision, register_unread_items_gauge
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.configuration.streams import CONFIGURATION_STREAM
@@ -397,7 +397,7 @@
         return Fold(
             "configuration",
             lambda: dump_configuration(self.configuration, self.archive),
-            lambda value: load_configuration(value, self.configuration, self.archive),
+            lambda value: decode_configuration(value, self.configuration, self.archive),
         )
 
     def _apply_configuration_record(self, entry: Entry) -> None:
--- a/bronzetiller/storage/snapshots.py
+++ b/bronzetiller/storage/snapshots.py
@@ -24,11 +24,14 @@
 
 @frozen
 class Fold:
-    """Describe a state computed from a stream; dump returns it as JSON values, load restores it."""
+    """Describe a state computed from a stream; dump returns it as JSON values.
+
+    decode returns the function that restores the state from them, or raises an exception.
+    """
 
     name: str
     dump: Callable[[], Any]
-    load: Callable[[Any], None]
+    decode: Callable[[Any], Callable[[], None]]
 
 
 @frozen
--- a/tests/test_configuration_fold.py
+++ b/tests/test_configuration_fold.py
@@ -18,7 +18,7 @@
     run_state_machine_as_test,
 )
 
-from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
+from bronzetiller.configuration.archive import Archive, decode_configuration, dump_configuration
 from bronzetiller.configuration.fold import DECISIONS_MAX, NO_RECORD, Configuration
 from bronzetiller.configuration.records import Envelope, Kind, dump_envelope, load_body
 
@@ -116,7 +116,7 @@
         """Replace a node by one that loads a snapshot of any node, including of another version."""
         dump = json.dumps(dump_configuration(self.nodes[writer], self.archives[writer]))
         fresh, archive = self.fold(SCHEMAS_OF_NODES[node]), self.archive()
-        load_configuration(json.loads(dump), fresh, archive)
+        decode_configuration(json.loads(dump), fresh, archive)()
         expected = self.fold(SCHEMAS_OF_NODES[node])
         for offset in range(self.next_offsets[writer]):
             expected.apply(offset, self.log[offset])
--- a/tests/test_grant_manager.py
+++ b/tests/test_grant_manager.py
@@ -167,7 +167,7 @@
     state = Ledger()
     for record in harness.log.records:
         state.apply(0.0, load_ledger_record(record).ok_value)
-    harness.shard.make_folds()[0].load(dump_ledger(state))
+    harness.shard.make_folds()[0].decode(dump_ledger(state))()
     harness.next_offset = len(harness.log.records)
     harness.shard.follower.restart_at(harness.next_offset)
 
--- a/tests/test_record_fields.py
+++ b/tests/test_record_fields.py
@@ -19,7 +19,7 @@
     load_ledger_record,
 )
 from bronzetiller.configuration import archive
-from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
+from bronzetiller.configuration.archive import Archive, decode_configuration, dump_configuration
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.configuration.records import (
     BODY_CLASSES,
@@ -367,7 +367,7 @@
 
 def load_and_dump_configuration(value: Any) -> Any:
     configuration, archived = Configuration(), Archive()
-    load_configuration(value, configuration, archived)
+    decode_configuration(value, configuration, archived)()
     return dump_configuration(configuration, archived)
 
 
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -7,7 +7,7 @@
 
 from bronzetiller.budgets.ledger import Ledger, dump_ledger, load_ledger
 from bronzetiller.budgets.records import Bill, Charge, Credit, Grant, Return
-from bronzetiller.configuration.archive import Archive, dump_configuration, load_configuration
+from bronzetiller.configuration.archive import Archive, decode_configuration, dump_configuration
 from bronzetiller.configuration.fold import Configuration
 from bronzetiller.storage.snapshots import (
     PIECE_CHARACTERS,
@@ -77,7 +77,8 @@
 
 def round_trip(state_name, value):
     """Split a state into pieces and join it again, as if read from the log."""
-    pieces = split_snapshot("stream", 7, [Fold(state_name, lambda: value, lambda state: None)])
+    fold = Fold(state_name, lambda: value, lambda state: lambda: None)
+    pieces = split_snapshot("stream", 7, [fold])
     collector = PieceCollector()
     for piece in reversed(pieces):
         record = json.loads(json.dumps(dump_piece(piece)))
@@ -107,7 +108,7 @@
     apply_to_configuration(records[:cut], prefix, prefix_archive)
     value, _ = round_trip("configuration", dump_configuration(prefix, prefix_archive))
     loaded, archive = Configuration(), Archive()
-    load_configuration(value, loaded, archive)
+    decode_configuration(value, loaded, archive)()
     apply_to_configuration(records[cut:], loaded, archive, min(cut, len(records)))
     assert loaded.workspaces() == full.workspaces()
     assert dump_configuration(loaded, archive) == dump_configuration(full, full_archive)
