Accept empty responses of nodes of an earlier release at once

An empty response of such a node confirms nothing, so a reader took it for overdue and asked all its other sources before it used the response: extra calls during a release, found by reading. What states no time is not overdue.

--- a/bronzetiller/gateway/peer_reader.py
+++ b/bronzetiller/gateway/peer_reader.py
@@ -148,7 +148,7 @@
 
     def is_overdue(self, batch: RecordBatch) -> bool:
         """Return whether a peer may have lost the store without knowing it yet."""
-        if batch.records or batch.confirmed_at is None:
+        if batch.records or batch.confirmed_at is None or math.isinf(batch.confirmed_at):
             return False
         return self.scheduler.now() - batch.confirmed_at > OVERDUE_SECONDS
 
