Use the late responses of peers

A member whose sources took 0.5 s or longer to respond never became current, though the store answered it: after 0.5 s of silence the fetch was given up and its response thrown away, and that late response still counted as a read of current data, so the node put its own read of the store off again and again.

Change: a late response of a peer goes to the follower like one of the store, which applies it if it continues what is there; it does not count as a read in time.

test_a_node_whose_sources_respond_slowly_does_not_stay_outdated failed before as a member at 0.7, 1.5 and 3 s, and passes at all eight cases now.

--- a/bronzetiller/gateway/peer_reader.py
+++ b/bronzetiller/gateway/peer_reader.py
@@ -177,8 +177,12 @@
         peer: str,
         message: FetchRecords,
         done: Callable[[Result[RecordBatch, str]], None],
+        late: LateDone | None = None,
     ) -> None:
-        """Fetch from a peer; give up once it has sent nothing for RESPONSE_TIMEOUT_SECONDS."""
+        """Fetch from a peer; give up once it has sent nothing for RESPONSE_TIMEOUT_SECONDS.
+
+        A response after that is passed to late.
+        """
         started_at = self.scheduler.now()
         finished = False
 
@@ -213,8 +217,11 @@
                         self.plan.record_peer_silent(peer, now)
                         fail(f"malformed response: {error}")
                         return
-                    self.plan.record_peer_read()
-                    finish(Ok(batch))
+                    if not finished:
+                        self.plan.record_peer_read()
+                        finish(Ok(batch))
+                    elif late is not None:
+                        late(batch)
                 case Ok(RecordsAway(cause, end, reaches_store, sent_at)):
                     behind_at = None if end is None else BehindPeer(end, sent_at)
                     self.plan.record_peer_away(peer, behind_at, now, reaches_store=reaches_store)
@@ -327,7 +334,8 @@
     def _ask_next(self) -> None:
         if self._peers:
             self._fetching = True
-            self._reader.fetch(self._peers.pop(0), self._message, self._handle_fetch)
+            peer = self._peers.pop(0)
+            self._reader.fetch(peer, self._message, self._handle_fetch, self._handle_late_fetch)
         elif self._may_ask_store:
             self._ask_store()
         elif self._store_open:
@@ -342,8 +350,9 @@
     def _handle_fetch(self, result: Result[RecordBatch, str]) -> None:
         self._fetching = False
         if self._finished:
-            return
-        if isinstance(result, Err):
+            if isinstance(result, Ok):
+                self._handle_late_fetch(result.ok_value)
+        elif isinstance(result, Err):
             self._ask_next()
         elif self._rejects_overdue and self._reader.is_overdue(result.ok_value):
             self._overdue = result.ok_value
@@ -351,6 +360,11 @@
         else:
             self._finish_fetch(result.ok_value)
 
+    def _handle_late_fetch(self, batch: RecordBatch) -> None:
+        if self._late is not None:
+            self._reader.record(batch)
+            self._late(batch)
+
     def _finish_fetch(self, batch: RecordBatch) -> None:
         self._finished = True
         if self._store_open:
