Ask the peers again while a call of the store is open

A deputy that had asked its peers and then the store asked no peer until the store's call ended, a reader only once: with timeouts that had followed a store of 4 s, up to 10 s in which a source had long been current again. Whole data centres can wait behind such a node.

test_a_node_that_waits_for_a_silent_store_reads_from_a_source_that_is_current_again failed before for both roles, and passes.

--- a/bronzetiller/gateway/peer_reader.py
+++ b/bronzetiller/gateway/peer_reader.py
@@ -140,7 +140,7 @@
             read_store,
             done,
             late,
-            peers=self.plan.list_peers(sources, now),
+            list_peers=lambda: self.plan.list_peers(sources, self.scheduler.now()),
             may_ask_store=self.plan.may_read_store(sources, now, self._store.answered_at),
             rejects_overdue=sources.role is Role.READER,
         )
@@ -295,7 +295,7 @@
 class _SourcesRead:
     """Try the store and the peers in turn for one read.
 
-    Beside a store that does not answer in time, the peers are asked as well.
+    Beside a store that does not answer in time, the peers are asked as well, again and again.
     """
 
     _reader: PeerReader
@@ -303,7 +303,7 @@
     _read_store: StoreRead
     _done: ReadDone
     _late: LateDone | None
-    _peers: list[str]
+    _list_peers: Callable[[], list[str]]
     _may_ask_store: bool
     _rejects_overdue: bool
     _failure: ReadFailure = StoreUnreachable(NO_SOURCE, False)
@@ -311,9 +311,11 @@
     _store_open: bool = False
     _fetching: bool = False
     _finished: bool = False
+    _peers: list[str] = field(factory=list)
 
     def start(self, *, store_first: bool) -> None:
         """Ask the store or the best peer."""
+        self._peers = self._list_peers()
         if store_first and self._may_ask_store:
             self._ask_store()
         else:
@@ -322,13 +324,16 @@
     def _ask_store(self) -> None:
         self._may_ask_store = False
         self._store_open = True
-        if self._peers:
-            seconds = STORE_PATIENCE_SECONDS + self._message.wait_seconds
-            self._reader.scheduler.call_after(seconds, self._ask_beside_store)
+        seconds = STORE_PATIENCE_SECONDS + self._message.wait_seconds
+        self._reader.scheduler.call_after(seconds, self._ask_beside_store)
         self._read_store(self._handle_store, self._handle_late)
 
     def _ask_beside_store(self) -> None:
-        if self._store_open and not self._finished:
+        if not self._store_open or self._finished:
+            return
+        self._reader.scheduler.call_after(STORE_PATIENCE_SECONDS, self._ask_beside_store)
+        if not self._fetching:
+            self._peers = self._list_peers()
             self._ask_next()
 
     def _ask_next(self) -> None:
