Let each data centre read through other regions once the reader of its own is lost

A region that was cut from the store and then lost the node that reads for it stayed outdated until the cut ended: only that node had peers in other regions, and nobody in the region can tell from the list of nodes that it is gone. So did a data centre that lost its own reader: its deputy asked only nodes that read through that reader.

Change: the reader of each data centre has the far peers too, after the near ones, and the deputy of a data centre asks the readers of others.

test_a_region_without_the_store_that_loses_its_reader_reads_through_other_regions failed before (11 of 11 other nodes outdated after 9 s). test_high_capacity_nodes_of_the_same_region_serve_the_others said that only readers of regions have peers elsewhere; it says now that exactly one node of each data centre has, and near ones first.

--- a/bronzetiller/sync/sources.py
+++ b/bronzetiller/sync/sources.py
@@ -2,7 +2,8 @@
 
 Designed for regions of up to some hundred nodes that share a link to the store: one node of a
 region reads the store, one of each data centre reads from that node, and the others from these.
-Nodes that read the store have peers as well, also in other regions, for when they lose it.
+Nodes that read the store have peers as well, also in other regions, for when they lose it, and so
+has the reader of each data centre, for when that of the region is lost too.
 """
 
 from collections.abc import Iterable, Mapping
@@ -76,12 +77,17 @@
     if own_id == readers[0]:
         return Sources(Role.READER, (*readers[1 : 1 + SOURCES_MAX], *far), len(near))
     if own_id in readers or not own_ranked:
-        candidates, role = readers, Role.DEPUTY
-    else:
-        candidates = own_ranked
-        role = Role.DEPUTY if own_id in own_ranked[: 1 + DEPUTIES] else Role.MEMBER
-    peers = [item for item in candidates if item != own_id]
-    return Sources(role, tuple(peers[:SOURCES_MAX]), len(near))
+        # The reader of the region may be gone, which no node without the store can tell.
+        peers = [*_list_others(own_id, readers), *far]
+        return Sources(Role.DEPUTY, tuple(peers), len(near))
+    if own_id in own_ranked[: 1 + DEPUTIES]:
+        remote = [item for item in readers if item != own_ranked[0]]
+        return Sources(Role.DEPUTY, (own_ranked[0], *remote[: SOURCES_MAX - 1]), len(near))
+    return Sources(Role.MEMBER, _list_others(own_id, own_ranked), len(near))
+
+
+def _list_others(own_id: str, ranked: list[str]) -> tuple[str, ...]:
+    return tuple([item for item in ranked if item != own_id][:SOURCES_MAX])
 
 
 def _choose_far(
