Let members that start without the store begin with the data of their sources

A member that restarted while the store was away had no configuration until it was back: it had learnt the list of nodes from a seed, its sources had no current data, and as a member it may not ask the store, whose failure alone led to the seeds.

Change: such a node asks its sources for what they have, however old, unless one of them reaches the store and has data soon.

--- a/bronzetiller/gateway/peer_reader.py
+++ b/bronzetiller/gateway/peer_reader.py
@@ -84,14 +84,17 @@
             self._store.read_newest(partition, handle_result, handle_late)
 
         def finish(result: Result[RecordBatch, ReadFailure]) -> None:
-            match result:
-                case Ok(batch):
-                    done(Ok(batch))
-                case Err(failure) if self._position >= 0 or failure.cause == NO_SOURCE:
-                    done(Err(StoreUnreachable(failure.cause, False)))
-                case Err(failure):
-                    seeds = sorted(self._find_seeds(), key=lambda seed: self._draw_uniform())
-                    self._read_from_seeds(partition, seeds, failure.cause, done)
+            if isinstance(result, Ok):
+                done(Ok(result.ok_value))
+                return
+            cause = result.err_value.cause
+            if self._position >= 0 or self.plan.expects_data(self.scheduler.now()):
+                done(Err(StoreUnreachable(cause, False)))
+            elif cause == NO_SOURCE:  # of a member, which may not ask the store yet
+                self._read_old(partition, list(self._find_sources().peers), cause, done)
+            else:
+                seeds = sorted(self._find_seeds(), key=lambda seed: self._draw_uniform())
+                self._read_old(partition, seeds, cause, done)
 
         message = FetchRecords(
             partition.topic, partition.number, self._position, accepts_compressed=True
@@ -252,11 +255,11 @@
             peer, message, message.wait_seconds + TRANSFER_SECONDS_MAX, handle_response
         )
 
-    def _read_from_seeds(
-        self, partition: Partition, seeds: list[str], cause: str, done: NewestDone
+    def _read_old(
+        self, partition: Partition, peers: list[str], cause: str, done: NewestDone
     ) -> None:
-        """Start with the data of a seed while the store is unreachable."""
-        if not seeds:
+        """Start with the data of a peer while no current data is in reach."""
+        if not peers:
             done(Err(StoreUnreachable(cause, False)))
             return
         message = FetchRecords(
@@ -266,13 +269,13 @@
         def handle_batch(result: Result[RecordBatch, str]) -> None:
             match result:
                 case Ok(batch):
-                    log_event("started_from_peer", peer=seeds[0], partition=partition)
+                    log_event("started_from_peer", peer=peers[0], partition=partition)
                     self.record(batch)
                     done(Ok(batch))
                 case Err():
-                    self._read_from_seeds(partition, seeds[1:], cause, done)
+                    self._read_old(partition, peers[1:], cause, done)
 
-        self.fetch(seeds[0], message, handle_batch)
+        self.fetch(peers[0], message, handle_batch)
 
     def _make_batch(self, records: Records, asked_at: float, peer: str = "") -> RecordBatch:
         RELAYED_ENTRIES.inc(len(records.entries))
