Keep the late calls of partitions apart

Late calls were counted, and cancelled once one of them was answered, by topic alone. A node that reads or appends to three or more partitions of one topic from a slow store lost the late responses of all but one.

test_a_late_read_of_one_partition_does_not_end_those_of_others failed before.

--- a/bronzetiller/platform/store.py
+++ b/bronzetiller/platform/store.py
@@ -184,7 +184,7 @@
             body_bytes_max=RESPONSE_BYTES_MAX,
             seconds_max=patient_seconds + TRANSFER_SECONDS_MAX,
         )
-        kind = (method, path, query["topic"])
+        kind = (method, path, query["topic"], query["part"])
         parts: list[bytes] = []
         status = era = 0
         is_late = False
--- a/tests/test_late_reads.py
+++ b/tests/test_late_reads.py
@@ -99,3 +99,14 @@
     body = struct.pack(">QQ", 9, 0)
     done, _ = read_pages(lambda store, finish: store.read_from(PARTITION, 3, 0.0, finish), body)
     assert len(done) == 1 and isinstance(done[0], Err)
+
+
+def test_a_late_read_of_one_partition_does_not_end_those_of_others():
+    http, failures = FakeHttp(), []
+    store = PlatformStore(http, Address("10.0.0.1", 80))
+    for number in range(4):
+        store.read_newest(Partition("keyed.test", number), failures.append, lambda batch: None)
+    http.scheduler.advance(2.0)
+    assert len(failures) == 4 and not any(call.cancelled for call in http.calls)
+    http.calls[0].listener(ResponseHead(200, {}))
+    assert not any(call.cancelled for call in http.calls)
