Confirm a bill whose remaining replicas suffice once a link is lost

Callers saw a response that stayed open for confirm_seconds and ended with 503 bill_unconfirmed, although the only peer left held the bill: after a cut that drops packets, when the region's last other router had confirmed the bill and the request to a peer on the far side had timed out shortly before that link was closed.

Cause: fewer replicas suffice once a peer is no longer connected, but whether there are enough was only checked with a response. If the link is lost between the timeout and the next check, nothing is pending, nothing is missing, and no response comes any more.

The periodic check now also checks this.

--- a/bronzetiller/requests/bill_replicator.py
+++ b/bronzetiller/requests/bill_replicator.py
@@ -214,6 +214,7 @@
             if not replication.requests_pending:
                 replication.confirmed_by &= set(self._peers.connected())
                 replication.contacted &= replication.confirmed_by
+                self._check_durable(replication)  # fewer replicas may suffice than before
                 self._request_missing_replicas(replication)
         self._record_silent_owners()
         self._append_orphans()
