Wait in partition tests until nodes are connected, not only heard

test_budget_partition.py::test_a_region_cut_off_serves_a_workspace_that_it_never_served_before failed once in a whole run: 503 bill_unconfirmed, ran no, for the first request after the cut.

Cause, by the logs of a failing run: the test waits until bronzetiller_peers_heard counts both peers on each node, but a heartbeat also arrives on the connection that the peer dialled. node-4 started, connected to node-3 at 41.437 and sent its heartbeat. node-3 reads the list of VMs once a second; the cut came at 42.41, before it had read of node-4. Its list was out of reach from then on, so it never dialled node-4, had no connection left, and refused truly: it could send bills to nobody.

The tests now wait for what they name, connections in both directions, by a new metric bronzetiller_peers_connected. Everything after that is as before. test_billing.py::test_a_region_cut_off_with_two_routers_goes_on_and_loses_no_bill waited for the same metric, and on one of its two routers only.

--- a/bronzetiller/fleet/peers.py
+++ b/bronzetiller/fleet/peers.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from bronzetiller.logs import log_event
-from bronzetiller.metrics import SENT_BYTES
+from bronzetiller.metrics import CONNECTED_PEERS, SENT_BYTES
 from bronzetiller.net.dialer import Address, Connection, ConnectionHandlers, Dialer
 from bronzetiller.net.loop import Loop
 from bronzetiller.net.scheduler import Scheduler, Timer
@@ -213,7 +213,7 @@
         def connected() -> None:
             handlers = SessionHandlers(
                 connection.write,
-                lambda: log_event("peer_connected", peer=link.vm.node_id),
+                opened,
                 lambda packet: self._receive(packet, link.session),
                 lambda: self._close_link(link, "closed by the session"),
             )
@@ -221,6 +221,10 @@
             address = str(link.vm.address)
             link.session = open_client_session(self._secret, self._node_id, address, handlers)
 
+        def opened() -> None:
+            log_event("peer_connected", peer=link.vm.node_id)
+            CONNECTED_PEERS.set(len(self.connected()))
+
         def check_handshake() -> None:
             if link.connection is connection and link.session and not link.session.open:
                 self._close_link(link, "handshake: timeout")
@@ -246,6 +250,7 @@
             log_event("peer_lost", level=30, peer=link.vm.node_id, cause=cause)
         link.session = None
         link.connection = None
+        CONNECTED_PEERS.set(len(self.connected()))
         for number, pending in list(self._pending_requests.items()):
             if pending.node_id == link.vm.node_id:
                 self._fail_request(number, "connection lost")
@@ -254,6 +259,7 @@
     def _remove(self, node_id: str, link: _Link) -> None:
         del self._links[node_id]
         link.removed = True
+        CONNECTED_PEERS.set(len(self.connected()))
         if link.connection is not None:
             link.connection.close()
 
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -65,6 +65,11 @@
 LIVE_PEERS = Gauge(
     "bronzetiller_peers_heard", "Peers that sent a heartbeat recently.", registry=REGISTRY
 )
+CONNECTED_PEERS = Gauge(
+    "bronzetiller_peers_connected",
+    "Peers with an open connection, over which this node sends.",
+    registry=REGISTRY,
+)
 TARGET_AVOIDANCES = Counter(
     "bronzetiller_target_avoidances",
     "Targets avoided because they failed or refused requests.",
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -90,8 +90,8 @@
 
 
 def count_peers(address):
-    """Return the number of peers that a node recently received a heartbeat from."""
-    with urllib.request.urlopen(f"http://{address}/metrics", timeout=10) as response:
-        lines = response.read().decode().splitlines()
-    name = "bronzetiller_peers_heard "
-    return float(next(line.split()[1] for line in lines if line.startswith(name)))
+    """Return the number of peers that a node recently heard from and can send to."""
+    return min(
+        read_metric(address, "bronzetiller_peers_heard"),
+        read_metric(address, "bronzetiller_peers_connected"),
+    )
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -234,9 +234,13 @@
         _warm_up(fleet, node_id)
     expected = "".join(make_words("brief", WORDS))
     address = fleet.caller_address("n-3")
-    await_true(lambda: count_peers(address) == 3, what="the peers of n-3")
+    for node_id in ("n-3", "n-4"):
+        peer = fleet.caller_address(node_id)
+        await_true(lambda peer=peer: count_peers(peer) == 3, what=f"the peers of {node_id}")
     fleet.partition({"east-1"})
-    await_true(lambda: _send_prompt(address, "brief", "key-9") == (200, expected))
+    await_true(
+        lambda: _send_prompt(address, "brief", "key-9") == (200, expected), what="a response"
+    )
     assert _count_accepted(fleet, "key-9") == 0
     fleet.processes["n-3"].kill()
     fleet.heal()
--- a/tests/test_budget_partition.py
+++ b/tests/test_budget_partition.py
@@ -8,7 +8,7 @@
     KEY,
     await_ready,
     await_true,
-    read_metric,
+    count_peers,
     read_records,
     send_chat,
 )
@@ -47,7 +47,7 @@
     for node_id in (*WEST, *east):
         address = fleet.caller_address(node_id)
         await_true(
-            lambda address=address: read_metric(address, "bronzetiller_peers_heard") == len(east),
+            lambda address=address: count_peers(address) == len(east),
             what=f"connections of {node_id}",
         )
     return fleet
