Publish the workspace of the drain tests before the nodes start

test_drain.py::test_replacing_every_node_under_load_cuts_no_request failed in a whole run beside load: callers got 402, "the budget has too few tokens left".

Cause: the fixture published workspace and top-up when the nodes were ready already, so that it waited for nothing, and its callers sent at once. A node that has read the workspace's record and not yet that of its top-up knows of no paid tokens and says so; one that has read neither refuses with 401. That the callers used the budget up is ruled out: 433 responses of a run took 4,763 of 1,000,000 tokens.

The records are now published before the nodes start, which are ready only once they have read them. The checks of both tests are as before.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -89,10 +89,10 @@
     fleet.start_platform()
     for index in (1, 2):
         fleet.add_target(f"engine-{index}", "names", "west", "west-1", "--token-seconds", "0.02")
-    for node_id in ("node-1", "node-2", "node-3"):
-        fleet.add_node(node_id, "west", "west-1", **SETTINGS)
     fleet.publish("route", "namer", {"service": "names"})
     fleet.publish_workspace("studio", KEY, 1_000_000)
+    for node_id in ("node-1", "node-2", "node-3"):
+        fleet.add_node(node_id, "west", "west-1", **SETTINGS)
     await_ready(fleet, "node-1", "node-2", "node-3")
     return fleet
 
