Count tokens on their way to the ledger in every response to a token request

A node refuses with budget_exhausted once two rounds found too few tokens at the ledger and all peers together. A peer that returned its tokens for one node counted them in that response only: until the ledger had applied the return, a second node that asked heard of neither. If that took longer than its two rounds, some 0.2 s apart, it refused a caller for whom the tokens were there.

The response now counts all returns of the workspace that the ledger has not applied yet. Where the asking node has read the return earlier than the peer, the tokens count twice for that round, which only delays the refusal by a round.

Measured: the new test, two nodes that ask before the return is applied, fails before (the second hears of 0 of 400 tokens) and passes now.

--- a/bronzetiller/budgets/returns.py
+++ b/bronzetiller/budgets/returns.py
@@ -33,6 +33,11 @@
         """Return the number of tokens of a grant whose return has not been applied yet."""
         return sum(item.tokens for item in self._pending.values() if item.grant_id == grant_id)
 
+    def count_pending_tokens(self, workspace: str) -> int:
+        """Return the tokens of a workspace whose return has not been applied yet."""
+        pending = self._pending.values()
+        return sum(record.tokens for record in pending if record.workspace == workspace)
+
     def count_pending_by_grant(self, holder: str) -> dict[str, int]:
         """Return, by grant of a holder, the tokens whose return has not been applied yet."""
         grant_ids = {item.grant_id for item in self._pending.values()}
--- a/bronzetiller/budgets/token_provider.py
+++ b/bronzetiller/budgets/token_provider.py
@@ -44,11 +44,11 @@
         charges = self._transfers.issue(self._holdings, request.transfer_id, workspace, tokens)
         issued = sum(charge.tokens for charge in charges)
         TOKENS_MOVED.labels("given_to_peer").inc(issued)
-        returned = 0
         can_return = request.log_reachable and is_current and not state.waiters
         if issued < request.missing_tokens and can_return:
-            returned = self._returns.return_balance(workspace)
+            self._returns.return_balance(workspace)
         kept_tokens = self._holdings.count_held(workspace)
+        returned = self._returns.count_pending_tokens(workspace)
         return TransferTokens(request.transfer_id, workspace, charges, kept_tokens, returned)
 
     def _count_spare(self, state: WorkspaceState, request: AskTokens) -> int:
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -215,7 +215,7 @@
 class TransferTokens:
     """Respond to AskTokens; the peer has already deducted the charges from its holdings.
 
-    kept_tokens may still become free at the peer; returned_tokens went back to the ledger.
+    kept_tokens may still become free at the peer; returned_tokens are on their way to the ledger.
     """
 
     transfer_id: str
--- a/tests/test_grant_manager.py
+++ b/tests/test_grant_manager.py
@@ -229,6 +229,31 @@
     ]
 
 
+def test_returned_tokens_count_in_each_response_until_the_ledger_has_them(harness):
+    harness.log.records += [
+        {
+            "kind": "grant",
+            "grant_id": "node-2/b/1",
+            "workspace": "studio",
+            "holder": "node-2/b",
+            "tokens": 10_000,
+        }
+    ]
+    harness.read()
+    harness.holdings.add("studio", "node-2/b/1", 400)
+    responses = []
+    for asker in ("node-3", "node-4"):
+        request = AskTokens(f"transfer-{asker}", "studio", 50, 50, asker, True)
+        harness.grant_manager.handle_token_request(request, responses.append)
+    assert [item.kept_tokens + item.returned_tokens for item in responses] == [400, 400]
+    harness.scheduler.advance(0.01)
+    harness.read()
+    request = AskTokens("transfer-3", "studio", 50, 50, "node-4", True)
+    harness.grant_manager.handle_token_request(request, responses.append)
+    assert responses[2].kept_tokens + responses[2].returned_tokens == 0
+    assert harness.shard.ledger.count_free("studio") == 400
+
+
 class LossyPeers(FakePeers):
     """Pass requests to a handler and lose its first responses."""
 
