Show that a node takes a new node for gone and closes its grant

test_budget_fleet.py::test_the_grant_of_a_killed_node_serves_others fails now and then with 503 bill_void for its first request. Callers see it too: the first responses of a node that has just joined are lost after they ran.

Cause, by the logs of a failing run: node-1 read the list of VMs first at 32.7. node-2 started at 37.05, took a grant and sent its request on; at 37.25 node-1, which had read the grant, logged grant_closing for it. is_gone counts a node id that was never listed as missing since the first read of the list. A node that has run for longer than gone_grace_seconds thus takes every new node for gone until it has its heartbeat or reads the list again, and closes its grants.

The new test shows it without a network. To be counted as missing from the read before Membership.find_gone first sees it, such an id needs an entry in _missing_since.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,14 +1,21 @@
 """Test membership: live and gone nodes, the choice of neighbours, reconnection."""
 
+from types import SimpleNamespace
+
 import pytest
+from attrs import frozen
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from bronzetiller.fleet.incarnations import FleetView, is_gone, make_incarnation
+from bronzetiller.fleet.membership import Membership
 from bronzetiller.fleet.neighbours import choose_interval_seconds, choose_neighbours
 from bronzetiller.fleet.relay import choose_reader
 from bronzetiller.fleet.vm_list import Vm, VmRole, VmState
 from bronzetiller.net.dialer import Address
+from bronzetiller.settings import FleetSettings
+from bronzetiller.wire.messages import Heartbeat
+from standins.fake_scheduler import FakeScheduler
 from standins.fleet import Fleet
 from tests.conftest import KEY, await_ready, await_true, read_metric, send_chat
 
@@ -48,6 +55,57 @@
     assert not is_gone(OLD, FleetView(), grace_seconds=0.0)
 
 
+class FakeVmList:
+    """Hold the node ids that each read of the list returns."""
+
+    def __init__(self, scheduler, *node_ids):
+        self.scheduler = scheduler
+        self.node_ids = node_ids
+
+    @property
+    def read_at(self):
+        return self.scheduler.now()
+
+    def find_routers(self):
+        return [FakeRouter(node_id) for node_id in self.node_ids]
+
+    def subscribe(self, subscriber):
+        """Ignore the subscriber, as the test has no connections to keep."""
+
+
+@frozen
+class FakeRouter:
+    vm_id: str
+
+
+class FakePeers:
+    def on(self, message_class, handle):
+        """Ignore the handler, as no messages arrive."""
+
+    def connected(self):
+        return []
+
+
+def test_a_new_node_whose_grant_is_read_before_the_list_names_it_is_not_gone():
+    scheduler = FakeScheduler()
+    fleet_settings = FleetSettings(gone_grace_seconds=5.0)
+    membership = Membership(
+        scheduler,
+        FakePeers(),
+        FakeVmList(scheduler, "node-2"),
+        SimpleNamespace(node_id="node-2", fleet=fleet_settings),
+        lambda: Heartbeat("node-2", "node-2/1", "west", "west-1", "node-2:1", stopping=False),
+        STREAMS,
+    )
+    membership.start()
+    scheduler.advance(30.0)
+    assert not membership.is_gone(OLD)
+    scheduler.advance(4.0)
+    assert not membership.is_gone(OLD)
+    scheduler.advance(3.0)
+    assert membership.find_gone({OLD}) == {OLD}
+
+
 def make_routers(count):
     return [
         Vm(
