Log when a crash report is written and read

The log of a run with too many crashes did not tell whether a node's report was late, unread or never made, and so the open tests of crashing calls could not be traced.

Each append that succeeded gives crash_report_written with the seconds that it took; each report that names crashes not known before gives crash_report_read with the peer and the source.

--- a/bronzetiller/gateway/crash_reports.py
+++ b/bronzetiller/gateway/crash_reports.py
@@ -31,6 +31,7 @@
 RETRY_SECONDS_MIN = 0.5
 RETRY_SECONDS_MAX = 3.0
 REPORT_BYTES_MAX = 64 * 1024
+LOGGED_TARGETS_MAX = 20
 
 
 def encode_report(report: CrashReport) -> bytes:
@@ -126,6 +127,14 @@
                 log_event("crash_report_unread", level=30, peer=record.key)
                 continue
             own = record.key == self._node_id
+            new = [name for name in report.crashes if not self._tracker.evidence.knows(name)]
+            if new:
+                log_event(
+                    "crash_report_read",
+                    peer=record.key,
+                    targets=",".join(sorted(new)[:LOGGED_TARGETS_MAX]),
+                    source=",".join(self.follower.source_path) or "store",
+                )
             self._tracker.merge_report(report, own=own)
             if own and not self._writing and self._written not in (None, record.value):
                 self._publish()  # an append without a response was executed after a newer one
@@ -144,6 +153,7 @@
         self._changed = False
         report = self._tracker.report
         value = encode_report(report) if report != CrashReport() else None
+        crashes, started_at = len(report.crashes), self._scheduler.now()
 
         def handle_result(result: Result[int, AppendFailure]) -> None:
             if isinstance(result, Err):
@@ -154,6 +164,8 @@
             self._backoff.reset()
             self._written = value
             self._writing = False
+            seconds = round(self._scheduler.now() - started_at, 3)
+            log_event("crash_report_written", crashes=crashes, seconds=seconds)
             self._write()
 
         self._store.append(CRASHES_PARTITION, self._node_id, value, None, handle_result)
--- a/bronzetiller/requests/crash_evidence.py
+++ b/bronzetiller/requests/crash_evidence.py
@@ -117,6 +117,10 @@
         for fingerprint in self._survivors.keys() - self._counting.keys():
             del self._survivors[fingerprint]
 
+    def knows(self, target: str) -> bool:
+        """Return whether the crash of a target is known."""
+        return target in self._crashes
+
     def list_crashes(self) -> set[str]:
         """Return the targets whose crashes are known."""
         return set(self._crashes)
