Wait for connections in both directions before they go silent

test_membership.py::test_a_peer_whose_connections_went_silent_is_reached_over_new_ones failed beside load: the peer was not reached again within 6 s.

Cause, by the logs of a failing run: the test waits for a heartbeat, which comes over the connection of either node. node-1 had connected at 20.55, the connections went silent at 21.1, node-2 connected at 22.2 only: its connection is a new one, never silent, so that it never counts the timeout that the test waits for.

The test now waits until both nodes are connected; its bound and checks are as before.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,7 +17,7 @@
 from bronzetiller.wire.messages import Heartbeat
 from standins.fake_scheduler import FakeScheduler
 from standins.fleet import Fleet
-from tests.conftest import KEY, await_ready, await_true, read_metric, send_chat
+from tests.conftest import KEY, await_ready, await_true, count_peers, read_metric, send_chat
 
 RECONNECT_SECONDS_MAX = 6.0
 
@@ -189,9 +189,8 @@
 
 def test_a_peer_whose_connections_went_silent_is_reached_over_new_ones(fleet):
     for node_id in ("node-1", "node-2"):
-        await_true(
-            lambda node_id=node_id: _read_live_peers(fleet, node_id) == 1, what="a heartbeat"
-        )
+        address = fleet.caller_address(node_id)
+        await_true(lambda address=address: count_peers(address) == 1, what="a connection")
     fleet.set_fault(lambda source, destination: destination.endswith("/peer"), silent=True)
     for node_id in ("node-1", "node-2"):
         await_true(
