Take a first base as provisional until its service was observed

Callers would get streams joined from two software versions when all nodes have started again and the store has lost the base of a service, as after a restoration from a copy older than it.

Cause: without a base, propose took the one version that it saw right after a start for the only one of the last 30 s. A stream without a record, which had begun at the former base, then counted as one of the new base.

Change: a first base that is proposed before 30 s of observation is provisional. Streams that begin at it are recorded, but wait for no record; a stream without a record is refused. The base is written again as settled once no stream of the time before can be taken up. A record without the field, of an older node, is settled. Without any base for 30 s, all first events of a fleet that starts for the first time would wait, and no stream would begin while the store is away.

The test that streams of the only version cost no append now begins 30 s after the first start, since the first seconds cost appends by design; what they cost callers is tested anew: no stream waits, with the store up or down.

--- a/bronzetiller/gateway/stream_records.py
+++ b/bronzetiller/gateway/stream_records.py
@@ -144,7 +144,12 @@
 
         It is in force once it is read, as the accepted one may be another node's.
         """
-        log_event("base_version_proposed", service=base.service, version=base.version)
+        log_event(
+            "base_version_proposed",
+            service=base.service,
+            version=base.version,
+            settled=base.settled,
+        )
         self._proposing.add(base.service)
         sequence = WriterSequence(f"base/{base.service}", base.era + 1, base.number)
         STREAM_RECORD_CALLS.labels("propose").inc()
@@ -163,22 +168,29 @@
                 log_event("base_version_unread", level=30, service=record.key)
                 continue
             self.versions.apply(base)
-            log_event("base_version", service=base.service, version=base.version, era=base.era)
+            log_event(
+                "base_version",
+                service=base.service,
+                version=base.version,
+                era=base.era,
+                settled=base.settled,
+            )
         self.versions.set_era(get_era(self.follower.position), self._scheduler.now())
 
     def record(self, stream_id: str, version: str, *, always: bool = False) -> StreamRecord | None:
-        """Record that a stream begins at a version; return None if it needs no record.
+        """Record that a stream begins at a version; return None if it needs to wait for no record.
 
-        No event of it may be delivered before the record is written.
+        Else no event of it may be delivered before the record is written.
         """
         known = self._own.get(stream_id)
         self._remember(stream_id, version)
-        if not always and known in (None, version) and not self.versions.needs_record(version):
+        must_record = always or known not in (None, version)
+        if not must_record and not self.versions.needs_record(version):
             return None
         record = StreamRecord(stream_id, version)
         self._unwritten.append(record)
         self._schedule_flush()
-        return record
+        return record if must_record or self.versions.waits_for_record(version) else None
 
     def may_deliver_unrecorded(self, service: str) -> bool:
         """Return whether a stream may go on though its record cannot be written.
@@ -189,7 +201,7 @@
         return has_base and not self.is_writable and not self.list_base_targets(service)
 
     def list_base_targets(self, service: str) -> list[Target]:
-        """Return the targets of a service whose streams need no record and that did not fail."""
+        """Return the targets whose streams wait for no record and that did not fail."""
         base = self.versions.find_base(service)
         return [
             target
@@ -283,7 +295,7 @@
             self._look_up()
 
     def _find_base(self, services: set[str]) -> str | None:
-        return self.versions.find_base(*services) if len(services) == 1 else None
+        return self.versions.find_settled_base(*services) if len(services) == 1 else None
 
     def _is_base_certain(self, services: set[str]) -> bool:
         """Return whether streams can only have begun at the base, by what this node sees now.
--- a/bronzetiller/gateway/stream_versions.py
+++ b/bronzetiller/gateway/stream_versions.py
@@ -5,8 +5,11 @@
 begin at the base need no record: a stream without one began there. All others are recorded before
 their first event is delivered.
 
+A base is provisional while streams of the time before it may be taken up. It does not tell where a
+stream without a record began. Streams that begin at it are recorded, but wait for no record.
+
 Designed for services with one version in service most of the time and two or three during a
-release: without a release, no stream costs a call to the store.
+release: without a release, no stream costs a call to the store once its base is settled.
 """
 
 import json
@@ -28,27 +31,30 @@
     """Name the base version of a service.
 
     number rises with each change; era is the store's when the record was written, since records of
-    streams of an earlier era may be lost.
+    streams of an earlier era may be lost. A base that is not settled is provisional.
     """
 
     service: str
     version: str
     number: int
     era: int
+    settled: bool = True
 
     def encode(self) -> bytes:
         """Encode the record of the service."""
-        return json.dumps(
-            {"version": self.version, "number": self.number, "era": self.era}
-        ).encode()
+        fields = {"version": self.version, "number": self.number, "era": self.era}
+        return json.dumps(fields | {"settled": self.settled}).encode()
 
 
 def decode_base_version(service: str, value: bytes) -> BaseVersion | None:
     """Decode the record of a service; return None if it is malformed."""
     try:
         item: Any = decode_json(value)
-        return BaseVersion(service, str(item["version"]), int(item["number"]), int(item["era"]))
-    except (ValueError, KeyError, TypeError):
+        settled = bool(item.get("settled", True))  # older nodes write none
+        return BaseVersion(
+            service, str(item["version"]), int(item["number"]), int(item["era"]), settled
+        )
+    except (ValueError, KeyError, TypeError, AttributeError):
         return None
 
 
@@ -92,17 +98,26 @@
             self._bases[record.service] = record
 
     def find_base(self, service: str) -> str | None:
-        """Return the version whose streams need no record, or None."""
+        """Return the version whose streams wait for no record, or None."""
         base = self._bases.get(service)
         return base.version if base is not None and base.era == self.era else None
 
+    def find_settled_base(self, service: str) -> str | None:
+        """Return the version at which streams without a record began, or None if it is unknown."""
+        base = self._bases.get(service)
+        return self.find_base(service) if base is not None and base.settled else None
+
     def needs_record(self, version: str) -> bool:
         """Return whether a stream that begins at a version must be recorded."""
+        return self.find_settled_base(find_service(version)) != version
+
+    def waits_for_record(self, version: str) -> bool:
+        """Return whether a stream that begins at a version must be recorded before its events."""
         return self.find_base(find_service(version)) != version
 
     def may_be_recorded(self, service: str, now: float) -> bool:
         """Return whether streams of the service may have begun at another version than the base."""
-        base = self.find_base(service)
+        base = self.find_settled_base(service)
         if base is None or self.observed_from is None:
             return True
         others = {item for item in self._list_recent(service, now) if item != base}
@@ -111,8 +126,9 @@
     def propose(self, service: str, now: float) -> BaseVersion | None:
         """Return the next base of a service, or None if its base holds.
 
-        A base is replaced once no stream of it can be taken up any more, and renewed in a new era
-        once no stream can be taken up whose record may be lost.
+        The first one is provisional unless the service has been observed for long enough. A base is
+        replaced once no stream of it can be taken up any more. It is renewed, in a new era or as a
+        settled one, once no stream can be taken up whose record may be lost or that began before.
         """
         if self.observed_from is None:
             return None
@@ -121,19 +137,19 @@
         if not present:
             return None
         observed_seconds = now - self.observed_from
-        is_settled = len(recent) == 1 or observed_seconds >= TAKE_UP_SECONDS
+        is_settled = observed_seconds >= TAKE_UP_SECONDS
         base = self._bases.get(service)
         newest = max(present)
         if base is None:
-            return BaseVersion(service, newest, 1, self.era) if is_settled else None
-        if base.version not in recent:
-            if observed_seconds < TAKE_UP_SECONDS:
+            if len(recent) > 1 and not is_settled:
                 return None
-            return BaseVersion(service, newest, base.number + 1, self.era)
-        if base.era == self.era:
+            return BaseVersion(service, newest, 1, self.era, is_settled)
+        if base.version not in recent:
+            return BaseVersion(service, newest, base.number + 1, self.era) if is_settled else None
+        if base.era == self.era and base.settled:
             return None
         waited = now - max(self._era_since, self.observed_from) >= TAKE_UP_SECONDS
-        alone = recent == {base.version} and observed_seconds >= TAKE_UP_SECONDS
+        alone = recent == {base.version} and is_settled
         if not (waited or alone):
             return None
         return BaseVersion(service, base.version, base.number + 1, self.era)
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -11,7 +11,11 @@
     VERSIONS_PARTITION,
     StreamRecords,
 )
-from bronzetiller.gateway.stream_versions import TAKE_UP_SECONDS
+from bronzetiller.gateway.stream_versions import (
+    TAKE_UP_SECONDS,
+    BaseVersion,
+    decode_base_version,
+)
 from bronzetiller.gateway.targets import Registration, TargetPool
 from bronzetiller.net.address import Address
 from standins.fake_scheduler import FakeScheduler
@@ -119,11 +123,25 @@
 @pytest.mark.parametrize("nodes", NODES)
 def test_streams_of_the_only_version_cost_no_append(make_fleet, nodes):
     fleet = make_fleet(nodes)
+    fleet.scheduler.advance(TAKE_UP_SECONDS)
     appends = fleet.count_appends()
     assert len(fleet.begin(200, V1)) == 200 and fleet.count_appends() == appends
     assert fleet.judge(list(fleet.began)[:40]) == 40
 
 
+@pytest.mark.parametrize("store", ["up", "down"])
+def test_streams_that_begin_right_after_the_first_start_wait_for_no_record(make_fleet, store):
+    fleet = make_fleet(6)
+    for client in fleet.clients:
+        client.mode = store
+    begun = fleet.begin(40, V1)
+    assert len(begun) == 40
+    fleet.kill_all()
+    assert fleet.judge(begun) == (40 if store == "up" else 0)
+    fleet.scheduler.advance(TAKE_UP_SECONDS)
+    assert {node.versions.find_settled_base("s") for node in fleet.nodes} == {V1}
+
+
 @pytest.mark.parametrize("nodes", NODES)
 def test_streams_go_on_at_their_version_through_a_release_and_losses_of_all_nodes(
     make_fleet, nodes
@@ -136,6 +154,23 @@
         assert fleet.judge(begun) >= 0.9 * len(begun) and len(begun) >= 55
 
 
+@pytest.mark.parametrize("nodes", NODES)
+def test_streams_of_the_time_before_a_start_are_not_joined_if_the_store_has_lost_their_base(
+    make_fleet, nodes
+):
+    fleet = make_fleet(nodes)
+    fleet.scheduler.advance(TAKE_UP_SECONDS + 2.0)
+    begun = fleet.begin(10, V1)
+    fleet.store.restore({VERSIONS_PARTITION: 1_000, STREAMS_PARTITION: 1_000})
+    fleet.serve(V2)
+    fleet.kill_all()
+    assert fleet.judge(begun) == 0
+    fleet.scheduler.advance(TAKE_UP_SECONDS)
+    assert {node.versions.find_base("s") for node in fleet.nodes} == {V2}
+    appends = fleet.count_appends()
+    assert len(fleet.begin(20, V2)) == 20 and fleet.count_appends() == appends
+
+
 @pytest.mark.parametrize("nodes", NODES)
 def test_records_of_a_release_stay_under_the_store_s_rate(make_fleet, nodes):
     fleet = make_fleet(nodes)
@@ -161,6 +196,15 @@
     assert len(fleet.begin(50, V2)) == 50 and fleet.count_appends() == appends
 
 
+@pytest.mark.parametrize("settled", [True, False])
+def test_a_base_is_decoded_as_it_was_encoded_and_one_of_an_older_node_as_settled(settled):
+    base = BaseVersion("s", V1, 2, 1, settled)
+    assert decode_base_version("s", base.encode()) == base
+    older = b'{"version": "s/v1", "number": 2, "era": 1}'
+    assert decode_base_version("s", older).settled
+    assert decode_base_version("s", b"[]") is None
+
+
 def test_no_event_is_delivered_before_its_version_is_recorded(make_fleet):
     fleet = make_fleet(6)
     fleet.serve(V1, V2)
