Take a first base as settled if the store was never restored

A provisional base costs each fleet that starts for the first time an append for its streams for 30 s, and in an outage within that time the take-ups of streams whose record was not written are refused. Only a store that was restored can have lost a base; before the first one streams wait for their records. So the first base is provisional after a restoration alone.

test_streams_of_the_only_version_cost_no_append is as it was before again; the tests of provisional bases start on a restored store.

--- a/bronzetiller/gateway/stream_versions.py
+++ b/bronzetiller/gateway/stream_versions.py
@@ -5,8 +5,9 @@
 begin at the base need no record: a stream without one began there. All others are recorded before
 their first event is delivered.
 
-A base is provisional while streams of the time before it may be taken up. It does not tell where a
-stream without a record began. Streams that begin at it are recorded, but wait for no record.
+A base is provisional while streams of another one, which the store has lost, may be taken up. It
+does not tell where a stream without a record began. Streams that begin at it are recorded, but
+wait for no record.
 
 Designed for services with one version in service most of the time and two or three during a
 release: without a release, no stream costs a call to the store once its base is settled.
@@ -24,6 +25,7 @@
 # The time in which a caller may take a stream up again, counted from its last attempt: the longest
 # timeout of a route, and the caller's wait before it retries.
 TAKE_UP_SECONDS = 30.0
+FIRST_ERA = 0  # of a store that was never restored
 
 
 @frozen
@@ -126,7 +128,8 @@
     def propose(self, service: str, now: float) -> BaseVersion | None:
         """Return the next base of a service, or None if its base holds.
 
-        The first one is provisional unless the service has been observed for long enough. A base is
+        The first one after a restoration of the store, which may have lost another, is provisional
+        unless the service has been observed for long enough. A base is
         replaced once no stream of it can be taken up any more. It is renewed, in a new era or as a
         settled one, once no stream can be taken up whose record may be lost or that began before.
         """
@@ -143,7 +146,9 @@
         if base is None:
             if len(recent) > 1 and not is_settled:
                 return None
-            return BaseVersion(service, newest, 1, self.era, is_settled)
+            # A store that was never restored has lost no base: no stream began at an earlier one.
+            settled = is_settled or self.era == FIRST_ERA
+            return BaseVersion(service, newest, 1, self.era, settled)
         if base.version not in recent:
             return BaseVersion(service, newest, base.number + 1, self.era) if is_settled else None
         if base.era == self.era and base.settled:
