Fail requests to a peer when its connection is replaced

After a partition, nodes of bronzetiller node refused requests with 503 budget_unconfirmed for seconds, although the log had responded again.

Cause: when a list of VMs gives a peer another address or leaves it out, Peers.set_peers closes the connection without failing the requests sent over it, whose responses can no longer arrive. Each of them lasts until its own timeout, and so does what waits for it: the follower of a stream, which has one fetch at a time, and the writer, which has one append. In a test of two data centres, each of which knows the others by other addresses, a node that took the list from a peer after the heal lost its fetch from its reader and stayed behind until the timeout (traced: sent 0.43 s before the connection was replaced, still pending 4.0 s after it).

--- a/bronzetiller/fleet/peers.py
+++ b/bronzetiller/fleet/peers.py
@@ -247,9 +247,7 @@
             log_event("peer_lost", level=30, peer=link.vm.node_id, cause=cause)
         link.session = None
         link.connection = None
-        for number, pending in list(self._pending_requests.items()):
-            if pending.node_id == link.vm.node_id:
-                self._fail_request(number, "connection lost")
+        self._fail_requests(link.vm.node_id)
         self._scheduler.call_after(REDIAL_SECONDS, lambda: self._dial(link))
 
     def _remove(self, node_id: str, link: _Link) -> None:
@@ -257,6 +255,7 @@
         link.removed = True
         if link.connection is not None:
             link.connection.close()
+        self._fail_requests(node_id)
 
     def _receive(self, packet: Packet, session: Session | None) -> None:
         if packet.reply_to:
@@ -275,6 +274,11 @@
 
         handle(packet.message, reply)
 
+    def _fail_requests(self, node_id: str) -> None:
+        for number, pending in list(self._pending_requests.items()):
+            if pending.node_id == node_id:
+                self._fail_request(number, "connection lost")
+
     def _fail_request(self, number: int, cause: str) -> None:
         pending = self._pending_requests.pop(number, None)
         if pending is not None:
