--- a/bronzetiller/fleet/delegation.py
+++ b/bronzetiller/fleet/delegation.py
@@ -13,15 +13,19 @@
 from result import Err, Ok, Result
 
 from bronzetiller.fleet.membership import Membership
+from bronzetiller.fleet.patient_request import request_patiently
 from bronzetiller.fleet.peers import Peers, Reply
 from bronzetiller.fleet.relay import choose_log_peer, choose_reader
 from bronzetiller.json_values import decode_json
 from bronzetiller.metrics import DELEGATED_APPENDS
 from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.storage.adaptive_timeout import EXTRA_SECONDS_MAX
 from bronzetiller.storage.log_client import APPEND_SILENCE_SECONDS, LogClient, LogFailure, Record
 from bronzetiller.wire.messages import AppendRecords, Heartbeat, Message, RecordsAppended
 
-RESPONSE_TIMEOUT_SECONDS = APPEND_SILENCE_SECONDS + 1.0
+SILENCE_SECONDS = APPEND_SILENCE_SECONDS + 1.0  # without any byte from the peer
+# The peer itself fails an append that takes longer.
+RESPONSE_SECONDS_MAX = APPEND_SILENCE_SECONDS + EXTRA_SECONDS_MAX + 5.0
 
 AppendDone = Callable[[Result[int, LogFailure]], None]
 
@@ -72,8 +76,14 @@
                     done(Err(LogFailure(f"{node_id} did not respond", sent=True)))
 
         texts = [json.dumps(record, separators=(",", ":")) for record in records]
-        self._peers.request(
-            node_id, AppendRecords(stream, texts), RESPONSE_TIMEOUT_SECONDS, handle_response
+        request_patiently(
+            self._scheduler,
+            self._peers,
+            node_id,
+            AppendRecords(stream, texts),
+            handle_response,
+            silence_seconds=SILENCE_SECONDS,
+            seconds_max=RESPONSE_SECONDS_MAX,
         )
         return True
 
--- a/bronzetiller/fleet/membership.py
+++ b/bronzetiller/fleet/membership.py
@@ -75,6 +75,13 @@
         for node_id in self._peers.connected():
             self._send_heartbeat(node_id)
 
+    def exchange_heartbeats(self, node_ids: list[str]) -> None:
+        """Send a heartbeat to these connected peers, which respond with theirs."""
+        connected = set(self._peers.connected())
+        for node_id in node_ids:
+            if node_id in connected:
+                self._send_heartbeat(node_id)
+
     def live(self) -> dict[str, Heartbeat]:
         """Return the newest heartbeat of each peer received from within the silence timeout."""
         return {
@@ -212,7 +219,8 @@
             node_id: self._last_response_at.get(node_id, now) for node_id in connected
         }
         for node_id, last_response_at in list(self._last_response_at.items()):
-            if now - last_response_at > timeout_seconds:
+            silent = self._peers.is_silent(node_id, now - timeout_seconds)
+            if silent and now - last_response_at > timeout_seconds:
                 del self._last_response_at[node_id]
                 TIMED_OUT_LINKS.labels("peer").inc()
                 self._peers.drop_link(node_id)
--- a/bronzetiller/fleet/relay.py
+++ b/bronzetiller/fleet/relay.py
@@ -1,8 +1,9 @@
 """Relay log entries between nodes, so that each crosses a regional link once per data centre.
 
 In each data centre one node per stream reads the log and the others read from that node. A node
-that lags behind the highest offset known to it fetches the missing entries from any peer that has
-them.
+that lags behind the highest offset known to it fetches the missing entries from a peer that has
+them: at once from its own data centre, and from others in the order of the nodes' ranks as readers,
+so that a link between regions carries them once or twice and not once for each node.
 """
 
 import json
@@ -13,6 +14,7 @@
 
 from bronzetiller.fleet.membership import Membership
 from bronzetiller.fleet.neighbours import rank_nodes, rank_readers
+from bronzetiller.fleet.patient_request import request_patiently
 from bronzetiller.fleet.peers import Peers, Reply
 from bronzetiller.json_values import decode_json
 from bronzetiller.logs import log_event
@@ -21,15 +23,21 @@
 from bronzetiller.settings import Settings
 from bronzetiller.storage.follower import PageCallback, PageReader, StreamFollower
 from bronzetiller.storage.log_client import Entry, LogFailure, Page
+from bronzetiller.sync.backoff import Backoff
+from bronzetiller.sync.log_reading import ReadOrder
 from bronzetiller.wire.messages import Entries, FetchEntries, Heartbeat, Message, RelayedEntry
 
 LONG_POLL_SECONDS = 2.0
-RESPONSE_TIMEOUT_SECONDS = 1.0
+RESPONSE_TIMEOUT_SECONDS = 1.0  # without any byte from the peer
+RESPONSE_SECONDS_MAX = 30.0
 CHECK_INTERVAL_SECONDS = 0.5
-PROBE_SECONDS = 2.0
+QUERY_INTERVAL_SECONDS = 0.5
+QUERIED_READERS = 2
+LOG_CHECK_SECONDS_MIN = 1.0
+LOG_CHECK_SECONDS_MAX = 4.0
 AVOID_SECONDS = 5.0
 ENTRIES_MAX = 1_000
-ENTRIES_BYTES_MAX = 512 * 1024
+ENTRIES_BYTES_MAX = 128 * 1024  # heartbeats wait for less than 0.1 s behind it at 15 Mbit/s
 
 
 @define(eq=False)
@@ -47,8 +55,15 @@
     pending_fetches: list[_PendingFetch] = field(factory=list)
     flushing: bool = False
     fetching: bool = False
-    behind_since: float | None = None
-    probed_at: float = 0.0
+    offset_seen: int = 0
+    stalled_since: float | None = None
+    far_from: float = 0.0
+    reader_ahead_since: float | None = None
+    next_check_at: float = 0.0
+    next_query_at: float = 0.0
+    check_backoff: Backoff = field(
+        factory=lambda: Backoff(LOG_CHECK_SECONDS_MIN, LOG_CHECK_SECONDS_MAX)
+    )
 
 
 def choose_reader(stream: str, data_centre: str, candidates: list[str]) -> str | None:
@@ -67,14 +82,23 @@
 def choose_source(
     own: Heartbeat, live: dict[str, Heartbeat], stream: str, offset: int, *, far: bool
 ) -> str | None:
-    """Return the nearest peer that has read past an offset; with far, in any data centre."""
-    found = [
-        (measure_distance(own, peer), -peer.next_offsets.get(stream, 0), node_id)
+    """Return one of the nearest peers that have read past an offset; with far, in any data centre.
+
+    Of the peers at the same distance that have most of the missing entries, each node ranks another
+    one first, so that one peer does not serve all.
+    """
+    missing = {
+        node_id: peer.next_offsets.get(stream, 0) - offset
         for node_id, peer in live.items()
-        if peer.next_offsets.get(stream, 0) > offset
-    ]
-    found = [item for item in found if far or item[0] == 0]
-    return min(found)[2] if found else None
+        if peer.next_offsets.get(stream, 0) > offset and (far or measure_distance(own, peer) == 0)
+    }
+    if not missing:
+        return None
+    distance = min(measure_distance(own, live[node_id]) for node_id in missing)
+    near = [node_id for node_id in missing if measure_distance(own, live[node_id]) == distance]
+    most = max(missing[node_id] for node_id in near)
+    usable = [node_id for node_id in near if 2 * missing[node_id] >= most]
+    return rank_nodes(f"{own.node_id}/{stream}", usable)[0]
 
 
 def choose_log_peer(own: Heartbeat, live: dict[str, Heartbeat], subject: str) -> str | None:
@@ -97,6 +121,9 @@
     _streams: dict[str, _RelayedStream] = field(factory=dict)
     _avoided_until: dict[str, float] = field(factory=dict)
     _ready_peers_since: float | None = None
+    _read_order: ReadOrder = field(factory=ReadOrder)
+    _readable_peers: set[str] = field(factory=set)
+    _announced_log_reachable: bool = False
 
     def add(self, follower: StreamFollower) -> None:
         """Relay the stream of a follower."""
@@ -104,6 +131,8 @@
         follower.subscribe(lambda entry: self._schedule_flush(stream))
         follower.keep_recent(self._settings.fleet.relay_entries_max)
         follower.choose_relay = lambda: self._choose_relay(stream)
+        follower.on_contact_change = self._announce_contact
+        follower.choose_election_seconds = lambda: self._choose_election_seconds(stream)
 
     def start(self) -> None:
         """Start serving peers and checking for missing entries."""
@@ -111,6 +140,17 @@
         self._membership.subscribe(self._check)
         self._scheduler.call_every(CHECK_INTERVAL_SECONDS, self._check)
 
+    def _choose_election_seconds(self, stream: _RelayedStream) -> float:
+        ranked = self._rank_readers(stream, self._membership.live())
+        return self._read_order.choose_election_seconds(ranked.index(self._settings.node_id))
+
+    def _announce_contact(self) -> None:
+        """Let the peers know at once whether they can read from this node."""
+        log_reachable = self._make_heartbeat().log_reachable
+        if log_reachable != self._announced_log_reachable:
+            self._announced_log_reachable = log_reachable
+            self._membership.announce()
+
     def _choose_relay(self, stream: _RelayedStream) -> PageReader | None:
         if not self._settings.fleet.relay:
             return None
@@ -172,17 +212,39 @@
                     self._avoid(node_id)
                     on_page(Err(LogFailure("the peer did not relay the entries", sent=True)))
 
-        self._peers.request(
-            node_id, request, request.wait_seconds + RESPONSE_TIMEOUT_SECONDS, handle_response
+        request_patiently(
+            self._scheduler,
+            self._peers,
+            node_id,
+            request,
+            handle_response,
+            silence_seconds=request.wait_seconds + RESPONSE_TIMEOUT_SECONDS,
+            seconds_max=request.wait_seconds + RESPONSE_SECONDS_MAX,
         )
 
     def _avoid(self, node_id: str) -> None:
         self._avoided_until[node_id] = self._scheduler.now() + AVOID_SECONDS
 
     def _check(self) -> None:
+        live = self._membership.live()
+        lost_peers = self._find_lost_peers(live)
         for stream in self._streams.values():
+            if lost_peers and self._settings.node_id != self._find_reader(stream):
+                stream.follower.check_log()
             self._check_stream(stream)
 
+    def _find_lost_peers(self, live: dict[str, Heartbeat]) -> set[str]:
+        """Return the peers of this data centre that have lost the log since the last call."""
+        near = {
+            node_id: peer
+            for node_id, peer in live.items()
+            if peer.data_centre == self._settings.data_centre
+        }
+        readable = {node_id for node_id, peer in near.items() if peer.log_reachable}
+        lost = (self._readable_peers & set(near)) - readable
+        self._readable_peers = readable
+        return lost
+
     def _check_stream(self, stream: _RelayedStream) -> None:
         now = self._scheduler.now()
         follower = stream.follower
@@ -190,18 +252,32 @@
         for peer in live.values():
             follower.record_end_offset(peer.next_offsets.get(follower.stream, 0))
         self._complete_from_peers(follower, live, now)
-        if not follower.log_readable and now - stream.probed_at >= PROBE_SECONDS:
-            stream.probed_at = now
-            follower.probe()
+        self._check_log(stream, now)
         if follower.next_offset >= follower.end_offset:
-            stream.behind_since = None
+            stream.stalled_since = None
             return
-        if stream.behind_since is None:
-            stream.behind_since = now
-        late = now - stream.behind_since >= self._settings.fleet.relay_fallback_seconds
-        if late:
-            self._avoid_reader(stream)
-        self._catch_up(stream, far=late or self._is_preferred_reader(stream, live))
+        ranked = self._rank_readers(stream, live)
+        rank = ranked.index(self._settings.node_id)
+        fallback_seconds = self._settings.fleet.relay_fallback_seconds
+        if stream.stalled_since is None or follower.next_offset > stream.offset_seen:
+            stream.stalled_since = now
+            stream.reader_ahead_since = None
+            stream.far_from = now + self._read_order.choose_fallback_seconds(
+                rank, len(ranked), fallback_seconds
+            )
+        stream.offset_seen = follower.next_offset
+        far = now >= stream.far_from
+        self._check_reader(stream, live, now)
+        self._query_readers(stream, live, now)
+        if far or not follower.log_readable or now - stream.stalled_since >= fallback_seconds / 2:
+            self._catch_up(stream, far=far or (rank == 0 and not follower.log_readable))
+
+    def _check_log(self, stream: _RelayedStream, now: float) -> None:
+        if stream.follower.log_readable:
+            stream.check_backoff.reset()
+        elif now >= stream.next_check_at:
+            stream.next_check_at = now + stream.check_backoff.next_seconds()
+            stream.follower.check_log()
 
     def _complete_from_peers(
         self, follower: StreamFollower, live: dict[str, Heartbeat], now: float
@@ -219,19 +295,45 @@
             log_event("complete_from_peers", stream=follower.stream, offset=follower.next_offset)
             follower.complete = True
 
-    def _avoid_reader(self, stream: _RelayedStream) -> None:
+    def _check_reader(self, stream: _RelayedStream, live: dict[str, Heartbeat], now: float) -> None:
+        """Avoid a reader that has the missing entries but does not relay them, or is silent."""
         reader = self._find_reader(stream)
-        if reader is not None and reader != self._settings.node_id:
+        if reader is None or reader == self._settings.node_id:
+            return
+        follower = stream.follower
+        if live[reader].next_offsets.get(follower.stream, 0) <= follower.next_offset:
+            stream.reader_ahead_since = None
+        elif stream.reader_ahead_since is None:
+            stream.reader_ahead_since = now
+        fleet = self._settings.fleet
+        ahead_since = stream.reader_ahead_since
+        is_stuck = ahead_since is not None and now - ahead_since >= fleet.relay_fallback_seconds
+        if is_stuck or self._peers.is_silent(reader, now - fleet.silence_seconds):
+            stream.reader_ahead_since = None
             self._avoid(reader)
 
-    def _is_preferred_reader(self, stream: _RelayedStream, live: dict[str, Heartbeat]) -> bool:
+    def _query_readers(
+        self, stream: _RelayedStream, live: dict[str, Heartbeat], now: float
+    ) -> None:
+        """Ask the preferred readers whether they regained the log, before this node replaces them.
+
+        Heartbeats are seldom in a large fleet, and a peer announces changes to its own neighbours.
+        """
+        if now < stream.next_query_at or self._find_reader(stream) != self._settings.node_id:
+            return
+        stream.next_query_at = now + QUERY_INTERVAL_SECONDS
+        ranked = self._rank_readers(stream, live)
+        preferred = ranked[: ranked.index(self._settings.node_id)]
+        self._membership.exchange_heartbeats(preferred[:QUERIED_READERS])
+
+    def _rank_readers(self, stream: _RelayedStream, live: dict[str, Heartbeat]) -> list[str]:
+        """Rank the live nodes of this data centre, with this one, by priority as the reader."""
         own = self._settings
         near = [node_id for node_id, peer in live.items() if peer.data_centre == own.data_centre]
-        reader = choose_reader(stream.follower.stream, own.data_centre, [*near, own.node_id])
-        return reader == own.node_id
+        return rank_readers(stream.follower.stream, own.data_centre, [*near, own.node_id])
 
     def _catch_up(self, stream: _RelayedStream, *, far: bool) -> None:
-        if stream.fetching or (stream.follower.log_readable and not far):
+        if stream.fetching:
             return
         follower = stream.follower
         own = self._make_heartbeat()
--- a/bronzetiller/fleet/snapshot_manager.py
+++ b/bronzetiller/fleet/snapshot_manager.py
@@ -12,6 +12,7 @@
 
 from bronzetiller.fleet.membership import Membership
 from bronzetiller.fleet.peers import Peers, Reply
+from bronzetiller.fleet.relay import choose_source
 from bronzetiller.fleet.snapshot_reader import SearchResult, SnapshotSearch, SnapshotTransfer
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import SNAPSHOTS
@@ -26,14 +27,32 @@
     name_snapshot_stream,
     split_snapshot,
 )
-from bronzetiller.wire.messages import FetchSnapshot, NoSnapshot, SnapshotMark, SnapshotPiece
+from bronzetiller.sync.backoff import Backoff
+from bronzetiller.wire.messages import (
+    FetchSnapshot,
+    Heartbeat,
+    NoSnapshot,
+    SnapshotMark,
+    SnapshotPiece,
+)
 
 CHECK_INTERVAL_SECONDS = 0.5
-RETRY_DELAY_SECONDS = 0.5
-PIECE_CACHE_SECONDS = 30.0
+RETRY_SECONDS_MIN = 0.5
+RETRY_SECONDS_MAX = 4.0
+DUMP_SHARED_SECONDS = 5.0  # during which peers that start a transfer get the same dump
+DUMP_KEPT_SECONDS = 30.0  # after its last use
 NO_MARK = SnapshotMark(0, 0.0)
 
 
+@define(eq=False)
+class _Dump:
+    """Hold a dump of a stream's state for the peers that are fetching it (seconds, monotonic)."""
+
+    pieces: list[SnapshotPiece]
+    shared_until: float
+    kept_until: float
+
+
 @define(eq=False)
 class _SnapshottedStream:
     follower: StreamFollower
@@ -43,7 +62,8 @@
     started: bool = False
     loading: bool = False
     writing: bool = False
-    cached_pieces: list[SnapshotPiece] = field(factory=list)
+    dumps: list[_Dump] = field(factory=list)
+    backoff: Backoff = field(factory=lambda: Backoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX))
 
 
 def is_snapshot_due(
@@ -64,6 +84,7 @@
     _peers: Peers
     _membership: Membership
     _settings: Settings
+    _make_heartbeat: Callable[[], Heartbeat]
     _streams: dict[str, _SnapshottedStream] = field(factory=dict)
     _load_listeners: list[Callable[[str], None]] = field(factory=list)
 
@@ -104,7 +125,7 @@
                 case _:
                     self._load_from_peer(stream)
 
-        SnapshotSearch(self._log, stream.follower.stream, finish).start()
+        SnapshotSearch(self._scheduler, self._log, stream.follower.stream, finish).start()
 
     def _apply_found(self, stream: _SnapshottedStream, found: SearchResult) -> bool:
         if found.snapshot is None:
@@ -125,25 +146,30 @@
             self._apply(stream, snapshot)
             self._finish_loading(stream)
 
-        SnapshotTransfer(self._peers, node_id, stream.follower.stream, finish).start()
+        SnapshotTransfer(
+            self._scheduler, self._peers, node_id, stream.follower.stream, finish
+        ).start()
 
     def _choose_peer(self, follower: StreamFollower) -> str | None:
         connected = set(self._peers.connected())
-        offsets = [
-            (peer.next_offsets.get(follower.stream, 0), node_id)
+        ready = {
+            node_id: peer
             for node_id, peer in self._membership.live().items()
             if node_id in connected and peer.ready
-        ]
-        return max(offsets)[1] if offsets else None
+        }
+        return choose_source(
+            self._make_heartbeat(), ready, follower.stream, follower.next_offset, far=True
+        )
 
     def _retry(self, stream: _SnapshottedStream) -> None:
         stream.loading = False
         if stream.started:
             return
-        self._scheduler.call_after(RETRY_DELAY_SECONDS, lambda: self._load(stream))
+        self._scheduler.call_after(stream.backoff.next_seconds(), lambda: self._load(stream))
 
     def _finish_loading(self, stream: _SnapshottedStream) -> None:
         stream.loading = False
+        stream.backoff.reset()
         if not stream.started:
             stream.started = True
             stream.follower.start()
@@ -234,12 +260,31 @@
         if stream is None or not stream.follower.next_offset:
             reply(NoSnapshot())
             return
-        if request.offset is None:
-            follower = stream.follower
-            stream.cached_pieces = split_snapshot(
-                follower.stream, follower.next_offset, stream.folds
-            )
-            self._scheduler.call_after(PIECE_CACHE_SECONDS, lambda: stream.cached_pieces.clear())
-        pieces = stream.cached_pieces
-        wanted = request.piece < len(pieces) and request.offset in (None, pieces[0].offset)
-        reply(pieces[request.piece] if wanted else NoSnapshot())
+        dump = self._find_dump(stream, request.offset)
+        if dump is None or request.piece >= len(dump.pieces):
+            reply(NoSnapshot())
+            return
+        dump.kept_until = self._scheduler.now() + DUMP_KEPT_SECONDS
+        reply(dump.pieces[request.piece])
+
+    def _find_dump(self, stream: _SnapshottedStream, offset: int | None) -> _Dump | None:
+        """Return the dump at an offset if it is kept; without one, a recent or a new dump."""
+        now = self._scheduler.now()
+        stream.dumps = [dump for dump in stream.dumps if dump.kept_until > now]
+        for dump in stream.dumps:
+            if dump.pieces[0].offset == offset or (offset is None and dump.shared_until > now):
+                return dump
+        if offset is not None:
+            return None
+        follower = stream.follower
+        pieces = split_snapshot(follower.stream, follower.next_offset, stream.folds)
+        dump = _Dump(pieces, now + DUMP_SHARED_SECONDS, now + DUMP_KEPT_SECONDS)
+        stream.dumps.append(dump)
+        self._scheduler.call_after(DUMP_KEPT_SECONDS, lambda: self._drop_dumps(stream))
+        return dump
+
+    def _drop_dumps(self, stream: _SnapshottedStream) -> None:
+        now = self._scheduler.now()
+        stream.dumps = [dump for dump in stream.dumps if dump.kept_until > now]
+        if stream.dumps:
+            self._scheduler.call_after(DUMP_KEPT_SECONDS, lambda: self._drop_dumps(stream))
--- a/bronzetiller/fleet/vm_list.py
+++ b/bronzetiller/fleet/vm_list.py
@@ -1,7 +1,9 @@
 """Poll the platform's list of live and leaving VMs."""
 
+from collections import deque
 from collections.abc import Callable
 from enum import StrEnum
+from random import Random
 
 from attrs import frozen
 
@@ -14,13 +16,19 @@
     CallFailed,
     HttpCall,
     HttpClient,
+    OpenCall,
     ResponseEnd,
-    ResponseHead,
 )
 from bronzetiller.net.scheduler import Scheduler
+from bronzetiller.sync.backoff import Backoff
 
 POLL_INTERVAL_SECONDS = 1.0
-SILENCE_SECONDS = 2.0
+POLL_JITTER_SHARE = 0.2  # of the interval, so that the polls of many nodes spread
+RETRY_SECONDS_MAX = 4.0
+LATE_SECONDS = 2.0  # without a byte, after which the next poll starts beside the late one
+OPEN_POLLS_MAX = 4
+CONNECT_SECONDS = 5.0
+SILENCE_SECONDS = 15.0
 LIST_BYTES_MAX = 4 * 1024 * 1024  # some 1 KB for each of thousands of VMs
 TRANSFER_SECONDS_MAX = 10.0
 
@@ -65,6 +73,10 @@
         self._http = http
         self._address = address
         self._subscribers: list[Callable[[], None]] = []
+        self._backoff = Backoff(POLL_INTERVAL_SECONDS, RETRY_SECONDS_MAX)
+        self._random = Random()
+        self._polled_at = float("-inf")
+        self._open_polls: deque[OpenCall] = deque()
 
     def subscribe(self, subscriber: Callable[[], None]) -> None:
         """Call the subscriber after each change of the list."""
@@ -83,6 +95,7 @@
         return [vm for vm in self.vms.values() if vm.role is VmRole.ROUTER]
 
     def _poll(self) -> None:
+        started_at = self._scheduler.now()
         call = HttpCall(
             self._address,
             "GET",
@@ -90,33 +103,68 @@
             {},
             b"",
             SILENCE_SECONDS,
+            connect_seconds=CONNECT_SECONDS,
             body_bytes_max=LIST_BYTES_MAX,
-            seconds_max=TRANSFER_SECONDS_MAX,
+            seconds_max=SILENCE_SECONDS + TRANSFER_SECONDS_MAX,
         )
         parts: list[bytes] = []
+        received_at = started_at
+        continued = False
+        if len(self._open_polls) >= OPEN_POLLS_MAX:
+            self._open_polls.popleft().cancel()
+
+        def continue_after(seconds: float) -> None:
+            nonlocal continued
+            if not continued:
+                continued = True
+                self._scheduler.call_after(seconds, self._poll)
 
         def handle_event(event: CallEvent) -> None:
+            nonlocal received_at
+            received_at = self._scheduler.now()
+            if isinstance(event, ResponseEnd | CallFailed):
+                self._open_polls.remove(open_call)
             if isinstance(event, BodyPart):
                 parts.append(event.data)
-            elif isinstance(event, ResponseHead | CallFailed):
-                if isinstance(event, CallFailed):
-                    self._finish(None)
-            elif isinstance(event, ResponseEnd):
-                self._finish(b"".join(parts))
-
-        self._http.send(call, handle_event)
+            elif isinstance(event, ResponseEnd) and self._apply(b"".join(parts), started_at):
+                jitter = POLL_JITTER_SHARE * (self._random.random() - 0.5)
+                continue_after(POLL_INTERVAL_SECONDS * (1 + jitter))
+            elif isinstance(event, ResponseEnd | CallFailed):
+                self._record_failure(started_at)
+                continue_after(self._backoff.next_seconds())
+
+        def check_lateness() -> None:
+            if continued:
+                return
+            deadline = received_at + LATE_SECONDS
+            if self._scheduler.now() < deadline:
+                self._scheduler.call_at(deadline, check_lateness)
+                return
+            self._http.close_idle(self._address)
+            continue_after(self._backoff.next_seconds())
+
+        open_call = self._http.send(call, handle_event)
+        self._open_polls.append(open_call)
+        self._scheduler.call_after(LATE_SECONDS, check_lateness)
+
+    def _record_failure(self, started_at: float) -> None:
+        if self.reachable and started_at >= self._polled_at:
+            log_event("vm_list_unreachable", level=30)
+            self.reachable = False
 
-    def _finish(self, body: bytes | None) -> None:
-        self._scheduler.call_after(POLL_INTERVAL_SECONDS, self._poll)
-        vms = None if body is None else decode_vms(body)
+    def _apply(self, body: bytes, started_at: float) -> bool:
+        """Replace the list by a response, unless a later one has; return whether it is valid."""
+        vms = decode_vms(body)
         if vms is None:
-            if self.reachable:
-                log_event("vm_list_unreachable", level=30)
-            self.reachable = False
-            return
-        assert body is not None
+            return False
         self.reachable = True
-        self._replace(vms, body.decode(), self._scheduler.now())
+        self._backoff.reset()
+        if started_at >= self._polled_at:
+            self._polled_at = started_at
+            # The list may be as old as the poll; a late one counts as read when it became late.
+            read_at = min(self._scheduler.now(), started_at + LATE_SECONDS)
+            self._replace(vms, body.decode(), read_at)
+        return True
 
     def adopt(self, text: str, age_seconds: float) -> None:
         """Replace the list by one that a peer has read (JSON text) if that is newer."""
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -113,7 +113,9 @@
             scheduler, self.peers, self.membership, settings, self._make_heartbeat
         )
         self.archive = Archive()
-        self.snapshots = SnapshotManager(scheduler, self.log, self.peers, self.membership, settings)
+        self.snapshots = SnapshotManager(
+            scheduler, self.log, self.peers, self.membership, settings, self._make_heartbeat
+        )
         self.vm_list_relay = VmListRelay(
             scheduler, self.peers, self.membership, self.vm_list, settings
         )
--- a/bronzetiller/storage/follower.py
+++ b/bronzetiller/storage/follower.py
@@ -1,6 +1,5 @@
 """Follow a stream of the log and apply its entries in order."""
 
-import random
 from collections import deque
 from collections.abc import Callable
 
@@ -14,14 +13,18 @@
     LogClient,
     LogFailure,
     Page,
+    PageCallback,
 )
+from bronzetiller.sync.backoff import Backoff
+from bronzetiller.sync.log_reading import PageSize
 
 RETRY_SECONDS_MIN = 0.1
-RETRY_SECONDS_MAX = 1.0
+RETRY_SECONDS_MAX = 2.0
+CONTACT_SECONDS_MAX = 5.0  # after which the log is checked before it is read
+UNCOORDINATED_RECORDS_MAX = 100  # so few are read without waiting for another reader
 RECENT_ENTRIES_MAX = 4_000
 
 Subscriber = Callable[[Entry], None]
-PageCallback = Callable[[Result[Page, LogFailure]], None]
 PageReader = Callable[[int, PageCallback], None]
 
 
@@ -31,23 +34,37 @@
     log_readable is true if the last read of the log itself succeeded, reachable if the source in
     use (the log or a peer) is current. end_offset is the highest offset reported by the log or a
     peer. complete becomes true once the stream has been read to its end since the process started.
+
+    A follower that lost the log, or has not read it itself for a while, asks for its end only until
+    it responds, and reads what it missed after choose_election_seconds, so that one node of many
+    can read it for the others.
     """
 
     def __init__(self, scheduler: Scheduler, log: LogClient, stream: str) -> None:
         self.stream = stream
         self.next_offset = 0
         self.end_offset = 0
-        self.log_readable = False
         self.reachable = False
         self.complete = False
         self.recent: deque[Entry] = deque(maxlen=RECENT_ENTRIES_MAX)
         self.on_expired: Callable[[int], None] | None = None
         self.choose_relay: Callable[[], PageReader | None] = lambda: None
+        self.choose_election_seconds: Callable[[], float] = lambda: 0.0
+        self.on_contact_change: Callable[[], None] = lambda: None
+        self._log_readable = False
+        self._contact_at = float("-inf")
         self._scheduler = scheduler
         self._log = log
         self._subscribers: list[Subscriber] = []
-        self._retry_seconds = RETRY_SECONDS_MIN
-        self._random = random.Random()
+        self._backoff = Backoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX)
+        self._page_size = PageSize()
+        self._checking = False
+        self._lost = False
+
+    @property
+    def log_readable(self) -> bool:
+        """Return whether the last read of the log itself succeeded."""
+        return self._log_readable
 
     def subscribe(self, subscriber: Subscriber) -> None:
         """Call the subscriber with each entry, after earlier subscribers."""
@@ -60,6 +77,7 @@
 
     def start(self) -> None:
         """Follow the stream until the process exits."""
+        self._contact_at = self._scheduler.now()
         self._read()
 
     def keep_recent(self, entries_max: int) -> None:
@@ -95,23 +113,93 @@
         return [self.recent[i] for i in range(start, min(start + limit, len(self.recent)))]
 
     def probe(self) -> None:
-        """Read the log once to check whether it is reachable again."""
+        """Read the log itself once, in addition to the source in use."""
 
         def handle_page(result: Result[Page, LogFailure]) -> None:
             match result:
                 case Ok(page):
-                    self.log_readable = True
-                    self._apply_page(page)
+                    self._apply_log_page(page)
 
         self._log.read(self.stream, self.next_offset, handle_page, wait_seconds=0.0)
 
+    def check_log(self, done: Callable[[], None] = lambda: None) -> None:
+        """Check whether the log responds, by a read of its end, unless a check is in progress."""
+        if self._checking:
+            return
+        self._checking = True
+        started_at = self._scheduler.now()
+
+        def handle_late_page(page: Page) -> None:
+            self._record_contact(page)
+
+        def handle_page(result: Result[Page, LogFailure]) -> None:
+            self._checking = False
+            match result:
+                case Ok(page):
+                    self._record_contact(page)
+                case Err(failure) if self._contact_at < started_at:
+                    self._set_log_readable(failure.first_offset is not None)
+            done()
+
+        self._log.read(
+            self.stream,
+            max(self.next_offset, self.end_offset),
+            handle_page,
+            wait_seconds=0.0,
+            records_max=1,
+            on_late_page=handle_late_page,
+        )
+
+    def _record_contact(self, page: Page) -> None:
+        self.record_end_offset(page.end_offset)
+        self._set_log_readable(True)
+
+    def _set_log_readable(self, readable: bool) -> None:
+        if readable:
+            self._contact_at = self._scheduler.now()
+        if readable != self._log_readable:
+            self._log_readable = readable
+            self.on_contact_change()
+
+    def _is_in_contact(self) -> bool:
+        return not self._lost and self._scheduler.now() < self._contact_at + CONTACT_SECONDS_MAX
+
     def _read(self) -> None:
         relay = self.choose_relay()
         if relay is not None:
             relay(self.next_offset, self._on_relayed)
-            return
-        wait_seconds = READ_WAIT_SECONDS if self.caught_up else 0.0
-        self._log.read(self.stream, self.next_offset, self._on_page, wait_seconds=wait_seconds)
+        elif self._is_in_contact():
+            self._read_log()
+        else:
+            self._await_log()
+
+    def _read_log(self) -> None:
+        self._log.read(
+            self.stream,
+            self.next_offset,
+            self._on_page,
+            wait_seconds=READ_WAIT_SECONDS if self.caught_up else 0.0,
+            records_max=self._page_size.records,
+            on_late_page=self._apply_log_page,
+        )
+
+    def _await_log(self) -> None:
+        """Check the log until it responds, then give way to the node that reads it first."""
+
+        def continue_reading() -> None:
+            if not self.log_readable:
+                self._scheduler.call_after(self._backoff.next_seconds(), self._read)
+                return
+            self._lost = False
+            self._backoff.reset()
+            is_far_behind = self.end_offset - self.next_offset > UNCOORDINATED_RECORDS_MAX
+            delay = self.choose_election_seconds() if is_far_behind else 0.0
+            self._scheduler.call_after(delay, self._read)
+
+        if self._checking:
+            self._scheduler.call_after(self._backoff.next_seconds(), self._read)
+        else:
+            self.check_log(continue_reading)
 
     def _on_relayed(self, result: Result[Page, LogFailure]) -> None:
         match result:
@@ -124,30 +212,37 @@
     def _on_page(self, result: Result[Page, LogFailure]) -> None:
         match result:
             case Ok(page):
-                self.log_readable = True
-                self._apply_page(page)
+                self._apply_log_page(page)
                 self._read()
             case Err(failure):
                 self._on_failure(failure)
 
+    def _apply_log_page(self, page: Page) -> None:
+        self._lost = False
+        self._set_log_readable(True)
+        self._page_size.record_page(len(page.entries), page.transfer_seconds)
+        self._apply_page(page)
+
     def _apply_page(self, page: Page) -> None:
         if page.current and not self.reachable:
             log_event("log_reachable", stream=self.stream, offset=page.end_offset)
         self.reachable = page.current
-        self._retry_seconds = RETRY_SECONDS_MIN
+        self._backoff.reset()
         self.record_end_offset(page.end_offset)
         self.apply_entries(page.entries)
         self.complete = self.complete or self.caught_up
 
     def _on_failure(self, failure: LogFailure) -> None:
+        if failure.incomplete:
+            self._page_size.record_incomplete_page()
         if failure.first_offset is not None:
-            self.log_readable = True
+            self._set_log_readable(True)
             if self.on_expired is not None:
                 self.on_expired(failure.first_offset)
         else:
             if self.reachable:
                 log_event("log_unreachable", level=30, stream=self.stream, cause=failure.cause)
-            self.log_readable = self.reachable = False
-        delay = self._retry_seconds * self._random.uniform(0.5, 1.0)
-        self._retry_seconds = min(RETRY_SECONDS_MAX, self._retry_seconds * 2)
-        self._scheduler.call_after(delay, self._read)
+            self.reachable = False
+            self._lost = not failure.incomplete
+            self._set_log_readable(False)
+        self._scheduler.call_after(self._backoff.next_seconds(), self._read)
--- a/bronzetiller/storage/writer.py
+++ b/bronzetiller/storage/writer.py
@@ -8,8 +8,10 @@
 from bronzetiller.logs import log_event
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.storage.log_client import LogClient, LogFailure, Record
+from bronzetiller.sync.backoff import Backoff
 
-RETRY_DELAY_SECONDS = 0.25
+RETRY_SECONDS_MIN = 0.25
+RETRY_SECONDS_MAX = 2.0
 UNREACHABLE_SECONDS = 1.0
 DIRECT_RETRY_SECONDS = 5.0
 BATCH_RECORDS_MAX = 500
@@ -23,10 +25,15 @@
 class _PendingRecord:
     record: Record
     acknowledged: AcknowledgedCallback | None
+    done: bool = False
 
 
 class StreamWriter:
-    """Append to one stream, one call at a time; applying a record twice must be harmless."""
+    """Append to one stream, one call at a time; applying a record twice must be harmless.
+
+    An append that is late is repeated with fewer records, and acknowledges its own if it succeeds
+    after all.
+    """
 
     def __init__(
         self, scheduler: Scheduler, log: LogClient, stream: str, *, interval_seconds: float
@@ -43,6 +50,8 @@
         self._direct_retry_at = 0.0
         self._delegate_retry_at = 0.0
         self._failing_since: float | None = None
+        self._batch_records = BATCH_RECORDS_MAX
+        self._backoff = Backoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX)
 
     @property
     def reachable(self) -> bool:
@@ -63,7 +72,7 @@
             self._scheduler.call_after(self.interval_seconds, self._flush)
 
     def _flush(self) -> None:
-        batch = self._pending[:BATCH_RECORDS_MAX]
+        batch = self._pending[: self._batch_records]
         if not batch:
             self._busy = False
             return
@@ -77,7 +86,12 @@
             self._direct_retry_at = self._scheduler.now() + DIRECT_RETRY_SECONDS if failed else 0.0
             self._finish(batch, result)
 
-        self._log.append(self.stream, records, finish)
+        self._log.append(
+            self.stream,
+            records,
+            finish,
+            on_late_append=lambda first_offset: self._acknowledge(batch, first_offset),
+        )
 
     def _prefers_delegate(self) -> bool:
         now = self._scheduler.now()
@@ -100,16 +114,26 @@
     def _finish(self, batch: list[_PendingRecord], result: Result[int, LogFailure]) -> None:
         match result:
             case Ok(first_offset):
-                self._failing_since = None
-                del self._pending[: len(batch)]
-                if self.on_acknowledged is not None:
-                    self.on_acknowledged(first_offset + len(batch))
+                self._batch_records = min(BATCH_RECORDS_MAX, 2 * self._batch_records)
                 self._scheduler.call_after(self.interval_seconds, self._flush)
-                for index, item in enumerate(batch):
-                    if item.acknowledged is not None:
-                        item.acknowledged(first_offset + index)
+                self._acknowledge(batch, first_offset)
             case Err(failure):
                 if self._failing_since is None:
                     log_event("append_failed", level=30, stream=self.stream, cause=failure.cause)
                     self._failing_since = self._scheduler.now()
-                self._scheduler.call_after(RETRY_DELAY_SECONDS, self._flush)
+                if failure.sent:
+                    self._batch_records = max(1, len(batch) // 2)
+                self._scheduler.call_after(self._backoff.next_seconds(), self._flush)
+
+    def _acknowledge(self, batch: list[_PendingRecord], first_offset: int) -> None:
+        self._failing_since = None
+        self._backoff.reset()
+        acknowledged = [(index, item) for index, item in enumerate(batch) if not item.done]
+        for _, item in acknowledged:
+            item.done = True
+        self._pending = [item for item in self._pending if not item.done]
+        if self.on_acknowledged is not None:
+            self.on_acknowledged(first_offset + len(batch))
+        for index, item in acknowledged:
+            if item.acknowledged is not None:
+                item.acknowledged(first_offset + index)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -24,6 +24,9 @@
     def __init__(self):
         self.actions = []
 
+    def now(self):
+        return 0.0
+
     def call_after(self, seconds, action):
         self.actions.append(action)
 
--- a/tests/test_grant_manager.py
+++ b/tests/test_grant_manager.py
@@ -32,7 +32,7 @@
         self.records = []
         self.delayed_reads = None
 
-    def append(self, stream, records, done):
+    def append(self, stream, records, done, **options):
         self.records += records
         done(Ok(len(self.records) - len(records)))
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -129,11 +129,16 @@
     return read_metric(fleet.caller_address(node_id), "bronzetiller_silent_links_total")
 
 
+def _has_connected(fleet, node_id):
+    return "event=peer_connected" in (fleet.folder / f"{node_id}.log").read_text()
+
+
 def test_a_peer_whose_connections_went_silent_is_reached_over_new_ones(fleet):
     for node_id in ("node-1", "node-2"):
         await_true(
             lambda node_id=node_id: _read_live_peers(fleet, node_id) == 1, what="a heartbeat"
         )
+        await_true(lambda node_id=node_id: _has_connected(fleet, node_id), what="a connection")
     fleet.set_fault(lambda source, destination: destination.endswith("/peer"), silent=True)
     for node_id in ("node-1", "node-2"):
         await_true(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -42,6 +42,24 @@
     assert choose_source(OWN, LIVE, "configuration", 12, far=True) is None
 
 
+def test_nodes_that_miss_entries_do_not_all_fetch_them_from_one_peer():
+    far = {
+        f"far-{index}": make_heartbeat(f"far-{index}", ("east", "east-1"), 9 + index % 2)
+        for index in range(6)
+    }
+    sources = {
+        choose_source(
+            make_heartbeat(f"own-{index}", ("west", "west-1"), 5),
+            far,
+            "configuration",
+            5,
+            far=True,
+        )
+        for index in range(40)
+    }
+    assert sources == set(far)
+
+
 def test_appends_go_through_the_nearest_peer_that_reaches_the_log():
     assert choose_log_peer(OWN, LIVE, "ledger-0") == "c"
     assert choose_log_peer(OWN, {"b": LIVE["b"]}, "ledger-0") is None
