Let a node that regained the log always wait for its turn to read it

Behind a link that a region shares, nodes still read what they had all missed beside their reader: of 108 nodes behind 15 Mbit/s, several read pages of 250 records, and the data crossed the link 7.0 times for 4 data centres.

Cause: a follower lost its turn only when its own read failed. One that follows a peer and finds out by a check that the log is gone and back, and one that stopped waiting for its turn to follow a peer, read the log without waiting as soon as they had no peer to read from.

A node needs its turn from the moment that it finds the log unreadable or begins to wait for it, and has it again when the wait is over or a page of the log arrives. The test in tests/test_follower.py failed before (the page was read at once).

--- a/bronzetiller/storage/follower.py
+++ b/bronzetiller/storage/follower.py
@@ -59,7 +59,7 @@
         self._backoff = Backoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX)
         self._page_size = PageSize()
         self._checking = False
-        self._lost = False
+        self._needs_turn = False
 
     @property
     def log_readable(self) -> bool:
@@ -157,12 +157,16 @@
     def _set_log_readable(self, readable: bool) -> None:
         if readable:
             self._contact_at = self._scheduler.now()
+        else:
+            self._needs_turn = True
         if readable != self._log_readable:
             self._log_readable = readable
             self.on_contact_change()
 
     def _is_in_contact(self) -> bool:
-        return not self._lost and self._scheduler.now() < self._contact_at + CONTACT_SECONDS_MAX
+        return (
+            not self._needs_turn and self._scheduler.now() < self._contact_at + CONTACT_SECONDS_MAX
+        )
 
     def _read(self) -> None:
         relay = self.choose_relay()
@@ -190,12 +194,16 @@
             if not self.log_readable:
                 self._scheduler.call_after(self._backoff.next_seconds(), self._read)
                 return
-            self._lost = False
             self._backoff.reset()
             is_far_behind = self.end_offset - self.next_offset > UNCOORDINATED_RECORDS_MAX
             delay = self.choose_election_seconds() if is_far_behind else 0.0
-            self._scheduler.call_after(delay, self._read)
+            self._scheduler.call_after(delay, take_turn)
+
+        def take_turn() -> None:
+            self._needs_turn = False
+            self._read()
 
+        self._needs_turn = True
         if self._checking:
             self._scheduler.call_after(self._backoff.next_seconds(), self._read)
         else:
@@ -218,7 +226,7 @@
                 self._on_failure(failure)
 
     def _apply_log_page(self, page: Page) -> None:
-        self._lost = False
+        self._needs_turn = False
         self._set_log_readable(True)
         self._page_size.record_page(len(page.entries), page.transfer_seconds)
         self._apply_page(page)
@@ -243,6 +251,6 @@
             if self.reachable:
                 log_event("log_unreachable", level=30, stream=self.stream, cause=failure.cause)
             self.reachable = False
-            self._lost = not failure.incomplete
             self._set_log_readable(False)
+            self._needs_turn = not failure.incomplete
         self._scheduler.call_after(self._backoff.next_seconds(), self._read)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -6,8 +6,10 @@
 
 from bronzetiller.storage.follower import StreamFollower
 from bronzetiller.storage.log_client import Entry, LogFailure, Page
+from standins.fake_scheduler import FakeScheduler as TimedScheduler
 
 RECORDS = 12
+ELECTION_SECONDS = 2.0
 
 
 class FakeLog:
@@ -87,3 +89,38 @@
     follower._on_relayed(Ok(make_page(0, 3, current=False)))
     assert follower.next_offset == 3
     assert not follower.complete
+
+
+class FakeLogOfGivenEnd:
+    """Respond to reads at once, with nothing but the end of the stream, or fail them."""
+
+    def __init__(self, end_offset):
+        self.end_offset = end_offset
+        self.down = False
+        self.pages_read = 0
+
+    def read(self, stream, from_offset, done, *, records_max=1_000, **options):
+        if self.down:
+            done(Err(LogFailure("down", sent=True)))
+        elif records_max == 1:
+            done(Ok(Page([], 0, self.end_offset)))
+        else:
+            self.pages_read += 1
+
+
+def test_a_node_that_finds_the_log_again_beside_a_peer_waits_for_its_turn_to_read_it():
+    scheduler, log = TimedScheduler(), FakeLogOfGivenEnd(1_000)
+    follower = StreamFollower(scheduler, log, "stream")
+    requests = []
+    follower.choose_relay = lambda: lambda offset, on_page: requests.append(on_page)
+    follower.choose_election_seconds = lambda: ELECTION_SECONDS
+    follower.start()
+    for log.down in (True, False):
+        scheduler.advance(1.0)
+        follower.check_log()
+    follower.choose_relay = lambda: None
+    requests[-1](Err(LogFailure("the peer did not relay the entries", sent=True)))
+    scheduler.advance(ELECTION_SECONDS / 2)
+    assert follower.log_readable and log.pages_read == 0
+    scheduler.advance(ELECTION_SECONDS)
+    assert log.pages_read == 1
