Do not count a follower as current while the log does not respond

A node that had followed a stream through a peer and then lost the peer and the log still counted as current. It could take a budget's end as certain and refuse with 402 budget_exhausted although tokens were left elsewhere; it should answer 503 budget_unconfirmed.

Cause: since a lost log is checked before it is read, a failed check left reachable as the last page had set it; only a failed read cleared it.

A failed check while no peer can be read from now records the loss as a failed read does. The test in tests/test_follower.py failed before (still reachable).

--- a/bronzetiller/storage/follower.py
+++ b/bronzetiller/storage/follower.py
@@ -192,6 +192,7 @@
 
         def continue_reading() -> None:
             if not self.log_readable:
+                self._record_loss("the log does not respond")
                 self._scheduler.call_after(self._backoff.next_seconds(), self._read)
                 return
             self._backoff.reset()
@@ -248,9 +249,13 @@
             if self.on_expired is not None:
                 self.on_expired(failure.first_offset)
         else:
-            if self.reachable:
-                log_event("log_unreachable", level=30, stream=self.stream, cause=failure.cause)
-            self.reachable = False
+            self._record_loss(failure.cause)
             self._set_log_readable(False)
             self._needs_turn = not failure.incomplete
         self._scheduler.call_after(self._backoff.next_seconds(), self._read)
+
+    def _record_loss(self, cause: str) -> None:
+        """Record that there is no current source."""
+        if self.reachable:
+            log_event("log_unreachable", level=30, stream=self.stream, cause=cause)
+        self.reachable = False
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -124,3 +124,19 @@
     assert follower.log_readable and log.pages_read == 0
     scheduler.advance(ELECTION_SECONDS)
     assert log.pages_read == 1
+
+
+def test_a_follower_whose_peer_is_gone_is_not_current_while_the_log_does_not_respond():
+    scheduler, log = TimedScheduler(), FakeLogOfGivenEnd(5)
+    follower = StreamFollower(scheduler, log, "stream")
+    requests = []
+    follower.choose_relay = lambda: lambda offset, on_page: requests.append(on_page)
+    follower.start()
+    requests[-1](Ok(make_page(0, 5)))
+    assert follower.caught_up
+    scheduler.advance(60.0)
+    log.down = True
+    follower.choose_relay = lambda: None
+    requests[-1](Err(LogFailure("the peer did not relay the entries", sent=True)))
+    scheduler.advance(1.0)
+    assert not follower.reachable
