Turn to a better source in place of waiting for one without result

After a cut of a few seconds the nodes of a data centre were current up to 5.7 s after the heal (without a network, four nodes, two of them far from the log, cuts of 0.25 to 10 s, 20 records missed), and meanwhile refused requests whose budget they could not confirm.

Cause: two nodes waited at each other. A node that has lost the log waits at a peer for up to 2 s at a time. If it regains the log meanwhile, it checks it but goes on waiting, and so does the peer that waits at it; a peer that becomes current does not say so until the wait is over. A node that waits for its next attempt does not hear of a peer that has regained the log either.

Now a node that waits without result (at a peer that does not read the log, for its turn, for its next attempt) turns to a better source as soon as it knows of one; entries that still arrive from the peer are applied. A node that becomes current tells the peers that wait at it at once. The first request to a peer is answered at once, as is the next one while the peer has news but is not current. All checks of the log that overlap share one. Large regions stay behind one reader: a node that regained the log still waits for its turn.

--- a/bronzetiller/fleet/relay.py
+++ b/bronzetiller/fleet/relay.py
@@ -24,7 +24,7 @@
 from bronzetiller.storage.follower import PageCallback, PageReader, StreamFollower
 from bronzetiller.storage.log_client import Entry, LogFailure, Page
 from bronzetiller.sync.backoff import Backoff
-from bronzetiller.sync.log_reading import ReadOrder
+from bronzetiller.sync.log_reading import ReadOrder, should_choose_again
 from bronzetiller.wire.messages import Entries, FetchEntries, Heartbeat, Message, RelayedEntry
 
 LONG_POLL_SECONDS = 2.0
@@ -52,6 +52,8 @@
 @define(eq=False)
 class _RelayedStream:
     follower: StreamFollower
+    chosen: str | None = None  # to read from; this node's id stands for the log
+    requested_offset: int | None = None
     pending_fetches: list[_PendingFetch] = field(factory=list)
     flushing: bool = False
     fetching: bool = False
@@ -131,7 +133,8 @@
         follower.subscribe(lambda entry: self._schedule_flush(stream))
         follower.keep_recent(self._settings.fleet.relay_entries_max)
         follower.choose_relay = lambda: self._choose_relay(stream)
-        follower.on_contact_change = self._announce_contact
+        follower.on_contact_change = lambda: self._handle_contact_change(stream)
+        follower.on_reachable = lambda: self._schedule_flush(stream)
         follower.choose_election_seconds = lambda: self._choose_election_seconds(stream)
 
     def start(self) -> None:
@@ -144,6 +147,10 @@
         ranked = self._rank_readers(stream, self._membership.live())
         return self._read_order.choose_election_seconds(ranked.index(self._settings.node_id))
 
+    def _handle_contact_change(self, stream: _RelayedStream) -> None:
+        self._announce_contact()
+        self._scheduler.call_after(0.0, lambda: self._reconsider_source(stream))
+
     def _announce_contact(self) -> None:
         """Let the peers know at once whether they can read from this node."""
         log_reachable = self._make_heartbeat().log_reachable
@@ -155,14 +162,19 @@
         if not self._settings.fleet.relay:
             return None
         reader = self._find_reader(stream)
+        previous, stream.chosen = stream.chosen, reader
         if reader is None or reader == self._settings.node_id:
             return None
-        return lambda offset, on_page: self._fetch(
-            reader,
-            stream,
-            FetchEntries(stream.follower.stream, offset, LONG_POLL_SECONDS),
-            on_page,
-        )
+
+        def read(offset: int, on_page: PageCallback) -> None:
+            # A peer that has nothing new responds to a wait only when it becomes current.
+            asked_before = (previous, stream.requested_offset) == (reader, offset)
+            stream.requested_offset = offset
+            wait_seconds = LONG_POLL_SECONDS if stream.follower.reachable or asked_before else 0.0
+            request = FetchEntries(stream.follower.stream, offset, wait_seconds)
+            self._fetch(reader, stream, request, on_page)
+
+        return read
 
     def _find_reader(self, stream: _RelayedStream) -> str | None:
         """Return the id of the node to read from; this node's own id stands for the log itself."""
@@ -184,6 +196,20 @@
         preferred = choose_reader(stream.follower.stream, own.data_centre, [*near, own.node_id])
         return far if preferred == own.node_id else preferred
 
+    def _reconsider_source(self, stream: _RelayedStream) -> None:
+        """Turn to a source that is better than the one that is waited for without result."""
+        if not self._settings.fleet.relay:
+            return
+        chosen = self._membership.live().get(stream.chosen or "")
+        if should_choose_again(
+            stream.follower.wait,
+            stream.chosen,
+            self._find_reader(stream),
+            self._settings.node_id,
+            reads_log=chosen is not None and chosen.log_reachable,
+        ):
+            stream.follower.choose_again()
+
     def _find_usable(self) -> dict[str, Heartbeat]:
         now = self._scheduler.now()
         connected = set(self._peers.connected())
@@ -232,6 +258,7 @@
             if lost_peers and self._settings.node_id != self._find_reader(stream):
                 stream.follower.check_log()
             self._check_stream(stream)
+            self._reconsider_source(stream)
 
     def _find_lost_peers(self, live: dict[str, Heartbeat]) -> set[str]:
         """Return the peers of this data centre that have lost the log since the last call."""
--- a/bronzetiller/storage/follower.py
+++ b/bronzetiller/storage/follower.py
@@ -16,7 +16,7 @@
     PageCallback,
 )
 from bronzetiller.sync.backoff import Backoff
-from bronzetiller.sync.log_reading import PageSize
+from bronzetiller.sync.log_reading import PageSize, Wait
 
 RETRY_SECONDS_MIN = 0.1
 RETRY_SECONDS_MAX = 2.0
@@ -37,7 +37,7 @@
 
     A follower that lost the log, or has not read it itself for a while, asks for its end only until
     it responds, and reads what it missed after choose_election_seconds, so that one node of many
-    can read it for the others.
+    can read it for the others. wait tells what it waits for; choose_again ends the wait.
     """
 
     def __init__(self, scheduler: Scheduler, log: LogClient, stream: str) -> None:
@@ -51,6 +51,8 @@
         self.choose_relay: Callable[[], PageReader | None] = lambda: None
         self.choose_election_seconds: Callable[[], float] = lambda: 0.0
         self.on_contact_change: Callable[[], None] = lambda: None
+        self.on_reachable: Callable[[], None] = lambda: None
+        self.wait = Wait.RETRY
         self._log_readable = False
         self._contact_at = float("-inf")
         self._scheduler = scheduler
@@ -59,7 +61,9 @@
         self._backoff = Backoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX)
         self._page_size = PageSize()
         self._checking = False
+        self._check_callbacks: list[Callable[[], None]] = []
         self._needs_turn = False
+        self._attempt = 0
 
     @property
     def log_readable(self) -> bool:
@@ -122,8 +126,13 @@
 
         self._log.read(self.stream, self.next_offset, handle_page, wait_seconds=0.0)
 
+    def choose_again(self) -> None:
+        """Choose a source again in place of waiting for the one in use."""
+        self._read()
+
     def check_log(self, done: Callable[[], None] = lambda: None) -> None:
         """Check whether the log responds, by a read of its end, unless a check is in progress."""
+        self._check_callbacks.append(done)
         if self._checking:
             return
         self._checking = True
@@ -139,7 +148,9 @@
                     self._record_contact(page)
                 case Err(failure) if self._contact_at < started_at:
                     self._set_log_readable(failure.first_offset is not None)
-            done()
+            callbacks, self._check_callbacks = self._check_callbacks, []
+            for callback in callbacks:
+                callback()
 
         self._log.read(
             self.stream,
@@ -169,14 +180,33 @@
         )
 
     def _read(self) -> None:
+        self._attempt += 1
         relay = self.choose_relay()
         if relay is not None:
-            relay(self.next_offset, self._on_relayed)
+            self.wait = Wait.PEER
+            relay(self.next_offset, self._make_relay_callback())
         elif self._is_in_contact():
+            self.wait = Wait.LOG
             self._read_log()
         else:
+            self.wait = Wait.TURN
             self._await_log()
 
+    def _read_after(self, seconds: float, *, take_turn: bool = False) -> None:
+        """Read after a delay unless another source is chosen before."""
+        attempt = self._attempt
+
+        def read() -> None:
+            if attempt == self._attempt:
+                self._needs_turn = self._needs_turn and not take_turn
+                self._read()
+
+        self._scheduler.call_after(seconds, read)
+
+    def _retry(self) -> None:
+        self.wait = Wait.RETRY
+        self._read_after(self._backoff.next_seconds())
+
     def _read_log(self) -> None:
         self._log.read(
             self.stream,
@@ -189,26 +219,34 @@
 
     def _await_log(self) -> None:
         """Check the log until it responds, then give way to the node that reads it first."""
+        attempt = self._attempt
 
         def continue_reading() -> None:
+            if attempt != self._attempt:
+                return
             if not self.log_readable:
                 self._record_loss("the log does not respond")
-                self._scheduler.call_after(self._backoff.next_seconds(), self._read)
+                self._retry()
                 return
             self._backoff.reset()
             is_far_behind = self.end_offset - self.next_offset > UNCOORDINATED_RECORDS_MAX
-            delay = self.choose_election_seconds() if is_far_behind else 0.0
-            self._scheduler.call_after(delay, take_turn)
-
-        def take_turn() -> None:
-            self._needs_turn = False
-            self._read()
+            self._read_after(
+                self.choose_election_seconds() if is_far_behind else 0.0, take_turn=True
+            )
 
         self._needs_turn = True
-        if self._checking:
-            self._scheduler.call_after(self._backoff.next_seconds(), self._read)
-        else:
-            self.check_log(continue_reading)
+        self.check_log(continue_reading)
+
+    def _make_relay_callback(self) -> PageCallback:
+        attempt = self._attempt
+
+        def handle_page(result: Result[Page, LogFailure]) -> None:
+            if attempt == self._attempt:
+                self._on_relayed(result)
+            elif isinstance(result, Ok):
+                self.apply_entries(result.ok_value.entries)
+
+        return handle_page
 
     def _on_relayed(self, result: Result[Page, LogFailure]) -> None:
         match result:
@@ -216,7 +254,7 @@
                 self._apply_page(page)
                 self._read()
             case Err(_):
-                self._scheduler.call_after(0, self._read)
+                self._read_after(0.0)
 
     def _on_page(self, result: Result[Page, LogFailure]) -> None:
         match result:
@@ -233,13 +271,16 @@
         self._apply_page(page)
 
     def _apply_page(self, page: Page) -> None:
-        if page.current and not self.reachable:
+        became_reachable = page.current and not self.reachable
+        if became_reachable:
             log_event("log_reachable", stream=self.stream, offset=page.end_offset)
         self.reachable = page.current
         self._backoff.reset()
         self.record_end_offset(page.end_offset)
         self.apply_entries(page.entries)
         self.complete = self.complete or self.caught_up
+        if became_reachable:
+            self.on_reachable()
 
     def _on_failure(self, failure: LogFailure) -> None:
         if failure.incomplete:
@@ -252,7 +293,7 @@
             self._record_loss(failure.cause)
             self._set_log_readable(False)
             self._needs_turn = not failure.incomplete
-        self._scheduler.call_after(self._backoff.next_seconds(), self._read)
+        self._retry()
 
     def _record_loss(self, cause: str) -> None:
         """Record that there is no current source."""
--- a/bronzetiller/sync/log_reading.py
+++ b/bronzetiller/sync/log_reading.py
@@ -1,6 +1,7 @@
 """Decide how many records to read at once, and when a node turns to a farther source; no I/O."""
 
 from collections.abc import Callable
+from enum import Enum
 from random import Random
 
 from attrs import define, field
@@ -15,6 +16,35 @@
 FALLBACK_SECONDS_PER_NODE = 0.1
 
 
+class Wait(Enum):
+    """Say what the follower of a stream waits for."""
+
+    LOG = "a page of the log"
+    PEER = "a page of a peer"
+    TURN = "the log to respond, then its turn to read it"
+    RETRY = "the next attempt after a failure"
+
+
+def should_choose_again(
+    wait: Wait, chosen: str | None, best: str | None, own_id: str, *, reads_log: bool
+) -> bool:
+    """Return whether a follower that waits since it chose one source should turn to the best now.
+
+    own_id stands for the log; reads_log tells whether the chosen one, if it is a peer, reads it.
+    """
+    if best is None or best == chosen:
+        return False
+    match wait:
+        case Wait.LOG:
+            return False
+        case Wait.PEER:
+            return not reads_log
+        case Wait.TURN:
+            return best != own_id
+        case Wait.RETRY:
+            return True
+
+
 @define
 class PageSize:
     """Adapt the number of records of a page to the time that the last ones took to arrive."""
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -140,3 +140,18 @@
     requests[-1](Err(LogFailure("the peer did not relay the entries", sent=True)))
     scheduler.advance(1.0)
     assert not follower.reachable
+
+
+def test_a_follower_that_chose_again_applies_what_it_no_longer_waits_for_and_reads_once():
+    scheduler, log = TimedScheduler(), FakeLogOfGivenEnd(5)
+    follower = StreamFollower(scheduler, log, "stream")
+    requests = []
+    follower.choose_relay = lambda: lambda offset, on_page: requests.append(on_page)
+    follower.start()
+    follower.choose_again()
+    assert len(requests) == 2
+    requests[0](Ok(make_page(0, 5)))
+    scheduler.advance(ELECTION_SECONDS)
+    assert follower.next_offset == 5 and not follower.reachable and len(requests) == 2
+    requests[1](Ok(make_page(5, 5)))
+    assert follower.reachable and len(requests) == 3
--- a/tests/test_log_reading.py
+++ b/tests/test_log_reading.py
@@ -12,6 +12,8 @@
     PAGE_RECORDS_START,
     PageSize,
     ReadOrder,
+    Wait,
+    should_choose_again,
 )
 from bronzetiller.wire.messages import Ping, Pong
 from standins.fake_scheduler import FakeScheduler
@@ -51,6 +53,24 @@
     assert fallback <= 8.0
 
 
+@pytest.mark.parametrize(
+    ("wait", "best", "reads_log", "expected"),
+    [
+        (Wait.PEER, "own", False, True),
+        (Wait.PEER, "b", False, True),
+        (Wait.PEER, "b", True, False),
+        (Wait.PEER, "a", False, False),
+        (Wait.PEER, None, False, False),
+        (Wait.TURN, "b", False, True),
+        (Wait.TURN, "own", False, False),
+        (Wait.RETRY, "own", False, True),
+        (Wait.LOG, "b", False, False),
+    ],
+)
+def test_only_a_wait_without_result_ends_for_a_better_source(wait, best, reads_log, expected):
+    assert should_choose_again(wait, "a", best, "own", reads_log=reads_log) == expected
+
+
 class FakePeers:
     """Leave requests without a response; bytes arrive from the peer until a given time."""
 
--- a/tests/test_shared_link.py
+++ b/tests/test_shared_link.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bronzetiller.fleet.neighbours import rank_readers
+from bronzetiller.settings import BudgetSettings
 from tests.simulated_fleet import STREAM, Link, SimulatedFleet
 
 CURRENT_SECONDS_MAX = 9.0
@@ -45,6 +46,28 @@
     assert volumes <= 2.5 * SIZES[nodes][0]
 
 
+def await_confirmed(fleet):
+    """Return the seconds until every node knows that it has every entry of the log."""
+    started_at = fleet.scheduler.now()
+    while not all(node.follower.caught_up for node in fleet.nodes.values()) or fleet.list_behind():
+        fleet.scheduler.advance(0.05)
+        assert fleet.scheduler.now() - started_at < 60.0
+    return fleet.scheduler.now() - started_at
+
+
+def test_few_nodes_confirm_budgets_after_a_short_cut_before_requests_are_refused():
+    seconds = {}
+    for cut_seconds in (quarters / 4 for quarters in range(1, 41)):
+        fleet = start_fleet(6)
+        fleet.set_cut(True)
+        fleet.scheduler.advance(cut_seconds / 2)
+        fleet.log.append(20, 100)
+        fleet.scheduler.advance(cut_seconds / 2)
+        fleet.set_cut(False)
+        seconds[cut_seconds] = await_confirmed(fleet)
+    assert max(seconds.values()) <= BudgetSettings().wait_seconds, seconds
+
+
 def lose_log(fleet, node_ids):
     """Cut the connections of some nodes to the log, and only these."""
     for node_id in node_ids:
