--- a/bronzetiller/gateway/peer_reader.py
+++ b/bronzetiller/gateway/peer_reader.py
@@ -84,14 +84,17 @@
             self._store.read_newest(partition, handle_result, handle_late)
 
         def finish(result: Result[RecordBatch, ReadFailure]) -> None:
-            match result:
-                case Ok(batch):
-                    done(Ok(batch))
-                case Err(failure) if self._position >= 0 or failure.cause == NO_SOURCE:
-                    done(Err(StoreUnreachable(failure.cause, False)))
-                case Err(failure):
-                    seeds = sorted(self._find_seeds(), key=lambda seed: self._draw_uniform())
-                    self._read_from_seeds(partition, seeds, failure.cause, done)
+            if isinstance(result, Ok):
+                done(Ok(result.ok_value))
+                return
+            cause = result.err_value.cause
+            if self._position >= 0 or self.plan.expects_data(self.scheduler.now()):
+                done(Err(StoreUnreachable(cause, False)))
+            elif cause == NO_SOURCE:  # of a member, which may not ask the store yet
+                self._read_old(partition, list(self._find_sources().peers), cause, done)
+            else:
+                seeds = sorted(self._find_seeds(), key=lambda seed: self._draw_uniform())
+                self._read_old(partition, seeds, cause, done)
 
         message = FetchRecords(
             partition.topic, partition.number, self._position, accepts_compressed=True
@@ -140,7 +143,7 @@
             read_store,
             done,
             late,
-            peers=self.plan.list_peers(sources, now),
+            list_peers=lambda: self.plan.list_peers(sources, self.scheduler.now()),
             may_ask_store=self.plan.may_read_store(sources, now, self._store.answered_at),
             rejects_overdue=sources.role is Role.READER,
         )
@@ -148,7 +151,7 @@
 
     def is_overdue(self, batch: RecordBatch) -> bool:
         """Return whether a peer may have lost the store without knowing it yet."""
-        if batch.records or batch.confirmed_at is None:
+        if batch.records or batch.confirmed_at is None or math.isinf(batch.confirmed_at):
             return False
         return self.scheduler.now() - batch.confirmed_at > OVERDUE_SECONDS
 
@@ -177,8 +180,12 @@
         peer: str,
         message: FetchRecords,
         done: Callable[[Result[RecordBatch, str]], None],
+        late: LateDone | None = None,
     ) -> None:
-        """Fetch from a peer; give up once it has sent nothing for RESPONSE_TIMEOUT_SECONDS."""
+        """Fetch from a peer; give up once it has sent nothing for RESPONSE_TIMEOUT_SECONDS.
+
+        A response after that is passed to late.
+        """
         started_at = self.scheduler.now()
         finished = False
 
@@ -213,8 +220,11 @@
                         self.plan.record_peer_silent(peer, now)
                         fail(f"malformed response: {error}")
                         return
-                    self.plan.record_peer_read()
-                    finish(Ok(batch))
+                    if not finished:
+                        self.plan.record_peer_read()
+                        finish(Ok(batch))
+                    elif late is not None:
+                        late(batch)
                 case Ok(RecordsAway(cause, end, reaches_store, sent_at)):
                     behind_at = None if end is None else BehindPeer(end, sent_at)
                     self.plan.record_peer_away(peer, behind_at, now, reaches_store=reaches_store)
@@ -245,11 +255,11 @@
             peer, message, message.wait_seconds + TRANSFER_SECONDS_MAX, handle_response
         )
 
-    def _read_from_seeds(
-        self, partition: Partition, seeds: list[str], cause: str, done: NewestDone
+    def _read_old(
+        self, partition: Partition, peers: list[str], cause: str, done: NewestDone
     ) -> None:
-        """Start with the data of a seed while the store is unreachable."""
-        if not seeds:
+        """Start with the data of a peer while no current data is in reach."""
+        if not peers:
             done(Err(StoreUnreachable(cause, False)))
             return
         message = FetchRecords(
@@ -259,13 +269,13 @@
         def handle_batch(result: Result[RecordBatch, str]) -> None:
             match result:
                 case Ok(batch):
-                    log_event("started_from_peer", peer=seeds[0], partition=partition)
+                    log_event("started_from_peer", peer=peers[0], partition=partition)
                     self.record(batch)
                     done(Ok(batch))
                 case Err():
-                    self._read_from_seeds(partition, seeds[1:], cause, done)
+                    self._read_old(partition, peers[1:], cause, done)
 
-        self.fetch(seeds[0], message, handle_batch)
+        self.fetch(peers[0], message, handle_batch)
 
     def _make_batch(self, records: Records, asked_at: float, peer: str = "") -> RecordBatch:
         RELAYED_ENTRIES.inc(len(records.entries))
@@ -288,7 +298,7 @@
 class _SourcesRead:
     """Try the store and the peers in turn for one read.
 
-    Beside a store that does not answer in time, the peers are asked as well.
+    Beside a store that does not answer in time, the peers are asked as well, again and again.
     """
 
     _reader: PeerReader
@@ -296,7 +306,7 @@
     _read_store: StoreRead
     _done: ReadDone
     _late: LateDone | None
-    _peers: list[str]
+    _list_peers: Callable[[], list[str]]
     _may_ask_store: bool
     _rejects_overdue: bool
     _failure: ReadFailure = StoreUnreachable(NO_SOURCE, False)
@@ -304,9 +314,11 @@
     _store_open: bool = False
     _fetching: bool = False
     _finished: bool = False
+    _peers: list[str] = field(factory=list)
 
     def start(self, *, store_first: bool) -> None:
         """Ask the store or the best peer."""
+        self._peers = self._list_peers()
         if store_first and self._may_ask_store:
             self._ask_store()
         else:
@@ -315,19 +327,23 @@
     def _ask_store(self) -> None:
         self._may_ask_store = False
         self._store_open = True
-        if self._peers:
-            seconds = STORE_PATIENCE_SECONDS + self._message.wait_seconds
-            self._reader.scheduler.call_after(seconds, self._ask_beside_store)
+        seconds = STORE_PATIENCE_SECONDS + self._message.wait_seconds
+        self._reader.scheduler.call_after(seconds, self._ask_beside_store)
         self._read_store(self._handle_store, self._handle_late)
 
     def _ask_beside_store(self) -> None:
-        if self._store_open and not self._finished:
+        if not self._store_open or self._finished:
+            return
+        self._reader.scheduler.call_after(STORE_PATIENCE_SECONDS, self._ask_beside_store)
+        if not self._fetching:
+            self._peers = self._list_peers()
             self._ask_next()
 
     def _ask_next(self) -> None:
         if self._peers:
             self._fetching = True
-            self._reader.fetch(self._peers.pop(0), self._message, self._handle_fetch)
+            peer = self._peers.pop(0)
+            self._reader.fetch(peer, self._message, self._handle_fetch, self._handle_late_fetch)
         elif self._may_ask_store:
             self._ask_store()
         elif self._store_open:
@@ -342,8 +358,9 @@
     def _handle_fetch(self, result: Result[RecordBatch, str]) -> None:
         self._fetching = False
         if self._finished:
-            return
-        if isinstance(result, Err):
+            if isinstance(result, Ok):
+                self._handle_late_fetch(result.ok_value)
+        elif isinstance(result, Err):
             self._ask_next()
         elif self._rejects_overdue and self._reader.is_overdue(result.ok_value):
             self._overdue = result.ok_value
@@ -351,6 +368,11 @@
         else:
             self._finish_fetch(result.ok_value)
 
+    def _handle_late_fetch(self, batch: RecordBatch) -> None:
+        if self._late is not None:
+            self._reader.record(batch)
+            self._late(batch)
+
     def _finish_fetch(self, batch: RecordBatch) -> None:
         self._finished = True
         if self._store_open:
--- a/tests/test_snapshot_transfers.py
+++ b/tests/test_snapshot_transfers.py
@@ -75,7 +75,7 @@
         self.follower = StreamFollower(self.scheduler, SilentLog(), STREAM)
         self.follower.next_offset = 100
         manager = SnapshotManager(self.scheduler, SilentLog(), self.peers, NoPeers(), None, None)
-        manager.add(self.follower, [Fold("state", self.dump, lambda value: None)])
+        manager.add(self.follower, [Fold("state", self.dump, lambda value: lambda: None)])
         self.peers.on(FetchSnapshot, manager._on_fetch)
 
     def dump(self):
@@ -128,7 +128,7 @@
 
 
 def _make_fold():
-    return Fold("state", lambda: make_state(100), lambda value: None)
+    return Fold("state", lambda: make_state(100), lambda value: lambda: None)
 
 
 class FaultyLog:
