--- a/bronzetiller/fleet/peers.py
+++ b/bronzetiller/fleet/peers.py
@@ -252,9 +252,7 @@
         link.session = None
         link.connection = None
         CONNECTED_PEERS.set(len(self.connected()))
-        for number, pending in list(self._pending_requests.items()):
-            if pending.node_id == link.vm.node_id:
-                self._fail_request(number, "connection lost")
+        self._fail_requests(link.vm.node_id)
         self._scheduler.call_after(REDIAL_SECONDS, lambda: self._dial(link))
 
     def _remove(self, node_id: str, link: _Link) -> None:
@@ -263,6 +261,7 @@
         CONNECTED_PEERS.set(len(self.connected()))
         if link.connection is not None:
             link.connection.close()
+        self._fail_requests(node_id)
 
     def _receive(self, packet: Packet, session: Session | None) -> None:
         if packet.reply_to:
@@ -281,6 +280,11 @@
 
         handle(packet.message, reply)
 
+    def _fail_requests(self, node_id: str) -> None:
+        for number, pending in list(self._pending_requests.items()):
+            if pending.node_id == node_id:
+                self._fail_request(number, "connection lost")
+
     def _fail_request(self, number: int, cause: str) -> None:
         pending = self._pending_requests.pop(number, None)
         if pending is not None:
