Count a node that was never listed as missing only since it was first seen

A node that has run for longer than gone_grace_seconds took each new node for gone until it had its heartbeat or read the list of VMs again, and closed its grant: the new node's first responses were lost after they ran (503 bill_void).

Cause: a node id that was never listed counted as missing since the first read of the list.

Change: such an id counts as missing from the last read before an incarnation of it is first judged.

--- a/bronzetiller/fleet/membership.py
+++ b/bronzetiller/fleet/membership.py
@@ -5,7 +5,7 @@
 from attrs import define, evolve, field
 from result import Ok, Result
 
-from bronzetiller.fleet.incarnations import FleetView, is_gone
+from bronzetiller.fleet.incarnations import FleetView, is_gone, read_node_id
 from bronzetiller.fleet.neighbours import (
     HEARTBEAT_BYTES,
     PING_BYTES,
@@ -115,15 +115,23 @@
 
     def is_gone(self, incarnation: str) -> bool:
         """Return whether, as far as this node knows, an incarnation will never act again."""
-        grace_seconds = self._settings.fleet.gone_grace_seconds
-        return is_gone(incarnation, self.view(), grace_seconds=grace_seconds)
+        return bool(self.find_gone({incarnation}))
 
     def find_gone(self, incarnations: set[str]) -> set[str]:
         """Return the subset of the incarnations that are gone."""
+        self._record_unlisted(incarnations)
         view = self.view()
         grace_seconds = self._settings.fleet.gone_grace_seconds
         return {item for item in incarnations if is_gone(item, view, grace_seconds=grace_seconds)}
 
+    def _record_unlisted(self, incarnations: set[str]) -> None:
+        """Count ids that were never listed as missing from the read before they are first seen."""
+        if self._last_read_at is None:
+            return
+        for node_id in map(read_node_id, incarnations):
+            if node_id not in self._listed:
+                self._missing_since.setdefault(node_id, self._last_read_at)
+
     def view(self) -> FleetView:
         """Return this node's view of the fleet."""
         own = self._make_heartbeat()
--- a/tests/test_snapshot_manager.py
+++ b/tests/test_snapshot_manager.py
@@ -77,6 +77,7 @@
             FakePeers(),
             None,
             None,
+            None,
         )
         folds = [
             Fold(
