--- a/tests/test_snapshot_manager.py
+++ b/tests/test_snapshot_manager.py
@@ -23,7 +23,7 @@
 
     records: list[Any]
 
-    def read(self, stream, offset, done, *, wait_seconds, records_max):
+    def read(self, stream, offset, done, *, wait_seconds, records_max, on_late_page=None):
         chosen = list(enumerate(self.records))[offset : offset + records_max]
         entries = [Entry(index, 1.0, record) for index, record in chosen]
         done(Ok(Page(entries, 0, len(self.records))))
