Log by whom a configuration was confirmed, and when it ceased to be

A 404 said how old its confirmation was, not whose word that was, and a node that went on with an unconfirmed configuration left no trace of it.

--- a/bronzetiller/gateway/application.py
+++ b/bronzetiller/gateway/application.py
@@ -32,6 +32,7 @@
     get_configuration: Callable[[], GatewayConfiguration | None]
     get_drain: Callable[[], Drain]
     get_confirmation_age: Callable[[], float]  # seconds
+    get_confirmation_source: Callable[[], str]
 
     def serve(self, exchange: Exchange) -> None:
         """Serve one request of a caller."""
@@ -98,7 +99,14 @@
         age = self.get_confirmation_age()
         if is_outdated(age):
             refusal = refuse_outdated(refusal.detail, version, age, self.context.draw_uniform())
-        self._refuse(exchange, metadata, refusal, version=version, confirmation_age=round(age, 3))
+        self._refuse(
+            exchange,
+            metadata,
+            refusal,
+            version=version,
+            confirmation_age=round(age, 3),
+            confirmed_by=self.get_confirmation_source(),
+        )
 
     def _refuse(
         self, exchange: Exchange, metadata: RequestMetadata, refusal: Refusal, **fields: Any
--- a/bronzetiller/gateway/followers.py
+++ b/bronzetiller/gateway/followers.py
@@ -17,6 +17,7 @@
 from bronzetiller.storage.change_list import ChangeList
 from bronzetiller.storage.keyed import KeyedReader, KeyedRecord, Partition
 from bronzetiller.storage.keyed_follower import KeyedFollower
+from bronzetiller.sync.confirmation import is_outdated
 
 CONFIGURATION_WAIT_SECONDS = 1.0  # plus the response time: how late a silent connection is detected
 CONFIGURATION_PAUSE_SECONDS = 0.05
@@ -39,6 +40,7 @@
     configuration: GatewayConfiguration | None = None
     _activated_at: float | None = None
     _unread_from: float | None = None
+    _unconfirmed: bool = True
     follower: KeyedFollower = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -61,6 +63,20 @@
         )
         return max(0.0, self._scheduler.now() - confirmed_at)
 
+    def log_confirmation(self) -> None:
+        """Log that the configuration ceased to be confirmed, or is confirmed again."""
+        age = self.compute_confirmation_age()
+        if is_outdated(age) == self._unconfirmed:
+            return
+        self._unconfirmed = not self._unconfirmed
+        version = -1 if self.configuration is None else self.configuration.version
+        log_event(
+            "configuration_unconfirmed" if self._unconfirmed else "configuration_confirmed",
+            version=version,
+            confirmation_age=round(age, 3),
+            confirmed_by=self.follower.confirmed_by,
+        )
+
     def _apply_records(self, records: list[KeyedRecord]) -> None:
         values = [item.value for item in records if item.key == CONFIGURATION_KEY and item.value]
         if not values:
@@ -91,6 +107,7 @@
             bytes=size,
             source=",".join(self.follower.source_path) or "store",
             confirmation_age=round(self.compute_confirmation_age(), 3),
+            confirmed_by=self.follower.confirmed_by,
             after_seconds=None if activated_at is None else round(now - activated_at, 3),
         )
         self._on_change(configuration)
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -70,6 +70,7 @@
 from bronzetiller.storage.keyed import KeyedStore
 from bronzetiller.sync.start import start_in_order
 
+CONFIRMATION_CHECK_SECONDS = 0.5
 PREALLOCATION_DELAY_SECONDS = 0.6  # until nodes that start together have discovered each other
 STOP_MARGIN_SECONDS = 0.7  # of the grace period, for the process to exit
 STOP_MARGIN_PORTION_MAX = 0.25
@@ -143,6 +144,7 @@
             lambda: self.configuration_follower.configuration,
             lambda: self.drain,
             self.configuration_follower.compute_confirmation_age,
+            lambda: self.configuration_follower.follower.confirmed_by,
         )
         self.drain = Drain(
             scheduler,
@@ -310,6 +312,9 @@
         self.reachability.on_change = self.members.publish
         self.reachability.start()
         self._scheduler.call_every(HEARTBEAT_SECONDS, self._refresh_admission)
+        self._scheduler.call_every(
+            CONFIRMATION_CHECK_SECONDS, self.configuration_follower.log_confirmation
+        )
         self.links.start()
         names = " ".join(f"{name}={address}" for name, address in self._addresses.items())
         print(f"ready kind=gateway id={self.settings.node_id} {names}", flush=True)
--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -48,6 +48,8 @@
     With skips_versions, a follower that received several versions of a key at once reads only the
     newest ones until nothing changes: over a slow connection, each read of all versions would take
     longer than the one before. After reads have failed for some time, every follower does so.
+
+    confirmed_by says, for logs, who confirmed the values last, and with how many records.
     """
 
     _scheduler: Scheduler
@@ -67,6 +69,7 @@
     lost_at: float | None = None
     regained_at: float | None = None
     restored_at: float | None = None
+    confirmed_by: str = ""
     _discarded: list[str] = field(factory=list)
     _expired: bool = False
     _behind: bool = False
@@ -241,7 +244,10 @@
         if not batch.has_more:
             self.read_at = max(self.read_at, now - batch.age_seconds)
             confirmed_at = -math.inf if batch.confirmed_at is None else batch.confirmed_at
-            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+            if confirmed_at > self.confirmed_at:
+                self.confirmed_at = confirmed_at
+                source = ",".join(batch.source_path) or "store"
+                self.confirmed_by = f"{source}:{len(batch.records)}"
         if self.lost_at is not None:
             seconds = round(now - self.lost_at, 3)
             log_event("store_regained", partition=self.partition, lost_seconds=seconds)
--- a/tests/test_outdated_refusals.py
+++ b/tests/test_outdated_refusals.py
@@ -1,6 +1,7 @@
 """Test that a node refuses for good only what its configuration is known to lack."""
 
 import json
+import logging
 import time
 
 import pytest
@@ -87,6 +88,7 @@
             lambda: self.follower.configuration,
             lambda: drain,
             self.follower.compute_confirmation_age,
+            lambda: self.follower.follower.confirmed_by,
         )
 
     def write(self, version, *more_routes):
@@ -296,3 +298,22 @@
     assert fleet.send("node-1", "status", "wrong", Api_Key="wrong").status == 401
     assert find_refusal(fleet, "never")["version"] == "2"
     assert float(find_refusal(fleet, "never")["confirmation_age"]) < CONFIRMATION_SECONDS_MAX
+
+
+def test_a_node_logs_once_that_its_configuration_is_unconfirmed_and_by_whom_it_is_again(
+    node, caplog
+):
+    caplog.set_level(logging.INFO, "bronzetiller")
+    node.scheduler.call_every(0.5, node.follower.log_confirmation)
+    node.scheduler.advance(2.0)
+    node.client.mode = "down"
+    node.scheduler.advance(6.0)
+    node.client.mode = "up"
+    node.scheduler.advance(3.0)
+    lines = [line for line in caplog.messages if "confirmed version" in line]
+    assert [line.split()[0] for line in lines] == [
+        "event=configuration_confirmed",
+        "event=configuration_unconfirmed",
+        "event=configuration_confirmed",
+    ]
+    assert all("confirmed_by=store:" in line for line in lines)
