Show that nodes count as confirmed while the store holds newer records

A simulation of store, links and nodes at 6, 86, 195 and 330 nodes draws versions, deletions of history, cuts, refusals, slow and early answers, full links, pauses, suspended VMs and restarts, and compares each confirmation with the history of the store, every 0.1 s. It needs no particular case.

The clock of the scheduler has a name, so that the simulation can let the one that is used stand still while a VM is suspended; it is the same clock as before.

--- a/bronzetiller/net/scheduler.py
+++ b/bronzetiller/net/scheduler.py
@@ -8,6 +8,8 @@
 from attrs import define
 from circuits import BaseComponent, handler
 
+CLOCK = time.CLOCK_MONOTONIC
+
 Action = Callable[[], None]
 
 
@@ -85,7 +87,7 @@
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
-        return time.monotonic()
+        return time.clock_gettime(CLOCK)
 
     def call_at(self, deadline: float, action: Action) -> Timer:
         """Run the action once the monotonic clock reaches the deadline."""
--- a/standins/shared_link.py
+++ b/standins/shared_link.py
@@ -4,6 +4,7 @@
 transfer whose receiver has closed the connection ends after what is in flight.
 """
 
+import time
 from collections import Counter, deque
 from collections.abc import Callable
 from functools import partial
@@ -11,7 +12,7 @@
 
 from attrs import define, field, frozen
 
-from bronzetiller.net.scheduler import Timeout, Timer
+from bronzetiller.net.scheduler import CLOCK, Timeout, Timer
 from standins.fake_scheduler import FakeScheduler
 
 STORE = "store"
@@ -22,6 +23,7 @@
 RETRANSMIT_SECONDS_MAX = 8.0
 NEAR_SECONDS = 0.0005  # one way within a region
 FAR_SECONDS = 0.03  # one way between regions
+ROUNDING_SECONDS = 1e-6
 
 Action = Callable[[], None]
 ChunkReceiver = Callable[[int, bool], None]  # the bytes, and whether they are the last ones
@@ -62,12 +64,19 @@
 
 @define(eq=False)
 class Host:
-    """Hold whether a node's process runs; one that is frozen continues where it stopped."""
+    """Hold whether a node's process runs; one that is frozen continues where it stopped.
+
+    suspended_seconds is the time that the monotonic clock of its VM has missed, lag_seconds how
+    late its process handles what is due.
+    """
 
     place: Place
     alive: bool = False
     frozen: bool = False
     incarnation: int = 0
+    suspended_seconds: float = 0.0
+    lag_seconds: float = 0.0
+    suspended_at: float | None = None
     backlog: list[Action] = field(factory=list)
 
     @property
@@ -93,24 +102,31 @@
     _incarnation: int
 
     def now(self) -> float:
-        return self._scheduler.time
+        if CLOCK == time.CLOCK_BOOTTIME:
+            return self._scheduler.time
+        return self._scheduler.time - self._host.suspended_seconds
 
     def call_at(self, deadline: float, action: Action) -> Timer:
         timer = Timer(deadline, action)
 
         def run() -> None:
-            if timer.action is not None:
+            if timer.action is None:
+                return
+            if deadline - self.now() > ROUNDING_SECONDS:  # as the clock stood still
+                self._scheduler.call_after(deadline - self.now(), expire)
+            else:
                 timer.action()
 
         def expire() -> None:
             if timer.action is not None:
                 self._host.run(self._incarnation, run)
 
-        self._scheduler.call_at(deadline, expire)
+        delay = deadline - self.now() + self._host.lag_seconds
+        self._scheduler.call_after(max(0.0, delay), expire)
         return timer
 
     def call_after(self, seconds: float, action: Action) -> Timer:
-        return self.call_at(self._scheduler.time + seconds, action)
+        return self.call_at(self.now() + seconds, action)
 
     def create_timeout(self, action: Action) -> Timeout:
         return Timeout(self, action)  # type: ignore[arg-type]
--- a/standins/simulated_fleet.py
+++ b/standins/simulated_fleet.py
@@ -78,6 +78,7 @@
 
 LAYOUTS = {
     6: Layout({"east": [2, 2], "west": [2]}, 15.0, 8, 4.0),
+    86: Layout({"east": [15, 14, 14], "west": [14, 15, 14]}, 30.0, 76, 5.0),
     195: Layout({"east": [35, 30, 33], "west": [34, 27, 36]}, 75.0, 45, 5.0),
     330: Layout(
         {"east": [28, 27, 28, 27], "north": [28, 27, 28, 27], "west": [28, 27, 28, 27]},
@@ -377,6 +378,19 @@
         for action in backlog:
             host.run(host.incarnation, action)
 
+    def suspend(self, node_id: str) -> None:
+        """Suspend the VM of a node, whose monotonic clock stands still."""
+        self.freeze(node_id)
+        self.network.hosts[node_id].suspended_at = self.scheduler.time
+
+    def wake(self, node_id: str) -> None:
+        """Resume a VM that was suspended."""
+        host = self.network.hosts[node_id]
+        if host.suspended_at is not None:
+            host.suspended_seconds += self.scheduler.time - host.suspended_at
+            host.suspended_at = None
+        self.thaw(node_id)
+
     def cut_from_store(self, node_ids: list[str]) -> None:
         """Lose all packets between nodes and the store."""
         for node_id in node_ids:
--- a/standins/simulated_store.py
+++ b/standins/simulated_store.py
@@ -50,7 +50,12 @@
 
 @define(eq=False)
 class SimulatedStore:
-    """Serve the calls of the nodes; answer_seconds is how long each answer takes."""
+    """Serve the calls of the nodes; answer_seconds is how long each answer takes.
+
+    written_at holds the time of each append by topic and offset. A read that waits while its
+    records are deleted gets what is left of them, or 410 if reports_deletion is set. With
+    deletes_at_once, records have been deleted by the time that such a read is answered.
+    """
 
     scheduler: FakeScheduler
     answer_seconds: float = ANSWER_SECONDS
@@ -58,6 +63,9 @@
     refused_nodes: set[str] = field(factory=set)
     reads: Counter[tuple[str, str]] = field(factory=Counter)  # by node and topic
     partitions: dict[str, Partition] = field(factory=dict)
+    written_at: dict[str, list[float]] = field(factory=dict)
+    reports_deletion: bool = True
+    deletes_at_once: bool = False
     _times: dict[str, deque[float]] = field(factory=dict)
     _bodies: dict[tuple[str, int, Any], bytes] = field(factory=dict)
 
@@ -124,19 +132,38 @@
         for record in records:
             partition.append(record)
             times.append(now)
+            self.written_at.setdefault(topic, []).append(now)
         partition.changes.clear()
+        self._delete_before(topic, now - HISTORY_SECONDS)
+        if self.deletes_at_once:
+            self._delete_before(topic, now + 1.0)
+        self._bodies = {key: body for key, body in self._bodies.items() if key[0] != topic}
+        self.end_waits(topic)
+        return offset
+
+    def delete_history(self, topic: str) -> None:
+        """Delete all records but the newest ones of the keys."""
+        self._find(topic)
+        self._delete_before(topic, self.scheduler.time + 1.0)
+        self._bodies = {key: body for key, body in self._bodies.items() if key[0] != topic}
+
+    def end_waits(self, topic: str) -> None:
+        """Answer the reads that wait, before they have waited as long as they asked for."""
+        partition = self._find(topic)
+        waiting_reads, partition.waiting_reads = partition.waiting_reads, []
+        for finish_read in waiting_reads:
+            finish_read()
+
+    def _delete_before(self, topic: str, deleted_before: float) -> None:
+        partition = self._find(topic)
+        times = self._times.setdefault(topic, deque())
         expired = 0
-        while times and times[0] < now - HISTORY_SECONDS:
+        while times and times[0] < deleted_before:
             times.popleft()
             expired += 1
         if expired:
             del partition.records[:expired]
             partition.first_offset += expired
-        self._bodies = {key: body for key, body in self._bodies.items() if key[0] != topic}
-        waiting_reads, partition.waiting_reads = partition.waiting_reads, []
-        for finish_read in waiting_reads:
-            finish_read()
-        return offset
 
     def _read(self, query: dict[str, str], respond: Respond) -> Callable[[], None]:
         topic = query["topic"]
@@ -154,7 +181,10 @@
         def finish_read() -> None:
             timer.cancel()
             forget()
-            respond(200, self._encode_records(topic, start, bytes_max))
+            if start < partition.first_offset and self.reports_deletion:
+                respond(410, _dump({"first": partition.first_offset}))
+            else:
+                respond(200, self._encode_records(topic, start, bytes_max))
 
         def forget() -> None:
             if finish_read in partition.waiting_reads:
@@ -171,7 +201,7 @@
         partition = self._find(topic)
         parts = [struct.pack(">QQ", partition.end_offset, partition.first_offset)]
         size = 0
-        for record in partition.records[start - partition.first_offset :]:
+        for record in partition.records[max(0, start - partition.first_offset) :]:
             if size and size + len(record) > bytes_max:
                 break
             size += len(record)
