Count the time that a VM was suspended

Callers could get a 404 by an older configuration from nodes that were never disturbed: their source had been suspended. Its monotonic clock had stood still, so that it passed on what it knew from before as confirmed just now.

Cause: all deadlines and ages went by CLOCK_MONOTONIC, which does not count that time. CLOCK_BOOTTIME does; the whole scheduler goes by it, so that leases, silence and ages end by it too, as they did after a process was frozen.

--- a/bronzetiller/net/scheduler.py
+++ b/bronzetiller/net/scheduler.py
@@ -8,7 +8,7 @@
 from attrs import define
 from circuits import BaseComponent, handler
 
-CLOCK = time.CLOCK_MONOTONIC
+CLOCK = time.CLOCK_BOOTTIME  # goes on while the VM is suspended, unlike CLOCK_MONOTONIC
 
 Action = Callable[[], None]
 
