Take deleted records for expired history, not for read ones

A read from offset 5 whose response says that records begin at 10 and end at 10 was taken for "nothing new": the follower moved on to 10, counted as confirmed, and never read the records in between, perhaps the newest configuration among them (404 by an older one), or another node's holdings. The same where records up to 8 were missing, and where the store ended before the offset that was asked for.

Each response whose first to end does not contain the offset is HistoryExpired, for all followers, holdings and stream records alike; the newest records are read then.

Also: TargetChooser goes by the scheduler's clock.

--- a/bronzetiller/net/scheduler.py
+++ b/bronzetiller/net/scheduler.py
@@ -13,6 +13,11 @@
 Action = Callable[[], None]
 
 
+def read_clock() -> float:
+    """Return the monotonic time in seconds."""
+    return time.clock_gettime(CLOCK)
+
+
 @define(eq=False)
 class Timer:
     """Hold an action to be run once at a deadline (seconds, monotonic clock)."""
@@ -87,7 +92,7 @@
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
-        return time.clock_gettime(CLOCK)
+        return read_clock()
 
     def call_at(self, deadline: float, action: Action) -> Timer:
         """Run the action once the monotonic clock reaches the deadline."""
--- a/bronzetiller/platform/store.py
+++ b/bronzetiller/platform/store.py
@@ -341,13 +341,18 @@
         return Err(StoreUnreachable(f"malformed response: {error!r}", True))
 
 
-def _decode_records(body: bytes, offset: int, era: int) -> Result[RecordBatch, StoreUnreachable]:
-    """Decode the binary format: end and first retained offset, then length-prefixed records."""
+def _decode_records(body: bytes, offset: int, era: int) -> Result[RecordBatch, ReadFailure]:
+    """Decode the binary format: end and first retained offset, then length-prefixed records.
+
+    Records may be deleted while a read waits for them.
+    """
     if len(body) < _READ_HEADER.size:
         return Err(StoreUnreachable("malformed response: incomplete header", False))
     end, first = _READ_HEADER.unpack_from(body)
+    if not first <= offset <= end:
+        return Err(HistoryExpired(f"offset {offset} is not within {first} to {end}"))
     start = _READ_HEADER.size
-    number = max(offset, first)
+    number = offset
     records = []
     while start + _LENGTH.size <= len(body):
         (size,) = _LENGTH.unpack_from(body, start)
--- a/bronzetiller/routing/targets.py
+++ b/bronzetiller/routing/targets.py
@@ -12,6 +12,7 @@
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import TARGET_AVOIDANCES
 from bronzetiller.net.http_client import TOO_LATE
+from bronzetiller.net.scheduler import read_clock
 from bronzetiller.routing.engine import AttemptEvent, AttemptListener, CompletionEnd, CompletionPart
 from bronzetiller.routing.selection import SelectionRules, select_target
 from bronzetiller.routing.service import CallOutcome, OutcomeListener, ServiceFailed
@@ -34,7 +35,7 @@
     region: str
     link_seconds: float = 0.03
     random: Random = field(factory=Random)
-    now: Callable[[], float] = time.monotonic
+    now: Callable[[], float] = read_clock
     wall_clock: Callable[[], float] = time.time
     on_free_slots: Callable[[str], None] | None = None
     on_refusal: Callable[[Vm], None] | None = None
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -260,3 +260,31 @@
 
 def _count_bytes(batch):
     return sum(len(item.key) + len(item.value or b"") + 5 for item in batch.records)
+
+
+@define(eq=False)
+class FakeCall:
+    """Hold a call whose response the test sends."""
+
+    path: str
+    listener: object
+    sent: bool = True
+    cancelled: bool = False
+
+    def cancel(self):
+        self.cancelled = True
+
+
+@define(eq=False)
+class FakeHttp:
+    """Keep the calls that are sent."""
+
+    scheduler: FakeScheduler = field(factory=FakeScheduler)
+    calls: list = field(factory=list)
+
+    def send(self, call, listener):
+        self.calls.append(FakeCall(call.path, listener))
+        return self.calls[-1]
+
+    def close_idle(self, address):
+        pass
--- a/tests/test_late_reads.py
+++ b/tests/test_late_reads.py
@@ -4,46 +4,17 @@
 import struct
 
 import pytest
-from attrs import define, field
 from result import Err
 
 from bronzetiller.net.address import Address
 from bronzetiller.net.http_client import BodyPart, ResponseEnd, ResponseHead
 from bronzetiller.platform.store import PlatformStore
 from bronzetiller.storage.keyed import Partition
-from standins.fake_scheduler import FakeScheduler
+from tests.gateway_fakes import FakeHttp
 
 PARTITION = Partition("keyed.test")
 
 
-@define(eq=False)
-class FakeCall:
-    """Hold a call whose response the test sends."""
-
-    path: str
-    listener: object
-    sent: bool = True
-    cancelled: bool = False
-
-    def cancel(self):
-        self.cancelled = True
-
-
-@define(eq=False)
-class FakeHttp:
-    """Keep the calls that are sent."""
-
-    scheduler: FakeScheduler = field(factory=FakeScheduler)
-    calls: list = field(factory=list)
-
-    def send(self, call, listener):
-        self.calls.append(FakeCall(call.path, listener))
-        return self.calls[-1]
-
-    def close_idle(self, address):
-        pass
-
-
 def test_a_read_whose_late_response_nobody_takes_does_not_go_on_filling_the_link():
     http, failures = FakeHttp(), []
     store = PlatformStore(http, Address("10.0.0.1", 80))
