Confirm nothing later than a read was asked for, and no relayed wait that was not stated

A response without records was credited with the whole wait that the request asked for, up to the time at which it arrived. Neither the store nor a peer has to have waited: a store that ends waits early, a response that took long, a record that cannot be decoded, a peer that answers at once. A version written meanwhile was missing, and the node answered 404 by the older one as confirmed.

A read of the store proves what held when it was asked for, nothing more. A peer states how long it held a request back (Records.waited_seconds); without that field, from an older build, it confirms as of the request. To keep confirmations as young as before, a read of the configuration waits 0.4 s.

--- a/bronzetiller/gateway/followers.py
+++ b/bronzetiller/gateway/followers.py
@@ -19,7 +19,7 @@
 from bronzetiller.storage.keyed_follower import KeyedFollower
 from bronzetiller.sync.confirmation import is_outdated
 
-CONFIGURATION_WAIT_SECONDS = 1.0  # plus the response time: how late a silent connection is detected
+CONFIGURATION_WAIT_SECONDS = 0.4  # a confirmation is older than this when the next one comes
 CONFIGURATION_PAUSE_SECONDS = 0.05
 CONFIGURATION_PEER_WAIT_SECONDS = 0.5
 TARGETS_PAUSE_SECONDS = 0.5  # targets write about once a second; changes may apply seconds late
--- a/bronzetiller/gateway/peer_reader.py
+++ b/bronzetiller/gateway/peer_reader.py
@@ -212,8 +212,7 @@
                     self.plan.record_peer_away(peer, behind, now)
                     fail("the peer reads from this node")
                 case Ok(Records() as records):
-                    # A response without records was made when the requested wait ended.
-                    waited = 0.0 if records.entries else min(now - started_at, message.wait_seconds)
+                    waited = min(max(0.0, records.waited_seconds), now - started_at)
                     try:
                         batch = self._make_batch(records, started_at + waited, peer)
                     except zlib.error as error:
--- a/bronzetiller/gateway/relay.py
+++ b/bronzetiller/gateway/relay.py
@@ -29,6 +29,7 @@
 
     message: FetchRecords
     reply: Reply
+    received_at: float
 
 
 @define(eq=False)
@@ -61,7 +62,7 @@
         if records.entries or not message.wait_seconds:
             reply(records)
             return
-        pending = _PendingFetch(message, reply)
+        pending = _PendingFetch(message, reply, self._scheduler.now())
         self._pending.append(pending)
         self._scheduler.call_after(message.wait_seconds, lambda: self._time_out(pending))
 
@@ -96,7 +97,7 @@
 
     def _reply_to_pending(self) -> None:
         for pending in list(self._pending):
-            records = self._make_records(pending.message)
+            records = self._make_records(pending.message, pending.received_at)
             if records.entries:
                 self._pending.remove(pending)
                 pending.reply(records)
@@ -110,10 +111,12 @@
         if pending not in self._pending:
             return
         self._pending.remove(pending)
-        current = self._is_current()
-        pending.reply(self._make_records(pending.message) if current else self._make_away())
+        if self._is_current():
+            pending.reply(self._make_records(pending.message, pending.received_at))
+        else:
+            pending.reply(self._make_away())
 
-    def _make_records(self, message: FetchRecords) -> Records:
+    def _make_records(self, message: FetchRecords, received_at: float | None = None) -> Records:
         follower = self._follower
         now = self._scheduler.now()
         whole, changes = follower.changes.list_since(message.from_offset)
@@ -126,6 +129,7 @@
             confirmed_seconds=max(0.0, now - follower.confirmed_at),
             source_path=[self._source.own_id, *follower.source_path],
             sent_at=now,
+            waited_seconds=0.0 if received_at is None else now - received_at,
         )
 
     def _make_entry(self, record: KeyedRecord, may_compress: bool) -> KeyedEntry:
--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -130,13 +130,7 @@
         if batch.whole:
             self._apply_whole(_confirm(batch, asked_at))
         else:
-            self._apply_changes(self._confirm_wait(batch, asked_at))
-
-    def _confirm_wait(self, batch: RecordBatch, asked_at: float) -> RecordBatch:
-        """Confirm the response to a read that waits, if there are no records, for wait_seconds."""
-        elapsed = self._scheduler.now() - asked_at
-        waited = 0.0 if batch.records else min(elapsed, self.wait_seconds)
-        return _confirm(batch, asked_at + waited)
+            self._apply_changes(_confirm(batch, asked_at))
 
     def _read(self) -> None:
         position = self.position
@@ -194,7 +188,7 @@
                 keys = [record.key for record in batch.records]
                 has_newer = batch.has_more or len(keys) > len(set(keys))
                 self._behind = self.skips_versions and has_newer
-                self._apply_changes(self._confirm_wait(batch, asked_at))
+                self._apply_changes(_confirm(batch, asked_at))
                 self._schedule_read()
 
     def _apply_whole(self, batch: RecordBatch) -> None:
@@ -316,6 +310,10 @@
         self._scheduler.call_after(delay, self._read)
 
 
-def _confirm(batch: RecordBatch, confirmed_at: float) -> RecordBatch:
-    """Return a batch with the time of its confirmation, unless it has one."""
-    return batch if batch.confirmed_at is not None else evolve(batch, confirmed_at=confirmed_at)
+def _confirm(batch: RecordBatch, asked_at: float) -> RecordBatch:
+    """Return a batch with the time of its confirmation, unless it has one.
+
+    A store that ends a wait early cannot be told from one whose response was long under way, so a
+    read proves nothing about the time after it was asked for.
+    """
+    return batch if batch.confirmed_at is not None else evolve(batch, confirmed_at=asked_at)
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -326,7 +326,8 @@
     whole is true if the entries are all keys, because the changes in between are no longer known.
     age_seconds is the time since the store sent them, confirmed_seconds that since it was asked,
     so that no newer record existed then. source_path holds the nodes that they came through, the
-    sender first. sent_at is the sender's monotonic time, for an offer in response.
+    sender first. sent_at is the sender's monotonic time, for an offer in response. waited_seconds
+    is how long the sender held the request back, so that it says what held that much later.
     """
 
     end: int
@@ -336,6 +337,7 @@
     confirmed_seconds: float = 0.0
     source_path: list[str] = field(factory=list)
     sent_at: float | None = None
+    waited_seconds: float = 0.0
 
 
 @frozen
--- a/tests/test_false_confirmations.py
+++ b/tests/test_false_confirmations.py
@@ -4,15 +4,23 @@
 import time
 
 import pytest
+from attrs import define
 from result import Err, Ok
 
+from bronzetiller.gateway.peer_reader import PeerReader
+from bronzetiller.gateway.relay import RelayedPartition, register_fetch_handler
 from bronzetiller.net.address import Address
 from bronzetiller.net.http_client import BodyPart, ResponseEnd, ResponseHead
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.store import PlatformStore
 from bronzetiller.storage.keyed import HistoryExpired, Partition
+from bronzetiller.storage.keyed_follower import KeyedFollower
+from bronzetiller.sync.sources import Role, Sources
+from bronzetiller.wire.messages import FetchRecords, Records
+from standins.fake_scheduler import FakeScheduler
 from standins.keyed_store import LENGTH
-from tests.gateway_fakes import FakeHttp
+from standins.memory_store import MemoryStore
+from tests.gateway_fakes import FakeHttp, FakePeers, FakeStoreClient
 
 PARTITION = Partition("keyed.test")
 HEADER = struct.Struct(">QQ")
@@ -58,3 +66,72 @@
 def test_a_read_without_new_records_is_not_taken_for_expired_history(read_store):
     result = read_store(HEADER.pack(5, 5))
     assert isinstance(result, Ok) and result.ok_value.end == 5 and not result.ok_value.has_more
+
+
+@define(eq=False)
+class EarlyClient(FakeStoreClient):
+    """Access a store that ends each wait at once, over a link that takes almost as long."""
+
+    def read_from(self, partition, position, wait_seconds, done, late=None):
+        result = self.store.read_from(partition, position)
+        self._respond(done, result, 0.9 * wait_seconds)
+
+
+def test_a_wait_that_the_store_ended_early_proves_nothing_about_the_time_after_its_start():
+    scheduler, store = FakeScheduler(), MemoryStore()
+    store.append(PARTITION, "a", b"1", None)
+    client = EarlyClient(scheduler, store)
+    follower = KeyedFollower(scheduler, client, PARTITION, lambda changed: None, 1.0, 0.05)
+    follower.start()
+    scheduler.advance(0.1)
+    written_at = scheduler.now()
+    store.append(PARTITION, "a", b"2", None)
+    scheduler.advance(0.88)
+    assert follower.values == {"a": b"1"}
+    assert follower.confirmed_at <= written_at
+
+
+@pytest.fixture
+def pair():
+    """Return the follower of a node that reads through another one, and that one's follower."""
+    scheduler, store, network = FakeScheduler(), MemoryStore(), {}
+    store.append(PARTITION, "a", b"1", None)
+    followers = {}
+    for node_id, sources in (
+        ("source", Sources(Role.READER)),
+        ("member", Sources(Role.MEMBER, ("source",), 97)),
+    ):
+        peers = network[node_id] = FakePeers(network, scheduler, node_id)
+        client = FakeStoreClient(scheduler, store)
+        reader = PeerReader(
+            scheduler, peers, client, node_id, lambda sources=sources: sources, lambda: []
+        )
+        follower = KeyedFollower(scheduler, reader, PARTITION, lambda changed: None, 1.0, 0.05)
+        relayed = RelayedPartition(scheduler, follower, reader, peers)
+        register_fetch_handler(peers, {PARTITION.topic: relayed})
+        followers[node_id] = follower
+        follower.start()
+    return followers["member"], followers["source"], scheduler, store
+
+
+def test_a_relayed_confirmation_is_never_later_than_that_of_its_source(pair):
+    member, source, scheduler, _ = pair
+    for _ in range(100):
+        scheduler.advance(0.05)
+        assert member.confirmed_at <= source.confirmed_at + 1e-6
+    assert scheduler.now() - member.confirmed_at < 5.0
+
+
+def test_a_source_that_responds_before_its_wait_ends_confirms_no_more_than_it_states(pair):
+    member, source, scheduler, _ = pair
+    message = FetchRecords(PARTITION.topic, 0, source.position, wait_seconds=1.0)
+    reader, batches = member._reader, []
+    scheduler.advance(1.0)
+    records = Records(source.position, False, [], confirmed_seconds=0.2, source_path=["source"])
+    reader._peers.network["source"].handlers[FetchRecords] = lambda message, reply: (
+        scheduler.call_after(0.8, lambda: reply(records))
+    )
+    asked_at = scheduler.now()
+    reader.fetch("source", message, batches.append)
+    scheduler.advance(0.95)
+    assert batches[0].ok_value.confirmed_at == pytest.approx(asked_at - 0.2)
