Take a version that was read and not applied for no confirmation of the one before

After a cut a node read a version that it could not decode, counted as unconfirmed from then on only, and answered 404 by the version before for another 2.5 s, though the newer one had long been in force. Where decoding raised an error it counted as confirmed for good.

The age now goes back to the confirmation before that version, until one is applied, however that fails. Both cases of the test fail before (404).

--- a/bronzetiller/gateway/followers.py
+++ b/bronzetiller/gateway/followers.py
@@ -81,12 +81,12 @@
         values = [item.value for item in records if item.key == CONFIGURATION_KEY and item.value]
         if not values:
             return
+        if self._unread_from is None:  # until the version is applied, however that fails
+            self._unread_from = self.follower.confirmed_before
         match decode_configuration(values[-1]):
             case Err(reason):
                 DECISIONS.labels("rejected").inc()
                 log_event("configuration_unread", level=40, cause=reason)
-                if self._unread_from is None:
-                    self._unread_from = self._scheduler.now()
             case Ok(configuration):
                 self._unread_from = None
                 self._activate(configuration, len(values[-1]))
--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -49,6 +49,7 @@
     newest ones until nothing changes: over a slow connection, each read of all versions would take
     longer than the one before. After reads have failed for some time, every follower does so.
 
+    confirmed_before is the confirmation before the last one, for a listener that cannot apply it.
     confirmed_by says, for logs, who confirmed the values last, and with how many records.
     """
 
@@ -69,6 +70,7 @@
     lost_at: float | None = None
     regained_at: float | None = None
     restored_at: float | None = None
+    confirmed_before: float = float("-inf")
     confirmed_by: str = ""
     _discarded: list[str] = field(factory=list)
     _expired: bool = False
@@ -239,7 +241,7 @@
             self.read_at = max(self.read_at, now - batch.age_seconds)
             confirmed_at = -math.inf if batch.confirmed_at is None else batch.confirmed_at
             if confirmed_at > self.confirmed_at:
-                self.confirmed_at = confirmed_at
+                self.confirmed_before, self.confirmed_at = self.confirmed_at, confirmed_at
                 source = ",".join(batch.source_path) or "store"
                 self.confirmed_by = f"{source}:{len(batch.records)}"
         if self.lost_at is not None:
--- a/tests/test_outdated_refusals.py
+++ b/tests/test_outdated_refusals.py
@@ -9,6 +9,7 @@
 
 from bronzetiller.errors import Reason
 from bronzetiller.fleet.drain import Drain
+from bronzetiller.gateway import followers
 from bronzetiller.gateway.allocation_manager import AllocationManager
 from bronzetiller.gateway.application import Application
 from bronzetiller.gateway.budget_refusals import refuse_uncovered
@@ -317,3 +318,25 @@
         "event=configuration_confirmed",
     ]
     assert all("confirmed_by=store:" in line for line in lines)
+
+
+@pytest.mark.parametrize("fails", ["cannot be decoded", "raises"])
+def test_a_version_that_was_read_and_not_applied_is_no_confirmation_of_the_one_before(
+    node, monkeypatch, fails
+):
+    def raise_error(value):
+        raise RecursionError(value)
+
+    node.client.mode = "down"
+    node.store.append(Partition(OPERATOR_TOPIC), CONFIGURATION_KEY, b"{", None)
+    node.scheduler.advance(6.0)
+    if fails == "raises":
+        monkeypatch.setattr(followers, "decode_configuration", raise_error)
+    node.client.mode = "up"
+    for _ in range(20):
+        node.scheduler.advance(0.2)
+        assert node.refuse().status == 503
+    monkeypatch.undo()
+    node.write(2)
+    node.scheduler.advance(2.0)
+    assert node.refuse().status == 404
