--- a/bronzetiller/gateway/followers.py
+++ b/bronzetiller/gateway/followers.py
@@ -21,6 +21,7 @@
 
 CONFIGURATION_WAIT_SECONDS = 0.4  # a confirmation is older than this when the next one comes
 CONFIGURATION_PAUSE_SECONDS = 0.05
+CONFIGURATION_RELAYED_SECONDS_MAX = 3.6  # a large one may take as long from node to node
 CONFIGURATION_PEER_WAIT_SECONDS = 0.5
 TARGETS_PAUSE_SECONDS = 0.5  # targets write about once a second; changes may apply seconds late
 LAPSE_GRACE_SECONDS = 2.2  # after an outage, for targets to renew expired registrations
@@ -52,6 +53,7 @@
             wait_seconds=CONFIGURATION_WAIT_SECONDS,
             pause_seconds=CONFIGURATION_PAUSE_SECONDS,
             skips_versions=True,
+            relayed_seconds_max=CONFIGURATION_RELAYED_SECONDS_MAX,
         )
 
     def compute_confirmation_age(self) -> float:
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -173,7 +173,7 @@
         self.pool = TargetPool()
         self.reachability = Reachability(scheduler, http, self.pool)
         configuration_reader = self._make_reader(store, OPERATOR_TOPIC)
-        configuration_reader.peer_wait_seconds_max = CONFIGURATION_PEER_WAIT_SECONDS
+        configuration_reader.peer_wait_seconds = CONFIGURATION_PEER_WAIT_SECONDS
         self.configuration_follower = ConfigurationFollower(
             scheduler, configuration_reader, self._on_configuration
         )
--- a/bronzetiller/gateway/peer_reader.py
+++ b/bronzetiller/gateway/peer_reader.py
@@ -50,8 +50,8 @@
     """Read one partition from the sources among the peers, or from the store itself.
 
     Records that came through this node are rejected, so that no two nodes use each other as the
-    source. peer_wait_seconds_max limits the wait at a peer, as the age of relayed data is the sum
-    of the waits.
+    source. peer_wait_seconds is the wait at a peer, if it differs from that at the store: the age of
+    relayed data is the sum of the waits.
     """
 
     scheduler: Scheduler
@@ -61,7 +61,7 @@
     _find_sources: Callable[[], Sources]
     _find_seeds: Callable[[], list[str]]
     _draw_uniform: Callable[[], float] = field(factory=lambda: Random().random)
-    peer_wait_seconds_max: float = math.inf
+    peer_wait_seconds: float | None = None
     plan: ReadPlan = field(init=False)
     after_store_read: Callable[[], None] = lambda: None
     _position: int = -1
@@ -118,7 +118,7 @@
             partition.topic,
             partition.number,
             position,
-            min(wait_seconds, self.peer_wait_seconds_max),
+            wait_seconds if self.peer_wait_seconds is None else self.peer_wait_seconds,
             accepts_compressed=True,
         )
         self._read(message, read_store, done, late)
--- a/bronzetiller/gateway/relay.py
+++ b/bronzetiller/gateway/relay.py
@@ -86,8 +86,11 @@
 
     def _is_current(self) -> bool:
         follower = self._follower
-        interval = follower.wait_seconds + follower.pause_seconds
-        return not follower.is_lost and follower.is_current(2 * interval + AGE_SECONDS_MARGIN)
+        seconds = follower.relayed_seconds_max
+        if seconds is None:
+            interval = follower.wait_seconds + follower.pause_seconds
+            seconds = 2 * interval + AGE_SECONDS_MARGIN
+        return not follower.is_lost and follower.is_current(seconds)
 
     def _make_away(self) -> RecordsAway:
         cause = "store unreachable" if self._follower.is_lost else "no current store data"
--- a/standins/simulated_fleet.py
+++ b/standins/simulated_fleet.py
@@ -183,7 +183,7 @@
         fleet.applied_at.setdefault(configuration.version, {})[node_id] = scheduler.now()
 
     configuration_reader = make_reader(OPERATOR_TOPIC)
-    configuration_reader.peer_wait_seconds_max = CONFIGURATION_PEER_WAIT_SECONDS
+    configuration_reader.peer_wait_seconds = CONFIGURATION_PEER_WAIT_SECONDS
     configuration_follower = ConfigurationFollower(timed, configuration_reader, apply_configuration)
     registration_reader = make_reader(REGISTRATIONS_TOPIC)
     targets_follower = TargetsFollower(timed, registration_reader, UnindexedPool())
