Take nothing for confirmed by a store that ends before what was read

A response of the store itself whose end lay before the follower's position, in the same era or an earlier one, passed for that of a peer that has read less: nothing was applied and the values counted as confirmed, for good. Once the store had written past that position, the records in between were never read.

Such a read has failed, and all newest records are read until the store is past the position. Both cases of the test fail before.

--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -149,7 +149,7 @@
         ):
             self._reader.read_newest(
                 self.partition,
-                lambda result: self._handle_newest(result, now),
+                lambda result: self._handle_newest(result, now, position),
                 lambda batch: self._accept_late(batch, True, position, now),
             )
         else:
@@ -166,7 +166,7 @@
         self.accept(batch, position, asked_at)
 
     def _handle_newest(
-        self, result: Result[RecordBatch, StoreUnreachable], asked_at: float
+        self, result: Result[RecordBatch, StoreUnreachable], asked_at: float, asked_position: int
     ) -> None:
         match result:
             case Err(failure):
@@ -175,6 +175,11 @@
                 self._behind = self._expired = False
                 self._apply_changes(_confirm(batch, asked_at))
                 self._schedule_read()
+            case Ok(batch) if not batch.source_path and batch.end < asked_position:
+                # What is written at the positions that were read must not pass for read.
+                self._expired = True
+                cause = f"the store ends at {batch.end}, before {asked_position}, which was read"
+                self._schedule_retry(StoreUnreachable(cause, False))
             case Ok(batch):
                 self._apply_whole(_confirm(batch, asked_at))
                 self._schedule_read()
--- a/tests/test_keyed_follower.py
+++ b/tests/test_keyed_follower.py
@@ -163,3 +163,23 @@
         store.append(PARTITION, "c", b"%d" % number, None)
         scheduler.advance(1.0)
         assert follower.values["c"] == b"%d" % number
+
+
+@pytest.mark.parametrize("lost_eras", [0, 1])
+def test_a_store_that_ends_before_what_was_read_confirms_nothing(followed_partition, lost_eras):
+    follower, store, _, scheduler = followed_partition
+    for value in (b"2", b"3", b"4"):
+        store.append(PARTITION, "a", value, None)
+    store.era = 1
+    scheduler.advance(1.0)
+    confirmed_at = follower.confirmed_at
+    store.restore({PARTITION: 1})
+    store.era = 1 - lost_eras
+    scheduler.advance(5.0)
+    assert follower.is_lost and follower.confirmed_at <= confirmed_at + 0.5
+    store.append(PARTITION, "a", b"5", None)
+    for number in range(4):
+        store.append(PARTITION, "b", b"%d" % number, None)
+    store.era = 1
+    scheduler.advance(3.0)
+    assert follower.values == {"a": b"5", "b": b"3"} and not follower.is_lost
