Believe neither an offer from the future nor an empty page that promises more

An offer that echoes a time later than now answers another boot's message; it counted as made now. A page of the newest records without keys and with more to come counted as the last one, so that all keys missing from it passed for deleted.

--- a/bronzetiller/gateway/peer_reader.py
+++ b/bronzetiller/gateway/peer_reader.py
@@ -162,13 +162,15 @@
     def decode_offer(self, offer: OfferRecords) -> RecordBatch | None:
         """Return the batch that a peer offers, or None if it came through this node.
 
-        It was made after the message that it answers, and may have been on its way since.
+        It was made after the message that it answers, and may have been on its way since. A message
+        of a later time was another process's, whose clock tells nothing here.
         """
         records = offer.records
         if self.own_id in records.source_path:
             return None
         now = self.scheduler.now()
-        answers_at = min(now, -math.inf if offer.answers_at is None else offer.answers_at)
+        stated_at = offer.answers_at
+        answers_at = -math.inf if stated_at is None or stated_at > now else stated_at
         try:
             batch = self._make_batch(records, answers_at)
         except zlib.error:
--- a/bronzetiller/platform/store.py
+++ b/bronzetiller/platform/store.py
@@ -314,10 +314,10 @@
         except (ValueError, KeyError, TypeError) as error:
             self._fail(StoreUnreachable(f"malformed page: {error!r}", False))
             return
-        if not page.get("more_pages") or not page["items"]:
+        if not page.get("more_pages"):
             self._finish(RecordBatch(self._records, self._end))
             return
-        last_key = page["items"][-1]["key"]
+        last_key = page["items"][-1]["key"] if page["items"] else after
         if last_key == after:
             self._fail(StoreUnreachable(f"malformed page: no key after {after!r}", False))
         else:
--- a/tests/test_false_confirmations.py
+++ b/tests/test_false_confirmations.py
@@ -16,7 +16,7 @@
 from bronzetiller.storage.keyed import HistoryExpired, Partition
 from bronzetiller.storage.keyed_follower import KeyedFollower
 from bronzetiller.sync.sources import Role, Sources
-from bronzetiller.wire.messages import FetchRecords, Records
+from bronzetiller.wire.messages import FetchRecords, OfferRecords, Records
 from standins.fake_scheduler import FakeScheduler
 from standins.keyed_store import LENGTH
 from standins.memory_store import MemoryStore
@@ -135,3 +135,24 @@
     reader.fetch("source", message, batches.append)
     scheduler.advance(0.95)
     assert batches[0].ok_value.confirmed_at == pytest.approx(asked_at - 0.2)
+
+
+@pytest.mark.parametrize("stated_after_seconds", [0.5, 100.0])
+def test_an_offer_in_response_to_a_message_of_a_later_time_confirms_nothing(
+    pair, stated_after_seconds
+):
+    member, source, scheduler, _ = pair
+    scheduler.advance(1.0)
+    records = Records(source.position, False, [], confirmed_seconds=0.1, source_path=["source"])
+    stated_at = scheduler.now() + stated_after_seconds
+    offer = OfferRecords(PARTITION.topic, 0, member.position, records, stated_at)
+    assert member._reader.decode_offer(offer).confirmed_at == float("-inf")
+
+
+def test_a_page_that_promises_more_and_has_no_keys_is_not_the_last_one():
+    http, done = FakeHttp(), []
+    PlatformStore(http, Address("10.0.0.1", 80)).read_newest(PARTITION, done.append)
+    body = b'{"items": [], "end": 7, "more_pages": true}'
+    for event in (ResponseHead(200, {}), BodyPart(body), ResponseEnd()):
+        http.calls[0].listener(event)
+    assert isinstance(done[0], Err)
