Serve nothing by a version out of force while the store answers

A node whose configuration had not been confirmed for long refused what it did not know with 503, but served what it knew, however old: with a dropped key or route, or by an old service, also where the store answered its other calls.

The line is the operator's: within apply_ms of its acknowledgement a version is in force at a node that has been in contact with the store for contact_ms. A node in contact whose confirmation is older than apply_ms refuses all requests as not run, with Retry-After; one without the store goes on. Contact is any answer of the store, without a gap of two seconds. Without the rule both tests fail.

--- a/bronzetiller/gateway/application.py
+++ b/bronzetiller/gateway/application.py
@@ -33,6 +33,7 @@
     get_drain: Callable[[], Drain]
     get_confirmation_age: Callable[[], float]  # seconds
     get_confirmation_source: Callable[[], str]
+    may_serve: Callable[[], bool] = lambda: True
 
     def serve(self, exchange: Exchange) -> None:
         """Serve one request of a caller."""
@@ -59,6 +60,10 @@
             )
             self._refuse(exchange, metadata, refusal)
             return
+        if not self.may_serve():
+            cause = "what may be in force no longer"
+            self._refuse_outdated(exchange, metadata, cause, configuration.version)
+            return
         route = configuration.find_route(exchange.headers.get("host", ""), exchange.path)
         if route is None:
             refusal = Refusal(404, Reason.UNKNOWN_ROUTE, "no route matches this host and path")
@@ -96,15 +101,27 @@
         self, exchange: Exchange, metadata: RequestMetadata, refusal: Refusal, version: int
     ) -> None:
         """Refuse what the configuration lacks; for now only, if a newer one may have it."""
+        if is_outdated(self.get_confirmation_age()):
+            self._refuse_outdated(exchange, metadata, refusal.detail, version)
+        else:
+            self._refuse_by_version(exchange, metadata, refusal, version)
+
+    def _refuse_outdated(
+        self, exchange: Exchange, metadata: RequestMetadata, cause: str, version: int
+    ) -> None:
         age = self.get_confirmation_age()
-        if is_outdated(age):
-            refusal = refuse_outdated(refusal.detail, version, age, self.context.draw_uniform())
+        refusal = refuse_outdated(cause, version, age, self.context.draw_uniform())
+        self._refuse_by_version(exchange, metadata, refusal, version)
+
+    def _refuse_by_version(
+        self, exchange: Exchange, metadata: RequestMetadata, refusal: Refusal, version: int
+    ) -> None:
         self._refuse(
             exchange,
             metadata,
             refusal,
             version=version,
-            confirmation_age=round(age, 3),
+            confirmation_age=round(self.get_confirmation_age(), 3),
             confirmed_by=self.get_confirmation_source(),
         )
 
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -68,6 +68,7 @@
     REGISTRATIONS_TOPIC,
 )
 from bronzetiller.storage.keyed import KeyedStore
+from bronzetiller.sync.confirmation import may_serve
 from bronzetiller.sync.start import start_in_order
 
 CONFIRMATION_CHECK_SECONDS = 0.5
@@ -145,6 +146,7 @@
             lambda: self.drain,
             self.configuration_follower.compute_confirmation_age,
             lambda: self.configuration_follower.follower.confirmed_by,
+            lambda: self._may_serve(store),
         )
         self.drain = Drain(
             scheduler,
@@ -339,6 +341,12 @@
         )
         return loaded and not self.drain.stopping
 
+    def _may_serve(self, store: PlatformStore) -> bool:
+        """Return whether the node may serve by the configuration that it has."""
+        age = self.configuration_follower.compute_confirmation_age()
+        contact_seconds = store.contact.measure(self._scheduler.now())
+        return may_serve(age, contact_seconds, self.settings.configuration)
+
     def stop(self, cause: str) -> None:
         """Finish the open requests, then end the process."""
         stop = self.settings.stop
--- a/bronzetiller/gateway/peer_reader.py
+++ b/bronzetiller/gateway/peer_reader.py
@@ -50,8 +50,8 @@
     """Read one partition from the sources among the peers, or from the store itself.
 
     Records that came through this node are rejected, so that no two nodes use each other as the
-    source. peer_wait_seconds is the wait at a peer, if it differs from that at the store: the age of
-    relayed data is the sum of the waits.
+    source. peer_wait_seconds is the wait at a peer, if it differs from that at the store: the age
+    of relayed data is the sum of the waits.
     """
 
     scheduler: Scheduler
--- a/bronzetiller/gateway/settings.py
+++ b/bronzetiller/gateway/settings.py
@@ -9,6 +9,7 @@
 from bronzetiller.documents import Problem
 from bronzetiller.net.address import Address
 from bronzetiller.settings_file import load_settings_file
+from bronzetiller.sync.confirmation import ConfigurationBounds
 
 
 @frozen
@@ -69,6 +70,7 @@
     stop: GatewayStop
     capacity: GatewayCapacity
     fleet_secret: str = field(validator=min_len(16), repr=False)
+    configuration: ConfigurationBounds = field(factory=ConfigurationBounds)
     seeds: list[Address] = field(factory=list)
     connections_max: int = field(default=3_000, validator=gt(0))
     log_lines_per_second: int = field(default=400, validator=gt(0))
--- a/bronzetiller/platform/store.py
+++ b/bronzetiller/platform/store.py
@@ -37,6 +37,7 @@
     get_offset,
     make_position,
 )
+from bronzetiller.sync.contact import Contact
 from bronzetiller.sync.late_calls import PATIENT_SECONDS, LateCalls
 
 # Responses usually take 4 ms, plus 60 ms on the network; the timeout follows slower ones.
@@ -71,6 +72,7 @@
     _http: HttpClient
     _address: Address
     answered_at: float = -math.inf
+    contact: Contact = field(factory=Contact)
     _late_calls: LateCalls = field(factory=LateCalls)
 
     def read_newest(
@@ -198,6 +200,7 @@
                 self._late_calls.record_response(scheduler.now() - started_at - wait_seconds)
                 if status in EXECUTED_STATUSES:
                     self.answered_at = scheduler.now()
+                    self.contact.record_answer(self.answered_at)
                 self._late_calls.end(kind, open_call.cancel)
                 if late is not None:
                     self._late_calls.cancel_others(kind)
--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -49,8 +49,8 @@
     newest ones until nothing changes: over a slow connection, each read of all versions would take
     longer than the one before. After reads have failed for some time, every follower does so.
 
-    Records are relayed to other nodes as current until they are relayed_seconds_max old, or, without
-    it, as long as the relay chooses.
+    Records are relayed to other nodes as current until they are relayed_seconds_max old, or,
+    without it, as long as the relay chooses.
 
     confirmed_before is the confirmation before the last one, for a listener that cannot apply it.
     confirmed_by says, for logs, who confirmed the values last, and with how many records.
--- a/bronzetiller/sync/confirmation.py
+++ b/bronzetiller/sync/confirmation.py
@@ -1,4 +1,11 @@
-"""Decide what a node may refuse by how long ago its configuration was confirmed; no I/O."""
+"""Decide what a node may serve and refuse by how long ago its configuration was confirmed; no I/O.
+
+A node without the store goes on serving by what it has. One that the store answers could know of
+every version in force, so that it serves nothing by one that may not be any more.
+"""
+
+from attrs import field, frozen
+from attrs.validators import gt
 
 CONFIRMATION_SECONDS_MAX = 2.5
 RETRY_AGE_SHARE = 0.25
@@ -7,6 +14,24 @@
 JITTER_SHARE = 0.4
 
 
+@frozen
+class ConfigurationBounds:
+    """Set within how long a version is in force at nodes that the store has answered for long.
+
+    apply_ms counts from the acknowledgement of the version, contact_ms is for how long a node has
+    to be in contact with the store for the first bound to hold (milliseconds).
+    """
+
+    apply_ms: float = field(default=3_000.0, validator=gt(0))
+    contact_ms: float = field(default=4_000.0, validator=gt(0))
+
+
+def may_serve(age_seconds: float, contact_seconds: float, bounds: ConfigurationBounds) -> bool:
+    """Return whether a node may serve what its configuration allows."""
+    is_in_contact = contact_seconds * 1000 >= bounds.contact_ms
+    return not is_in_contact or age_seconds * 1000 <= bounds.apply_ms
+
+
 def is_outdated(age_seconds: float) -> bool:
     """Return whether a version that the node does not know may be in force.
 
--- /dev/null
+++ b/bronzetiller/sync/contact.py
@@ -0,0 +1,25 @@
+"""Track for how long a server has answered without a long gap; no I/O."""
+
+import math
+
+from attrs import define
+
+GAP_SECONDS_MAX = 2.0  # a heartbeat is written every 1.25 s
+
+
+@define
+class Contact:
+    """Hold when a server answered (seconds on the scheduler's clock)."""
+
+    _began_at: float = math.inf
+    _answered_at: float = -math.inf
+
+    def record_answer(self, now: float) -> None:
+        """Record that the server answered any call."""
+        if now - self._answered_at > GAP_SECONDS_MAX:
+            self._began_at = now
+        self._answered_at = now
+
+    def measure(self, now: float) -> float:
+        """Return for how many seconds it has answered, 0 if it does not now."""
+        return 0.0 if now - self._answered_at > GAP_SECONDS_MAX else now - self._began_at
--- a/tests/test_outdated_refusals.py
+++ b/tests/test_outdated_refusals.py
@@ -3,13 +3,14 @@
 import json
 import logging
 import time
+from unittest import mock
 
 import pytest
 from attrs import define, field
 
 from bronzetiller.errors import Reason
 from bronzetiller.fleet.drain import Drain
-from bronzetiller.gateway import followers
+from bronzetiller.gateway import application, followers
 from bronzetiller.gateway.allocation_manager import AllocationManager
 from bronzetiller.gateway.application import Application
 from bronzetiller.gateway.budget_refusals import refuse_uncovered
@@ -22,9 +23,12 @@
     CONFIRMATION_SECONDS_MAX,
     RETRY_SECONDS_MAX,
     RETRY_SECONDS_MIN,
+    ConfigurationBounds,
     choose_retry_seconds,
     is_outdated,
+    may_serve,
 )
+from bronzetiller.sync.contact import Contact
 from standins.fake_scheduler import FakeScheduler
 from standins.gateway_fleet import (
     HOST,
@@ -340,3 +344,68 @@
     node.write(2)
     node.scheduler.advance(2.0)
     assert node.refuse().status == 404
+
+
+@define(eq=False)
+class ServingNode(Node):
+    """Refuse by the bounds of the configuration; the store answers other calls if it is asked."""
+
+    contact: Contact = field(factory=Contact)
+    reaches_store: bool = True
+
+    def __attrs_post_init__(self):
+        super().__attrs_post_init__()
+        self.application.may_serve = lambda: may_serve(
+            self.follower.compute_confirmation_age(),
+            self.contact.measure(self.scheduler.now()),
+            ConfigurationBounds(apply_ms=3_000, contact_ms=4_000),
+        )
+        self.scheduler.call_every(1.25, self._write_heartbeat)
+
+    def _write_heartbeat(self):
+        if self.reaches_store:
+            self.contact.record_answer(self.scheduler.now())
+
+    def is_served(self):
+        with mock.patch.object(application, "RequestHandler") as handler:
+            self.application.serve(FakeExchange("/score/2f"))
+        return handler.called
+
+
+@pytest.fixture
+def serving_node():
+    """Return a node that has been in contact with the store for a while."""
+    node = ServingNode()
+    node.write(1)
+    node.follower.follower.start()
+    node.scheduler.advance(6.0)
+    return node
+
+
+def test_a_node_that_the_store_answers_serves_nothing_by_a_version_that_may_be_out_of_force(
+    serving_node,
+):
+    node = serving_node
+    assert node.is_served()
+    node.client.mode = "down"  # for reads of the configuration
+    node.write(2)
+    node.scheduler.advance(2.0)
+    assert node.is_served()
+    node.scheduler.advance(1.6)
+    assert not node.is_served() and node.refuse("/score/2f").status == 503
+    node.client.mode = "up"
+    node.scheduler.advance(3.0)
+    assert node.is_served()
+
+
+def test_a_node_without_the_store_goes_on_serving_what_it_knows(serving_node):
+    node = serving_node
+    node.client.mode, node.reaches_store = "down", False
+    for _ in range(20):
+        node.scheduler.advance(1.0)
+        assert node.is_served()
+    node.reaches_store = True
+    node.scheduler.advance(3.0)
+    assert node.is_served()  # as it is not in contact for long enough yet
+    node.scheduler.advance(3.0)
+    assert not node.is_served()
