Take no part of an answer, and no status that HTTP lacks, for a whole answer

MIXED, seen on other systems and here: a target that answers a long upload at once with a 200 without a length, sends a part, closes its sending side and resets 0.15 s later: callers got the part as a complete answer (all of 4 requests in each of 8 cases: uploads of 40 and 900 KB, calls that may and may not run twice, reset and close with unread bytes). And the statuses 600 and 999 were passed on to callers (4 cases); 000 and 099 were not.

Cause: the end that a target sends was taken for the end of a response without a length, though the same close may still become a reset, which says that the request was never read in full. The connection now waits 0.25 s for it, and for the upload to be received, if the request has a body. An answer of a target that has read the upload passes as before, that much later; requests without a body do not wait. A status above 599 fails its call like any malformed head, for the gateway, `bronzetiller node` and the store.

--- a/bronzetiller/net/dialer.py
+++ b/bronzetiller/net/dialer.py
@@ -15,6 +15,11 @@
 
 from bronzetiller.net.address import Address, parse_address
 from bronzetiller.net.loop import Loop
+from bronzetiller.net.response_ends import (
+    RESET_WAIT_SECONDS,
+    count_unacknowledged_bytes,
+    is_reset,
+)
 from bronzetiller.net.scheduler import Scheduler, Timer
 from bronzetiller.net.sockets import StreamSockets
 
@@ -26,11 +31,16 @@
 
 @frozen
 class ConnectionHandlers:
-    """Hold the callbacks of one connection; closed is called last, once, with the cause."""
+    """Hold the callbacks of one connection; closed is called last, once, with the cause.
+
+    If awaits_reset returns True when the other end has stopped sending, the connection counts as
+    closed only if no reset follows for RESET_WAIT_SECONDS after all that was written is received.
+    """
 
     connected: Callable[[], None]
     received: Callable[[bytes], None]
     closed: Callable[[str], None]
+    awaits_reset: Callable[[], bool] = lambda: False
 
 
 @define(eq=False)
@@ -150,7 +160,23 @@
 
     def handle_eof(self, sock: socket) -> None:
         """Close the connection once the other end has finished sending."""
-        self._fail(sock, CLOSED)
+        connection = self._connections.get(sock)
+        if connection is None or not connection._handlers.awaits_reset():
+            self._fail(sock, CLOSED)
+            return
+        self.pause(sock)
+        self._scheduler.call_after(RESET_WAIT_SECONDS, lambda: self._settle(sock, connection))
+
+    def _settle(self, sock: socket, connection: Connection) -> None:
+        """Close a connection that may have been reset since the other end stopped sending."""
+        if self._connections.get(sock) is not connection:
+            return
+        if is_reset(sock):
+            self._fail(sock, RESET)
+        elif self.count_unsent_bytes(sock) or count_unacknowledged_bytes(sock):
+            self._scheduler.call_after(RESET_WAIT_SECONDS, lambda: self._settle(sock, connection))
+        else:
+            self._fail(sock, CLOSED)
 
     def handle_close(self, sock: socket) -> None:
         """Notify the handlers of a reset connection."""
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -7,16 +7,16 @@
 import h11
 from attrs import define, field, frozen
 
-from bronzetiller.logs import log_event
-from bronzetiller.metrics import DISCARDED_RESPONSES
 from bronzetiller.net.dialer import CLOSED, Address, Connection, ConnectionHandlers, Dialer
+from bronzetiller.net.discarded_responses import report_discarded
 from bronzetiller.net.idle_connections import (
     IDLE_SECONDS_MAX,
     CarriedIds,
     IdleConnections,
     parse_keep_alive_seconds,
 )
-from bronzetiller.net.response_heads import is_joined, merge_headers
+from bronzetiller.net.response_ends import may_be_cut
+from bronzetiller.net.response_heads import check_head, merge_headers
 from bronzetiller.net.scheduler import Scheduler, Timeout
 
 BODILESS_METHODS = ("GET", "HEAD", "DELETE")
@@ -187,9 +187,14 @@
 
     def dial(self, dialer: Dialer) -> None:
         assert self.open_call is not None
-        handlers = ConnectionHandlers(self.transmit, self.receive, self.handle_close)
+        handlers = ConnectionHandlers(
+            self.transmit, self.receive, self.handle_close, self.awaits_reset
+        )
         self.connection = dialer.dial(self.address, self.open_call.call.connect_seconds, handlers)
 
+    def awaits_reset(self) -> bool:
+        return self.open_call is not None and may_be_cut(self.open_call.call.body, self.parser)
+
     def transmit(self) -> None:
         assert self.open_call is not None and self.connection is not None
         call = self.open_call.call
@@ -307,16 +312,13 @@
                 if open_call.done:
                     return
             if isinstance(event, h11.Response):
-                if is_joined(event):
-                    self.fail("the head contains the status line of another response")
-                    return
-                headers = merge_headers(event.headers)
-                head = ResponseHead(event.status_code, headers)
-                self.keep_alive_seconds = parse_keep_alive_seconds(headers)
+                check_head(event)
+                head = ResponseHead(event.status_code, merge_headers(event.headers))
+                self.keep_alive_seconds = parse_keep_alive_seconds(head.headers)
                 is_matching = open_call.call.is_matching
                 self.mismatched = is_matching is not None and not is_matching(head)
                 if self.mismatched:
-                    self.report_mismatch(head)
+                    report_discarded(self.address, head.status, self.sent_requests - 1)
                 else:
                     open_call.listener(head)
             elif isinstance(event, h11.EndOfMessage) and self.mismatched:
@@ -347,15 +349,6 @@
         self.body_bytes += size
         return call.body_bytes_max is None or self.body_bytes <= call.body_bytes_max
 
-    def report_mismatch(self, head: ResponseHead) -> None:
-        DISCARDED_RESPONSES.inc()
-        log_event(
-            "response_discarded",
-            address=self.address,
-            status=head.status,
-            earlier_requests=self.sent_requests - 1,
-        )
-
     def await_next_response(self, call: HttpCall) -> bool:
         """Parse what follows a mismatched response as the response to the request already sent."""
         self.mismatched_responses += 1
--- a/bronzetiller/net/response_heads.py
+++ b/bronzetiller/net/response_heads.py
@@ -9,6 +9,7 @@
 
 import h11
 
+STATUS_MAX = 599
 # A status line begins like this; its version alone may stand in a header such as Via.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?: |$)")
 
@@ -19,6 +20,15 @@
     return any(_STATUS_LINE.search(text) for text in texts)
 
 
+def check_head(response: h11.Response) -> None:
+    """Raise RemoteProtocolError for a head that is no response, though h11 can parse it."""
+    status = response.status_code
+    if status > STATUS_MAX:
+        raise h11.RemoteProtocolError(f"status {status}, expected at most {STATUS_MAX}")
+    if is_joined(response):
+        raise h11.RemoteProtocolError("the head contains the status line of another response")
+
+
 def merge_headers(headers: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
     """Return headers by name; different values of one name make a list, but for cookies.
 
