Wait for the node to know a restarted target in the test of cut copies

The cases with 421 register the target again before each request and waited 0.1 s for the node to read that. They now wait until the node has logged the registration; each check is as before.

--- a/tests/test_copied_refusals.py
+++ b/tests/test_copied_refusals.py
@@ -103,6 +103,13 @@
     return charges
 
 
+def count_registrations(fleet, target):
+    """Return how often the node has logged a start of the target."""
+    lines = (fleet.folder / "node-1.log").read_text().splitlines()
+    marks = ("event=target_registered ", f" target={target.target_id} ")
+    return sum(all(mark in f"{line} " for mark in marks) for line in lines)
+
+
 def check_promises(fleet, target, replies):
     """Check the replies of requests, each a list in the order in which they were sent."""
     for request_id, sequence in replies.items():
@@ -226,8 +233,12 @@
     replies = {}
     for number in range(2 * REQUESTS):
         if status.startswith("421"):  # the node takes the target for gone
+            before = count_registrations(fleet, target)
             register(target.target_id, service, target.raw.address, born=number + 2)
-            time.sleep(0.1)
+            await_true(
+                lambda before=before: count_registrations(fleet, target) > before,
+                what="a registration at the node",
+            )
         request_id = f"{number:08}"
         replies[request_id] = [send(fleet, route, request_id)]
     check_promises(fleet, target, replies)
