Check in the soak that no version counts as current after a newer one

Each log line with a version and the age of its confirmation is compared with the acknowledgements of the versions that the soak writes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from random import Random
 
+from soak.confirmations import find_false_confirmations, read_confirmations
 from soak.copies import generate_copies
 from soak.environment import TARGET_SERVICES, Environment
 from soak.faults import Step, generate_statements, generate_steps, generate_upgrade
@@ -92,6 +93,9 @@
         violations += find_violations(
             history, read_runs(environment.runs_paths), environment.prepaid
         )
+        violations += find_false_confirmations(
+            read_confirmations(environment.log_paths), environment.acknowledged_at
+        )
         _report(seed, history, environment, violations)
         return violations
     finally:
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -37,6 +37,7 @@
     unexpected_exits: list[str] = field(factory=list)
     kills: list[tuple[str, float]] = field(factory=list)  # nodes, and when (Unix seconds)
     _started: dict[str, int] = field(factory=lambda: dict.fromkeys(TARGET_SERVICES, 1))
+    acknowledged_at: dict[int, float] = field(factory=dict)  # versions (Unix seconds)
     _version: int = 1
     _ids: dict[str, str] = field(factory=lambda: {name: name for name in TARGET_SERVICES})
     _links: dict[str, str] = field(factory=dict)
@@ -214,6 +215,7 @@
         self.prepaid += tokens
         self._version += 1
         self.fleet.configure(self._version, prepaid=self.prepaid)
+        self.acknowledged_at[self._version] = time.time()
 
     def heal(self) -> None:
         """Clear all faults, and start the processes that are not running."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from soak.__main__ import run_seed
+from soak.confirmations import find_false_confirmations, read_confirmations
 from soak.copies import generate_copies
 from soak.faults import generate_steps
 from soak.history import (
@@ -170,3 +171,17 @@
     taken_up = Sent("r3", "draft", True, 3, 200, make_body("r3", "draft", 3, 3), True, 3)
     broken = replace(STREAM, whole=False, body=make_body("r2", "draft", 2))
     assert len(check_history([broken, taken_up], runs)) == found
+
+
+@pytest.mark.parametrize(("age", "violations"), [(0.2, 1), (3.0, 0)])
+def test_a_version_that_counts_as_current_though_a_newer_one_was_acknowledged_is_found(
+    tmp_path, age, violations
+):
+    line = "time=2026-12-06T21:00:10.000 level=INFO node=node-1 event=refused id=a "
+    line += f"reason=unknown_route version=3 confirmation_age={age} confirmed_by=store:0\n"
+    path = tmp_path / "node-1.log"
+    path.write_text(line)
+    confirmations = read_confirmations({"node-1": path})
+    logged_at = confirmations[0].at + age
+    acknowledged_at = {2: logged_at - 6.0, 3: logged_at - 4.0, 4: logged_at - 2.0}
+    assert len(find_false_confirmations(confirmations, acknowledged_at)) == violations
