--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -13,7 +13,6 @@
     KEY,
     MODEL_SERVICE,
     PLAIN_SERVICE,
-    GatewayFleet,
     send_request,
 )
 from standins.path_engine import make_registration
@@ -32,7 +31,7 @@
     def __init__(self, target_id, end, *, body=PART, reads_upload=False):
         self.target_id, self._end, self._body = target_id, end, body
         self._reads_upload = reads_upload
-        self.requests = 0
+        self.requests = []
         self._listener = socket.create_server(("127.0.0.1", 0))
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -67,7 +66,7 @@
                 connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
                 return
             headers = dict(line.lower().split(": ", 1) for line in lines[1:])
-            self.requests += 1
+            self.requests.append(headers.get("x-request-id", ""))
             left = int(headers.get("content-length", 0)) - len(body)
             answer = (
                 "HTTP/1.1 200 OK\r\n"
@@ -85,22 +84,9 @@
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
 
 
-@pytest.fixture(scope="module")
-def fleet():
-    fleet = GatewayFleet()
-    try:
-        fleet.start_store()
-        fleet.configure(1, prepaid=1_000_000)
-        fleet.start_target("warm-engine", MODEL_SERVICE)
-        fleet.start_target("warm-desk", PLAIN_SERVICE)
-        fleet.start_node("node-1")
-        fleet.await_ready("node-1")
-        await_true(lambda: fleet.send("node-1", "score", "warm").status == 200, what="tokens")
-        for target_id in ("warm-engine", "warm-desk"):
-            fleet.append_record("keyed.servers", target_id, b"")
-        yield fleet
-    finally:
-        fleet.close()
+@pytest.fixture
+def fleet(warm_gateway):
+    return warm_gateway
 
 
 @pytest.fixture
@@ -126,7 +112,7 @@
 def send(fleet, target, route, size):
     """Send a request until the target has got it; return the reply."""
     replies = []
-    before = target.requests if isinstance(target.requests, int) else len(target.requests)
+    before = len(target.requests)
 
     def is_answered():
         name = f"e{next(_numbers)}"
@@ -136,8 +122,7 @@
             headers |= {"X-Token-Usage": "40,10", "X-Model": "m", "X-Prompt-Prefix": f"{name}:40"}
         address = fleet.address("node-1")
         replies.append(send_request(address, "POST", f"/{route}/{name}", headers, body))
-        now = target.requests if isinstance(target.requests, int) else len(target.requests)
-        return now > before
+        return len(target.requests) > before
 
     await_true(is_answered, what="a request at the target")
     return replies[-1]
