Go on serving while the store answers slowly

By the rule of a node behind a store that takes 1.6 s would have refused every other request: its confirmations are up to 4 s old and the store answers. A slow answer now ends the contact, as the store or the way to it is in trouble; the test fails without that.

--- a/bronzetiller/platform/store.py
+++ b/bronzetiller/platform/store.py
@@ -197,10 +197,11 @@
                 timer.cancel()
                 status = event.status
                 era = _decode_era(event)
-                self._late_calls.record_response(scheduler.now() - started_at - wait_seconds)
+                seconds = scheduler.now() - started_at - wait_seconds
+                self._late_calls.record_response(seconds)
                 if status in EXECUTED_STATUSES:
                     self.answered_at = scheduler.now()
-                    self.contact.record_answer(self.answered_at)
+                    self.contact.record_answer(self.answered_at, seconds)
                 self._late_calls.end(kind, open_call.cancel)
                 if late is not None:
                     self._late_calls.cancel_others(kind)
--- a/bronzetiller/sync/contact.py
+++ b/bronzetiller/sync/contact.py
@@ -1,10 +1,11 @@
-"""Track for how long a server has answered without a long gap; no I/O."""
+"""Track for how long a server has answered promptly, without a long gap; no I/O."""
 
 import math
 
 from attrs import define
 
 GAP_SECONDS_MAX = 2.0  # a heartbeat is written every 1.25 s
+ANSWER_SECONDS_MAX = 0.5  # a server that takes longer is in trouble, or the way to it is
 
 
 @define
@@ -14,8 +15,11 @@
     _began_at: float = math.inf
     _answered_at: float = -math.inf
 
-    def record_answer(self, now: float) -> None:
-        """Record that the server answered any call."""
+    def record_answer(self, now: float, seconds: float) -> None:
+        """Record that the server answered any call, and how long that took."""
+        if seconds > ANSWER_SECONDS_MAX:
+            self._answered_at = -math.inf
+            return
         if now - self._answered_at > GAP_SECONDS_MAX:
             self._began_at = now
         self._answered_at = now
--- a/tests/test_outdated_refusals.py
+++ b/tests/test_outdated_refusals.py
@@ -352,6 +352,7 @@
 
     contact: Contact = field(factory=Contact)
     reaches_store: bool = True
+    answer_seconds: float = 0.01
 
     def __attrs_post_init__(self):
         super().__attrs_post_init__()
@@ -364,7 +365,7 @@
 
     def _write_heartbeat(self):
         if self.reaches_store:
-            self.contact.record_answer(self.scheduler.now())
+            self.contact.record_answer(self.scheduler.now(), self.answer_seconds)
 
     def is_served(self):
         with mock.patch.object(application, "RequestHandler") as handler:
@@ -409,3 +410,11 @@
     assert node.is_served()  # as it is not in contact for long enough yet
     node.scheduler.advance(3.0)
     assert not node.is_served()
+
+
+def test_a_node_goes_on_serving_while_the_store_answers_slowly(serving_node):
+    node = serving_node
+    node.client.mode, node.answer_seconds = "down", 1.6
+    for _ in range(20):
+        node.scheduler.advance(1.0)
+        assert node.is_served()
