--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -15,7 +15,7 @@
     IdleConnections,
     parse_keep_alive_seconds,
 )
-from bronzetiller.net.response_ends import may_be_cut
+from bronzetiller.net.response_ends import ends_by_close, may_be_cut
 from bronzetiller.net.response_heads import check_head, merge_headers
 from bronzetiller.net.scheduler import Scheduler, Timeout
 
@@ -172,6 +172,7 @@
     mismatched_responses: int = 0
     mismatched_bytes: int = 0
     mismatched: bool = False
+    unframed: bool = False
     informational_responses: int = 0
     body_bytes: int = 0
     sent_requests: int = 0
@@ -193,7 +194,9 @@
         self.connection = dialer.dial(self.address, self.open_call.call.connect_seconds, handlers)
 
     def awaits_reset(self) -> bool:
-        return self.open_call is not None and may_be_cut(self.open_call.call.body, self.parser)
+        if self.open_call is None or not self.unframed:
+            return False
+        return may_be_cut(self.open_call.call.body, self.parser)
 
     def transmit(self) -> None:
         assert self.open_call is not None and self.connection is not None
@@ -315,6 +318,7 @@
                 check_head(event)
                 head = ResponseHead(event.status_code, merge_headers(event.headers))
                 self.keep_alive_seconds = parse_keep_alive_seconds(head.headers)
+                self.unframed = ends_by_close(head.headers)
                 is_matching = open_call.call.is_matching
                 self.mismatched = is_matching is not None and not is_matching(head)
                 if self.mismatched:
--- a/bronzetiller/net/response_ends.py
+++ b/bronzetiller/net/response_ends.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import termios
+from collections.abc import Mapping
 
 import h11
 
@@ -16,8 +17,13 @@
 _COUNT = struct.Struct("i")
 
 
+def ends_by_close(headers: Mapping[str, str]) -> bool:
+    """Return whether a response with these headers, if it has a body, ends with its connection."""
+    return "content-length" not in headers and "transfer-encoding" not in headers
+
+
 def may_be_cut(request_body: bytes, parser: h11.Connection) -> bool:
-    """Return whether a reset may follow the end of a response whose body has begun."""
+    """Return whether a reset may follow the end of a response without a length."""
     return bool(request_body) and parser.their_state is h11.SEND_BODY
 
 
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from bronzetiller.net.response_ends import RESET_WAIT_SECONDS
 from standins.gateway_fleet import (
     HOST,
     KEY,
@@ -150,6 +151,17 @@
         assert reply.status == 200 and reply.body == PART
 
 
+def test_an_answer_with_a_length_that_breaks_off_is_lost_at_once(fleet, start):
+    headers = ("Content-Length: 600",)
+    target = start(
+        RawTarget(f"cut-{next(_numbers)}", lambda request: RawAnswer([PART], headers, "close")),
+    )
+    send(fleet, target, "order", 100)
+    started_at = time.monotonic()
+    assert send(fleet, target, "order", 100).status == 502
+    assert time.monotonic() - started_at < RESET_WAIT_SECONDS
+
+
 @pytest.mark.parametrize("status", ["000", "099", "600", "999"])
 @pytest.mark.parametrize(("route", "service"), [("order", PLAIN_SERVICE), ("score", MODEL_SERVICE)])
 def test_a_status_that_http_does_not_have_is_no_answer(fleet, start, status, route, service):
