Serve requests only in the regions that their routes and workspaces allow

Routes and workspaces of the configuration may state allowed_regions, which nothing read: requests went to targets, peers and entry nodes anywhere.

The regions of a request are decided in gateway/allowed_regions.py, and gateway/permitted_targets.py lists the targets that it may use. They apply to the choice of a service and of a target, to the judgement whether a node is cut off, also in heartbeats (cut_off_regions), to the peers that forward, and to the lookup of a host. A request without a permitted target is refused with 503 and Retry-After at once. A waiting request that may not use a slot that became free leaves it to the next one.

--- a/bronzetiller/gateway/brittle_targets.py
+++ b/bronzetiller/gateway/brittle_targets.py
@@ -156,15 +156,19 @@
             self._scheduler.call_after(0, lambda: self._resume_next(service))
 
     def _resume_next(self, service: str) -> None:
-        """Resume the most urgent waiting request if a slot is free."""
+        """Resume the most urgent waiting request that can use a free slot."""
         waiters, now = self._waiters[service], self._scheduler.now()
         targets = self._targets.get(service, ())
-        while waiters and any(self.find_free_at(target, now) <= now for target in targets):
-            if self._resume(waiters, min(waiters, key=lambda item: item.priority)):
+        for waiter in sorted(waiters, key=lambda item: item.priority):
+            if not any(self.find_free_at(target, now) <= now for target in targets):
+                return
+            if waiter in waiters and self._resume(waiters, waiter):
                 return
 
     def _resume(self, waiters: list[_Waiter], waiter: _Waiter) -> bool:
+        """Resume a request; return False if it ends or waits again, as it may not use the slot."""
         waiters.remove(waiter)
+        waiting = len(waiters)
         waiter.timer.cancel()
         QUEUED_REQUESTS.dec()
-        return waiter.resume()
+        return waiter.resume() and len(waiters) <= waiting
--- a/bronzetiller/gateway/configuration.py
+++ b/bronzetiller/gateway/configuration.py
@@ -6,6 +6,8 @@
 
 from bronzetiller.gateway.requests import Prompt
 
+AllowedRegions = frozenset[str] | None  # None: any region
+
 
 @frozen
 class WeightedBackend:
@@ -20,7 +22,7 @@
     """Describe a route; times are in seconds, priority 0 is the most urgent.
 
     A response is on time if it arrives within latency_target_seconds, a stream if its events are at
-    most event_gap_seconds apart.
+    most event_gap_seconds apart. Its requests are served in the given regions only.
     """
 
     name: str
@@ -35,6 +37,7 @@
     attempts_max: int
     priority: int
     public: bool
+    regions: AllowedRegions = None
 
 
 @frozen
@@ -47,11 +50,15 @@
 
 @frozen
 class WorkspaceConfiguration:
-    """Describe a workspace; prepaid_tokens is its total budget, or None if it has none."""
+    """Describe a workspace; prepaid_tokens is its total budget, or None if it has none.
+
+    Its requests are served in the given regions only.
+    """
 
     name: str
     priority: int | None
     prepaid_tokens: int | None
+    regions: AllowedRegions = None
 
 
 @frozen
@@ -80,11 +87,22 @@
         """Return whether callers need an API key."""
         return bool(self.workspaces)
 
-    def find_route(self, host: str, path: str) -> PathRoute | None:
-        """Return the route with the longest matching path prefix."""
+    @property
+    def has_allowed_regions(self) -> bool:
+        """Return whether any route or workspace is limited to regions."""
+        stated = [route.regions for items in self.routes.values() for route in items]
+        stated += [item.regions for item in (*self.workspaces.values(), *self.keys.values())]
+        return any(item is not None for item in stated)
+
+    def list_routes(self, host: str) -> tuple[PathRoute, ...]:
+        """Return the routes of a host, which may have a port."""
         has_port = ":" in host and not host.endswith("]")  # an IPv6 literal has colons of its own
         hostname = host.rpartition(":")[0] if has_port else host
-        for route in self.routes.get(hostname.lower(), ()):
+        return self.routes.get(hostname.lower(), ())
+
+    def find_route(self, host: str, path: str) -> PathRoute | None:
+        """Return the route with the longest matching path prefix."""
+        for route in self.list_routes(host):
             if path.startswith(route.path_prefix):
                 return route
         return None
--- a/bronzetiller/gateway/forwarded_request.py
+++ b/bronzetiller/gateway/forwarded_request.py
@@ -21,6 +21,7 @@
     StreamStarted,
     make_call,
 )
+from bronzetiller.gateway.configuration import AllowedRegions
 from bronzetiller.gateway.forwarding import PeerForwarder
 from bronzetiller.gateway.members import Member
 from bronzetiller.gateway.requests import RequestMetadata
@@ -63,6 +64,7 @@
     _on_end: Callable[[int, Refusal | None], None]
     _execution: Execution
     _quota: BufferQuota
+    _regions: AllowedRegions = None
     _peers: int = 0
     _events: int = 0
 
@@ -70,7 +72,7 @@
         """Send the request to a peer; return False if none can take it, or its caller has left."""
         now = self._scheduler.now()
         may_send = self._peers < PEERS_MAX and not self._exchange.done
-        peer = self._forwarder.choose(self._services, now) if may_send else None
+        peer = self._choose_peer(now) if may_send else None
         if peer is None:
             return False
         self._peers += 1
@@ -87,6 +89,9 @@
         attempt.start(self._http, self._make_call(attempt, now))
         return True
 
+    def _choose_peer(self, now: float) -> Member | None:
+        return self._forwarder.choose(self._services, now, self._regions)
+
     def _make_call(self, attempt: Attempt, now: float) -> HttpCall:
         """Make a call on a new connection, as an idle one may have been closed meanwhile."""
         seconds_left = self._deadline - now
--- a/bronzetiller/gateway/forwarding.py
+++ b/bronzetiller/gateway/forwarding.py
@@ -3,13 +3,15 @@
 Designed for a node, most nodes of a data centre or most of a fleet that reach no target of a
 service for seconds, while peers that do have capacity left. Peers that are cut off themselves say
 so in their heartbeats. All nodes that are cut off together forward at most what the peers in touch
-can bear; the rest is refused at once.
+can bear; the rest is refused at once. Requests that are limited to regions go only to peers there.
 """
 
 from collections.abc import Callable, Collection
 
 from attrs import define, field
 
+from bronzetiller.gateway.allowed_regions import allows
+from bronzetiller.gateway.configuration import AllowedRegions
 from bronzetiller.gateway.members import Member
 from bronzetiller.gateway.placement import Distances
 
@@ -24,30 +26,39 @@
 
 @define(eq=False)
 class PeerForwarder:
-    """Choose peers and count the requests forwarded to them; times are monotonic seconds."""
+    """Choose peers and count the requests forwarded to them; times are monotonic seconds.
+
+    list_regions returns the regions in which a service has targets.
+    """
 
     _own_id: str
     _distances: Distances
     _list_members: Callable[[], list[Member]]
     _draw_uniform: Callable[[], float]
+    _list_regions: Callable[[str], set[str]] = lambda service: set()
     _requests: float = 0.0
     _refilled_at: float = 0.0
     _avoid_until: dict[str, float] = field(factory=dict)
 
-    def list_peers(self, services: Collection[str], now: float) -> list[Member]:
-        """Return the peers that reach targets of one of the services."""
+    def list_peers(
+        self, services: Collection[str], now: float, allowed: AllowedRegions = None
+    ) -> list[Member]:
+        """Return the peers in allowed regions that reach targets of one of the services there."""
         return [
             item
             for item in self._list_members()
             if item.node_id != self._own_id
-            and not set(services) <= set(item.cut_off)
+            and self._reaches(item, services, allowed)
+            and allows(allowed, self._distances.regions.get(item.data_centre))
             and self._avoid_until.get(item.node_id, 0.0) <= now
         ]
 
-    def choose(self, services: Collection[str], now: float) -> Member | None:
+    def choose(
+        self, services: Collection[str], now: float, allowed: AllowedRegions = None
+    ) -> Member | None:
         """Choose a peer for one request and count it; None if the peers can bear no more."""
-        peers = self.list_peers(services, now)
-        self._refill(services, peers, now)
+        peers = self.list_peers(services, now, allowed)
+        self._refill(services, peers, now, allowed)
         if not peers or self._requests < 1.0:
             return None
         self._requests -= 1.0
@@ -58,10 +69,28 @@
         """Leave a peer alone that could not be reached."""
         self._avoid_until[node_id] = now + AVOID_SECONDS
 
-    def _refill(self, services: Collection[str], peers: list[Member], now: float) -> None:
+    def _reaches(self, member: Member, services: Collection[str], allowed: AllowedRegions) -> bool:
+        """Return whether a member reaches a target of the services in an allowed region."""
+        reached = set(services).difference(member.cut_off)
+        if allowed is None:
+            return bool(reached)
+        return any(
+            self._list_regions(name)
+            .intersection(allowed)
+            .difference(member.cut_off_regions.get(name, ()))
+            for name in reached
+        )
+
+    def _refill(
+        self,
+        services: Collection[str],
+        peers: list[Member],
+        now: float,
+        allowed: AllowedRegions,
+    ) -> None:
         """Add the requests that may be forwarded since the last one."""
         cut_off = 1 + sum(
-            set(services) <= set(item.cut_off)
+            not self._reaches(item, services, allowed)
             for item in self._list_members()
             if item.node_id != self._own_id
         )
--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -55,7 +55,8 @@
     forwarded_load those that it receives from peers.
     limits holds the requests per second that targets state to accept from the fleet, brittle the
     refusals per second that the targets of a service state to survive, cut_off the services of
-    which the node reaches no target, and leaving the targets that say that they are leaving.
+    which the node reaches no target, leaving the targets that say that they are leaving, and
+    cut_off_regions, by service, the regions in which the node reaches none of its targets.
     """
 
     node_id: str
@@ -72,6 +73,7 @@
     cut_off: tuple[str, ...] = ()
     forwarded_load: float = 0.0
     leaving: dict[str, Statement] = field(factory=dict)
+    cut_off_regions: dict[str, tuple[str, ...]] = field(factory=dict)
 
     @property
     def expected_load(self) -> float:
@@ -94,6 +96,7 @@
             "cut_off": self.cut_off,
             "forwarded_load": round(self.forwarded_load, 2),
             **(encode_statements("leaving", self.leaving) if self.leaving else {}),
+            **({"cut_off_regions": self.cut_off_regions} if self.cut_off_regions else {}),
         }
         return json.dumps(value).encode()
 
@@ -130,6 +133,10 @@
             tuple(map(str, item.get("cut_off", ()))),
             float(item.get("forwarded_load", 0.0)),
             decode_statements("leaving", item),
+            {
+                str(service): tuple(map(str, regions))
+                for service, regions in item.get("cut_off_regions", {}).items()
+            },
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -16,6 +16,7 @@
 from bronzetiller.fleet.neighbours import rank_nodes
 from bronzetiller.fleet.peers import Peers
 from bronzetiller.gateway.allocation_manager import AllocationManager
+from bronzetiller.gateway.allowed_regions import choose_host_regions, select_members
 from bronzetiller.gateway.application import Application
 from bronzetiller.gateway.brittle_targets import BrittleNode, BrittleTargets
 from bronzetiller.gateway.budget_refusals import refuse_uncovered
@@ -36,6 +37,7 @@
 from bronzetiller.gateway.members import HEARTBEAT_SECONDS, Member, Members
 from bronzetiller.gateway.peer_links import PeerLinks
 from bronzetiller.gateway.peer_reader import PeerReader
+from bronzetiller.gateway.permitted_targets import PermittedTargets
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.reachability import Reachability
 from bronzetiller.gateway.readers import SourceMap
@@ -136,8 +138,13 @@
             streams=self.streams,
             reachability=self.reachability,
             forwarder=PeerForwarder(
-                settings.node_id, self.distances, self.members.list_serving, self._draw_uniform
+                settings.node_id,
+                self.distances,
+                self.members.list_serving,
+                self._draw_uniform,
+                self.permitted.list_regions,
             ),
+            permitted=self.permitted,
             starts=RegisteredStarts(lambda: self.targets_follower.follower.confirmed_at),
         )
         application = Application(
@@ -173,7 +180,8 @@
         """Set up the followers of the store, which read it directly or through a peer."""
         scheduler = self._scheduler
         self.pool = TargetPool()
-        self.reachability = Reachability(scheduler, http, self.pool)
+        self.permitted = PermittedTargets(self.pool, self.distances.regions)
+        self.reachability = Reachability(scheduler, http, self.pool, self.permitted)
         configuration_reader = self._make_reader(store, OPERATOR_TOPIC)
         configuration_reader.peer_wait_seconds = CONFIGURATION_PEER_WAIT_SECONDS
         self.configuration_follower = ConfigurationFollower(
@@ -370,9 +378,12 @@
         settled = self.allocation_manager.is_settled and self.reservation_client.is_settled
         return not self.drain.stopping or settled
 
-    def _list_entry_addresses(self, data_centre: str) -> list[str]:
-        members = self.members.list_serving()
-        entries = choose_entries(members, data_centre, self.distances.regions)
+    def _list_entry_addresses(self, data_centre: str, region: str, host: str) -> list[str]:
+        configuration, regions = self.configuration_follower.configuration, self.distances.regions
+        allowed = choose_host_regions(configuration, host)
+        caller_region = regions.get(data_centre, region or None)
+        members = select_members(self.members.list_serving(), allowed, caller_region, regions)
+        entries = choose_entries(members, data_centre, regions)
         return [item.address for item in entries]
 
     def _make_member(self) -> Member:
@@ -391,6 +402,7 @@
             cut_off=tuple(self.reachability.list_cut_off()),
             forwarded_load=self.request_context.forwarded_rate.estimate(now) or 0.0,
             leaving=self.admission.departures.list_stated(now),
+            cut_off_regions=self.reachability.list_cut_off_regions(),
         )
 
     def _on_configuration(self, configuration: GatewayConfiguration) -> None:
@@ -407,6 +419,7 @@
             )
         )
         self.allocation_manager.set_workspaces(configuration.workspaces)
+        self.reachability.states_regions = configuration.has_allowed_regions
         if not self._preallocation_scheduled:
             self._preallocation_scheduled = True
             self._scheduler.call_after(PREALLOCATION_DELAY_SECONDS, self.allocation_manager.start)
--- /dev/null
+++ b/bronzetiller/gateway/permitted_targets.py
@@ -0,0 +1,49 @@
+"""List the targets of a service that the operator's rules permit for a request; no I/O."""
+
+from collections.abc import Collection, Mapping
+
+from attrs import define, field
+
+from bronzetiller.gateway.allowed_regions import allows
+from bronzetiller.gateway.configuration import AllowedRegions
+from bronzetiller.gateway.targets import Target, TargetPool
+
+
+@define(eq=False)
+class PermittedTargets:
+    """Apply allowed regions to the targets in service; regions are given by data centre."""
+
+    _pool: TargetPool
+    _regions: Mapping[str, str] = field(factory=dict)
+
+    def list_targets(self, service: str, allowed: AllowedRegions = None) -> list[Target]:
+        """Return the targets of a service that a request for the allowed regions may use."""
+        targets = self._pool.list_targets(service)
+        if allowed is None:
+            return targets
+        return [item for item in targets if allows(allowed, self.find_region(item))]
+
+    def list_all(self, services: Collection[str], allowed: AllowedRegions = None) -> list[Target]:
+        """Return the permitted targets of several services."""
+        return [item for name in services for item in self.list_targets(name, allowed)]
+
+    def list_services(self, allowed: AllowedRegions = None) -> set[str]:
+        """Return the services that have at least one permitted target."""
+        return {name for name in self._pool.list_services() if self.list_targets(name, allowed)}
+
+    def list_regions(self, service: str) -> set[str]:
+        """Return the regions in which a service has permitted targets."""
+        regions = {self.find_region(item) for item in self.list_targets(service)}
+        return {item for item in regions if item is not None}
+
+    def find_region(self, target: Target) -> str | None:
+        """Return the region of a target, or None if that of its data centre is not known."""
+        return self._regions.get(target.registration.data_centre)
+
+    def explain_lack(self, services: Collection[str], allowed: AllowedRegions) -> str | None:
+        """Return why none of the targets of the services is permitted, or None if one is."""
+        if self.list_all(services, allowed):
+            return None
+        if not any(self._pool.list_targets(name) for name in services):
+            return None
+        return f"no target is in an allowed region ({', '.join(sorted(allowed or ())) or 'none'})"
--- a/bronzetiller/gateway/reachability.py
+++ b/bronzetiller/gateway/reachability.py
@@ -10,8 +10,10 @@
 
 from collections.abc import Callable, Collection
 
-from attrs import define, field
+from attrs import Factory, define, field
 
+from bronzetiller.gateway.configuration import AllowedRegions
+from bronzetiller.gateway.permitted_targets import PermittedTargets
 from bronzetiller.gateway.targets import Target, TargetPool
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import TARGET_PROBES, UNREACHABLE_TARGETS
@@ -39,16 +41,21 @@
 class Reachability:
     """Hold the targets out of reach, with the times of their last probes (monotonic seconds).
 
-    on_change is called when this node no longer reaches any target of a service, or does again.
+    on_change is called when this node no longer reaches any target of a service, or does again;
+    with states_regions, also when this is so for the targets of a service in one region.
     """
 
     _scheduler: Scheduler
     _http: HttpClient
     _pool: TargetPool
+    _permitted: PermittedTargets = Factory(
+        lambda self: PermittedTargets(self._pool), takes_self=True
+    )
     on_change: Callable[[], None] = lambda: None
+    states_regions: bool = False
     _probed_at: dict[Target, float] = field(factory=dict)
     _probes: dict[Target, OpenCall] = field(factory=dict)
-    _cut_off: list[str] = field(factory=list)
+    _cut_off: tuple[list[str], dict[str, tuple[str, ...]]] = field(factory=lambda: ([], {}))
 
     def start(self) -> None:
         """Start reviewing the targets."""
@@ -64,18 +71,36 @@
             return targets
         return [item for item in targets if self.is_reachable(item)] or targets
 
-    def is_cut_off(self, services: Collection[str]) -> bool:
-        """Return whether there are targets of the services, and this node reaches none of them."""
+    def is_cut_off(self, services: Collection[str], allowed: AllowedRegions = None) -> bool:
+        """Return whether there are targets of the services, and this node reaches none of them.
+
+        Only the targets in allowed regions count.
+        """
         if not self._probed_at:
             return False
-        targets = [item for name in services for item in self._pool.list_targets(name)]
+        targets = self._permitted.list_all(services, allowed)
         return bool(targets) and not any(map(self.is_reachable, targets))
 
     def list_cut_off(self) -> list[str]:
         """Return the services of which this node reaches no target."""
         if not self._probed_at:
             return []
-        return sorted(name for name in self._pool.list_services() if self.is_cut_off([name]))
+        return sorted(name for name in self._permitted.list_services() if self.is_cut_off([name]))
+
+    def list_cut_off_regions(self) -> dict[str, tuple[str, ...]]:
+        """Return the regions in which this node reaches no target of a service, by service.
+
+        Services of which it reaches no target at all are not among them.
+        """
+        if not self.states_regions or not self._probed_at:
+            return {}
+        found = {}
+        for name in sorted(self._permitted.list_services().difference(self.list_cut_off())):
+            regions = sorted(self._permitted.list_regions(name))
+            found[name] = tuple(
+                item for item in regions if self.is_cut_off([name], frozenset([item]))
+            )
+        return {name: regions for name, regions in found.items() if regions}
 
     def record_connect_failure(self, target: Target, cause: str) -> None:
         """Record that a new connection to a target failed."""
@@ -154,7 +179,7 @@
         self._notify()
 
     def _notify(self) -> None:
-        cut_off = self.list_cut_off()
+        cut_off = self.list_cut_off(), self.list_cut_off_regions()
         if cut_off != self._cut_off:
             self._cut_off = cut_off
             self.on_change()
--- a/bronzetiller/gateway/request_context.py
+++ b/bronzetiller/gateway/request_context.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import Factory, define, field
 
 from bronzetiller.gateway.budgets import Budgets
 from bronzetiller.gateway.crashes import CrashTracker
 from bronzetiller.gateway.forwarding import PeerForwarder
+from bronzetiller.gateway.permitted_targets import PermittedTargets
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.reachability import Reachability
 from bronzetiller.gateway.registered_starts import RegisteredStarts
@@ -39,6 +40,9 @@
     reachability: Reachability
     forwarder: PeerForwarder
     starts: RegisteredStarts = field(factory=RegisteredStarts)
+    permitted: PermittedTargets = Factory(
+        lambda self: PermittedTargets(self.pool, self.distances.regions), takes_self=True
+    )
     open_requests: int = 0
     arrival_rate: RateMeter = field(factory=RateMeter)
     forwarded_rate: RateMeter = field(factory=RateMeter)
@@ -47,5 +51,10 @@
 
     def __attrs_post_init__(self) -> None:
         self.selection = TargetSelection(
-            self.pool, self.admission, self.reachability, self.streams, self.starts
+            self.pool,
+            self.permitted,
+            self.admission,
+            self.reachability,
+            self.streams,
+            self.starts,
         )
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -1,7 +1,5 @@
 """Handle one request of a path route, from its token reservation to the end of the response."""
 
-import math
-
 from attrs import define, field
 from result import Err, Result
 
@@ -11,6 +9,7 @@
     record_refusal,
 )
 from bronzetiller.errors import Ran, Reason, Refusal
+from bronzetiller.gateway.allowed_regions import choose_regions
 from bronzetiller.gateway.attempt import (
     Attempt,
     AttemptEvent,
@@ -23,6 +22,7 @@
     make_call,
 )
 from bronzetiller.gateway.configuration import (
+    AllowedRegions,
     GatewayConfiguration,
     PathRoute,
     WorkspaceConfiguration,
@@ -70,6 +70,7 @@
 STREAM_SILENCE_FACTOR = 5.0  # times the event gap, before another target is tried
 SILENCE_SECONDS_MIN = 0.7
 UNDELIVERED_EVENTS_MAX = 2  # charged for a broken stream: generated but not delivered
+LACK_RETRY_SECONDS = 1.0  # at the earliest, as no target is permitted until the operator acts
 SUSPECT_RETRY_SECONDS_MIN = 5  # while another node tries the request
 
 
@@ -104,6 +105,7 @@
     version: str | None = None
     caller_disconnected: bool = False
     finished: bool = False
+    _regions: AllowedRegions = None
     _flow: ResponseFlow = field(init=False)
     _held_events: HeldEvents = field(init=False)
     _fingerprints: list[str] | None = None
@@ -111,6 +113,7 @@
 
     def __attrs_post_init__(self) -> None:
         context = self.context
+        self._regions = choose_regions(self.route, self.workspace)
         self._flow = ResponseFlow(context.scheduler, self._on_silence)
         self._held_events = HeldEvents(
             context.scheduler,
@@ -216,7 +219,8 @@
         if self._forward_if_cut_off():
             return
         if not self.service:
-            name = choose_service(self.route, context.draw_uniform(), context.pool.list_services())
+            available = context.permitted.list_services(self._regions)
+            name = choose_service(self.route, context.draw_uniform(), available)
             self.service = name or ""
             context.find_retry_window(self.service).record_request(now)
         quarantined = self._find_quarantined()
@@ -241,10 +245,13 @@
         """Have a peer serve the request, or refuse it, if this node reaches none of its targets."""
         context, now = self.context, self.context.scheduler.now()
         services = {self.service} if self.service else self._services
-        if not context.reachability.is_cut_off(services):
+        if lack := context.permitted.explain_lack(services, self._regions):
+            self._refuse_with_retry_after(Reason.NO_TARGET, lack, LACK_RETRY_SECONDS)
+            return True
+        if not context.reachability.is_cut_off(services, self._regions):
             return False
         may_repeat = self.route.retryable and self.metadata.prompt is None
-        peers = context.forwarder.list_peers(services, now)
+        peers = context.forwarder.list_peers(services, now, self._regions)
         if self.metadata.forwarded_attempts is not None or not peers:
             return self._refuse_if_cut_off(services)
         if self.head_sent or (self.execution.may_have_run and not may_repeat):
@@ -270,6 +277,7 @@
             self._on_forwarded_end,
             self.execution,
             context.response_quota,
+            self._regions,
         )
         if not forwarded.start():
             detail = "this node reaches no target, and its peers can serve no more requests"
@@ -279,7 +287,7 @@
     def _refuse_if_cut_off(self, services: set[str]) -> bool:
         """Refuse the request if there is no open connection either."""
         context = self.context
-        targets = [item for name in services for item in context.pool.list_targets(name)]
+        targets = context.permitted.list_all(services, self._regions)
         if any(context.http.has_idle(item.registration.address) for item in targets):
             return False
         self._refuse_with_retry_after(
@@ -319,8 +327,8 @@
         quarantined = self._find_quarantined()
         if quarantined is None:
             return False
-        tracker, pool = self.context.crash_tracker, self.context.pool
-        versions = {item.version for name in self._services for item in pool.list_targets(name)}
+        tracker, permitted = self.context.crash_tracker, self.context.permitted
+        versions = {item.version for item in permitted.list_all(self._services, self._regions)}
         if self.version is not None:
             versions &= {self.version}
         if any(tracker.may_run(quarantined, version) for version in versions):
@@ -337,20 +345,11 @@
     @property
     def _criteria(self) -> TargetCriteria:
         tried = self.tried_target_ids
-        return TargetCriteria(self.service, tried, self.version, self._is_resumable)
+        return TargetCriteria(self.service, tried, self.version, self._is_resumable, self._regions)
 
     def _refuse_without_target(self) -> None:
         now = self.context.scheduler.now()
-        free_at = self.context.selection.find_free_at(self._criteria, now)
-        if free_at is None:
-            detail = "the service has no available target"
-            if self.version is not None:
-                detail = f"no target of {self.version}, which began the stream, is available"
-            self._refuse_with_retry_after(Reason.NO_TARGET, detail)
-            return
-        detail = "the targets of the service limit the requests of the fleet, pause or are full"
-        earliest = free_at - now if math.isfinite(free_at) else None
-        self._refuse_with_retry_after(Reason.OVERLOADED, detail, earliest)
+        self._refuse_with_retry_after(*self.context.selection.explain_lack(self._criteria, now))
 
     def _refuse_with_retry_after(
         self, reason: Reason, detail: str, earliest_seconds: float | None = None
--- a/bronzetiller/gateway/selection.py
+++ b/bronzetiller/gateway/selection.py
@@ -1,9 +1,13 @@
 """Select the targets to which a request may be sent now, or tell when it may be; no I/O."""
 
+import math
 from collections.abc import Collection
 
 from attrs import define, frozen
 
+from bronzetiller.errors import Reason
+from bronzetiller.gateway.configuration import AllowedRegions
+from bronzetiller.gateway.permitted_targets import PermittedTargets
 from bronzetiller.gateway.reachability import Reachability
 from bronzetiller.gateway.registered_starts import RegisteredStarts
 from bronzetiller.gateway.stream_records import StreamRecords
@@ -17,12 +21,16 @@
 
 @frozen
 class TargetCriteria:
-    """Describe what a request needs: a service, a version if it goes on with a stream of one."""
+    """Describe what a request needs: a service, a version if it goes on with a stream of one.
+
+    Its targets are in the given regions, or anywhere.
+    """
 
     service: str
     tried_target_ids: Collection[str]
     version: str | None
     is_resumable: bool
+    regions: AllowedRegions = None
 
 
 @define(eq=False)
@@ -30,6 +38,7 @@
     """Combine what the targets of a service say of themselves with what this node observed."""
 
     _pool: TargetPool
+    _permitted: PermittedTargets
     _admission: TargetAdmission
     _reachability: Reachability
     _streams: StreamRecords
@@ -42,7 +51,7 @@
         """
         return [
             target
-            for target in self._pool.list_targets(criteria.service)
+            for target in self._permitted.list_targets(criteria.service, criteria.regions)
             if target.target_id not in criteria.tried_target_ids
             and criteria.version in (None, target.version)
             and (criteria.version is None or self.starts.is_certain(target))
@@ -82,10 +91,19 @@
         )
         return others if has_room else targets
 
-    def find_free_at(self, criteria: TargetCriteria, now: float) -> float | None:
-        """Return when a target accepts a request, None without any, infinite if not known."""
+    def explain_lack(
+        self, criteria: TargetCriteria, now: float
+    ) -> tuple[Reason, str, float | None]:
+        """Return why no target accepts a request, and in how many seconds one does if known."""
         untried = self.list_untried(criteria)
-        return min((self._admission.find_free_at(item, now) for item in untried), default=None)
+        if not untried:
+            detail = "the service has no available target"
+            if criteria.version is not None:
+                detail = f"no target of {criteria.version}, which began the stream, is available"
+            return Reason.NO_TARGET, detail, None
+        free_at = min(self._admission.find_free_at(item, now) for item in untried)
+        detail = "the targets of the service limit the requests of the fleet, pause or are full"
+        return Reason.OVERLOADED, detail, free_at - now if math.isfinite(free_at) else None
 
 
 def compute_retry_after(earliest_seconds: float | None, draw: float) -> float:
--- a/bronzetiller/platform/decoding.py
+++ b/bronzetiller/platform/decoding.py
@@ -5,6 +5,7 @@
 from result import Err, Ok, Result
 
 from bronzetiller.gateway.configuration import (
+    AllowedRegions,
     CallerLimits,
     GatewayConfiguration,
     PathRoute,
@@ -66,9 +67,22 @@
         attempts_max=max(1, int(item.get("max_attempts") or 1)),
         priority=int(item.get("priority") or 0),
         public=bool(item.get("public")),
+        regions=_decode_regions(item),
     )
 
 
+def _decode_regions(item: dict[str, Any]) -> AllowedRegions:
+    """Decode the regions to which a route or workspace is limited; an empty list is no limit."""
+    names = item.get("allowed_regions")
+    if names is not None and not (isinstance(names, list) and all(map(_is_string, names))):
+        raise ValueError(f"allowed_regions must be a list of region names, not {names!r}")
+    return frozenset(names) if names else None
+
+
+def _is_string(value: Any) -> bool:
+    return isinstance(value, str)
+
+
 def _decode_service(item: dict[str, Any]) -> ServiceConfiguration:
     engine = item.get("engine") or {}
     return ServiceConfiguration(
@@ -84,6 +98,7 @@
         name=item["name"],
         priority=None if priority is None else int(priority),
         prepaid_tokens=None if prepaid is None else int(prepaid),
+        regions=_decode_regions(item),
     )
 
 
--- a/bronzetiller/platform/lookup.py
+++ b/bronzetiller/platform/lookup.py
@@ -24,16 +24,21 @@
 
 
 def make_lookup_application(
-    list_addresses: Callable[[str], list[str]], entry_seconds: float
+    list_addresses: Callable[[str, str, str], list[str]], entry_seconds: float
 ) -> Callable[[Exchange], None]:
-    """Return an HTTP application that lists the node addresses for a caller's data centre."""
+    """Return an HTTP application that lists the node addresses for callers.
+
+    list_addresses receives the data centre and the region of the caller, and the host that it wants
+    to reach; each may be empty.
+    """
 
     def serve(exchange: Exchange) -> None:
         if exchange.path != "/-/resolve":
             exchange.respond(404, _JSON, b"{}")
             return
-        zone = parse_qs(exchange.query).get("zone", [""])[0]
-        addresses = list_addresses(zone)[:ADDRESSES_MAX]
+        query = parse_qs(exchange.query)
+        zone, region, name = (query.get(item, [""])[0] for item in ("zone", "region", "name"))
+        addresses = list_addresses(zone, region, name)[:ADDRESSES_MAX]
         if not addresses:
             exchange.respond(503, _JSON, b"{}")
             return
--- a/tests/test_record_fields.py
+++ b/tests/test_record_fields.py
@@ -76,6 +76,7 @@
     cut_off=("names",),
     forwarded_load=0.5,
     leaving={"e1/9": Statement(1.0, 1)},
+    cut_off_regions={"desk": ("sask",)},
 )
 REPORT = CrashReport(
     crashes={"e1/9": Crash("e1/9", 5.5, frozenset({"request:1"}), "names/v1")},
