Send no requests to evacuated data centres

The operator's records evacuate/ZONE of the topic of the configuration were ignored, so that targets in an evacuated data centre went on getting requests.

ConfigurationFollower applies them before the configuration, with the same reads, relays and confirmations; gateway/evacuations.py holds what is evacuated. PermittedTargets leaves the targets there out of every choice, and a request without another target is refused with 503 and Retry-After. With the new setting configuration.evacuate_ms, a node in contact with the store sends nothing by evacuations that were confirmed too long ago.

The expectation of test_record_fields for a record of an earlier release no longer has the field cut_off_regions, which that release did not write.

--- a/bronzetiller/gateway/followers.py
+++ b/bronzetiller/gateway/followers.py
@@ -8,9 +8,10 @@
 from result import Err, Ok
 
 from bronzetiller.gateway.configuration import GatewayConfiguration
+from bronzetiller.gateway.evacuations import EvacuationChange, Evacuations
 from bronzetiller.gateway.targets import Registration, TargetPool
 from bronzetiller.logs import log_event
-from bronzetiller.metrics import CONFIGURATION_VERSION, DECISIONS
+from bronzetiller.metrics import CONFIGURATION_VERSION, DECISIONS, EVACUATED_DATA_CENTRES
 from bronzetiller.net.scheduler import Scheduler
 from bronzetiller.platform.decoding import decode_configuration, decode_registration
 from bronzetiller.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC, REGISTRATIONS_TOPIC
@@ -33,11 +34,12 @@
 
 @define(eq=False)
 class ConfigurationFollower:
-    """Hold the newest configuration; an older version never replaces it."""
+    """Hold the newest configuration, which no older version replaces, and the evacuations."""
 
     _scheduler: Scheduler
     _reader: KeyedReader
     _on_change: Callable[[GatewayConfiguration], None]
+    evacuations: Evacuations = field(factory=Evacuations)
     configuration: GatewayConfiguration | None = None
     _activated_at: float | None = None
     _unread_from: float | None = None
@@ -80,6 +82,7 @@
         )
 
     def _apply_records(self, records: list[KeyedRecord]) -> None:
+        self._apply_evacuations(records)
         values = [item.value for item in records if item.key == CONFIGURATION_KEY and item.value]
         if not values:
             return
@@ -93,6 +96,34 @@
                 self._unread_from = None
                 self._activate(configuration, len(values[-1]))
 
+    def _apply_evacuations(self, records: list[KeyedRecord]) -> None:
+        """Apply evacuations and their ends; those that a restored store lost hold for a while."""
+        changes = self.evacuations.apply(
+            ((item.key, item.value) for item in records),
+            self._scheduler.now(),
+            is_restored=self.follower.is_restoring,
+        )
+        self._log_evacuations(changes)
+        until = self.evacuations.find_lost_until()
+        if self.follower.is_restoring and until is not None:
+            self._scheduler.call_at(until, self._end_lost_evacuations)
+
+    def _end_lost_evacuations(self) -> None:
+        self._log_evacuations(self.evacuations.end_lost(self._scheduler.now()))
+
+    def _log_evacuations(self, changes: list[EvacuationChange]) -> None:
+        for change in changes:
+            log_event(
+                "evacuation_ended" if change.ended else "evacuation_began",
+                data_centre=change.data_centre,
+                seconds=round(change.seconds, 3),
+                cause=change.cause,
+                source=",".join(self.follower.source_path) or "store",
+                confirmation_age=round(self.compute_confirmation_age(), 3),
+                confirmed_by=self.follower.confirmed_by,
+            )
+        EVACUATED_DATA_CENTRES.set(len(self.evacuations.since))
+
     def _activate(self, configuration: GatewayConfiguration, size: int) -> None:
         known = -1 if self.configuration is None else self.configuration.version
         if configuration.version <= known:
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -27,6 +27,7 @@
 from bronzetiller.gateway.crashes import CrashTracker
 from bronzetiller.gateway.departures import DepartureNode, Departures
 from bronzetiller.gateway.entries import choose_entries
+from bronzetiller.gateway.evacuations import Evacuations
 from bronzetiller.gateway.followers import (
     CONFIGURATION_PEER_WAIT_SECONDS,
     ConfigurationFollower,
@@ -70,7 +71,7 @@
     REGISTRATIONS_TOPIC,
 )
 from bronzetiller.storage.keyed import KeyedStore
-from bronzetiller.sync.confirmation import may_serve
+from bronzetiller.sync.confirmation import may_send, may_serve
 from bronzetiller.sync.start import start_in_order
 
 CONFIRMATION_CHECK_SECONDS = 0.5
@@ -180,12 +181,18 @@
         """Set up the followers of the store, which read it directly or through a peer."""
         scheduler = self._scheduler
         self.pool = TargetPool()
-        self.permitted = PermittedTargets(self.pool, self.distances.regions)
+        self.evacuations = Evacuations()
+        self.permitted = PermittedTargets(
+            self.pool,
+            self.distances.regions,
+            self.evacuations,
+            lambda: may_send(*self._measure_contact(store), self.settings.configuration),
+        )
         self.reachability = Reachability(scheduler, http, self.pool, self.permitted)
         configuration_reader = self._make_reader(store, OPERATOR_TOPIC)
         configuration_reader.peer_wait_seconds = CONFIGURATION_PEER_WAIT_SECONDS
         self.configuration_follower = ConfigurationFollower(
-            scheduler, configuration_reader, self._on_configuration
+            scheduler, configuration_reader, self._on_configuration, self.evacuations
         )
         CONFIGURATION_CONFIRMATION_AGE.set_function(
             self.configuration_follower.compute_confirmation_age
@@ -351,9 +358,12 @@
 
     def _may_serve(self, store: PlatformStore) -> bool:
         """Return whether the node may serve by the configuration that it has."""
+        return may_serve(*self._measure_contact(store), self.settings.configuration)
+
+    def _measure_contact(self, store: PlatformStore) -> tuple[float, float]:
+        """Return the age of the configuration's confirmation and of the contact to the store."""
         age = self.configuration_follower.compute_confirmation_age()
-        contact_seconds = store.contact.measure(self._scheduler.now())
-        return may_serve(age, contact_seconds, self.settings.configuration)
+        return age, store.contact.measure(self._scheduler.now())
 
     def stop(self, cause: str) -> None:
         """Finish the open requests, then end the process."""
--- a/bronzetiller/gateway/permitted_targets.py
+++ b/bronzetiller/gateway/permitted_targets.py
@@ -1,27 +1,38 @@
 """List the targets of a service that the operator's rules permit for a request; no I/O."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from attrs import define, field
 
 from bronzetiller.gateway.allowed_regions import allows
 from bronzetiller.gateway.configuration import AllowedRegions
+from bronzetiller.gateway.evacuations import Evacuations
 from bronzetiller.gateway.targets import Target, TargetPool
 
 
 @define(eq=False)
 class PermittedTargets:
-    """Apply allowed regions to the targets in service; regions are given by data centre."""
+    """Apply allowed regions and evacuations; regions are given by data centre.
+
+    may_send returns whether the evacuations that this node knows are recent enough to send by.
+    """
 
     _pool: TargetPool
     _regions: Mapping[str, str] = field(factory=dict)
+    _evacuations: Evacuations = field(factory=Evacuations)
+    may_send: Callable[[], bool] = lambda: True
 
     def list_targets(self, service: str, allowed: AllowedRegions = None) -> list[Target]:
         """Return the targets of a service that a request for the allowed regions may use."""
         targets = self._pool.list_targets(service)
-        if allowed is None:
+        if allowed is None and not self._evacuations.since:
             return targets
-        return [item for item in targets if allows(allowed, self.find_region(item))]
+        return [item for item in targets if self._permits(item, allowed)]
+
+    def _permits(self, target: Target, allowed: AllowedRegions) -> bool:
+        if self._evacuations.is_evacuated(target.registration.data_centre):
+            return False
+        return allows(allowed, self.find_region(target))
 
     def list_all(self, services: Collection[str], allowed: AllowedRegions = None) -> list[Target]:
         """Return the permitted targets of several services."""
@@ -42,8 +53,17 @@
 
     def explain_lack(self, services: Collection[str], allowed: AllowedRegions) -> str | None:
         """Return why none of the targets of the services is permitted, or None if one is."""
+        if not self.may_send():
+            return "it is not confirmed which data centres are evacuated"
         if self.list_all(services, allowed):
             return None
-        if not any(self._pool.list_targets(name) for name in services):
+        targets = [item for name in services for item in self._pool.list_targets(name)]
+        if not targets:
             return None
-        return f"no target is in an allowed region ({', '.join(sorted(allowed or ())) or 'none'})"
+        regions = "" if allowed is None else f" in {', '.join(sorted(allowed)) or 'no region'}"
+        evacuated = sorted(
+            self._evacuations.since.keys() & {item.registration.data_centre for item in targets}
+        )
+        causes = [f"requests are allowed only{regions}"] if regions else []
+        causes += [f"evacuated: {', '.join(evacuated)}"] if evacuated else []
+        return f"no target may be used; {'; '.join(causes)}"
--- a/bronzetiller/gateway/selection.py
+++ b/bronzetiller/gateway/selection.py
@@ -60,8 +60,11 @@
     def list_usable(self, criteria: TargetCriteria, now: float) -> list[Target]:
         """Return the untried targets that accept a request of this node now.
 
-        A stream that cannot be recorded begins at a target whose streams need no record.
+        A stream that cannot be recorded begins at a target whose streams need no record. There are
+        none while evacuations may exist that this node should know.
         """
+        if not self._permitted.may_send():
+            return []
         targets = [
             target
             for target in self._reachability.select(self.list_untried(criteria))
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -87,6 +87,11 @@
     ["topic"],
     registry=REGISTRY,
 )
+EVACUATED_DATA_CENTRES = Gauge(
+    "bronzetiller_evacuated_data_centres",
+    "Data centres whose targets get no requests of this node, by the operator's records.",
+    registry=REGISTRY,
+)
 UNREACHABLE_TARGETS = Gauge(
     "bronzetiller_unreachable_targets",
     "Targets that this node does not reach.",
--- a/bronzetiller/platform/topics.py
+++ b/bronzetiller/platform/topics.py
@@ -5,6 +5,7 @@
 
 OPERATOR_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
+EVACUATION_KEY_PREFIX = "evacuate/"  # of the data centre; the record exists as long as it holds
 REGISTRATIONS_TOPIC = "keyed.servers"
 NODES_TOPIC = "keyed.nodes"
 CRASHES_TOPIC = "keyed.crashes"
--- a/bronzetiller/storage/keyed_follower.py
+++ b/bronzetiller/storage/keyed_follower.py
@@ -43,7 +43,7 @@
     confirmed_at when it was asked for them, so that no newer ones existed then; lost_at is when
     reads began to fail (None while they succeed), regained_at when they last succeeded again,
     restored_at when the store was last found in a later era (seconds, monotonic). A restoration
-    counts as an outage.
+    counts as an outage; is_restoring is true while its records are delivered.
 
     With skips_versions, a follower that received several versions of a key at once reads only the
     newest ones until nothing changes: over a slow connection, each read of all versions would take
@@ -74,6 +74,7 @@
     lost_at: float | None = None
     regained_at: float | None = None
     restored_at: float | None = None
+    is_restoring: bool = False
     confirmed_before: float = float("-inf")
     confirmed_by: str = ""
     _discarded: list[str] = field(factory=list)
@@ -242,6 +243,7 @@
             read_to=get_offset(self.position),
         )
         self.restored_at = self.regained_at = self._scheduler.now()
+        self.is_restoring = True
 
     def _apply_batch(self, batch: RecordBatch) -> None:
         now = self._contact_at = self._scheduler.now()
@@ -270,6 +272,7 @@
             self._deliver(changed)
             for action in self._listeners:
                 action()
+        self.is_restoring = False
 
     def _schedule_read(self) -> None:
         self._scheduler.call_after(self.pause_seconds, self._read)
--- a/bronzetiller/sync/confirmation.py
+++ b/bronzetiller/sync/confirmation.py
@@ -5,13 +5,14 @@
 """
 
 from attrs import field, frozen
-from attrs.validators import gt
+from attrs.validators import gt, optional
 
 CONFIRMATION_SECONDS_MAX = 2.5
 RETRY_AGE_SHARE = 0.25
 RETRY_SECONDS_MIN = 0.5
 RETRY_SECONDS_MAX = 5.0
 JITTER_SHARE = 0.4
+SEND_MARGIN_MS = 800.0  # a request may be sent 0.7 s later, once its connection is open
 
 
 @frozen
@@ -19,17 +20,31 @@
     """Set within how long a version is in force at nodes that the store has answered for long.
 
     apply_ms counts from the acknowledgement of the version, contact_ms is for how long a node has
-    to be in contact with the store for the first bound to hold (milliseconds).
+    to be in contact with the store for the first bound to hold (milliseconds). evacuate_ms is the
+    same as apply_ms for evacuations of data centres; without it, they have no bound of their own.
     """
 
     apply_ms: float = field(default=3_000.0, validator=gt(0))
     contact_ms: float = field(default=4_000.0, validator=gt(0))
+    evacuate_ms: float | None = field(default=None, validator=optional(gt(0)))
 
 
 def may_serve(age_seconds: float, contact_seconds: float, bounds: ConfigurationBounds) -> bool:
     """Return whether a node may serve what its configuration allows."""
+    is_in_time = age_seconds * 1000 <= bounds.apply_ms
     is_in_contact = contact_seconds * 1000 >= bounds.contact_ms
-    return not is_in_contact or age_seconds * 1000 <= bounds.apply_ms
+    return (not is_in_contact or is_in_time) and may_send(age_seconds, contact_seconds, bounds)
+
+
+def may_send(age_seconds: float, contact_seconds: float, bounds: ConfigurationBounds) -> bool:
+    """Return whether a node may send requests to the targets that no evacuation forbids.
+
+    It also limits requests that the node took on while its configuration was confirmed.
+    """
+    is_in_contact = contact_seconds * 1000 >= bounds.contact_ms
+    if not is_in_contact or bounds.evacuate_ms is None:
+        return True
+    return age_seconds * 1000 <= bounds.evacuate_ms - SEND_MARGIN_MS
 
 
 def is_outdated(age_seconds: float) -> bool:
--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -123,8 +123,8 @@
     assert permitted.list_regions("u") == set()
     assert permitted.explain_lack(["t", "s"], frozenset({"west"})) is None
     assert permitted.explain_lack(["nothing"], frozenset({"west"})) is None
-    assert "(west)" in permitted.explain_lack(["t"], frozenset({"west"}))
-    assert "(none)" in permitted.explain_lack(["s"], frozenset())
+    assert "only in west" in permitted.explain_lack(["t"], frozenset({"west"}))
+    assert "only in no region" in permitted.explain_lack(["s"], frozenset())
 
 
 def test_a_node_is_cut_off_from_a_region_while_it_reaches_targets_in_others(pool):
--- a/tests/test_record_fields.py
+++ b/tests/test_record_fields.py
@@ -76,7 +76,6 @@
     cut_off=("names",),
     forwarded_load=0.5,
     leaving={"e1/9": Statement(1.0, 1)},
-    cut_off_regions={"desk": ("sask",)},
 )
 REPORT = CrashReport(
     crashes={"e1/9": Crash("e1/9", 5.5, frozenset({"request:1"}), "names/v1")},
@@ -104,7 +103,7 @@
     "keyed.holdings": HOLDING,
 }
 ENCODED = {
-    "keyed.nodes": MEMBER.encode(),
+    "keyed.nodes": attrs.evolve(MEMBER, cut_off_regions={"desk": ("sask",)}).encode(),
     "keyed.crashes": encode_report(REPORT),
     "keyed.versions": BASE.encode(),
     "keyed.holdings": HOLDING.encode(),
