--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -16,6 +16,7 @@
 from bronzetiller.fleet.neighbours import rank_nodes
 from bronzetiller.fleet.peers import Peers
 from bronzetiller.gateway.allocation_manager import AllocationManager
+from bronzetiller.gateway.allowed_regions import choose_host_regions, select_members
 from bronzetiller.gateway.application import Application
 from bronzetiller.gateway.brittle_targets import BrittleNode, BrittleTargets
 from bronzetiller.gateway.budget_refusals import refuse_uncovered
@@ -26,6 +27,7 @@
 from bronzetiller.gateway.crashes import CrashTracker
 from bronzetiller.gateway.departures import DepartureNode, Departures
 from bronzetiller.gateway.entries import choose_entries
+from bronzetiller.gateway.evacuations import Evacuations
 from bronzetiller.gateway.followers import (
     CONFIGURATION_PEER_WAIT_SECONDS,
     ConfigurationFollower,
@@ -36,6 +38,7 @@
 from bronzetiller.gateway.members import HEARTBEAT_SECONDS, Member, Members
 from bronzetiller.gateway.peer_links import PeerLinks
 from bronzetiller.gateway.peer_reader import PeerReader
+from bronzetiller.gateway.permitted_targets import PermittedTargets
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.reachability import Reachability
 from bronzetiller.gateway.readers import SourceMap
@@ -68,7 +71,7 @@
     REGISTRATIONS_TOPIC,
 )
 from bronzetiller.storage.keyed import KeyedStore
-from bronzetiller.sync.confirmation import may_serve
+from bronzetiller.sync.confirmation import may_send, may_serve
 from bronzetiller.sync.start import start_in_order
 
 CONFIRMATION_CHECK_SECONDS = 0.5
@@ -136,8 +139,13 @@
             streams=self.streams,
             reachability=self.reachability,
             forwarder=PeerForwarder(
-                settings.node_id, self.distances, self.members.list_serving, self._draw_uniform
+                settings.node_id,
+                self.distances,
+                self.members.list_serving,
+                self._draw_uniform,
+                self.permitted.list_regions,
             ),
+            permitted=self.permitted,
             starts=RegisteredStarts(lambda: self.targets_follower.follower.confirmed_at),
         )
         application = Application(
@@ -173,11 +181,18 @@
         """Set up the followers of the store, which read it directly or through a peer."""
         scheduler = self._scheduler
         self.pool = TargetPool()
-        self.reachability = Reachability(scheduler, http, self.pool)
+        self.evacuations = Evacuations()
+        self.permitted = PermittedTargets(
+            self.pool,
+            self.distances.regions,
+            self.evacuations,
+            lambda: may_send(*self._measure_contact(store), self.settings.configuration),
+        )
+        self.reachability = Reachability(scheduler, http, self.pool, self.permitted)
         configuration_reader = self._make_reader(store, OPERATOR_TOPIC)
         configuration_reader.peer_wait_seconds = CONFIGURATION_PEER_WAIT_SECONDS
         self.configuration_follower = ConfigurationFollower(
-            scheduler, configuration_reader, self._on_configuration
+            scheduler, configuration_reader, self._on_configuration, self.evacuations
         )
         CONFIGURATION_CONFIRMATION_AGE.set_function(
             self.configuration_follower.compute_confirmation_age
@@ -343,9 +358,12 @@
 
     def _may_serve(self, store: PlatformStore) -> bool:
         """Return whether the node may serve by the configuration that it has."""
+        return may_serve(*self._measure_contact(store), self.settings.configuration)
+
+    def _measure_contact(self, store: PlatformStore) -> tuple[float, float]:
+        """Return the age of the configuration's confirmation and of the contact to the store."""
         age = self.configuration_follower.compute_confirmation_age()
-        contact_seconds = store.contact.measure(self._scheduler.now())
-        return may_serve(age, contact_seconds, self.settings.configuration)
+        return age, store.contact.measure(self._scheduler.now())
 
     def stop(self, cause: str) -> None:
         """Finish the open requests, then end the process."""
@@ -370,9 +388,12 @@
         settled = self.allocation_manager.is_settled and self.reservation_client.is_settled
         return not self.drain.stopping or settled
 
-    def _list_entry_addresses(self, data_centre: str) -> list[str]:
-        members = self.members.list_serving()
-        entries = choose_entries(members, data_centre, self.distances.regions)
+    def _list_entry_addresses(self, data_centre: str, region: str, host: str) -> list[str]:
+        configuration, regions = self.configuration_follower.configuration, self.distances.regions
+        allowed = choose_host_regions(configuration, host)
+        caller_region = regions.get(data_centre, region or None)
+        members = select_members(self.members.list_serving(), allowed, caller_region, regions)
+        entries = choose_entries(members, data_centre, regions)
         return [item.address for item in entries]
 
     def _make_member(self) -> Member:
@@ -391,6 +412,7 @@
             cut_off=tuple(self.reachability.list_cut_off()),
             forwarded_load=self.request_context.forwarded_rate.estimate(now) or 0.0,
             leaving=self.admission.departures.list_stated(now),
+            cut_off_regions=self.reachability.list_cut_off_regions(),
         )
 
     def _on_configuration(self, configuration: GatewayConfiguration) -> None:
@@ -407,6 +429,7 @@
             )
         )
         self.allocation_manager.set_workspaces(configuration.workspaces)
+        self.reachability.states_regions = configuration.has_allowed_regions
         if not self._preallocation_scheduled:
             self._preallocation_scheduled = True
             self._scheduler.call_after(PREALLOCATION_DELAY_SECONDS, self.allocation_manager.start)
