Read load reports that state how long work takes at a target

Cause: a report of four figures counted as malformed, so that no load report was used at all on deployments whose targets state their pace.

--- a/bronzetiller/gateway/attempt.py
+++ b/bronzetiller/gateway/attempt.py
@@ -216,6 +216,7 @@
         load = decode_load_report(head)
         if load is not None:
             self.target.record_load(load, self.now())
+            self.target.pace.record(load.slowdown, self.now())
         if verdict is not Verdict.MISDIRECTED:
             self.record_bounds(
                 decode_stated_bounds(head, self.request_id), not verdict.proves_not_run
--- a/bronzetiller/gateway/placement.py
+++ b/bronzetiller/gateway/placement.py
@@ -17,6 +17,7 @@
 TIE_BREAK_SECONDS = 0.002  # random amount that breaks ties between targets of equal cost
 PENDING_PREFILL_FACTOR = 2.0  # pending prompts of all nodes for each one of this node
 LOAD_COST_SECONDS = 0.08  # delay that a full batch adds to the first token, from its step times
+CALL_SECONDS = 0.03  # the documented work of a plain call is 22 to 90 ms
 FULL_COST_SECONDS = 1.0  # wait for a slot of a full target: about half the duration of a stream
 REPEATED_PREFILL_FACTOR = 5.0  # a second copy takes prefill time and cache space from others
 RANK_COST_SECONDS = 0.004  # between ranks of a prompt, so that all nodes prefer the same target
@@ -95,16 +96,18 @@
 ) -> float:
     """Estimate the cost (seconds) of a placement: distance, prefill, load and failures."""
     load = target.estimate_load(now) / target.registration.slots
-    cost = distances.estimate(target.registration.data_centre)
     prefill = estimate_prefill(target, request, is_preferred=rank == 0)
-    cost += prefill.tokens / PREFILL_TOKENS_PER_SECOND
+    work = prefill.tokens / PREFILL_TOKENS_PER_SECOND
+    work += PENDING_PREFILL_FACTOR * target.pending_prefill_tokens / PREFILL_TOKENS_PER_SECOND
+    work += LOAD_COST_SECONDS * load * (1 + load)
+    if load >= 1:
+        work += FULL_COST_SECONDS * load
+    if request.prompt is None:
+        work += CALL_SECONDS
+    cost = distances.estimate(target.registration.data_centre) + target.pace.slowdown * work
     cost += REPEATED_PREFILL_FACTOR * prefill.shared_tokens / PREFILL_TOKENS_PER_SECOND
     cost += RANK_COST_SECONDS * (rank or 0)
-    cost += PENDING_PREFILL_FACTOR * target.pending_prefill_tokens / PREFILL_TOKENS_PER_SECOND
     cost += target.estimate_queue_delay(now)
-    cost += LOAD_COST_SECONDS * load * (1 + load)
-    if load >= 1:
-        cost += FULL_COST_SECONDS * load
     return cost + FAILURE_COST_SECONDS * target.failure_rate
 
 
--- a/bronzetiller/gateway/requests.py
+++ b/bronzetiller/gateway/requests.py
@@ -64,11 +64,15 @@
 
 @frozen
 class LoadReport:
-    """Count the running and waiting requests of a target and its slots."""
+    """Count the running and waiting requests of a target and its slots.
+
+    slowdown states how long work takes at the target now, in proportion to its usual time.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 @frozen
--- a/bronzetiller/gateway/targets.py
+++ b/bronzetiller/gateway/targets.py
@@ -7,6 +7,7 @@
 from attrs import define, evolve, field, frozen
 
 from bronzetiller.gateway.requests import LoadReport
+from bronzetiller.gateway.target_pace import TargetPace
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import TARGET_AVOIDANCES
 from bronzetiller.net.address import Address
@@ -48,6 +49,7 @@
     sent_since_report: int = 0
     load_report: LoadReport | None = None
     load_reported_at: float = 0.0
+    pace: TargetPace = field(factory=TargetPace)
     avoid_until: float = 0.0
     consecutive_failures: int = 0
     failure_rate: float = 0.0
--- a/bronzetiller/platform/headers.py
+++ b/bronzetiller/platform/headers.py
@@ -30,6 +30,7 @@
 _WORKSPACE = "x-tenant"
 _PRIORITY = "x-request-priority"
 _LOAD = "x-server-load"
+_USUAL_PERCENT = 100  # the figure that a target states when work takes as long as usual
 _REQUEST_LIMIT = "server-limit"  # requests per second from all nodes together
 _REFUSALS_SURVIVED = "server-brittle"  # refusals per second; one more ends the target
 _SEAL = "x-response-seal"
@@ -162,12 +163,17 @@
 
 
 def decode_load_report(head: ResponseHead) -> LoadReport | None:
-    """Decode the load that a target reports: running and waiting requests, and slots."""
+    """Decode the load that a target reports: running and waiting requests, and slots.
+
+    A fourth figure states how long work takes there now, in hundredths of its usual time.
+    """
     numbers = [_parse_int(part) for part in head.headers.get(_LOAD, "").split(",")]
-    if len(numbers) != 3 or None in numbers:
+    if len(numbers) not in (3, 4) or None in numbers:
         return None
-    running, waiting, slots = numbers
-    return LoadReport(running, waiting, slots)  # type: ignore[arg-type]
+    running, waiting, slots = numbers[:3]
+    percent = numbers[3] if len(numbers) == 4 else _USUAL_PERCENT
+    slowdown = (percent or _USUAL_PERCENT) / _USUAL_PERCENT
+    return LoadReport(running, waiting, slots, slowdown)  # type: ignore[arg-type]
 
 
 def decode_stated_bounds(head: ResponseHead, request_id: str) -> StatedBounds:
