--- a/bronzetiller/gateway/target_pace.py
+++ b/bronzetiller/gateway/target_pace.py
@@ -1,4 +1,4 @@
-"""Estimate how long work takes at a target, by what it states and by what this node observed; no I/O.
+"""Estimate how long work takes at a target, by what it states; no I/O.
 
 Designed for targets that share their machines with others: each states many times a second how long
 work takes there at the moment. A report is some hundred milliseconds old when it is used, and all
