Hold requests for some tenths of a second while a starting node reads its configuration

Change: a node that the store answers holds up to 256 requests for at most 0.8 s and a quarter of the caller's time, in the order of their arrival; without the store it refuses at once, with a Retry-After of 1 to 4 s that grows with the time since the start.

--- a/bronzetiller/gateway/application.py
+++ b/bronzetiller/gateway/application.py
@@ -15,6 +15,7 @@
 from bronzetiller.gateway.request_context import RequestContext
 from bronzetiller.gateway.request_handler import DEADLINE_MARGIN_SECONDS, RequestHandler
 from bronzetiller.gateway.requests import RequestMetadata
+from bronzetiller.gateway.start_queue import StartQueue
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.platform.headers import decode_request_metadata, make_not_run_headers
 from bronzetiller.requests.execution import is_promise
@@ -34,10 +35,14 @@
     get_confirmation_age: Callable[[], float]  # seconds
     get_confirmation_source: Callable[[], str]
     may_serve: Callable[[], bool] = lambda: True
+    start_queue: StartQueue | None = None
 
     def serve(self, exchange: Exchange) -> None:
         """Serve one request of a caller."""
-        now = self.context.scheduler.now()
+        self._serve(exchange, self.context.scheduler.now())
+
+    def _serve(self, exchange: Exchange, arrived_at: float) -> None:
+        """Serve a request that arrived at a time (monotonic seconds), now or once held."""
         metadata = decode_request_metadata(exchange.headers)
         drain = self.get_drain()
         if drain.stopping:
@@ -45,13 +50,13 @@
         if drain.refusing:
             self._refuse_stopping(exchange, metadata, "the node is stopping; look up another node")
             return
+        if self.start_queue is not None and self.start_queue.hold(
+            exchange, metadata.seconds_left, lambda: self._serve(exchange, arrived_at)
+        ):
+            return
         configuration = self.get_configuration()
         if configuration is None:
-            detail = "the node has not read a configuration yet"
-            refusal = Refusal(
-                503, Reason.NOT_READY, detail, retry_after_seconds=STARTING_RETRY_SECONDS
-            )
-            self._refuse(exchange, metadata, refusal)
+            self._refuse_starting(exchange, metadata)
             return
         if configuration.version < (metadata.forwarded_version or 0):
             detail = f"version {metadata.forwarded_version} of the configuration is not known yet"
@@ -77,7 +82,7 @@
         seconds = route.timeout_seconds
         if metadata.seconds_left is not None:
             seconds = min(seconds, metadata.seconds_left)
-        deadline = now + seconds - DEADLINE_MARGIN_SECONDS
+        deadline = arrived_at + seconds - DEADLINE_MARGIN_SECONDS
         if not route.retryable and not drain.can_finish(deadline):
             detail = "the node may stop before the request ends; look up another node"
             self._refuse_stopping(exchange, metadata, detail)
@@ -89,10 +94,17 @@
             route=route,
             metadata=metadata,
             workspace=workspace,
-            started_at=now,
+            started_at=arrived_at,
             deadline=deadline,
         ).start()
 
+    def _refuse_starting(self, exchange: Exchange, metadata: RequestMetadata) -> None:
+        detail, seconds = "the node has not read a configuration yet", STARTING_RETRY_SECONDS
+        if self.start_queue is not None:
+            seconds = self.start_queue.compute_retry_seconds(self.context.draw_uniform())
+        refusal = Refusal(503, Reason.NOT_READY, detail, retry_after_seconds=seconds)
+        self._refuse(exchange, metadata, refusal)
+
     def _refuse_stopping(self, exchange: Exchange, metadata: RequestMetadata, detail: str) -> None:
         refusal = Refusal(503, Reason.STOPPING, detail, retry_after_seconds=STOPPING_RETRY_SECONDS)
         self._refuse(exchange, metadata, refusal)
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -46,6 +46,7 @@
 from bronzetiller.gateway.reservation_server import ReservationServer
 from bronzetiller.gateway.retry_window import RetryWindow
 from bronzetiller.gateway.settings import GatewaySettings, load_gateway_settings
+from bronzetiller.gateway.start_queue import StartQueue
 from bronzetiller.gateway.stream_records import StreamRecords
 from bronzetiller.gateway.target_admission import TargetAdmission
 from bronzetiller.gateway.target_limits import LimitedNode, TargetLimits
@@ -147,6 +148,7 @@
             self.configuration_follower.compute_confirmation_age,
             lambda: self.configuration_follower.follower.confirmed_by,
             lambda: self._may_serve(store),
+            StartQueue(scheduler, self._is_loaded, lambda: store.answered_at),
         )
         self.drain = Drain(
             scheduler,
@@ -335,11 +337,14 @@
 
     def is_ready(self) -> bool:
         """Return whether the node has its configuration and targets and is not stopping."""
-        loaded = (
+        return self._is_loaded() and not self.drain.stopping
+
+    def _is_loaded(self) -> bool:
+        """Return whether the node has read a configuration and the targets."""
+        return (
             self.configuration_follower.configuration is not None
             and self.targets_follower.follower.complete
         )
-        return loaded and not self.drain.stopping
 
     def _may_serve(self, store: PlatformStore) -> bool:
         """Return whether the node may serve by the configuration that it has."""
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -130,6 +130,12 @@
 QUEUED_REQUESTS = Gauge(
     "bronzetiller_queued_requests", "Requests waiting for a target.", registry=REGISTRY
 )
+START_QUEUE_REQUESTS = Counter(
+    "bronzetiller_start_queue_requests",
+    "Requests that a starting node held until it was complete, by what became of them.",
+    ["outcome"],
+    registry=REGISTRY,
+)
 OPEN_REQUESTS = Gauge("bronzetiller_open_requests", "Requests being served.", registry=REGISTRY)
 
 GRANTS_REQUESTED = Counter(
