Name entry nodes by the load that each of them would get

Cause: once the large nodes of a data centre were full, lookups named all of its nodes. Callers draw one at random, so ten small nodes with links of 5 to 10 Mbit/s got as much as the large ones and were full first.

Change: estimate the demand of each data centre's callers from the loads in the heartbeats, whichever nodes serve them, and choose the set of nodes by the equal part that each would get: large nodes of the data centre and of the region as before, then with nodes of other regions as far as the link between regions bears it, small nodes only where each gets at most half of its capacity. A choice stays for 10 s unless nodes come or leave, and is released at 1.25 times the load.

--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -25,7 +25,7 @@
 from bronzetiller.gateway.crash_reports import CrashReports
 from bronzetiller.gateway.crashes import CrashTracker
 from bronzetiller.gateway.departures import DepartureNode, Departures
-from bronzetiller.gateway.entries import choose_entries
+from bronzetiller.gateway.entries import Choice, Demand, EntryChoices
 from bronzetiller.gateway.followers import (
     CONFIGURATION_PEER_WAIT_SECONDS,
     ConfigurationFollower,
@@ -51,7 +51,7 @@
 from bronzetiller.gateway.target_limits import LimitedNode, TargetLimits
 from bronzetiller.gateway.targets import TargetPool
 from bronzetiller.logs import configure_bounded_logging, log_event
-from bronzetiller.metrics import CONFIGURATION_CONFIRMATION_AGE, render_metrics
+from bronzetiller.metrics import CONFIGURATION_CONFIRMATION_AGE, ENTRY_CHANGES, render_metrics
 from bronzetiller.net.address import Address
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.exchange import Exchange
@@ -112,6 +112,7 @@
         self.peers = Peers(scheduler, dialer, settings.node_id, settings.fleet_secret.encode())
         store = PlatformStore(HttpClient(scheduler, dialer), settings.store.address)
         http = HttpClient(scheduler, dialer)
+        self.entry_choices = EntryChoices(self.distances.regions, _log_entries)
         self._draw_uniform = Random().random
         self._set_up_followers(store, http)
         self._set_up_budgets(store)
@@ -325,6 +326,7 @@
 
     def _refresh_admission(self) -> None:
         members, now = self.members.list_serving(), self._scheduler.now()
+        self.entry_choices.refresh(members, now)
         targets = list(self.pool.targets.values())
         limited = [LimitedNode(item.node_id, item.data_centre, item.limits) for item in members]
         self.admission.limits.refresh(limited, targets, now)
@@ -372,7 +374,7 @@
 
     def _list_entry_addresses(self, data_centre: str) -> list[str]:
         members = self.members.list_serving()
-        entries = choose_entries(members, data_centre, self.distances.regions)
+        entries = self.entry_choices.choose(members, data_centre, self._scheduler.now())
         return [item.address for item in entries]
 
     def _make_member(self) -> Member:
@@ -452,5 +454,18 @@
     return []
 
 
+def _log_entries(data_centre: str, choice: Choice, demand: Demand) -> None:
+    """Log which nodes are named to the callers of a data centre, and why."""
+    log_event(
+        "entries_changed",
+        data_centre=data_centre,
+        stage=choice.stage.name.lower(),
+        nodes=len(choice.node_ids),
+        demand=round(demand.rate, 1),
+        region_demand=round(demand.region_rate, 1),
+    )
+    ENTRY_CHANGES.labels(choice.stage.name.lower()).inc()
+
+
 def _respond_with_metrics(exchange: Exchange) -> None:
     exchange.respond(200, {"Content-Type": "text/plain; version=0.0.4"}, render_metrics())
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -103,6 +103,12 @@
     ["outcome"],
     registry=REGISTRY,
 )
+ENTRY_CHANGES = Counter(
+    "bronzetiller_entry_changes",
+    "Changes of the nodes that lookups name to a data centre, by the set that was chosen.",
+    ["stage"],
+    registry=REGISTRY,
+)
 RELAYED_ENTRIES = Counter(
     "bronzetiller_relayed_entries", "Log entries received from peers.", registry=REGISTRY
 )
