Shed load at a node whose own link or processor is full

Cause: at small nodes an overload looked like a network cut. Connects to targets timed out, all targets counted as out of reach, and the requests went to peers over the same full link, while lookups went on naming the node and callers kept their connections to it.

Change: a node measures the bytes that its sockets send and receive against capacity.link_mbps, and the delay of its event loop.

--- a/bronzetiller/gateway/entries.py
+++ b/bronzetiller/gateway/entries.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Collection
 from enum import IntEnum
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from bronzetiller.fleet.neighbours import rank_nodes
 from bronzetiller.gateway.caller_demand import CallerDemand
@@ -53,6 +53,7 @@
 
     stage: Stage
     entries: tuple[Member, ...]
+    with_full: bool = False
 
     @property
     def node_ids(self) -> frozenset[str]:
@@ -62,11 +63,15 @@
 
 @frozen
 class Choice:
-    """Hold the nodes named to a data centre, and since when (monotonic seconds)."""
+    """Hold the nodes named to a data centre, and since when (monotonic seconds).
+
+    with_full is whether nodes may be named that say that they are full, as the others are too.
+    """
 
     stage: Stage
     node_ids: frozenset[str]
     since: float
+    with_full: bool = False
 
 
 @frozen
@@ -132,6 +137,7 @@
     _choices: dict[str, Choice] = field(factory=dict)
     _refreshed_at: float = float("-inf")
     _member_ids: frozenset[str] = frozenset()
+    _full_ids: frozenset[str] = frozenset()
 
     def __attrs_post_init__(self) -> None:
         self.demand = CallerDemand(self._regions)
@@ -147,9 +153,12 @@
     def refresh(self, members: Collection[Member], now: float) -> None:
         """Choose again if nodes came or left, or once an interval of the heartbeats has passed."""
         member_ids = frozenset(item.node_id for item in members)
+        full_ids = frozenset(item.node_id for item in members if item.full)
         is_due = now - self._refreshed_at >= REFRESH_SECONDS
-        if not members or (member_ids == self._member_ids and not is_due):
+        is_known = member_ids == self._member_ids and full_ids == self._full_ids
+        if not members or (is_known and not is_due):
             return
+        self._full_ids = full_ids
         have_members_changed = member_ids != self._member_ids
         self._member_ids = member_ids
         self._refreshed_at = now
@@ -172,11 +181,12 @@
         demand = self._make_demand(members, data_centre)
         chosen = _choose(members, data_centre, self._regions, demand, current, is_held=is_held)
         if current is not None and current.node_ids == chosen.node_ids:
+            self._choices[data_centre] = evolve(current, with_full=chosen.with_full)
             return
         since = float("-inf") if current is None else current.since
         if current is not None and current.stage is not chosen.stage:
             since = now
-        choice = Choice(chosen.stage, chosen.node_ids, since)
+        choice = Choice(chosen.stage, chosen.node_ids, since, chosen.with_full)
         self._choices[data_centre] = choice
         if current is not None or chosen.stage is not Stage.DATA_CENTRE:
             self.on_change(data_centre, choice, demand)
@@ -219,6 +229,13 @@
 ) -> Candidate:
     """Return the set to name; the current one stays while it is held or another gains little."""
     candidates = _list_candidates(members, data_centre, regions, demand, current)
+    if any(item.full for item in members) and not _bear(candidates, demand, current):
+        candidates = [
+            evolve(item, with_full=True)
+            for item in _list_candidates(
+                members, data_centre, regions, demand, current, with_full=True
+            )
+        ]
     if not candidates:
         return Candidate(Stage.ANY, tuple(members))
     best = _find_best(candidates, demand)
@@ -234,6 +251,16 @@
     return best if _suffices(best, demand) or gain >= HEADROOM_GAIN_MIN else kept
 
 
+def _bear(candidates: Collection[Candidate], demand: Demand, current: Choice | None) -> bool:
+    """Return whether nodes with room bear the load without those that are full.
+
+    Once they did not, they must bear it with a margin, so that the full nodes do not come and go.
+    """
+    if current is not None and current.with_full:
+        demand = demand.scale(RELEASE_FACTOR)
+    return any(compute_headroom(item.entries, demand) >= 0.0 for item in candidates)
+
+
 def _find_best(candidates: Collection[Candidate], demand: Demand) -> Candidate:
     """Return the first set of large nodes that suffices, else the set with the most headroom.
 
@@ -274,19 +301,29 @@
     regions: dict[str, str],
     demand: Demand,
     current: Choice | None,
+    *,
+    with_full: bool = False,
 ) -> list[Candidate]:
     """List the sets of enough nodes in the order in which they are considered.
 
     All near nodes, whatever they bear, are the only set where there are too few large ones and the
     small ones do not bear the load.
     """
-    region = regions.get(data_centre)
-    near = [item for item in members if item.data_centre == data_centre]
-    in_region = [item for item in members if regions.get(item.data_centre) == region]
-    strong = select_high_capacity(in_region)
+
+    def is_in_region(member: Member) -> bool:
+        return regions.get(member.data_centre) == regions.get(data_centre)
+
+    def has_room(member: Member) -> bool:
+        return with_full or not member.full
+
+    # A small node does not count as a large one because all large ones are full.
+    strong = list(filter(has_room, select_high_capacity(list(filter(is_in_region, members)))))
     remote = [
-        item for item in select_high_capacity(members) if regions.get(item.data_centre) != region
+        item for item in select_high_capacity(members) if has_room(item) and not is_in_region(item)
     ]
+    members = list(filter(has_room, members))
+    near = [item for item in members if item.data_centre == data_centre]
+    in_region = list(filter(is_in_region, members))
     sets = [
         (Stage.DATA_CENTRE, [item for item in strong if item.data_centre == data_centre]),
         (Stage.REGION, strong),
@@ -319,7 +356,7 @@
     The current ones stay while the link bears them with a margin. Each data centre ranks them in
     another order, so that several do not choose the same.
     """
-    if not strong or not remote:
+    if not remote:
         return []
     by_id = {item.node_id: item for item in remote}
     kept = [by_id[item] for item in sorted(current.node_ids) if item in by_id] if current else []
@@ -329,7 +366,8 @@
     for node_id in rank_nodes(f"entries/{data_centre}", list(by_id)):
         if _count_remote(demand, len(strong), len(added) + 1) > demand.remote_max:
             break
-        if compute_headroom([*strong, by_id[node_id]], demand) >= compute_headroom(strong, demand):
+        with_node = compute_headroom([*strong, by_id[node_id]], demand)
+        if not strong or with_node >= compute_headroom(strong, demand):
             added.append(by_id[node_id])
     return [*strong, *added] if added else []
 
--- a/bronzetiller/gateway/forwarding.py
+++ b/bronzetiller/gateway/forwarding.py
@@ -30,16 +30,23 @@
     _distances: Distances
     _list_members: Callable[[], list[Member]]
     _draw_uniform: Callable[[], float]
+    _is_congested: Callable[[], bool] = lambda: False
     _requests: float = 0.0
     _refilled_at: float = 0.0
     _avoid_until: dict[str, float] = field(factory=dict)
 
     def list_peers(self, services: Collection[str], now: float) -> list[Member]:
-        """Return the peers that reach targets of one of the services."""
+        """Return the peers that reach targets of one of the services.
+
+        None while this node's own link is full, which the forwarded requests would share.
+        """
+        if self._is_congested():
+            return []
         return [
             item
             for item in self._list_members()
             if item.node_id != self._own_id
+            and not item.full
             and not set(services) <= set(item.cut_off)
             and self._avoid_until.get(item.node_id, 0.0) <= now
         ]
--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -56,6 +56,7 @@
     limits holds the requests per second that targets state to accept from the fleet, brittle the
     refusals per second that the targets of a service state to survive, cut_off the services of
     which the node reaches no target, and leaving the targets that say that they are leaving.
+    full is whether the node's own link or processor is full, so that lookups should not name it.
     """
 
     node_id: str
@@ -72,6 +73,7 @@
     cut_off: tuple[str, ...] = ()
     forwarded_load: float = 0.0
     leaving: dict[str, Statement] = field(factory=dict)
+    full: bool = False
 
     @property
     def expected_load(self) -> float:
@@ -94,6 +96,7 @@
             "cut_off": self.cut_off,
             "forwarded_load": round(self.forwarded_load, 2),
             **(encode_statements("leaving", self.leaving) if self.leaving else {}),
+            **({"full": True} if self.full else {}),
         }
         return json.dumps(value).encode()
 
@@ -130,6 +133,7 @@
             tuple(map(str, item.get("cut_off", ()))),
             float(item.get("forwarded_load", 0.0)),
             decode_statements("leaving", item),
+            item.get("full") is True,
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -34,6 +34,7 @@
 from bronzetiller.gateway.forwarding import PeerForwarder
 from bronzetiller.gateway.holder_map import HolderMap
 from bronzetiller.gateway.members import HEARTBEAT_SECONDS, Member, Members
+from bronzetiller.gateway.own_load import SAMPLE_SECONDS, OwnLoad
 from bronzetiller.gateway.peer_links import PeerLinks
 from bronzetiller.gateway.peer_reader import PeerReader
 from bronzetiller.gateway.placement import Distances
@@ -51,7 +52,14 @@
 from bronzetiller.gateway.target_limits import LimitedNode, TargetLimits
 from bronzetiller.gateway.targets import TargetPool
 from bronzetiller.logs import configure_bounded_logging, log_event
-from bronzetiller.metrics import CONFIGURATION_CONFIRMATION_AGE, ENTRY_CHANGES, render_metrics
+from bronzetiller.metrics import (
+    CONFIGURATION_CONFIRMATION_AGE,
+    ENTRY_CHANGES,
+    LINK_SHARE,
+    LOOP_DELAY,
+    NODE_FULL,
+    render_metrics,
+)
 from bronzetiller.net.address import Address
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.exchange import Exchange
@@ -59,6 +67,7 @@
 from bronzetiller.net.http_server import Application as HttpApplication
 from bronzetiller.net.http_server import HttpLimits, HttpServer
 from bronzetiller.net.loop import make_loop
+from bronzetiller.net.traffic import TRAFFIC
 from bronzetiller.platform.lookup import make_lookup_application, make_readiness_application
 from bronzetiller.platform.store import PlatformStore
 from bronzetiller.platform.topics import (
@@ -112,6 +121,7 @@
         self.peers = Peers(scheduler, dialer, settings.node_id, settings.fleet_secret.encode())
         store = PlatformStore(HttpClient(scheduler, dialer), settings.store.address)
         http = HttpClient(scheduler, dialer)
+        self.own_load = OwnLoad(settings.capacity)
         self.entry_choices = EntryChoices(self.distances.regions, _log_entries)
         self._draw_uniform = Random().random
         self._set_up_followers(store, http)
@@ -137,7 +147,11 @@
             streams=self.streams,
             reachability=self.reachability,
             forwarder=PeerForwarder(
-                settings.node_id, self.distances, self.members.list_serving, self._draw_uniform
+                settings.node_id,
+                self.distances,
+                self.members.list_serving,
+                self._draw_uniform,
+                lambda: self.own_load.is_congested,
             ),
             starts=RegisteredStarts(lambda: self.targets_follower.follower.confirmed_at),
         )
@@ -148,6 +162,7 @@
             self.configuration_follower.compute_confirmation_age,
             lambda: self.configuration_follower.follower.confirmed_by,
             lambda: self._may_serve(store),
+            self.own_load,
         )
         self.drain = Drain(
             scheduler,
@@ -313,7 +328,9 @@
             ),
         )
         self.reachability.on_change = self.members.publish
+        self.reachability.is_congested = lambda: self.own_load.is_congested
         self.reachability.start()
+        self._scheduler.call_every(SAMPLE_SECONDS, self._record_own_load)
         self._scheduler.call_every(HEARTBEAT_SECONDS, self._refresh_admission)
         self._scheduler.call_every(
             CONFIRMATION_CHECK_SECONDS, self.configuration_follower.log_confirmation
@@ -335,6 +352,26 @@
         leaving = [DepartureNode(item.node_id, item.data_centre, item.leaving) for item in members]
         self.admission.departures.refresh(leaving, targets, now)
 
+    def _record_own_load(self) -> None:
+        """Measure this node's link and processor; publish when they become full or have room."""
+        load = self.own_load
+        has_changed = load.record(TRAFFIC.sent, TRAFFIC.received, self._scheduler.now())
+        LINK_SHARE.set(load.link_share)
+        LOOP_DELAY.set(load.delay_seconds)
+        if not has_changed:
+            return
+        NODE_FULL.set(load.is_full)
+        if load.is_full:
+            self.reachability.discard_timeouts()
+        log_event(
+            "node_full" if load.is_full else "node_has_room",
+            level=30,
+            cause=load.cause,
+            link_share=round(load.link_share, 2),
+            loop_delay=round(load.delay_seconds, 3),
+        )
+        self.members.publish()
+
     def is_ready(self) -> bool:
         """Return whether the node has its configuration and targets and is not stopping."""
         loaded = (
@@ -393,6 +430,7 @@
             cut_off=tuple(self.reachability.list_cut_off()),
             forwarded_load=self.request_context.forwarded_rate.estimate(now) or 0.0,
             leaving=self.admission.departures.list_stated(now),
+            full=self.own_load.is_full,
         )
 
     def _on_configuration(self, configuration: GatewayConfiguration) -> None:
--- a/bronzetiller/gateway/reachability.py
+++ b/bronzetiller/gateway/reachability.py
@@ -15,9 +15,11 @@
 from bronzetiller.gateway.targets import Target, TargetPool
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import TARGET_PROBES, UNREACHABLE_TARGETS
-from bronzetiller.net.dialer import CLOSED, RESET
+from bronzetiller.net.dialer import CLOSED, CONNECT_TIMEOUT, RESET
 from bronzetiller.net.http_client import (
     REFUSED_CAUSES,
+    SILENCE,
+    TOO_LONG,
     CallEvent,
     CallFailed,
     HttpClient,
@@ -32,6 +34,9 @@
 PROBE_SECONDS = 0.7  # ten round trips between regions
 PROBE_INTERVAL_SECONDS = 0.75
 PROBES_MAX = 8
+TIMEOUT_CAUSES = (CONNECT_TIMEOUT, SILENCE, TOO_LONG)
+# The time in which a full link shows in the mean of its use, and a connect timeout before it.
+TIMEOUT_DOUBT_SECONDS = 3.0
 ENDED_CAUSES = (*REFUSED_CAUSES, CLOSED, RESET)  # of a target whose process may have ended
 
 
@@ -40,15 +45,19 @@
     """Hold the targets out of reach, with the times of their last probes (monotonic seconds).
 
     on_change is called when this node no longer reaches any target of a service, or does again.
+    While is_congested, this node's own link or processor delays everything, and a timeout says
+    nothing about a target.
     """
 
     _scheduler: Scheduler
     _http: HttpClient
     _pool: TargetPool
     on_change: Callable[[], None] = lambda: None
+    is_congested: Callable[[], bool] = lambda: False
     _probed_at: dict[Target, float] = field(factory=dict)
     _probes: dict[Target, OpenCall] = field(factory=dict)
     _cut_off: list[str] = field(factory=list)
+    _timed_out: dict[Target, float] = field(factory=dict)
 
     def start(self) -> None:
         """Start reviewing the targets."""
@@ -78,7 +87,10 @@
         return sorted(name for name in self._pool.list_services() if self.is_cut_off([name]))
 
     def record_connect_failure(self, target: Target, cause: str) -> None:
-        """Record that a new connection to a target failed."""
+        """Record that a new connection to a target failed, unless this node may be the cause."""
+        if cause in TIMEOUT_CAUSES and self.is_congested():
+            return
+        target.record_failure(cause, self._scheduler.now())
         self._mark_unreachable(target, cause)
 
     def suspect(self, target: Target) -> None:
@@ -122,17 +134,32 @@
     def _mark_unreachable(self, target: Target, cause: str) -> None:
         if self._pool.targets.get(target.target_id) is not target:
             return
+        is_timeout = cause in TIMEOUT_CAUSES
+        if is_timeout and target not in self._probed_at and self.is_congested():
+            return
         is_new = target not in self._probed_at
         self._probed_at[target] = self._scheduler.now()
         if cause in ENDED_CAUSES:
             target.lost_at = self._scheduler.now()
         if not is_new:
             return
+        if is_timeout:
+            self._timed_out[target] = self._scheduler.now()
         log_event("target_unreachable", level=30, target=target.target_id, cause=cause)
         UNREACHABLE_TARGETS.set(len(self._probed_at))
         self._probe_quiet_targets(target.registration.service)
         self._notify()
 
+    def discard_timeouts(self) -> None:
+        """Remove the marks that timeouts set while this node's own link was filling up."""
+        since = self._scheduler.now() - TIMEOUT_DOUBT_SECONDS
+        doubtful = [item for item, at in self._timed_out.items() if at >= since]
+        for target in doubtful:
+            self._remove(target)
+        if doubtful:
+            log_event("target_timeouts_discarded", targets=len(doubtful))
+            self._notify()
+
     def _probe_quiet_targets(self, service: str) -> None:
         """Probe the other targets of a service that have not responded for a moment either."""
         now = self._scheduler.now()
@@ -161,4 +188,5 @@
 
     def _remove(self, target: Target) -> None:
         del self._probed_at[target]
+        self._timed_out.pop(target, None)
         UNREACHABLE_TARGETS.set(len(self._probed_at))
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -571,7 +571,6 @@
         now = self.context.scheduler.now()
         self._log_failed_attempt(event.cause)
         if not event.reached:
-            attempt.target.record_failure(event.cause, now)
             self.context.reachability.record_connect_failure(attempt.target, event.cause)
             self.connect_failures += 1
             if self.connect_failures < CONNECT_FAILURES_MAX:
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -103,6 +103,21 @@
     ["outcome"],
     registry=REGISTRY,
 )
+LINK_SHARE = Gauge(
+    "bronzetiller_link_share",
+    "Share of the rate of a gateway node's link that its sockets use, sent or received.",
+    registry=REGISTRY,
+)
+LOOP_DELAY = Gauge(
+    "bronzetiller_loop_delay_seconds",
+    "Mean delay of timers of a gateway node's event loop.",
+    registry=REGISTRY,
+)
+NODE_FULL = Gauge(
+    "bronzetiller_node_full",
+    "Whether a gateway node's own link or processor is full.",
+    registry=REGISTRY,
+)
 ENTRY_CHANGES = Counter(
     "bronzetiller_entry_changes",
     "Changes of the nodes that lookups name to a data centre, by the set that was chosen.",
--- a/bronzetiller/net/dialer.py
+++ b/bronzetiller/net/dialer.py
@@ -27,6 +27,7 @@
 
 CLOSED = "closed by the other end"
 RESET = "reset by the other end"
+CONNECT_TIMEOUT = "connect: timeout"
 
 
 @frozen
@@ -107,7 +108,7 @@
             return connection
         self._poller.addWriter(self, sock)
         connection.timer = self._scheduler.call_after(
-            seconds, lambda: self._fail(sock, "connect: timeout")
+            seconds, lambda: self._fail(sock, CONNECT_TIMEOUT)
         )
         return connection
 
--- a/bronzetiller/net/sockets.py
+++ b/bronzetiller/net/sockets.py
@@ -17,6 +17,7 @@
 from circuits.net.sockets import TCPServer
 
 from bronzetiller.logs import log_event
+from bronzetiller.net.traffic import TRAFFIC
 
 READ_BYTES = 64 * 1024
 WRITE_BYTES_MAX = 64 * 1024
@@ -186,6 +187,7 @@
             if error.errno not in _RETRY_ERRNOS:
                 self._close_and_notify(sock)
             return
+        TRAFFIC.received += len(data)
         if state.draining:
             self._drain(state, len(data))
         elif data:
@@ -266,6 +268,7 @@
                 self._close_later(state.sock)
             return 0
         state.sent_bytes += sent
+        TRAFFIC.sent += sent
         return sent
 
     def _close_later(self, sock: socket) -> None:
--- a/tests/test_record_fields.py
+++ b/tests/test_record_fields.py
@@ -103,7 +103,7 @@
     "keyed.holdings": HOLDING,
 }
 ENCODED = {
-    "keyed.nodes": MEMBER.encode(),
+    "keyed.nodes": attrs.evolve(MEMBER, full=True).encode(),
     "keyed.crashes": encode_report(REPORT),
     "keyed.versions": BASE.encode(),
     "keyed.holdings": HOLDING.encode(),
