Bound the log lines of failures at peers; cap sets with small nodes

Cause: a node whose link was full logged each failed forward (2,382 lines) and each unanswered request for tokens (793 lines, twenty of them for one peer within a millisecond).

Change: forward_failed is one line for each peer and second, with the number of failures, the most frequent causes and the first request; holder_avoided is one line for each interval in which a peer is avoided. A set with small nodes has at most the 64 that a lookup names, as its nodes would otherwise get more than the part that was estimated.

Result: 40 requests that fail at two peers take two lines, 20 unanswered ones at a holder one; both tests fail on the code before.

--- a/bronzetiller/gateway/entries.py
+++ b/bronzetiller/gateway/entries.py
@@ -19,6 +19,7 @@
     select_high_capacity,
 )
 from bronzetiller.gateway.members import Member
+from bronzetiller.platform.lookup import ADDRESSES_MAX
 
 ENTRIES_MIN = 2  # so that a caller can fail over to another node
 REFRESH_SECONDS = 1.0  # the interval of the heartbeats
@@ -330,9 +331,8 @@
         (Stage.OTHER_REGIONS, _add_remote(strong, remote, data_centre, demand, current)),
     ]
     listed = [Candidate(stage, tuple(items)) for stage, items in sets if len(items) >= ENTRIES_MIN]
-    strong_ids = {item.node_id for item in strong}
-    small_near = [*strong, *(item for item in near if item.node_id not in strong_ids)]
-    for stage, items in ((Stage.SMALL_NEAR, small_near), (Stage.SMALL_REGION, in_region)):
+    for stage, more in ((Stage.SMALL_NEAR, near), (Stage.SMALL_REGION, in_region)):
+        items = _add_small(strong, more, data_centre)
         bears = len(items) >= ENTRIES_MIN and compute_headroom(items, demand) >= 0.0
         if bears or (listed and current is not None and current.stage is stage):
             listed.append(Candidate(stage, tuple(items)))
@@ -344,6 +344,18 @@
     return []
 
 
+def _add_small(strong: list[Member], more: list[Member], data_centre: str) -> list[Member]:
+    """Add small nodes, at most as many as a lookup names, others for each data centre."""
+    by_id = {item.node_id: item for item in more}
+    for item in strong:
+        by_id.pop(item.node_id, None)
+    room = max(0, ADDRESSES_MAX - len(strong))
+    ids = list(by_id)
+    if len(ids) > room:
+        ids = rank_nodes(f"entries/{data_centre}", ids)[:room]
+    return [*strong, *(by_id[item] for item in ids)]
+
+
 def _add_remote(
     strong: list[Member],
     remote: list[Member],
--- a/bronzetiller/gateway/forwarded_request.py
+++ b/bronzetiller/gateway/forwarded_request.py
@@ -38,6 +38,7 @@
 CONNECT_SECONDS = 0.5
 PEERS_MAX = 3
 RETRY_SECONDS = 0.5
+FAILURE_SUM_SECONDS = 1.0
 
 
 @define(eq=False)
@@ -133,11 +134,20 @@
 
     def _try_next(self, peer: Member, cause: str) -> None:
         """Leave the peer alone for a while, and send the request to another one."""
-        log_event("forward_failed", id=self._metadata.request_id, peer=peer.node_id, cause=cause)
+        self._record_failure(peer, cause)
         self._forwarder.avoid(peer.node_id, self._scheduler.now())
         if not self.start():
             self._refuse(peer, cause)
 
+    def _record_failure(self, peer: Member, cause: str) -> None:
+        """Log one line for all failures at a peer within FAILURE_SUM_SECONDS."""
+        failures = self._forwarder.failures
+        if failures.record(peer.node_id, self._metadata.request_id, cause):
+            self._scheduler.call_after(
+                FAILURE_SUM_SECONDS,
+                lambda: log_event("forward_failed", **failures.take(peer.node_id)),
+            )
+
     def _refuse(self, peer: Member, cause: str) -> None:
         detail = f"{peer.node_id}, which was to serve the request: {cause}"
         if self._execution.may_have_run:
--- a/bronzetiller/gateway/forwarding.py
+++ b/bronzetiller/gateway/forwarding.py
@@ -10,6 +10,7 @@
 
 from attrs import define, field
 
+from bronzetiller.gateway.failure_sums import FailureSums
 from bronzetiller.gateway.members import Member
 from bronzetiller.gateway.placement import Distances
 
@@ -34,6 +35,7 @@
     _requests: float = 0.0
     _refilled_at: float = 0.0
     _avoid_until: dict[str, float] = field(factory=dict)
+    failures: FailureSums = field(factory=FailureSums)
 
     def list_peers(self, services: Collection[str], now: float) -> list[Member]:
         """Return the peers that reach targets of one of the services.
--- a/bronzetiller/gateway/reservation_client.py
+++ b/bronzetiller/gateway/reservation_client.py
@@ -144,8 +144,10 @@
     ) -> ReservationFailure:
         TOKEN_REQUESTS.labels("unanswered").inc()
         holder = reservation.holder
+        # Requests that were under way when the first one failed extend the interval without a line.
+        if not self.is_avoided(holder):
+            log_event("holder_avoided", level=30, peer=holder, cause=cause, seconds=AVOID_SECONDS)
         self._avoid_until[holder] = self._scheduler.now() + AVOID_SECONDS
-        log_event("holder_avoided", level=30, peer=holder, cause=cause, seconds=AVOID_SECONDS)
         if cause == TIMEOUT and self._peers.is_silent(holder, sent_at):
             self._peers.drop_link(holder)
         if cause != NOT_CONNECTED:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -15,7 +15,11 @@
 from bronzetiller.gateway.holders import HOLDERS_PER_REGION, HolderOrder, choose_holders
 from bronzetiller.gateway.members import Member
 from bronzetiller.gateway.placement import Distances
-from bronzetiller.gateway.reservation_client import ReservationClient
+from bronzetiller.gateway.reservation_client import (
+    AVOID_SECONDS,
+    Reservation,
+    ReservationClient,
+)
 from bronzetiller.gateway.reservation_server import SETTLEMENT_RETRY_SECONDS_MAX, ReservationServer
 from bronzetiller.wire.messages import ReserveTokens, SettleTokens
 from standins.fake_scheduler import FakeScheduler
@@ -317,3 +321,31 @@
         peers.handlers[ReserveTokens] = record_id
     send_and_wait(fleet, requester, 3_500)
     assert len(ids) > 3 and len(set(ids)) == len(ids)
+
+
+def test_a_holder_that_does_not_respond_takes_one_line_for_each_interval(start_fleet, monkeypatch):
+    """Guard against a line for each request that was under way when a holder fell silent."""
+    lines = []
+    monkeypatch.setattr(
+        "bronzetiller.gateway.reservation_client.log_event",
+        lambda name, **fields: lines.append((name, fields.get("peer"))),
+    )
+    fleet = start_fleet(regina_a=6)
+    node_id, holder = "regina-a-0", "regina-a-1"
+    client = fleet.nodes[node_id].reservation_client
+    fleet.nodes[holder].peers.silent = True
+
+    def send(number):
+        reservation = Reservation(f"{node_id}/{number}", WORKSPACE, 10, holder)
+        deadline = fleet.scheduler.now() + REQUEST_SECONDS
+        client.request(reservation, may_wait=False, deadline=deadline, done=lambda result: None)
+
+    for number in range(20):
+        send(number)
+    fleet.scheduler.advance(1.0)
+    assert lines == [("holder_avoided", holder)]
+    assert client.is_avoided(holder)
+    fleet.scheduler.advance(AVOID_SECONDS)
+    send(20)
+    fleet.scheduler.advance(1.0)
+    assert lines.count(("holder_avoided", holder)) == 2
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -180,6 +180,16 @@
         assert all(item.capacity == LARGE for item in entries)
 
 
+def test_a_set_with_small_nodes_has_no_more_of_them_than_a_lookup_names():
+    """Guard against parts that are estimated for more nodes than callers are told of."""
+    members = [
+        Member(f"n{number}", f"10.0.0.1:{number + 1}", "a", "x", True, capacity=capacity, load=5.0)
+        for number, capacity in enumerate([LARGE] * 2 + [SMALL] * 120)
+    ]
+    entries = choose_entries(members, "a", REGIONS)
+    assert len(entries) == 64 and {"n0", "n1"} <= {item.node_id for item in entries}
+
+
 def test_a_lost_node_is_replaced_in_the_next_answer():
     play = Play()
     play.run(10, 360, lambda _: 0.2)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -7,7 +7,7 @@
 from attrs import define, evolve, field
 
 from bronzetiller.gateway.forwarded_request import ForwardedRequest
-from bronzetiller.gateway.forwarding import PEER_UTILIZATION_MAX, PeerForwarder
+from bronzetiller.gateway.forwarding import AVOID_SECONDS, PEER_UTILIZATION_MAX, PeerForwarder
 from bronzetiller.gateway.members import Member, decode_member
 from bronzetiller.gateway.placement import Distances
 from bronzetiller.gateway.reachability import (
@@ -292,3 +292,50 @@
     scheduler.advance(1.0)
     assert [item.status for item in ends] == [502 if lost else status]
     assert len(http.probed) == 2
+
+
+def test_failures_at_a_peer_take_one_line_for_each_second(monkeypatch):
+    """Guard against a line for each request of a node whose link is full."""
+    lines, scheduler = [], FakeScheduler()
+    monkeypatch.setattr(
+        "bronzetiller.gateway.forwarded_request.log_event",
+        lambda name, **fields: lines.append((name, fields)),
+    )
+    members = make_members(3, [0])
+    forwarder = PeerForwarder(
+        "node-0", Distances("a", "west", REGIONS), lambda: members, Random(1).random
+    )
+    http = FakeHttp(scheduler, answer=CallFailed("connect: timeout", False))
+
+    def send(number):
+        ForwardedRequest(
+            scheduler,
+            http,
+            forwarder,
+            FakeExchange(),
+            RequestMetadata(f"r{number}", "", None, None, None, {}),
+            {SERVICE},
+            scheduler.now() + 10.0,
+            False,
+            True,
+            0,
+            1,
+            lambda attempt: None,
+            lambda events, refusal: None,
+            Execution(),
+            BufferQuota(),
+        ).start()
+
+    for number in range(40):
+        send(number)
+    scheduler.advance(0.9)
+    assert lines == []
+    scheduler.advance(0.2)
+    assert {name for name, _ in lines} == {"forward_failed"}
+    assert sorted(fields["peer"] for _, fields in lines) == ["node-1", "node-2"]
+    assert sum(fields["failures"] for _, fields in lines) == len(http.probed) > 2
+    assert {fields["cause"] for _, fields in lines} == {"connect: timeout"}
+    scheduler.advance(AVOID_SECONDS)
+    send(40)
+    scheduler.advance(1.1)
+    assert len(lines) > 2 and lines[-1][1]["id"] == "r40"
