--- a/bronzetiller/gateway/forwarding.py
+++ b/bronzetiller/gateway/forwarding.py
@@ -12,6 +12,7 @@
 
 from bronzetiller.gateway.allowed_regions import allows
 from bronzetiller.gateway.configuration import AllowedRegions
+from bronzetiller.gateway.failure_sums import FailureSums
 from bronzetiller.gateway.members import Member
 from bronzetiller.gateway.placement import Distances
 
@@ -36,18 +37,26 @@
     _list_members: Callable[[], list[Member]]
     _draw_uniform: Callable[[], float]
     _list_regions: Callable[[str], set[str]] = lambda service: set()
+    _is_congested: Callable[[], bool] = lambda: False
     _requests: float = 0.0
     _refilled_at: float = 0.0
     _avoid_until: dict[str, float] = field(factory=dict)
+    failures: FailureSums = field(factory=FailureSums)
 
     def list_peers(
         self, services: Collection[str], now: float, allowed: AllowedRegions = None
     ) -> list[Member]:
-        """Return the peers in allowed regions that reach targets of one of the services there."""
+        """Return the peers in allowed regions that reach targets of one of the services there.
+
+        None while this node's own link is full, which the forwarded requests would share.
+        """
+        if self._is_congested():
+            return []
         return [
             item
             for item in self._list_members()
             if item.node_id != self._own_id
+            and not item.full
             and self._reaches(item, services, allowed)
             and allows(allowed, self._distances.regions.get(item.data_centre))
             and self._avoid_until.get(item.node_id, 0.0) <= now
--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -57,6 +57,7 @@
     refusals per second that the targets of a service state to survive, cut_off the services of
     which the node reaches no target, leaving the targets that say that they are leaving, and
     cut_off_regions, by service, the regions in which the node reaches none of its targets.
+    full is whether the node's own link or processor is full, so that lookups should not name it.
     """
 
     node_id: str
@@ -74,6 +75,7 @@
     forwarded_load: float = 0.0
     leaving: dict[str, Statement] = field(factory=dict)
     cut_off_regions: dict[str, tuple[str, ...]] = field(factory=dict)
+    full: bool = False
 
     @property
     def expected_load(self) -> float:
@@ -97,6 +99,7 @@
             "forwarded_load": round(self.forwarded_load, 2),
             **(encode_statements("leaving", self.leaving) if self.leaving else {}),
             **({"cut_off_regions": self.cut_off_regions} if self.cut_off_regions else {}),
+            **({"full": True} if self.full else {}),
         }
         return json.dumps(value).encode()
 
@@ -137,6 +140,7 @@
                 str(service): tuple(map(str, regions))
                 for service, regions in item.get("cut_off_regions", {}).items()
             },
+            item.get("full") is True,
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -26,7 +26,7 @@
 from bronzetiller.gateway.crash_reports import CrashReports
 from bronzetiller.gateway.crashes import CrashTracker
 from bronzetiller.gateway.departures import DepartureNode, Departures
-from bronzetiller.gateway.entries import choose_entries
+from bronzetiller.gateway.entries import Choice, Demand, EntryChoices
 from bronzetiller.gateway.evacuations import Evacuations
 from bronzetiller.gateway.followers import (
     CONFIGURATION_PEER_WAIT_SECONDS,
@@ -36,6 +36,7 @@
 from bronzetiller.gateway.forwarding import PeerForwarder
 from bronzetiller.gateway.holder_map import HolderMap
 from bronzetiller.gateway.members import HEARTBEAT_SECONDS, Member, Members
+from bronzetiller.gateway.own_load import SAMPLE_SECONDS, OwnLoad
 from bronzetiller.gateway.peer_links import PeerLinks
 from bronzetiller.gateway.peer_reader import PeerReader
 from bronzetiller.gateway.permitted_targets import PermittedTargets
@@ -55,7 +56,14 @@
 from bronzetiller.gateway.target_limits import LimitedNode, TargetLimits
 from bronzetiller.gateway.targets import TargetPool
 from bronzetiller.logs import configure_bounded_logging, log_event
-from bronzetiller.metrics import CONFIGURATION_CONFIRMATION_AGE, render_metrics
+from bronzetiller.metrics import (
+    CONFIGURATION_CONFIRMATION_AGE,
+    ENTRY_CHANGES,
+    LINK_SHARE,
+    LOOP_DELAY,
+    NODE_FULL,
+    render_metrics,
+)
 from bronzetiller.net.address import Address
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.exchange import Exchange
@@ -63,6 +71,7 @@
 from bronzetiller.net.http_server import Application as HttpApplication
 from bronzetiller.net.http_server import HttpLimits, HttpServer
 from bronzetiller.net.loop import make_loop
+from bronzetiller.net.traffic import TRAFFIC
 from bronzetiller.platform.lookup import make_lookup_application, make_readiness_application
 from bronzetiller.platform.store import PlatformStore
 from bronzetiller.platform.topics import (
@@ -116,6 +125,8 @@
         self.peers = Peers(scheduler, dialer, settings.node_id, settings.fleet_secret.encode())
         store = PlatformStore(HttpClient(scheduler, dialer), settings.store.address)
         http = HttpClient(scheduler, dialer)
+        self.own_load = OwnLoad(settings.capacity)
+        self.entry_choices = EntryChoices(self.distances.regions, _log_entries)
         self._draw_uniform = Random().random
         self._set_up_followers(store, http)
         self._set_up_budgets(store)
@@ -145,6 +156,7 @@
                 self.members.list_serving,
                 self._draw_uniform,
                 self.permitted.list_regions,
+                lambda: self.own_load.is_congested,
             ),
             permitted=self.permitted,
             starts=RegisteredStarts(lambda: self.targets_follower.follower.confirmed_at),
@@ -157,6 +169,7 @@
             lambda: self.configuration_follower.follower.confirmed_by,
             lambda: self._may_serve(store),
             StartQueue(scheduler, self._is_loaded, lambda: store.answered_at),
+            self.own_load,
         )
         self.drain = Drain(
             scheduler,
@@ -329,7 +342,9 @@
             ),
         )
         self.reachability.on_change = self.members.publish
+        self.reachability.is_congested = lambda: self.own_load.is_congested
         self.reachability.start()
+        self._scheduler.call_every(SAMPLE_SECONDS, self._record_own_load)
         self._scheduler.call_every(HEARTBEAT_SECONDS, self._refresh_admission)
         self._scheduler.call_every(
             CONFIRMATION_CHECK_SECONDS, self.configuration_follower.log_confirmation
@@ -342,6 +357,7 @@
 
     def _refresh_admission(self) -> None:
         members, now = self.members.list_serving(), self._scheduler.now()
+        self.entry_choices.refresh(members, now)
         targets = list(self.pool.targets.values())
         limited = [LimitedNode(item.node_id, item.data_centre, item.limits) for item in members]
         self.admission.limits.refresh(limited, targets, now)
@@ -350,6 +366,26 @@
         leaving = [DepartureNode(item.node_id, item.data_centre, item.leaving) for item in members]
         self.admission.departures.refresh(leaving, targets, now)
 
+    def _record_own_load(self) -> None:
+        """Measure this node's link and processor; publish when they become full or have room."""
+        load = self.own_load
+        has_changed = load.record(TRAFFIC.sent, TRAFFIC.received, self._scheduler.now())
+        LINK_SHARE.set(load.link_share)
+        LOOP_DELAY.set(load.delay_seconds)
+        if not has_changed:
+            return
+        NODE_FULL.set(load.is_full)
+        if load.is_full:
+            self.reachability.discard_timeouts()
+        log_event(
+            "node_full" if load.is_full else "node_has_room",
+            level=30,
+            cause=load.cause,
+            link_share=round(load.link_share, 2),
+            loop_delay=round(load.delay_seconds, 3),
+        )
+        self.members.publish()
+
     def is_ready(self) -> bool:
         """Return whether the node has its configuration and targets and is not stopping."""
         return self._is_loaded() and not self.drain.stopping
@@ -397,8 +433,10 @@
         configuration, regions = self.configuration_follower.configuration, self.distances.regions
         allowed = choose_host_regions(configuration, host)
         caller_region = regions.get(data_centre, region or None)
-        members = select_members(self.members.list_serving(), allowed, caller_region, regions)
-        entries = choose_entries(members, data_centre, regions)
+        members = self.members.list_serving()
+        permitted = select_members(members, allowed, caller_region, regions)
+        chosen = self.entry_choices.choose(members, data_centre, self._scheduler.now())
+        entries = [item for item in chosen if item in permitted] or permitted
         return [item.address for item in entries]
 
     def _make_member(self) -> Member:
@@ -418,6 +456,7 @@
             forwarded_load=self.request_context.forwarded_rate.estimate(now) or 0.0,
             leaving=self.admission.departures.list_stated(now),
             cut_off_regions=self.reachability.list_cut_off_regions(),
+            full=self.own_load.is_full,
         )
 
     def _on_configuration(self, configuration: GatewayConfiguration) -> None:
@@ -480,5 +519,18 @@
     return []
 
 
+def _log_entries(data_centre: str, choice: Choice, demand: Demand) -> None:
+    """Log which nodes are named to the callers of a data centre, and why."""
+    log_event(
+        "entries_changed",
+        data_centre=data_centre,
+        stage=choice.stage.name.lower(),
+        nodes=len(choice.node_ids),
+        demand=round(demand.rate, 1),
+        region_demand=round(demand.region_rate, 1),
+    )
+    ENTRY_CHANGES.labels(choice.stage.name.lower()).inc()
+
+
 def _respond_with_metrics(exchange: Exchange) -> None:
     exchange.respond(200, {"Content-Type": "text/plain; version=0.0.4"}, render_metrics())
--- a/tests/test_record_fields.py
+++ b/tests/test_record_fields.py
@@ -103,7 +103,7 @@
     "keyed.holdings": HOLDING,
 }
 ENCODED = {
-    "keyed.nodes": attrs.evolve(MEMBER, cut_off_regions={"desk": ("sask",)}).encode(),
+    "keyed.nodes": attrs.evolve(MEMBER, cut_off_regions={"desk": ("sask",)}, full=True).encode(),
     "keyed.crashes": encode_report(REPORT),
     "keyed.versions": BASE.encode(),
     "keyed.holdings": HOLDING.encode(),
