Share what cold targets accept among the nodes

A target that warms up ends if it gets many more requests per second than its service states (warmup_per_s), and nothing kept the nodes together below that rate.

Three nodes nearest to a target have a share of the rate; all others send it nothing until it is warm. A node uses shares only while its heartbeats and its view of the fleet are at most 3.5 s old, and only after 5 s of that, so that any two nodes that use shares know of each other: nodes that just started, are cut off or see few others have none. Warm targets get the requests while one has room, the most urgent requests go first where all are cold, and the rest gets 503 with Retry-After. A target is cold by its registration, by X-Warmup-Ms, or while its start after a loss is uncertain.

--- a/bench/idle_connections.py
+++ b/bench/idle_connections.py
@@ -123,6 +123,7 @@
     server: _Server
     carried_ids: CarriedIds
     idle_until: float = 0.0
+    keep_alive_seconds: float = IDLE_SECONDS_MAX
     is_open: bool = True
     uses: int = 0
     history: set[str] = field(factory=set)
--- a/bronzetiller/gateway/brittle_targets.py
+++ b/bronzetiller/gateway/brittle_targets.py
@@ -90,6 +90,14 @@
         for service in list(self._waiters):
             self._resume_next(service)
 
+    def now(self) -> float:
+        """Return the time (monotonic seconds)."""
+        return self._scheduler.now()
+
+    def list_targets(self, service: str) -> list[Target]:
+        """Return the targets of a service, as of the last refresh."""
+        return self._targets.get(service, [])
+
     def list_stated(self) -> dict[str, Statement]:
         """Return what this node should report of services."""
         return self._services.list_reportable(self._scheduler.now())
--- a/bronzetiller/gateway/configuration.py
+++ b/bronzetiller/gateway/configuration.py
@@ -39,10 +39,16 @@
 
 @frozen
 class ServiceConfiguration:
-    """Describe a service; tokens_per_event is 0 if its targets are not model engines."""
+    """Describe a service; tokens_per_event is 0 if its targets are not model engines.
+
+    A target is cold for warm_up_seconds after its start, and then accepts warm_up_per_second
+    requests per second from all nodes together; 0 if its targets are never cold.
+    """
 
     name: str
     tokens_per_event: int = 0
+    warm_up_seconds: float = 0.0
+    warm_up_per_second: float = 0.0
 
 
 @frozen
--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -158,7 +158,8 @@
     """Publish this node's record and follow those of the other nodes.
 
     A node that reads the store itself discards members without heartbeats; one that reads through
-    a peer goes by what the peer discards. _last_seen_at holds monotonic seconds by node id.
+    a peer goes by what the peer discards. _last_seen_at holds monotonic seconds by node id, and
+    acknowledged_at is when the newest record in the store was sent that says that this node serves.
     """
 
     _scheduler: Scheduler
@@ -170,6 +171,7 @@
     _last_seen_at: dict[str, float] = field(factory=dict)
     _newest_beats: dict[str, tuple[str, int]] = field(factory=dict)
     follower: KeyedFollower = field(init=False)
+    acknowledged_at: float = float("-inf")
     _publish_from: float = float("-inf")
     _heartbeat_number: int = 0
     _backoff: Backoff = field(init=False)
@@ -213,6 +215,7 @@
                 log_event("heartbeat_unwritten", level=30, beat=own.beat, cause=result.err_value)
             else:
                 self._backoff.reset()
+                self.acknowledged_at = now if own.serving else float("-inf")
             if own.beat != self._heartbeat_number:
                 return
             self._publish_from = self._scheduler.now()
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -21,6 +21,7 @@
 from bronzetiller.gateway.budget_refusals import refuse_uncovered
 from bronzetiller.gateway.budgets import Budgets
 from bronzetiller.gateway.capacity import estimate_capacity
+from bronzetiller.gateway.cold_targets import ColdTargets
 from bronzetiller.gateway.configuration import GatewayConfiguration
 from bronzetiller.gateway.crash_reports import CrashReports
 from bronzetiller.gateway.crashes import CrashTracker
@@ -49,16 +50,17 @@
 from bronzetiller.gateway.stream_records import StreamRecords
 from bronzetiller.gateway.target_admission import TargetAdmission
 from bronzetiller.gateway.target_limits import LimitedNode, TargetLimits
-from bronzetiller.gateway.targets import TargetPool
+from bronzetiller.gateway.targets import Target, TargetPool
 from bronzetiller.logs import configure_bounded_logging, log_event
 from bronzetiller.metrics import CONFIGURATION_CONFIRMATION_AGE, render_metrics
 from bronzetiller.net.address import Address
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.exchange import Exchange
-from bronzetiller.net.http_client import HttpClient
+from bronzetiller.net.http_client import HttpClient, ResponseHead
 from bronzetiller.net.http_server import Application as HttpApplication
 from bronzetiller.net.http_server import HttpLimits, HttpServer
 from bronzetiller.net.loop import make_loop
+from bronzetiller.platform.headers import decode_warm_up, is_from_target
 from bronzetiller.platform.lookup import make_lookup_application, make_readiness_application
 from bronzetiller.platform.store import PlatformStore
 from bronzetiller.platform.topics import (
@@ -72,6 +74,7 @@
 from bronzetiller.sync.start import start_in_order
 
 CONFIRMATION_CHECK_SECONDS = 0.5
+COLD_REFRESH_SECONDS = 0.5  # the view of the fleet may be 3.5 s old and is read each second
 PREALLOCATION_DELAY_SECONDS = 0.6  # until nodes that start together have discovered each other
 STOP_MARGIN_SECONDS = 0.7  # of the grace period, for the process to exit
 STOP_MARGIN_PORTION_MAX = 0.25
@@ -117,11 +120,21 @@
         self._set_up_budgets(store)
         self._retry_windows: dict[str, RetryWindow] = {}
         regions = self.distances.regions
+        starts = RegisteredStarts(lambda: self.targets_follower.follower.confirmed_at)
         self.admission = TargetAdmission(
             TargetLimits(settings.node_id, regions),
             BrittleTargets(scheduler, settings.node_id, regions),
             Departures(settings.node_id, regions, self.pool),
+            cold=ColdTargets(
+                settings.node_id,
+                regions,
+                settings.cold_targets.overage,
+                settings.cold_targets.slack,
+                starts,
+            ),
         )
+        http.idle.on_early_close = self._on_early_close
+        self.reachability.on_response = self._on_probe_response
         self.request_context = RequestContext(
             scheduler=scheduler,
             http=http,
@@ -138,7 +151,7 @@
             forwarder=PeerForwarder(
                 settings.node_id, self.distances, self.members.list_serving, self._draw_uniform
             ),
-            starts=RegisteredStarts(lambda: self.targets_follower.follower.confirmed_at),
+            starts=starts,
         )
         application = Application(
             self.request_context,
@@ -314,6 +327,7 @@
         self.reachability.on_change = self.members.publish
         self.reachability.start()
         self._scheduler.call_every(HEARTBEAT_SECONDS, self._refresh_admission)
+        self._scheduler.call_every(COLD_REFRESH_SECONDS, self._refresh_cold)
         self._scheduler.call_every(
             CONFIRMATION_CHECK_SECONDS, self.configuration_follower.log_confirmation
         )
@@ -333,6 +347,28 @@
         leaving = [DepartureNode(item.node_id, item.data_centre, item.leaving) for item in members]
         self.admission.departures.refresh(leaving, targets, now)
 
+    def _refresh_cold(self) -> None:
+        cold, members, now = self.admission.cold, self.members, self._scheduler.now()
+        if not cold.is_used:
+            cold.refresh((), (), now, now)
+            return
+        contact_at = min(members.follower.confirmed_at, members.acknowledged_at)
+        nodes = [(item.node_id, item.data_centre) for item in members.list_serving()]
+        cold.refresh(nodes, self.pool.targets.values(), contact_at, now)
+
+    def _on_early_close(self, address: Address) -> None:
+        """Find out whether the targets at an address, which closed an idle connection, are lost."""
+        at_address = [
+            item for item in self.pool.targets.values() if item.registration.address == address
+        ]
+        for target in self.admission.cold.mark_lost(at_address, self._scheduler.now()):
+            self.reachability.suspect(target)
+
+    def _on_probe_response(self, target: Target, head: ResponseHead, sent_at: float) -> None:
+        if is_from_target(head, target.target_id):
+            warm_up, now = decode_warm_up(head), self._scheduler.now()
+            self.admission.cold.record_response(target, warm_up, sent_at, now)
+
     def is_ready(self) -> bool:
         """Return whether the node has its configuration and targets and is not stopping."""
         loaded = (
@@ -407,6 +443,7 @@
             )
         )
         self.allocation_manager.set_workspaces(configuration.workspaces)
+        self.admission.cold.set_services(configuration.services)
         if not self._preallocation_scheduled:
             self._preallocation_scheduled = True
             self._scheduler.call_after(PREALLOCATION_DELAY_SECONDS, self.allocation_manager.start)
--- a/bronzetiller/gateway/reachability.py
+++ b/bronzetiller/gateway/reachability.py
@@ -39,13 +39,15 @@
 class Reachability:
     """Hold the targets out of reach, with the times of their last probes (monotonic seconds).
 
-    on_change is called when this node no longer reaches any target of a service, or does again.
+    on_change is called when this node no longer reaches any target of a service, or does again,
+    on_response with each response to a probe and the time at which the probe was sent.
     """
 
     _scheduler: Scheduler
     _http: HttpClient
     _pool: TargetPool
     on_change: Callable[[], None] = lambda: None
+    on_response: Callable[[Target, ResponseHead, float], None] = lambda *arguments: None
     _probed_at: dict[Target, float] = field(factory=dict)
     _probes: dict[Target, OpenCall] = field(factory=dict)
     _cut_off: list[str] = field(factory=list)
@@ -104,9 +106,12 @@
             return
         TARGET_PROBES.inc()
         call = make_probe_call(target.registration.address, PROBE_SECONDS)
-        self._probes[target] = self._http.send(call, lambda event: self._end_probe(target, event))
+        sent_at = self._scheduler.now()
+        self._probes[target] = self._http.send(
+            call, lambda event: self._end_probe(target, event, sent_at)
+        )
 
-    def _end_probe(self, target: Target, event: CallEvent) -> None:
+    def _end_probe(self, target: Target, event: CallEvent, sent_at: float) -> None:
         if not isinstance(event, ResponseHead | CallFailed):
             return
         probe = self._probes.pop(target, None)
@@ -114,7 +119,8 @@
             return
         probe.cancel()
         if isinstance(event, ResponseHead):
-            target.quiet_since = self._scheduler.now()
+            target.record_received(sent_at, self._scheduler.now())
+            self.on_response(target, event, sent_at)
             self._mark_reachable(target)
         else:
             self._mark_unreachable(target, event.cause)
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -1,7 +1,5 @@
 """Handle one request of a path route, from its token reservation to the end of the response."""
 
-import math
-
 from attrs import define, field
 from result import Err, Result
 
@@ -43,7 +41,7 @@
     make_placement_request,
 )
 from bronzetiller.gateway.request_context import RequestContext
-from bronzetiller.gateway.requests import RequestMetadata
+from bronzetiller.gateway.requests import RequestMetadata, Urgency
 from bronzetiller.gateway.reservation_client import Reservation
 from bronzetiller.gateway.response_flow import Obstacle, ResponseFlow
 from bronzetiller.gateway.selection import TargetCriteria, compute_retry_after
@@ -336,8 +334,9 @@
 
     @property
     def _criteria(self) -> TargetCriteria:
-        tried = self.tried_target_ids
-        return TargetCriteria(self.service, tried, self.version, self._is_resumable)
+        urgency = Urgency(self._priority, self.route.latency_target_seconds)
+        service, tried = self.service, self.tried_target_ids
+        return TargetCriteria(service, tried, self.version, self._is_resumable, urgency)
 
     def _refuse_without_target(self) -> None:
         now = self.context.scheduler.now()
@@ -348,9 +347,8 @@
                 detail = f"no target of {self.version}, which began the stream, is available"
             self._refuse_with_retry_after(Reason.NO_TARGET, detail)
             return
-        detail = "the targets of the service limit the requests of the fleet, pause or are full"
-        earliest = free_at - now if math.isfinite(free_at) else None
-        self._refuse_with_retry_after(Reason.OVERLOADED, detail, earliest)
+        detail = "the targets of the service limit the fleet's requests, warm up, pause or are full"
+        self._refuse_with_retry_after(Reason.OVERLOADED, detail, free_at - now)
 
     def _refuse_with_retry_after(
         self, reason: Reason, detail: str, earliest_seconds: float | None = None
@@ -380,7 +378,7 @@
             context.scheduler.now,
             self._on_event,
             lambda bounds, ran: context.admission.record_bounds(
-                target, bounds, context.scheduler.now(), ran=ran
+                target, bounds, context.scheduler.now(), ran=ran, sent_at=now
             ),
             self.content_type,
             quota=context.response_quota,
--- a/bronzetiller/gateway/requests.py
+++ b/bronzetiller/gateway/requests.py
@@ -62,6 +62,14 @@
     return is_success and names_request
 
 
+@frozen(order=True)
+class Urgency:
+    """Rate how much a request loses by a slow target; the least of several is the most urgent."""
+
+    priority: int
+    latency_target_seconds: float
+
+
 @frozen
 class LoadReport:
     """Count the running and waiting requests of a target and its slots."""
@@ -76,10 +84,12 @@
     """Hold what a target in need states: the requests that it accepts, the refusals it survives.
 
     Both are per second and over all nodes; None is no bound. With pause_seconds it wants no other
-    request of this node for that long, and with is_leaving none at all.
+    request of this node for that long, and with is_leaving none at all. With warm_up_seconds it is
+    cold for that long, or warm if 0.
     """
 
     requests_per_second: float | None = None
     refusals_per_second: float | None = None
     pause_seconds: float | None = None
     is_leaving: bool = False
+    warm_up_seconds: float | None = None
--- a/bronzetiller/gateway/selection.py
+++ b/bronzetiller/gateway/selection.py
@@ -1,11 +1,13 @@
 """Select the targets to which a request may be sent now, or tell when it may be; no I/O."""
 
+import math
 from collections.abc import Collection
 
 from attrs import define, frozen
 
 from bronzetiller.gateway.reachability import Reachability
 from bronzetiller.gateway.registered_starts import RegisteredStarts
+from bronzetiller.gateway.requests import Urgency
 from bronzetiller.gateway.stream_records import StreamRecords
 from bronzetiller.gateway.target_admission import TargetAdmission
 from bronzetiller.gateway.targets import Target, TargetPool
@@ -23,6 +25,7 @@
     tried_target_ids: Collection[str]
     version: str | None
     is_resumable: bool
+    urgency: Urgency | None = None
 
 
 @define(eq=False)
@@ -49,20 +52,23 @@
         ]
 
     def list_usable(self, criteria: TargetCriteria, now: float) -> list[Target]:
-        """Return the untried targets that accept a request of this node now.
+        """Return the untried targets that accept a request of this node now, the warm ones if any.
 
         A stream that cannot be recorded begins at a target whose streams need no record.
         """
+        admission, urgency = self._admission, criteria.urgency
+        admission.cold.record_demand(criteria.service, urgency, now)
         targets = [
             target
             for target in self._reachability.select(self.list_untried(criteria))
-            if self._admission.find_free_at(target, now) <= now
+            if admission.find_free_at(target, now, urgency) <= now
         ]
         streams = self._streams
         if not criteria.is_resumable or streams.is_writable or criteria.version is not None:
-            return targets
+            return admission.cold.prefer_warm(targets, urgency, now)
         base_targets = streams.list_base_targets(criteria.service)
-        return [target for target in targets if target in base_targets] or targets
+        targets = [target for target in targets if target in base_targets] or targets
+        return admission.cold.prefer_warm(targets, urgency, now)
 
     def prefer_untried_addresses(
         self, targets: list[Target], criteria: TargetCriteria, now: float
@@ -76,16 +82,13 @@
         tried = [self._pool.targets.get(item) for item in criteria.tried_target_ids]
         addresses = {item.registration.address for item in tried if item is not None}
         others = [item for item in targets if item.registration.address not in addresses]
-        has_room = any(
-            item.avoid_until <= now and item.estimate_load(now) < item.registration.slots
-            for item in others
-        )
-        return others if has_room else targets
+        return others if any(item.has_room(now) for item in others) else targets
 
     def find_free_at(self, criteria: TargetCriteria, now: float) -> float | None:
         """Return when a target accepts a request, None without any, infinite if not known."""
+        admission, urgency = self._admission, criteria.urgency
         untried = self.list_untried(criteria)
-        return min((self._admission.find_free_at(item, now) for item in untried), default=None)
+        return min((admission.find_free_at(item, now, urgency) for item in untried), default=None)
 
 
 def compute_retry_after(earliest_seconds: float | None, draw: float) -> float:
@@ -93,7 +96,7 @@
 
     The callers come back spread over a time, and none of them before the earliest one.
     """
-    if earliest_seconds is None:
+    if earliest_seconds is None or math.isinf(earliest_seconds):
         return round(OVERLOADED_RETRY_SECONDS * (0.6 + 0.8 * draw), 3)
     spread = max(SPREAD_SECONDS_MIN, SPREAD_PORTION * earliest_seconds)
     return round(earliest_seconds + draw * spread, 3)
--- a/bronzetiller/gateway/settings.py
+++ b/bronzetiller/gateway/settings.py
@@ -56,6 +56,17 @@
     link_mbps: float = field(validator=gt(0))
 
 
+@frozen
+class GatewayColdTargets:
+    """Limit the requests in any second to a cold target, over all nodes together.
+
+    They are the rate that its service states times overage, plus slack.
+    """
+
+    overage: float = field(default=1.5, validator=ge(0))
+    slack: float = field(default=5.0, validator=ge(0))
+
+
 @frozen
 class GatewaySettings:
     """Hold all settings of one gateway node."""
@@ -71,6 +82,7 @@
     capacity: GatewayCapacity
     fleet_secret: str = field(validator=min_len(16), repr=False)
     configuration: ConfigurationBounds = field(factory=ConfigurationBounds)
+    cold_targets: GatewayColdTargets = field(factory=GatewayColdTargets)
     seeds: list[Address] = field(factory=list)
     connections_max: int = field(default=3_000, validator=gt(0))
     log_lines_per_second: int = field(default=400, validator=gt(0))
--- a/bronzetiller/gateway/targets.py
+++ b/bronzetiller/gateway/targets.py
@@ -33,7 +33,7 @@
     slots: int
     leaving: bool
     started_ms: int = 0
-    warm_up_seconds: float = 0.0
+    warm_up_seconds: float | None = 0.0  # left when it was written, None if not stated
     software: str = ""  # its version; those of one service may serve side by side
     heartbeat: int = field(default=0, eq=False)  # rises with each write of the registration
 
@@ -59,6 +59,7 @@
     cached_segments: "OrderedDict[str, float]" = field(factory=OrderedDict)
     on_release: Callable[[], None] = lambda: None
     _abandoned_until: list[float] = field(factory=list)
+    _heard_at: float = float("-inf")  # the first response to what was sent after the last loss
 
     @property
     def target_id(self) -> str:
@@ -83,6 +84,17 @@
         self.quiet_since = now
         if started_at < self.lost_at <= now - SURVIVAL_SECONDS:
             self.lost_at = float("-inf")
+        if started_at > self.lost_at >= self._heard_at:
+            self._heard_at = now
+
+    @property
+    def heard_after_loss_at(self) -> float | None:
+        """Return when the target first responded to what was sent after its last loss, or None."""
+        return self._heard_at if self._heard_at > self.lost_at else None
+
+    def has_room(self, now: float) -> bool:
+        """Return whether the target is not avoided and has a free slot, as far as is known."""
+        return self.avoid_until <= now and self.estimate_load(now) < self.registration.slots
 
     def release(self, abandoned_until: float | None = None) -> None:
         """Record that a request has ended, or that a target may work on it until a time."""
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -87,6 +87,16 @@
     ["topic"],
     registry=REGISTRY,
 )
+COLD_TARGETS = Gauge(
+    "bronzetiller_cold_targets",
+    "Targets that this node takes for cold.",
+    registry=REGISTRY,
+)
+COLD_TARGET_REQUESTS = Counter(
+    "bronzetiller_cold_target_requests",
+    "Requests that this node sent to targets that it took for cold.",
+    registry=REGISTRY,
+)
 UNREACHABLE_TARGETS = Gauge(
     "bronzetiller_unreachable_targets",
     "Targets that this node does not reach.",
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -282,11 +282,11 @@
             self.connection.resume()
 
     def handle_close(self, cause: str) -> None:
-        self.connection = None
-        self.close_cause = cause
+        self.connection, self.close_cause = None, cause
         if self.deferred:
             return
         self.closed = True
+        self.client.idle.record_close(self, self.client.scheduler.now())
         if cause == CLOSED and self.open_call is not None and self.open_call.sent:
             try:  # a response without a length ends with a close, but not with a reset
                 self.parse(b"", self.open_call)
--- a/bronzetiller/net/idle_connections.py
+++ b/bronzetiller/net/idle_connections.py
@@ -5,6 +5,7 @@
 id that the connection carries for the first time is not the copy of an earlier one.
 """
 
+from collections.abc import Callable
 from typing import Generic, Protocol, TypeVar
 
 from attrs import define, field
@@ -15,6 +16,9 @@
 IDLE_SECONDS_MAX = 30.0
 # Fraction of the server's idle timeout, so that it does not close while a request is being sent.
 KEEP_ALIVE_FRACTION_MAX = 0.5
+# A server that closes a connection sooner after a response has ended, rather than found it idle:
+# servers keep idle connections for 5 s or more.
+EARLY_CLOSE_SECONDS = 4.0
 CARRIED_IDS_MAX = 128  # before a connection is closed, as it holds each of them
 
 
@@ -54,6 +58,10 @@
     def idle_until(self) -> float:
         """Return until when the server keeps the connection (monotonic seconds)."""
 
+    @property
+    def keep_alive_seconds(self) -> float:
+        """Return how long the server keeps the connection, from its last response."""
+
     def is_quiet(self) -> bool:
         """Return whether the connection is open and nothing arrived since its last response."""
 
@@ -66,8 +74,12 @@
 
 @define(eq=False)
 class IdleConnections(Generic[Kept]):
-    """Hold idle connections by address, the one that was used last at the end."""
+    """Hold idle connections by address, the one that was used last at the end.
 
+    on_early_close is called with the address of a server that closes one too soon for an idle one.
+    """
+
+    on_early_close: Callable[[Address], None] = lambda address: None
     _by_address: dict[Address, list[Kept]] = field(factory=dict)
 
     def has(self, address: Address) -> bool:
@@ -98,6 +110,13 @@
         if kept in idle:
             idle.remove(kept)
 
+    def record_close(self, kept: Kept, now: float) -> None:
+        """Record that the other side closed a connection, which may be an idle one."""
+        idle_seconds = now - (kept.idle_until - kept.keep_alive_seconds)
+        is_idle = kept in self._by_address.get(kept.address, ())
+        if is_idle and idle_seconds < min(EARLY_CLOSE_SECONDS, kept.keep_alive_seconds):
+            self.on_early_close(kept.address)
+
     def close_all(self, address: Address) -> None:
         """Close the connections to an address."""
         for kept in self._by_address.pop(address, []):
--- a/bronzetiller/platform/decoding.py
+++ b/bronzetiller/platform/decoding.py
@@ -1,5 +1,6 @@
 """Decode the operator's configuration and the registrations of targets."""
 
+import math
 from typing import Any
 
 from result import Err, Ok, Result
@@ -74,9 +75,17 @@
     return ServiceConfiguration(
         name=item["name"],
         tokens_per_event=int(engine.get("stride") or (1 if engine else 0)),
+        warm_up_seconds=_decode_positive(item.get("warmup_s")),
+        warm_up_per_second=_decode_positive(item.get("warmup_per_s")),
     )
 
 
+def _decode_positive(value: Any) -> float:
+    """Decode a number that is 0 if it is missing, negative or not finite."""
+    number = float(value or 0)
+    return number if math.isfinite(number) and number > 0 else 0.0
+
+
 def _decode_workspace(item: dict[str, Any]) -> WorkspaceConfiguration:
     prepaid = item.get("prepaid")
     priority = item.get("priority")
@@ -113,6 +122,7 @@
         reported_start_ms = item.get("born", 0)
         heartbeat = item.get("sequence", 0)
         software = item.get("version", "")
+        warm_up_ms = item.get("warmup_left_ms")
         return Ok(
             Registration(
                 target_id=target_id,
@@ -122,7 +132,7 @@
                 slots=slots,
                 leaving=state == "draining",
                 started_ms=reported_start_ms if type(reported_start_ms) is int else 0,
-                warm_up_seconds=float(item.get("warmup_left_ms") or 0) / 1000,
+                warm_up_seconds=None if warm_up_ms is None else _decode_positive(warm_up_ms) / 1000,
                 software=software if isinstance(software, str) else "",
                 heartbeat=heartbeat if type(heartbeat) is int else 0,
             )
--- a/bronzetiller/platform/headers.py
+++ b/bronzetiller/platform/headers.py
@@ -27,6 +27,7 @@
 _RESUMES = "resumes"  # the id of the attempt that brought a stream's first event
 _NOT_RUN = "x-not-executed"
 _EXPECTED_TARGET = "x-expect-instance"
+_TARGET = "x-instance-id"  # of the target that responds
 _WORKSPACE = "x-tenant"
 _PRIORITY = "x-request-priority"
 _LOAD = "x-server-load"
@@ -35,6 +36,7 @@
 _SEAL = "x-response-seal"
 _RETRY_AFTER = "retry-after"
 _LEAVING = "server-leaving"
+_WARM_UP = "x-warmup-ms"  # milliseconds until the target is warm
 
 # Only the router sets these headers; those that a caller sends are dropped.
 _ROUTER_HEADERS = {
@@ -173,8 +175,8 @@
 def decode_stated_bounds(head: ResponseHead, request_id: str) -> StatedBounds:
     """Decode the bounds that a target states; a malformed one counts as none.
 
-    A response that does not name its request may be an old one, which says nothing of a departure
-    or a pause.
+    A response that does not name its request may be an old one, which says nothing of a departure,
+    a pause or a warm-up.
     """
     is_named = names_request(head, request_id)
     pauses = is_named and head.status == 503
@@ -183,9 +185,21 @@
         _parse_number(head.headers.get(_REFUSALS_SURVIVED)),
         _parse_number(head.headers.get(_RETRY_AFTER)) if pauses else None,
         is_named and head.headers.get(_LEAVING, "").strip() == "1",
+        decode_warm_up(head) if is_named else None,
     )
 
 
+def decode_warm_up(head: ResponseHead) -> float | None:
+    """Decode the seconds until a target is warm, None if the response does not state them."""
+    milliseconds = _parse_number(head.headers.get(_WARM_UP))
+    return None if milliseconds is None else milliseconds / 1000
+
+
+def is_from_target(head: ResponseHead, target_id: str) -> bool:
+    """Return whether a response may be of a target; another one may have taken its address."""
+    return head.headers.get(_TARGET, target_id) == target_id
+
+
 def _parse_number(text: str | None) -> float | None:
     try:
         number = float(text or "")
