Document cold targets, and count a regular close of idle connections once

Some servers close idle connections regularly; each close would have made their targets count as lost for up to 3 s. A start of a target now counts as lost by such a close once. A response to a probe no longer takes part in deciding that a connection outlived a loss, as before.

The log says when this node begins and ceases to use its shares, and whether it has one of a target.

--- a/bronzetiller/gateway/cold_targets.py
+++ b/bronzetiller/gateway/cold_targets.py
@@ -39,6 +39,7 @@
     stated_at: float = float("-inf")  # when the request was sent whose response stated it last
     registration: Registration | None = None
     taken_at: float = float("-inf")
+    has_closed: bool = False
     is_logged: bool = False
 
 
@@ -47,6 +48,7 @@
     target: Target
     cause: str | None
     seconds: float
+    has_share: bool
 
 
 @define(eq=False)
@@ -67,6 +69,7 @@
     _warm_ups: dict[str, _WarmUp] = field(factory=dict)
     _demands: dict[str, dict[Urgency, float]] = field(factory=dict)
     _has_targets: bool = False
+    _was_settled: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.shares = ColdShares(self._node_id, self._regions)
@@ -128,10 +131,17 @@
         return max(self._find(target, now).until, self._find_doubted_until(target))
 
     def mark_lost(self, targets: Iterable[Target], now: float) -> list[Target]:
-        """Mark targets whose idle connections ended as lost; return those that may be cold now."""
-        lost = [item for item in targets if item.registration.service in self._sizes]
+        """Mark targets whose idle connections ended as lost; return those that may be cold now.
+
+        One that closes them again without having started again does so regularly.
+        """
+        lost = [
+            item
+            for item in targets
+            if item.registration.service in self._sizes and not self._find(item, now).has_closed
+        ]
         for target in lost:
-            target.lost_at = now
+            target.lost_at, self._find(target, now).has_closed = now, True
         return lost
 
     def is_cold(self, target: Target, now: float) -> bool:
@@ -165,11 +175,11 @@
         """
         if not self._sizes or not targets:
             return targets
-        cold = [item for item in targets if self.is_cold(item, now)]
-        if not cold:
-            return targets
-        warm = [item for item in targets if item not in cold]
-        if not any(item.has_room(now) for item in warm):
+        cold: list[Target] = []
+        warm: list[Target] = []
+        for item in targets:
+            (cold if self.is_cold(item, now) else warm).append(item)
+        if not cold or not any(item.has_room(now) for item in warm):
             return targets
         if urgency is None or urgency < self._find_demand(cold[0], now)[1]:
             return warm
@@ -247,10 +257,17 @@
         elif warm_up.cause == REGISTERED:
             warm_up.until = until
 
+    def _has_share(self, target: Target, now: float) -> bool:
+        place, size = target.registration.data_centre, self._sizes[target.registration.service]
+        return self.shares.has_share(target.instance, place, size, now)
+
     def _log_changes(self, targets: list[Target], now: float) -> None:
         """Log which targets became cold or warm since the last refresh."""
         changes = []
         cold = 0
+        if self.shares.is_settled(now) != self._was_settled:
+            self._was_settled = not self._was_settled
+            log_event("cold_shares", used=self._was_settled)
         for target in targets:
             warm_up, until = self._find(target, now), self.find_cold_until(target, now)
             cold += until > now
@@ -260,7 +277,7 @@
             cause = None
             if until > now:
                 cause = warm_up.cause if warm_up.until == until else LOST
-            changes.append(_Change(target, cause, until - now))
+            changes.append(_Change(target, cause, until - now, self._has_share(target, now)))
         COLD_TARGETS.set(cold)
         for change in changes[:LOGGED_CHANGES_MAX]:
             _log_change(change)
@@ -274,4 +291,6 @@
         log_event("target_warm", target=target)
         return
     seconds = round(change.seconds, 2) if math.isfinite(change.seconds) else None
-    log_event("target_cold", target=target, cause=change.cause, seconds=seconds)
+    log_event(
+        "target_cold", target=target, cause=change.cause, seconds=seconds, share=change.has_share
+    )
--- a/bronzetiller/gateway/reachability.py
+++ b/bronzetiller/gateway/reachability.py
@@ -119,7 +119,7 @@
             return
         probe.cancel()
         if isinstance(event, ResponseHead):
-            target.record_received(sent_at, self._scheduler.now())
+            target.record_heard(sent_at, self._scheduler.now())
             self.on_response(target, event, sent_at)
             self._mark_reachable(target)
         else:
--- a/bronzetiller/gateway/targets.py
+++ b/bronzetiller/gateway/targets.py
@@ -81,9 +81,13 @@
 
         If it is older than a loss, its connection has outlived the loss, and so has the process.
         """
-        self.quiet_since = now
         if started_at < self.lost_at <= now - SURVIVAL_SECONDS:
             self.lost_at = float("-inf")
+        self.record_heard(started_at, now)
+
+    def record_heard(self, started_at: float, now: float) -> None:
+        """Record that the target responded to a request or a probe that was started at a time."""
+        self.quiet_since = now
         if started_at > self.lost_at >= self._heard_at:
             self._heard_at = now
 
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -168,6 +168,9 @@
     target, other = make_target(), make_target(1, service="never")
     assert cold.mark_lost([target, other], 100.0) == [target]
     assert (target.lost_at, other.lost_at) == (100.0, float("-inf"))
+    assert cold.mark_lost([target], 110.0) == []  # it closes idle connections regularly
+    restarted = make_target(started_ms=2)
+    assert cold.mark_lost([restarted], 120.0) == [restarted]
 
 
 @pytest.mark.parametrize(
