Test that a target which restarts is spared before its registration is read

A target may restart under its address, and be cold, while the list of targets still shows the earlier start.

A service counts as followed from its own first targets on, so that stating a warm-up for it later does not make all of its targets cold.

--- a/bronzetiller/gateway/cold_targets.py
+++ b/bronzetiller/gateway/cold_targets.py
@@ -68,7 +68,7 @@
     _sizes: dict[str, ShareSize] = field(factory=dict)
     _warm_ups: dict[str, _WarmUp] = field(factory=dict)
     _demands: dict[str, dict[Urgency, float]] = field(factory=dict)
-    _has_targets: bool = False
+    _followed: set[str] = field(factory=set)  # services whose targets have been seen
     _was_settled: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -107,7 +107,7 @@
             del self._warm_ups[instance]
             self.shares.drop(instance)
         self._log_changes(warmed, now)
-        self._has_targets = self._has_targets or bool(warmed)
+        self._followed |= {item.registration.service for item in warmed}
 
     def record_response(
         self, target: Target, seconds: float | None, sent_at: float, now: float
@@ -249,7 +249,7 @@
             return
         if stated is None:
             # The targets that were there when this node began may have started long ago.
-            is_new = before is None and self._has_targets
+            is_new = before is None and registration.service in self._followed
             stated = self._find_seconds(target) if is_new else 0.0
         until = now + min(COLD_SECONDS_MAX, stated)
         if until > warm_up.until and stated > 0:
--- a/tests/test_cold_target_fleet.py
+++ b/tests/test_cold_target_fleet.py
@@ -1,5 +1,6 @@
 """Test with real processes that all nodes together spare a target that is warming up."""
 
+import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -58,6 +59,31 @@
     return max((sum(start <= at < start + 1.0 for at in arrivals) for start in arrivals), default=0)
 
 
+def test_a_target_that_restarts_is_spared_before_its_registration_is_read(fleet):
+    address = ["--listen", f"127.0.0.1:{find_free_port()}"]
+    arguments = ["standins.path_engine", "--id", "desk-2", *address, *SLOTS]
+    fleet.start_helper("desk-2", arguments)
+    fleet.register_target("desk-2", PLAIN_SERVICE, "regina-a", born=1)
+    time.sleep(SETTLE_SECONDS + 3.0)
+    with ThreadPoolExecutor(1) as pool:
+        load = pool.submit(send_load, fleet, 7.0, "restart")
+        time.sleep(1.5)
+        fleet.processes["desk-2"].kill()
+        time.sleep(0.5)
+        restarted_at = time.time()
+        fleet.start_helper("desk-2", arguments)
+        time.sleep(1.5)  # it still starts, and is in the list of targets as it was
+        fleet.register_target("desk-2", PLAIN_SERVICE, "regina-a", born=2, warmup_left_ms=2_000)
+        load.result()
+    arrivals = list_arrivals(fleet, "desk-2", restarted_at, restarted_at + 3.0)
+    assert count_busiest_second(arrivals) <= ALLOWED
+
+
+def find_free_port():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
+
+
 def test_a_cold_target_gets_few_requests_until_it_is_warm(fleet):
     time.sleep(SETTLE_SECONDS + 3.0)
 
