--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -21,6 +21,7 @@
 )
 from bronzetiller.gateway.configuration import ServiceConfiguration
 from bronzetiller.gateway.departures import Departures
+from bronzetiller.gateway.members import Member, Members
 from bronzetiller.gateway.registered_starts import REGISTRATION_SECONDS, RegisteredStarts
 from bronzetiller.gateway.requests import LoadReport, StatedBounds, Urgency
 from bronzetiller.gateway.selection import compute_retry_after
@@ -34,6 +35,8 @@
 from bronzetiller.platform.headers import decode_stated_bounds
 from standins.fake_scheduler import FakeScheduler
 from standins.gateway_fleet import PLAIN_SERVICE, make_configuration
+from standins.memory_store import MemoryStore
+from tests.gateway_fakes import FakeStoreClient
 
 REGIONS = {"a": "west"}
 SERVICES = {
@@ -330,6 +333,30 @@
     assert lines[-1] == "target_warm"
 
 
+def test_only_heartbeats_of_a_serving_node_that_the_store_took_count():
+    """A node whose record is not in the store is unknown to the others, who have its shares."""
+    scheduler, store, serving = FakeScheduler(), MemoryStore(), False
+    client = FakeStoreClient(scheduler, store)
+
+    def describe():
+        return Member("node-1", "10.0.0.1:1", "a", "node-1/1", serving)
+
+    members = Members(scheduler, client, client, describe, draw_uniform=lambda: 0.5)
+    members.start()
+    scheduler.advance(3.0)
+    assert members.acknowledged_at == float("-inf")
+    serving = True
+    scheduler.advance(3.0)
+    assert scheduler.now() - members.acknowledged_at <= 1.0
+    client.mode = "lost"
+    acknowledged_at = members.acknowledged_at
+    scheduler.advance(5.0)
+    assert members.acknowledged_at <= acknowledged_at + 1.0
+    client.mode, serving = "up", False
+    scheduler.advance(3.0)
+    assert members.acknowledged_at == float("-inf")
+
+
 @pytest.mark.parametrize(
     ("fields", "expected"),
     [
