--- a/bronzetiller/gateway/reachability.py
+++ b/bronzetiller/gateway/reachability.py
@@ -47,9 +47,10 @@
     """Hold the targets out of reach, with the times of their last probes (monotonic seconds).
 
     on_change is called when this node no longer reaches any target of a service, or does again;
-    with states_regions, also when this is so for the targets of a service in one region. While
-    is_congested, this node's own link or processor delays everything, and a timeout says nothing
-    about a target.
+    with states_regions, also when this is so for the targets of a service in one region.
+    on_response is called with each response to a probe and the time at which the probe was sent.
+    While is_congested, this node's own link or processor delays everything, and a timeout says
+    nothing about a target.
     """
 
     _scheduler: Scheduler
@@ -61,6 +62,7 @@
     on_change: Callable[[], None] = lambda: None
     states_regions: bool = False
     is_congested: Callable[[], bool] = lambda: False
+    on_response: Callable[[Target, ResponseHead, float], None] = lambda *arguments: None
     _probed_at: dict[Target, float] = field(factory=dict)
     _probes: dict[Target, OpenCall] = field(factory=dict)
     _cut_off: tuple[list[str], dict[str, tuple[str, ...]]] = field(factory=lambda: ([], {}))
@@ -141,9 +143,12 @@
             return
         TARGET_PROBES.inc()
         call = make_probe_call(target.registration.address, PROBE_SECONDS)
-        self._probes[target] = self._http.send(call, lambda event: self._end_probe(target, event))
+        sent_at = self._scheduler.now()
+        self._probes[target] = self._http.send(
+            call, lambda event: self._end_probe(target, event, sent_at)
+        )
 
-    def _end_probe(self, target: Target, event: CallEvent) -> None:
+    def _end_probe(self, target: Target, event: CallEvent, sent_at: float) -> None:
         if not isinstance(event, ResponseHead | CallFailed):
             return
         probe = self._probes.pop(target, None)
@@ -151,7 +156,8 @@
             return
         probe.cancel()
         if isinstance(event, ResponseHead):
-            target.quiet_since = self._scheduler.now()
+            target.record_heard(sent_at, self._scheduler.now())
+            self.on_response(target, event, sent_at)
             self._mark_reachable(target)
         else:
             self._mark_unreachable(target, event.cause)
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -43,7 +43,7 @@
     make_placement_request,
 )
 from bronzetiller.gateway.request_context import RequestContext
-from bronzetiller.gateway.requests import RequestMetadata
+from bronzetiller.gateway.requests import RequestMetadata, Urgency
 from bronzetiller.gateway.reservation_client import Reservation
 from bronzetiller.gateway.response_flow import Obstacle, ResponseFlow
 from bronzetiller.gateway.selection import TargetCriteria, compute_retry_after
@@ -344,8 +344,9 @@
 
     @property
     def _criteria(self) -> TargetCriteria:
-        tried = self.tried_target_ids
-        return TargetCriteria(self.service, tried, self.version, self._is_resumable, self._regions)
+        urgency = Urgency(self._priority, self.route.latency_target_seconds)
+        service, tried, regions = self.service, self.tried_target_ids, self._regions
+        return TargetCriteria(service, tried, self.version, self._is_resumable, regions, urgency)
 
     def _refuse_without_target(self) -> None:
         now = self.context.scheduler.now()
@@ -379,7 +380,7 @@
             context.scheduler.now,
             self._on_event,
             lambda bounds, ran: context.admission.record_bounds(
-                target, bounds, context.scheduler.now(), ran=ran
+                target, bounds, context.scheduler.now(), ran=ran, sent_at=now
             ),
             self.content_type,
             quota=context.response_quota,
--- a/bronzetiller/gateway/selection.py
+++ b/bronzetiller/gateway/selection.py
@@ -10,6 +10,7 @@
 from bronzetiller.gateway.permitted_targets import PermittedTargets
 from bronzetiller.gateway.reachability import Reachability
 from bronzetiller.gateway.registered_starts import RegisteredStarts
+from bronzetiller.gateway.requests import Urgency
 from bronzetiller.gateway.stream_records import StreamRecords
 from bronzetiller.gateway.target_admission import TargetAdmission
 from bronzetiller.gateway.targets import Target, TargetPool
@@ -31,6 +32,7 @@
     version: str | None
     is_resumable: bool
     regions: AllowedRegions = None
+    urgency: Urgency | None = None
 
 
 @define(eq=False)
@@ -58,23 +60,26 @@
         ]
 
     def list_usable(self, criteria: TargetCriteria, now: float) -> list[Target]:
-        """Return the untried targets that accept a request of this node now.
+        """Return the untried targets that accept a request of this node now, the warm ones if any.
 
         A stream that cannot be recorded begins at a target whose streams need no record. There are
         none while evacuations may exist that this node should know.
         """
         if not self._permitted.may_send():
             return []
+        admission, urgency = self._admission, criteria.urgency
+        admission.cold.record_demand(criteria.service, urgency, now)
         targets = [
             target
             for target in self._reachability.select(self.list_untried(criteria))
-            if self._admission.find_free_at(target, now) <= now
+            if admission.find_free_at(target, now, urgency) <= now
         ]
         streams = self._streams
         if not criteria.is_resumable or streams.is_writable or criteria.version is not None:
-            return targets
+            return admission.cold.prefer_warm(targets, urgency, now)
         base_targets = streams.list_base_targets(criteria.service)
-        return [target for target in targets if target in base_targets] or targets
+        targets = [target for target in targets if target in base_targets] or targets
+        return admission.cold.prefer_warm(targets, urgency, now)
 
     def prefer_untried_addresses(
         self, targets: list[Target], criteria: TargetCriteria, now: float
@@ -88,11 +93,7 @@
         tried = [self._pool.targets.get(item) for item in criteria.tried_target_ids]
         addresses = {item.registration.address for item in tried if item is not None}
         others = [item for item in targets if item.registration.address not in addresses]
-        has_room = any(
-            item.avoid_until <= now and item.estimate_load(now) < item.registration.slots
-            for item in others
-        )
-        return others if has_room else targets
+        return others if any(item.has_room(now) for item in others) else targets
 
     def explain_lack(
         self, criteria: TargetCriteria, now: float
@@ -104,8 +105,9 @@
             if criteria.version is not None:
                 detail = f"no target of {criteria.version}, which began the stream, is available"
             return Reason.NO_TARGET, detail, None
-        free_at = min(self._admission.find_free_at(item, now) for item in untried)
-        detail = "the targets of the service limit the requests of the fleet, pause or are full"
+        admission, urgency = self._admission, criteria.urgency
+        free_at = min(admission.find_free_at(item, now, urgency) for item in untried)
+        detail = "the targets of the service limit the fleet's requests, warm up, pause or are full"
         return Reason.OVERLOADED, detail, free_at - now if math.isfinite(free_at) else None
 
 
@@ -114,7 +116,7 @@
 
     The callers come back spread over a time, and none of them before the earliest one.
     """
-    if earliest_seconds is None:
+    if earliest_seconds is None or math.isinf(earliest_seconds):
         return round(OVERLOADED_RETRY_SECONDS * (0.6 + 0.8 * draw), 3)
     spread = max(SPREAD_SECONDS_MIN, SPREAD_PORTION * earliest_seconds)
     return round(earliest_seconds + draw * spread, 3)
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -92,6 +92,16 @@
     "Data centres whose targets get no requests of this node, by the operator's records.",
     registry=REGISTRY,
 )
+COLD_TARGETS = Gauge(
+    "bronzetiller_cold_targets",
+    "Targets that this node takes for cold.",
+    registry=REGISTRY,
+)
+COLD_TARGET_REQUESTS = Counter(
+    "bronzetiller_cold_target_requests",
+    "Requests that this node sent to targets that it took for cold.",
+    registry=REGISTRY,
+)
 UNREACHABLE_TARGETS = Gauge(
     "bronzetiller_unreachable_targets",
     "Targets that this node does not reach.",
--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -147,7 +147,7 @@
         Distances("a", "west", {"a": "west"}),
         lambda: members,
         Random(1).random,
-        lambda: congested[0],
+        is_congested=lambda: congested[0],
     )
     assert [item.node_id for item in forwarder.list_peers([SERVICE], 5.0)] == ["n2"]
     congested[0] = True
