Forward to peers of data centres that are in reach first

Two data centres that cannot reach each other, while a third reaches both: a node forwarded half of its requests to the peer behind the silent link, whose heartbeats come through the store, and answered 504 at their deadline: 10 of 20 served.

--- a/bronzetiller/gateway/forwarding.py
+++ b/bronzetiller/gateway/forwarding.py
@@ -28,7 +28,8 @@
 class PeerForwarder:
     """Choose peers and count the requests forwarded to them; times are monotonic seconds.
 
-    list_regions returns the regions in which a service has targets.
+    list_regions returns the regions in which a service has targets, list_unreached the data centres
+    that this node does not reach.
     """
 
     _own_id: str
@@ -36,6 +37,7 @@
     _list_members: Callable[[], list[Member]]
     _draw_uniform: Callable[[], float]
     _list_regions: Callable[[str], set[str]] = lambda service: set()
+    _list_unreached: Callable[[], set[str]] = set
     _requests: float = 0.0
     _refilled_at: float = 0.0
     _avoid_until: dict[str, float] = field(factory=dict)
@@ -43,8 +45,12 @@
     def list_peers(
         self, services: Collection[str], now: float, allowed: AllowedRegions = None
     ) -> list[Member]:
-        """Return the peers in allowed regions that reach targets of one of the services there."""
-        return [
+        """Return the peers in allowed regions that reach targets of one of the services there.
+
+        Peers in data centres that this node does not reach are returned if there are no others: a
+        connection to them may open and stay silent.
+        """
+        peers = [
             item
             for item in self._list_members()
             if item.node_id != self._own_id
@@ -52,6 +58,8 @@
             and allows(allowed, self._distances.regions.get(item.data_centre))
             and self._avoid_until.get(item.node_id, 0.0) <= now
         ]
+        unreached = self._list_unreached()
+        return [item for item in peers if item.data_centre not in unreached] or peers
 
     def choose(
         self, services: Collection[str], now: float, allowed: AllowedRegions = None
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -144,6 +144,7 @@
                 self.members.list_serving,
                 self._draw_uniform,
                 self.permitted.list_regions,
+                self.reachability.list_unreached_data_centres,
             ),
             permitted=self.permitted,
             starts=RegisteredStarts(lambda: self.targets_follower.follower.confirmed_at),
--- a/bronzetiller/gateway/reachability.py
+++ b/bronzetiller/gateway/reachability.py
@@ -87,6 +87,18 @@
             return []
         return sorted(name for name in self._permitted.list_services() if self.is_cut_off([name]))
 
+    def list_unreached_data_centres(self) -> set[str]:
+        """Return the data centres of which this node reaches no target, if it reaches any."""
+        if not self._probed_at:
+            return set()
+        unreached = {item.registration.data_centre for item in self._probed_at}
+        reached = {
+            item.registration.data_centre
+            for item in self._pool.targets.values()
+            if self.is_reachable(item)
+        }
+        return unreached - reached if reached else set()
+
     def list_cut_off_regions(self) -> dict[str, tuple[str, ...]]:
         """Return the regions in which this node reaches no target of a service, by service.
 
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -19,7 +19,7 @@
 HOST = "studio.example"
 MODEL_SERVICE = "namegen"
 PLAIN_SERVICE = "desk"
-REGIONS = {"regina-a": "sask", "winnipeg-a": "manitoba"}
+REGIONS = {"regina-a": "sask", "winnipeg-a": "manitoba", "calgary-a": "alberta"}
 KEY = "studio-key"
 WORKSPACE = "studio"
 FLEET_SECRET = "secret of the stand-in fleet"
@@ -31,11 +31,13 @@
     prepaid: int = 100_000,
     more_routes: tuple[str, ...] = (),
     timeout_ms: int = 5_000,
+    regions: dict[str, list[str]] | None = None,
+    workspace_regions: list[str] | None = None,
 ) -> dict[str, Any]:
     """Return a configuration with two streaming and two plain routes, and more idempotent ones.
 
     Streams of route draft can be resumed, those of score cannot; route status is idempotent,
-    order is not.
+    order is not. Routes are limited to the given regions.
     """
 
     def make_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
@@ -51,6 +53,8 @@
             "max_attempts": 2,
             "public": False,
         }
+        if regions and name in regions:
+            route["allowed_regions"] = regions[name]
         return route | fields
 
     return {
@@ -76,7 +80,10 @@
             "header_timeout_ms": 3_000,
             "idle_timeout_ms": 15_000,
         },
-        "tenants": [{"name": WORKSPACE, "api_keys": [KEY], "priority": 1, "prepaid": prepaid}],
+        "tenants": [
+            {"name": WORKSPACE, "api_keys": [KEY], "priority": 1, "prepaid": prepaid}
+            | ({"allowed_regions": workspace_regions} if workspace_regions else {})
+        ],
     }
 
 
@@ -213,6 +220,22 @@
         reply = send_request(self.store_address, "POST", path, {OPERATOR_HEADER: "1"}, body)
         assert reply.status == 200, reply
 
+    def evacuate(self, data_centre: str) -> None:
+        """Write the operator's record of an evacuation to the store."""
+        self.append_record("keyed.op", f"evacuate/{data_centre}", b"{}")
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Delete the operator's record of an evacuation."""
+        self.append_record("keyed.op", f"evacuate/{data_centre}", b"")
+
+    def resolve(self, node_id: str, data_centre: str, host: str = HOST) -> set[str]:
+        """Return the addresses that a node names to callers in a data centre."""
+        query = f"name={host}&region={REGIONS[data_centre]}&zone={data_centre}"
+        reply = send_request(
+            self.address(node_id, "lookup"), "GET", f"/-/resolve?{query}", {"Host": "lookup"}
+        )
+        return set(json.loads(reply.body)["addresses"])
+
     def set_faults(self, name: str, **faults: Any) -> None:
         """Set the faults of the store or of a target; those not given are cleared."""
         address = self.processes[name].ready["address"]
--- a/standins/target_links.py
+++ b/standins/target_links.py
@@ -46,20 +46,37 @@
                 replacements[upstream] = added["address"]
         return self.fleet.add_store_view(node_id, replacements)
 
+    def add_peer(self, node_id: str, peer_id: str) -> None:
+        """Place links in front of a node; another one learns of them with its next heartbeat."""
+        replacements = {}
+        for kind in ("callers", "peers"):
+            name, upstream = f"{node_id}>{peer_id}/{kind}", self.fleet.address(peer_id, kind)
+            self._links[node_id][f"{peer_id}/{kind}"] = name
+            replacements[upstream] = self._execute({"add": name, "upstream": upstream})["address"]
+        self.fleet.add_store_view(node_id, replacements)
+
     def cut(self, *node_ids: str, how: str) -> None:
-        """Cut nodes off from all targets."""
-        self._set_fault(node_ids, CUTS[how])
+        """Cut nodes off from all targets, and from the nodes that they have links to."""
+        self._set_fault(self._list_links(node_ids), CUTS[how])
+
+    def cut_from(self, node_id: str, *others: str, how: str) -> None:
+        """Cut a node off from some targets and nodes, given by id."""
+        links = self._links[node_id]
+        names = [links[item] for item in links if item.partition("/")[0] in others]
+        self._set_fault(names, CUTS[how])
 
     def heal(self, *node_ids: str) -> None:
         """Restore the links of nodes."""
-        self._set_fault(node_ids, {})
+        self._set_fault(self._list_links(node_ids), {})
 
     def close(self) -> None:
         """Close the connection to the proxy."""
         self._control.close()
 
-    def _set_fault(self, node_ids: tuple[str, ...], fault: dict[str, bool]) -> None:
-        names = [name for node_id in node_ids for name in self._links[node_id].values()]
+    def _list_links(self, node_ids: tuple[str, ...]) -> list[str]:
+        return [name for node_id in node_ids for name in self._links[node_id].values()]
+
+    def _set_fault(self, names: list[str], fault: dict[str, bool]) -> None:
         self._execute({"links": names, "fault": fault})
 
     def _execute(self, command: dict[str, object]) -> dict[str, str]:
--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -143,11 +143,12 @@
     assert reachability.list_cut_off() == ["t"]
     assert reachability.list_cut_off_regions() == {"s": ("east",)}
     assert changes[-1] == {"s": ("east",)}
+    assert reachability.list_unreached_data_centres() == {"c"}
     reachability.states_regions = False
     assert reachability.list_cut_off_regions() == {}
 
 
-def choose_peer(pool, members, services, allowed):
+def choose_peer(pool, members, services, allowed, unreached=()):
     distances = Distances("a", "west", REGIONS)
     forwarder = PeerForwarder(
         "node-0",
@@ -155,6 +156,7 @@
         lambda: members,
         Random(1).random,
         PermittedTargets(pool, REGIONS).list_regions,
+        lambda: set(unreached),
     )
     peer = forwarder.choose(services, 100.0, allowed)
     assert (peer is None) == (not forwarder.list_peers(services, 100.0, allowed))
@@ -176,3 +178,20 @@
     assert choose_peer(pool, [partly], ["s"], east_or_north) is None
     assert choose_peer(pool, [partly], ["s"], None) == "east"
     assert choose_peer(pool, [partly], ["s", "t"], east_or_north) == "east"
+
+
+@pytest.mark.parametrize("allowed", [None, frozenset({"east", "north"})])
+def test_a_peer_in_a_data_centre_that_is_not_reached_is_the_last_choice(pool, allowed):
+    east, north = make_member("east", "c"), make_member("north", "d")
+    for unreached, expected in (("c", "north"), ("d", "east")):
+        assert choose_peer(pool, [east, north], ["s"], allowed, unreached) == expected
+    assert choose_peer(pool, [east], ["s"], allowed, "c") == "east"
+
+
+def test_a_node_that_reaches_no_target_takes_no_data_centre_for_the_cause(pool):
+    scheduler = FakeScheduler()
+    reachability = Reachability(scheduler, FakeHttp(scheduler), pool)
+    for target in pool.targets.values():
+        assert target.registration.data_centre not in reachability.list_unreached_data_centres()
+        reachability.record_connect_failure(target, "connect: timeout")
+    assert reachability.list_unreached_data_centres() == set()
