--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -231,3 +231,32 @@
         for target in node.targets.values():
             target.in_flight = 50
             assert node.brittle.find_free_at(target, now) == now
+
+
+def test_a_waiting_request_that_may_not_use_a_free_slot_leaves_it_to_the_next_one():
+    scheduler = FakeScheduler()
+    brittle = BrittleTargets(scheduler, "node-0", REGIONS)
+    target = Target(Registration("e0", SERVICE, Address("10.0.0.1", 1), "a", 1, False))
+    now = scheduler.now()
+    brittle.record_response(target, 1.0, now)
+    brittle.refresh([BrittleNode("node-0", "a", {})], [target], now)
+    target.in_flight = 1
+    other = Target(Registration("e1", SERVICE, Address("10.0.0.1", 2), "a", 1, False))
+    other.in_flight = 1
+    brittle.refresh([BrittleNode("node-0", "a", {})], [target, other], now)
+    resumed = []
+
+    def wait_again():
+        resumed.append("limited")
+        return brittle.wait(SERVICE, now + 5.0, wait_again, 0)
+
+    def use_slot():
+        resumed.append("next")
+        target.in_flight += 1
+        return True
+
+    assert brittle.wait(SERVICE, now + 5.0, wait_again, 0)
+    assert brittle.wait(SERVICE, now + 5.0, use_slot, 1)
+    target.release()
+    scheduler.advance(0.1)
+    assert resumed == ["limited", "next"] and target.in_flight == 1
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -1,7 +1,7 @@
 """Test how the gateway handles single requests, with fake targets and no network."""
 
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Ok
 
 from bronzetiller.gateway.allocation_manager import AllocationManager
@@ -752,3 +752,50 @@
     calls[1].start_stream(make_event(1))
     start_request(streamed=True, like=handler, resumes="r1")
     assert (len(calls) == 3) is (seconds > SURVIVAL_SECONDS)
+
+
+def evacuate(handler, data_centre="a"):
+    evacuations = handler.context.permitted._evacuations
+    evacuations.apply([(f"evacuate/{data_centre}", b"{}")], 0.0, is_restored=False)
+
+
+def test_a_retry_is_not_sent_to_a_data_centre_that_was_evacuated_meanwhile(start_request):
+    handler, calls, scheduler = start_request()
+    evacuate(handler)
+    calls[0].send_response(500)
+    scheduler.advance(1.0)
+    assert len(calls) == 1 and handler.exchange.status == 502  # the first attempt may have run
+
+
+def test_a_silent_target_in_an_evacuated_data_centre_keeps_its_request(start_request):
+    handler, calls, scheduler = start_request()
+    evacuate(handler)
+    scheduler.advance(2.0)
+    assert len(calls) == 1 and not calls[0].cancelled
+    calls[0].send_response(200)
+    assert handler.exchange.status == 200
+
+
+@pytest.mark.parametrize("limit", ["region", "evacuation", "confirmation"])
+def test_a_request_without_a_permitted_target_is_refused_at_once_before_it_reserves_tokens(
+    start_request, limit
+):
+    first, calls, _ = start_request()
+    if limit == "evacuation":
+        evacuate(first)
+    elif limit == "confirmation":
+        first.context.permitted.may_send = lambda: False
+    handler = RequestHandler(
+        context=first.context,
+        exchange=FakeExchange(),
+        configuration=first.configuration,
+        route=evolve(first.route, regions=frozenset({"east"}) if limit == "region" else None),
+        metadata=first.metadata,
+        workspace=first.workspace,
+        started_at=first.started_at,
+        deadline=first.deadline,
+    )
+    handler.start()
+    assert len(calls) == 1 and handler.finished and handler.reservation is None
+    assert handler.exchange.status == 503
+    assert float(handler.exchange.headers["Retry-After"]) >= 1.0
