--- a/tests/test_region_fleet.py
+++ b/tests/test_region_fleet.py
@@ -158,10 +158,13 @@
         fleet.configure(version)
     fleet.restore_store(1.0)
     time.sleep(2.0)
-    assert is_evacuated(fleet, node_ids) == [1, 1]
+    node_ids += ("node-4",)  # which learns of all changes through its peer
+    assert is_evacuated(fleet, node_ids) == [1, 1, 1]
 
     fleet.evacuate("winnipeg-a")
-    await_true(lambda: is_evacuated(fleet, node_ids) == [2, 2], EVACUATE_SECONDS, "an evacuation")
+    await_true(
+        lambda: is_evacuated(fleet, node_ids) == [2, 2, 2], EVACUATE_SECONDS, "an evacuation"
+    )
     known_elsewhere = list_ids(fleet, "desk-w")
     for node_id in node_ids:
         reply = fleet.send(node_id, "order", f"none-{node_id}")
@@ -170,7 +173,7 @@
 
     for data_centre in ("regina-a", "winnipeg-a"):
         fleet.end_evacuation(data_centre)
-    await_true(lambda: is_evacuated(fleet, node_ids) == [0, 0], EVACUATE_SECONDS, "the end")
+    await_true(lambda: is_evacuated(fleet, node_ids) == [0, 0, 0], EVACUATE_SECONDS, "the end")
     assert set(send_many(fleet, "node-1", "status", "after")) == {200}
     assert any(item.startswith("after-") for item in list_ids(fleet, "desk-r"))
     assert is_in_log(fleet, "node-1", "event=evacuation_ended data_centre=regina-a")
