Keep members known while a restored store lacks their records

The check compared the time of the restoration with the present time. The real clock moves on between the two, so that members whose records the copy lacked were dropped; the test had a clock that stands still. The follower now says that it delivers the records of a restoration.

The test fails with a clock that moves on without the change, and passes with it.

--- a/bronzetiller/gateway/members.py
+++ b/bronzetiller/gateway/members.py
@@ -303,7 +303,7 @@
 
         Its node writes it again, or falls silent, which only a node that reads directly notices.
         """
-        return self.follower.is_direct and self.follower.restored_at == self._scheduler.now()
+        return self.follower.is_direct and self.follower.is_restoring
 
     def _is_outdated(self, member: Member) -> bool:
         """Return whether a record is older than one that was read, or of a node that fell silent.
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -347,7 +347,17 @@
         assert node.follower.values == {"a": b"1", "c": b"new"}
 
 
-def test_members_stay_known_while_the_store_lacks_their_records(fleet):
+class RunningScheduler(FakeScheduler):
+    """Let time pass with each look at the clock, as the real one does."""
+
+    def now(self):
+        self.time += 1e-6
+        return self.time
+
+
+@pytest.mark.parametrize("make_scheduler", [FakeScheduler, RunningScheduler])
+def test_members_stay_known_while_the_store_lacks_their_records(make_scheduler):
+    fleet = Fleet(make_scheduler())
     reader = fleet.start("reader")
     fleet.scheduler.advance(5.0)
     fleet.start("other", reader="reader")
