Count the own data centre as in reach when peers are chosen

Peers in the node's own data centre came last when all targets there were down, though only the targets were out of reach. Unit tests cover it.

--- a/bronzetiller/gateway/forwarding.py
+++ b/bronzetiller/gateway/forwarding.py
@@ -47,8 +47,8 @@
     ) -> list[Member]:
         """Return the peers in allowed regions that reach targets of one of the services there.
 
-        Peers in data centres that this node does not reach are returned if there are no others: a
-        connection to them may open and stay silent.
+        Peers in other data centres that this node does not reach are returned if there are no
+        others: a connection to them may open and stay silent.
         """
         peers = [
             item
@@ -58,7 +58,7 @@
             and allows(allowed, self._distances.regions.get(item.data_centre))
             and self._avoid_until.get(item.node_id, 0.0) <= now
         ]
-        unreached = self._list_unreached()
+        unreached = self._list_unreached() - {self._distances.data_centre}
         return [item for item in peers if item.data_centre not in unreached] or peers
 
     def choose(
--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -186,6 +186,11 @@
     for unreached, expected in (("c", "north"), ("d", "east")):
         assert choose_peer(pool, [east, north], ["s"], allowed, unreached) == expected
     assert choose_peer(pool, [east], ["s"], allowed, "c") == "east"
+    # The data centre of the node itself is in reach, whatever happened to its targets.
+    near = make_member("near", "a")
+    assert choose_peer(pool, [near], ["s"], None, "a") == "near"
+    chosen = choose_peer(pool, [near, evolve(north, load=100.0)], ["s"], None, "a")
+    assert chosen == "near"
 
 
 def test_a_node_that_reaches_no_target_takes_no_data_centre_for_the_cause(pool):
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -20,6 +20,7 @@
 from standins.gateway_fleet import make_configuration
 from standins.memory_store import MemoryStore
 from tests.gateway_fakes import FakePeers, FakeStoreClient
+from tests.test_gateway_relay import RunningScheduler
 
 PARTITION = Partition(OPERATOR_TOPIC)
 KEY = "evacuate/a"
@@ -92,7 +93,7 @@
 class Cluster:
     """Hold nodes that follow the operator's records, some of them through another node."""
 
-    scheduler: FakeScheduler = field(factory=FakeScheduler)
+    scheduler: FakeScheduler = field(factory=RunningScheduler)
     store: MemoryStore = field(factory=MemoryStore)
     network: dict = field(factory=dict)
 
