--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -170,6 +170,7 @@
                 self.members.list_serving,
                 self._draw_uniform,
                 self.permitted.list_regions,
+                self.reachability.list_unreached_data_centres,
                 lambda: self.own_load.is_congested,
             ),
             permitted=self.permitted,
