Log where the tokens of a budget are with each refusal for want of them

Change: the refused line has workspace, prepaid, used, held, held_elsewhere and in_doubt as the node that decided knows them; a peer that lacks tokens sends the same figures (TokensLacking.budget). Accounts of holding records have an eighth number, the tokens in doubt: reserved for requests under way, or counted as spent by a restart without a report of it. holding_reclaimed says how much of what it counts is in doubt. The test of longer rows of an account has one number more, as the eighth is read now.

--- a/bronzetiller/callers/problems.py
+++ b/bronzetiller/callers/problems.py
@@ -54,6 +54,7 @@
 def record_refusal(refusal: Refusal, **fields: Any) -> None:
     """Count and log a refusal; the fields identify the request."""
     REFUSALS.labels(refusal.reason, refusal.ran).inc()
+    fields = {**fields, **refusal.log_fields}
     log_event("refused", reason=refusal.reason, ran=refusal.ran, detail=refusal.detail, **fields)
 
 
--- a/bronzetiller/errors.py
+++ b/bronzetiller/errors.py
@@ -2,7 +2,7 @@
 
 from enum import StrEnum
 
-from attrs import frozen
+from attrs import field, frozen
 
 
 class Ran(StrEnum):
@@ -49,13 +49,17 @@
 
 @frozen
 class Refusal:
-    """Describe one refusal: HTTP status, reason, whether the request ran and when to retry."""
+    """Describe one refusal: HTTP status, reason, whether the request ran and when to retry.
+
+    log_fields are for the log line alone and are not part of the response.
+    """
 
     status: int
     reason: Reason
     detail: str
     ran: Ran = Ran.NO
     retry_after_seconds: float | None = None
+    log_fields: dict[str, str | int] = field(factory=dict, eq=False)
 
 
 class BronzetillerError(Exception):
--- a/bronzetiller/gateway/allocation_manager.py
+++ b/bronzetiller/gateway/allocation_manager.py
@@ -158,20 +158,16 @@
     def set_workspaces(self, workspaces: dict[str, WorkspaceConfiguration]) -> None:
         """Apply the budgets of a new configuration."""
         for name, configuration in workspaces.items():
-            if configuration.prepaid_tokens is None:
+            prepaid = configuration.prepaid_tokens
+            if prepaid is None:
                 self.allocations.pop(name, None)
                 continue
             existing = self.allocations.get(name)
             if existing is None:
-                self.allocations[name] = self._make_allocation(name, configuration.prepaid_tokens)
-            elif existing.prepaid != configuration.prepaid_tokens:
-                log_event(
-                    "budget_changed",
-                    workspace=name,
-                    before=existing.prepaid,
-                    after=configuration.prepaid_tokens,
-                )
-                existing.prepaid = configuration.prepaid_tokens
+                self.allocations[name] = self._make_allocation(name, prepaid)
+            elif existing.prepaid != prepaid:
+                log_event("budget_changed", workspace=name, before=existing.prepaid, after=prepaid)
+                existing.prepaid = prepaid
 
     def reserve_when_available(
         self, workspace: str, tokens: int, deadline: float, done: ReserveCallback
@@ -434,7 +430,7 @@
         return _extract_totals(accounts) == _extract_totals(previous)
 
     def _compute_change(self, allocation: Allocation) -> int:
-        others = self._list_others(allocation.workspace)
+        others = self.list_others(allocation.workspace)
         free = allocation.prepaid - allocation.recorded_total
         free -= sum(item.handed_out for item in others)
         if self._stopping:
@@ -450,7 +446,7 @@
             change = min(0, change)
         return max(change, -max(0, allocation.held))
 
-    def _list_others(self, workspace: str) -> list[Account]:
+    def list_others(self, workspace: str) -> list[Account]:
         """Return the other nodes' accounts of a workspace, from their newest known records."""
         return [
             record.accounts[workspace]
@@ -577,7 +573,7 @@
         self._proposed = None
         self._holding_recorded = True
         for allocation in self.allocations.values():
-            others = sum(item.handed_out for item in self._list_others(allocation.workspace))
+            others = sum(item.handed_out for item in self.list_others(allocation.workspace))
             change = allocation.accept(self._proposed_order, others)
             if change:
                 self._log_change(allocation, change)
@@ -657,6 +653,7 @@
                 handed_out=record.accounts[name].handed_out,
                 committed=record.accounts[name].committed,
                 counted_as_spent=account.committed,
+                in_doubt=account.in_doubt,
                 certain=self._records.is_certain(record),
             )
             allocation = self.allocations.get(name)
@@ -747,7 +744,7 @@
         for allocation in self.allocations.values():
             if not allocation.waiting or self._compute_change(allocation) > 0:
                 continue
-            others = self._list_others(allocation.workspace)
+            others = self.list_others(allocation.workspace)
             committed = allocation.committed + sum(item.committed for item in others)
             for waiter in list(self._waiters.get(allocation.workspace, [])):
                 if waiter.tokens <= allocation.count_available(self._scheduler.now()):
--- a/bronzetiller/gateway/allocations.py
+++ b/bronzetiller/gateway/allocations.py
@@ -17,7 +17,7 @@
 import math
 from typing import Any
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from bronzetiller.json_values import decode_json
 
@@ -61,7 +61,8 @@
     counts those spent or reserved for requests. Beyond that the node may commit slack tokens
     without a further report, slack_per_second more each second once slack_delay seconds have
     passed, and all it holds reach_seconds after that (0: LEGACY_REACH_SECONDS after the report).
-    rate is the node's use in tokens per second.
+    rate is the node's use in tokens per second. in_doubt counts those committed tokens that are
+    reserved for requests under way, or that a restart counted as spent without a report of it.
     """
 
     handed_out: int = 0
@@ -71,6 +72,7 @@
     rate: int = 0
     slack_delay: float = 0.0
     reach_seconds: float = 0.0
+    in_doubt: int = 0
 
     @property
     def is_used(self) -> bool:
@@ -145,6 +147,7 @@
                     item.rate,
                     item.slack_delay,
                     item.reach_seconds,
+                    item.in_doubt,
                 ]
                 for name, item in self.accounts.items()
             },
@@ -177,13 +180,15 @@
 def _decode_account(numbers: list[Any]) -> Account:
     """Decode an account; records of earlier versions lack its last fields."""
     seconds = (float(number) for number in numbers[5:7])
-    return Account(*(int(number) for number in numbers[:5]), *seconds)
+    in_doubt = int(numbers[7]) if len(numbers) > 7 else 0
+    account = Account(*(int(number) for number in numbers[:5]), *seconds)
+    return evolve(account, in_doubt=in_doubt)
 
 
 def count_all_spent(record: HoldingRecord) -> dict[str, Account]:
     """Return a new incarnation's accounts if the last one's newest record may be lost."""
     return {
-        name: Account(handed_out=account.handed_out, committed=account.handed_out)
+        name: _make_spent_account(account, account.handed_out)
         for name, account in record.accounts.items()
     }
 
@@ -200,13 +205,20 @@
         newest = max(record, use_record, key=lambda item: item.order)
     accounts = {}
     for name, account in record.accounts.items():
-        spent = account.handed_out
+        spent, reported = account.handed_out, account
         if name in newest.accounts:
+            reported = newest.accounts[name]
             spent = min(spent, _bound_spent(newest, name, now))
-        accounts[name] = Account(handed_out=spent, committed=spent)
+        accounts[name] = _make_spent_account(reported, spent)
     return accounts
 
 
+def _make_spent_account(reported: Account, spent: int) -> Account:
+    """Return an account of tokens that all count as spent; some were not reported as committed."""
+    in_doubt = min(spent, reported.in_doubt + max(0, spent - reported.committed))
+    return Account(handed_out=spent, committed=spent, in_doubt=in_doubt)
+
+
 def _bound_spent(record: HoldingRecord, workspace: str, now: float) -> int:
     """Return an upper bound of the tokens spent since a record; all if its age is not known."""
     account = record.accounts[workspace]
@@ -280,7 +292,7 @@
 
     recorded_total is what the holding records give to this node; proposed_total is a total that was
     sent and that the store may or may not have. waiting holds the tokens of each queued request by
-    its id.
+    its id. reclaimed_in_doubt counts tokens that were counted as spent when the node started.
     """
 
     workspace: str
@@ -291,6 +303,7 @@
     proposed_total: int | None = None
     reports: Reports = field(factory=Reports)
     waiting: dict[int, int] = field(factory=dict)
+    reclaimed_in_doubt: int = 0
     _mean_square: float = 0.0
 
     @property
@@ -310,6 +323,11 @@
         """Return the tokens that this node holds and has not committed."""
         return self.handed_out - self.committed
 
+    @property
+    def in_doubt(self) -> int:
+        """Return the committed tokens of which it is not known whether they are used."""
+        return self.reclaimed_in_doubt + self.reserved
+
     @property
     def typical_size(self) -> float:
         """Return the size of a request: the root mean square, so that large ones weigh more."""
@@ -356,6 +374,7 @@
     def reclaim(self, account: Account) -> None:
         """Continue from what the last incarnation may have spent."""
         self.spent += account.committed
+        self.reclaimed_in_doubt = account.in_doubt
         self.recorded_total = account.handed_out
         self.reports = Reports(Report(account=account))
 
@@ -383,6 +402,7 @@
             int(rate),
             SLACK_DELAY_SECONDS,
             REACH_SECONDS,
+            self.in_doubt,
         )
         self.reports.propose(Report(order, account, now))
         return account
--- a/bronzetiller/gateway/budgets.py
+++ b/bronzetiller/gateway/budgets.py
@@ -9,6 +9,7 @@
 from bronzetiller.errors import Reason, Refusal
 from bronzetiller.gateway.allocation_manager import AllocationManager
 from bronzetiller.gateway.budget_refusals import refuse_unconfirmed
+from bronzetiller.gateway.budget_state import add_budget, describe_budget
 from bronzetiller.gateway.holder_map import HolderMap
 from bronzetiller.gateway.holders import (
     HIGH_DEMAND_REQUESTS_PER_SECOND,
@@ -189,4 +190,11 @@
                 asked=",".join(self._attempts),
                 holder=result.ok_value.holder if isinstance(result, Ok) else "",
             )
-        self._done(result)
+        self._done(result.map_err(self._add_budget))
+
+    def _add_budget(self, refusal: Refusal) -> Refusal:
+        workspace = self._reservation.workspace
+        allocation = self._manager.allocations.get(workspace)
+        others = self._manager.list_others(workspace)
+        state = None if allocation is None else describe_budget(allocation, others)
+        return add_budget(refusal, workspace, state)
--- a/bronzetiller/gateway/reservation_client.py
+++ b/bronzetiller/gateway/reservation_client.py
@@ -8,6 +8,7 @@
 from bronzetiller.errors import Reason, Refusal
 from bronzetiller.fleet.peers import NOT_CONNECTED, TIMEOUT, Peers
 from bronzetiller.gateway.budget_refusals import refuse_exhausted, refuse_unconfirmed
+from bronzetiller.gateway.budget_state import select_budget_fields
 from bronzetiller.gateway.reservation_server import SETTLEMENT_RETRY_SECONDS_MAX
 from bronzetiller.logs import log_event
 from bronzetiller.metrics import TOKEN_REQUESTS
@@ -182,6 +183,7 @@
 
 
 def _make_refusal(response: TokensLacking) -> Refusal:
+    log_fields = select_budget_fields(response.budget)
     if response.reason == Reason.BUDGET_EXHAUSTED.value:
-        return refuse_exhausted()
-    return evolve(refuse_unconfirmed(""), detail=response.detail)
+        return evolve(refuse_exhausted(), log_fields=log_fields)
+    return evolve(refuse_unconfirmed(""), detail=response.detail, log_fields=log_fields)
--- a/bronzetiller/gateway/reservation_server.py
+++ b/bronzetiller/gateway/reservation_server.py
@@ -1,12 +1,13 @@
 """Reserve tokens of this node for the requests of its peers."""
 
-from attrs import define, field
+from attrs import asdict, define, field
 from result import Err, Ok, Result
 
 from bronzetiller.errors import Refusal
 from bronzetiller.fleet.peers import Peers, Reply
 from bronzetiller.gateway.allocation_manager import AllocationManager
 from bronzetiller.gateway.budget_refusals import refuse_unconfirmed
+from bronzetiller.gateway.budget_state import describe_budget
 from bronzetiller.logs import log_event
 from bronzetiller.net.scheduler import Scheduler, Timer
 from bronzetiller.wire.messages import (
@@ -93,7 +94,10 @@
     def _refuse(self, message: ReserveTokens, reply: Reply, refusal: Refusal) -> None:
         store_unreachable = self._manager.is_store_unreachable
         reason, detail = refusal.reason.value, refusal.detail
-        reply(TokensLacking(message.reservation_id, reason, detail, store_unreachable))
+        allocation = self._manager.allocations.get(message.workspace)
+        others = self._manager.list_others(message.workspace)
+        budget = {} if allocation is None else asdict(describe_budget(allocation, others))
+        reply(TokensLacking(message.reservation_id, reason, detail, store_unreachable, budget))
 
     def _expire(self, message: ReserveTokens) -> None:
         peer_reservation = self._reservations.pop(message.reservation_id)
--- a/bronzetiller/wire/messages.py
+++ b/bronzetiller/wire/messages.py
@@ -270,12 +270,16 @@
 
 @frozen
 class TokensLacking:
-    """Report why no tokens were reserved: a Reason, and whether the store is unreachable."""
+    """Report why no tokens were reserved: a Reason, and whether the store is unreachable.
+
+    budget holds what the peer knows of the budget: tokens by the names of BudgetState.
+    """
 
     reservation_id: str
     reason: str
     detail: str
     store_away: bool
+    budget: dict[str, int] = field(factory=dict)
 
 
 @frozen
--- a/tests/test_record_fields.py
+++ b/tests/test_record_fields.py
@@ -291,13 +291,13 @@
         assert json.loads(ENCODED[topic]).keys() >= record.keys()
 
 
-@pytest.mark.parametrize("length", range(9))
+@pytest.mark.parametrize("length", range(10))
 def test_a_row_of_an_account_may_be_shorter_or_longer(length):
-    row = [100, 40, 5, 3, 2, 1.5, 20.0, 9][:length]
+    row = [100, 40, 5, 3, 2, 1.5, 20.0, 8, 9][:length]
     record = RELEASED["store_records"]["keyed.holdings"] | {"accounts": {"red": row}}
     decoded = decode_holding_record(json.dumps(record).encode())
     assert decoded is not None
-    assert decoded.accounts == {"red": Account(*row[:7])}
+    assert decoded.accounts == {"red": Account(*row[:8])}
 
 
 @pytest.mark.parametrize("name", RELEASED_MESSAGES)
