--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -83,6 +83,7 @@
     OPERATOR_TOPIC,
     REGISTRATIONS_TOPIC,
 )
+from bronzetiller.process_start import compute_start_time
 from bronzetiller.storage.keyed import KeyedStore
 from bronzetiller.sync.confirmation import may_send, may_serve
 from bronzetiller.sync.start import start_in_order
@@ -175,6 +176,7 @@
             ),
             permitted=self.permitted,
             starts=starts,
+            charge_undelivered=settings.budgets.charge_undelivered,
         )
         application = Application(
             self.request_context,
@@ -291,6 +293,8 @@
             lambda: refuse_uncovered(
                 self.configuration_follower.compute_confirmation_age(), self._draw_uniform()
             ),
+            use_slack_held_share=self.settings.budgets.use_slack_held_share,
+            started_at=compute_start_time(),
         )
         ReservationServer(scheduler, self.allocation_manager).register_handlers(self.peers)
         self.reservation_client = ReservationClient(scheduler, self.peers)
