--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,7 +12,7 @@
 from standins.fleet import Fleet, call_json
 from standins.gateway_fleet import MODEL_SERVICE, GatewayFleet
 
-pytest_plugins = ["tests.known_red"]
+pytest_plugins = ["tests.known_red", "tests.xdist_groups"]
 
 KEY = "studio-key"
 
