Test the same callers at a node for chats and service calls

Its front is the same HttpServer. Measured on the unchanged code (peak resident MB, most descriptors), all three fail: whole bodies in turn 206, 164; bodies without their last byte 105, 164; heads without an end 66, 414. The bounds are 80 and 300.

--- a/tests/test_untrusted_callers.py
+++ b/tests/test_untrusted_callers.py
@@ -11,9 +11,10 @@
 import pytest
 
 from standins.crowd import Crowd, SilentTarget
+from standins.fleet import call_json
 from standins.gateway_fleet import HOST, KEY, MODEL_SERVICE, PLAIN_SERVICE, GatewayFleet
 from standins.path_engine import make_registration
-from tests.conftest import await_true
+from tests.conftest import await_ready, await_true, send
 from tests.raw_target import EVENT_STREAM, RawAnswer, RawTarget
 
 pytestmark = pytest.mark.xdist_group("untrusted_callers")
@@ -46,6 +47,11 @@
     return make_head(number, f"Content-Length: {BODY_BYTES}"), BODY
 
 
+def send_whole_calls(number):
+    lines = f"Host: h\r\nAuthorization: Bearer {KEY}\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+    return f"POST /services/status/path HTTP/1.1\r\n{lines}".encode(), BODY
+
+
 def send_whole_prompts(number):
     return make_model_head(number, BODY_BYTES), BODY
 
@@ -131,6 +137,9 @@
             crowd.close()
         for node_id in self.descriptors:
             await_true(lambda to=node_id: self.is_served(to), 60, f"a response of {node_id}")
+        self.check()
+
+    def check(self):
         figures = {
             node_id: (round(self.read_peak_mb(node_id)), descriptors)
             for node_id, descriptors in self.descriptors.items()
@@ -241,6 +250,45 @@
     nodes.suffer(make_request, CALLERS, in_turn)
 
 
+@pytest.mark.parametrize(
+    ("make_request", "callers", "in_turn"),
+    [
+        (send_whole_calls, CALLERS, True),
+        (send_bodies_without_their_last_byte, CALLERS, False),
+        (send_heads_without_an_end, CONNECTIONS, False),
+    ],
+)
+def test_requests_to_a_node_for_chats_are_bounded(make_fleet, make_request, callers, in_turn):
+    """The node for chats and service calls has the same front."""
+    fleet = make_fleet()
+    fleet.start_platform()
+    fleet.add_target("orders", "orders", "west", "west-1", "standins.service")
+    fleet.add_node("node-1", "west", "west-1", limits={"body_bytes_max": BODY_BYTES})
+    fleet.publish_workspace("studio", KEY, 10_000_000)
+    fleet.publish("route", "status", {"service": "orders", "protocol": "plain"})
+    await_ready(fleet, "node-1")
+    address = fleet.caller_address("node-1")
+    service = fleet.processes["orders"].ready["address"]
+
+    def is_served():
+        headers = {"Authorization": f"Bearer {KEY}"}
+        return send(address, "/services/status/path", {}, headers)[0] == 200
+
+    await_true(is_served, what="a service call")
+    call_json(service, "/control/settings", {"seconds": 600})
+    nodes = Nodes(fleet)
+    nodes.descriptors["node-1"] = 0
+    crowd = Crowd(address, in_turn, nodes.count_descriptors)
+    try:
+        crowd.send(make_request(number) for number in range(callers))
+        nodes.count_descriptors()
+    finally:
+        crowd.close()
+    call_json(service, "/control/settings", {"seconds": 0})
+    await_true(is_served, 60, "a response")
+    nodes.check()
+
+
 def test_the_cases_are_sent_to_one_worker(request):
     """Several cases at a time would take the machine's memory from each other."""
     if hasattr(request.config, "workerinput"):
