Count all bytes that are held for callers in one quota

A complete body was counted nowhere while its request waited or was being sent, and was copied up to three times on its way; 3,000 connections were accepted whatever the machine has. Request heads, bodies until nothing needs them, pipelined requests, unread responses and responses that are not passed on now share one quota, whose bound follows from capacity.memory_mb. The first to be dropped is a request that was not sent to a target, the largest of the address that holds most, with 503; then the largest response. A body is one bytearray from its receipt to the send buffer. capacity.descriptors bounds the callers' connections over all listeners and the idle ones to targets: idle connections are closed first, then accepting pauses. Without these settings, 96 MiB are held for callers and 16 MiB for targets, and connections_max bounds the connections.

The fake exchange of tests/test_gateway_run.py gets the two new fields of an exchange.

--- a/bronzetiller/callers/chat.py
+++ b/bronzetiller/callers/chat.py
@@ -320,6 +320,7 @@
         if self.finished:
             return
         self.finished = True
+        self.exchange.body = b""
         OPEN_REQUESTS.dec()
         self.context.open_requests -= 1
         if self.queue_position is not None:
--- a/bronzetiller/callers/chat_request.py
+++ b/bronzetiller/callers/chat_request.py
@@ -42,7 +42,7 @@
         return self.prompt_tokens_max + self.answer_tokens_max
 
 
-def decode_model(body: bytes) -> Result[tuple[str, dict[str, Any]], Refusal]:
+def decode_model(body: bytes | bytearray) -> Result[tuple[str, dict[str, Any]], Refusal]:
     """Decode a request body; return the name of its model and the body."""
     try:
         value = decode_json(body)
@@ -54,7 +54,7 @@
 
 
 def check_chat_request(
-    body: dict[str, Any], raw: bytes, route: Route
+    body: dict[str, Any], raw: bytes | bytearray, route: Route
 ) -> Result[ChatRequest, Refusal]:
     """Validate the fields that the fleet uses; the engine receives the others unchanged."""
     messages = body.get("messages")
--- a/bronzetiller/callers/service_calls.py
+++ b/bronzetiller/callers/service_calls.py
@@ -353,6 +353,8 @@
         if self.finished:
             return
         self.finished = True
+        self.request = evolve(self.request, body=b"")
+        self.exchange.body = b""
         OPEN_REQUESTS.dec()
         self.context.open_requests -= 1
         self.assignment.unassign()
--- a/bronzetiller/gateway/crashes.py
+++ b/bronzetiller/gateway/crashes.py
@@ -86,10 +86,11 @@
     return [] if prompt is None else [item.segment_id for item in prompt.shared_segments]
 
 
-def _compute_digest(*parts: bytes) -> str:
+def _compute_digest(*parts: bytes | bytearray) -> str:
     digest = hashlib.blake2b(digest_size=8)
     for part in parts:
-        digest.update(len(part).to_bytes(8, "big") + part)
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
     return digest.hexdigest()
 
 
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -53,6 +53,11 @@
 from bronzetiller.logs import configure_bounded_logging, log_event
 from bronzetiller.metrics import CONFIGURATION_CONFIRMATION_AGE, render_metrics
 from bronzetiller.net.address import Address
+from bronzetiller.net.caller_limits import (
+    MachineLimits,
+    compute_idle_connections,
+    make_caller_limits,
+)
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.http_client import HttpClient
@@ -79,6 +84,7 @@
 VERSION_PROPOSERS = 3  # so that some of them reach the store
 RELAYED_TOPICS = (OPERATOR_TOPIC, REGISTRATIONS_TOPIC, NODES_TOPIC, CRASHES_TOPIC)
 LEAVE_SECONDS = 3.0  # after a stop begins, new requests are still served: 1.5 lookup lifetimes
+IDLE_MEMORY_MB = 56  # 42 measured without requests, and records of a large fleet
 BODY_SECONDS_MAX = 10.0  # for 4 MB over a slow link; the operator's limits cover heads only
 
 
@@ -102,6 +108,7 @@
     def __init__(self, settings: GatewaySettings, settings_path: Path) -> None:
         self.settings = settings
         self._settings_path = settings_path
+        self._peer_ips: set[str] = set()
         self.incarnation = make_incarnation(settings.node_id, time.time())
         self.loop = make_loop()
         self._scheduler = scheduler = self.loop.scheduler
@@ -111,7 +118,10 @@
         )
         self.peers = Peers(scheduler, dialer, settings.node_id, settings.fleet_secret.encode())
         store = PlatformStore(HttpClient(scheduler, dialer), settings.store.address)
-        http = HttpClient(scheduler, dialer)
+        machine = MachineLimits(settings.capacity.memory_mb, settings.capacity.descriptors)
+        self._caller_limits = make_caller_limits(machine, IDLE_MEMORY_MB, self._is_peer)
+        idle_connections_max = compute_idle_connections(machine.descriptors)
+        http = HttpClient(scheduler, dialer, idle_connections_max)
         self._draw_uniform = Random().random
         self._set_up_followers(store, http)
         self._set_up_budgets(store)
@@ -139,6 +149,7 @@
                 settings.node_id, self.distances, self.members.list_serving, self._draw_uniform
             ),
             starts=RegisteredStarts(lambda: self.targets_follower.follower.confirmed_at),
+            response_quota=self._caller_limits.response_quota,
         )
         application = Application(
             self.request_context,
@@ -333,6 +344,11 @@
         leaving = [DepartureNode(item.node_id, item.data_centre, item.leaving) for item in members]
         self.admission.departures.refresh(leaving, targets, now)
 
+        self._peer_ips = {item.address.rpartition(":")[0] for item in members}
+
+    def _is_peer(self, ip: str) -> bool:
+        return ip in self._peer_ips
+
     def is_ready(self) -> bool:
         """Return whether the node has its configuration and targets and is not stopping."""
         loaded = (
@@ -435,6 +451,7 @@
             make_rejection,
             limits=limits,
             channel=channel,
+            caller_limits=self._caller_limits,
         )
         server.register(self.loop.root)
         self._addresses[channel] = f"{address.ip}:{server.port}"
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -43,6 +43,7 @@
     make_placement_request,
 )
 from bronzetiller.gateway.request_context import RequestContext
+from bronzetiller.gateway.request_drops import DEADLINE_PASSED, allow_drop
 from bronzetiller.gateway.requests import RequestMetadata
 from bronzetiller.gateway.reservation_client import Reservation
 from bronzetiller.gateway.response_flow import Obstacle, ResponseFlow
@@ -128,9 +129,8 @@
         self.context.arrival_rate.record(1.0, self.started_at)
         self.exchange.on_disconnect = self._on_disconnect
         self.exchange.on_expire = self._on_deadline
-        self.exchange.on_flow_change = lambda flowing: self._flow.change(
-            Obstacle.SLOW_CALLER, flowing=flowing
-        )
+        self.exchange.on_flow_change = self._flow.handle_caller
+        allow_drop(self.exchange, self.execution, self._give_up)
         self._deadline_timer = self.context.scheduler.call_at(self.deadline, self._on_deadline)
         self.last_event_id = self.metadata.last_event_id
         if self.metadata.forwarded_attempts is not None:
@@ -410,10 +410,8 @@
 
     def _end_hold(self) -> None:
         """Discard held events, and withdraw a stream that none of its attempts here has begun."""
-        if self.version is None:
-            self._held_events.withdraw()
-        else:
-            self._held_events.discard()
+        held = self._held_events
+        (held.withdraw if self.version is None else held.discard)()
 
     def _on_hold_expired(self) -> None:
         """Try another target if the version of a stream could not be recorded in time."""
@@ -645,6 +643,9 @@
         return True
 
     def _on_deadline(self) -> None:
+        self._give_up(Reason.DEADLINE, DEADLINE_PASSED)
+
+    def _give_up(self, reason: Reason, detail: str) -> None:
         if self.finished:
             return
         if self.attempt is not None and not self.attempt.finished:
@@ -652,9 +653,7 @@
         if self.execution.may_have_run:
             self._fail("deadline")
             return
-        self._refuse_with_retry_after(
-            Reason.DEADLINE, "the deadline passed before a target accepted the request"
-        )
+        self._refuse_with_retry_after(reason, detail)
 
     def _on_disconnect(self) -> None:
         """Cancel the attempt, unless it was sent and its route executes requests at most once."""
@@ -699,6 +698,7 @@
         if self.finished:
             return
         self.finished = True
+        self.exchange.body = b""
         self._end_hold()
         self._clear_pending_prefill()
         OPEN_REQUESTS.dec()
--- a/bronzetiller/gateway/response_flow.py
+++ b/bronzetiller/gateway/response_flow.py
@@ -58,6 +58,10 @@
         else:
             self._attempt.pause()
 
+    def handle_caller(self, flowing: bool) -> None:
+        """Stop reading from the target while the caller reads more slowly."""
+        self.change(Obstacle.SLOW_CALLER, flowing=flowing)
+
     def end(self) -> None:
         """Release the timeout."""
         self._silence_seconds = None
--- a/bronzetiller/gateway/settings.py
+++ b/bronzetiller/gateway/settings.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 from attrs import field, frozen
-from attrs.validators import ge, gt, matches_re, min_len
+from attrs.validators import ge, gt, matches_re, min_len, optional
 from result import Result
 
 from bronzetiller.documents import Problem
@@ -49,11 +49,16 @@
 
 @frozen
 class GatewayCapacity:
-    """Describe the VM: cores, their speed relative to a typical core, and link rate in Mbit/s."""
+    """Describe the VM: cores, their speed relative to a typical core, and link rate in Mbit/s.
+
+    memory_mb and descriptors bound what callers may hold, if they are given.
+    """
 
     cores: float = field(validator=gt(0))
     speed: float = field(validator=gt(0))
     link_mbps: float = field(validator=gt(0))
+    memory_mb: int | None = field(default=None, validator=optional(ge(64)))
+    descriptors: int | None = field(default=None, validator=optional(ge(256)))
 
 
 @frozen
--- a/bronzetiller/json_values.py
+++ b/bronzetiller/json_values.py
@@ -7,7 +7,7 @@
 INTEGER_DIGITS_MAX = 18  # so that every number fits into 64 bits
 
 
-def decode_json(value: bytes | str) -> Any:
+def decode_json(value: bytes | bytearray | str) -> Any:
     """Decode a JSON document; raise ValueError for everything that cannot be decoded.
 
     Numbers that are too large and documents that are nested too deeply count as malformed.
--- /dev/null
+++ b/bronzetiller/net/caller_limits.py
@@ -0,0 +1,104 @@
+"""Derive from a machine what its callers may hold: bytes and connections; no I/O.
+
+Designed for machines of 80 MB and 300 descriptors upwards.
+"""
+
+from collections.abc import Callable
+
+from attrs import define, field, frozen
+from attrs.validators import ge, optional
+
+from bronzetiller.net.buffer_quota import BufferQuota
+
+MEGABYTE = 1024 * 1024
+HELD_BYTES_DEFAULT = 96 * MEGABYTE  # where the machine's memory is not stated
+HELD_BYTES_MIN = 6 * MEGABYTE  # for one body of 4 MiB in the portion for large ones
+HELD_PORTION = 1 / 3  # of the memory left; the rest is for what holds the bytes, and for records
+FILE_DESCRIPTORS = 200  # of the machine's, for files
+LINK_DESCRIPTORS_PORTION = 0.05  # for the store, peers and listeners
+IDLE_PORTION = 0.1  # for idle connections to targets
+
+
+@frozen
+class MachineLimits:
+    """State the memory (MB) and the file descriptors that a machine gives a process."""
+
+    memory_mb: int | None = field(default=None, validator=optional(ge(64)))
+    descriptors: int | None = field(default=None, validator=optional(ge(256)))
+
+
+def compute_held_bytes(memory_mb: int | None, idle_mb: int) -> int:
+    """Return how many bytes a process may hold for others beside what it needs when idle."""
+    if memory_mb is None:
+        return HELD_BYTES_DEFAULT
+    return max(HELD_BYTES_MIN, int((memory_mb - idle_mb) * HELD_PORTION * MEGABYTE))
+
+
+def compute_idle_connections(descriptors: int | None) -> int | None:
+    """Return how many connections to targets may be kept idle."""
+    return None if descriptors is None else int(descriptors * IDLE_PORTION)
+
+
+def compute_caller_connections(descriptors: int | None) -> int | None:
+    """Return how many connections callers may have, each with one to a target beside it."""
+    if descriptors is None:
+        return None
+    reserved = FILE_DESCRIPTORS * min(1.0, descriptors / 1_000)
+    reserved += descriptors * (LINK_DESCRIPTORS_PORTION + IDLE_PORTION)
+    return int((descriptors - reserved) / 2)
+
+
+@define(eq=False)
+class CallerConnections:
+    """Hold the callers' connections of all listeners; the oldest idle one is closed first."""
+
+    connections_max: int | None = None
+    count: int = 0
+    _idle: dict[object, Callable[[], None]] = field(factory=dict)
+
+    def add_idle(self, connection: object, close: Callable[[], None]) -> None:
+        """Record that a connection waits for a request, as the last one to do so."""
+        self._idle.pop(connection, None)
+        self._idle[connection] = close
+
+    def remove_idle(self, connection: object) -> None:
+        """Record that a connection no longer waits."""
+        self._idle.pop(connection, None)
+
+    def has_room(self) -> bool:
+        """Return whether one more is allowed."""
+        return self.connections_max is None or self.count < self.connections_max
+
+    def make_room(self) -> bool:
+        """Close the oldest idle one; return whether there was one."""
+        oldest = next(iter(self._idle), None)
+        if oldest is None:
+            return False
+        self._idle.pop(oldest)()
+        return True
+
+
+@define(eq=False)
+class CallerLimits:
+    """Hold what all listeners of a process share."""
+
+    quota: BufferQuota
+    response_quota: BufferQuota  # of targets' responses that are not passed on
+    connections: CallerConnections = field(factory=CallerConnections)
+    is_peer: Callable[[str], bool] = lambda ip: False
+
+
+def make_caller_limits(
+    machine: MachineLimits, idle_mb: int, is_peer: Callable[[str], bool] = lambda ip: False
+) -> CallerLimits:
+    """Return the limits of a process that needs idle_mb when it serves nobody.
+
+    Callers and targets share one quota if the machine's memory is stated.
+    """
+    quota = BufferQuota(compute_held_bytes(machine.memory_mb, idle_mb))
+    return CallerLimits(
+        quota,
+        BufferQuota() if machine.memory_mb is None else quota,
+        CallerConnections(compute_caller_connections(machine.descriptors)),
+        is_peer,
+    )
--- a/bronzetiller/net/dialer.py
+++ b/bronzetiller/net/dialer.py
@@ -55,7 +55,7 @@
     paused: bool = False
     timer: Timer | None = None
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | bytearray) -> None:
         """Send data after all that was written before; ignored unless the connection is open."""
         if self.open:
             self._dialer.write(self._sock, data)
--- a/bronzetiller/net/exchange.py
+++ b/bronzetiller/net/exchange.py
@@ -37,13 +37,14 @@
     on_flow_change is called with False when the caller reads more slowly than the response is
     produced, and with True once it has caught up. If the unsent bytes still grow, the
     connection is closed.
+    may_drop tells whether the request can still be refused as not run; on_drop has to refuse it.
     """
 
     method: str
     path: str
     query: str
     headers: dict[str, str]
-    body: bytes
+    body: bytes | bytearray
     _response: Response
     _server: ResponseWriter
     started: bool = False
@@ -51,6 +52,8 @@
     on_disconnect: Callable[[], None] | None = None
     on_expire: Callable[[], None] | None = None
     on_flow_change: Callable[[bool], None] | None = None
+    may_drop: Callable[[], bool] | None = None
+    on_drop: Callable[[], None] | None = None
 
     def respond(self, status: int, headers: dict[str, str], body: bytes) -> None:
         """Send a complete response."""
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -5,7 +5,7 @@
 from enum import Enum
 
 import h11
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from bronzetiller.net.dialer import CLOSED, Address, Connection, ConnectionHandlers, Dialer
 from bronzetiller.net.discarded_responses import report_discarded
@@ -15,11 +15,11 @@
     IdleConnections,
     parse_keep_alive_seconds,
 )
+from bronzetiller.net.request_encoding import encode_request
 from bronzetiller.net.response_ends import ends_by_close, may_be_cut
 from bronzetiller.net.response_heads import check_head, merge_headers
 from bronzetiller.net.scheduler import Scheduler, Timeout
 
-BODILESS_METHODS = ("GET", "HEAD", "DELETE")
 MISMATCHED_RESPONSES_MAX = 3  # responses to other requests before a connection is closed
 MISMATCHED_BYTES_MAX = 1024 * 1024  # of the bodies of such responses
 INFORMATIONAL_RESPONSES_MAX = 8  # before a connection is closed
@@ -106,7 +106,7 @@
     method: str
     path: str
     headers: dict[str, str]
-    body: bytes
+    body: bytes | bytearray
     silence_seconds: float
     connect_seconds: float = 2.0
     first_byte_seconds: float | None = None
@@ -136,10 +136,16 @@
     def cancel(self) -> None:
         """Cancel the call and close its connection; no event follows."""
         if not self.done:
-            self.done = True
+            self.end()
             if self._pooled_connection is not None:
                 self._pooled_connection.close()
 
+    def end(self) -> None:
+        """Mark the call as done, and release the body of its request."""
+        self.done = True
+        if self.call.body:
+            self.call = evolve(self.call, body=b"")
+
     def prevent_reuse(self) -> None:
         """Close the connection after this call instead of reusing it."""
         self.reuse_prevented = True
@@ -208,7 +214,8 @@
         self.open_call.earlier_requests = self.sent_requests
         self.sent_requests += 1
         self.carried_ids.add(call.request_id)
-        self.connection.write(self.encode(call))
+        for part in encode_request(self.parser, call):
+            self.connection.write(part)
         if not self.paused:
             self.silence_timeout.expire_after(call.first_byte_seconds or call.silence_seconds)
         self.body_bytes = self.mismatched_bytes = self.informational_responses = 0
@@ -216,17 +223,6 @@
         if call.seconds_max is not None:
             self.end_timeout.expire_after(call.seconds_max)
 
-    def encode(self, call: HttpCall) -> bytes:
-        headers = [("Host", call.host or str(call.address))]
-        if call.body or call.method not in BODILESS_METHODS:
-            headers.append(("Content-Length", str(len(call.body))))
-        headers += list(call.headers.items())
-        request = h11.Request(method=call.method, target=call.path, headers=headers)
-        data = self.parser.send(request) or b""
-        if call.body:
-            data += self.parser.send(h11.Data(data=call.body)) or b""
-        return data + (self.parser.send(h11.EndOfMessage()) or b"")
-
     def pause(self) -> None:
         self.paused = True
         self.silence_timeout.clear()
@@ -331,7 +327,7 @@
                     return
             elif isinstance(event, h11.EndOfMessage):
                 self.release()
-                open_call.done = True
+                open_call.end()
                 open_call.listener(ResponseEnd(by_close=self.closed))
             elif isinstance(event, h11.InformationalResponse):
                 self.informational_responses += 1
@@ -364,7 +360,7 @@
             return False
         rest = self.parser.trailing_data[0]
         self.parser = h11.Connection(h11.CLIENT)
-        self.encode(call)
+        encode_request(self.parser, call)
         self.mismatched = False
         if rest:
             self.parser.receive_data(rest)
@@ -391,7 +387,7 @@
         open_call = self.open_call
         self.close()
         if open_call is not None and not open_call.done:
-            open_call.done = True
+            open_call.end()
             open_call.listener(CallFailed(cause, open_call.sent, disconnected and open_call.sent))
 
     def close(self) -> None:
@@ -411,10 +407,12 @@
 class HttpClient:
     """Send calls and pool idle connections by address; one with possible unread bytes is closed."""
 
-    def __init__(self, scheduler: Scheduler, dialer: Dialer) -> None:
+    def __init__(
+        self, scheduler: Scheduler, dialer: Dialer, idle_connections_max: int | None = None
+    ) -> None:
         self.scheduler = scheduler
         self._dialer = dialer
-        self.idle: IdleConnections[_PooledConnection] = IdleConnections()
+        self.idle: IdleConnections[_PooledConnection] = IdleConnections(idle_connections_max)
         self._deferred: deque[_PooledConnection] = deque()
         self._parsing_scheduled = False
 
--- a/bronzetiller/net/http_server.py
+++ b/bronzetiller/net/http_server.py
@@ -9,29 +9,31 @@
 from http.cookies import SimpleCookie
 from socket import socket
 from typing import Any
+from weakref import finalize
 
 import h11
-from attrs import define, field, frozen
+from attrs import frozen
 from circuits import BaseComponent, handler
 from circuits.web.servers import BaseServer
 from circuits.web.wrappers import Request, Response
 from result import Err, Ok
 
 from bronzetiller.logs import log_event
-from bronzetiller.net.buffer_quota import Buffer, BufferQuota
+from bronzetiller.net.buffer_quota import Buffer, Kind
+from bronzetiller.net.caller_connection import Body, CallerConnection, CallerSockets
+from bronzetiller.net.caller_limits import CallerLimits, MachineLimits, make_caller_limits
+from bronzetiller.net.dropped_requests import TOO_MANY_BYTES, find_group, make_request_buffer
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.loop import Loop
 from bronzetiller.net.request_target import parse_request_target
-from bronzetiller.net.scheduler import Scheduler, Timeout
-from bronzetiller.net.sockets import StreamSockets
+from bronzetiller.net.scheduler import Scheduler
 
 LINGER_SECONDS = 2.0
 HALF_CLOSE_PROBE_SECONDS = 1.0
 ACCEPT_RETRY_SECONDS = 0.2
 PIPELINED_BYTES_MAX = 64 * 1024
 OVERSHOOT_BYTES_MAX = 1024 * 1024
-UNSENT_BYTES_MAX = 32 * 1024 * 1024  # of the responses of all callers
-RECEIVED_BYTES_MAX = 32 * 1024 * 1024  # of the bodies of all requests that are not complete yet
+HEAD_COPIES = 2  # the headers as bytes and as text
 PARTS_PER_TURN_MAX = 16  # parsed for one connection before others have their turn
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _HOST = re.compile(rb"([\w.~!$&'()*+,;=%-]*|\[[0-9A-Fa-f:.]+\])(:[0-9]*)?")
@@ -77,65 +79,6 @@
         self.server = server
 
 
-@define(eq=False)
-class _Connection:
-    """Hold one caller's connection; each request gets a new parser.
-
-    phase_timeout limits the current phase: idle, receiving, closing, or probing once half-closed.
-    """
-
-    sock: socket
-    parser: h11.Connection
-    phase_timeout: Timeout
-    stall_timeout: Timeout
-    exchange_timeout: Timeout
-    request: h11.Request | None = None
-    body: bytearray = field(factory=bytearray)
-    exchange: Exchange | None = None
-    unparsed: list[bytes] = field(factory=list)
-    unparsed_bytes: int = 0
-    receiving: bool = False
-    half_closed: bool = False
-    closing: bool = False
-    parsing: bool = False
-    deferred: bool = False
-    congested: bool = False
-    unsent: Buffer = field(init=False)
-    received: Buffer = field(init=False)
-
-
-class _CallerSockets(StreamSockets):
-    """Forward the socket events of callers' connections to the server."""
-
-    def __init__(self, host: str, port: int, channel: str, server: "HttpServer") -> None:
-        super().__init__((host, port), channel=channel)
-        self._server = server
-
-    def handle_connection(self, sock: socket) -> None:
-        """Handle an accepted connection."""
-        self._server.handle_connection(sock)
-
-    def handle_data(self, sock: socket, data: bytes) -> None:
-        """Handle received bytes."""
-        self._server.handle_data(sock, data)
-
-    def handle_eof(self, sock: socket) -> None:
-        """Handle the end of a caller's data."""
-        self._server.handle_eof(sock)
-
-    def handle_close(self, sock: socket) -> None:
-        """Handle the close of a connection."""
-        self._server.handle_close(sock)
-
-    def handle_write_progress(self, sock: socket) -> None:
-        """Handle the sending of buffered bytes."""
-        self._server.handle_write_progress(sock)
-
-    def handle_descriptor_shortage(self) -> None:
-        """Handle the lack of a file descriptor for a new connection."""
-        self._server.handle_descriptor_shortage()
-
-
 class HttpServer(BaseServer):
     """Listen on one address and pass each complete request to the application."""
 
@@ -149,18 +92,20 @@
         *,
         limits: HttpLimits,
         channel: str,
+        caller_limits: CallerLimits | None = None,
     ) -> None:
         BaseComponent.__init__(self, channel=channel)
         self._display_banner = False
-        self.server = _CallerSockets(host, port, channel, self)
+        self.server = CallerSockets(host, port, channel, self)
         self.server.register(self)
         self._scheduler: Scheduler = loop.scheduler
         self._application = application
         self._make_rejection = make_rejection
         self._limits = limits
-        self._connections: dict[socket, _Connection] = {}
-        self._unsent_quota = BufferQuota(UNSENT_BYTES_MAX)
-        self._received_quota = BufferQuota(RECEIVED_BYTES_MAX)
+        self._connections: dict[socket, CallerConnection] = {}
+        shared = caller_limits or make_caller_limits(MachineLimits(), 0)
+        self._quota, self._shared = shared.quota, shared.connections
+        self._is_peer = shared.is_peer
 
     @property
     def open_exchanges(self) -> int:
@@ -186,18 +131,21 @@
 
     def handle_connection(self, sock: socket) -> None:
         """Wait for the first request of a connection, or refuse it if there are too many."""
-        connection = _Connection(
+        connection = CallerConnection(
             sock,
             self._make_parser(),
             self._scheduler.create_timeout(lambda: self._expire(connection)),
             self._scheduler.create_timeout(lambda: self._close_stalled(connection)),
             self._scheduler.create_timeout(lambda: self._expire_exchange(connection)),
         )
+        connection.group = find_group(connection, self._is_peer)
         connection.unsent = Buffer(lambda: self._cut_slow_caller(connection))
         connection.received = Buffer(
-            lambda: self._refuse(connection, 503, "too many bytes of requests are being received")
+            lambda: self._drop_received(connection), 0, Kind.REQUEST, connection.group
         )
         self._connections[sock] = connection
+        self._shared.count += 1
+        self._shared.add_idle(connection, lambda: self.close_now(sock))
         connection.phase_timeout.expire_after(self._limits.idle_seconds)
         if len(self._connections) > self._limits.connections_max:
             self._refuse(connection, 503, "too many connections")
@@ -205,9 +153,12 @@
     def handle_data(self, sock: socket, data: bytes) -> None:
         """Parse received bytes; stop reading if too much is pipelined behind an open request."""
         connection = self._connections[sock]
+        if connection.discarding:
+            return
         connection.unparsed.append(data)
         connection.unparsed_bytes += len(data)
         self._process_unparsed(connection)
+        self._count_received(connection)
         if connection.exchange is not None and connection.unparsed_bytes > PIPELINED_BYTES_MAX:
             self.server.pause(sock)
 
@@ -234,8 +185,12 @@
         connection.phase_timeout.cancel()
         connection.stall_timeout.cancel()
         connection.exchange_timeout.cancel()
-        self._unsent_quota.resize(connection.unsent, 0)
-        self._received_quota.resize(connection.received, 0)
+        self._shared.count -= 1
+        self._shared.remove_idle(connection)
+        connection.discard_received()
+        connection.parser = self._make_parser()
+        self._quota.resize(connection.unsent, 0)
+        self._quota.resize(connection.received, 0)
         exchange = connection.exchange
         connection.exchange = None
         if exchange is not None and not exchange.done:
@@ -257,6 +212,14 @@
             connection.congested = False
             self._report_flow(connection, flowing=True)
 
+    def has_room(self) -> bool:
+        """Return whether one more connection may be accepted."""
+        return self._shared.has_room()
+
+    def make_room(self) -> bool:
+        """Close an idle connection for a new one; return whether there was one."""
+        return self._shared.make_room()
+
     def handle_descriptor_shortage(self) -> None:
         """Pause accepting for ACCEPT_RETRY_SECONDS when the process is out of descriptors."""
         self._scheduler.call_after(ACCEPT_RETRY_SECONDS, self.server.resume_accepting)
@@ -310,6 +273,8 @@
             return
         if unsent and connection.stall_timeout.deadline is None:
             connection.stall_timeout.expire_after(self._limits.stall_seconds)
+        if connection.exchange is not None:
+            connection.exchange.body = b""
         connection.exchange = None
         connection.exchange_timeout.clear()
         connection.congested = False
@@ -319,25 +284,44 @@
         trailing = connection.parser.trailing_data[0]
         if trailing:
             connection.unparsed.insert(0, trailing)
+            connection.unparsed_bytes += len(trailing)
         connection.parser = self._make_parser()
+        connection.fed_bytes = 0
         connection.request = None
         connection.receiving = False
+        self._shared.add_idle(connection, lambda: self.close_now(sock))
         connection.phase_timeout.expire_after(self._limits.idle_seconds)
         self.server.resume(sock)
         self._process_unparsed(connection)
+        self._count_received(connection)
+
+    def _count_received(self, connection: CallerConnection) -> None:
+        if connection.sock in self._connections and not connection.closing:
+            self._quota.resize(connection.received, connection.count_received_bytes())
 
-    def _count_unsent_bytes(self, connection: _Connection) -> int:
+    def _drop_received(self, connection: CallerConnection) -> None:
+        """Refuse a request that is not complete; of an open one, discard those that follow."""
+        exchange = connection.exchange
+        if exchange is None:
+            self._refuse(connection, 503, TOO_MANY_BYTES)
+            return
+        connection.discarding = True
+        connection.discard_received()
+        exchange.close_after_response()
+        self.server.pause(connection.sock)
+
+    def _count_unsent_bytes(self, connection: CallerConnection) -> int:
         """Return the unsent bytes of a connection; those with most may be cut to free memory."""
         unsent = self.server.count_unsent_bytes(connection.sock)
-        self._unsent_quota.resize(connection.unsent, unsent)
+        self._quota.resize(connection.unsent, unsent)
         return unsent
 
-    def _cut_slow_caller(self, connection: _Connection) -> None:
+    def _cut_slow_caller(self, connection: CallerConnection) -> None:
         unsent = self.server.count_unsent_bytes(connection.sock)
         log_event("slow_caller_cut", level=30, unsent_bytes=unsent)
         self.close_now(connection.sock)
 
-    def _is_open(self, connection: _Connection) -> bool:
+    def _is_open(self, connection: CallerConnection) -> bool:
         return (
             connection.exchange is not None or self.server.count_unsent_bytes(connection.sock) > 0
         )
@@ -345,12 +329,12 @@
     def _make_parser(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes_max)
 
-    def _report_flow(self, connection: _Connection, *, flowing: bool) -> None:
+    def _report_flow(self, connection: CallerConnection, *, flowing: bool) -> None:
         exchange = connection.exchange
         if exchange is not None and exchange.on_flow_change is not None:
             exchange.on_flow_change(flowing)
 
-    def _process_unparsed(self, connection: _Connection) -> None:
+    def _process_unparsed(self, connection: CallerConnection) -> None:
         """Parse received bytes, one request after another.
 
         This is a loop, not a recursion, since the application may respond before it returns.
@@ -369,25 +353,29 @@
         finally:
             connection.parsing = False
 
-    def _parse(self, connection: _Connection, data: bytes) -> None:
+    def _parse(self, connection: CallerConnection, data: bytes) -> None:
         if not connection.receiving:
             connection.receiving = True
+            self._shared.remove_idle(connection)
             connection.phase_timeout.expire_after(self._limits.request_seconds)
+        connection.fed_bytes += len(data)
         try:
             connection.parser.receive_data(data)
             self._handle_events(connection)
         except h11.RemoteProtocolError as error:
             self._refuse(connection, error.error_status_hint, str(error))
 
-    def _handle_events(self, connection: _Connection) -> None:
+    def _handle_events(self, connection: CallerConnection) -> None:
         for _ in range(PARTS_PER_TURN_MAX):
             if not self._handle_event(connection, connection.parser.next_event()):
+                if connection.request is not None and connection.exchange is None:
+                    connection.fed_bytes = 0  # all was taken over into the body
                 return
         connection.deferred = True
         self.server.pause(connection.sock)
         self._scheduler.call_after(0, lambda: self._continue_parsing(connection))
 
-    def _continue_parsing(self, connection: _Connection) -> None:
+    def _continue_parsing(self, connection: CallerConnection) -> None:
         """Parse more of what a connection received, after others had their turn."""
         connection.deferred = False
         if connection.closing or connection.sock not in self._connections:
@@ -396,11 +384,12 @@
             self._handle_events(connection)
         except h11.RemoteProtocolError as error:
             self._refuse(connection, error.error_status_hint, str(error))
+        self._count_received(connection)
         if not connection.deferred and not connection.half_closed:
             self.server.resume(connection.sock)
             self._process_unparsed(connection)
 
-    def _handle_event(self, connection: _Connection, event: Any) -> bool:
+    def _handle_event(self, connection: CallerConnection, event: Any) -> bool:
         """Handle one event of the parser; return whether to fetch the next one."""
         if isinstance(event, h11.Request):
             connection.request = event
@@ -410,13 +399,13 @@
             if len(connection.body) > self._limits.body_bytes_max:
                 self._refuse(connection, 413, "the body is too large")
                 return False
-            self._received_quota.resize(connection.received, len(connection.body))
             return not connection.closing
         if isinstance(event, h11.EndOfMessage):
             self._dispatch(connection)
         return False
 
-    def _accept_head(self, connection: _Connection, event: h11.Request) -> bool:
+    def _accept_head(self, connection: CallerConnection, event: h11.Request) -> bool:
+        connection.head_bytes = HEAD_COPIES * sum(len(n) + len(v) for n, v in event.headers)
         names = [name for name, _ in event.headers]
         headers = dict(event.headers)
         if event.http_version not in (b"1.0", b"1.1"):
@@ -441,7 +430,7 @@
             self.server.write(connection.sock, CONTINUE)
         return True
 
-    def _dispatch(self, connection: _Connection) -> None:
+    def _dispatch(self, connection: CallerConnection) -> None:
         connection.phase_timeout.clear()
         event = connection.request
         assert event is not None
@@ -460,39 +449,49 @@
             path=target.path,
             query=target.query,
             headers={k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers},
-            body=bytes(connection.body),
+            body=connection.body,
             response=res,
             server=self,
         )
         connection.exchange = exchange
         connection.exchange_timeout.expire_after(self._limits.exchange_seconds)
-        connection.body = bytearray()
-        self._received_quota.resize(connection.received, 0)
+        self._hold_request(connection, exchange)
         try:
             self._application(exchange)
         except Exception as error:  # a request must get a response even if the application fails
             log_event("request_failed", level=40, path=exchange.path, error=repr(error))
             self._fail(exchange)
 
+    def _hold_request(self, connection: CallerConnection, exchange: Exchange) -> None:
+        """Count a complete request until nothing can need its body any more."""
+        body, head_bytes = connection.body, connection.head_bytes
+        connection.body = Body()
+        connection.head_bytes = 0
+        connection.fed_bytes = len(connection.parser.trailing_data[0])
+        self._quota.resize(connection.received, connection.count_received_bytes())
+        held = make_request_buffer(exchange, connection.group)
+        finalize(body, self._quota.resize, held, 0).atexit = False
+        self._quota.resize(held, len(body) + head_bytes)
+
     def _fail(self, exchange: Exchange) -> None:
         if exchange.started:
             exchange.abort()
             return
         exchange.respond(500, *self._make_rejection(500, "the node failed to serve the request"))
 
-    def _refuse(self, connection: _Connection, status: int, detail: str) -> None:
+    def _refuse(self, connection: CallerConnection, status: int, detail: str) -> None:
         headers, body = self._make_rejection(status, detail)
         head = [f"HTTP/1.1 {status} Refused", f"Content-Length: {len(body)}", "Connection: close"]
         head += [f"{name}: {value}" for name, value in headers.items()]
         self.server.write(connection.sock, "\r\n".join(head).encode() + b"\r\n\r\n" + body)
         self._close(connection)
 
-    def _close(self, connection: _Connection) -> None:
+    def _close(self, connection: CallerConnection) -> None:
         """Close once all is sent and the caller has closed, or after a timeout."""
         connection.closing = True
-        connection.unparsed = []
-        connection.body = bytearray()
-        self._received_quota.resize(connection.received, 0)
+        connection.discard_received()
+        connection.parser = self._make_parser()
+        self._quota.resize(connection.received, 0)
         unsent = self.server.count_unsent_bytes(connection.sock)
         linger = self._limits.stall_seconds if unsent else LINGER_SECONDS
         connection.phase_timeout.expire_after(linger)
@@ -502,7 +501,7 @@
         self.server.resume(connection.sock)
         self.server.drain(connection.sock)
 
-    def _expire(self, connection: _Connection) -> None:
+    def _expire(self, connection: CallerConnection) -> None:
         if connection.exchange is not None:
             self._probe_half_closed(connection)
         elif connection.receiving and not connection.closing:
@@ -510,7 +509,7 @@
         else:
             self.close_now(connection.sock)
 
-    def _probe_half_closed(self, connection: _Connection) -> None:
+    def _probe_half_closed(self, connection: CallerConnection) -> None:
         """Check whether a caller that has finished sending still reads.
 
         If its socket is closed, it resets the connection on receiving a 100 Continue, which HTTP
@@ -523,7 +522,7 @@
             self.server.write(connection.sock, CONTINUE)
         connection.phase_timeout.expire_after(HALF_CLOSE_PROBE_SECONDS)
 
-    def _expire_exchange(self, connection: _Connection) -> None:
+    def _expire_exchange(self, connection: CallerConnection) -> None:
         """Notify the application of a request that took too long; respond 504 or close."""
         exchange = connection.exchange
         if exchange is None:
@@ -538,6 +537,6 @@
             exchange.on_disconnect()
         exchange.respond(504, *self._make_rejection(504, "the request took too long"))
 
-    def _close_stalled(self, connection: _Connection) -> None:
+    def _close_stalled(self, connection: CallerConnection) -> None:
         log_event("stalled_caller_cut", level=30)
         self.close_now(connection.sock)
--- a/bronzetiller/net/idle_connections.py
+++ b/bronzetiller/net/idle_connections.py
@@ -68,7 +68,9 @@
 class IdleConnections(Generic[Kept]):
     """Hold idle connections by address, the one that was used last at the end."""
 
+    connections_max: int | None = None  # to all addresses
     _by_address: dict[Address, list[Kept]] = field(factory=dict)
+    _kept: dict[Kept, None] = field(factory=dict)  # in the order of their last use
 
     def has(self, address: Address) -> bool:
         """Return whether there is an idle connection to an address."""
@@ -89,18 +91,23 @@
         idle = self._by_address.setdefault(kept.address, [])
         if kept.carried_ids.is_full or len(idle) >= IDLE_CONNECTIONS_MAX:
             kept.close()
-        else:
-            idle.append(kept)
+            return
+        idle.append(kept)
+        self._kept[kept] = None
+        if self.connections_max is not None and len(self._kept) > self.connections_max:
+            next(iter(self._kept)).close()
 
     def remove(self, kept: Kept) -> None:
         """Remove a connection, if it is among the idle ones."""
         idle = self._by_address.get(kept.address, [])
+        self._kept.pop(kept, None)
         if kept in idle:
             idle.remove(kept)
 
     def close_all(self, address: Address) -> None:
         """Close the connections to an address."""
         for kept in self._by_address.pop(address, []):
+            self._kept.pop(kept, None)
             kept.close()
 
 
--- a/bronzetiller/net/response_ends.py
+++ b/bronzetiller/net/response_ends.py
@@ -22,7 +22,7 @@
     return "content-length" not in headers and "transfer-encoding" not in headers
 
 
-def may_be_cut(request_body: bytes, parser: h11.Connection) -> bool:
+def may_be_cut(request_body: bytes | bytearray, parser: h11.Connection) -> bool:
     """Return whether a reset may follow the end of a response without a length."""
     return bool(request_body) and parser.their_state is h11.SEND_BODY
 
--- a/bronzetiller/net/sockets.py
+++ b/bronzetiller/net/sockets.py
@@ -25,6 +25,7 @@
 _RETRY_ERRNOS = {errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS}
 _EXHAUSTED_ERRNOS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 
+Data = bytes | bytearray | memoryview
 _LINGER = struct.Struct("ii")  # whether to linger, and seconds; 0 seconds reset the connection
 
 
@@ -33,7 +34,7 @@
     """Hold the send buffer and the state of one connected socket."""
 
     sock: socket
-    unsent_parts: deque[bytes] = field(factory=deque)
+    unsent_parts: deque[Data] = field(factory=deque)
     unsent_bytes: int = 0
     sent_bytes: int = 0
     closing: bool = False
@@ -70,6 +71,14 @@
     def handle_descriptor_shortage(self) -> None:
         """Handle the lack of a file descriptor for a new connection."""
 
+    def has_room(self) -> bool:
+        """Return whether one more connection may be accepted."""
+        return True
+
+    def make_room(self) -> bool:
+        """Close a connection for a new one; return whether there is room then."""
+        return False
+
     def count_unsent_bytes(self, sock: socket) -> int:
         """Return the number of bytes in the send buffer."""
         state = self._states.get(sock)
@@ -99,7 +108,7 @@
         self._on_disconnect(sock)
 
     @handler("write", override=True)
-    def write(self, sock: socket, data: bytes) -> None:
+    def write(self, sock: socket, data: bytes | bytearray) -> None:
         """Send data after all that was written before; ignored on a closed connection."""
         state = self._states.get(sock)
         if state is None or state.closing or not data:
@@ -110,7 +119,7 @@
             return
         sent = self._send(state, data)
         if sent < len(data) and sock in self._states:
-            state.unsent_parts.append(data[sent:])
+            state.unsent_parts.append(_cut(data, sent))
             state.unsent_bytes = len(data) - sent
             self._poller.addWriter(self, sock)
 
@@ -205,7 +214,7 @@
                 return
             state.unsent_bytes -= sent
             if sent < len(part):
-                state.unsent_parts.appendleft(part[sent:])
+                state.unsent_parts.appendleft(_cut(part, sent))
                 break
         if not state.unsent_parts:
             self._poller.removeWriter(sock)
@@ -225,7 +234,14 @@
     def _accept(self) -> None:
         listener = self._sock
         assert listener is not None
-        for _ in range(ACCEPTS_MAX):
+        for accepted in range(ACCEPTS_MAX):
+            if not self.has_room() and accepted:
+                return  # the poller reports whether there is another one
+            if not self.has_room() and not self.make_room():
+                log_event("accepting_paused", level=30, connections=len(self._states))
+                self._poller.removeReader(listener)
+                self.handle_descriptor_shortage()
+                return
             try:
                 sock, _address = listener.accept()
             except OSError as error:
@@ -258,7 +274,7 @@
         elif not size:
             self._close_and_notify(state.sock)
 
-    def _send(self, state: SocketState, data: bytes) -> int:
+    def _send(self, state: SocketState, data: Data) -> int:
         try:
             sent = state.sock.send(data)
         except OSError as error:
@@ -300,14 +316,16 @@
             self._close_and_notify(sock)
 
 
-def _join_parts(unsent_parts: deque[bytes]) -> bytes:
-    """Remove parts from the front and join them, up to about WRITE_BYTES_MAX."""
+def _cut(data: Data, sent: int) -> Data:
+    """Return the rest of the data, without a copy if it is large."""
+    return data[sent:] if len(data) < WRITE_BYTES_MAX else memoryview(data)[sent:]
+
+
+def _join_parts(unsent_parts: deque[Data]) -> Data:
+    """Remove parts from the front and join them, unless they are more than WRITE_BYTES_MAX."""
     first = unsent_parts.popleft()
-    if not unsent_parts or len(first) >= WRITE_BYTES_MAX:
-        return first
-    taken = [first]
-    size = len(first)
-    while unsent_parts and size < WRITE_BYTES_MAX:
+    taken, size = [first], len(first)
+    while unsent_parts and size + len(unsent_parts[0]) <= WRITE_BYTES_MAX:
         size += len(unsent_parts[0])
         taken.append(unsent_parts.popleft())
-    return b"".join(taken)
+    return first if len(taken) == 1 else b"".join(taken)
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -37,6 +37,7 @@
 from bronzetiller.fleet.vm_list import VmList, VmState
 from bronzetiller.fleet.vm_list_relay import VmListRelay
 from bronzetiller.logs import log_event
+from bronzetiller.net.caller_limits import compute_idle_connections, make_caller_limits
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.http_client import HttpClient
 from bronzetiller.net.http_server import HttpLimits, HttpServer
@@ -60,6 +61,7 @@
 from bronzetiller.storage.snapshots import Fold
 from bronzetiller.wire.messages import AskTokens, Heartbeat
 
+IDLE_MEMORY_MB = 72  # 57 to 66 measured with few requests
 CREDIT_CHECK_SECONDS = 0.5
 STOP_WITHOUT_LOG_SECONDS = 3.0
 STOP_CHECK_SECONDS = 0.5
@@ -88,7 +90,10 @@
         self.loop: Loop = make_loop()
         scheduler = self.loop.scheduler
         dialer = Dialer(self.loop, channel="outgoing").register(self.loop.root)
-        self.http = HttpClient(scheduler, dialer)
+        machine = settings.capacity
+        self.caller_limits = make_caller_limits(machine, IDLE_MEMORY_MB)
+        idle_connections_max = compute_idle_connections(machine.descriptors)
+        self.http = HttpClient(scheduler, dialer, idle_connections_max)
         self.log = LogClient(self.http, settings.platform.log)
         self.vm_list = VmList(scheduler, self.http, settings.platform.vm_list)
         self.configuration = Configuration(tuple(settings.configuration.schemas_understood))
@@ -336,6 +341,7 @@
             admission=admission,
             crash_monitor=self.crash_monitor,
             retries=self.retry_budget,
+            response_quota=self.caller_limits.response_quota,
         )
         self.calls = ServiceCallContext(
             scheduler=self.loop.scheduler,
@@ -349,6 +355,7 @@
             admission=admission,
             crash_monitor=self.crash_monitor,
             retries=self.retry_budget,
+            response_quota=self.caller_limits.response_quota,
         )
         context = ApiContext(
             configuration=self.configuration,
@@ -369,6 +376,7 @@
             make_rejection,
             limits=self._make_http_limits(),
             channel="callers",
+            caller_limits=self.caller_limits,
         )
         return server.register(self.loop.root)
 
--- a/bronzetiller/routing/service.py
+++ b/bronzetiller/routing/service.py
@@ -29,7 +29,7 @@
     method: str
     target: str
     headers: dict[str, str]
-    body: bytes
+    body: bytes | bytearray
 
 
 @frozen
--- a/bronzetiller/settings.py
+++ b/bronzetiller/settings.py
@@ -9,6 +9,7 @@
 from bronzetiller.configuration.records import DIGEST_PATTERN, SCHEMA_VERSIONS
 from bronzetiller.documents import Problem
 from bronzetiller.net.address import Address
+from bronzetiller.net.caller_limits import MachineLimits
 from bronzetiller.settings_file import load_settings_file
 
 NODE_ID_PATTERN = r"[a-z0-9][a-z0-9-]{0,62}"
@@ -159,6 +160,7 @@
     operators: OperatorSettings = field(factory=OperatorSettings)
     configuration: ConfigurationSettings = field(factory=ConfigurationSettings)
     requests: RequestSettings = field(factory=RequestSettings)
+    capacity: MachineLimits = field(factory=MachineLimits)
     log_level: str = field(default="INFO", validator=matches_re("DEBUG|INFO|WARNING|ERROR"))
 
 
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -158,6 +158,7 @@
         store_address: str | None = None,
         seeds: tuple[str, ...] = (),
         grace_seconds: float = 4.0,
+        capacity: dict[str, Any] | None = None,
     ) -> None:
         """Start a gateway node, which connects to the store at store_address if one is given.
 
@@ -174,7 +175,7 @@
             "store": {"address": store_address or self.store_address},
             "seeds": [self.address(seed, "peers") for seed in seeds],
             "fleet_secret": FLEET_SECRET,
-            "capacity": {"cores": 1.0, "speed": 1.0, "link_mbps": 1_000.0},
+            "capacity": {"cores": 1.0, "speed": 1.0, "link_mbps": 1_000.0} | (capacity or {}),
             "retries": {"ratio": 0.2, "allowance": 50, "window_seconds": 10},
             "stop": {"grace_seconds": grace_seconds, "entry_seconds": 0.5},
         }
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -208,7 +208,7 @@
                 self._respond_json(exchange, status, {"offset": earlier_offset, "reason": "fenced"})
                 return
         offset = partition.end_offset
-        for record in split_records(exchange.body):
+        for record in split_records(bytes(exchange.body)):
             partition.append(record, writer, writer_state)
         while len(partition.records) > self._keep_records:
             partition.records.pop(0)
--- a/standins/simulated_store.py
+++ b/standins/simulated_store.py
@@ -92,7 +92,7 @@
             url = urlsplit(call.path)
             query = {name: values[0] for name, values in parse_qs(url.query).items()}
             if url.path == "/-/log-append":
-                offset = self._append(query, call.body)
+                offset = self._append(query, bytes(call.body))
                 respond_unless_forgotten(200 if offset >= 0 else 409, _dump({"offset": offset}))
                 return
             if forgotten:
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -112,6 +112,8 @@
     status: int = 0
     sent: bytes = b""
     end: str = ""
+    may_drop: object = None
+    on_drop: object = None
     unread_bytes_max: int = 1_000_000
     on_disconnect: object = None
     on_expire: object = None
--- a/tests/test_untrusted_callers.py
+++ b/tests/test_untrusted_callers.py
@@ -21,6 +21,7 @@
 
 MEMORY_MB = 80  # of the machine; an idle node has a resident memory of 42 MB
 DESCRIPTORS = 300
+CAPACITY = {"memory_mb": MEMORY_MB, "descriptors": DESCRIPTORS}
 CALLERS = 150
 CONNECTIONS = 400  # of callers that send little
 BODY_BYTES = 1_000_000  # the largest that the configuration allows
@@ -98,7 +99,7 @@
 
     def start(self, *node_ids, **fields):
         for node_id in node_ids:
-            self.fleet.start_node(node_id, **fields)
+            self.fleet.start_node(node_id, capacity=CAPACITY, **fields)
             self.fleet.await_ready(node_id)
             await_true(lambda to=node_id: self.is_served(to), what=f"service at {node_id}")
             self.descriptors[node_id] = 0
@@ -243,7 +244,7 @@
     addresses = [target.address, nodes.fleet.processes["engine"].ready["address"]]
     unreachable = dict(zip(addresses, ("127.0.0.1:2", "127.0.0.1:3"), strict=True))
     view = nodes.fleet.add_store_view("node-1", unreachable)
-    nodes.fleet.start_node("node-2")
+    nodes.fleet.start_node("node-2", capacity=CAPACITY)
     nodes.fleet.await_ready("node-2")
     nodes.start("node-1", store_address=view)
     nodes.descriptors["node-2"] = 0
@@ -263,7 +264,8 @@
     fleet = make_fleet()
     fleet.start_platform()
     fleet.add_target("orders", "orders", "west", "west-1", "standins.service")
-    fleet.add_node("node-1", "west", "west-1", limits={"body_bytes_max": BODY_BYTES})
+    limits = {"body_bytes_max": BODY_BYTES}
+    fleet.add_node("node-1", "west", "west-1", limits=limits, capacity=CAPACITY)
     fleet.publish_workspace("studio", KEY, 10_000_000)
     fleet.publish("route", "status", {"service": "orders", "protocol": "plain"})
     await_ready(fleet, "node-1")
