Decide in one place what is dropped, and report it

Half of the memory beyond 56 MB (72 MB at a node for chats) is held at most. Events that wait for their stream's version count too. Cuts are counted in bronzetiller_caller_cuts and logged once a second for each kind.

--- a/bronzetiller/gateway/held_events.py
+++ b/bronzetiller/gateway/held_events.py
@@ -7,6 +7,7 @@
 from bronzetiller.gateway.attempt import AttemptEvent, StreamData, StreamEnd
 from bronzetiller.gateway.stream_records import StreamRecord, StreamRecords
 from bronzetiller.gateway.stream_versions import find_service
+from bronzetiller.net.buffer_quota import Buffer, BufferQuota
 from bronzetiller.net.scheduler import Scheduler
 
 HELD_BYTES_MAX = 64 * 1024  # of one stream, beyond what is read already; about one read
@@ -25,11 +26,16 @@
     _deliver: Callable[[AttemptEvent], None]
     _on_expired: Callable[[], None]
     _on_flow_change: Callable[[bool], None]
+    _quota: BufferQuota
     _stream_id: str = ""
     _tries: int = 0
     _record: StreamRecord | None = None
     _events: list[AttemptEvent] = field(factory=list)
     _bytes: int = 0
+    _buffer: Buffer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._buffer = Buffer(self._give_up)
 
     def begin(self, stream_id: str, version: str, *, always: bool) -> None:
         """Record the version at which an attempt begins the stream."""
@@ -71,6 +77,7 @@
         if isinstance(event, StreamData):
             was_full = self._bytes >= HELD_BYTES_MAX
             self._bytes += len(event.data)
+            self._quota.resize(self._buffer, self._bytes)
             if not was_full and self._bytes >= HELD_BYTES_MAX:
                 self._on_flow_change(False)
 
@@ -78,6 +85,7 @@
         """Remove and return the held events."""
         events, self._events = self._events, []
         was_full, self._bytes = self._bytes >= HELD_BYTES_MAX, 0
+        self._quota.resize(self._buffer, 0)
         if was_full:
             self._on_flow_change(True)
         return events
@@ -92,5 +100,8 @@
 
     def _expire(self, record: StreamRecord) -> None:
         if self._record is record and self._events:
-            self.discard()
-            self._on_expired()
+            self._give_up()
+
+    def _give_up(self) -> None:
+        self.discard()
+        self._on_expired()
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -119,7 +119,9 @@
         self.peers = Peers(scheduler, dialer, settings.node_id, settings.fleet_secret.encode())
         store = PlatformStore(HttpClient(scheduler, dialer), settings.store.address)
         machine = MachineLimits(settings.capacity.memory_mb, settings.capacity.descriptors)
-        self._caller_limits = make_caller_limits(machine, IDLE_MEMORY_MB, self._is_peer)
+        self._caller_limits = make_caller_limits(
+            machine, IDLE_MEMORY_MB, scheduler.now, self._is_peer
+        )
         idle_connections_max = compute_idle_connections(machine.descriptors)
         http = HttpClient(scheduler, dialer, idle_connections_max)
         self._draw_uniform = Random().random
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -119,6 +119,7 @@
             self._on_event,
             self._on_hold_expired,
             lambda flowing: self._flow.change(Obstacle.HELD_EVENTS, flowing=flowing),
+            context.response_quota,
         )
 
     def start(self) -> None:
@@ -524,11 +525,9 @@
                 events=self.events,
                 ms=round((self.context.scheduler.now() - self.sent_at) * 1000),
             )
-            if self.finished:
-                return
-            if alive:
+            if alive and not self.finished:
                 self._handle_end(event)
-            else:
+            elif not self.finished:
                 self._handle_lost_response(ResponseLost("the target was lost at its close"))
 
         self.context.crash_tracker.report_loss(
--- a/bronzetiller/metrics.py
+++ b/bronzetiller/metrics.py
@@ -173,6 +173,22 @@
     ["outcome"],
     registry=REGISTRY,
 )
+HELD_BYTES = Gauge(
+    "bronzetiller_held_bytes",
+    "Bytes that the process holds for callers, targets and peers.",
+    registry=REGISTRY,
+)
+CALLER_CONNECTIONS = Gauge(
+    "bronzetiller_caller_connections",
+    "Connections of callers to all listeners.",
+    registry=REGISTRY,
+)
+CALLER_CUTS = Counter(
+    "bronzetiller_caller_cuts",
+    "Requests refused, responses and connections cut to bound memory and descriptors.",
+    ["cut"],
+    registry=REGISTRY,
+)
 
 
 def render_metrics() -> bytes:
--- a/bronzetiller/net/caller_limits.py
+++ b/bronzetiller/net/caller_limits.py
@@ -1,4 +1,4 @@
-"""Derive from a machine what its callers may hold: bytes and connections; no I/O.
+"""Derive from a machine what its callers may hold: bytes and connections.
 
 Designed for machines of 80 MB and 300 descriptors upwards.
 """
@@ -8,12 +8,14 @@
 from attrs import define, field, frozen
 from attrs.validators import ge, optional
 
+from bronzetiller.metrics import CALLER_CONNECTIONS, HELD_BYTES
 from bronzetiller.net.buffer_quota import BufferQuota
+from bronzetiller.net.cut_reports import CutReports
 
 MEGABYTE = 1024 * 1024
 HELD_BYTES_DEFAULT = 96 * MEGABYTE  # where the machine's memory is not stated
 HELD_BYTES_MIN = 6 * MEGABYTE  # for one body of 4 MiB in the portion for large ones
-HELD_PORTION = 1 / 3  # of the memory left; the rest is for what holds the bytes, and for records
+HELD_PORTION = 1 / 2  # of the memory left; the rest is for what holds the bytes, and for records
 FILE_DESCRIPTORS = 200  # of the machine's, for files
 LINK_DESCRIPTORS_PORTION = 0.05  # for the store, peers and listeners
 IDLE_PORTION = 0.1  # for idle connections to targets
@@ -54,6 +56,7 @@
 
     connections_max: int | None = None
     count: int = 0
+    on_cut: Callable[[str], None] = lambda cut: None
     _idle: dict[object, Callable[[], None]] = field(factory=dict)
 
     def add_idle(self, connection: object, close: Callable[[], None]) -> None:
@@ -73,7 +76,9 @@
         """Close the oldest idle one; return whether there was one."""
         oldest = next(iter(self._idle), None)
         if oldest is None:
+            self.on_cut("accepting")
             return False
+        self.on_cut("idle_connection")
         self._idle.pop(oldest)()
         return True
 
@@ -89,16 +94,25 @@
 
 
 def make_caller_limits(
-    machine: MachineLimits, idle_mb: int, is_peer: Callable[[str], bool] = lambda ip: False
+    machine: MachineLimits,
+    idle_mb: int,
+    now: Callable[[], float],
+    is_peer: Callable[[str], bool] = lambda ip: False,
 ) -> CallerLimits:
     """Return the limits of a process that needs idle_mb when it serves nobody.
 
     Callers and targets share one quota if the machine's memory is stated.
     """
-    quota = BufferQuota(compute_held_bytes(machine.memory_mb, idle_mb))
-    return CallerLimits(
-        quota,
-        BufferQuota() if machine.memory_mb is None else quota,
-        CallerConnections(compute_caller_connections(machine.descriptors)),
-        is_peer,
+    reports = CutReports(now)
+    held_bytes = compute_held_bytes(machine.memory_mb, idle_mb)
+    quota = BufferQuota(held_bytes, on_drop=reports.report_buffer)
+    connections = CallerConnections(
+        compute_caller_connections(machine.descriptors),
+        on_cut=lambda cut: reports.report(cut, connections=connections.count),
     )
+    HELD_BYTES.set_function(lambda: quota.total_bytes)
+    CALLER_CONNECTIONS.set_function(lambda: connections.count)
+    response_quota = quota
+    if machine.memory_mb is None:
+        response_quota = BufferQuota(on_drop=reports.report_buffer)
+    return CallerLimits(quota, response_quota, connections, is_peer)
--- a/bronzetiller/net/http_server.py
+++ b/bronzetiller/net/http_server.py
@@ -103,7 +103,7 @@
         self._make_rejection = make_rejection
         self._limits = limits
         self._connections: dict[socket, CallerConnection] = {}
-        shared = caller_limits or make_caller_limits(MachineLimits(), 0)
+        shared = caller_limits or make_caller_limits(MachineLimits(), 0, loop.scheduler.now)
         self._quota, self._shared = shared.quota, shared.connections
         self._is_peer = shared.is_peer
 
--- a/bronzetiller/net/sockets.py
+++ b/bronzetiller/net/sockets.py
@@ -238,7 +238,6 @@
             if not self.has_room() and accepted:
                 return  # the poller reports whether there is another one
             if not self.has_room() and not self.make_room():
-                log_event("accepting_paused", level=30, connections=len(self._states))
                 self._poller.removeReader(listener)
                 self.handle_descriptor_shortage()
                 return
--- a/bronzetiller/node.py
+++ b/bronzetiller/node.py
@@ -91,7 +91,7 @@
         scheduler = self.loop.scheduler
         dialer = Dialer(self.loop, channel="outgoing").register(self.loop.root)
         machine = settings.capacity
-        self.caller_limits = make_caller_limits(machine, IDLE_MEMORY_MB)
+        self.caller_limits = make_caller_limits(machine, IDLE_MEMORY_MB, scheduler.now)
         idle_connections_max = compute_idle_connections(machine.descriptors)
         self.http = HttpClient(scheduler, dialer, idle_connections_max)
         self.log = LogClient(self.http, settings.platform.log)
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -339,6 +339,28 @@
     assert handler.exchange.status == 503 and b'"ran": "no"' in handler.exchange.sent
 
 
+def test_a_request_dropped_before_it_was_sent_is_refused_as_not_run(start_request):
+    handler, calls, _ = start_request()
+    calls[0].fail("connect: refused", sent=False)
+    calls[1].sent = False  # its connection is not open yet
+    assert handler.exchange.may_drop()
+    handler.exchange.on_drop()
+    assert calls[1].cancelled
+    assert handler.exchange.status == 503 and b'"ran": "no"' in handler.exchange.sent
+    assert handler.finished and not handler.exchange.body
+
+
+def test_a_request_that_may_have_run_is_not_dropped(start_request):
+    """A refusal would claim that it has not run."""
+    handler, calls, _ = start_request()
+    assert not handler.exchange.may_drop()
+    calls[0].send_response(503, x_not_executed="1")
+    calls[1].sent = False
+    assert handler.exchange.may_drop()
+    calls[1].sent = True
+    assert not handler.exchange.may_drop()
+
+
 def test_an_at_most_once_request_with_a_lost_response_is_not_retried(start_request):
     handler, calls, _ = start_request(retryable=False)
     calls[0].fail()
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -133,6 +133,14 @@
     assert [connection.closed for connection in kept] == [False] * IDLE_CONNECTIONS_MAX + [True]
 
 
+def test_the_connection_that_is_idle_for_longest_is_closed_beyond_the_limit_for_all_addresses():
+    pool = IdleConnections(connections_max=2)
+    connections = [StubConnection(pool, ADDRESSES[number % 2]) for number in range(3)]
+    for connection in connections:
+        pool.add(connection)
+    assert [connection.closed for connection in connections] == [True, False, False]
+
+
 def test_all_connections_to_an_address_are_closed_together(pool, keep):
     closed = [keep("a"), keep("b")]
     other = keep("c", address=ADDRESSES[1])
--- a/tests/test_untrusted_callers.py
+++ b/tests/test_untrusted_callers.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -27,6 +28,7 @@
 BODY_BYTES = 1_000_000  # the largest that the configuration allows
 CHUNK_BYTES = 16 * 1024
 HEAD_BYTES = 15_000
+REFUSED_CALLERS = 24
 PIPELINED_REQUESTS = 8_000
 EVENT = b"id: 1\ndata: " + b"x" * 40_000 + b"\n\n"
 TIMEOUT_MS = 60_000  # longer than a case takes, also on a machine under load
@@ -291,6 +293,21 @@
     nodes.check()
 
 
+def test_a_request_that_was_refused_was_not_run(nodes):
+    """A refusal says that the request has not run and never will."""
+    fleet = nodes.fleet
+    fleet.start_target("desk", PLAIN_SERVICE)
+    nodes.start("node-1")
+    fleet.set_faults("desk", mute=10 * REFUSED_CALLERS)
+    with ThreadPoolExecutor(REFUSED_CALLERS) as callers:
+        names = [f"large-{number}" for number in range(REFUSED_CALLERS)]
+        replies = callers.map(lambda name: fleet.send("node-1", "order", name, BODY), names)
+        statuses = dict(zip(names, replies, strict=True))
+    refused = {name for name, reply in statuses.items() if reply.status == 503}
+    assert refused.isdisjoint(run["request_id"] for run in fleet.list_runs("desk"))
+    nodes.suffer(send_whole_bodies, 0)
+
+
 def test_the_cases_are_sent_to_one_worker(request):
     """Several cases at a time would take the machine's memory from each other."""
     if hasattr(request.config, "workerinput"):
