--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -54,6 +54,7 @@
 from bronzetiller.metrics import CONFIGURATION_CONFIRMATION_AGE, render_metrics
 from bronzetiller.net.address import Address
 from bronzetiller.net.caller_limits import (
+    CallerLimits,
     MachineLimits,
     compute_idle_connections,
     make_caller_limits,
@@ -172,12 +173,17 @@
         self._preallocation_scheduled = False
         listen = settings.listen
         self._addresses: dict[str, str] = {}
-        self.server = self._start_server(listen.callers, application.serve, "callers")
-        self._start_server(listen.readiness, make_readiness_application(self.is_ready), "readiness")
+        caller_limits = self._caller_limits
+        self.server = self._start_server(
+            listen.callers, application.serve, "callers", caller_limits
+        )
+        operator_limits = caller_limits.make_for_operators()
+        readiness = make_readiness_application(self.is_ready)
+        self._start_server(listen.readiness, readiness, "readiness", operator_limits)
         entry_seconds = settings.stop.entry_seconds
         lookup = make_lookup_application(self._list_entry_addresses, entry_seconds)
-        self._start_server(listen.lookup, lookup, "lookup")
-        self._start_server(listen.metrics, _respond_with_metrics, "metrics")
+        self._start_server(listen.lookup, lookup, "lookup", caller_limits.make_for_lookups())
+        self._start_server(listen.metrics, _respond_with_metrics, "metrics", operator_limits)
         peers_port = self.peers.listen(self.loop, listen.peers.ip, listen.peers.port)
         self._addresses["peers"] = f"{listen.peers.ip}:{peers_port}"
         _Signals(self).register(self.loop.root)
@@ -438,7 +444,11 @@
         return window
 
     def _start_server(
-        self, address: Address, application: HttpApplication, channel: str
+        self,
+        address: Address,
+        application: HttpApplication,
+        channel: str,
+        caller_limits: CallerLimits,
     ) -> HttpServer:
         limits = HttpLimits(
             body_bytes_max=4 * 1024 * 1024,
@@ -453,7 +463,7 @@
             make_rejection,
             limits=limits,
             channel=channel,
-            caller_limits=self._caller_limits,
+            caller_limits=caller_limits,
         )
         server.register(self.loop.root)
         self._addresses[channel] = f"{address.ip}:{server.port}"
--- a/bronzetiller/net/caller_limits.py
+++ b/bronzetiller/net/caller_limits.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Callable
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from attrs.validators import ge, optional
 
 from bronzetiller.metrics import CALLER_CONNECTIONS, HELD_BYTES
@@ -19,6 +19,7 @@
 FILE_DESCRIPTORS = 200  # of the machine's, for files
 LINK_DESCRIPTORS_PORTION = 0.05  # for the store, peers and listeners
 IDLE_PORTION = 0.1  # for idle connections to targets
+LOOKUP_PORTION = 0.25  # of the callers' connections, so that callers still find other nodes
 
 
 @frozen
@@ -47,12 +48,12 @@
         return None
     reserved = FILE_DESCRIPTORS * min(1.0, descriptors / 1_000)
     reserved += descriptors * (LINK_DESCRIPTORS_PORTION + IDLE_PORTION)
-    return int((descriptors - reserved) / 2)
+    return int((descriptors - reserved) / (2 + LOOKUP_PORTION))
 
 
 @define(eq=False)
 class CallerConnections:
-    """Hold the callers' connections of all listeners; the oldest idle one is closed first."""
+    """Hold the connections of callers; the one that is idle for longest is closed first."""
 
     connections_max: int | None = None
     count: int = 0
@@ -85,13 +86,24 @@
 
 @define(eq=False)
 class CallerLimits:
-    """Hold what all listeners of a process share."""
+    """Hold the quota that all listeners of a process share, and the connections of some."""
 
     quota: BufferQuota
     response_quota: BufferQuota  # of targets' responses that are not passed on
     connections: CallerConnections = field(factory=CallerConnections)
     is_peer: Callable[[str], bool] = lambda ip: False
 
+    def make_for_lookups(self) -> "CallerLimits":
+        """Return the limits of a listener for lookups, with connections of its own."""
+        callers_max = self.connections.connections_max
+        lookups_max = None if callers_max is None else int(callers_max * LOOKUP_PORTION)
+        connections = CallerConnections(lookups_max, on_cut=self.connections.on_cut)
+        return evolve(self, connections=connections)
+
+    def make_for_operators(self) -> "CallerLimits":
+        """Return the limits of a listener that the operators' callers alone reach."""
+        return evolve(self, connections=CallerConnections())
+
 
 def make_caller_limits(
     machine: MachineLimits,
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -28,9 +28,11 @@
 @pytest.mark.parametrize("descriptors", [1_638, 10_250])
 def test_descriptors_remain_for_files_targets_and_peers(descriptors):
     callers = compute_caller_connections(descriptors)
+    limits = make_caller_limits(MachineLimits(descriptors=descriptors), 56, lambda: 0.0)
+    lookups = limits.make_for_lookups().connections.connections_max
     targets = callers + compute_idle_connections(descriptors)
     assert callers > descriptors / 4
-    assert callers + targets + FILE_DESCRIPTORS < 0.96 * descriptors
+    assert callers + lookups + targets + FILE_DESCRIPTORS < 0.96 * descriptors
 
 
 def test_the_connection_that_is_idle_for_longest_is_closed_for_a_new_one():
@@ -44,6 +46,15 @@
     assert not connections.make_room()
 
 
+def test_lookups_and_the_operators_probes_have_connections_of_their_own():
+    """Callers that hold all connections must not make the node look dead."""
+    limits = make_caller_limits(MachineLimits(descriptors=1_638), 56, lambda: 0.0)
+    limits.connections.count = limits.connections.connections_max
+    assert not limits.connections.has_room()
+    for others in (limits.make_for_lookups(), limits.make_for_operators()):
+        assert others.connections.has_room() and others.quota is limits.quota
+
+
 def test_targets_share_the_quota_of_callers_if_the_memory_is_stated():
     limits = make_caller_limits(MachineLimits(memory_mb=160), 56, lambda: 0.0)
     assert limits.response_quota is limits.quota
