Close the request that has been sent for longest when all connections are in use

Heads without an end kept all connections until their timeout, and ordinary callers waited to be accepted.

--- a/bronzetiller/net/caller_limits.py
+++ b/bronzetiller/net/caller_limits.py
@@ -3,7 +3,8 @@
 Designed for machines of 80 MB and 300 descriptors upwards.
 """
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Hashable
 
 from attrs import define, evolve, field, frozen
 from attrs.validators import ge, optional
@@ -53,34 +54,58 @@
 
 @define(eq=False)
 class CallerConnections:
-    """Hold the connections of callers; the one that is idle for longest is closed first."""
+    """Hold the connections of callers, and which of them may be closed for a new one.
+
+    The one that is idle for longest goes first, then the one that has been sending a request for
+    longest, of the group with most of these: ordinary requests arrive within milliseconds.
+    """
 
     connections_max: int | None = None
     count: int = 0
     on_cut: Callable[[str], None] = lambda cut: None
     _idle: dict[object, Callable[[], None]] = field(factory=dict)
+    _sending: dict[object, tuple[Hashable, Callable[[], None]]] = field(factory=dict)
+    _group_counts: Counter[Hashable] = field(factory=Counter)
 
-    def add_idle(self, connection: object, close: Callable[[], None]) -> None:
+    def mark_idle(self, connection: object, close: Callable[[], None]) -> None:
         """Record that a connection waits for a request, as the last one to do so."""
-        self._idle.pop(connection, None)
+        self.mark_busy(connection)
         self._idle[connection] = close
 
-    def remove_idle(self, connection: object) -> None:
-        """Record that a connection no longer waits."""
+    def mark_sending(self, connection: object, group: Hashable) -> None:
+        """Record that the caller of an idle connection has begun to send a request."""
+        close = self._idle.pop(connection, None)
+        if close is not None:
+            self._sending[connection] = group, close
+            self._group_counts[group] += 1
+
+    def mark_busy(self, connection: object) -> None:
+        """Record that a connection must not be closed, or no longer exists."""
         self._idle.pop(connection, None)
+        group, _ = self._sending.pop(connection, (None, None))
+        if group is not None:
+            self._group_counts[group] -= 1
+            if not self._group_counts[group]:
+                del self._group_counts[group]
 
     def has_room(self) -> bool:
         """Return whether one more is allowed."""
         return self.connections_max is None or self.count < self.connections_max
 
     def make_room(self) -> bool:
-        """Close the oldest idle one; return whether there was one."""
-        oldest = next(iter(self._idle), None)
-        if oldest is None:
+        """Close a connection for a new one; return whether there was one to close."""
+        close = next(iter(self._idle.values()), None)
+        cut = "idle_connection"
+        if close is None and self._sending:
+            most = max(self._group_counts.values())
+            candidates = self._sending.values()
+            close = next(end for group, end in candidates if self._group_counts[group] == most)
+            cut = "sending_connection"
+        if close is None:
             self.on_cut("accepting")
             return False
-        self.on_cut("idle_connection")
-        self._idle.pop(oldest)()
+        self.on_cut(cut)
+        close()
         return True
 
 
--- a/bronzetiller/net/http_server.py
+++ b/bronzetiller/net/http_server.py
@@ -145,7 +145,7 @@
         )
         self._connections[sock] = connection
         self._shared.count += 1
-        self._shared.add_idle(connection, lambda: self.close_now(sock))
+        self._shared.mark_idle(connection, lambda: self.close_now(sock))
         connection.phase_timeout.expire_after(self._limits.idle_seconds)
         if len(self._connections) > self._limits.connections_max:
             self._refuse(connection, 503, "too many connections")
@@ -186,7 +186,7 @@
         connection.stall_timeout.cancel()
         connection.exchange_timeout.cancel()
         self._shared.count -= 1
-        self._shared.remove_idle(connection)
+        self._shared.mark_busy(connection)
         connection.discard_received()
         connection.parser = self._make_parser()
         self._quota.resize(connection.unsent, 0)
@@ -289,7 +289,7 @@
         connection.fed_bytes = 0
         connection.request = None
         connection.receiving = False
-        self._shared.add_idle(connection, lambda: self.close_now(sock))
+        self._shared.mark_idle(connection, lambda: self.close_now(sock))
         connection.phase_timeout.expire_after(self._limits.idle_seconds)
         self.server.resume(sock)
         self._process_unparsed(connection)
@@ -356,7 +356,7 @@
     def _parse(self, connection: CallerConnection, data: bytes) -> None:
         if not connection.receiving:
             connection.receiving = True
-            self._shared.remove_idle(connection)
+            self._shared.mark_sending(connection, connection.group)
             connection.phase_timeout.expire_after(self._limits.request_seconds)
         connection.fed_bytes += len(data)
         try:
@@ -464,6 +464,7 @@
 
     def _hold_request(self, connection: CallerConnection, exchange: Exchange) -> None:
         """Count a complete request until nothing can need its body any more."""
+        self._shared.mark_busy(connection)
         body, head_bytes = connection.body, connection.head_bytes
         connection.body = Body()
         connection.head_bytes = 0
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -35,17 +35,41 @@
     assert callers + lookups + targets + FILE_DESCRIPTORS < 0.96 * descriptors
 
 
+def make_close(connections, closed, name):
+    def close():
+        connections.mark_busy(name)
+        closed.append(name)
+
+    return close
+
+
 def test_the_connection_that_is_idle_for_longest_is_closed_for_a_new_one():
     closed = []
     connections = CallerConnections(connections_max=2, count=2)
     for name in ("first", "second", "first"):
-        connections.add_idle(name, lambda name=name: closed.append(name))
+        connections.mark_idle(name, make_close(connections, closed, name))
     assert not connections.has_room()
     assert connections.make_room() and closed == ["second"]
-    connections.remove_idle("first")
+    connections.mark_busy("first")
     assert not connections.make_room()
 
 
+def test_heads_without_an_end_keep_no_ordinary_caller_out():
+    """None is idle: the address with most unfinished requests loses the one that began first."""
+    closed = []
+    connections = CallerConnections(connections_max=4, count=4)
+    names = {"early": "10.0.0.2", "greedy-1": "10.0.0.1", "greedy-2": "10.0.0.1"}
+    for name, address in names.items():
+        connections.mark_idle(name, make_close(connections, closed, name))
+        connections.mark_sending(name, address)
+    connections.mark_idle("served", make_close(connections, closed, "served"))
+    connections.mark_sending("served", "10.0.0.3")
+    connections.mark_busy("served")
+    assert connections.make_room() and closed == ["greedy-1"]
+    assert connections.make_room() and closed == ["greedy-1", "early"]
+    assert connections.make_room() and not connections.make_room()
+
+
 def test_lookups_and_the_operators_probes_have_connections_of_their_own():
     """Callers that hold all connections must not make the node look dead."""
     limits = make_caller_limits(MachineLimits(descriptors=1_638), 56, lambda: 0.0)
