Send unfinished requests in the soak, and serve ordinary callers beside them

The soak has one client whose bodies and heads never end, from an address of its own. A connection whose request is not sent to its end when the response ends is closed, as its send buffer holds the body. What a caller leaves unread counts for its address.

--- a/bronzetiller/net/dialer.py
+++ b/bronzetiller/net/dialer.py
@@ -70,6 +70,10 @@
             return False
         return False
 
+    def has_unsent(self) -> bool:
+        """Return whether written data waits to be sent."""
+        return self._dialer.count_unsent_bytes(self._sock) > 0
+
     def pause(self) -> None:
         """Stop reading, so that TCP flow control blocks the other end."""
         self.paused = True
--- a/bronzetiller/net/http_client.py
+++ b/bronzetiller/net/http_client.py
@@ -373,7 +373,7 @@
         self.end_timeout.clear()
         states = {self.parser.our_state, self.parser.their_state}
         must_close = must_close or states != {h11.DONE} or bool(self.parser.trailing_data[0])
-        if must_close or self.connection is None:
+        if must_close or self.connection is None or self.connection.has_unsent():
             self.close()
             return
         self.parser.start_next_cycle()
--- a/bronzetiller/net/http_server.py
+++ b/bronzetiller/net/http_server.py
@@ -138,10 +138,10 @@
             self._scheduler.create_timeout(lambda: self._close_stalled(connection)),
             self._scheduler.create_timeout(lambda: self._expire_exchange(connection)),
         )
-        connection.group = find_group(connection, self._is_peer)
-        connection.unsent = Buffer(lambda: self._cut_slow_caller(connection))
+        group = connection.group = find_group(connection, self._is_peer)
+        connection.unsent = Buffer(lambda: self._cut_slow_caller(connection), group=group)
         connection.received = Buffer(
-            lambda: self._drop_received(connection), 0, Kind.REQUEST, connection.group
+            lambda: self._drop_received(connection), kind=Kind.REQUEST, group=group
         )
         self._connections[sock] = connection
         self._shared.count += 1
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,6 +28,7 @@
     read_unfinished_stops,
 )
 from soak.load import Caller
+from soak.unfinished_requests import UnfinishedRequests
 from standins.builds import extract_build
 
 READY_SECONDS = 15.0
@@ -64,6 +65,8 @@
             randoms = Random(f"{seed}/{index}"), Random(f"{seed}/{index}/repeats")
             caller = Caller(environment, *randoms, f"c{index}", sent, stop)
             threads.append(threading.Thread(target=caller.run, daemon=True))
+        unfinished = UnfinishedRequests(environment, Random(f"{seed}/unfinished"), stop)
+        threads.append(threading.Thread(target=unfinished.run, daemon=True))
         for thread in threads:
             thread.start()
         targets = list(TARGET_SERVICES)
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -28,6 +28,7 @@
     address: str
     in_turn: bool = False
     on_progress: Callable[[], None] = lambda: None
+    source_ip: str = "127.0.0.1"
     _sockets: list[socket.socket] = field(factory=list)
 
     def send(self, requests: Iterable[Iterable[bytes]]) -> None:
@@ -61,6 +62,7 @@
         sock.settimeout(10)
         self._sockets.append(sock)
         with contextlib.suppress(OSError):
+            sock.bind((self.source_ip, 0))
             sock.connect((ip, int(port)))
             sock.setblocking(False)
             selector.register(sock, selectors.EVENT_WRITE, _Unsent(iter(parts)))
--- a/tests/test_untrusted_callers.py
+++ b/tests/test_untrusted_callers.py
@@ -293,6 +293,29 @@
     nodes.check()
 
 
+@pytest.mark.parametrize(
+    ("make_request", "callers", "in_turn"),
+    [
+        (send_whole_bodies, CALLERS, True),
+        (send_bodies_without_their_last_byte, CALLERS, False),
+        (send_heads_without_an_end, CONNECTIONS, False),
+    ],
+)
+def test_an_ordinary_caller_is_served_beside_those_of_another_address(
+    nodes, make_request, callers, in_turn
+):
+    nodes.register(SilentTarget(), PLAIN_SERVICE)
+    nodes.start("node-1")
+    address = nodes.fleet.address("node-1")
+    crowd = Crowd(address, in_turn, nodes.count_descriptors, "127.0.0.2")
+    try:
+        crowd.send(make_request(number) for number in range(callers))
+        await_true(lambda: nodes.is_served("node-1"), 60, "a response beside the crowd")
+    finally:
+        crowd.close()
+    nodes.check()
+
+
 def test_a_request_that_was_refused_was_not_run(nodes):
     """A refusal says that the request has not run and never will."""
     fleet = nodes.fleet
