--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -67,6 +67,12 @@
     render_metrics,
 )
 from bronzetiller.net.address import Address
+from bronzetiller.net.caller_limits import (
+    CallerLimits,
+    MachineLimits,
+    compute_idle_connections,
+    make_caller_limits,
+)
 from bronzetiller.net.dialer import Dialer
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.http_client import HttpClient, ResponseHead
@@ -97,6 +103,7 @@
 VERSION_PROPOSERS = 3  # so that some of them reach the store
 RELAYED_TOPICS = (OPERATOR_TOPIC, REGISTRATIONS_TOPIC, NODES_TOPIC, CRASHES_TOPIC)
 LEAVE_SECONDS = 3.0  # after a stop begins, new requests are still served: 1.5 lookup lifetimes
+IDLE_MEMORY_MB = 56  # 42 measured without requests, and records of a large fleet
 BODY_SECONDS_MAX = 10.0  # for 4 MB over a slow link; the operator's limits cover heads only
 
 
@@ -120,6 +127,7 @@
     def __init__(self, settings: GatewaySettings, settings_path: Path) -> None:
         self.settings = settings
         self._settings_path = settings_path
+        self._peer_ips: set[str] = set()
         self.incarnation = make_incarnation(settings.node_id, time.time())
         self.loop = make_loop()
         self._scheduler = scheduler = self.loop.scheduler
@@ -129,7 +137,12 @@
         )
         self.peers = Peers(scheduler, dialer, settings.node_id, settings.fleet_secret.encode())
         store = PlatformStore(HttpClient(scheduler, dialer), settings.store.address)
-        http = HttpClient(scheduler, dialer)
+        machine = MachineLimits(settings.capacity.memory_mb, settings.capacity.descriptors)
+        self._caller_limits = make_caller_limits(
+            machine, IDLE_MEMORY_MB, scheduler.now, self._is_peer
+        )
+        idle_connections_max = compute_idle_connections(machine.descriptors)
+        http = HttpClient(scheduler, dialer, idle_connections_max)
         self.own_load = OwnLoad(settings.capacity)
         self.entry_choices = EntryChoices(self.distances.regions, _log_entries)
         self._draw_uniform = Random().random
@@ -177,6 +190,7 @@
             permitted=self.permitted,
             starts=starts,
             charge_undelivered=settings.budgets.charge_undelivered,
+            response_quota=self._caller_limits.response_quota,
         )
         application = Application(
             self.request_context,
@@ -199,12 +213,17 @@
         self._preallocation_scheduled = False
         listen = settings.listen
         self._addresses: dict[str, str] = {}
-        self.server = self._start_server(listen.callers, application.serve, "callers")
-        self._start_server(listen.readiness, make_readiness_application(self.is_ready), "readiness")
+        caller_limits = self._caller_limits
+        self.server = self._start_server(
+            listen.callers, application.serve, "callers", caller_limits
+        )
+        operator_limits = caller_limits.make_for_operators()
+        readiness = make_readiness_application(self.is_ready)
+        self._start_server(listen.readiness, readiness, "readiness", operator_limits)
         entry_seconds = settings.stop.entry_seconds
         lookup = make_lookup_application(self._list_entry_addresses, entry_seconds)
-        self._start_server(listen.lookup, lookup, "lookup")
-        self._start_server(listen.metrics, _respond_with_metrics, "metrics")
+        self._start_server(listen.lookup, lookup, "lookup", caller_limits.make_for_lookups())
+        self._start_server(listen.metrics, _respond_with_metrics, "metrics", operator_limits)
         peers_port = self.peers.listen(self.loop, listen.peers.ip, listen.peers.port)
         self._addresses["peers"] = f"{listen.peers.ip}:{peers_port}"
         _Signals(self).register(self.loop.root)
@@ -386,6 +405,11 @@
         leaving = [DepartureNode(item.node_id, item.data_centre, item.leaving) for item in members]
         self.admission.departures.refresh(leaving, targets, now)
 
+        self._peer_ips = {item.address.rpartition(":")[0] for item in members}
+
+    def _is_peer(self, ip: str) -> bool:
+        return ip in self._peer_ips
+
     def _record_own_load(self) -> None:
         """Measure this node's link and processor; publish when they become full or have room."""
         load = self.own_load
@@ -528,7 +552,11 @@
         return window
 
     def _start_server(
-        self, address: Address, application: HttpApplication, channel: str
+        self,
+        address: Address,
+        application: HttpApplication,
+        channel: str,
+        caller_limits: CallerLimits,
     ) -> HttpServer:
         limits = HttpLimits(
             body_bytes_max=4 * 1024 * 1024,
@@ -543,6 +571,7 @@
             make_rejection,
             limits=limits,
             channel=channel,
+            caller_limits=caller_limits,
         )
         server.register(self.loop.root)
         self._addresses[channel] = f"{address.ip}:{server.port}"
--- a/bronzetiller/net/dialer.py
+++ b/bronzetiller/net/dialer.py
@@ -56,7 +56,7 @@
     paused: bool = False
     timer: Timer | None = None
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | bytearray) -> None:
         """Send data after all that was written before; ignored unless the connection is open."""
         if self.open:
             self._dialer.write(self._sock, data)
@@ -71,6 +71,10 @@
             return False
         return False
 
+    def has_unsent(self) -> bool:
+        """Return whether written data waits to be sent."""
+        return self._dialer.count_unsent_bytes(self._sock) > 0
+
     def pause(self) -> None:
         """Stop reading, so that TCP flow control blocks the other end."""
         self.paused = True
--- a/bronzetiller/net/idle_connections.py
+++ b/bronzetiller/net/idle_connections.py
@@ -79,8 +79,10 @@
     on_early_close is called with the address of a server that closes one too soon for an idle one.
     """
 
+    connections_max: int | None = None  # to all addresses
     on_early_close: Callable[[Address], None] = lambda address: None
     _by_address: dict[Address, list[Kept]] = field(factory=dict)
+    _kept: dict[Kept, None] = field(factory=dict)  # in the order of their last use
 
     def has(self, address: Address) -> bool:
         """Return whether there is an idle connection to an address."""
@@ -101,12 +103,16 @@
         idle = self._by_address.setdefault(kept.address, [])
         if kept.carried_ids.is_full or len(idle) >= IDLE_CONNECTIONS_MAX:
             kept.close()
-        else:
-            idle.append(kept)
+            return
+        idle.append(kept)
+        self._kept[kept] = None
+        if self.connections_max is not None and len(self._kept) > self.connections_max:
+            next(iter(self._kept)).close()
 
     def remove(self, kept: Kept) -> None:
         """Remove a connection, if it is among the idle ones."""
         idle = self._by_address.get(kept.address, [])
+        self._kept.pop(kept, None)
         if kept in idle:
             idle.remove(kept)
 
@@ -120,6 +126,7 @@
     def close_all(self, address: Address) -> None:
         """Close the connections to an address."""
         for kept in self._by_address.pop(address, []):
+            self._kept.pop(kept, None)
             kept.close()
 
 
--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -254,7 +254,7 @@
         fleet.configure(1)
         fleet.start_target("desk-1", PLAIN_SERVICE)
         for number in (1, 2, 3):
-            fleet.start_node(f"node-{number}", link_mbps=0.5)
+            fleet.start_node(f"node-{number}", capacity={"link_mbps": 0.5})
         for number in (1, 2, 3):
             fleet.await_ready(f"node-{number}")
             await_true(
