Try the next waiting request only after one that is limited to regions

Every waiting request was tried in turn whenever a slot was free, also those without regions, which now wait as they did before.

--- a/bronzetiller/gateway/brittle_targets.py
+++ b/bronzetiller/gateway/brittle_targets.py
@@ -127,7 +127,8 @@
     ) -> bool:
         """Call resume once a slot is free, or at the given time; return False if too many wait.
 
-        resume returns False if its request has ended, so that the next one gets the slot.
+        resume returns False if its request has ended, or waits again as it may not use the slot, so
+        that the next one gets the slot.
         """
         if self._services.find(service) is None or until <= self._scheduler.now():
             return False
@@ -166,9 +167,7 @@
                 return
 
     def _resume(self, waiters: list[_Waiter], waiter: _Waiter) -> bool:
-        """Resume a request; return False if it ends or waits again, as it may not use the slot."""
         waiters.remove(waiter)
-        waiting = len(waiters)
         waiter.timer.cancel()
         QUEUED_REQUESTS.dec()
-        return waiter.resume() and len(waiters) <= waiting
+        return waiter.resume()
--- a/bronzetiller/gateway/request_handler.py
+++ b/bronzetiller/gateway/request_handler.py
@@ -313,9 +313,10 @@
         until = min(self.started_at + wait_seconds, self.deadline)
 
         def resume() -> bool:
+            earlier = self.attempt
             if not self.finished:
                 self._place()
-            return not self.finished
+            return not self.finished and (self._regions is None or self.attempt is not earlier)
 
         return self.context.admission.wait(self.service, until, resume, self._priority)
 
