Bound the bytes of the bodies that a starting node holds

The queue of a starting node was bounded by 256 requests alone. Complete bodies count in no other quota, so 256 bodies of the largest legal size (4 MiB) could take 1 GiB for 0.8 s. At most 8 MiB of bodies are held now; other requests are refused at once, as before the queue.

--- a/bronzetiller/gateway/start_queue.py
+++ b/bronzetiller/gateway/start_queue.py
@@ -20,6 +20,8 @@
 HELD_SECONDS_MAX = 0.8
 HELD_PORTION_MAX = 0.25  # of the time that a caller still waits, so that a retry is worthwhile
 HELD_REQUESTS_MAX = 256  # some seconds of the load of a large VM, with bodies of 12 KB
+# Of the bodies; 256 of the largest legal size (4 MiB) would exceed the memory of every machine.
+HELD_BYTES_MAX = 8 * 1024 * 1024
 FIRST_ANSWER_SECONDS = 0.4  # in which a store that is reachable answers the first call
 CHECK_SECONDS = 0.02
 RETRY_SECONDS_READING = 0.5
@@ -47,6 +49,7 @@
 
     resume: Callable[[], None]
     timer: Timer
+    body_bytes: int
 
 
 @define(eq=False)
@@ -62,6 +65,7 @@
     _get_answered_at: Callable[[], float]
     _started_at: float = field(init=False)
     _held: dict[Exchange, _Held] = field(factory=dict)
+    _held_bytes: int = 0
     _has_been_complete: bool = False
     _expired: int = 0
 
@@ -90,7 +94,9 @@
         self._has_been_complete = self._has_been_complete or self._is_complete()
         if self._has_been_complete or exchange in self._held:
             return False
-        if not self.is_reading or len(self._held) >= HELD_REQUESTS_MAX:
+        body_bytes = len(exchange.body)
+        is_crowded = self._held_bytes + body_bytes > HELD_BYTES_MAX
+        if not self.is_reading or is_crowded or len(self._held) >= HELD_REQUESTS_MAX:
             return False
         seconds = HELD_SECONDS_MAX
         if seconds_left is not None:
@@ -98,7 +104,8 @@
         if not self._held:
             self._scheduler.call_after(CHECK_SECONDS, self._check)
         timer = self._scheduler.call_after(seconds, lambda: self._expire(exchange))
-        self._held[exchange] = _Held(resume, timer)
+        self._held[exchange] = _Held(resume, timer, body_bytes)
+        self._held_bytes += body_bytes
         exchange.on_disconnect = lambda: self._discard(exchange)
         exchange.on_expire = lambda: self._expire(exchange)
         START_QUEUE_REQUESTS.labels("held").inc()
@@ -129,7 +136,8 @@
         held.timer.cancel()
         exchange.on_disconnect = exchange.on_expire = None
         held.resume()
-        self._held.pop(exchange, None)
+        self._held_bytes -= held.body_bytes
+        del self._held[exchange]
 
     def _discard(self, exchange: Exchange) -> None:
         """Forget a request whose caller has left."""
@@ -140,5 +148,6 @@
         held = self._held.pop(exchange, None)
         if held is not None:
             held.timer.cancel()
+            self._held_bytes -= held.body_bytes
         exchange.on_disconnect = exchange.on_expire = None
         return held
--- a/tests/test_start_queue.py
+++ b/tests/test_start_queue.py
@@ -5,6 +5,7 @@
 
 from bronzetiller.gateway.start_queue import (
     FIRST_ANSWER_SECONDS,
+    HELD_BYTES_MAX,
     HELD_REQUESTS_MAX,
     HELD_SECONDS_MAX,
     JITTER_SHARE,
@@ -20,6 +21,7 @@
 class FakeExchange:
     """Hold what the queue uses of an exchange."""
 
+    body: bytes = b"x"
     done: bool = False
     on_disconnect: object = None
     on_expire: object = None
@@ -38,9 +40,9 @@
     def __attrs_post_init__(self):
         self.queue = StartQueue(self.scheduler, lambda: self.complete, lambda: self.answered_at)
 
-    def send(self, number, seconds_left=None):
+    def send(self, number, seconds_left=None, body=b"x"):
         """Send a request; return its exchange, or None if it is not held."""
-        exchange = FakeExchange()
+        exchange = FakeExchange(body)
 
         def go_on():
             if not self.queue.hold(exchange, seconds_left, go_on):
@@ -89,6 +91,19 @@
     assert away.send("early") is None
 
 
+def test_held_bodies_are_bounded_in_bytes(node):
+    """Guard against running out of memory by a few hundred large bodies at the start."""
+    half = b"x" * (HELD_BYTES_MAX // 2)
+    left, expiring = node.send("left", body=half), node.send("expiring", body=half)
+    assert left and expiring
+    assert node.send("too much", body=b"x") is None
+    left.on_disconnect()
+    assert node.send("in its place", seconds_left=0.1, body=half)
+    node.scheduler.advance(2 * HELD_SECONDS_MAX)
+    assert [number for number, _ in node.resumed] == ["too much", "in its place", "expiring"]
+    assert node.send("again", body=half) and node.send("again", body=half)
+
+
 def test_a_request_whose_caller_has_left_does_not_go_on(node):
     """Guard against running a request that nobody waits for."""
     exchange = node.send("left")
