Refuse at once at a starting node that the store no longer answers

A node that got one answer of the store counted as reading for as long as it was incomplete. If an outage began then, it held each request for up to 0.8 s and told callers to return after 0.5 s, against the design.

--- a/tests/test_start_queue.py
+++ b/tests/test_start_queue.py
@@ -14,6 +14,7 @@
     StartQueue,
     choose_retry_seconds,
 )
+from bronzetiller.sync.read_plan import ANSWERED_SECONDS_MAX
 from standins.fake_scheduler import FakeScheduler
 
 
@@ -54,7 +55,7 @@
 
 @pytest.fixture
 def node():
-    return StartingNode(answered_at=0.0)
+    return StartingNode(answered_at=FakeScheduler().now())
 
 
 def test_requests_go_on_in_the_order_of_their_arrival_once_the_node_is_complete(node):
@@ -91,6 +92,15 @@
     assert away.send("early") is None
 
 
+def test_a_store_that_answered_long_ago_holds_nothing(node):
+    """Guard against holding requests through an outage that began after the first answer."""
+    node.scheduler.advance(ANSWERED_SECONDS_MAX - 0.1)
+    assert node.send("reading")
+    node.scheduler.advance(0.2)
+    assert node.send("away") is None
+    assert node.queue.compute_retry_seconds(0.5) >= RETRY_SECONDS_MIN
+
+
 def test_held_bodies_are_bounded_in_bytes(node):
     """Guard against running out of memory by a few hundred large bodies at the start."""
     half = b"x" * (HELD_BYTES_MAX // 2)
