Try no more nodes of other regions than a lookup names

Each node judged a set for each of the large nodes of other regions, once a second and data centre, so that the cost grew with the square of the nodes.

--- a/bronzetiller/gateway/entries.py
+++ b/bronzetiller/gateway/entries.py
@@ -5,6 +5,7 @@
 small nodes are named only where the part of each stays well below what it bears.
 """
 
+import math
 from collections.abc import Callable, Collection
 from enum import IntEnum
 
@@ -365,6 +366,9 @@
 ) -> list[Member]:
     """Add as many nodes of other regions as the link between regions bears; none: no candidate.
 
+    A set has at most the nodes that a lookup names, which also bounds the processor time: with 330
+    large nodes, trying each of them took 160 ms a second.
+
     The current ones stay while the link bears them with a margin. Each data centre ranks them in
     another order, so that several do not choose the same.
     """
@@ -374,12 +378,16 @@
     kept = [by_id[item] for item in sorted(current.node_ids) if item in by_id] if current else []
     if kept and _count_remote(demand, len(strong), len(kept)) <= RELEASE_FACTOR * demand.remote_max:
         return [*strong, *kept]
+    room = ADDRESSES_MAX - len(strong)
+    if room <= 0:
+        return []
+    near_headroom = compute_headroom(strong, demand) if strong else -math.inf
     added: list[Member] = []
     for node_id in rank_nodes(f"entries/{data_centre}", list(by_id)):
-        if _count_remote(demand, len(strong), len(added) + 1) > demand.remote_max:
+        remote_load = _count_remote(demand, len(strong), len(added) + 1)
+        if len(added) == room or remote_load > demand.remote_max:
             break
-        with_node = compute_headroom([*strong, by_id[node_id]], demand)
-        if not strong or with_node >= compute_headroom(strong, demand):
+        if compute_headroom([*strong, by_id[node_id]], demand) >= near_headroom:
             added.append(by_id[node_id])
     return [*strong, *added] if added else []
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -6,6 +6,7 @@
 import pytest
 from attrs import evolve
 
+from bronzetiller.gateway import entries
 from bronzetiller.gateway.caller_demand import CallerDemand
 from bronzetiller.gateway.capacity import UTILIZATION_MAX
 from bronzetiller.gateway.entries import EntryChoices, Stage, choose_entries
@@ -224,6 +225,34 @@
     assert len(entries) == 64 and {"n0", "n1"} <= {item.node_id for item in entries}
 
 
+@pytest.mark.parametrize("near", [110, 40])
+def test_a_large_fleet_of_equal_nodes_costs_little_time(near, monkeypatch):
+    """Guard against a cost that grows with the square of the nodes, in each second."""
+    judged = []
+    compute = entries.compute_headroom
+    monkeypatch.setattr(
+        entries,
+        "compute_headroom",
+        lambda items, demand: judged.append(len(items)) or compute(items, demand),
+    )
+    members = [
+        Member(
+            f"n{number}",
+            f"10.0.0.1:{number + 1}",
+            "a" if number < near else "d",
+            "x",
+            True,
+            capacity=LARGE,
+            load=2.0,
+        )
+        for number in range(330)
+    ]
+    named = choose_entries(members, "a", REGIONS)
+    assert {item.data_centre for item in named} == {"a"}
+    assert max(judged) <= max(near, 64)
+    assert sum(judged) <= 10 * len(members)
+
+
 def test_a_lost_node_is_replaced_in_the_next_answer():
     play = Play()
     play.run(10, 360, lambda _: 0.2)
