Choose again for a data centre whose nodes are all gone

If the settings lack a data centre, it is known from its nodes alone, and its last choice stayed as it was once they were gone: its callers were told of no node of it, and so of all nodes of the fleet, small and full ones included. Choices are refreshed for each data centre that has one now. Also removes a field of OwnLoad that nothing reads.

--- a/bronzetiller/gateway/entries.py
+++ b/bronzetiller/gateway/entries.py
@@ -169,7 +169,9 @@
         }
         self.demand.record_answers(answers, now)
         self.demand.update(members)
-        for data_centre in sorted({item.data_centre for item in members} | set(self._regions)):
+        present = {item.data_centre for item in members}
+        # A data centre whose nodes are all gone may be known from its former nodes alone.
+        for data_centre in sorted(present.union(self._regions, self._choices)):
             current = self._choices.get(data_centre)
             is_held = current is not None and now - current.since < HOLD_SECONDS
             self._refresh_choice(
--- a/bronzetiller/gateway/own_load.py
+++ b/bronzetiller/gateway/own_load.py
@@ -52,7 +52,6 @@
     delay_seconds: float = 0.0
     _samples: deque[Sample] = field(factory=deque)
     _delays: deque[float] = field(factory=lambda: deque(maxlen=DELAYS))
-    _full_since: float = float("-inf")
     _held_until: float = float("-inf")
     _hold_seconds: float = HOLD_SECONDS
     _ended_at: float = float("-inf")
@@ -110,7 +109,7 @@
         hold_seconds = 2 * self._hold_seconds if recurs else HOLD_SECONDS
         self._hold_seconds = min(HOLD_SECONDS_MAX, hold_seconds)
         self.is_full = True
-        self._full_since = self._busy_at = self._refilled_at = now
+        self._busy_at = self._refilled_at = now
         self._held_until = now + self._hold_seconds
         self._admitted_seconds = 0.0
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -253,6 +253,16 @@
     assert sum(judged) <= 10 * len(members)
 
 
+def test_callers_of_a_data_centre_that_is_gone_are_told_of_others():
+    """Guard against an empty answer, or one of all nodes, where the settings lack a place."""
+    known = {name: region for name, region in REGIONS.items() if name != "a"}
+    members, choices = make_fleet(), EntryChoices(known)
+    assert {item.node_id for item in choices.choose(members.values(), "a", 0.0)} == {"a0", "a1"}
+    left = [item for item in members.values() if item.data_centre != "a"]
+    named = choices.choose(left, "a", 10.0)
+    assert len(named) >= 2 and all(item.capacity == LARGE for item in named)
+
+
 def test_a_lost_node_is_replaced_in_the_next_answer():
     play = Play()
     play.run(10, 360, lambda _: 0.2)
