Forget a target's slowdown while it states none

A target that stated a long time got few requests, and only their responses replace the statement: a node went on avoiding it by the last report, for good at a low load.

--- a/bronzetiller/gateway/placement.py
+++ b/bronzetiller/gateway/placement.py
@@ -104,7 +104,7 @@
         work += FULL_COST_SECONDS * load
     if request.prompt is None:
         work += CALL_SECONDS
-    cost = distances.estimate(target.registration.data_centre) + target.pace.slowdown * work
+    cost = distances.estimate(target.registration.data_centre) + target.pace.estimate(now) * work
     cost += REPEATED_PREFILL_FACTOR * prefill.shared_tokens / PREFILL_TOKENS_PER_SECOND
     cost += RANK_COST_SECONDS * (rank or 0)
     cost += target.estimate_queue_delay(now)
--- a/tests/test_target_pace.py
+++ b/tests/test_target_pace.py
@@ -3,7 +3,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bronzetiller.gateway.placement import Distances, PlacementRequest, choose_target
 from bronzetiller.gateway.target_pace import SLOWDOWN_MAX, SLOWDOWN_MIN, TargetPace
+from bronzetiller.gateway.targets import Registration, Target
+from bronzetiller.net.address import Address
 
 
 def test_a_target_that_is_slow_for_seconds_differs_from_one_that_is_slow_for_a_moment():
@@ -25,3 +28,20 @@
         now += seconds
         pace.record(slowdown, now)
         assert SLOWDOWN_MIN <= pace.slowdown <= SLOWDOWN_MAX
+
+
+def test_a_target_that_was_slow_is_tried_again_though_it_states_nothing_meanwhile():
+    """Guard against leaving a target for good by its last report, which only use would replace."""
+    slow, busy = (
+        Target(Registration(name, "s", Address("10.0.0.1", number), "a", 8, False))
+        for number, name in enumerate(("slow", "busy"), 1)
+    )
+    busy.in_flight, slow.in_flight = 2, 1
+    slow.pace.record(8.0, 100.0)
+    distances, request = Distances("a", "west", {"a": "west"}), PlacementRequest(None, "")
+
+    def choose(now):
+        return choose_target([slow, busy], request, distances, now, lambda: 0.0)
+
+    assert choose(100.5) is busy
+    assert choose(130.0) is slow
