Choose among the permitted nodes where the general choice has none of them

A lookup of a host limited to regions fell back to all nodes there, small and full ones included, if the nodes that are named to the caller's data centre lie elsewhere. It is answered by the same rules among the permitted nodes now.

--- a/bronzetiller/gateway/entries.py
+++ b/bronzetiller/gateway/entries.py
@@ -152,6 +152,19 @@
             return choose_entries(members, data_centre, self._regions)
         return [item for item in members if item.node_id in choice.node_ids]
 
+    def choose_permitted(
+        self,
+        members: Collection[Member],
+        permitted: Collection[Member],
+        data_centre: str,
+        now: float,
+    ) -> list[Member]:
+        """Return the entry nodes that may serve a host, or a choice among those that may."""
+        permitted_ids = {item.node_id for item in permitted}
+        chosen = self.choose(members, data_centre, now)
+        named = [item for item in chosen if item.node_id in permitted_ids]
+        return named or choose_entries(permitted, data_centre, self._regions)
+
     def refresh(self, members: Collection[Member], now: float) -> None:
         """Choose again if nodes came or left, or once an interval of the heartbeats has passed."""
         member_ids = frozenset(item.node_id for item in members)
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -473,8 +473,8 @@
         caller_region = regions.get(data_centre, region or None)
         members = self.members.list_serving()
         permitted = select_members(members, allowed, caller_region, regions)
-        chosen = self.entry_choices.choose(members, data_centre, self._scheduler.now())
-        entries = [item for item in chosen if item in permitted] or permitted
+        now = self._scheduler.now()
+        entries = self.entry_choices.choose_permitted(members, permitted, data_centre, now)
         return [item.address for item in entries]
 
     def _make_member(self) -> Member:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -263,6 +263,18 @@
     assert len(named) >= 2 and all(item.capacity == LARGE for item in named)
 
 
+def test_lookups_limited_to_a_region_name_large_nodes_with_room_there():
+    """Guard against naming small and full nodes where the general choice lies elsewhere."""
+    members, choices = make_fleet(), EntryChoices(REGIONS)
+    all_members = [evolve(item, full=item.node_id == "d0") for item in members.values()]
+    permitted = [item for item in all_members if REGIONS[item.data_centre] == "east"]
+    named = choices.choose_permitted(all_members, permitted, "a", 0.0)
+    assert {item.node_id for item in named} == {"d1", "e0", "e1", "f0", "f1"}
+    near = choices.choose_permitted(all_members, all_members, "a", 0.0)
+    assert {item.node_id for item in near} == {"a0", "a1"}
+    assert choices.choose_permitted(all_members, permitted[:1], "a", 0.0) == permitted[:1]
+
+
 def test_a_lost_node_is_replaced_in_the_next_answer():
     play = Play()
     play.run(10, 360, lambda _: 0.2)
