--- a/bronzetiller/gateway/entries.py
+++ b/bronzetiller/gateway/entries.py
@@ -5,6 +5,7 @@
 small nodes are named only where the part of each stays well below what it bears.
 """
 
+import math
 from collections.abc import Callable, Collection
 from enum import IntEnum
 
@@ -151,6 +152,19 @@
             return choose_entries(members, data_centre, self._regions)
         return [item for item in members if item.node_id in choice.node_ids]
 
+    def choose_permitted(
+        self,
+        members: Collection[Member],
+        permitted: Collection[Member],
+        data_centre: str,
+        now: float,
+    ) -> list[Member]:
+        """Return the entry nodes that may serve a host, or a choice among those that may."""
+        permitted_ids = {item.node_id for item in permitted}
+        chosen = self.choose(members, data_centre, now)
+        named = [item for item in chosen if item.node_id in permitted_ids]
+        return named or choose_entries(permitted, data_centre, self._regions)
+
     def refresh(self, members: Collection[Member], now: float) -> None:
         """Choose again if nodes came or left, or once an interval of the heartbeats has passed."""
         member_ids = frozenset(item.node_id for item in members)
@@ -168,7 +182,9 @@
         }
         self.demand.record_answers(answers, now)
         self.demand.update(members)
-        for data_centre in sorted({item.data_centre for item in members} | set(self._regions)):
+        present = {item.data_centre for item in members}
+        # A data centre whose nodes are all gone may be known from its former nodes alone.
+        for data_centre in sorted(present.union(self._regions, self._choices)):
             current = self._choices.get(data_centre)
             is_held = current is not None and now - current.since < HOLD_SECONDS
             self._refresh_choice(
@@ -365,6 +381,9 @@
 ) -> list[Member]:
     """Add as many nodes of other regions as the link between regions bears; none: no candidate.
 
+    A set has at most the nodes that a lookup names, which also bounds the processor time: with 330
+    large nodes, trying each of them took 160 ms a second.
+
     The current ones stay while the link bears them with a margin. Each data centre ranks them in
     another order, so that several do not choose the same.
     """
@@ -374,12 +393,16 @@
     kept = [by_id[item] for item in sorted(current.node_ids) if item in by_id] if current else []
     if kept and _count_remote(demand, len(strong), len(kept)) <= RELEASE_FACTOR * demand.remote_max:
         return [*strong, *kept]
+    room = ADDRESSES_MAX - len(strong)
+    if room <= 0:
+        return []
+    near_headroom = compute_headroom(strong, demand) if strong else -math.inf
     added: list[Member] = []
     for node_id in rank_nodes(f"entries/{data_centre}", list(by_id)):
-        if _count_remote(demand, len(strong), len(added) + 1) > demand.remote_max:
+        remote_load = _count_remote(demand, len(strong), len(added) + 1)
+        if len(added) == room or remote_load > demand.remote_max:
             break
-        with_node = compute_headroom([*strong, by_id[node_id]], demand)
-        if not strong or with_node >= compute_headroom(strong, demand):
+        if compute_headroom([*strong, by_id[node_id]], demand) >= near_headroom:
             added.append(by_id[node_id])
     return [*strong, *added] if added else []
 
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -439,9 +439,7 @@
 
     def _on_early_close(self, address: Address) -> None:
         """Find out whether the targets at an address, which closed an idle connection, are lost."""
-        at_address = [
-            item for item in self.pool.targets.values() if item.registration.address == address
-        ]
+        at_address = self.pool.list_at(address)
         for target in self.admission.cold.mark_lost(at_address, self._scheduler.now()):
             self.reachability.suspect(target)
 
@@ -499,8 +497,8 @@
         caller_region = regions.get(data_centre, region or None)
         members = self.members.list_serving()
         permitted = select_members(members, allowed, caller_region, regions)
-        chosen = self.entry_choices.choose(members, data_centre, self._scheduler.now())
-        entries = [item for item in chosen if item in permitted] or permitted
+        now = self._scheduler.now()
+        entries = self.entry_choices.choose_permitted(members, permitted, data_centre, now)
         return [item.address for item in entries]
 
     def _make_member(self) -> Member:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -6,6 +6,7 @@
 import pytest
 from attrs import evolve
 
+from bronzetiller.gateway import entries
 from bronzetiller.gateway.caller_demand import CallerDemand
 from bronzetiller.gateway.capacity import UTILIZATION_MAX
 from bronzetiller.gateway.entries import EntryChoices, Stage, choose_entries
@@ -224,6 +225,56 @@
     assert len(entries) == 64 and {"n0", "n1"} <= {item.node_id for item in entries}
 
 
+@pytest.mark.parametrize("near", [110, 40])
+def test_a_large_fleet_of_equal_nodes_costs_little_time(near, monkeypatch):
+    """Guard against a cost that grows with the square of the nodes, in each second."""
+    judged = []
+    compute = entries.compute_headroom
+    monkeypatch.setattr(
+        entries,
+        "compute_headroom",
+        lambda items, demand: judged.append(len(items)) or compute(items, demand),
+    )
+    members = [
+        Member(
+            f"n{number}",
+            f"10.0.0.1:{number + 1}",
+            "a" if number < near else "d",
+            "x",
+            True,
+            capacity=LARGE,
+            load=2.0,
+        )
+        for number in range(330)
+    ]
+    named = choose_entries(members, "a", REGIONS)
+    assert {item.data_centre for item in named} == {"a"}
+    assert max(judged) <= max(near, 64)
+    assert sum(judged) <= 10 * len(members)
+
+
+def test_callers_of_a_data_centre_that_is_gone_are_told_of_others():
+    """Guard against an empty answer, or one of all nodes, where the settings lack a place."""
+    known = {name: region for name, region in REGIONS.items() if name != "a"}
+    members, choices = make_fleet(), EntryChoices(known)
+    assert {item.node_id for item in choices.choose(members.values(), "a", 0.0)} == {"a0", "a1"}
+    left = [item for item in members.values() if item.data_centre != "a"]
+    named = choices.choose(left, "a", 10.0)
+    assert len(named) >= 2 and all(item.capacity == LARGE for item in named)
+
+
+def test_lookups_limited_to_a_region_name_large_nodes_with_room_there():
+    """Guard against naming small and full nodes where the general choice lies elsewhere."""
+    members, choices = make_fleet(), EntryChoices(REGIONS)
+    all_members = [evolve(item, full=item.node_id == "d0") for item in members.values()]
+    permitted = [item for item in all_members if REGIONS[item.data_centre] == "east"]
+    named = choices.choose_permitted(all_members, permitted, "a", 0.0)
+    assert {item.node_id for item in named} == {"d1", "e0", "e1", "f0", "f1"}
+    near = choices.choose_permitted(all_members, all_members, "a", 0.0)
+    assert {item.node_id for item in near} == {"a0", "a1"}
+    assert choices.choose_permitted(all_members, permitted[:1], "a", 0.0) == permitted[:1]
+
+
 def test_a_lost_node_is_replaced_in_the_next_answer():
     play = Play()
     play.run(10, 360, lambda _: 0.2)
