Name nodes that came later where a region has fewer than two large ones

With one node in each region, the set of a near node and others was kept as it was when the second node came, and a third one was left out by a few tenths of a request a second: lookups named two of three idle nodes, and tests/test_region_fleet.py failed while it waited for all of them. Nodes that come later join such a set, and idle nodes are named whatever headroom the near one has. tests/test_region_fleet.py and tests/test_entries.py pass.

--- a/bronzetiller/gateway/entries.py
+++ b/bronzetiller/gateway/entries.py
@@ -34,6 +34,9 @@
 # one connection each fill its link.
 LARGE_UTILIZATION_MAX = 0.75
 HEADROOM_GAIN_MIN = 0.1  # of another overloaded set, before it replaces the current one
+# A node of another region with this much is named though near ones have more: loads of some
+# requests a second must not decide it.
+IDLE_HEADROOM = 0.75
 REGION_LINK_MBPS = 30.0  # between regions
 REGION_LINK_SHARE = 0.33  # for callers; the rest is for targets, peers and the store
 
@@ -391,18 +394,22 @@
         return []
     by_id = {item.node_id: item for item in remote}
     kept = [by_id[item] for item in sorted(current.node_ids) if item in by_id] if current else []
-    if kept and _count_remote(demand, len(strong), len(kept)) <= RELEASE_FACTOR * demand.remote_max:
+    remote_load = _count_remote(demand, len(strong), len(kept)) if kept else math.inf
+    is_kept_borne = remote_load <= RELEASE_FACTOR * demand.remote_max
+    # Without two near nodes the set is the only one, and nodes that came later belong to it.
+    if is_kept_borne and len(strong) >= ENTRIES_MIN:
         return [*strong, *kept]
     room = ADDRESSES_MAX - len(strong)
     if room <= 0:
         return []
     near_headroom = compute_headroom(strong, demand) if strong else -math.inf
-    added: list[Member] = []
-    for node_id in rank_nodes(f"entries/{data_centre}", list(by_id)):
+    added = kept[:room] if is_kept_borne else []
+    wanted_headroom = min(near_headroom, IDLE_HEADROOM)
+    for node_id in rank_nodes(f"entries/{data_centre}", by_id.keys() - {m.node_id for m in added}):
         remote_load = _count_remote(demand, len(strong), len(added) + 1)
         if len(added) == room or remote_load > demand.remote_max:
             break
-        if compute_headroom([*strong, by_id[node_id]], demand) >= near_headroom:
+        if compute_headroom([*strong, by_id[node_id]], demand) >= wanted_headroom:
             added.append(by_id[node_id])
     return [*strong, *added] if added else []
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -275,6 +275,21 @@
     assert choices.choose_permitted(all_members, permitted[:1], "a", 0.0) == permitted[:1]
 
 
+def test_all_nodes_are_named_where_each_region_has_one():
+    """Guard against leaving out nodes that came after the first two, as long as all are idle."""
+    regions = {"a": "west", "b": "north", "c": "east"}
+    members = [
+        Member(f"{name}0", "10.0.0.1:1", name, "x", True, capacity=LARGE, load=0.3 * number)
+        for number, name in enumerate(regions)
+    ]
+    for order in (members, members[::-1]):
+        choices = EntryChoices(regions)
+        for number in range(10):
+            present = order[: 1 + number // 2]
+            named = {name: choices.choose(present, name, number) for name in regions}
+        assert all(len(items) == 3 for items in named.values()), named
+
+
 def test_a_lost_node_is_replaced_in_the_next_answer():
     play = Play()
     play.run(10, 360, lambda _: 0.2)
