--- a/bronzetiller/gateway/start_queue.py
+++ b/bronzetiller/gateway/start_queue.py
@@ -6,7 +6,6 @@
 requests are refused at once and return later.
 """
 
-import math
 from collections.abc import Callable
 
 from attrs import define, field
@@ -15,6 +14,7 @@
 from bronzetiller.metrics import START_QUEUE_REQUESTS
 from bronzetiller.net.exchange import Exchange
 from bronzetiller.net.scheduler import Scheduler, Timer
+from bronzetiller.sync.read_plan import ANSWERED_SECONDS_MAX
 
 # After the loss of 76 nodes the last one was complete 1.4 s after its start, half of them 0.6 s.
 HELD_SECONDS_MAX = 0.8
@@ -76,7 +76,7 @@
     def is_reading(self) -> bool:
         """Return whether the node can be expected to be complete soon."""
         now = self._scheduler.now()
-        is_answered = self._get_answered_at() > -math.inf
+        is_answered = now - self._get_answered_at() <= ANSWERED_SECONDS_MAX
         return is_answered or now - self._started_at < FIRST_ANSWER_SECONDS
 
     def compute_retry_seconds(self, draw: float) -> float:
