Index targets without a pass over all of them for each heartbeat

A node that reads the registrations from the store rebuilt the index of all targets for each renewed registration, and went through all targets for each idle connection that closed early. The index now changes only if the service, the address or the leaving flag does, a new target is added to it, and targets are found by their address.

A fixture of test_stream_records.py emptied the pool's dictionary behind its back; it now removes the targets.

--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -415,9 +415,7 @@
 
     def _on_early_close(self, address: Address) -> None:
         """Find out whether the targets at an address, which closed an idle connection, are lost."""
-        at_address = [
-            item for item in self.pool.targets.values() if item.registration.address == address
-        ]
+        at_address = self.pool.list_at(address)
         for target in self.admission.cold.mark_lost(at_address, self._scheduler.now()):
             self.reachability.suspect(target)
 
--- a/bronzetiller/gateway/targets.py
+++ b/bronzetiller/gateway/targets.py
@@ -170,6 +170,7 @@
 
     targets: dict[str, Target] = field(factory=dict)
     _by_service: dict[str, list[Target]] = field(factory=dict)
+    _by_address: dict[Address, list[Target]] = field(factory=dict)  # empty until it is needed
     _leaving_instances: set[str] = field(factory=set)
 
     def list_targets(self, service: str) -> list[Target]:
@@ -180,14 +181,24 @@
         """Return the services that have at least one target."""
         return set(self._by_service)
 
+    def list_at(self, address: Address) -> list[Target]:
+        """Return the targets that are registered at an address, also those that are leaving."""
+        if not self._by_address:
+            for target in self.targets.values():
+                self._by_address.setdefault(target.registration.address, []).append(target)
+        return self._by_address.get(address, [])
+
     def register(self, registration: Registration) -> None:
         """Add a target or update its registration; a restarted target replaces the earlier one."""
         existing = self.targets.get(registration.target_id)
         if existing is not None and existing.registration.started_ms == registration.started_ms:
             if existing.registration.leaving != registration.leaving:
                 log_event("target_changed", target=existing.target_id, leaving=registration.leaving)
+            is_indexed = _get_indexed(existing.registration) == _get_indexed(registration)
             existing.registration = registration
             existing.lapsed_until = None
+            if is_indexed:  # a pass over 2,700 targets for each heartbeat would fill a core
+                return
         else:
             self.targets[registration.target_id] = Target(registration)
             log_event(
@@ -198,7 +209,10 @@
                 version=registration.software,
                 restarted=existing is not None,
             )
-        self._rebuild_index()
+        if existing is None:
+            self._add_to_index(self.targets[registration.target_id])
+        else:
+            self._rebuild_index()
 
     def remove(self, target_id: str, cause: str) -> None:
         """Remove a target."""
@@ -247,7 +261,17 @@
 
     def _rebuild_index(self) -> None:
         self._by_service = {}
+        self._by_address.clear()
         for target in self.targets.values():
-            is_leaving = target.instance in self._leaving_instances
-            if not target.registration.leaving and not is_leaving:
-                self._by_service.setdefault(target.registration.service, []).append(target)
+            self._add_to_index(target)
+
+    def _add_to_index(self, target: Target) -> None:
+        self._by_address.clear()
+        is_leaving = target.instance in self._leaving_instances
+        if not target.registration.leaving and not is_leaving:
+            self._by_service.setdefault(target.registration.service, []).append(target)
+
+
+def _get_indexed(registration: Registration) -> tuple[str, Address, bool]:
+    """Return the fields of a registration by which the pool finds its target."""
+    return registration.service, registration.address, registration.leaving
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -5,6 +5,7 @@
 import os
 
 import pytest
+from attrs import evolve
 from result import Err, Ok
 
 from bronzetiller.gateway.allocations import (
@@ -140,6 +141,27 @@
     assert "e1" not in {item.target_id for item in pool.list_targets("namegen")}
 
 
+def test_a_heartbeat_of_a_target_costs_no_pass_over_all_targets(pool):
+    target = next(iter(pool.targets.values()))
+    registration, listed = target.registration, pool.list_targets(target.registration.service)
+    pool.register(evolve(registration, heartbeat=registration.heartbeat + 1))
+    assert pool.list_targets(registration.service) is listed
+    pool.register(evolve(registration, leaving=True))
+    assert target not in pool.list_targets(registration.service)
+
+
+def test_targets_are_found_by_the_address_that_they_registered_last(pool):
+    target = next(iter(pool.targets.values()))
+    before, after = target.registration.address, Address("10.9.9.9", 1)
+    assert target in pool.list_at(before)
+    pool.register(evolve(target.registration, address=after))
+    assert target not in pool.list_at(before)
+    assert pool.list_at(after) == [target]
+    for target_id in list(pool.targets):
+        pool.remove(target_id, "gone")
+    assert pool.list_at(after) == []
+
+
 def test_a_lapsed_target_is_kept_until_its_expected_return(pool):
     pool.mark_lapsed("e1", NOW + 2.2)
     pool.remove_lapsed(NOW + 2.0)
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -69,7 +69,8 @@
         self.start(len(self.nodes))
 
     def serve(self, *versions):
-        self.pool.targets.clear()
+        for target_id in list(self.pool.targets):
+            self.pool.remove(target_id, "gone")
         for version in versions:
             for number in range(2):
                 name = f"{version}-{number}"
