Stop at the first permitted target when services are judged

While a list of regions or an evacuation is in force, each request filtered the targets of all services to learn which ones have a permitted target, and those of its own services once more. Both stop at the first one found.

--- a/bronzetiller/gateway/permitted_targets.py
+++ b/bronzetiller/gateway/permitted_targets.py
@@ -40,7 +40,14 @@
 
     def list_services(self, allowed: AllowedRegions = None) -> set[str]:
         """Return the services that have at least one permitted target."""
-        return {name for name in self._pool.list_services() if self.list_targets(name, allowed)}
+        return {name for name in self._pool.list_services() if self._has_targets(name, allowed)}
+
+    def _has_targets(self, service: str, allowed: AllowedRegions) -> bool:
+        """Return whether a service has a permitted target, at the first one that is found."""
+        targets = self._pool.list_targets(service)
+        if allowed is None and not self._evacuations.since:
+            return bool(targets)
+        return any(self._permits(item, allowed) for item in targets)
 
     def list_regions(self, service: str) -> set[str]:
         """Return the regions in which a service has permitted targets."""
@@ -55,7 +62,7 @@
         """Return why none of the targets of the services is permitted, or None if one is."""
         if not self.may_send():
             return "it is not confirmed which data centres are evacuated"
-        if self.list_all(services, allowed):
+        if any(self._has_targets(name, allowed) for name in services):
             return None
         targets = [item for name in services for item in self._pool.list_targets(name)]
         if not targets:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -62,6 +62,24 @@
     assert "not confirmed" in permitted.explain_lack(["s"], None)
 
 
+def test_a_service_counts_as_available_without_a_look_at_all_of_its_targets():
+    class CountedRegions(dict):
+        reads = 0
+
+        def get(self, key, default=None):
+            self.reads += 1
+            return super().get(key, default)
+
+    pool, regions = TargetPool(), CountedRegions(a="west")
+    for number in range(300):
+        address = Address("10.0.0.1", number)
+        pool.register(Registration(f"e{number}", f"s{number % 3}", address, "a", 8, False))
+    permitted = PermittedTargets(pool, regions)
+    assert permitted.list_services(frozenset({"west"})) == {"s0", "s1", "s2"}
+    assert permitted.explain_lack(["s0"], frozenset({"west"})) is None
+    assert regions.reads <= 4  # one for each service and question
+
+
 @pytest.mark.parametrize(
     ("age", "contact", "evacuate_ms", "expected"),
     [
