Use no shares of cold targets after a restoration of the store

Nodes that read the fleet through peers drop the members that a restored store lacks, until these write again. If that is less than half of the fleet, others ranked first for a target and used shares beside those that already had them: up to six shares in place of three. A node that finds a restoration now uses none for as long as after a gap in its own heartbeats.

--- a/bronzetiller/gateway/cold_shares.py
+++ b/bronzetiller/gateway/cold_shares.py
@@ -37,11 +37,13 @@
 class Contact:
     """Hold when the newest heartbeat in the store was sent, and as of when the nodes are known.
 
-    Both are monotonic seconds; the heartbeat says that this node serves callers.
+    All are monotonic seconds; the heartbeat says that this node serves callers. restored_at is when
+    the store was last found in an older state, which may lack nodes until they write again.
     """
 
     acknowledged_at: float
     confirmed_at: float
+    restored_at: float = float("-inf")
 
 
 @frozen
@@ -93,7 +95,8 @@
     def refresh(self, nodes: Iterable[tuple[str, str]], contact: Contact, now: float) -> None:
         """Update the serving nodes, given with their data centres; this node is one if it serves.
 
-        After a gap in its heartbeats, others may have taken its place.
+        After a gap in its heartbeats, others may have taken its place. After a restoration of the
+        store, the nodes may not know each other.
         """
         nodes = list(nodes)
         was_kept = now <= self._kept_until
@@ -107,6 +110,9 @@
         elif not was_kept:
             self._settled_from = now + SETTLE_SECONDS
             self._shares.clear()
+        if contact.restored_at + SETTLE_SECONDS > self._settled_from:
+            self._settled_from = contact.restored_at + SETTLE_SECONDS
+            self._shares.clear()
 
     def is_settled(self, now: float) -> bool:
         """Return whether this node may use shares."""
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -1,5 +1,6 @@
 """Assemble a gateway node and run it."""
 
+import math
 import signal
 import time
 from pathlib import Path
@@ -410,7 +411,9 @@
         cold, members, now = self.admission.cold, self.members, self._scheduler.now()
         serving = members.list_serving() if cold.is_used else []
         nodes = [(item.node_id, item.data_centre) for item in serving]
-        contact = Contact(members.acknowledged_at, members.follower.confirmed_at)
+        follower = members.follower
+        restored_at = -math.inf if follower.restored_at is None else follower.restored_at
+        contact = Contact(members.acknowledged_at, follower.confirmed_at, restored_at)
         cold.refresh(nodes, self.pool.targets.values(), contact, now)
 
     def _on_early_close(self, address: Address) -> None:
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -81,6 +81,16 @@
         cold.refresh([("node-1", "a")], [], Contact(at, at), at)
 
 
+def test_a_restored_store_that_lacks_nodes_gives_their_shares_to_nobody(settled):
+    target, size = make_target(left=60.0), size_shares(10.0, 1.5, 5.0)
+    assert settled.shares.has_share(target.instance, "a", size, 100.0)
+    for step in range(14):
+        at = 100.5 + 0.5 * step
+        settled.refresh([("node-1", "a")], [], Contact(at, at, restored_at=100.4), at)
+        is_over = at >= 100.4 + SETTLE_SECONDS
+        assert settled.shares.has_share(target.instance, "a", size, at) == is_over
+
+
 def test_a_registration_says_how_long_a_target_is_cold_at_most(cold):
     target = make_target(left=2.0)
     assert cold.find_cold_until(target, 100.0) == 102.0
