Refuse an evacuate_ms within which no request could be sent

A node in contact with the store sends only while its evacuations were confirmed more recently than evacuate_ms less 800 ms. With 800 ms or less it refused every request from its fourth second on; settings with such a bound are now malformed.

--- a/bronzetiller/sync/confirmation.py
+++ b/bronzetiller/sync/confirmation.py
@@ -22,11 +22,12 @@
     apply_ms counts from the acknowledgement of the version, contact_ms is for how long a node has
     to be in contact with the store for the first bound to hold (milliseconds). evacuate_ms is the
     same as apply_ms for evacuations of data centres; without it, they have no bound of their own.
+    It must exceed SEND_MARGIN_MS: otherwise a node in contact never sends anything.
     """
 
     apply_ms: float = field(default=3_000.0, validator=gt(0))
     contact_ms: float = field(default=4_000.0, validator=gt(0))
-    evacuate_ms: float | None = field(default=None, validator=optional(gt(0)))
+    evacuate_ms: float | None = field(default=None, validator=optional(gt(SEND_MARGIN_MS)))
 
 
 def may_serve(age_seconds: float, contact_seconds: float, bounds: ConfigurationBounds) -> bool:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -97,6 +97,12 @@
     assert may_serve(age, contact, bounds) == expected
 
 
+@pytest.mark.parametrize("evacuate_ms", [0.5, 800.0])
+def test_a_bound_within_which_no_request_could_be_sent_is_refused(evacuate_ms):
+    with pytest.raises(ValueError, match="evacuate_ms"):
+        ConfigurationBounds(evacuate_ms=evacuate_ms)
+
+
 @define(eq=False)
 class Node:
     follower: ConfigurationFollower
