Choose by capacity and load if no entry node is in an allowed region

A lookup first chose its entry nodes among all nodes and then kept the allowed ones. If none was left, it named every allowed node, small and full ones too, while the note says that it chooses among them. It now does: of 30 small and two large nodes it names the two large ones, not all 32.

--- a/bronzetiller/gateway/entries.py
+++ b/bronzetiller/gateway/entries.py
@@ -106,6 +106,23 @@
     return list(_choose(members, data_centre, regions, demand, None).entries)
 
 
+def limit_entries(
+    entries: Collection[Member],
+    permitted: Collection[Member],
+    data_centre: str,
+    regions: dict[str, str],
+) -> list[Member]:
+    """Return the permitted ones of the entry nodes; if there are none, choose among the permitted.
+
+    permitted may be all nodes of other regions, most of them small or full.
+    """
+    entry_ids = {item.node_id for item in entries}
+    limited = [item for item in permitted if item.node_id in entry_ids]
+    if limited or not permitted:
+        return limited
+    return choose_entries(permitted, data_centre, regions) or list(permitted)
+
+
 def compute_remote_max(used: float) -> float:
     """Return the requests per second that callers may send to other regions beside those used."""
     link = REGION_LINK_SHARE * REGION_LINK_MBPS * 1_000_000 / 8 / REQUEST_LINK_BYTES
--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -29,7 +29,7 @@
 from bronzetiller.gateway.crash_reports import CrashReports
 from bronzetiller.gateway.crashes import CrashTracker
 from bronzetiller.gateway.departures import DepartureNode, Departures
-from bronzetiller.gateway.entries import Choice, Demand, EntryChoices
+from bronzetiller.gateway.entries import Choice, Demand, EntryChoices, limit_entries
 from bronzetiller.gateway.evacuations import Evacuations
 from bronzetiller.gateway.followers import (
     CONFIGURATION_PEER_WAIT_SECONDS,
@@ -477,7 +477,7 @@
         members = self.members.list_serving()
         permitted = select_members(members, allowed, caller_region, regions)
         chosen = self.entry_choices.choose(members, data_centre, self._scheduler.now())
-        entries = [item for item in chosen if item in permitted] or permitted
+        entries = limit_entries(chosen, permitted, data_centre, regions)
         return [item.address for item in entries]
 
     def _make_member(self) -> Member:
--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -12,6 +12,7 @@
     choose_regions,
     select_members,
 )
+from bronzetiller.gateway.entries import limit_entries
 from bronzetiller.gateway.forwarding import PeerForwarder
 from bronzetiller.gateway.members import Member, decode_member
 from bronzetiller.gateway.permitted_targets import PermittedTargets
@@ -94,6 +95,16 @@
     assert select_members(members, frozenset({"east"}), "west", REGIONS) == members
 
 
+def test_a_lookup_chooses_among_allowed_nodes_by_capacity_if_no_entry_node_is_allowed():
+    entries = [make_member("near", "a")]
+    large = [evolve(make_member(f"large-{n}", "c"), capacity=500.0) for n in range(2)]
+    small = [evolve(make_member(f"small-{n}", "c"), capacity=20.0) for n in range(30)]
+    named = limit_entries(entries, [*small, *large], "a", REGIONS)
+    assert {item.node_id for item in named} == {"large-0", "large-1"}
+    assert limit_entries(entries, [*small, *entries], "a", REGIONS) == entries
+    assert limit_entries(entries, [], "a", REGIONS) == []
+
+
 def test_a_lookup_names_the_region_of_the_caller_while_the_routes_are_not_known():
     members = [make_member("in-d", "d"), make_member("in-a", "a")]
     assert choose_host_regions(None, HOST) == frozenset()
