State that the last process of a node must have ended when the next starts

The start is taken before the imports, some 0.3 s before the node binds its addresses, so that a last process which ends in between spends tokens that the restart does not count.

--- a/bronzetiller/process_start.py
+++ b/bronzetiller/process_start.py
@@ -9,7 +9,11 @@
 
 
 def record_process_start() -> None:
-    """Take now as the start of the process."""
+    """Take now as the start of the process.
+
+    The last process of this node must have ended: nothing that it spends later without a record
+    counts as spent.
+    """
     global _started_at
     _started_at = time.monotonic()
 
