--- a/bronzetiller/gateway/node.py
+++ b/bronzetiller/gateway/node.py
@@ -405,7 +405,6 @@
         self.admission.brittle.refresh(brittle, targets, now)
         leaving = [DepartureNode(item.node_id, item.data_centre, item.leaving) for item in members]
         self.admission.departures.refresh(leaving, targets, now)
-
         self._peer_ips = {item.address.rpartition(":")[0] for item in members}
 
     def _is_peer(self, ip: str) -> bool:
