Give each listener of the review's stand-ins a port of its own

Two listeners of a node could get the same free port, and the node then ended at its start; seen once, in a run of the SIGHUP case, which reported one machine too many.

--- a/review/stand2/world.py
+++ b/review/stand2/world.py
@@ -33,15 +33,21 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
+_given: set[tuple[str, int]] = set()
+
+
 def find_port(ip: str) -> int:
     """Return a free port of a loopback address."""
     with socket.socket() as sock:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         for port in random.sample(range(20_000, 32_000), 200):  # below those of connections
+            if (ip, port) in _given:
+                continue
             try:
                 sock.bind((ip, port))
             except OSError:
                 continue
+            _given.add((ip, port))
             return port
     raise CannotRunError(f"no free port at {ip}")
 
