Let engines of review case 7 crash at one moment, and end scripts soundly

An engine closes its listener and resets all connections at once, and comes back with a new id. An error, a signal or 110 s end a script with 2 and end its processes; an error ended it with 1 before.

--- a/review/7/play.py
+++ b/review/7/play.py
@@ -25,21 +25,18 @@
     crashes: list[float] = []
     poison: set[str] = set()
 
-    async def crash(engine: Engine) -> None:
-        await asyncio.sleep(CRASH_EVENTS * 0.0205)
-        if engine.beats:
-            crashes.append(world.record.now())
-            world.record.note(f"{engine.name} crashes")
-            await engine.crash(BACK_SECONDS)
-
     def watch(engine: Engine) -> None:
         def choose(run: Run) -> int | None:
-            if TROUBLE and run.request_id in poison:
-                world.tasks.append(asyncio.create_task(crash(engine)))
-                return CRASH_EVENTS
-            return None
+            return CRASH_EVENTS if TROUBLE and run.request_id in poison else None
+
+        def crash() -> None:
+            if engine.beats:
+                crashes.append(world.record.now())
+                world.record.note(f"{engine.name} crashes")
+                engine.go_down()
+                world.tasks.append(asyncio.create_task(engine.come_back(BACK_SECONDS)))
 
-        engine.cut_after = choose
+        engine.cut_after, engine.on_cut = choose, crash
 
     for number in range(ENGINES):
         engine = await world.add_engine(
--- a/review/stand2/world.py
+++ b/review/stand2/world.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -30,6 +31,7 @@
 STORE_IP = "127.0.0.2"
 HEARTBEAT_SECONDS = 1.2
 KEEP_ALIVE_SECONDS = 15
+LONGEST_SECONDS = 110
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -283,7 +285,8 @@
         self.slot = asyncio.Semaphore(slots)
         self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
-        self.beats = True
+        self.beats, self.starts = True, 0
+        self.on_cut: Callable[[], None] | None = None
         self.lose_answer: Callable[[Run], bool] = lambda run: False
         self.cut_after: Callable[[Run], int | None] = lambda run: None
 
@@ -293,16 +296,26 @@
         self.world.tasks.append(asyncio.create_task(self._beat()))
 
     async def crash(self, seconds: float) -> None:
-        """Lose all connections and be away for some seconds; come back as another start."""
+        """Lose all connections and be away for some seconds; come back with another id."""
+        self.go_down()
+        await self.come_back(seconds)
+
+    async def come_back(self, seconds: float) -> None:
+        """Start again after some seconds, with another id."""
+        await asyncio.sleep(seconds)
+        self.starts += 1
+        self.name = f"{self.name.split('.')[0]}.{self.starts}"
+        self.born = int(time.time() * 1000)
+        self.beats = True
+        self.server = await asyncio.start_server(self._serve, self.ip, self.port)
+
+    def go_down(self) -> None:
+        """Close the listener and reset all connections, at one moment."""
         assert self.server is not None
         self.beats = False
         self.server.close()
         for writer in list(self.writers):
             abort(writer)
-        await asyncio.sleep(seconds)
-        self.born = int(time.time() * 1000)
-        self.beats = True
-        self.server = await asyncio.start_server(self._serve, self.ip, self.port)
 
     async def _beat(self) -> None:
         while True:
@@ -443,7 +456,10 @@
             await writer.drain()
             run.events += 1
             if cut is not None and run.events >= cut:
-                abort(writer)
+                if self.on_cut is None:
+                    abort(writer)
+                else:
+                    self.on_cut()
                 return False
             if time.monotonic() > ends_at:
                 run.ended = "deadline"
@@ -702,6 +718,7 @@
                     node.process.send_signal(signal.SIGCONT)
                 node.process.kill()
                 node.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def make_configuration(
@@ -756,15 +773,20 @@
 
     async def main() -> int:
         world = World(folder)
+        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             await world.store.start()
-            broken = await play(world)
+            broken = await asyncio.wait_for(play(world), LONGEST_SECONDS)
             world.record.note(f"result: {broken or 'the rule held'}")
             print(broken or "the rule held")
             return 1 if broken else 0
-        except CannotRunError as error:
-            world.record.note(f"the case could not run: {error}")
-            print(f"the case could not run: {error}")
+        except (Exception, asyncio.CancelledError) as error:
+            world.record.note(f"the case could not run: {error!r}")
+            print(f"the case could not run: {error!r}")
             return 2
         finally:
             world.close()
