--- a/review/findings-2/sighup-at-start/play.py
+++ b/review/findings-2/sighup-at-start/play.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "stand2"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "stand2"))
 
 from world import TROUBLE, Node, World, run_case  # noqa: E402
 
